--- /dev/null
+++ b/Makefile
@@ -0,0 +1,38 @@
+# Targets are described in README.md.
+GO ?= go
+DEPLOYMENT ?= manizales
+PROGRAMS := currantthread-entry currantthread-sched currantctl currantthread-standin
+# The race detector needs a C compiler; without one the tests run without it.
+RACE ?= $(shell command -v gcc >/dev/null 2>&1 && echo -race)
+
+.PHONY: build test bench lint generate demo up down clean
+
+build:
+	@mkdir -p bin
+	$(GO) build -o bin/ ./cmd/...
+
+test:
+	$(GO) test $(RACE) ./...
+
+lint:
+	golangci-lint run ./...
+
+generate:
+	protoc -I innerproto --go_out=. --go_opt=module=github.com/currantthread/currantthread \
+		--connect-go_out=. --connect-go_opt=module=github.com/currantthread/currantthread,simple \
+		innerproto/currantthread.proto
+
+demo: build
+	bash scripts/demo.sh
+
+up: build
+	bash scripts/up.sh $(DEPLOYMENT)
+
+down:
+	bash scripts/down.sh
+
+bench:
+	$(GO) run ./internal/figures
+
+clean:
+	rm -rf bin run
--- /dev/null
+++ b/ledger/writer.go
@@ -0,0 +1,205 @@
+package ledger
+
+import (
+	"context"
+	stderrors "errors"
+	"time"
+
+	"github.com/cenkalti/backoff/v5"
+	"github.com/google/uuid"
+	"github.com/juju/errors"
+
+	"github.com/currantthread/currantthread/platform"
+)
+
+// ErrUnresolved reports that the previous commit's outcome must be settled by Resolve first.
+var ErrUnresolved = stderrors.New("outcome of the previous commit is not settled")
+
+const (
+	retryInitialInterval = 20 * time.Millisecond
+	retryMaxInterval     = time.Second
+)
+
+// Writer commits transactions one at a time, each at most once, also when the table's answers are lost.
+//
+// Each transaction stores its write ID in the writer's marker row under the condition that the marker is unchanged
+// since the previous one. A transaction that is sent twice therefore takes effect once, and reading the marker tells
+// whether it did. A Writer is not safe for concurrent use; its owner is the goroutine that commits.
+type Writer struct {
+	table  platform.Table
+	marker string
+	// version is the marker's version after the last settled commit; -1 before the first read.
+	version int64
+	// pending is the ID of the write whose outcome is unknown; empty if there is none.
+	pending string
+}
+
+// NewWriter returns a Writer that nobody else uses at the same time under the same name.
+func NewWriter(table platform.Table, name string) *Writer {
+	return &Writer{table: table, marker: markerKey(name), version: -1}
+}
+
+// Commit applies txn. A lost answer is settled by reading the marker and repeating until ctx ends.
+//
+// Errors: *platform.ConflictError and *platform.UnavailableError mean that txn was not applied and never will be.
+// *platform.UnknownOutcomeError means that ctx ended first; Resolve must be called before the next Commit, which
+// returns ErrUnresolved until then.
+func (w *Writer) Commit(ctx context.Context, txn platform.Txn) (int64, error) {
+	if w.pending != "" {
+		return 0, ErrUnresolved
+	}
+	if err := w.load(ctx); err != nil {
+		return 0, err
+	}
+	id := uuid.NewString()
+	return w.settle(ctx, id, w.marked(txn, id))
+}
+
+// Resolve settles the outcome of a commit that returned *platform.UnknownOutcomeError. It returns whether that
+// transaction was applied; if not, it never will be. An error means that the outcome is still unknown.
+func (w *Writer) Resolve(ctx context.Context) (applied bool, err error) {
+	if w.pending == "" {
+		return false, errors.New("no commit is unresolved")
+	}
+	unresolved := w.pending
+	fence := uuid.NewString()
+	for {
+		// The fence takes the marker version that the unresolved transaction needs, so only one of them can apply.
+		version, err := w.table.Commit(ctx, w.marked(platform.Txn{}, fence))
+		if err == nil {
+			w.settled(version)
+			return false, nil
+		}
+		if !platform.IsConflict(err) && !platform.IsUnknownOutcome(err) {
+			return false, err
+		}
+		row, err := w.readMarker(ctx)
+		if err != nil {
+			return false, err
+		}
+		switch string(row.Value) {
+		case unresolved:
+			w.settled(row.Version)
+			return true, nil
+		case fence:
+			w.settled(row.Version)
+			return false, nil
+		}
+		if row.Version != w.version {
+			return false, errors.Errorf("marker %s was written by another writer", w.marker)
+		}
+	}
+}
+
+// settle sends a marked transaction until its outcome is known or ctx ends.
+func (w *Writer) settle(ctx context.Context, id string, txn platform.Txn) (int64, error) {
+	retry := backoff.NewExponentialBackOff()
+	retry.InitialInterval = retryInitialInterval
+	retry.MaxInterval = retryMaxInterval
+	sentBefore := false
+	for {
+		version, err := w.table.Commit(ctx, txn)
+		if err == nil {
+			w.settled(version)
+			return version, nil
+		}
+		var conflict *platform.ConflictError
+		unavailable := &platform.UnavailableError{}
+		switch {
+		case stderrors.As(err, &conflict) && conflict.Has(w.marker):
+			version, done, err := w.checkMarker(ctx, id)
+			if done {
+				return version, err
+			}
+		case stderrors.As(err, &conflict):
+			return w.settleConflict(ctx, err, sentBefore)
+		case stderrors.As(err, &unavailable) && !sentBefore:
+			return 0, err
+		}
+		// The outcome of this or an earlier send is unknown.
+		sentBefore = true
+		w.pending = id
+		if !sleep(ctx, retry.NextBackOff()) {
+			return 0, &platform.UnknownOutcomeError{Err: err}
+		}
+	}
+}
+
+// settleConflict returns the outcome of a transaction whose last send failed on a condition other than the marker. An
+// earlier send may still be on its way and find the condition holding again, so the marker is fenced first.
+func (w *Writer) settleConflict(ctx context.Context, conflict error, sentBefore bool) (int64, error) {
+	if !sentBefore {
+		return 0, conflict
+	}
+	applied, err := w.Resolve(ctx)
+	if err != nil {
+		return 0, &platform.UnknownOutcomeError{Err: err}
+	}
+	if applied {
+		return w.version, nil
+	}
+	return 0, conflict
+}
+
+// checkMarker reads the marker after a conflict on it. done is false if the marker could not be read.
+func (w *Writer) checkMarker(ctx context.Context, id string) (version int64, done bool, err error) {
+	row, err := w.readMarker(ctx)
+	if err != nil {
+		return 0, false, err
+	}
+	w.settled(row.Version)
+	if string(row.Value) == id {
+		return row.Version, true, nil
+	}
+	// Another transaction holds the marker, so this one was not applied and cannot be any more.
+	return 0, true, &platform.ConflictError{Keys: []string{w.marker}}
+}
+
+func (w *Writer) marked(txn platform.Txn, id string) platform.Txn {
+	marked := platform.Txn{
+		Conditions: make([]platform.Condition, 0, len(txn.Conditions)+1),
+		Writes:     make([]platform.Write, 0, len(txn.Writes)+1),
+	}
+	marked.Conditions = append(append(marked.Conditions, txn.Conditions...),
+		platform.Condition{Key: w.marker, Version: w.version})
+	marked.Writes = append(append(marked.Writes, txn.Writes...),
+		platform.Write{Key: w.marker, Value: []byte(id)})
+	return marked
+}
+
+func (w *Writer) load(ctx context.Context) error {
+	if w.version >= 0 {
+		return nil
+	}
+	row, err := w.readMarker(ctx)
+	if err != nil {
+		return err
+	}
+	w.version = row.Version
+	return nil
+}
+
+func (w *Writer) readMarker(ctx context.Context) (platform.Row, error) {
+	rows, err := w.table.Read(ctx, w.marker)
+	if err != nil {
+		return platform.Row{}, err
+	}
+	return rows[0], nil
+}
+
+func (w *Writer) settled(version int64) {
+	w.version = version
+	w.pending = ""
+}
+
+// sleep waits for d and reports false if ctx ended first.
+func sleep(ctx context.Context, d time.Duration) bool {
+	timer := time.NewTimer(d)
+	defer timer.Stop()
+	select {
+	case <-ctx.Done():
+		return false
+	case <-timer.C:
+		return true
+	}
+}
