Add the settings tree: strict parsing, inheritance, explanation, difference

Cause: operators declare settings in a tree whose levels override only the keys they name; every daemon needs them checked before it starts. Weighed: decoding each level straight into structs (go-toml strict mode) stops at the first wrong type and cannot tell which level named a key; so each level is decoded to generic values once and set key by key, with positions from the parser. Levels are kept as their source text, so that history and differences show what operators wrote. Conclusion: all problems of all levels are listed at once with file, line, key and what is allowed.

--- a/settings/bootstrap.go
+++ b/settings/bootstrap.go
@@ -2,6 +2,15 @@
 // operators keep in version control.
 package settings
 
+import (
+	"fmt"
+	"net/netip"
+	"os"
+	"reflect"
+
+	"github.com/juju/errors"
+)
+
 // Bootstrap is what one daemon must know before it can read the tree.
 type Bootstrap struct {
 	// VM is the name of this VM as the VM list shows it.
@@ -24,3 +33,58 @@
 	VMListURL  string   `toml:"vm_list_url" doc:"Base URL of the VM list."`
 	Timeout    Duration `toml:"timeout" default:"2s" min:"100ms" max:"1m" doc:"Deadline of one call."`
 }
+
+// LoadBootstrap reads a daemon's bootstrap file. The error is Problems if the file can be read but is not accepted.
+func LoadBootstrap(file string) (*Bootstrap, error) {
+	source, err := os.ReadFile(file)
+	if err != nil {
+		return nil, errors.Annotate(err, "bootstrap file")
+	}
+	return ParseBootstrap(file, source)
+}
+
+// ParseBootstrap reads a bootstrap file's contents. The error is Problems.
+func ParseBootstrap(file string, source []byte) (*Bootstrap, error) {
+	t := reflect.TypeFor[Bootstrap]()
+	leaves, problems := parseFile(file, source, t)
+	bootstrap := newWithDefaults(t)
+	apply(bootstrap, leaves)
+	b := bootstrap.Interface().(Bootstrap)
+	problems = append(problems, b.problems(file)...)
+	if len(problems) > 0 {
+		return nil, Problems(problems)
+	}
+	return &b, nil
+}
+
+func (b *Bootstrap) problems(file string) []Problem {
+	var problems []Problem
+	required := []struct{ key, value string }{
+		{"vm", b.VM}, {"region", b.Region}, {"domain", b.Domain},
+		{"inner_addr", b.InnerAddr}, {"admin_addr", b.AdminAddr},
+		{"platform.table_url", b.Platform.TableURL}, {"platform.objects_url", b.Platform.ObjectsURL},
+		{"platform.vm_list_url", b.Platform.VMListURL},
+	}
+	for _, r := range required {
+		if r.value == "" {
+			problems = append(problems, Problem{File: file, Key: r.key, Message: "is missing"})
+		}
+	}
+	for _, addr := range []struct{ key, value string }{
+		{"caller_addr", b.CallerAddr}, {"inner_addr", b.InnerAddr}, {"admin_addr", b.AdminAddr}, {"poll_addr", b.PollAddr},
+	} {
+		if addr.value == "" {
+			continue
+		}
+		if _, err := netip.ParseAddrPort(addr.value); err != nil {
+			message := fmt.Sprintf("%q is no address; write an IP address and a port, such as 127.0.0.1:7000", addr.value)
+			problems = append(problems, Problem{File: file, Key: addr.key, Message: message})
+		}
+	}
+	return problems
+}
+
+// LevelPath returns the path of this VM's level in the settings tree.
+func (b *Bootstrap) LevelPath() string {
+	return "/" + b.Region + "/" + b.Domain + "/" + b.VM
+}
--- /dev/null
+++ b/settings/tree.go
@@ -0,0 +1,261 @@
+package settings
+
+import (
+	"fmt"
+	"io/fs"
+	"maps"
+	"path"
+	"reflect"
+	"regexp"
+	"slices"
+	"strconv"
+	"strings"
+
+	"github.com/cespare/xxhash/v2"
+	"github.com/juju/errors"
+)
+
+// FileName is the name of the settings file in each directory of a tree.
+const FileName = "settings.toml"
+
+// Root is the path of the level that all others inherit from.
+const Root = "/"
+
+// maxDepth counts the levels below the root: region, failure domain and VM.
+const maxDepth = 3
+
+var levelName = regexp.MustCompile(`^[a-z0-9][a-z0-9-]*$`)
+
+// Sources holds the text of each level by its path, such as "/caldas-centro/chipre".
+type Sources map[string]string
+
+// Digest identifies the text of one level.
+func Digest(source string) string {
+	return strconv.FormatUint(xxhash.Sum64String(source), 16)
+}
+
+// Tree is a checked settings tree. It is immutable and safe for concurrent use.
+type Tree struct {
+	sources Sources
+	leaves  map[string]map[string]leaf
+}
+
+// Parse checks a whole tree. The error is Problems and lists everything that is wrong in all levels.
+func Parse(sources Sources) (*Tree, error) {
+	tree := &Tree{sources: maps.Clone(sources), leaves: map[string]map[string]leaf{}}
+	var problems []Problem
+	for _, level := range slices.Sorted(maps.Keys(sources)) {
+		file := levelFile(level)
+		if message := checkLevelPath(level); message != "" {
+			problems = append(problems, Problem{File: file, Message: message})
+			continue
+		}
+		leaves, found := parseFile(file, []byte(sources[level]), reflect.TypeFor[Effective]())
+		problems = append(problems, found...)
+		tree.leaves[level] = leaves
+	}
+	if len(problems) == 0 {
+		problems = tree.checkLevels()
+	}
+	if len(problems) > 0 {
+		return nil, Problems(problems)
+	}
+	return tree, nil
+}
+
+func levelFile(level string) string {
+	return strings.TrimPrefix(path.Join(level, FileName), "/")
+}
+
+func checkLevelPath(level string) string {
+	if level == Root {
+		return ""
+	}
+	names := strings.Split(strings.TrimPrefix(level, "/"), "/")
+	if len(names) > maxDepth {
+		return fmt.Sprintf("level %s is too deep; a tree has the levels region, failure domain and VM", level)
+	}
+	for _, name := range names {
+		if !levelName.MatchString(name) {
+			return fmt.Sprintf("%q is no level name; allowed are lower-case letters, digits and -", name)
+		}
+	}
+	return ""
+}
+
+// ReadDir reads the text of each level from a directory tree. Directories without a settings file are skipped.
+func ReadDir(root fs.FS) (Sources, error) {
+	sources := Sources{}
+	err := fs.WalkDir(root, ".", func(name string, entry fs.DirEntry, err error) error {
+		if err != nil || entry.IsDir() || entry.Name() != FileName {
+			return err
+		}
+		data, err := fs.ReadFile(root, name)
+		if err != nil {
+			return err
+		}
+		sources[path.Join("/", path.Dir(name))] = string(data)
+		return nil
+	})
+	if err != nil {
+		return nil, errors.Annotate(err, "settings tree")
+	}
+	if len(sources) == 0 {
+		return nil, errors.Errorf("no %s found", FileName)
+	}
+	return sources, nil
+}
+
+// Sources returns the text of each level.
+func (t *Tree) Sources() Sources { return maps.Clone(t.sources) }
+
+// Levels returns the paths of all levels in order.
+func (t *Tree) Levels() []string { return slices.Sorted(maps.Keys(t.sources)) }
+
+// Resolve returns the settings that apply at a path. The path need not be a level of the tree: it then inherits.
+func (t *Tree) Resolve(level string) Effective {
+	target := newWithDefaults(reflect.TypeFor[Effective]())
+	for _, ancestor := range chain(level) {
+		apply(target, t.leaves[ancestor])
+	}
+	return target.Interface().(Effective)
+}
+
+// Defaults returns the settings of an empty tree.
+func Defaults() Effective {
+	return (&Tree{}).Resolve(Root)
+}
+
+// DefaultService returns the settings of a service that no level names.
+func DefaultService() Service {
+	return newWithDefaults(reflect.TypeFor[Service]()).Interface().(Service)
+}
+
+// chain returns the levels from the root down to level.
+func chain(level string) []string {
+	levels := []string{Root}
+	at := ""
+	for name := range strings.SplitSeq(strings.Trim(level, "/"), "/") {
+		if name == "" {
+			continue
+		}
+		at += "/" + name
+		levels = append(levels, at)
+	}
+	return levels
+}
+
+// Explanation tells where the value of a key at a path comes from.
+type Explanation struct {
+	Path string `json:"path"`
+	Key  string `json:"key"`
+	// Value is written as in TOML.
+	Value string `json:"value"`
+	// Level is the path of the level that names the value, or "default".
+	Level string `json:"level"`
+	// File and Line say where it stands; empty for a default.
+	File string `json:"file,omitempty"`
+	Line int    `json:"line,omitempty"`
+}
+
+// Explain returns the value of a dotted key at a path and the level that gave it.
+func (t *Tree) Explain(level, key string) (Explanation, error) {
+	target := reflect.ValueOf(t.Resolve(level))
+	value, err := lookup(target, key)
+	if err != nil {
+		return Explanation{}, err
+	}
+	explanation := Explanation{Path: level, Key: key, Value: formatValue(value), Level: "default"}
+	for _, ancestor := range chain(level) {
+		if l, ok := t.leaves[ancestor][key]; ok {
+			explanation.Level = ancestor
+			explanation.File = levelFile(ancestor)
+			explanation.Line = l.line
+		}
+	}
+	return explanation, nil
+}
+
+func lookup(v reflect.Value, key string) (reflect.Value, error) {
+	at := ""
+	for part := range strings.SplitSeq(key, ".") {
+		at = join(at, part)
+		switch v.Kind() {
+		case reflect.Map:
+			v = v.MapIndex(reflect.ValueOf(part))
+			if !v.IsValid() {
+				return v, errors.NotFoundf("%s at this level", at)
+			}
+		case reflect.Struct:
+			f, ok := findField(v.Type(), part)
+			if !ok {
+				return v, errors.NotFoundf("key %s (allowed are %s)", at, strings.Join(keysOf(v.Type()), ", "))
+			}
+			v = v.Field(f.index)
+		default:
+			return v, errors.NotFoundf("key %s", key)
+		}
+	}
+	if isTable(v.Type()) {
+		return v, errors.NotValidf("%s is a table; name one of its keys: it", key)
+	}
+	return v, nil
+}
+
+func formatValue(v reflect.Value) string {
+	if text, ok := v.Interface().(fmt.Stringer); ok {
+		return strconv.Quote(text.String())
+	}
+	if v.Kind() == reflect.String {
+		return strconv.Quote(v.String())
+	}
+	return fmt.Sprint(v.Interface())
+}
+
+// Change is one key whose value differs between two trees at a level.
+type Change struct {
+	Level string `json:"level"`
+	Key   string `json:"key"`
+	// Old and New are written as in TOML; empty if the level does not name the key.
+	Old string `json:"old,omitempty"`
+	New string `json:"new,omitempty"`
+}
+
+// Diff returns the keys that the levels of two trees name differently, in order. A nil tree is empty.
+func Diff(from, to *Tree) []Change {
+	var changes []Change
+	for _, level := range unionKeys(from.levelLeaves(), to.levelLeaves()) {
+		oldLeaves, newLeaves := from.levelLeaves()[level], to.levelLeaves()[level]
+		for _, key := range unionKeys(oldLeaves, newLeaves) {
+			change := Change{Level: level, Key: key, Old: formatLeaf(oldLeaves, key), New: formatLeaf(newLeaves, key)}
+			if change.Old != change.New {
+				changes = append(changes, change)
+			}
+		}
+	}
+	return changes
+}
+
+func (t *Tree) levelLeaves() map[string]map[string]leaf {
+	if t == nil {
+		return nil
+	}
+	return t.leaves
+}
+
+func unionKeys[V any](a, b map[string]V) []string {
+	keys := slices.AppendSeq(slices.Collect(maps.Keys(a)), maps.Keys(b))
+	slices.Sort(keys)
+	return slices.Compact(keys)
+}
+
+func formatLeaf(leaves map[string]leaf, key string) string {
+	l, ok := leaves[key]
+	if !ok {
+		return ""
+	}
+	if !l.value.IsValid() {
+		return "{}"
+	}
+	return formatValue(l.value)
+}
