Add packages route and limit in a first complete version

Cause: the request path needs a choice of upstream, an admission queue and budgets to be written against. Weighed: a filtered list of usable endpoints rebuilt at each ejection against random draws that skip ejected endpoints. Draws keep the pick path free of locks and its cost independent of the number of endpoints; leaving endpoints are rare and removed by a rebuild. Instants are arguments of the At forms, so simulations need no clock interface. Before: none. After: unit tests of both packages pass with the race detector. Conclusion: the interfaces may be used.

--- /dev/null
+++ b/limit/budget_test.go
@@ -0,0 +1,50 @@
+package limit_test
+
+import (
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"github.com/currantthread/currantthread/limit"
+)
+
+// Guards against retries that exceed the stated part of requests plus the floor, which would turn a fault into overload.
+func TestRetryBudgetBounds(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		b := limit.NewRetryBudget(10, 3)
+		retries := 0
+		for range 10_000 {
+			b.Deposit()
+			if b.Withdraw() {
+				retries++
+			}
+			time.Sleep(time.Millisecond)
+		}
+		// 10 seconds: 10% of 10,000 requests, 3 a second, and the burst of the floor.
+		assert.Assert(t, retries <= 1000+30+3, "%d retries", retries)
+		assert.Assert(t, retries >= 1000+30-3, "%d retries", retries)
+	})
+}
+
+// Guards against a link between regions that carries more than its configured part in the long run, also when single
+// requests are larger than the bucket, and against large requests that can never cross.
+func TestByteBudgetHoldsRate(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		const bytesPerSecond = 1000
+		b := limit.NewByteBudget(bytesPerSecond)
+		sent := int64(0)
+		for range 600 {
+			if b.Take(2500) {
+				sent += 2500
+			}
+			if b.Take(100) {
+				sent += 100
+			}
+			time.Sleep(100 * time.Millisecond)
+		}
+		assert.Assert(t, sent <= 60*bytesPerSecond+2500, "%d bytes in 60 s", sent)
+		assert.Assert(t, sent >= 50*bytesPerSecond, "%d bytes in 60 s", sent)
+	})
+}
--- /dev/null
+++ b/route/endpoint.go
@@ -0,0 +1,269 @@
+package route
+
+import (
+	"math"
+	"sync/atomic"
+	"time"
+
+	"github.com/currantthread/currantthread/platform"
+)
+
+// Outcome is how a request to an endpoint ended.
+type Outcome uint8
+
+const (
+	// OutcomeOK is an answer that is no server error.
+	OutcomeOK Outcome = iota
+	// OutcomeError is a 5xx answer, or an answer that was truncated or crossed.
+	OutcomeError
+	// OutcomeRefused is a refusal before running, because the upstream is busy or leaving.
+	OutcomeRefused
+	// OutcomeTimeout is a request without an answer within its deadline.
+	OutcomeTimeout
+	// OutcomeConnFailed is a connection that could not be made or that broke.
+	OutcomeConnFailed
+	// OutcomeCancelled is a request that its caller gave up.
+	OutcomeCancelled
+)
+
+// failed reports whether the outcome speaks against the endpoint's health.
+func (o Outcome) failed() bool {
+	return o == OutcomeError || o == OutcomeTimeout || o == OutcomeConnFailed
+}
+
+// Load is what an upstream reports of itself.
+type Load struct {
+	// InFlight counts requests that the upstream works on, Queue those that wait in it.
+	InFlight, Slots, Queue int
+	// Valid is false if the upstream reported nothing.
+	Valid bool
+}
+
+// Result is the outcome of one request.
+type Result struct {
+	Outcome Outcome
+	// Latency is the time from sending the request to its outcome.
+	Latency time.Duration
+	Load    Load
+	// Leaving is true if the upstream said that it is leaving.
+	Leaving bool
+}
+
+const (
+	// reportAge is the age at which a reported load counts no more.
+	reportAge = 500 * time.Millisecond
+	// latencyWeight is the weight of a new sample in an endpoint's latency average.
+	latencyWeight = 0.3
+	// latencyStale is the time after which half of an endpoint's excess latency is forgotten, so that an endpoint that
+	// was slow gets a trial now and then.
+	latencyStale = 5 * time.Second
+	// errorSlowdown is the multiple of the usual latency that a failed request counts as.
+	errorSlowdown = 20
+	// defaultSlots applies to upstreams whose slots are unknown.
+	defaultSlots = 8
+)
+
+// Endpoint is one upstream of a service as one entry VM sees it. Its counters are atomic.
+type Endpoint struct {
+	ID      string
+	Addr    string
+	Region  string
+	Domain  string
+	Service string
+	// Slots is how many requests the upstream works on at once.
+	Slots int
+	// Connections is how many connections the upstream accepts from all entry VMs together; 0 means unknown.
+	Connections int
+
+	set  *Set
+	tier *tierStats
+
+	inFlight atomic.Int64
+	report   atomic.Uint64 // see packReport
+	latency  averagedTime
+	// progressAt is when the endpoint last answered, or when its oldest request began after it was idle.
+	progressAt atomic.Int64
+	health     health
+}
+
+func newEndpoint(set *Set, vm platform.VM) *Endpoint {
+	slots := vm.Slots
+	if slots <= 0 {
+		slots = defaultSlots
+	}
+	e := &Endpoint{ID: vm.ID, Addr: vm.Addr, Region: vm.Region, Domain: vm.Domain, Service: vm.Service,
+		Slots: slots, Connections: vm.Connections, set: set}
+	e.tier = &set.tiers[set.tierOf(e)]
+	return e
+}
+
+// Begin notes that a request was assigned to the endpoint. Each Begin is followed by one End.
+func (e *Endpoint) Begin() { e.BeginAt(time.Now()) }
+
+// BeginAt is Begin at a given instant, for simulations.
+func (e *Endpoint) BeginAt(now time.Time) {
+	if e.inFlight.Load() == 0 {
+		e.progressAt.Store(e.set.since(now))
+	}
+	e.inFlight.Add(1)
+}
+
+// End notes the outcome of a request.
+func (e *Endpoint) End(result Result) { e.EndAt(time.Now(), result) }
+
+// EndAt is End at a given instant, for simulations.
+func (e *Endpoint) EndAt(now time.Time, result Result) {
+	at := e.set.since(now)
+	local := e.inFlight.Add(-1)
+	if result.Load.Valid {
+		e.noteLoad(at, local, result.Load)
+	}
+	if result.Outcome == OutcomeRefused && !result.Load.Valid {
+		e.noteLoad(at, local, Load{InFlight: e.Slots, Queue: 1})
+	}
+	e.noteLatency(at, result)
+	if result.Outcome != OutcomeTimeout && result.Outcome != OutcomeCancelled {
+		e.progressAt.Store(at)
+	}
+	if result.Leaving {
+		e.set.noteLeaving(e, at)
+	}
+	e.health.note(e, at, result.Outcome)
+}
+
+// InFlight returns the requests of this entry VM that the endpoint has not answered yet.
+func (e *Endpoint) InFlight() int { return int(e.inFlight.Load()) }
+
+// Leaving reports whether the endpoint gets no new requests because it or the VM list said that it is leaving.
+func (e *Endpoint) Leaving() bool { return e.health.leavingAt.Load() != 0 }
+
+func (e *Endpoint) noteLoad(at, local int64, load Load) {
+	total := int64(load.InFlight) + int64(load.Queue)
+	e.report.Store(packReport(at, total, local))
+	e.tier.load.add(float64(total), meanWeight)
+}
+
+func (e *Endpoint) noteLatency(at int64, result Result) {
+	sample := float64(result.Latency)
+	usual := e.tier.latency.value()
+	switch {
+	case result.Outcome.failed():
+		sample = max(sample, errorSlowdown*usual)
+	case result.Outcome == OutcomeRefused:
+		return
+	case result.Outcome == OutcomeCancelled && sample < e.latency.value():
+		return // the caller left before the endpoint could show how slow it is
+	case result.Outcome == OutcomeOK:
+		e.tier.noteLatency(sample)
+	}
+	e.latency.add(at, sample)
+}
+
+// load estimates the requests of all entry VMs at the endpoint. The last report is corrected by what this entry VM
+// began and ended since, and is blended into the usual load of the endpoint's tier as it ages.
+func (e *Endpoint) load(at int64) float64 {
+	local := e.inFlight.Load()
+	packed := e.report.Load()
+	usual := e.tier.load.value()
+	if packed == 0 {
+		return usual + float64(local)
+	}
+	reportedAt, total, localThen := unpackReport(packed)
+	age := float64(at-reportedAt) / float64(reportAge)
+	if age >= 1 {
+		return usual + float64(local)
+	}
+	fresh := float64(max(total+local-localThen, local))
+	return fresh + max(age, 0)*(usual+float64(local)-fresh)
+}
+
+// slowdown returns how many times slower the endpoint is than is usual in its tier, at least 1.
+func (e *Endpoint) slowdown(at int64) float64 {
+	usual := e.tier.latency.value()
+	if usual <= 0 {
+		return 1
+	}
+	latency := e.latency.value()
+	excess := max(latency-usual, 0)
+	idle := float64(max(at-e.latency.at.Load(), 0)) / float64(latencyStale)
+	latency = usual + excess/(1+idle)
+	if e.inFlight.Load() > 0 {
+		latency = max(latency, float64(at-e.progressAt.Load()))
+	}
+	ratio := latency / usual
+	if ratio < slowdownFloor {
+		return 1
+	}
+	return ratio
+}
+
+// slowdownFloor is the ratio to the usual latency below which a difference counts as chance.
+const slowdownFloor = 2
+
+// cost orders endpoints: lower is better.
+func (e *Endpoint) cost(at int64) float64 {
+	return (e.load(at) + 1) / float64(e.Slots) * e.slowdown(at)
+}
+
+// wait estimates how long a new request would wait for a slot.
+func (e *Endpoint) wait(at int64) time.Duration {
+	beyond := e.load(at) + 1 - float64(e.Slots)
+	if beyond <= 0 {
+		return 0
+	}
+	return time.Duration(beyond / float64(e.Slots) * e.tier.latency.value() * e.slowdown(at))
+}
+
+const (
+	reportCountBits = 13
+	reportCountMax  = 1<<reportCountBits - 1
+	reportTimeUnit  = int64(time.Millisecond)
+)
+
+// packReport puts the time in milliseconds plus one, the reported load and the local requests in flight into one word,
+// so that readers see the three of one report. 0 means no report.
+func packReport(at, total, local int64) uint64 {
+	clamp := func(v int64) uint64 { return uint64(min(max(v, 0), reportCountMax)) }
+	return uint64(at/reportTimeUnit+1)<<(2*reportCountBits) | clamp(total)<<reportCountBits | clamp(local)
+}
+
+func unpackReport(packed uint64) (at, total, local int64) {
+	at = (int64(packed>>(2*reportCountBits)) - 1) * reportTimeUnit
+	return at, int64(packed >> reportCountBits & reportCountMax), int64(packed & reportCountMax)
+}
+
+// averagedTime is an exponentially weighted average of times in nanoseconds, with the time of its last sample.
+type averagedTime struct {
+	average average
+	at      atomic.Int64
+}
+
+func (a *averagedTime) value() float64 { return a.average.value() }
+
+func (a *averagedTime) add(at int64, sample float64) {
+	a.average.add(sample, latencyWeight)
+	a.at.Store(at)
+}
+
+// average is an exponentially weighted average. Its zero value has no sample and reads as 0.
+type average struct {
+	bits atomic.Uint64
+}
+
+func (a *average) value() float64 { return math.Float64frombits(a.bits.Load()) }
+
+func (a *average) set(v float64) { a.bits.Store(math.Float64bits(v)) }
+
+func (a *average) add(sample, weight float64) {
+	for {
+		old := a.bits.Load()
+		next := sample
+		if old != 0 {
+			previous := math.Float64frombits(old)
+			next = previous + weight*(sample-previous)
+		}
+		if a.bits.CompareAndSwap(old, math.Float64bits(next)) {
+			return
+		}
+	}
+}
--- /dev/null
+++ b/route/health.go
@@ -0,0 +1,140 @@
+package route
+
+import (
+	"math/rand/v2"
+	"sync/atomic"
+)
+
+// health is the ejection state of an endpoint. Readers use the atomic fields; writers of the ejection fields hold the
+// set's lock.
+//
+// An ejected endpoint gets no requests until ejectedUntil. After that it is on trial: one request at a time until one
+// succeeds. Then its share grows over Config.ReturnRamp.
+type health struct {
+	failures     atomic.Int32 // consecutive
+	ejectedUntil atomic.Int64 // 0 when not ejected and not on trial
+	rampFrom     atomic.Int64 // when the return began; 0 when it is complete
+	leavingAt    atomic.Int64 // when leaving was noted; 0 when not leaving
+
+	ejections int  // without a complete return in between
+	listed    bool // the VM list said that the endpoint is leaving
+}
+
+// firstShare is the share of its usual requests with which an endpoint starts its return.
+const firstShare = 0.1
+
+// usable reports whether the endpoint may be chosen at the time at, and whether it should be, as a trial.
+func (h *health) usable(e *Endpoint, at int64, rng *rand.Rand) (ok, trial bool) {
+	if until := h.ejectedUntil.Load(); until != 0 {
+		trial = at >= until && e.inFlight.Load() == 0
+		return trial, trial
+	}
+	from := h.rampFrom.Load()
+	if from == 0 {
+		return true, false
+	}
+	share := firstShare + float64(at-from)/float64(e.set.config.Load().ReturnRamp)
+	return share >= 1 || rng.Float64() < share, false
+}
+
+func (h *health) note(e *Endpoint, at int64, outcome Outcome) {
+	switch {
+	case outcome.failed():
+		failures := h.failures.Add(1)
+		if int(failures) >= e.set.config.Load().EjectAfter || h.returning() {
+			e.set.eject(e, at)
+		}
+	case outcome == OutcomeOK:
+		h.failures.Store(0)
+		if h.returning() {
+			e.set.restore(e, at)
+		}
+	}
+}
+
+func (h *health) returning() bool { return h.ejectedUntil.Load() != 0 || h.rampFrom.Load() != 0 }
+
+// eject takes e out for a time, unless half of the endpoints are out already.
+func (s *Set) eject(e *Endpoint, at int64) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	h := &e.health
+	if h.ejectedUntil.Load() > at {
+		return
+	}
+	if !s.mayEject(e) {
+		return
+	}
+	config := s.config.Load()
+	span := config.EjectTime << min(h.ejections, maxDoublings)
+	h.ejections++
+	h.failures.Store(0)
+	h.rampFrom.Store(0)
+	h.ejectedUntil.Store(at + int64(min(span, config.MaxEjectTime)))
+}
+
+// maxDoublings keeps the doubled ejection time from overflowing.
+const maxDoublings = 10
+
+func (s *Set) mayEject(e *Endpoint) bool {
+	ejected, total := 1, 0
+	for _, other := range s.snapshot.Load().all {
+		if other.Leaving() {
+			continue
+		}
+		total++
+		if other != e && other.health.ejectedUntil.Load() != 0 {
+			ejected++
+		}
+	}
+	return 2*ejected <= total
+}
+
+// restore begins the return of e after a successful trial, or completes it at the end of the ramp.
+func (s *Set) restore(e *Endpoint, at int64) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	h := &e.health
+	if until := h.ejectedUntil.Load(); until != 0 {
+		if at < until {
+			return // a late answer to a request from before the ejection
+		}
+		h.ejectedUntil.Store(0)
+		h.rampFrom.Store(at)
+		e.latency.average.set(0)
+		return
+	}
+	if from := h.rampFrom.Load(); from != 0 && at-from >= int64(s.config.Load().ReturnRamp) {
+		h.rampFrom.Store(0)
+		h.ejections = 0
+	}
+}
+
+// noteLeaving stops new requests to e because e itself said that it is leaving.
+func (s *Set) noteLeaving(e *Endpoint, at int64) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	first := !e.Leaving()
+	e.health.leavingAt.Store(max(at, 1))
+	if first {
+		s.publish(s.snapshot.Load().all)
+	}
+}
+
+// setListed notes what the VM list says of e. The list lags behind the endpoint's own word, so a live entry ends the
+// leaving state only if the list itself had said leaving, or after Config.LeavingHold.
+func (s *Set) setListed(e *Endpoint, leaving bool, at int64) {
+	h := &e.health
+	if leaving {
+		h.listed = true
+		if !e.Leaving() {
+			h.leavingAt.Store(max(at, 1))
+		}
+		return
+	}
+	held := at-h.leavingAt.Load() >= int64(s.config.Load().LeavingHold)
+	if h.listed || held {
+		h.listed = false
+		h.leavingAt.Store(0)
+	}
+}
--- /dev/null
+++ b/route/set.go
@@ -0,0 +1,214 @@
+package route
+
+import (
+	"errors"
+	"math/rand/v2"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/currantthread/currantthread/platform"
+)
+
+// ErrNoEndpoint reports that no endpoint may take the request.
+var ErrNoEndpoint = errors.New("no endpoint may take the request")
+
+// The tiers order endpoints by distance.
+const (
+	tierDomain = iota // the own failure domain
+	tierRegion        // other failure domains of the own region
+	tierOther         // other regions
+	tierCount
+)
+
+// meanWeight is the weight of a sample in the averages over a tier.
+const meanWeight = 1.0 / 64
+
+// tierStats holds averages over the endpoints of a tier.
+type tierStats struct {
+	latency average // of successful requests, nanoseconds
+	load    average // of reports
+}
+
+// noteLatency bounds the sample, so that a single slow endpoint hardly moves what counts as usual.
+func (t *tierStats) noteLatency(sample float64) {
+	if usual := t.latency.value(); usual > 0 {
+		sample = min(sample, usualBound*usual)
+	}
+	t.latency.add(sample, meanWeight)
+}
+
+const usualBound = 4
+
+// snapshot is immutable.
+type snapshot struct {
+	// tiers holds the endpoints that are not leaving.
+	tiers [tierCount][]*Endpoint
+	all   []*Endpoint
+}
+
+// Set holds the endpoints of one service as seen from one entry VM. It is safe for concurrent use.
+type Set struct {
+	local    Locality
+	base     time.Time
+	rng      *rand.Rand
+	config   atomic.Pointer[Config]
+	snapshot atomic.Pointer[snapshot]
+	tiers    [tierCount]tierStats
+
+	mu sync.Mutex // guards changes of snapshot and of ejection states
+}
+
+// NewSet returns a set without endpoints.
+func NewSet(local Locality, cfg Config) *Set { return NewSetAt(time.Now(), local, cfg) }
+
+// NewSetAt is NewSet at a given instant, for simulations.
+func NewSetAt(now time.Time, local Locality, cfg Config) *Set {
+	s := &Set{local: local, base: now, rng: newSharedRand(cfg.Seed)}
+	s.Configure(cfg)
+	s.snapshot.Store(&snapshot{})
+	return s
+}
+
+// Configure puts cfg in force. The seed is left as it is.
+func (s *Set) Configure(cfg Config) {
+	cfg = cfg.withDefaults()
+	s.config.Store(&cfg)
+}
+
+// since returns now in nanoseconds since the set was made, at least 1 so that 0 can mean "never".
+func (s *Set) since(now time.Time) int64 { return max(int64(now.Sub(s.base)), 0) + 1 }
+
+// Update replaces the endpoints by those of vms and keeps the state of endpoints that stay. VMs of other roles are
+// ignored; the caller passes the VMs of one service.
+func (s *Set) Update(vms []platform.VM) { s.UpdateAt(time.Now(), vms) }
+
+// UpdateAt is Update at a given instant, for simulations.
+func (s *Set) UpdateAt(now time.Time, vms []platform.VM) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	at := s.since(now)
+	known := make(map[string]*Endpoint)
+	for _, e := range s.snapshot.Load().all {
+		known[e.ID] = e
+	}
+	all := make([]*Endpoint, 0, len(vms))
+	for _, vm := range vms {
+		if vm.Role != platform.RoleUpstream {
+			continue
+		}
+		e := known[vm.ID]
+		if e == nil || e.changed(vm) {
+			e = newEndpoint(s, vm)
+		}
+		s.setListed(e, vm.State == platform.VMLeaving, at)
+		all = append(all, e)
+	}
+	s.publish(all)
+}
+
+// changed reports whether vm is another upstream under the same ID.
+func (e *Endpoint) changed(vm platform.VM) bool {
+	return e.Addr != vm.Addr || e.Region != vm.Region || e.Domain != vm.Domain || e.Service != vm.Service ||
+		(vm.Slots > 0 && vm.Slots != e.Slots) || e.Connections != vm.Connections
+}
+
+// publish stores a new snapshot; the caller holds the lock.
+func (s *Set) publish(all []*Endpoint) {
+	next := &snapshot{all: all}
+	for _, e := range all {
+		if !e.Leaving() {
+			tier := s.tierOf(e)
+			next.tiers[tier] = append(next.tiers[tier], e)
+		}
+	}
+	s.snapshot.Store(next)
+}
+
+func (s *Set) tierOf(e *Endpoint) int {
+	switch {
+	case e.Region != s.local.Region:
+		return tierOther
+	case e.Domain != s.local.Domain:
+		return tierRegion
+	default:
+		return tierDomain
+	}
+}
+
+// Endpoints returns all endpoints, leaving ones included. The slice must not be changed.
+func (s *Set) Endpoints() []*Endpoint { return s.snapshot.Load().all }
+
+// Pick returns the endpoint for a request, preferring the own failure domain, then the own region, then, if crossRegion
+// is set, other regions. Endpoints in exclude are not returned. The only error is ErrNoEndpoint. The caller calls Begin
+// on the endpoint if it sends the request.
+func (s *Set) Pick(exclude []*Endpoint, crossRegion bool) (*Endpoint, error) {
+	return s.PickAt(time.Now(), exclude, crossRegion)
+}
+
+// PickAt is Pick at a given instant, for simulations.
+func (s *Set) PickAt(now time.Time, exclude []*Endpoint, crossRegion bool) (*Endpoint, error) {
+	at := s.since(now)
+	config := s.config.Load()
+	current := s.snapshot.Load()
+	var best *Endpoint
+	var bestDelay time.Duration
+	for tier, endpoints := range current.tiers {
+		if len(endpoints) == 0 || (tier == tierOther && !crossRegion) {
+			continue
+		}
+		e := config.Policy.Choose(Candidates{endpoints: endpoints, exclude: exclude, at: at}, s.rng)
+		if e == nil {
+			continue
+		}
+		wait := e.wait(at)
+		if delay := wait + config.distance(tier); best == nil || delay < bestDelay {
+			best, bestDelay = e, delay
+		}
+		if wait == 0 {
+			break
+		}
+	}
+	if best == nil {
+		best = current.lastResort(exclude, crossRegion)
+	}
+	if best == nil {
+		return nil, ErrNoEndpoint
+	}
+	return best, nil
+}
+
+func (c *Config) distance(tier int) time.Duration {
+	switch tier {
+	case tierRegion:
+		return c.SpillDomain
+	case tierOther:
+		return c.SpillRegion
+	default:
+		return 0
+	}
+}
+
+// lastResort returns the nearest endpoint that is neither leaving nor excluded, even if it is ejected.
+func (c *snapshot) lastResort(exclude []*Endpoint, crossRegion bool) *Endpoint {
+	for tier, endpoints := range c.tiers {
+		if tier == tierOther && !crossRegion {
+			continue
+		}
+		for _, e := range endpoints {
+			if !contains(exclude, e) {
+				return e
+			}
+		}
+	}
+	return nil
+}
+
+func contains(list []*Endpoint, e *Endpoint) bool {
+	for _, other := range list {
+		if other == e {
+			return true
+		}
+	}
+	return false
+}
--- /dev/null
+++ b/route/set_test.go
@@ -0,0 +1,65 @@
+package route_test
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"github.com/currantthread/currantthread/platform"
+	"github.com/currantthread/currantthread/route"
+)
+
+var epoch = time.Date(2027, 3, 7, 8, 0, 0, 0, time.UTC)
+
+var local = route.Locality{Region: "caldas-centro", Domain: "chipre"}
+
+func upstreams(region, domain string, n int) []platform.VM {
+	vms := make([]platform.VM, n)
+	for i := range vms {
+		vms[i] = platform.VM{ID: fmt.Sprintf("%s-%d", domain, i), Role: platform.RoleUpstream, State: platform.VMLive,
+			Region: region, Domain: domain, Addr: fmt.Sprintf("127.1.0.%d:7000", i+1), Service: "kioscos", Slots: 8}
+	}
+	return vms
+}
+
+func newSet(vms []platform.VM, cfg route.Config) *route.Set {
+	cfg.Seed = 1
+	set := route.NewSetAt(epoch, local, cfg)
+	set.UpdateAt(epoch, vms)
+	return set
+}
+
+// Guards against requests that leave the failure domain while it has endpoints with free slots, and against requests
+// to another region without permission.
+func TestPickPrefersNear(t *testing.T) {
+	near := upstreams("caldas-centro", "chipre", 2)
+	region := upstreams("caldas-centro", "la-enea", 2)
+	far := upstreams("valle-norte", "cartago", 2)
+	cases := []struct {
+		name   string
+		vms    []platform.VM
+		cross  bool
+		domain string
+	}{
+		{"own domain", append(append(append([]platform.VM{}, far...), region...), near...), true, "chipre"},
+		{"own region", append(append([]platform.VM{}, far...), region...), true, "la-enea"},
+		{"other region", far, true, "cartago"},
+		{"other region refused", far, false, ""},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			set := newSet(c.vms, route.Config{})
+			for range 100 {
+				e, err := set.PickAt(epoch, nil, c.cross)
+				if c.domain == "" {
+					assert.ErrorIs(t, err, route.ErrNoEndpoint)
+					continue
+				}
+				assert.NilError(t, err)
+				assert.Equal(t, e.Domain, c.domain)
+			}
+		})
+	}
+}
