--- /dev/null
+++ b/entry/call.go
@@ -0,0 +1,376 @@
+package entry
+
+import (
+	"context"
+	"errors"
+	"net/http"
+	"net/url"
+	"slices"
+	"strconv"
+	"strings"
+	"time"
+
+	"github.com/labstack/echo/v4"
+
+	"github.com/currantthread/currantthread/ledger"
+	"github.com/currantthread/currantthread/limit"
+	"github.com/currantthread/currantthread/route"
+	"github.com/currantthread/currantthread/settings"
+	"github.com/currantthread/currantthread/upstream"
+	"github.com/currantthread/currantthread/verdict"
+)
+
+const (
+	// maxKeyLength is the longest Idempotency-Key in bytes.
+	maxKeyLength = 255
+	// answerGrace is how long after its deadline the caller may take to receive what was sent.
+	answerGrace = 5 * time.Second
+)
+
+// call is one request of a caller.
+type call struct {
+	server *Server
+	svc    *service
+	conf   settings.Service
+	w      http.ResponseWriter
+	r      *http.Request
+	rc     *http.ResponseController
+	id     string
+	begin  time.Time
+	ctx    context.Context
+	target *url.URL
+	class  limit.Class
+	key    string
+	body   *callBody
+	// idempotent allows the request to run more than once.
+	idempotent bool
+
+	// The outcome, for counters and reports.
+	status   int
+	verdict  verdict.Verdict
+	endpoint *route.Endpoint
+}
+
+// handle serves one request of a caller.
+func (s *Server) handle(ec echo.Context) error {
+	w, r := ec.Response().Writer, ec.Request()
+	conflicting := markAnswering(r)
+	c := &call{server: s, w: w, r: r, rc: http.NewResponseController(w), id: s.nextRequestID(), begin: time.Now()}
+	c.svc = s.service(ec.Param("service"))
+	if conflicting {
+		w.Header().Set(echo.HeaderConnection, "close")
+		refusal := verdict.New(verdict.NotRun, codeBadRequest, "the request has both Content-Length and Transfer-Encoding")
+		s.metrics.refusals.WithLabelValues(unknownService, string(refusal.Code)).Inc()
+		s.writeRefusal(w, c.id, refusal)
+		return nil
+	}
+	if c.svc == nil {
+		refusal := verdict.New(verdict.NotRun, codeUnknownService, "service %q is unknown", ec.Param("service"))
+		s.metrics.refusals.WithLabelValues(unknownService, string(refusal.Code)).Inc()
+		s.writeRefusal(w, c.id, refusal)
+		return nil
+	}
+	inFlight := s.metrics.inFlight.WithLabelValues(c.svc.name)
+	inFlight.Inc()
+	// Runs also when an aborted answer panics.
+	defer func() {
+		inFlight.Dec()
+		c.observe()
+	}()
+	timeout, err := c.prepare()
+	if err != nil {
+		c.refuse(err)
+		return nil
+	}
+	ctx, cancel := context.WithDeadline(r.Context(), c.begin.Add(timeout))
+	defer cancel()
+	c.ctx = ctx
+	c.serve()
+	return nil
+}
+
+func (c *call) observe() {
+	latency := time.Since(c.begin)
+	m := c.server.metrics
+	m.requests.WithLabelValues(c.svc.name, c.verdict.String(), statusClass(c.status)).Inc()
+	m.duration.WithLabelValues(c.svc.name).Observe(latency.Seconds())
+	o := Observation{Service: c.svc.name, Verdict: c.verdict, Status: c.status, Latency: latency}
+	if c.endpoint != nil {
+		o.Upstream, o.Domain = c.endpoint.ID, c.endpoint.Domain
+	}
+	c.server.cfg.Observe(o)
+}
+
+// refuse answers a request that gets no answer of an upstream.
+func (c *call) refuse(err error) {
+	refusal := asVerdict(err)
+	c.verdict = refusal.Verdict
+	c.status = statusOf(refusal)
+	c.server.metrics.refusals.WithLabelValues(c.svc.name, string(refusal.Code)).Inc()
+	if refusal.Code == upstream.CodeCancelled && c.r.Context().Err() != nil {
+		return
+	}
+	c.server.writeRefusal(c.w, c.id, refusal)
+}
+
+// prepare checks the request and returns its time. Errors are *verdict.Error with NotRun.
+func (c *call) prepare() (time.Duration, error) {
+	effective := c.server.cfg.Settings()
+	c.conf = c.svc.settings()
+	if size := headerSize(c.r); size > int64(effective.Entry.MaxHeaderBytes) {
+		return 0, verdict.New(verdict.NotRun, codeHeaderTooLarge, "the header has %d bytes; at most %s are allowed", size, effective.Entry.MaxHeaderBytes)
+	}
+	if c.r.ContentLength > int64(effective.Entry.MaxBodyBytes) {
+		return 0, verdict.New(verdict.NotRun, codeBodyTooLarge, "the body has %d bytes; at most %s are allowed", c.r.ContentLength, effective.Entry.MaxBodyBytes)
+	}
+	timeout, err := c.timeout()
+	if err != nil {
+		return 0, err
+	}
+	if c.class, err = parseClass(c.r.Header.Get(headerPriority)); err != nil {
+		return 0, err
+	}
+	c.target = targetOf(c.r.URL)
+	c.idempotent = isIdempotent(c.conf, c.r.Method, c.target)
+	if err := c.parseKey(); err != nil {
+		return 0, err
+	}
+	c.body = newCallBody(c.r, int64(effective.Entry.MaxBodyBytes), int64(effective.Entry.ReplayBodyBytes))
+	c.cleanHeader()
+	return timeout, c.receiveBody(c.begin.Add(timeout))
+}
+
+func (c *call) timeout() (time.Duration, error) {
+	value := c.r.Header.Get(upstream.HeaderTimeout)
+	if value == "" {
+		return c.conf.Timeout.D(), nil
+	}
+	millis, err := strconv.ParseInt(value, 10, 64)
+	if err != nil || millis <= 0 {
+		return 0, verdict.New(verdict.NotRun, codeBadRequest, "%s is %q; write a positive number of milliseconds", upstream.HeaderTimeout, value)
+	}
+	millis = min(millis, c.conf.MaxTimeout.D().Milliseconds())
+	return time.Duration(millis) * time.Millisecond, nil
+}
+
+func parseClass(value string) (limit.Class, error) {
+	switch value {
+	case "", limit.LatencyCritical.String():
+		return limit.LatencyCritical, nil
+	case limit.Batch.String():
+		return limit.Batch, nil
+	default:
+		return 0, verdict.New(verdict.NotRun, codeBadRequest, "%s is %q; write %s or %s", headerPriority, value, limit.LatencyCritical, limit.Batch)
+	}
+}
+
+// targetOf returns the path and query for the upstream: what follows /svc/<service>.
+func targetOf(u *url.URL) *url.URL {
+	target := &url.URL{Path: afterService(u.Path), RawQuery: u.RawQuery, ForceQuery: u.ForceQuery}
+	if u.RawPath != "" {
+		target.RawPath = afterService(u.RawPath)
+	}
+	return target
+}
+
+func afterService(path string) string {
+	_, rest, _ := strings.Cut(strings.TrimPrefix(path, "/svc/"), "/")
+	return "/" + rest
+}
+
+// isIdempotent reports whether a request may run more than once. A listed path holds for every method, also when the
+// service declares all methods non-idempotent.
+func isIdempotent(conf settings.Service, method string, target *url.URL) bool {
+	if hasListedPrefix(conf.IdempotentPaths, target) {
+		return true
+	}
+	if conf.NonIdempotentAll {
+		return false
+	}
+	switch method {
+	case http.MethodGet, http.MethodHead, http.MethodOptions, http.MethodPut, http.MethodDelete:
+		return true
+	default:
+		return false
+	}
+}
+
+// hasListedPrefix compares whole path segments. Paths that an upstream may read as another path match nothing.
+func hasListedPrefix(prefixes []string, target *url.URL) bool {
+	if len(prefixes) == 0 || target.RawPath != "" || strings.ContainsAny(target.Path, `\;`) {
+		return false
+	}
+	segments := strings.Split(target.Path, "/")
+	if slices.Contains(segments, ".") || slices.Contains(segments, "..") {
+		return false
+	}
+	return slices.ContainsFunc(prefixes, func(prefix string) bool {
+		prefix = strings.TrimSuffix(prefix, "/")
+		return target.Path == prefix || strings.HasPrefix(target.Path, prefix+"/")
+	})
+}
+
+// parseKey reads the idempotency key. Idempotent requests need no claim, so their key is only passed on.
+func (c *call) parseKey() error {
+	values := c.r.Header.Values(headerIdempotencyKey)
+	if len(values) > 1 {
+		return verdict.New(verdict.NotRun, codeBadRequest, "%s is given %d times", headerIdempotencyKey, len(values))
+	}
+	if len(values) == 0 || c.idempotent {
+		return nil
+	}
+	c.key = values[0]
+	if c.key == "" || len(c.key) > maxKeyLength {
+		return verdict.New(verdict.NotRun, codeBadRequest, "%s has %d bytes; 1 to %d are allowed", headerIdempotencyKey, len(c.key), maxKeyLength)
+	}
+	return nil
+}
+
+// cleanHeader removes what is meant for this daemon only.
+func (c *call) cleanHeader() {
+	removeHopHeaders(c.r.Header)
+	c.r.Header.Del("Expect")
+	c.r.Header.Del(headerPriority)
+}
+
+// receiveBody reads short bodies before the request takes a place, so that a slow sender holds no connection. Bodies of
+// unknown length are passed on as they arrive, unless their digest is needed first.
+func (c *call) receiveBody(deadline time.Time) error {
+	if c.body.complete() {
+		return nil
+	}
+	// A sender that stops must not hold the request beyond its deadline.
+	_ = c.rc.SetReadDeadline(deadline)
+	if c.key != "" || (c.body.length >= 0 && c.body.length <= int64(c.body.keepLimit)) {
+		if err := c.body.readAhead(); err != nil {
+			return err
+		}
+	}
+	if !c.body.complete() {
+		// Without this net/http reads the rest of the body itself when the answer begins.
+		_ = c.rc.EnableFullDuplex()
+	}
+	return nil
+}
+
+// stopBody makes a blocked read of the caller's body return.
+func (c *call) stopBody() { _ = c.rc.SetReadDeadline(time.Unix(1, 0)) }
+
+// serve takes a place, claims the key if there is one, and exchanges the request.
+func (c *call) serve() {
+	c.svc.retries.Deposit()
+	var digest *requestDigest
+	var row claimRow
+	if c.key != "" {
+		digest, row = c.claimRow()
+	}
+	for {
+		release, err := c.svc.admission.Acquire(c.ctx, c.class)
+		if err != nil {
+			c.refuse(err)
+			return
+		}
+		if c.key == "" {
+			defer release()
+			c.exchange(nil, nil)
+			return
+		}
+		held, err := c.server.claims.create(c.ctx, c.claimKey(), row)
+		if err == nil {
+			c.server.metrics.claims.WithLabelValues("claimed").Inc()
+			defer release()
+			c.exchange(held, digest)
+			return
+		}
+		// A repeat that waits for the first request does not hold a place.
+		release()
+		if !errors.Is(err, errClaimExists) {
+			c.refuse(err)
+			return
+		}
+		c.server.metrics.claims.WithLabelValues("repeat").Inc()
+		if c.awaitClaim(row, digest) {
+			return
+		}
+	}
+}
+
+func (c *call) claimKey() string { return ledger.ClaimKey(c.svc.name, keyDigest(c.key)) }
+
+// claimRow returns the row that claims the key, and the digest that goes on with the rest of the body.
+func (c *call) claimRow() (*requestDigest, claimRow) {
+	digest := newRequestDigest(c.r.Method, c.target)
+	digest.add(strconv.FormatInt(c.body.sendLength(), 10))
+	_, _ = digest.Write(c.body.kept)
+	c.body.digest = digest
+	deadline, _ := c.ctx.Deadline()
+	return digest, claimRow{
+		Holder:        c.server.cfg.VM,
+		Instance:      c.server.instance,
+		State:         claimRunning,
+		CreatedMillis: time.Now().UnixMilli(),
+		TimeoutMillis: time.Until(deadline).Milliseconds(),
+		Request:       digest.sum(),
+	}
+}
+
+const (
+	firstClaimPoll = 20 * time.Millisecond
+	maxClaimPoll   = 250 * time.Millisecond
+)
+
+// awaitClaim answers a repeat from the row of the first request, and waits for it while it runs. It reports false if the
+// row is gone, so that the repeat may claim the key itself.
+func (c *call) awaitClaim(own claimRow, digest *requestDigest) bool {
+	claims := c.server.claims
+	key := c.claimKey()
+	began := time.Now()
+	for wait := firstClaimPoll; ; wait = min(2*wait, maxClaimPoll) {
+		row, version, err := claims.read(c.ctx, key)
+		switch {
+		case c.ctx.Err() != nil:
+			c.refuse(verdict.New(verdict.MayHaveRun, codeKeyRunning, "the first request with this key is still running"))
+			return true
+		case err != nil:
+			c.refuse(verdict.Wrap(verdict.MayHaveRun, codeKeyUnknown, err))
+			return true
+		case version == 0:
+			return false
+		case row.expired(time.Now(), c.server.cfg.Settings().Entry.ClaimExpiry.D()):
+			claims.remove(&claim{key: key, version: version})
+		case row.Request != own.Request:
+			c.refuse(verdict.New(verdict.NotRun, codeKeyReused, "the key was used for another request"))
+			return true
+		case row.State != claimRunning:
+			c.answerClaim(row, digest)
+			return true
+		case claims.holderGone(row, time.Since(began)):
+			c.refuse(verdict.New(verdict.MayHaveRun, codeKeyUnknown, "the entry VM that held the first request is gone"))
+			return true
+		}
+		sleep(c.ctx, c.server.jitter.around(wait))
+	}
+}
+
+// answerClaim answers a repeat of a request whose outcome is stored.
+func (c *call) answerClaim(row claimRow, digest *requestDigest) {
+	if row.Full != "" {
+		if err := c.body.drain(); err != nil {
+			c.refuse(err)
+			return
+		}
+		if digest.sum() != row.Full {
+			c.refuse(verdict.New(verdict.NotRun, codeKeyReused, "the key was used for another request"))
+			return
+		}
+	}
+	switch {
+	case row.State == claimUnknown:
+		c.refuse(verdict.New(verdict.MayHaveRun, codeKeyUnknown, "the outcome of the first request is unknown"))
+	case row.Answer == nil:
+		c.refuse(verdict.New(verdict.Ran, codeAnswerNotKept, "the first request ran; its answer was not kept"))
+	default:
+		c.server.metrics.claims.WithLabelValues("answered").Inc()
+		c.writeKept(row.Answer)
+	}
+}
--- /dev/null
+++ b/entry/callerconn.go
@@ -0,0 +1,128 @@
+package entry
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"fmt"
+	"net"
+	"net/http"
+	"strconv"
+	"sync/atomic"
+
+	"github.com/currantthread/currantthread/upstream"
+	"github.com/currantthread/currantthread/verdict"
+)
+
+// netHTTPRefusal ends the header of every answer that net/http gives by itself, before any handler: to malformed
+// requests, oversized headers and unknown transfer encodings.
+var netHTTPRefusal = []byte("\r\nContent-Type: text/plain; charset=utf-8\r\nConnection: close\r\n\r\n")
+
+// callerListener accepts callers' connections.
+type callerListener struct {
+	net.Listener
+	server *Server
+}
+
+// CallerListener wraps a listener so that requests which net/http refuses before any handler get a refusal with a
+// verdict, as all others do.
+func (s *Server) CallerListener(listener net.Listener) net.Listener {
+	return &callerListener{Listener: listener, server: s}
+}
+
+// Accept implements net.Listener.
+func (l *callerListener) Accept() (net.Conn, error) {
+	accepted, err := l.Listener.Accept()
+	if err != nil {
+		return nil, err
+	}
+	return &callerConn{Conn: accepted, server: l.server}, nil
+}
+
+// callerConn is one connection of a caller.
+type callerConn struct {
+	net.Conn
+	server *Server
+	// answering is set from the start of a handler until its answer is sent, so that the body of an answer is never
+	// taken for a refusal of net/http.
+	answering atomic.Bool
+	// head is used by the goroutine that reads the connection; net/http lets only one read at a time.
+	head headScanner
+}
+
+// Read implements net.Conn.
+func (c *callerConn) Read(buf []byte) (int, error) {
+	n, err := c.Conn.Read(buf)
+	if !c.answering.Load() {
+		c.head.feed(buf[:n])
+	}
+	return n, err
+}
+
+// Write implements net.Conn.
+func (c *callerConn) Write(buf []byte) (int, error) {
+	if c.answering.Load() || !bytes.HasPrefix(buf, []byte("HTTP/1.1 ")) {
+		return c.Conn.Write(buf)
+	}
+	statusLine, _, ok := bytes.Cut(buf, netHTTPRefusal)
+	if !ok || bytes.ContainsAny(statusLine, "\r\n") {
+		return c.Conn.Write(buf)
+	}
+	if _, err := c.Conn.Write(c.refusal(string(statusLine[len("HTTP/1.1 "):]))); err != nil {
+		return 0, err
+	}
+	return len(buf), nil
+}
+
+// reset closes the connection so that the caller sees an error and no end, if the transport can show the difference.
+func (c *callerConn) reset() {
+	if tcp, ok := c.Conn.(interface{ SetLinger(sec int) error }); ok {
+		_ = tcp.SetLinger(0)
+	}
+	_ = c.Close()
+}
+
+// refusal returns a complete answer in place of one by net/http with this status.
+func (c *callerConn) refusal(status string) []byte {
+	code := codeBadRequest
+	number, err := strconv.Atoi(status[:min(len(status), len("000"))])
+	if err != nil || number >= http.StatusInternalServerError {
+		number = http.StatusBadRequest
+	}
+	if number == http.StatusRequestHeaderFieldsTooLarge {
+		code = codeHeaderTooLarge
+	}
+	id := c.server.nextRequestID()
+	c.server.metrics.refusals.WithLabelValues(unknownService, string(code)).Inc()
+	body, err := json.Marshal(refusalBody{Verdict: verdict.NotRun.String(), Code: code, Message: "the request is malformed: " + status, RequestID: id})
+	if err != nil {
+		body = nil
+	}
+	header := fmt.Sprintf("HTTP/1.1 %d %s\r\nContent-Type: application/json\r\nContent-Length: %d\r\nConnection: close\r\n%s: %s\r\n%s: %s\r\n\r\n",
+		number, http.StatusText(number), len(body), verdict.Header, verdict.NotRun, upstream.HeaderRequestID, id)
+	return append([]byte(header), body...)
+}
+
+// connContext makes the caller's connection known to handlers.
+func connContext(ctx context.Context, conn net.Conn) context.Context {
+	return context.WithValue(ctx, callerConnKey{}, conn)
+}
+
+// connState notes when a connection waits for the next request.
+func connState(conn net.Conn, state http.ConnState) {
+	if c, ok := conn.(*callerConn); ok && state == http.StateIdle {
+		c.answering.Store(false)
+		c.head = headScanner{}
+	}
+}
+
+// markAnswering notes that a handler answers on the connection of a request. It reports whether the lengths that the
+// request's header states conflict.
+func markAnswering(r *http.Request) (conflicting bool) {
+	c, ok := r.Context().Value(callerConnKey{}).(*callerConn)
+	if !ok {
+		return false
+	}
+	c.answering.Store(true)
+	return c.head.conflicting()
+}
--- /dev/null
+++ b/entry/daemon.go
@@ -0,0 +1,215 @@
+package entry
+
+import (
+	"context"
+	stderrors "errors"
+	"io"
+	"net"
+	"net/http"
+	"os"
+	"sync"
+	"time"
+
+	"github.com/juju/errors"
+	"github.com/labstack/echo/v4"
+	"github.com/prometheus/client_golang/prometheus"
+	"github.com/sirupsen/logrus"
+
+	"github.com/currantthread/currantthread/observe"
+	"github.com/currantthread/currantthread/platform"
+	"github.com/currantthread/currantthread/settings"
+	"github.com/currantthread/currantthread/upstream"
+)
+
+const (
+	callerReadHeaderTimeout = 10 * time.Second
+	callerIdleTimeout       = 2 * time.Minute
+	// callerWriteTimeout only clears the deadline that an earlier request left on a connection; each answer sets its own.
+	callerWriteTimeout = 2 * time.Hour
+	adminGrace         = 2 * time.Second
+	readyPoll          = 20 * time.Millisecond
+)
+
+// Options are the parts of a daemon that its bootstrap file does not name. Zero fields take defaults.
+type Options struct {
+	// Settings returns the settings in force. The default are the defaults of every key.
+	Settings func() settings.Effective
+	// AwaitSettings returns once settings may be used; the daemon is not ready before. Nil means at once.
+	AwaitSettings func(ctx context.Context) error
+	// LogOutput takes log lines; the default is standard error.
+	LogOutput io.Writer
+	// Observe takes finished requests, for service-level reports.
+	Observe func(Observation)
+	// Table, Objects and VMs replace the clients of the addresses in the bootstrap file.
+	Table   platform.Table
+	Objects platform.Objects
+	VMs     platform.VMList
+	// Dial opens connections to upstreams; the default dials TCP.
+	Dial upstream.DialFunc
+	// Seed fixes the sequence of random choices; 0 means a random seed.
+	Seed uint64
+}
+
+// Daemon is one entry daemon. Routes may be added to Admin before Run.
+type Daemon struct {
+	Bootstrap *settings.Bootstrap
+	Log       *logrus.Entry
+	Registry  *prometheus.Registry
+	Health    *observe.Health
+	// Admin serves metrics, health and whatever is added to it.
+	Admin   *echo.Echo
+	Table   platform.Table
+	Objects platform.Objects
+	VMs     platform.VMList
+	Server  *Server
+
+	options Options
+}
+
+// NewDaemon returns a daemon that listens nowhere yet.
+func NewDaemon(b *settings.Bootstrap, options Options) (*Daemon, error) {
+	if b.CallerAddr == "" {
+		return nil, errors.New("caller_addr is missing; entry daemons need it")
+	}
+	if options.Settings == nil {
+		defaults := settings.Defaults()
+		options.Settings = func() settings.Effective { return defaults }
+	}
+	if options.LogOutput == nil {
+		options.LogOutput = os.Stderr
+	}
+	options.setClients(b)
+	d := &Daemon{
+		Bootstrap: b,
+		Log:       observe.NewLogger(options.LogOutput, "currantthread-entry", b.VM),
+		Registry:  observe.NewRegistry(),
+		Health:    &observe.Health{},
+		Table:     options.Table,
+		Objects:   options.Objects,
+		VMs:       options.VMs,
+		options:   options,
+	}
+	d.Admin = observe.NewAdmin(d.Registry, d.Health)
+	d.Server = New(Config{
+		VM: b.VM, Region: b.Region, Domain: b.Domain,
+		Settings: options.Settings,
+		Table:    d.Table,
+		VMs:      d.VMs,
+		Log:      d.Log,
+		Registry: d.Registry,
+		Observe:  options.Observe,
+		Dial:     options.Dial,
+		Seed:     options.Seed,
+	})
+	return d, nil
+}
+
+func (o *Options) setClients(b *settings.Bootstrap) {
+	timeout := b.Platform.Timeout.D()
+	if o.Table == nil {
+		o.Table = platform.NewTableClient(b.Platform.TableURL, b.Domain, timeout)
+	}
+	if o.Objects == nil {
+		o.Objects = platform.NewObjectsClient(b.Platform.ObjectsURL, b.Domain, timeout)
+	}
+	if o.VMs == nil {
+		o.VMs = platform.NewVMListClient(b.Platform.VMListURL, b.Domain, timeout)
+	}
+}
+
+// Run serves until ctx ends, then shuts down gracefully. The error is nil if every request in flight was finished.
+func (d *Daemon) Run(ctx context.Context) error {
+	callers, err := net.Listen("tcp", d.Bootstrap.CallerAddr)
+	if err != nil {
+		return errors.Annotate(err, "caller_addr")
+	}
+	admin, err := net.Listen("tcp", d.Bootstrap.AdminAddr)
+	if err != nil {
+		_ = callers.Close()
+		return errors.Annotate(err, "admin_addr")
+	}
+	return d.Serve(ctx, callers, admin)
+}
+
+// Serve is Run on listeners that are open already.
+func (d *Daemon) Serve(ctx context.Context, callers, admin net.Listener) error {
+	background, stop := context.WithCancel(context.WithoutCancel(ctx))
+	defer stop()
+	var group sync.WaitGroup
+	group.Go(func() { d.Server.Run(background) })
+	adminFailed := make(chan error, 1)
+	group.Go(func() { adminFailed <- observe.Serve(background, admin, d.Admin, adminGrace) })
+
+	server := NewCallerServer(d.Server, d.options.Settings)
+	failed := make(chan error, 1)
+	go func() { failed <- server.Serve(d.Server.CallerListener(callers)) }()
+	d.Log.WithField("addr", callers.Addr().String()).Info("accepting requests")
+
+	ready, cancelReady := context.WithCancel(ctx)
+	group.Go(func() { d.becomeReady(ready) })
+	var err error
+	select {
+	case err = <-failed:
+		err = errors.Annotate(err, "serve callers")
+	case err = <-adminFailed:
+		err = errors.Annotate(err, "serve the admin address")
+	case <-ctx.Done():
+	}
+	cancelReady()
+	if err == nil {
+		err = d.shutdown(background, server)
+	}
+	stop()
+	group.Wait()
+	d.Log.Info("stopped")
+	return err
+}
+
+// NewCallerServer returns the HTTP server for callers of s. It serves listeners wrapped by s.CallerListener. The limit of
+// header sizes is the one in force now; later changes of it are checked for each request.
+func NewCallerServer(s *Server, inForce func() settings.Effective) *http.Server {
+	return &http.Server{
+		Handler:           s.Handler(),
+		ReadHeaderTimeout: callerReadHeaderTimeout,
+		IdleTimeout:       callerIdleTimeout,
+		WriteTimeout:      callerWriteTimeout,
+		MaxHeaderBytes:    int(inForce().Entry.MaxHeaderBytes),
+		ConnContext:       connContext,
+		ConnState:         connState,
+	}
+}
+
+// becomeReady reports readiness once the settings and the first VM list are there.
+func (d *Daemon) becomeReady(ctx context.Context) {
+	if d.options.AwaitSettings != nil {
+		if err := d.options.AwaitSettings(ctx); err != nil {
+			return
+		}
+	}
+	for !d.Server.KnowsVMs() {
+		if !sleep(ctx, readyPoll) {
+			return
+		}
+	}
+	if ctx.Err() == nil {
+		d.Health.SetReady(true)
+		d.Log.Info("ready")
+	}
+}
+
+// shutdown lets the balancer notice, then stops accepting and finishes the requests in flight.
+func (d *Daemon) shutdown(ctx context.Context, server *http.Server) error {
+	entry := d.options.Settings().Entry
+	d.Log.WithField("lag", entry.BalancerLag.String()).Info("shutting down")
+	d.Health.SetReady(false)
+	d.Server.SetClosing()
+	sleep(ctx, entry.BalancerLag.D())
+	grace, cancel := context.WithTimeout(ctx, entry.ShutdownGrace.D())
+	defer cancel()
+	err := server.Shutdown(grace)
+	if stderrors.Is(err, context.DeadlineExceeded) {
+		_ = server.Close()
+		return errors.Annotatef(err, "requests were still in flight after %s", entry.ShutdownGrace)
+	}
+	return errors.Annotate(err, "shut down")
+}
--- /dev/null
+++ b/entry/entry_test.go
@@ -0,0 +1,600 @@
+package entry_test
+
+import (
+	"bytes"
+	"context"
+	"errors"
+	"fmt"
+	"io"
+	"math/rand/v2"
+	"net"
+	"net/http"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"github.com/currantthread/currantthread/internal/memnet"
+	"github.com/currantthread/currantthread/limit"
+	"github.com/currantthread/currantthread/platform"
+	"github.com/currantthread/currantthread/settings"
+	"github.com/currantthread/currantthread/upstream"
+	"github.com/currantthread/currantthread/verdict"
+)
+
+// Guards against a request path that does not pass requests and answers on, or that leaks headers of one connection.
+func TestRequestAndAnswer(t *testing.T) {
+	inBubble(t, func(t *testing.T, b *bench) {
+		b.setAnswer(func(w http.ResponseWriter, r *http.Request) {
+			assert.Check(t, r.URL.RequestURI() == "/parks/a%2Fb?q=1")
+			assert.Check(t, r.Header.Get("X-Hop") == "" && r.Header.Get("Currantthread-Priority") == "")
+			assert.Check(t, r.Header.Get("Currantthread-Timeout-Ms") == "1500")
+			w.Header().Set("X-Shelter", "7")
+			w.Header().Set("Currantthread-Load", "inflight=1,slots=8,queue=0")
+			w.WriteHeader(http.StatusCreated)
+			_, _ = io.WriteString(w, "booked")
+		})
+		b.addUpstream("u1", "r1", "d1", nil)
+		e := b.addEntry("e1")
+		got := e.send(request{method: http.MethodPost, path: "/svc/kioscos/parks/a%2Fb?q=1", id: "1", body: "b", header: http.Header{
+			"Connection": {"X-Hop"}, "X-Hop": {"1"}, "Currantthread-Priority": {"batch"}, "Currantthread-Timeout-Ms": {"1500"},
+		}})
+		assert.NilError(t, got.err)
+		assert.Equal(t, got.status, http.StatusCreated)
+		assert.Equal(t, got.body, "booked")
+		assert.Equal(t, got.verdict(), verdict.Ran)
+		assert.Equal(t, got.header.Get("X-Shelter"), "7")
+		assert.Equal(t, got.header.Get("Currantthread-Load"), "")
+		assert.Assert(t, got.header.Get(upstream.HeaderRequestID) != "")
+		assert.Equal(t, b.runsOf("1"), 1)
+		o := <-e.observed
+		assert.Equal(t, o.Status, http.StatusCreated)
+		assert.Equal(t, o.Upstream, "u1")
+		assert.Equal(t, o.Verdict, verdict.Ran)
+	})
+}
+
+// rawUpstream answers each connection's first request with fixed bytes and closes.
+func (b *bench) rawUpstream(id, answer string) {
+	addr := id + ":80"
+	listener := b.network.Listen(addr)
+	b.stops = append(b.stops, func() { _ = listener.Close() })
+	go func() {
+		for {
+			conn, err := listener.Accept()
+			if err != nil {
+				return
+			}
+			go func() {
+				defer conn.Close()
+				buf := make([]byte, 64<<10)
+				if _, err := conn.Read(buf); err == nil {
+					_, _ = io.WriteString(conn, answer)
+				}
+			}()
+		}
+	}()
+	b.setVMs(func(vms []platform.VM) []platform.VM {
+		return append(vms, platform.VM{ID: id, Role: platform.RoleUpstream, State: platform.VMLive, Region: "r1", Domain: "d1", Addr: addr, Service: testService})
+	}, nil)
+}
+
+// Guards against plain upstreams that do not work: without our headers, with chunks, 1xx, 204, 304, HEAD, and bodies
+// that end with the connection.
+func TestPlainUpstreams(t *testing.T) {
+	for name, c := range map[string]struct {
+		method, raw, body string
+		status            int
+		header            http.Header
+	}{
+		"chunked": {"GET", "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n2\r\nok\r\n0\r\n\r\n", "ok", 200, nil},
+		"1xx":     {"GET", "HTTP/1.1 102 Processing\r\n\r\nHTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok", "ok", 200, nil},
+		"204":     {"POST", "HTTP/1.1 204 No Content\r\nX-A: 1\r\n\r\n", "", 204, http.Header{"X-A": {"1"}}},
+		"304":     {"GET", "HTTP/1.1 304 Not Modified\r\nEtag: \"e\"\r\n\r\n", "", 304, http.Header{"Etag": {`"e"`}}},
+		"head":    {"HEAD", "HTTP/1.1 200 OK\r\nContent-Length: 7\r\n\r\n", "", 200, http.Header{"Content-Length": {"7"}}},
+		"close":   {"GET", "HTTP/1.0 200 OK\r\n\r\nto the end", "to the end", 200, nil},
+		"no type": {"GET", "HTTP/1.1 200 OK\r\nContent-Length: 6\r\n\r\n<html>", "<html>", 200, http.Header{"Content-Type": nil}},
+		"error":   {"GET", "HTTP/1.1 503 No\r\nContent-Length: 2\r\n\r\nno", "no", 503, nil},
+	} {
+		t.Run(name, func(t *testing.T) {
+			inBubble(t, func(t *testing.T, b *bench) {
+				b.rawUpstream("u1", c.raw)
+				got := b.addEntry("e1").send(request{method: c.method})
+				assert.NilError(t, got.err)
+				assert.Equal(t, got.status, c.status)
+				assert.Equal(t, got.body, c.body)
+				assert.Equal(t, got.verdict(), verdict.Ran)
+				for name, want := range c.header {
+					assert.DeepEqual(t, got.header[name], want)
+				}
+			})
+		})
+	}
+}
+
+// Guards against bodies that are changed or cut on the way: 1 MiB up and 8 MiB down, with and without a known length.
+func TestLargeBodies(t *testing.T) {
+	up, down := randomBytes(1<<20), randomBytes(8<<20)
+	for _, known := range []bool{true, false} {
+		inBubble(t, func(t *testing.T, b *bench) {
+			var received []byte
+			b.addUpstream("u1", "r1", "d1", http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+				received, _ = io.ReadAll(r.Body)
+				if known {
+					w.Header().Set("Content-Length", fmt.Sprint(len(down)))
+				}
+				_, _ = w.Write(down)
+			}))
+			reader := io.Reader(bytes.NewReader(up))
+			if !known {
+				reader = io.MultiReader(reader)
+			}
+			got := b.addEntry("e1").send(request{method: http.MethodPost, reader: reader, key: "k"})
+			assert.NilError(t, got.err)
+			assert.Assert(t, bytes.Equal(received, up))
+			assert.Assert(t, got.body == string(down))
+		})
+	}
+}
+
+func randomBytes(n int) []byte {
+	rng := rand.New(rand.NewPCG(1, 1))
+	data := make([]byte, n)
+	for i := range data {
+		data[i] = byte(rng.Uint32())
+	}
+	return data
+}
+
+// Guards against bad input that is passed on, or refused without a verdict.
+func TestBadInput(t *testing.T) {
+	line := "POST /svc/kioscos/x HTTP/1.1\r\nHost: h\r\n"
+	for name, c := range map[string]struct {
+		raw, status, code string
+	}{
+		"unknown path":       {"GET /other HTTP/1.1\r\nHost: h\r\nConnection: close\r\n\r\n", "404 Not Found", "unknown-path"},
+		"unknown service":    {"GET /svc/none/x HTTP/1.1\r\nHost: h\r\nConnection: close\r\n\r\n", "404 Not Found", "unknown-service"},
+		"unknown method":     {"BREW /svc/kioscos/x HTTP/1.1\r\nHost: h\r\nConnection: close\r\n\r\n", "405 Method Not Allowed", "method-not-allowed"},
+		"malformed":          {"what\r\n\r\n", "400 Bad Request", "bad-request"},
+		"no host":            {"GET /svc/kioscos/x HTTP/1.1\r\n\r\n", "400 Bad Request", "bad-request"},
+		"lengths differ":     {line + "Content-Length: 1\r\nContent-Length: 2\r\n\r\nab", "400 Bad Request", "bad-request"},
+		"length and chunks":  {line + "content-length: 3\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n\r\n", "400 Bad Request", "bad-request"},
+		"chunks and length":  {line + "Transfer-Encoding: chunked\r\nCONTENT-LENGTH: 3\r\n\r\n0\r\n\r\n", "400 Bad Request", "bad-request"},
+		"unknown encoding":   {line + "Transfer-Encoding: gzip\r\n\r\n", "400 Bad Request", "bad-request"},
+		"header too large":   {line + "Connection: close\r\nX: " + strings.Repeat("x", 64<<10) + "\r\n\r\n", "431 Request Header Fields Too Large", "header-too-large"},
+		"header far too big": {line + "X: " + strings.Repeat("x", 80<<10) + "\r\n\r\n", "431 Request Header Fields Too Large", "header-too-large"},
+		"body too large":     {line + "Connection: close\r\nContent-Length: 16777217\r\n\r\n", "413 Request Entity Too Large", "body-too-large"},
+		"timeout":            {line + "Connection: close\r\nCurrantthread-Timeout-Ms: soon\r\nContent-Length: 0\r\n\r\n", "400 Bad Request", "bad-request"},
+		"priority":           {line + "Connection: close\r\nCurrantthread-Priority: first\r\nContent-Length: 0\r\n\r\n", "400 Bad Request", "bad-request"},
+		"key too long":       {line + "Connection: close\r\nIdempotency-Key: " + strings.Repeat("k", 256) + "\r\nContent-Length: 0\r\n\r\n", "400 Bad Request", "bad-request"},
+		"two keys":           {line + "Connection: close\r\nIdempotency-Key: a\r\nIdempotency-Key: b\r\nContent-Length: 0\r\n\r\n", "400 Bad Request", "bad-request"},
+	} {
+		t.Run(name, func(t *testing.T) {
+			inBubble(t, func(t *testing.T, b *bench) {
+				b.addUpstream("u1", "r1", "d1", nil)
+				got := b.addEntry("e1").raw(c.raw)
+				status, _, _ := strings.Cut(got, "\r\n")
+				assert.Equal(t, status, "HTTP/1.1 "+c.status)
+				assert.Assert(t, strings.Contains(got, "Currantthread-Verdict: not-run\r\n"), got)
+				assert.Assert(t, strings.Contains(got, `{"verdict":"not-run","code":"`+c.code+`","message":"`), got)
+				assert.Assert(t, strings.Contains(got, `"request_id":"e1-`), got)
+				assert.Equal(t, len(b.runs), 0)
+			})
+		})
+	}
+}
+
+// Guards against a chunked body beyond the limit that reaches the upstream as complete.
+func TestChunkedBodyTooLarge(t *testing.T) {
+	inBubble(t, func(t *testing.T, b *bench) {
+		b.configure(func(e *settings.Effective, _ *settings.Service) { e.Entry.MaxBodyBytes = 200 << 10 })
+		b.addUpstream("u1", "r1", "d1", nil)
+		got := b.addEntry("e1").send(request{method: http.MethodPost, id: "1", reader: io.MultiReader(bytes.NewReader(randomBytes(300 << 10)))})
+		assert.Equal(t, got.status, http.StatusRequestEntityTooLarge, got.body)
+		assert.Equal(t, got.verdict(), verdict.MayHaveRun)
+		assert.Equal(t, b.runsOf("1"), 0)
+	})
+}
+
+// Guards against a body of an answer that is taken for a refusal by net/http and replaced.
+func TestAnswerThatLooksLikeARefusal(t *testing.T) {
+	text := "HTTP/1.1 400 Bad Request\r\nContent-Type: text/plain; charset=utf-8\r\nConnection: close\r\n\r\n400 Bad Request"
+	inBubble(t, func(t *testing.T, b *bench) {
+		body := strings.Repeat(text+strings.Repeat(" ", 32<<10-len(text)), 2)
+		b.setAnswer(func(w http.ResponseWriter, _ *http.Request) {
+			w.Header().Set("Content-Length", fmt.Sprint(len(body)))
+			_, _ = io.WriteString(w, body)
+		})
+		b.addUpstream("u1", "r1", "d1", nil)
+		got := b.addEntry("e1").send(request{})
+		assert.NilError(t, got.err)
+		assert.Assert(t, got.body == body)
+	})
+}
+
+// Guards against a truncated answer that looks complete to its caller (G5).
+func TestTruncatedAnswerAbortsTheCaller(t *testing.T) {
+	for _, head := range []string{"Content-Length: 10\r\n\r\nabc", "Transfer-Encoding: chunked\r\n\r\n3\r\nabc\r\n"} {
+		inBubble(t, func(t *testing.T, b *bench) {
+			b.rawUpstream("u1", "HTTP/1.1 200 OK\r\n"+head)
+			e := b.addEntry("e1")
+			got := e.send(request{method: http.MethodPost, body: "b"})
+			assert.Assert(t, got.err != nil, "%q looked complete", got.body)
+			o := <-e.observed
+			assert.Equal(t, o.Status, 0)
+		})
+	}
+}
+
+// Guards against a truncated answer that an HTTP/1.0 caller takes for a complete one: only a reset shows it (G5).
+func TestTruncatedAnswerResetsOldCallers(t *testing.T) {
+	inBubble(t, func(t *testing.T, b *bench) {
+		b.rawUpstream("u1", "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n3\r\nabc\r\n")
+		e := b.addEntry("e1")
+		conn, err := b.network.Dial(t.Context(), "e1:80")
+		assert.NilError(t, err)
+		_, err = io.WriteString(conn, "GET /svc/kioscos/x HTTP/1.0\r\n\r\n")
+		assert.NilError(t, err)
+		got, err := io.ReadAll(conn)
+		assert.ErrorIs(t, err, memnet.ErrReset, "%q looked complete", got)
+		assert.Equal(t, (<-e.observed).Status, 0)
+	})
+}
+
+// refusing returns a runner that refuses everything and counts what it saw.
+func refusing(reason string, seen *int, mu *sync.Mutex) http.Handler {
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		mu.Lock()
+		*seen++
+		mu.Unlock()
+		w.Header().Set("Currantthread-Refused", reason)
+		w.WriteHeader(http.StatusServiceUnavailable)
+	})
+}
+
+// Guards against refused requests that are not tried elsewhere, and against more retries than allowed.
+func TestRetriesAfterRefusals(t *testing.T) {
+	inBubble(t, func(t *testing.T, b *bench) {
+		var mu sync.Mutex
+		seen := 0
+		for i := range 4 {
+			b.addUpstream(fmt.Sprintf("u%d", i), "r1", "d1", refusing("busy", &seen, &mu))
+		}
+		e := b.addEntry("e1")
+		got := e.send(request{method: http.MethodPost, body: "b"})
+		assert.Equal(t, got.status, http.StatusServiceUnavailable)
+		assert.Equal(t, got.verdict(), verdict.NotRun)
+		assert.Equal(t, got.code(), upstream.CodeBusy)
+		assert.Equal(t, got.header.Get("Retry-After"), "1")
+		assert.Equal(t, seen, 3)
+	})
+	inBubble(t, func(t *testing.T, b *bench) {
+		var mu sync.Mutex
+		seen := 0
+		b.addUpstream("u1", "r1", "d1", refusing("busy", &seen, &mu))
+		b.addUpstream("u2", "r1", "d1", nil)
+		e := b.addEntry("e1")
+		for i := range 20 {
+			id := fmt.Sprint(i)
+			got := e.send(request{method: http.MethodPost, id: id, body: "b"})
+			assert.Equal(t, got.status, http.StatusOK)
+			assert.Equal(t, b.runsOf(id), 1)
+			time.Sleep(time.Second)
+		}
+	})
+}
+
+// Guards against a wave of retries when everything fails: retries stay within their budget.
+func TestRetryBudget(t *testing.T) {
+	inBubble(t, func(t *testing.T, b *bench) {
+		var mu sync.Mutex
+		seen := 0
+		for i := range 4 {
+			b.addUpstream(fmt.Sprintf("u%d", i), "r1", "d1", refusing("busy", &seen, &mu))
+		}
+		e := b.addEntry("e1")
+		const requests = 200
+		var group sync.WaitGroup
+		for range requests {
+			group.Go(func() { e.send(request{method: http.MethodPost, body: "b"}) })
+		}
+		group.Wait()
+		// 10% of the requests and a floor of 3 a second, of which a burst of 3 was saved up.
+		assert.Assert(t, seen >= requests && seen <= requests+requests/10+6, "%d exchanges", seen)
+	})
+}
+
+// Guards against a non-idempotent request that is sent again after bytes left (G7), and an idempotent one that is not.
+func TestRetryAfterLostConnection(t *testing.T) {
+	for _, method := range []string{http.MethodPost, http.MethodPatch, http.MethodGet, http.MethodPut} {
+		inBubble(t, func(t *testing.T, b *bench) {
+			lost := 0
+			b.setAnswer(func(w http.ResponseWriter, _ *http.Request) {
+				b.mu.Lock()
+				defer b.mu.Unlock()
+				if lost++; lost == 1 {
+					panic(http.ErrAbortHandler)
+				}
+			})
+			b.addUpstream("u1", "r1", "d1", nil)
+			b.addUpstream("u2", "r1", "d1", nil)
+			got := b.addEntry("e1").send(request{method: method, id: "1"})
+			if method == http.MethodPost || method == http.MethodPatch {
+				assert.Equal(t, got.status, http.StatusBadGateway)
+				assert.Equal(t, got.verdict(), verdict.MayHaveRun)
+				assert.Equal(t, b.runsOf("1"), 1)
+				return
+			}
+			assert.Equal(t, got.status, http.StatusOK)
+			assert.Equal(t, b.runsOf("1"), 2)
+		})
+	}
+}
+
+// Guards against a refusal that says "not run" because the last try was refused although an earlier one may have run
+// (G6).
+func TestVerdictCoversAllRetries(t *testing.T) {
+	inBubble(t, func(t *testing.T, b *bench) {
+		tries := 0
+		b.setAnswer(func(w http.ResponseWriter, _ *http.Request) {
+			b.mu.Lock()
+			defer b.mu.Unlock()
+			if tries++; tries == 1 {
+				panic(http.ErrAbortHandler)
+			}
+			w.Header().Set("Currantthread-Refused", "busy")
+			w.WriteHeader(http.StatusServiceUnavailable)
+		})
+		b.addUpstream("u1", "r1", "d1", nil)
+		b.addUpstream("u2", "r1", "d1", nil)
+		got := b.addEntry("e1").send(request{id: "1"})
+		assert.Equal(t, got.code(), upstream.CodeBusy)
+		assert.Equal(t, got.verdict(), verdict.MayHaveRun)
+	})
+}
+
+// Guards against wrong classes of methods and paths.
+func TestIdempotentPathsAndServices(t *testing.T) {
+	for name, c := range map[string]struct {
+		method, path string
+		all          bool
+		runs         int
+	}{
+		"listed path":       {http.MethodPost, "/svc/kioscos/availability/7", false, 2},
+		"listed path alone": {http.MethodPost, "/svc/kioscos/availability", true, 2},
+		"longer name":       {http.MethodPost, "/svc/kioscos/availability2", false, 1},
+		"dots":              {http.MethodPost, "/svc/kioscos/availability/../issue", false, 1},
+		"escaped dots":      {http.MethodPost, "/svc/kioscos/availability/%2e%2e/issue", false, 1},
+		"escaped slash":     {http.MethodPost, "/svc/kioscos/availability%2F..%2Fissue", false, 1},
+		"all methods":       {http.MethodPut, "/svc/kioscos/x", true, 1},
+	} {
+		t.Run(name, func(t *testing.T) {
+			inBubble(t, func(t *testing.T, b *bench) {
+				b.configure(func(_ *settings.Effective, s *settings.Service) {
+					s.IdempotentPaths = []string{"/availability/"}
+					s.NonIdempotentAll = c.all
+					s.MaxRetries = 1
+				})
+				b.setAnswer(func(http.ResponseWriter, *http.Request) { panic(http.ErrAbortHandler) })
+				b.addUpstream("u1", "r1", "d1", nil)
+				got := b.addEntry("e1").send(request{method: c.method, path: c.path, id: "1"})
+				assert.Equal(t, got.verdict(), verdict.MayHaveRun)
+				assert.Equal(t, b.runsOf("1"), c.runs)
+			})
+		})
+	}
+}
+
+// Guards against a caller that leaves and takes its non-idempotent request with it, or whose outcome is then unknown.
+func TestCallerLeaves(t *testing.T) {
+	inBubble(t, func(t *testing.T, b *bench) {
+		cancelled := false
+		b.setAnswer(func(w http.ResponseWriter, r *http.Request) {
+			select {
+			case <-r.Context().Done():
+				cancelled = true
+			case <-time.After(time.Second):
+			}
+			_, _ = io.WriteString(w, "done")
+		})
+		b.addUpstream("u1", "r1", "d1", nil)
+		e := b.addEntry("e1")
+		ctx, cancel := context.WithTimeout(t.Context(), 200*time.Millisecond)
+		defer cancel()
+		got := e.send(request{method: http.MethodPost, id: "1", body: "b", key: "k", ctx: ctx})
+		assert.ErrorIs(t, got.err, context.DeadlineExceeded)
+		time.Sleep(time.Second)
+		assert.Assert(t, !cancelled)
+		again := e.send(request{method: http.MethodPost, id: "1", body: "b", key: "k"})
+		assert.Equal(t, again.body, "done")
+		assert.Equal(t, b.runsOf("1"), 1)
+	})
+}
+
+// Guards against a caller that stops in the middle of its body and holds an upstream connection, or whose request looks
+// complete to the upstream.
+func TestCallerCutsItsBody(t *testing.T) {
+	for _, declared := range []string{"Content-Length: 100000\r\n\r\n", "Transfer-Encoding: chunked\r\n\r\n186a0\r\n"} {
+		for _, leaves := range []bool{true, false} {
+			inBubble(t, func(t *testing.T, b *bench) {
+				b.addUpstream("u1", "r1", "d1", nil)
+				e := b.addEntry("e1")
+				conn, err := b.network.Dial(t.Context(), "e1:80")
+				assert.NilError(t, err)
+				_, err = io.WriteString(conn, "POST /svc/kioscos/x HTTP/1.1\r\nHost: h\r\nTest-Id: 1\r\n"+declared+strings.Repeat("a", 70000))
+				assert.NilError(t, err)
+				if leaves {
+					time.Sleep(time.Second)
+					conn.Close()
+				}
+				o := <-e.observed
+				assert.Equal(t, o.Verdict, verdict.MayHaveRun)
+				assert.Assert(t, o.Latency <= 11*time.Second, "%s", o.Latency)
+				assert.Equal(t, b.runsOf("1"), 0)
+				assert.Equal(t, e.counter("requests_in_flight"), 0.0)
+			})
+		}
+	}
+}
+
+// Guards against overload that is queued without end: what cannot be served in time is refused early and truly not run.
+func TestOverloadIsShed(t *testing.T) {
+	inBubble(t, func(t *testing.T, b *bench) {
+		b.configure(func(_ *settings.Effective, s *settings.Service) { s.Concurrency, s.Queue = 2, 2 })
+		b.setAnswer(func(http.ResponseWriter, *http.Request) { time.Sleep(time.Second) })
+		b.addUpstream("u1", "r1", "d1", nil)
+		e := b.addEntry("e1")
+		var group sync.WaitGroup
+		var mu sync.Mutex
+		refused, answered := 0, 0
+		for i := range 10 {
+			group.Go(func() {
+				id := fmt.Sprint(i)
+				got := e.send(request{method: http.MethodPost, id: id})
+				mu.Lock()
+				defer mu.Unlock()
+				if got.status == http.StatusOK {
+					answered++
+					return
+				}
+				refused++
+				assert.Check(t, got.status == http.StatusTooManyRequests)
+				assert.Check(t, got.code() == limit.CodeOverloaded)
+				assert.Check(t, got.verdict() == verdict.NotRun)
+				assert.Check(t, got.header.Get("Retry-After") != "")
+				assert.Check(t, b.runsOf(id) == 0)
+			})
+		}
+		group.Wait()
+		assert.Assert(t, answered >= 3 && answered <= 4, "%d answered", answered)
+		assert.Equal(t, answered+refused, 10)
+	})
+}
+
+// Guards against new work for an upstream that said it is leaving while the VM list still shows it live (G8).
+func TestLeavingUpstreamGetsNoNewWork(t *testing.T) {
+	inBubble(t, func(t *testing.T, b *bench) {
+		var mu sync.Mutex
+		seen := 0
+		b.addUpstream("u1", "r1", "d1", refusing("leaving", &seen, &mu))
+		b.addUpstream("u2", "r1", "d1", nil)
+		e := b.addEntry("e1")
+		for i := range 60 {
+			got := e.send(request{method: http.MethodPost, id: fmt.Sprint(i), body: "b"})
+			assert.Equal(t, got.status, http.StatusOK)
+			time.Sleep(100 * time.Millisecond)
+		}
+		assert.Assert(t, seen <= 1, "%d requests went to the leaving upstream", seen)
+	})
+}
+
+// Guards against new work for an upstream that the VM list shows as leaving, 3 s after the list says so (G8).
+func TestListedLeavingUpstreamGetsNoNewWork(t *testing.T) {
+	inBubble(t, func(t *testing.T, b *bench) {
+		b.addUpstream("u1", "r1", "d1", nil)
+		b.addUpstream("u2", "r1", "d1", nil)
+		late := false
+		b.setAnswer(func(_ http.ResponseWriter, r *http.Request) {
+			b.mu.Lock()
+			defer b.mu.Unlock()
+			late = late || (r.Host == "late" && r.Context().Value(http.LocalAddrContextKey).(net.Addr).String() == "u1:80")
+		})
+		e := b.addEntry("e1")
+		b.setVMs(func(vms []platform.VM) []platform.VM {
+			vms[0].State = platform.VMLeaving
+			return vms
+		}, nil)
+		time.Sleep(3 * time.Second)
+		for range 40 {
+			got := e.raw("GET /svc/kioscos/x HTTP/1.1\r\nHost: late\r\nConnection: close\r\n\r\n")
+			assert.Assert(t, strings.HasPrefix(got, "HTTP/1.1 200"), got)
+		}
+		assert.Assert(t, !late)
+	})
+}
+
+// Guards against entry VMs that together open more connections than an upstream accepts.
+func TestConnectionShare(t *testing.T) {
+	inBubble(t, func(t *testing.T, b *bench) {
+		b.setAnswer(func(http.ResponseWriter, *http.Request) { time.Sleep(time.Second) })
+		b.addUpstream("u1", "r1", "d1", nil)
+		for i := range 8 {
+			b.setVMs(func(vms []platform.VM) []platform.VM {
+				return append(vms, platform.VM{ID: fmt.Sprintf("x%d", i), Role: platform.RoleEntry, State: platform.VMLive, Region: "r1"})
+			}, nil)
+		}
+		e := b.addEntry("e1")
+		time.Sleep(2 * time.Second)
+		before := len(b.network.Conns())
+		var group sync.WaitGroup
+		for range 30 {
+			group.Go(func() { e.send(request{}) })
+		}
+		group.Wait()
+		// 64 connections among 9 entry VMs; the 30 callers have one each.
+		assert.Equal(t, len(b.network.Conns())-before-30, 7)
+	})
+}
+
+// Guards against traffic between regions beyond its share: what crossed is counted both ways, and crossing is refused
+// when nothing is left.
+func TestRegionBudget(t *testing.T) {
+	inBubble(t, func(t *testing.T, b *bench) {
+		b.configure(func(e *settings.Effective, _ *settings.Service) {
+			e.Entry.InterRegionRate, e.Entry.InterRegionShare = 800_000, 50 // 50,000 bytes/s
+		})
+		b.setAnswer(func(w http.ResponseWriter, _ *http.Request) { _, _ = w.Write(make([]byte, 30_000)) })
+		b.addUpstream("far", "r2", "d3", nil)
+		e := b.addEntry("e1")
+		send := func() reply { return e.send(request{method: http.MethodPost, body: strings.Repeat("b", 10_000)}) }
+		assert.Equal(t, send().status, http.StatusOK)
+		assert.Assert(t, e.counter("inter_region_bytes_total") > 40_000)
+		assert.Assert(t, e.counter("inter_region_bytes_total") < 42_000)
+		assert.Equal(t, send().status, http.StatusOK)
+		got := send()
+		assert.Equal(t, got.status, http.StatusServiceUnavailable)
+		assert.Equal(t, got.code(), verdict.Code("region-budget"))
+		assert.Equal(t, got.verdict(), verdict.NotRun)
+		time.Sleep(2 * time.Second)
+		assert.Equal(t, send().status, http.StatusOK)
+		b.addUpstream("near", "r1", "d2", nil)
+		time.Sleep(2 * time.Second)
+		for range 5 {
+			assert.Equal(t, send().status, http.StatusOK)
+		}
+		assert.Assert(t, e.counter("inter_region_bytes_total") < 126_000)
+	})
+}
+
+// Guards against a lost VM list that takes the upstreams away, and against a log line for each failed read.
+func TestLastVMListStaysInUse(t *testing.T) {
+	inBubble(t, func(t *testing.T, b *bench) {
+		b.addUpstream("u1", "r1", "d1", nil)
+		e := b.addEntry("e1")
+		b.setVMs(func(vms []platform.VM) []platform.VM { return vms }, errors.New("down"))
+		time.Sleep(time.Minute)
+		assert.Equal(t, e.send(request{}).status, http.StatusOK)
+		b.setVMs(func(vms []platform.VM) []platform.VM { return vms }, nil)
+		time.Sleep(time.Minute)
+		assert.Equal(t, strings.Count(b.log.String(), "\n"), 2, b.log.String())
+	})
+}
+
+// Guards against settings that are accepted but not in force.
+func TestSettingsInForce(t *testing.T) {
+	inBubble(t, func(t *testing.T, b *bench) {
+		b.addUpstream("u1", "r1", "d1", nil)
+		b.setAnswer(func(http.ResponseWriter, *http.Request) { time.Sleep(time.Second) })
+		e := b.addEntry("e1")
+		assert.Equal(t, e.send(request{}).status, http.StatusOK)
+		b.configure(func(_ *settings.Effective, s *settings.Service) {
+			s.Timeout = settings.Duration(100 * time.Millisecond)
+		})
+		time.Sleep(2 * time.Second)
+		got := e.send(request{method: http.MethodPost})
+		assert.Equal(t, got.status, http.StatusGatewayTimeout)
+		assert.Equal(t, got.verdict(), verdict.MayHaveRun)
+	})
+}
--- /dev/null
+++ b/entry/jitter.go
@@ -0,0 +1,46 @@
+package entry
+
+import (
+	"context"
+	"math/rand/v2"
+	"sync"
+	"time"
+)
+
+// jitter draws random times. It is safe for concurrent use.
+type jitter struct {
+	mu  sync.Mutex // owner: jitter; guards rng
+	rng *rand.Rand
+}
+
+func newJitter(seed uint64) *jitter {
+	if seed == 0 {
+		seed = rand.Uint64()
+	}
+	return &jitter{rng: rand.New(rand.NewPCG(seed, seed))}
+}
+
+// upTo returns a time in [0, limit).
+func (j *jitter) upTo(limit time.Duration) time.Duration {
+	if limit <= 0 {
+		return 0
+	}
+	j.mu.Lock()
+	defer j.mu.Unlock()
+	return time.Duration(j.rng.Int64N(int64(limit)))
+}
+
+// around returns a time in [d - d/8, d + d/8).
+func (j *jitter) around(d time.Duration) time.Duration { return d - d/8 + j.upTo(d/4) }
+
+// sleep waits for d and reports false if ctx ended first.
+func sleep(ctx context.Context, d time.Duration) bool {
+	timer := time.NewTimer(d)
+	defer timer.Stop()
+	select {
+	case <-ctx.Done():
+		return false
+	case <-timer.C:
+		return ctx.Err() == nil
+	}
+}
--- a/internal/memnet/memnet.go
+++ b/internal/memnet/memnet.go
@@ -240,8 +240,9 @@
 type Conn struct {
 	in, out *stream
 	addr    address
-	mu      sync.Mutex // owner: Conn; guards the timers
+	mu      sync.Mutex // owner: Conn; guards the fields below
 	timers  [2]*time.Timer
+	abrupt  bool // Close cuts the connection
 }
 
 func pair(addr string, faults Faults) (near, far *Conn) {
@@ -263,6 +264,12 @@
 
 // Close implements net.Conn.
 func (c *Conn) Close() error {
+	c.mu.Lock()
+	abrupt := c.abrupt
+	c.mu.Unlock()
+	if abrupt {
+		c.Cut()
+	}
 	c.in.update(func() { c.in.closed = true })
 	c.out.update(func() { c.out.ended = true })
 	c.mu.Lock()
@@ -275,6 +282,14 @@
 	return nil
 }
 
+// SetLinger makes Close cut the connection if sec is 0, as on TCP connections.
+func (c *Conn) SetLinger(sec int) error {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.abrupt = sec == 0
+	return nil
+}
+
 // Cut resets the connection for both ends. Bytes under way are lost.
 func (c *Conn) Cut() {
 	for _, s := range []*stream{c.in, c.out} {
--- a/upstream/exchange.go
+++ b/upstream/exchange.go
@@ -356,7 +356,9 @@
 		// A connection that fails while the request is written may still hold an early answer, which the reader takes.
 		return
 	}
-	x.bodyErr = x.writeErr
+	if x.bodyErr == nil {
+		x.bodyErr = x.writeErr
+	}
 	x.stop()
 }
 
@@ -413,8 +415,12 @@
 	}
 	n, err := x.body.Read(buf)
 	x.bodyRead.Add(int64(n))
-	if err == io.EOF {
+	switch {
+	case err == io.EOF:
 		x.bodyEnded.Store(true)
+	case err != nil:
+		// net/http wraps the error in a type that hides it.
+		x.bodyErr = err
 	}
 	return n, err
 }
