Serve the operators' API: settings, jobs, failure domains, cells

Cause: operators need one HTTP API on every entry VM for settings, jobs and failure domains. Weighed: an out-command that answers once stored (cells may still start tasks under permits), or once in force. It answers once every sched daemon of the domain confirmed it, or after the longest permit any settings allow plus clock drift. A job and all its queue rows are one transaction; a repeated submission with the same ID changes nothing. Before: none. After: the tests of package control pass, among them an out-command with an unreachable daemon in virtual time (answer after 2.5 to 3 s) and repeated submissions. Conclusion: refusals carry a code, all mistakes at once, and the keys in conflict.

--- /dev/null
+++ b/control/api_jobs.go
@@ -0,0 +1,339 @@
+package control
+
+import (
+	"context"
+	"net/http"
+	"slices"
+	"strings"
+	"time"
+
+	"github.com/google/uuid"
+	"github.com/juju/errors"
+	"github.com/labstack/echo/v4"
+
+	"github.com/currantthread/currantthread/innerproto"
+	"github.com/currantthread/currantthread/job"
+	"github.com/currantthread/currantthread/ledger"
+	"github.com/currantthread/currantthread/platform"
+)
+
+const (
+	// scanPage is the number of rows read by one scan.
+	scanPage = 1000
+	// readBatch is the number of rows read by one read.
+	readBatch = 500
+	// maxListedJobs bounds the answer of a job list; the newest come first.
+	maxListedJobs = 1000
+)
+
+// JobStatus tells where the tasks of a job are.
+type JobStatus struct {
+	Job       job.Job `json:"job"`
+	Cancelled bool    `json:"cancelled"`
+	// Queued, Assigned and the outcomes add up to the job's tasks, except while a task changes its state.
+	Queued    int `json:"queued"`
+	Assigned  int `json:"assigned"`
+	Completed int `json:"completed"`
+	Failed    int `json:"failed"`
+	Stopped   int `json:"stopped"`
+	// Waiting tells why tasks wait, by reason in words, with the number of tasks.
+	Waiting []WaitReason `json:"waiting,omitempty"`
+	// Running lists assigned tasks, at most maxListedTasks.
+	Running []RunningTask `json:"running,omitempty"`
+}
+
+// WaitReason is a reason and how many tasks it holds up.
+type WaitReason struct {
+	Reason string `json:"reason"`
+	Tasks  int    `json:"tasks"`
+}
+
+// RunningTask is an assigned task.
+type RunningTask struct {
+	Task    job.TaskID `json:"task"`
+	Cell    string     `json:"cell"`
+	Worker  string     `json:"worker"`
+	Attempt int        `json:"attempt"`
+	State   string     `json:"state"`
+}
+
+const maxListedTasks = 100
+
+// submitJob accepts a job once: a repeated submission with the same ID and content changes nothing.
+func (a *API) submitJob(c echo.Context) error {
+	ctx, cancel := a.timeout(c)
+	defer cancel()
+	var j job.Job
+	if err := bind(c, &j); err != nil {
+		return a.fail(c, err)
+	}
+	if j.ID == "" {
+		j.ID = NewJobID()
+	}
+	if err := validate(j); err != nil {
+		return a.fail(c, err)
+	}
+	j.SubmittedAt = time.Now().UnixMilli()
+	if err := a.submit(ctx, j); err != nil {
+		return a.fail(c, err)
+	}
+	a.poke(j.Spec.Constraints.Domain)
+	return c.JSON(http.StatusCreated, j)
+}
+
+// NewJobID returns a job ID that sorts by time of submission.
+func NewJobID() string {
+	return "j" + strings.ReplaceAll(uuid.Must(uuid.NewV7()).String(), "-", "")
+}
+
+func validate(j job.Job) error {
+	problems := j.Validate()
+	if strings.ContainsAny(j.ID, "/ ") {
+		problems = append(problems, errors.Errorf("id: %q must not contain / or blanks", j.ID))
+	}
+	if len(problems) == 0 {
+		return nil
+	}
+	lines := make([]string, len(problems))
+	for i, problem := range problems {
+		lines[i] = problem.Error()
+	}
+	return &APIError{Code: "invalid", Message: strings.Join(lines, "; ")}
+}
+
+// submit writes the job and all its queued tasks in one transaction.
+func (a *API) submit(ctx context.Context, j job.Job) error {
+	_, err := a.cfg.Store.Commit(ctx, SubmitTxn(j))
+	if !platform.IsConflict(err) {
+		return err
+	}
+	existing, readErr := a.readJob(ctx, j.ID)
+	if readErr != nil {
+		return readErr
+	}
+	existing.SubmittedAt = j.SubmittedAt
+	if existing != j {
+		return &APIError{Code: "conflict", Message: "job " + j.ID + " exists with other content"}
+	}
+	return nil
+}
+
+// SubmitTxn returns the transaction that accepts a job. It conflicts on the job's row if the job exists.
+func SubmitTxn(j job.Job) platform.Txn {
+	txn := platform.Txn{
+		Conditions: []platform.Condition{{Key: ledger.JobKey(j.ID)}},
+		Writes:     []platform.Write{{Key: ledger.JobKey(j.ID), Value: ledger.Encode(j)}},
+	}
+	for i := range j.Tasks {
+		t := job.Task{ID: job.MakeTaskID(j.ID, i), Team: j.Team, Spec: j.Spec, Attempt: 1}
+		txn.Writes = append(txn.Writes, platform.Write{Key: ledger.QueueKeyOf(t), Value: ledger.Encode(t)})
+	}
+	return txn
+}
+
+// poke tells sched daemons that queues changed. They would notice by themselves later.
+func (a *API) poke(domain string) {
+	req := &innerproto.PokeRequest{}
+	if domain != "" {
+		req.Domains = []string{domain}
+	}
+	for _, vm := range a.cfg.VMs() {
+		if vm.Role != platform.RoleEntry || (domain != "" && vm.Domain != domain) {
+			continue
+		}
+		go func() {
+			ctx, cancel := context.WithTimeout(context.Background(), askTimeout)
+			defer cancel()
+			_, _ = a.cfg.Dial(vm.SchedAddr).Poke(ctx, req) // a lost hint costs time only
+		}()
+	}
+}
+
+func (a *API) readJob(ctx context.Context, id string) (job.Job, error) {
+	rows, err := a.cfg.Table.Read(ctx, ledger.JobKey(id))
+	if err != nil {
+		return job.Job{}, err
+	}
+	if rows[0].Version == 0 {
+		return job.Job{}, errors.NotFoundf("job %s", id)
+	}
+	return ledger.Decode[job.Job](rows[0].Key, rows[0].Value)
+}
+
+func (a *API) listJobs(c echo.Context) error {
+	ctx, cancel := a.timeout(c)
+	defer cancel()
+	jobs := []job.Job{}
+	err := a.scan(ctx, ledger.JobPrefix, func(row platform.Row) error {
+		j, err := ledger.Decode[job.Job](row.Key, row.Value)
+		if team := c.QueryParam("team"); team == "" || team == j.Team {
+			jobs = append(jobs, j)
+		}
+		return err
+	})
+	if err != nil {
+		return a.fail(c, err)
+	}
+	slices.SortFunc(jobs, func(x, y job.Job) int { return strings.Compare(y.ID, x.ID) })
+	return c.JSON(http.StatusOK, jobs[:min(len(jobs), maxListedJobs)])
+}
+
+// scan calls visit with each row under a prefix.
+func (a *API) scan(ctx context.Context, prefix string, visit func(platform.Row) error) error {
+	after := ""
+	for {
+		rows, err := a.cfg.Table.Scan(ctx, prefix, after, scanPage)
+		if err != nil {
+			return err
+		}
+		for _, row := range rows {
+			if err := visit(row); err != nil {
+				return err
+			}
+		}
+		if len(rows) < scanPage {
+			return nil
+		}
+		after = rows[len(rows)-1].Key
+	}
+}
+
+func (a *API) showJob(c echo.Context) error {
+	ctx, cancel := a.timeout(c)
+	defer cancel()
+	status, err := a.jobStatus(ctx, c.Param("id"))
+	if err != nil {
+		return a.fail(c, err)
+	}
+	return c.JSON(http.StatusOK, status)
+}
+
+func (a *API) jobStatus(ctx context.Context, id string) (*JobStatus, error) {
+	j, err := a.readJob(ctx, id)
+	if err != nil {
+		return nil, err
+	}
+	status := &JobStatus{Job: j}
+	if err := a.countDone(ctx, status); err != nil {
+		return nil, err
+	}
+	if err := a.countQueued(ctx, status); err != nil {
+		return nil, err
+	}
+	statuses := a.askAll(ctx, j.Spec.Constraints.Domain)
+	if err := a.countAssigned(ctx, status, statuses); err != nil {
+		return nil, err
+	}
+	status.Waiting = waitReasons(status, statuses)
+	return status, nil
+}
+
+func (a *API) countDone(ctx context.Context, status *JobStatus) error {
+	rows, err := a.cfg.Table.Read(ctx, ledger.CancelKey(status.Job.ID))
+	if err != nil {
+		return err
+	}
+	status.Cancelled = rows[0].Version > 0
+	return a.scan(ctx, ledger.DonePrefix(status.Job.ID), func(row platform.Row) error {
+		done, err := ledger.Decode[ledger.Done](row.Key, row.Value)
+		switch done.Outcome {
+		case ledger.OutcomeCompleted:
+			status.Completed++
+		case ledger.OutcomeFailed:
+			status.Failed++
+		case ledger.OutcomeCancelled:
+			status.Stopped++
+		}
+		return err
+	})
+}
+
+// countQueued looks for the queue row of each task; a task is queued under one key only.
+func (a *API) countQueued(ctx context.Context, status *JobStatus) error {
+	j := status.Job
+	keys := make([]string, j.Tasks)
+	for i := range keys {
+		keys[i] = ledger.QueueKeyOf(job.Task{ID: job.MakeTaskID(j.ID, i), Spec: j.Spec})
+	}
+	for batch := range slices.Chunk(keys, readBatch) {
+		rows, err := a.cfg.Table.Read(ctx, batch...)
+		if err != nil {
+			return err
+		}
+		for _, row := range rows {
+			if row.Version > 0 {
+				status.Queued++
+			}
+		}
+	}
+	return nil
+}
+
+func (a *API) countAssigned(ctx context.Context, status *JobStatus, statuses []DaemonStatus) error {
+	for _, cell := range cellsOf(statuses) {
+		prefix := ledger.CellTaskPrefix(cell.Cell) + status.Job.ID + "/"
+		err := a.scan(ctx, prefix, func(row platform.Row) error {
+			assignment, err := ledger.Decode[ledger.Assignment](row.Key, row.Value)
+			status.Assigned++
+			if len(status.Running) < maxListedTasks {
+				status.Running = append(status.Running, RunningTask{
+					Task: assignment.Task.ID, Cell: cell.Cell, Worker: assignment.Worker,
+					Attempt: assignment.Task.Attempt, State: string(assignment.State),
+				})
+			}
+			return err
+		})
+		if err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+// waitReasons collects why queued tasks of the job wait, as the cells' owners tell.
+func waitReasons(status *JobStatus, statuses []DaemonStatus) []WaitReason {
+	if status.Queued == 0 {
+		return nil
+	}
+	reasons := map[string]map[job.TaskID]bool{}
+	for _, s := range statuses {
+		for _, cell := range s.answer.GetCells() {
+			for _, parked := range cell.ParkedTasks {
+				id := job.TaskID(parked.Task)
+				if id.Job() != status.Job.ID {
+					continue
+				}
+				if reasons[parked.Reason] == nil {
+					reasons[parked.Reason] = map[job.TaskID]bool{}
+				}
+				reasons[parked.Reason][id] = true
+			}
+		}
+	}
+	var waiting []WaitReason
+	for reason, tasks := range reasons {
+		waiting = append(waiting, WaitReason{Reason: reason, Tasks: len(tasks)})
+	}
+	if len(waiting) == 0 {
+		waiting = []WaitReason{{Reason: "waits for free capacity in a failure domain that is in", Tasks: status.Queued}}
+	}
+	slices.SortFunc(waiting, func(x, y WaitReason) int { return strings.Compare(x.Reason, y.Reason) })
+	return waiting
+}
+
+// cancelJob records the cancellation; the cells stop the tasks in their next transactions.
+func (a *API) cancelJob(c echo.Context) error {
+	ctx, cancel := a.timeout(c)
+	defer cancel()
+	id := c.Param("id")
+	if _, err := a.readJob(ctx, id); err != nil {
+		return a.fail(c, err)
+	}
+	value := ledger.Encode(ledger.Cancel{By: c.QueryParam("operator")})
+	txn := platform.Txn{Writes: []platform.Write{{Key: ledger.CancelKey(id), Value: value}}}
+	if _, err := a.cfg.Store.Commit(ctx, txn); err != nil {
+		return a.fail(c, err)
+	}
+	a.poke("")
+	return c.JSON(http.StatusOK, struct{}{})
+}
--- /dev/null
+++ b/control/api_test.go
@@ -0,0 +1,196 @@
+package control_test
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"errors"
+	"io"
+	"net/http"
+	"net/http/httptest"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/labstack/echo/v4"
+	"github.com/sirupsen/logrus"
+	"gotest.tools/v3/assert"
+
+	"github.com/currantthread/currantthread/control"
+	"github.com/currantthread/currantthread/innerproto"
+	"github.com/currantthread/currantthread/internal/standin"
+	"github.com/currantthread/currantthread/job"
+	"github.com/currantthread/currantthread/ledger"
+	"github.com/currantthread/currantthread/platform"
+	"github.com/currantthread/currantthread/settings"
+)
+
+// fakeDaemon answers the operators' API as a sched daemon would.
+type fakeDaemon struct {
+	confirms bool
+	status   *innerproto.StatusResponse
+}
+
+func (d fakeDaemon) Status(context.Context, *innerproto.StatusRequest) (*innerproto.StatusResponse, error) {
+	if d.status == nil {
+		return nil, errors.New("unreachable")
+	}
+	return d.status, nil
+}
+
+func (d fakeDaemon) AnnounceDomain(context.Context, *innerproto.AnnounceDomainRequest) (*innerproto.AnnounceDomainResponse, error) {
+	if !d.confirms {
+		return nil, errors.New("unreachable")
+	}
+	return &innerproto.AnnounceDomainResponse{InForce: true}, nil
+}
+
+func (d fakeDaemon) Poke(context.Context, *innerproto.PokeRequest) (*innerproto.PokeResponse, error) {
+	return &innerproto.PokeResponse{}, nil
+}
+
+type apiBench struct {
+	t       *testing.T
+	table   *standin.Table
+	router  *echo.Echo
+	daemons map[string]fakeDaemon
+}
+
+func newAPIBench(t *testing.T) *apiBench {
+	log := logrus.New()
+	log.SetOutput(io.Discard)
+	b := &apiBench{t: t, table: standin.NewTable(), router: echo.New(), daemons: map[string]fakeDaemon{}}
+	vms := []platform.VM{
+		{ID: "e1", Role: platform.RoleEntry, Domain: "chipre", Addr: "e1:entry", SchedAddr: "e1:sched"},
+		{ID: "e2", Role: platform.RoleEntry, Domain: "chipre", Addr: "e2:entry", SchedAddr: "e2:sched"},
+	}
+	control.NewAPI(control.APIConfig{
+		Store:     control.NewStore(b.table, standin.NewObjects(), "api/e1"),
+		Table:     b.table,
+		Effective: settings.Defaults,
+		VMs:       func() []platform.VM { return vms },
+		Dial:      func(addr string) control.Daemon { return b.daemons[addr] },
+		Log:       logrus.NewEntry(log),
+	}).Register(b.router.Group("/api/v1"))
+	return b
+}
+
+func (b *apiBench) call(method, path, body string, into any) int {
+	b.t.Helper()
+	recorder := httptest.NewRecorder()
+	b.router.ServeHTTP(recorder, httptest.NewRequest(method, "/api/v1"+path, bytes.NewBufferString(body)))
+	assert.NilError(b.t, json.Unmarshal(recorder.Body.Bytes(), into), "%s", recorder.Body)
+	return recorder.Code
+}
+
+const exampleJob = `{"id":"j1","name":"reconcile","team":"parks","tasks":3,
+	"spec":{"class":"batch","priority":50,"resources":{"cpu_milli":1000,"memory_mib":512,"accelerators":0}}}`
+
+// Guards against a job that is queued twice when its submission is repeated after a lost answer.
+func TestSubmitJobOnce(t *testing.T) {
+	b := newAPIBench(t)
+	var j job.Job
+	assert.Equal(t, b.call(http.MethodPost, "/jobs", exampleJob, &j), http.StatusCreated)
+	assert.Equal(t, b.call(http.MethodPost, "/jobs", exampleJob, &j), http.StatusCreated)
+	rows, err := b.table.Scan(t.Context(), ledger.QueuePrefix(ledger.AnyDomain), "", 100)
+	assert.NilError(t, err)
+	assert.Equal(t, len(rows), 3)
+	var refused control.APIError
+	other := `{"id":"j1","name":"other","team":"parks","tasks":3,"spec":{"class":"batch","priority":50,"resources":{"cpu_milli":1}}}`
+	assert.Equal(t, b.call(http.MethodPost, "/jobs", other, &refused), http.StatusConflict)
+}
+
+// Guards against bad jobs that are accepted, and against refusals that name only the first mistake.
+func TestSubmitJobListsMistakes(t *testing.T) {
+	b := newAPIBench(t)
+	var refused control.APIError
+	code := b.call(http.MethodPost, "/jobs", `{"id":"a/b","tasks":0,"spec":{"class":"cron","priority":100}}`, &refused)
+	assert.Equal(t, code, http.StatusUnprocessableEntity)
+	assert.Equal(t, refused.Message, `name: must not be empty; team: must not be empty; tasks: 0 is outside 1 to 10000; `+
+		`spec.class: "cron" is none of service, batch, standing; spec.priority: 100 is outside 0 to 99; `+
+		`spec.resources: every axis must be 0 or more and one must be above 0; id: "a/b" must not contain / or blanks`)
+	assert.Equal(t, b.call(http.MethodPost, "/jobs", `{"nme":"x"}`, &refused), http.StatusUnprocessableEntity)
+	assert.Equal(t, b.call(http.MethodPost, "/jobs", `{`, &refused), http.StatusUnprocessableEntity)
+}
+
+// Guards against a job whose tasks are miscounted, and against a waiting task whose reason is not shown.
+func TestShowJob(t *testing.T) {
+	b := newAPIBench(t)
+	var j job.Job
+	b.call(http.MethodPost, "/jobs", exampleJob, &j)
+	assignment := ledger.Assignment{Task: job.Task{ID: "j1/0", Attempt: 2}, Worker: "w1", State: ledger.Assigned}
+	_, err := b.table.Commit(t.Context(), platform.Txn{Writes: []platform.Write{
+		{Key: ledger.QueueKey(ledger.AnyDomain, 50, "j1/0"), Delete: true},
+		{Key: ledger.CellTaskKey("chipre-0", "j1/0"), Value: ledger.Encode(assignment)},
+		{Key: ledger.QueueKey(ledger.AnyDomain, 50, "j1/1"), Delete: true},
+		{Key: ledger.DoneKey("j1/1"), Value: ledger.Encode(ledger.Done{Outcome: ledger.OutcomeCompleted})},
+	}})
+	assert.NilError(t, err)
+	b.daemons["e1:sched"] = fakeDaemon{status: &innerproto.StatusResponse{Cells: []*innerproto.CellStatus{{
+		Cell: "chipre-0", Epoch: 1,
+		ParkedTasks: []*innerproto.ParkedTask{{Task: "j1/2", Reason: "needs 90 cores; the largest worker has 64"}},
+	}}}}
+	var status control.JobStatus
+	assert.Equal(t, b.call(http.MethodGet, "/jobs/j1", "", &status), http.StatusOK)
+	assert.Equal(t, status.Queued, 1)
+	assert.Equal(t, status.Completed, 1)
+	assert.DeepEqual(t, status.Running, []control.RunningTask{
+		{Task: "j1/0", Cell: "chipre-0", Worker: "w1", Attempt: 2, State: "assigned"},
+	})
+	assert.DeepEqual(t, status.Waiting, []control.WaitReason{{Reason: "needs 90 cores; the largest worker has 64", Tasks: 1}})
+	var refused control.APIError
+	assert.Equal(t, b.call(http.MethodGet, "/jobs/none", "", &refused), http.StatusNotFound)
+	assert.Equal(t, b.call(http.MethodPost, "/jobs/none/cancel", "", &refused), http.StatusNotFound)
+}
+
+// Guards against an out-command that is called in force while a daemon that did not answer may still start tasks.
+func TestDomainOutWaitsForPermits(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		b := newAPIBench(t)
+		b.daemons["e1:sched"] = fakeDaemon{confirms: true}
+		var status control.DomainStatus
+		started := time.Now()
+		code := b.call(http.MethodPost, "/domains/chipre", `{"state":"out","operator":"ana"}`, &status)
+		assert.Equal(t, code, http.StatusOK)
+		assert.Assert(t, status.InForce)
+		assert.DeepEqual(t, status.Unconfirmed, []string{"e2"})
+		assert.Assert(t, time.Since(started) >= settings.MaxStartPermit())
+		assert.Assert(t, time.Since(started) <= 3*time.Second)
+
+		b.daemons["e2:sched"] = fakeDaemon{confirms: true}
+		started = time.Now()
+		b.call(http.MethodPost, "/domains/chipre", `{"state":"out","operator":"ana"}`, &status)
+		assert.Equal(t, time.Since(started), time.Duration(0))
+	})
+}
+
+// Guards against an operator who overrides another's command without having seen it, and against commands that are
+// reported as in force although the table service did not take them.
+func TestDomainCommandsRefused(t *testing.T) {
+	b := newAPIBench(t)
+	var refused control.APIError
+	assert.Equal(t, b.call(http.MethodPost, "/domains/chipre", `{"state":"out","if_version":7}`, &refused), http.StatusConflict)
+	assert.Equal(t, b.call(http.MethodPost, "/domains/nowhere", `{"state":"out"}`, &refused), http.StatusNotFound)
+	assert.Equal(t, b.call(http.MethodPost, "/domains/chipre", `{"state":"away"}`, &refused), http.StatusUnprocessableEntity)
+	b.table.SetFaults(standin.TableFaults{Down: true})
+	assert.Equal(t, b.call(http.MethodPost, "/domains/chipre", `{"state":"out"}`, &refused), http.StatusServiceUnavailable)
+}
+
+// Guards against refused trees whose problems or conflicts do not reach the operator.
+func TestApplySettingsRefusals(t *testing.T) {
+	b := newAPIBench(t)
+	var refused control.APIError
+	code := b.call(http.MethodPost, "/settings", `{"parent":0,"levels":{"/":"[entry]\nfoo = 1\n"}}`, &refused)
+	assert.Equal(t, code, http.StatusUnprocessableEntity)
+	assert.Equal(t, refused.Problems[0].Line, 2)
+	var head control.Head
+	assert.Equal(t, b.call(http.MethodPost, "/settings", `{"parent":0,"levels":{"/":"[service.s]\nqueue = 1\n"}}`, &head), http.StatusOK)
+	assert.Equal(t, head.Version, int64(1))
+	code = b.call(http.MethodPost, "/settings", `{"parent":0,"levels":{"/":"[service.s]\nqueue = 2\n"}}`, &refused)
+	assert.Equal(t, code, http.StatusConflict)
+	assert.Equal(t, refused.Stale.Current, int64(1))
+	var explanation settings.Explanation
+	assert.Equal(t, b.call(http.MethodGet, "/settings/explain?path=/r&key=service.s.queue", "", &explanation), http.StatusOK)
+	assert.Equal(t, explanation.Level, "/")
+	assert.Equal(t, b.call(http.MethodGet, "/settings/explain?path=/r&key=service.s.q", "", &refused), http.StatusNotFound)
+}
--- a/settings/schema.go
+++ b/settings/schema.go
@@ -7,6 +7,7 @@
 	"regexp"
 	"slices"
 	"strings"
+	"time"
 )
 
 // field is one key of a settings struct.
@@ -226,3 +227,9 @@
 		return "table"
 	}
 }
+
+// MaxStartPermit returns the longest start permit that settings may name.
+func MaxStartPermit() time.Duration {
+	f, _ := findField(reflect.TypeFor[Sched](), "start_permit")
+	return mustParseTag(f.typ, f.tag.Get("max")).Interface().(Duration).D()
+}
--- a/settings/tree.go
+++ b/settings/tree.go
@@ -202,7 +202,7 @@
 		}
 	}
 	if isTable(v.Type()) {
-		return v, errors.NotValidf("%s is a table; name one of its keys: it", key)
+		return v, errors.NewNotValid(nil, key+" is a table; name one of its keys")
 	}
 	return v, nil
 }
