--- a/settings/settings_test.go
+++ b/settings/settings_test.go
@@ -1,6 +1,7 @@
 package settings_test
 
 import (
+	"os"
 	"testing"
 	"testing/fstest"
 	"time"
@@ -131,3 +132,10 @@
 		}
 	})
 }
+
+// Guards against a reference page that does not match the types.
+func TestReferenceIsCurrent(t *testing.T) {
+	page, err := os.ReadFile("../docs/settings.md")
+	assert.NilError(t, err)
+	assert.Equal(t, string(page), settings.Reference(), "run: currantctl settings reference > docs/settings.md")
+}
