Add placement decisions of one cell and the interference model

Cause: the cell's apply loop needs the interface of package sched to be written against. Weighed: first fit over a segment tree against buckets by available processor time; buckets visit workers in about the order of best fit, update in constant time and still prove that nothing fits. Sampling workers without an index (Sparrow) was ruled out because a reason for parking needs that proof. Equal tasks share one queue entry group, so that a shape that fits nowhere is tried once and not once per task. Before: no placement.

--- /dev/null
+++ b/sched/state.go
@@ -0,0 +1,144 @@
+package sched
+
+import (
+	"time"
+
+	"github.com/currantthread/currantthread/interference"
+	"github.com/currantthread/currantthread/job"
+)
+
+type runState uint8
+
+const (
+	statePlanned runState = iota
+	stateRunning
+	stateStopping
+)
+
+// running is an allocation that is planned, running or stopping.
+type running struct {
+	task   job.Task
+	worker *worker
+	team   *team
+	commit job.Resources
+	state  runState
+	kind   interference.Kind
+	// pos is the index in worker.tasks.
+	pos int
+	// seq is the place in the queue to which an aborted start returns.
+	seq int64
+	// dropOnAbort is set if the task was dequeued while its start was planned.
+	dropOnAbort bool
+	// evicting is set from the plan of an eviction until it is aborted or the task is gone.
+	evicting bool
+	// cpuPercent is the throttle in force, 1 to 100; 0 means none.
+	cpuPercent int
+	startedAt  time.Time
+	// shareSince is when the present share began.
+	shareSince time.Time
+	// slowdown is the smoothed slow-down of a service since the last action on its worker; 0 means no report.
+	slowdown float64
+	// checkpointAge is the work that a stop would lose, as measured at usageAt.
+	checkpointAge time.Duration
+	usageAt       time.Time
+}
+
+func (r *running) latencyCritical() bool { return r.task.Spec.Class == job.ClassService }
+
+// workLost is the work that stopping r at now without a new checkpoint would lose.
+func (r *running) workLost(now time.Time) time.Duration {
+	if r.usageAt.IsZero() {
+		return max(now.Sub(r.startedAt), 0)
+	}
+	return r.checkpointAge + max(now.Sub(r.usageAt), 0)
+}
+
+// share is the part of its worker's processors that r may use.
+func (r *running) share() float64 {
+	capacity := r.worker.spec.Capacity.CPUMilli
+	if capacity <= 0 {
+		return 0
+	}
+	share := float64(r.commit.CPUMilli) / float64(capacity)
+	if r.cpuPercent > 0 {
+		share *= float64(r.cpuPercent) / 100
+	}
+	return share
+}
+
+type worker struct {
+	spec Worker
+	// present is false for a worker that was removed, or that is known only from restored allocations.
+	present   bool
+	committed job.Resources
+	// reserved is set aside for tasks nominated to this worker.
+	reserved  job.Resources
+	nominated []*entry
+	tasks     []*running
+	services  int
+	rack      *rack
+	health    workerHealth
+	control   workerControl
+	// past lists loads that ended, for reports that lag.
+	past []pastLoad
+
+	// listPos is the index in Scheduler.list, rackPos that in rack.workers.
+	listPos int
+	rackPos int
+	slots   [indexes]slot
+}
+
+// free is the uncommitted capacity. It is negative on an axis if the worker came back smaller.
+func (w *worker) free() job.Resources { return w.spec.Capacity.Sub(w.committed) }
+
+// available is the capacity for tasks that are not nominated to the worker.
+func (w *worker) available() job.Resources { return w.free().Sub(w.reserved) }
+
+func (w *worker) ready() bool { return w.present && w.spec.Ready }
+
+// neighbours lists the load on w by kind, without the task except.
+func (w *worker) neighbours(buf []interference.Neighbour, except *running) []interference.Neighbour {
+	buf = buf[:0]
+	for _, r := range w.tasks {
+		if r != except {
+			buf = addNeighbour(buf, r.kind, r.share())
+		}
+	}
+	return buf
+}
+
+func addNeighbour(list []interference.Neighbour, kind interference.Kind, share float64) []interference.Neighbour {
+	for i := range list {
+		if list[i].Kind == kind {
+			list[i].Share += share
+			return list
+		}
+	}
+	return append(list, interference.Neighbour{Kind: kind, Share: share})
+}
+
+type team struct {
+	name   string
+	limits Team
+	// used is the declared size of the team's allocations in this cell.
+	used job.Resources
+}
+
+func (t *team) weight() float64 { return float64(max(t.limits.Weight, 1)) }
+
+// share is the dominant share of the team divided by its weight.
+func (t *team) share(total job.Resources) float64 {
+	share := max(
+		ratio(t.used.CPUMilli, total.CPUMilli),
+		ratio(t.used.MemoryMiB, total.MemoryMiB),
+		ratio(t.used.Accelerators, total.Accelerators),
+	)
+	return share / t.weight()
+}
+
+func ratio(part, total int64) float64 {
+	if total <= 0 {
+		return 0
+	}
+	return float64(part) / float64(total)
+}
--- /dev/null
+++ b/sched/types.go
@@ -0,0 +1,124 @@
+package sched
+
+import "github.com/currantthread/currantthread/job"
+
+// Worker is what the scheduler knows of a worker of its cell.
+type Worker struct {
+	ID, Region, Domain, Rack string
+	Capacity                 job.Resources
+	// Ready is false while the worker must get no starts: not attached, suspect, leaving, or its domain is out.
+	Ready bool
+}
+
+// Team is the quota and weight of a team.
+type Team struct {
+	// Quota limits the declared sizes of the team's tasks; an axis of 0 has no limit.
+	Quota job.Resources
+	// Elsewhere is what the team uses in other cells as far as the owner knows. It counts against Quota.
+	Elsewhere job.Resources
+	// Weight is the team's share among teams that wait for the same resources; 0 counts as 1.
+	Weight int
+}
+
+// Allocation is a task assigned to a worker.
+type Allocation struct {
+	Task   job.Task
+	Worker string
+	// Commitment is what the worker sets aside; on no axis less than the declared resources.
+	Commitment job.Resources
+}
+
+// Action is a kind of preemption.
+type Action string
+
+const (
+	// ActionThrottle limits the task to CPUPercent of its declared processor time.
+	ActionThrottle Action = "throttle"
+	// ActionUnthrottle raises that limit to CPUPercent; 0 removes it.
+	ActionUnthrottle Action = "unthrottle"
+	// ActionEvict stops the task after a checkpoint. Its resources stay committed until Release.
+	ActionEvict Action = "evict"
+)
+
+// Preemption is an action against a running task.
+type Preemption struct {
+	Task   job.TaskID
+	Worker string
+	Action Action
+	// CPUPercent is the limit for ActionThrottle and ActionUnthrottle, in percent of the declared processor time.
+	CPUPercent int
+	// For is the task in whose favour the action is taken.
+	For job.TaskID
+}
+
+// Cause says which event can make a parked task startable.
+type Cause string
+
+const (
+	// CauseCapacity waits for resources to be freed or a worker to be added.
+	CauseCapacity Cause = "capacity"
+	// CauseNoWorker waits for a worker that may run the task: one that matches, is ready and has the size.
+	CauseNoWorker Cause = "no-worker"
+	// CauseQuota waits for the team's quota or usage to change.
+	CauseQuota Cause = "quota"
+	// CauseInterference waits for neighbours to change or for newer usage reports.
+	CauseInterference Cause = "interference"
+	// CauseBadJob waits for an operator: the job fails wherever it runs.
+	CauseBadJob Cause = "bad-job"
+	// CauseOperator waits for an operator: the task was queued with a reason that keeps it parked.
+	CauseOperator Cause = "operator"
+)
+
+// Parked reports tasks that were parked for the same reason.
+type Parked struct {
+	// Task is the first of the tasks.
+	Task job.TaskID
+	// Tasks counts all of them. They are equal in team, priority, size, kind and constraints.
+	Tasks int
+	// Cause says what is waited for.
+	Cause Cause
+	// Reason tells an operator what stands in the way.
+	Reason string
+	// Permanent is true if only an operator's action can help. The owner stores Reason in the rows of these tasks.
+	Permanent bool
+}
+
+// Plan is a set of tentative decisions. Its owner calls exactly one of Commit and Abort with it.
+type Plan struct {
+	Starts      []Allocation
+	Preemptions []Preemption
+	Parked      []Parked
+}
+
+// Empty reports whether there is nothing to write or send.
+func (p Plan) Empty() bool {
+	return len(p.Starts) == 0 && len(p.Preemptions) == 0 && len(p.Parked) == 0
+}
+
+// End says how an attempt ended.
+type End string
+
+const (
+	// EndCompleted is an attempt that finished its work.
+	EndCompleted End = "completed"
+	// EndStopped is an attempt that was stopped by command.
+	EndStopped End = "stopped"
+	// EndFailed is an attempt that ended in an error or could not be started.
+	EndFailed End = "failed"
+	// EndLapsed is an attempt whose worker's lease certainly lapsed or that a new incarnation does not run.
+	EndLapsed End = "lapsed"
+)
+
+// Stats are counts of the scheduler's state.
+type Stats struct {
+	Workers, ReadyWorkers, BadWorkers int
+	// Active, Backoff and Parked count queued tasks; Nominated those that wait for evictions on a chosen worker.
+	Active, Backoff, Parked, Nominated int
+	ParkedByCause                      map[Cause]int
+	// Planned, Running and Stopping count allocations.
+	Planned, Running, Stopping int
+	BadJobs                    int
+	Committed, Capacity        job.Resources
+	// StartsPlanned, EvictionsPlanned and ThrottlesPlanned count decisions since New, aborted ones included.
+	StartsPlanned, EvictionsPlanned, ThrottlesPlanned int64
+}
