Own cells, hold worker leases and gate starts by failure domain

Cause: nothing claimed queued tasks, wrote assignments or renewed worker leases yet. Scans run beside the apply loop, because three slow scans in a row would outlast the cell lease. Weighed: whether an assigned attempt that a worker does not list after a takeover may be started again. The row did not tell which incarnation it was assigned to, so ledger.Assignment now holds it: the same incarnation has never seen the attempt, another one has certainly ended it. Conclusion: the thin version places, starts and finishes tasks; faults are not tested yet.

--- /dev/null
+++ b/cell/fakeworker_test.go
@@ -0,0 +1,414 @@
+package cell_test
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"math/rand/v2"
+	"slices"
+	"strconv"
+	"sync"
+	"time"
+
+	"github.com/currantthread/currantthread/platform"
+)
+
+// attempt is what a fake worker knows of one attempt.
+type attempt struct {
+	ref     platform.AttemptRef
+	state   platform.RunState
+	run     *run // nil if it never ran
+	begin   time.Time
+	done    time.Duration // work at begin
+	total   time.Duration // 0 runs until it is stopped
+	saved   string
+	savedAt time.Duration
+	timer   *time.Timer
+}
+
+// fakeWorker follows section 5 of the design page: it counts leases and permits from when it sent a poll, refuses lower
+// epochs and attempts that it has seen, stops exclusive tasks when its lease runs out, and repeats reports.
+type fakeWorker struct {
+	w    *world
+	vm   platform.VM
+	rate float64 // of its clock against true time, within the drift bound
+
+	mu          sync.Mutex // guards the fields below
+	alive       bool
+	frozenAt    time.Time
+	thawed      chan struct{} // closed while the worker is not frozen
+	incarnation string
+	restarts    int
+	epochs      map[string]int64
+	cell, owner string
+	epoch       int64
+	leaseUntil  time.Time
+	permitUntil time.Time
+	seen        map[platform.AttemptRef]*attempt
+	reports     []platform.Report
+	seq         int64
+	attachedCh  chan struct{}
+	failAll     bool
+	stop        context.CancelFunc
+	rng         *rand.Rand
+}
+
+var errNotRunning = errors.New("worker does not answer")
+
+// term converts a duration that the owner granted into the worker's own count.
+func (f *fakeWorker) term(ms int64) time.Duration {
+	return time.Duration(float64(ms) * f.rate * float64(time.Millisecond))
+}
+
+func (f *fakeWorker) boot() {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.restarts++
+	f.alive = true
+	f.incarnation = fmt.Sprintf("%s#%d", f.vm.ID, f.restarts)
+	f.epochs = map[string]int64{}
+	f.cell, f.owner, f.epoch = "", "", 0
+	f.leaseUntil, f.permitUntil = time.Time{}, time.Time{}
+	f.seen = map[platform.AttemptRef]*attempt{}
+	f.reports, f.seq = nil, 0
+	f.attachedCh = make(chan struct{}, 1)
+	f.thawed = make(chan struct{})
+	close(f.thawed)
+	ctx, stop := context.WithCancel(f.w.ctx)
+	f.stop = stop
+	incarnation := f.incarnation
+	f.w.wg.Go(func() { f.poll(ctx, incarnation) })
+	f.w.wg.Go(func() { f.watchLease(ctx, incarnation) })
+}
+
+// crash ends everything that runs on the worker.
+func (f *fakeWorker) crash() {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if !f.alive {
+		return
+	}
+	f.alive = false
+	f.stop()
+	at := time.Now()
+	if !f.frozenAt.IsZero() {
+		at = f.frozenAt
+		f.frozenAt = time.Time{}
+		close(f.thawed)
+	}
+	for _, a := range f.seen {
+		if a.state == platform.RunRunning {
+			f.halt(a, at)
+		}
+	}
+}
+
+// freeze halts the whole machine: nothing runs, nothing is sent or received.
+func (f *fakeWorker) freeze() {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if !f.alive || !f.frozenAt.IsZero() {
+		return
+	}
+	f.frozenAt = time.Now()
+	f.thawed = make(chan struct{})
+	for _, a := range f.seen {
+		if a.state == platform.RunRunning && a.timer != nil {
+			a.timer.Stop()
+		}
+	}
+}
+
+// thaw goes on. The lease is checked before any task goes on, because tasks are frozen together with the worker.
+func (f *fakeWorker) thaw() {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if !f.alive || f.frozenAt.IsZero() {
+		return
+	}
+	frozenAt := f.frozenAt
+	f.frozenAt = time.Time{}
+	if time.Now().After(f.leaseUntil) {
+		f.lapse(frozenAt)
+	}
+	for _, a := range f.seen {
+		if a.state == platform.RunRunning {
+			a.begin = a.begin.Add(time.Since(frozenAt))
+			f.schedule(a)
+		}
+	}
+	close(f.thawed)
+}
+
+// awake waits until the worker is not frozen and locks it. It reports false if that incarnation is gone.
+func (f *fakeWorker) awake(ctx context.Context, incarnation string) bool {
+	for {
+		f.mu.Lock()
+		if !f.alive || f.incarnation != incarnation {
+			f.mu.Unlock()
+			return false
+		}
+		if f.frozenAt.IsZero() {
+			return true
+		}
+		thawed := f.thawed
+		f.mu.Unlock()
+		select {
+		case <-thawed:
+		case <-ctx.Done():
+			return false
+		}
+	}
+}
+
+// attach answers an owner.
+func (f *fakeWorker) attach(ctx context.Context, req platform.AttachRequest) (platform.AttachResponse, error) {
+	f.mu.Lock()
+	incarnation := f.incarnation
+	f.mu.Unlock()
+	if !f.awake(ctx, incarnation) {
+		return platform.AttachResponse{}, errNotRunning
+	}
+	defer f.mu.Unlock()
+	if req.Epoch < f.epochs[req.Cell] {
+		return platform.AttachResponse{}, &platform.StaleEpochError{Cell: req.Cell, Got: req.Epoch, Want: f.epochs[req.Cell]}
+	}
+	f.epochs[req.Cell] = req.Epoch
+	f.cell, f.owner, f.epoch = req.Cell, req.OwnerURL, req.Epoch
+	f.expire()
+	resp := platform.AttachResponse{
+		Worker: f.vm.ID, Incarnation: f.incarnation, Capacity: f.vm.Capacity, Reports: slices.Clone(f.reports),
+	}
+	for _, a := range f.ordered() {
+		if a.state == platform.RunRunning {
+			resp.Running = append(resp.Running, a.ref)
+		}
+	}
+	select {
+	case f.attachedCh <- struct{}{}:
+	default:
+	}
+	return resp, nil
+}
+
+func (f *fakeWorker) ordered() []*attempt {
+	list := make([]*attempt, 0, len(f.seen))
+	for _, a := range f.seen {
+		list = append(list, a)
+	}
+	slices.SortFunc(list, func(a, b *attempt) int {
+		if a.ref.Task != b.ref.Task {
+			if a.ref.Task < b.ref.Task {
+				return -1
+			}
+			return 1
+		}
+		return a.ref.Attempt - b.ref.Attempt
+	})
+	return list
+}
+
+// poll polls the newest owner until the incarnation ends.
+func (f *fakeWorker) poll(ctx context.Context, incarnation string) {
+	for ctx.Err() == nil {
+		if !f.awake(ctx, incarnation) {
+			return
+		}
+		owner, epoch := f.owner, f.epoch
+		req := platform.PollRequest{
+			Worker: f.vm.ID, Incarnation: f.incarnation, Cell: f.cell, Epoch: f.epoch,
+			Reports: slices.Clone(f.reports), HoldMillis: 1000,
+		}
+		f.mu.Unlock()
+		if owner == "" {
+			if !f.awaitAttach(ctx, time.Minute) {
+				return
+			}
+			continue
+		}
+		sent := time.Now()
+		resp, err := send(ctx, f.w.net, f.vm.ID, owner, func(ctx context.Context) (platform.PollResponse, error) {
+			return f.w.poll(ctx, owner, req)
+		})
+		if !f.awake(ctx, incarnation) {
+			return
+		}
+		if err == nil && f.epoch == epoch {
+			f.apply(sent, resp)
+		}
+		f.mu.Unlock()
+		if err != nil && !f.awaitAttach(ctx, 200*time.Millisecond) {
+			return
+		}
+	}
+}
+
+func (f *fakeWorker) awaitAttach(ctx context.Context, d time.Duration) bool {
+	timer := time.NewTimer(d)
+	defer timer.Stop()
+	select {
+	case <-f.attachedCh:
+	case <-timer.C:
+	case <-ctx.Done():
+		return false
+	}
+	return true
+}
+
+// apply handles an answer to a poll sent at sent. The caller holds mu.
+func (f *fakeWorker) apply(sent time.Time, resp platform.PollResponse) {
+	f.expire()
+	if until := sent.Add(f.term(resp.LeaseMillis)); until.After(f.leaseUntil) {
+		f.leaseUntil = until
+	}
+	f.permitUntil = sent.Add(f.term(resp.StartPermitMillis))
+	f.reports = slices.DeleteFunc(f.reports, func(r platform.Report) bool { return r.Seq <= resp.AckSeq })
+	f.w.acknowledged(f)
+	for _, c := range resp.Commands {
+		f.command(c)
+	}
+}
+
+func (f *fakeWorker) command(c platform.Command) {
+	a := f.seen[c.Ref]
+	switch c.Kind {
+	case platform.CommandStart:
+		now := time.Now()
+		if a != nil || now.After(f.permitUntil) || now.After(f.leaseUntil) {
+			return
+		}
+		f.start(c)
+	case platform.CommandStop:
+		switch {
+		case a == nil:
+			a = &attempt{ref: c.Ref, state: platform.RunStopped}
+			f.seen[c.Ref] = a
+			f.report(a, "stopped before it began")
+		case a.state == platform.RunRunning:
+			if c.SaveCheckpoint {
+				f.save(a)
+			}
+			f.finish(a, platform.RunStopped, time.Now())
+		default:
+			// The attempt has ended before; its report is repeated in case it was acknowledged by an owner that is gone.
+			f.report(a, "")
+		}
+	case platform.CommandCheckpoint:
+		if a != nil && a.state == platform.RunRunning {
+			f.save(a)
+			f.report(a, "")
+		}
+	}
+}
+
+func (f *fakeWorker) start(c platform.Command) {
+	a := &attempt{ref: c.Ref, state: platform.RunRunning, begin: time.Now(), saved: c.Checkpoint}
+	a.done = f.w.workOf(c.Checkpoint)
+	a.savedAt = a.done
+	a.total, _ = time.ParseDuration(c.Spec.Payload)
+	a.run = &run{
+		ref: c.Ref, worker: f.vm.ID, domain: f.vm.Domain, incarnation: f.incarnation, class: c.Spec.Class,
+		resources: c.Spec.Resources, checkpoint: c.Checkpoint, start: a.begin,
+	}
+	f.seen[c.Ref] = a
+	f.w.history.began(a.run)
+	if f.failAll {
+		f.finish(a, platform.RunFailed, a.begin)
+		return
+	}
+	f.report(a, "")
+	f.schedule(a)
+}
+
+// schedule plans the end of an attempt.
+func (f *fakeWorker) schedule(a *attempt) {
+	if a.total == 0 {
+		return
+	}
+	incarnation := f.incarnation
+	a.timer = time.AfterFunc(a.total-a.done-time.Since(a.begin), func() {
+		f.mu.Lock()
+		defer f.mu.Unlock()
+		if f.alive && f.incarnation == incarnation && f.frozenAt.IsZero() && a.state == platform.RunRunning {
+			f.finish(a, platform.RunCompleted, time.Now())
+		}
+	})
+}
+
+func (f *fakeWorker) work(a *attempt) time.Duration { return a.done + time.Since(a.begin) }
+
+func (f *fakeWorker) save(a *attempt) {
+	a.savedAt = f.work(a)
+	a.saved = string(a.ref.Task) + "@" + strconv.Itoa(a.ref.Attempt) + "@" + strconv.FormatInt(int64(a.savedAt), 10)
+	f.w.save(a.saved, a.savedAt)
+}
+
+func (f *fakeWorker) finish(a *attempt, state platform.RunState, at time.Time) {
+	f.halt(a, at)
+	a.state = state
+	f.report(a, "")
+}
+
+func (f *fakeWorker) halt(a *attempt, at time.Time) {
+	if a.timer != nil {
+		a.timer.Stop()
+	}
+	a.state = platform.RunStopped
+	f.w.history.stopped(a.run, at)
+}
+
+func (f *fakeWorker) report(a *attempt, message string) {
+	f.seq++
+	f.reports = append(f.reports, platform.Report{
+		Seq: f.seq, Ref: a.ref, State: a.state, Checkpoint: a.saved, Error: message,
+	})
+}
+
+// watchLease stops exclusive tasks when the lease runs out.
+func (f *fakeWorker) watchLease(ctx context.Context, incarnation string) {
+	for {
+		if !f.awake(ctx, incarnation) {
+			return
+		}
+		f.expire()
+		wait := time.Until(f.leaseUntil)
+		f.mu.Unlock()
+		if wait <= 0 {
+			wait = 100 * time.Millisecond
+		}
+		timer := time.NewTimer(min(wait, time.Second) + time.Nanosecond)
+		select {
+		case <-timer.C:
+		case <-ctx.Done():
+			timer.Stop()
+			return
+		}
+	}
+}
+
+func (f *fakeWorker) expire() {
+	if now := time.Now(); now.After(f.leaseUntil) {
+		f.lapse(now)
+	}
+}
+
+// lapse stops exclusive tasks; service replicas go on.
+func (f *fakeWorker) lapse(at time.Time) {
+	for _, a := range f.ordered() {
+		if a.state == platform.RunRunning && a.run.class.Exclusive() {
+			f.finish(a, platform.RunStopped, at)
+		}
+	}
+}
+
+func (f *fakeWorker) running() int {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	n := 0
+	for _, a := range f.seen {
+		if a.state == platform.RunRunning {
+			n++
+		}
+	}
+	return n
+}
--- /dev/null
+++ b/cell/firstfit_test.go
@@ -0,0 +1,135 @@
+package cell_test
+
+import (
+	"slices"
+	"strings"
+	"time"
+
+	"github.com/currantthread/currantthread/cell"
+	"github.com/currantthread/currantthread/job"
+	"github.com/currantthread/currantthread/platform"
+)
+
+// firstFit is a planner that takes the first worker with room. It evicts batch tasks for urgent ones.
+type firstFit struct {
+	workers map[string]*cell.PlanWorker
+	used    map[string]job.Resources
+	placed  map[job.TaskID]cell.Allocation
+	stops   map[job.TaskID]bool
+	queue   []job.Task
+}
+
+func newFirstFit() cell.Planner {
+	return &firstFit{
+		workers: map[string]*cell.PlanWorker{}, used: map[string]job.Resources{},
+		placed: map[job.TaskID]cell.Allocation{}, stops: map[job.TaskID]bool{},
+	}
+}
+
+func (f *firstFit) UpsertWorker(w cell.PlanWorker) { f.workers[w.ID] = &w }
+func (f *firstFit) RemoveWorker(id string)         { delete(f.workers, id) }
+func (f *firstFit) SetWorkerReady(id string, ready bool) {
+	f.workers[id].Ready = ready
+}
+
+func (f *firstFit) Enqueue(t job.Task) {
+	if _, ok := f.placed[t.ID]; ok {
+		panic("task " + string(t.ID) + " is queued while it is placed")
+	}
+	f.queue = append(f.queue, t)
+}
+
+func (f *firstFit) Dequeue(id job.TaskID) {
+	f.queue = slices.DeleteFunc(f.queue, func(t job.Task) bool { return t.ID == id })
+}
+
+func (f *firstFit) Restore(a cell.Allocation) { f.hold(a) }
+
+func (f *firstFit) hold(a cell.Allocation) {
+	f.placed[a.Task.ID] = a
+	f.used[a.Worker] = f.used[a.Worker].Add(a.Commitment)
+}
+
+func (f *firstFit) Plan(_ time.Time, limit int) cell.Plan {
+	slices.SortStableFunc(f.queue, func(a, b job.Task) int {
+		if a.Spec.Priority != b.Spec.Priority {
+			return int(a.Spec.Priority - b.Spec.Priority)
+		}
+		return strings.Compare(string(a.ID), string(b.ID))
+	})
+	var plan cell.Plan
+	var left []job.Task
+	for _, t := range f.queue {
+		worker := f.find(t)
+		if worker == "" || len(plan.Starts) == limit {
+			left = append(left, t)
+			f.evict(t, &plan)
+			continue
+		}
+		a := cell.Allocation{Task: t, Worker: worker, Commitment: t.Spec.Resources}
+		f.hold(a)
+		plan.Starts = append(plan.Starts, a)
+	}
+	f.queue = left
+	return plan
+}
+
+func (f *firstFit) find(t job.Task) string {
+	for _, id := range sortedKeys(f.workers) {
+		w := f.workers[id]
+		if w.Ready && f.used[id].Add(t.Spec.Resources).Fits(w.Capacity) {
+			return id
+		}
+	}
+	return ""
+}
+
+func (f *firstFit) evict(t job.Task, plan *cell.Plan) {
+	if t.Spec.Priority != job.PriorityUrgent || len(plan.Preemptions) > 0 || len(f.stops) > 0 {
+		return
+	}
+	for _, id := range sortedKeys(f.placed) {
+		a := f.placed[id]
+		if a.Task.Spec.Class == job.ClassBatch && a.Task.Spec.Priority > job.PriorityUrgent && f.workers[a.Worker].Ready {
+			plan.Preemptions = append(plan.Preemptions, cell.Preemption{
+				Task: id, Worker: a.Worker, Action: cell.ActionEvict, For: t.ID,
+			})
+			return
+		}
+	}
+}
+
+func (f *firstFit) Commit(p cell.Plan) {
+	for _, e := range p.Preemptions {
+		f.stops[e.Task] = true
+	}
+}
+
+func (f *firstFit) Abort(p cell.Plan) {
+	for _, a := range p.Starts {
+		f.release(a.Task.ID)
+		f.queue = append(f.queue, a.Task)
+	}
+}
+
+func (f *firstFit) Stopping(id job.TaskID) { f.stops[id] = true }
+
+func (f *firstFit) Release(id job.TaskID, _ cell.End) { f.release(id) }
+
+func (f *firstFit) release(id job.TaskID) {
+	a := f.placed[id]
+	f.used[a.Worker] = f.used[a.Worker].Sub(a.Commitment)
+	delete(f.placed, id)
+	delete(f.stops, id)
+}
+
+func (f *firstFit) ReportUsage(string, platform.Usage) {}
+
+func sortedKeys[K ~string, V any](m map[K]V) []K {
+	keys := make([]K, 0, len(m))
+	for k := range m {
+		keys = append(keys, k)
+	}
+	slices.Sort(keys)
+	return keys
+}
--- /dev/null
+++ b/cell/metrics.go
@@ -0,0 +1,73 @@
+package cell
+
+import (
+	"math/rand/v2"
+
+	"github.com/prometheus/client_golang/prometheus"
+
+	"github.com/currantthread/currantthread/observe"
+	"github.com/currantthread/currantthread/platform"
+)
+
+// Metrics are the counters of all cells of a daemon.
+type Metrics struct {
+	starts, ends, commits, lapses, takeovers *prometheus.CounterVec
+	running, queued, workers                 *prometheus.GaugeVec
+}
+
+// NewMetrics registers the metrics of cells.
+func NewMetrics(registry prometheus.Registerer) *Metrics {
+	counter := func(name, help string, labels ...string) *prometheus.CounterVec {
+		v := prometheus.NewCounterVec(prometheus.CounterOpts{
+			Namespace: observe.Namespace, Subsystem: "cell", Name: name, Help: help,
+		}, append([]string{"cell"}, labels...))
+		registry.MustRegister(v)
+		return v
+	}
+	gauge := func(name, help string) *prometheus.GaugeVec {
+		v := prometheus.NewGaugeVec(prometheus.GaugeOpts{
+			Namespace: observe.Namespace, Subsystem: "cell", Name: name, Help: help,
+		}, []string{"cell"})
+		registry.MustRegister(v)
+		return v
+	}
+	return &Metrics{
+		starts:    counter("starts_total", "Tasks assigned to workers."),
+		ends:      counter("ends_total", "Attempts ended, by how they ended.", "end"),
+		commits:   counter("commits_total", "Ledger transactions, by result.", "result"),
+		lapses:    counter("worker_lapses_total", "Worker leases that certainly lapsed."),
+		takeovers: counter("takeovers_total", "Times that this VM became the owner."),
+		running:   gauge("assigned_tasks", "Tasks assigned in the cell."),
+		queued:    gauge("queued_tasks", "Queued tasks that the planner considers."),
+		workers:   gauge("workers", "Workers of the cell."),
+	}
+}
+
+func (m *Metrics) taken(cell string)          { m.takeovers.WithLabelValues(cell).Inc() }
+func (m *Metrics) lapsed(cell string)         { m.lapses.WithLabelValues(cell).Inc() }
+func (m *Metrics) started(cell string, n int) { m.starts.WithLabelValues(cell).Add(float64(n)) }
+func (m *Metrics) ended(cell string, a *assigned) {
+	m.ends.WithLabelValues(cell, string(a.end.end)).Inc()
+}
+
+func (m *Metrics) committed(cell string, err error) {
+	result := "ok"
+	switch {
+	case platform.IsConflict(err):
+		result = "conflict"
+	case platform.IsUnknownOutcome(err):
+		result = "unknown"
+	case err != nil:
+		result = "unavailable"
+	}
+	m.commits.WithLabelValues(cell, result).Inc()
+}
+
+func (m *Metrics) observe(cell string, s Status) {
+	m.running.WithLabelValues(cell).Set(float64(s.Running))
+	m.queued.WithLabelValues(cell).Set(float64(s.Queued))
+	m.workers.WithLabelValues(cell).Set(float64(s.Workers))
+}
+
+// newRand returns a source of its own for another goroutine.
+func newRand(from *rand.Rand) *rand.Rand { return rand.New(rand.NewPCG(from.Uint64(), from.Uint64())) }
--- /dev/null
+++ b/cell/queue.go
@@ -0,0 +1,190 @@
+package cell
+
+import (
+	"maps"
+	"slices"
+	"strings"
+	"time"
+
+	"github.com/currantthread/currantthread/job"
+	"github.com/currantthread/currantthread/ledger"
+	"github.com/currantthread/currantthread/platform"
+)
+
+const (
+	// maxQueued bounds the queued tasks in memory. Urgent tasks are always taken in.
+	maxQueued = 5000
+	// claimDelay and urgentClaimDelay are how much longer a queued task must have been seen for each rank of a cell's
+	// claim. Cells that could place the task as well then rarely compete for it.
+	claimDelay       = 2 * time.Second
+	urgentClaimDelay = 500 * time.Millisecond
+)
+
+// entry is a queued task as last read.
+type entry struct {
+	task      job.Task
+	key       string
+	version   int64
+	firstSeen time.Time
+	// claimAt is when this cell may claim the task.
+	claimAt   time.Time
+	enqueued  bool
+	cancelled bool
+	// park is set while the reason for parking is being written.
+	park bool
+}
+
+// queue holds the queued tasks that this cell may claim, and the cancelled jobs. It belongs to the apply loop.
+type queue struct {
+	entries       map[job.TaskID]*entry
+	cancelledJobs map[string]bool
+}
+
+func newQueue() *queue {
+	return &queue{entries: map[job.TaskID]*entry{}, cancelledJobs: map[string]bool{}}
+}
+
+// waiting counts the tasks that the planner has.
+func (q *queue) waiting() int {
+	n := 0
+	for _, e := range q.entries {
+		if e.enqueued {
+			n++
+		}
+	}
+	return n
+}
+
+func (q *queue) byKey(key string) *entry {
+	for _, e := range q.entries {
+		if e.key == key {
+			return e
+		}
+	}
+	return nil
+}
+
+func (q *queue) sorted() []*entry {
+	return slices.SortedFunc(maps.Values(q.entries), func(a, b *entry) int { return strings.Compare(a.key, b.key) })
+}
+
+func (q *queue) ofJob(jobID string) []*entry {
+	return slices.DeleteFunc(q.sorted(), func(e *entry) bool { return e.task.ID.Job() != jobID })
+}
+
+// cancelled returns at most limit queued tasks of cancelled jobs that this cell may remove.
+func (q *queue) cancelled(now time.Time, limit int) []*entry {
+	if len(q.cancelledJobs) == 0 {
+		return nil
+	}
+	var out []*entry
+	for _, e := range q.sorted() {
+		if e.cancelled && !now.Before(e.claimAt) && len(out) < limit {
+			out = append(out, e)
+		}
+	}
+	return out
+}
+
+// integrate takes over what the scanner read.
+func (o *owner) integrate(page scanPage) {
+	now := time.Now()
+	if page.prefix == ledger.CancelPrefix {
+		for _, row := range page.rows {
+			o.cancelJob(strings.TrimPrefix(row.Key, ledger.CancelPrefix))
+		}
+		return
+	}
+	seen := map[string]bool{}
+	for _, row := range page.rows {
+		seen[row.Key] = true
+		o.seeQueued(row, now)
+	}
+	for _, e := range o.queue.sorted() {
+		if page.covers(e.key) && !seen[e.key] && e.firstSeen.Before(page.sentAt) {
+			o.dropEntry(e)
+		}
+	}
+	o.promote(now)
+}
+
+func (o *owner) seeQueued(row platform.Row, now time.Time) {
+	task, err := ledger.Decode[job.Task](row.Key, row.Value)
+	if err != nil || o.tasks[task.ID] != nil {
+		return
+	}
+	if region := task.Spec.Constraints.Region; region != "" && region != o.cfg.Region {
+		return
+	}
+	old := o.queue.entries[task.ID]
+	switch {
+	case old != nil && old.version >= row.Version:
+		return
+	case old != nil:
+		o.dropEntry(old)
+	case len(o.queue.entries) >= maxQueued && task.Spec.Priority > job.PriorityUrgent:
+		return
+	}
+	delay := claimDelay
+	if task.Spec.Priority == job.PriorityUrgent {
+		delay = urgentClaimDelay
+	}
+	o.queue.entries[task.ID] = &entry{
+		task: task, key: row.Key, version: row.Version, firstSeen: now,
+		claimAt:   now.Add(time.Duration(o.cfg.Home(task)) * delay),
+		cancelled: o.queue.cancelledJobs[task.ID.Job()],
+	}
+}
+
+// enqueueOwn queues a task that this cell has just put back.
+func (o *owner) enqueueOwn(task job.Task, version int64) {
+	now := time.Now()
+	o.queue.entries[task.ID] = &entry{
+		task: task, key: ledger.QueueKeyOf(task), version: version, firstSeen: now, claimAt: now,
+		cancelled: o.queue.cancelledJobs[task.ID.Job()],
+	}
+	o.promote(now)
+}
+
+// promote passes the tasks that this cell may claim to the planner.
+func (o *owner) promote(now time.Time) {
+	for _, e := range o.queue.sorted() {
+		if e.enqueued || e.cancelled || e.task.Parked != "" || now.Before(e.claimAt) {
+			continue
+		}
+		e.enqueued = true
+		o.planner.Enqueue(e.task)
+		o.planDue = true
+	}
+}
+
+func (o *owner) dropEntry(e *entry) {
+	if e == nil || o.queue.entries[e.task.ID] != e {
+		return
+	}
+	if e.enqueued {
+		o.planner.Dequeue(e.task.ID)
+	}
+	delete(o.queue.entries, e.task.ID)
+}
+
+// cancelJob stops the job's attempts in this cell and takes its queued tasks out.
+func (o *owner) cancelJob(jobID string) {
+	if o.queue.cancelledJobs[jobID] {
+		return
+	}
+	o.queue.cancelledJobs[jobID] = true
+	for _, a := range sortedTasks(o.tasks) {
+		if a.row.Task.ID.Job() == jobID {
+			o.requestStop(a, stopCancelled)
+		}
+	}
+	for _, e := range o.queue.ofJob(jobID) {
+		e.cancelled = true
+		if e.enqueued {
+			e.enqueued = false
+			o.planner.Dequeue(e.task.ID)
+		}
+	}
+	o.planDue = true
+}
--- /dev/null
+++ b/cell/write.go
@@ -0,0 +1,438 @@
+package cell
+
+import (
+	"context"
+	stderrors "errors"
+	"slices"
+	"strings"
+	"time"
+
+	"github.com/currantthread/currantthread/job"
+	"github.com/currantthread/currantthread/ledger"
+	"github.com/currantthread/currantthread/platform"
+)
+
+const (
+	// maxChanges bounds the assigned rows that one transaction changes, maxStarts its starts and maxDropped the queue
+	// rows of cancelled jobs that it removes.
+	maxChanges = 256
+	maxStarts  = 256
+	maxDropped = 256
+)
+
+// batch is one grouped transaction and what follows from it.
+type batch struct {
+	txn     platform.Txn
+	sentAt  time.Time
+	row     ledger.Owner
+	changes []change
+	starts  []*assigned
+	drops   []*entry
+	parks   []*entry
+	plan    Plan
+	evicted []*assigned
+	// planned is set if plan was made, so that it must be committed or aborted.
+	planned       bool
+	domainVersion int64
+	// applied is set once the table is known to hold the transaction but its version is not known yet.
+	applied bool
+}
+
+// change is the new state of one assigned row.
+type change struct {
+	a *assigned
+	// row is the value to write, unless removed is set.
+	row     ledger.Assignment
+	removed bool
+	next    *job.Task // queued again
+	acks    int       // how many of a.acks are settled by the change
+}
+
+func (b *batch) empty() bool { return len(b.txn.Writes) == 0 && !b.planned }
+
+func (b *batch) require(key string, version int64) {
+	b.txn.Conditions = append(b.txn.Conditions, platform.Condition{Key: key, Version: version})
+}
+
+func (b *batch) put(key string, value any) {
+	b.txn.Writes = append(b.txn.Writes, platform.Write{Key: key, Value: ledger.Encode(value)})
+}
+
+func (b *batch) remove(key string) {
+	b.txn.Writes = append(b.txn.Writes, platform.Write{Key: key, Delete: true})
+}
+
+// write commits what is due. It returns an error only if the ownership is over.
+func (o *owner) write(ctx context.Context, now time.Time) error {
+	if now.Before(o.nextWrite()) {
+		return nil
+	}
+	if o.unresolved != nil {
+		return o.resolve(ctx)
+	}
+	b := &batch{}
+	o.makePlan(b, now)
+	o.addChanges(b)
+	o.addDrops(b, now)
+	o.addParks(b)
+	if b.empty() && now.Before(o.renewalDue()) {
+		return nil
+	}
+	return o.commit(ctx, b)
+}
+
+// makePlan asks the planner what to start and evict, and adds the starts to the transaction.
+func (o *owner) makePlan(b *batch, now time.Time) {
+	state := o.cfg.Gate.State()
+	if !state.StartsAllowed(now) {
+		return
+	}
+	if !o.planDue && (o.queue.waiting() == 0 || now.Sub(o.lastPlan) < planInterval) {
+		return
+	}
+	sched := o.cfg.Settings().Sched
+	limit := o.pacer.Allowance(now, state.ReturnedAt, sched.ReturnStartsPerSec, maxStarts)
+	if limit == 0 {
+		return
+	}
+	o.planDue, o.lastPlan = false, now
+	b.plan = o.planner.Plan(now, limit)
+	o.parked = b.plan.Parked
+	if len(b.plan.Starts) == 0 && len(b.plan.Preemptions) == 0 && len(b.plan.Parked) == 0 {
+		return
+	}
+	b.planned = true
+	b.domainVersion = state.Version
+	o.planDue = len(b.plan.Starts) == limit
+	for _, start := range b.plan.Starts {
+		o.addStart(b, start)
+	}
+	if len(b.starts) > 0 {
+		b.require(ledger.DomainKey(o.cfg.Domain), state.Version)
+		for _, jobID := range jobsOf(b.starts) {
+			b.require(ledger.CancelKey(jobID), 0)
+		}
+	}
+	for _, p := range b.plan.Preemptions {
+		if a := o.tasks[p.Task]; p.Action == ActionEvict && a != nil && a.end == nil && a.stop == "" {
+			a.stop = stopEvicted
+			o.mark(a)
+			b.evicted = append(b.evicted, a)
+		}
+	}
+}
+
+func (o *owner) addStart(b *batch, start Allocation) {
+	e := o.queue.entries[start.Task.ID]
+	w := o.worker(start.Worker)
+	a := &assigned{
+		row: ledger.Assignment{
+			Task: start.Task, Worker: start.Worker, Incarnation: w.incarnation, State: ledger.Assigned,
+			Commitment: start.Commitment,
+		},
+		checkpoint: start.Task.Checkpoint,
+	}
+	key := ledger.CellTaskKey(o.cfg.Cell, start.Task.ID)
+	b.require(e.key, e.version)
+	b.require(key, 0)
+	b.remove(e.key)
+	b.put(key, a.row)
+	b.starts = append(b.starts, a)
+}
+
+func jobsOf(starts []*assigned) []string {
+	var jobs []string
+	for _, a := range starts {
+		jobs = append(jobs, a.row.Task.ID.Job())
+	}
+	slices.Sort(jobs)
+	return slices.Compact(jobs)
+}
+
+func (o *owner) addChanges(b *batch) {
+	for _, a := range o.dirty[:min(len(o.dirty), maxChanges)] {
+		key := ledger.CellTaskKey(o.cfg.Cell, a.row.Task.ID)
+		b.require(key, a.version)
+		c := change{a: a, row: a.row, acks: len(a.acks)}
+		if a.end != nil {
+			c.removed = true
+			b.remove(key)
+			var done *ledger.Done
+			if done, c.next = a.fate(); done != nil {
+				b.put(ledger.DoneKey(a.row.Task.ID), done)
+			} else {
+				queueKey := ledger.QueueKeyOf(*c.next)
+				b.require(queueKey, 0)
+				b.put(queueKey, c.next)
+			}
+		} else {
+			c.row.Task.Checkpoint = a.checkpoint
+			if a.stop != "" {
+				c.row.State, c.row.StopReason = ledger.Stopping, a.stop
+			}
+			b.put(key, c.row)
+		}
+		b.changes = append(b.changes, c)
+	}
+}
+
+// addDrops ends queued tasks of cancelled jobs.
+func (o *owner) addDrops(b *batch, now time.Time) {
+	for _, e := range o.queue.cancelled(now, maxDropped) {
+		b.require(e.key, e.version)
+		b.remove(e.key)
+		b.put(ledger.DoneKey(e.task.ID), ledger.Done{Outcome: ledger.OutcomeCancelled, Attempt: e.task.Attempt - 1})
+		b.drops = append(b.drops, e)
+	}
+}
+
+// addParks stores the reason in the rows of tasks that only an operator can help.
+func (o *owner) addParks(b *batch) {
+	for _, p := range b.plan.Parked {
+		if !p.Permanent {
+			continue
+		}
+		for _, e := range o.queue.ofJob(p.Task.Job()) {
+			if e.park || e.task.Parked != "" || e.cancelled {
+				continue
+			}
+			e.park = true
+			task := e.task
+			task.Parked = p.Reason
+			b.require(e.key, e.version)
+			b.put(e.key, task)
+			b.parks = append(b.parks, e)
+		}
+	}
+}
+
+// commit writes b together with a renewal of the ownership row.
+func (o *owner) commit(ctx context.Context, b *batch) error {
+	b.row = o.row
+	b.row.Renewal++
+	key := ledger.CellOwnerKey(o.cfg.Cell)
+	b.require(key, o.version)
+	b.put(key, b.row)
+	b.sentAt = time.Now()
+	o.lastCommit = b.sentAt
+	// A commit in flight is finished also when ctx ends, so that a handover starts from a known state.
+	ctx, cancel := context.WithTimeout(context.WithoutCancel(ctx), callTimeout)
+	defer cancel()
+	version, err := o.writer.Commit(ctx, b.txn)
+	o.cfg.Metrics.committed(o.cfg.Cell, err)
+	var conflict *platform.ConflictError
+	switch {
+	case err == nil:
+		o.succeeded(b, version)
+		return nil
+	case stderrors.As(err, &conflict):
+		o.failed(b)
+		return o.conflicted(conflict)
+	case platform.IsUnknownOutcome(err):
+		o.unresolved = b
+		o.backOff()
+		return nil
+	default:
+		o.failed(b)
+		o.backOff()
+		return nil
+	}
+}
+
+func (o *owner) backOff() { o.retryAt = time.Now().Add(o.retry.NextBackOff()) }
+
+// resolve settles the outcome of the last transaction.
+func (o *owner) resolve(ctx context.Context) error {
+	ctx, cancel := context.WithTimeout(context.WithoutCancel(ctx), callTimeout)
+	defer cancel()
+	b := o.unresolved
+	if !b.applied {
+		applied, err := o.writer.Resolve(ctx)
+		switch {
+		case isUnavailable(err) || platform.IsUnknownOutcome(err):
+			o.backOff()
+			return nil
+		case err != nil:
+			o.failed(b)
+			return errInconsistent
+		case !applied:
+			o.unresolved = nil
+			o.failed(b)
+			return nil
+		}
+		b.applied = true
+	}
+	row, owner, err := o.c.readOwner(ctx)
+	if err != nil {
+		o.backOff()
+		return nil
+	}
+	if owner != b.row {
+		return errLost
+	}
+	o.unresolved = nil
+	o.succeeded(b, row.Version)
+	return nil
+}
+
+// conflicted finds out which of the conditions did not hold. What was not started stays queued.
+func (o *owner) conflicted(conflict *platform.ConflictError) error {
+	o.planDue = true
+	for _, key := range conflict.Keys {
+		switch {
+		case key == ledger.CellOwnerKey(o.cfg.Cell):
+			return errLost
+		case key == ledger.DomainKey(o.cfg.Domain):
+			o.cfg.Gate.Refresh()
+		case strings.HasPrefix(key, ledger.CancelPrefix):
+			o.cancelJob(strings.TrimPrefix(key, ledger.CancelPrefix))
+		case strings.HasPrefix(key, ledger.CellTaskPrefix(o.cfg.Cell)):
+			return errInconsistent
+		default:
+			o.dropEntry(o.queue.byKey(key))
+		}
+	}
+	return nil
+}
+
+// failed undoes what was tentative. Changes of assigned rows stay due.
+func (o *owner) failed(b *batch) {
+	if b.planned {
+		o.planner.Abort(b.plan)
+		o.planDue = true
+	}
+	for _, a := range b.evicted {
+		if a.stop == stopEvicted {
+			a.stop = ""
+		}
+	}
+	for _, e := range b.parks {
+		e.park = false
+	}
+}
+
+// succeeded applies what the table now holds, then sends the commands that follow from it.
+func (o *owner) succeeded(b *batch, version int64) {
+	o.retry.Reset()
+	o.retryAt = time.Time{}
+	o.row, o.version = b.row, version
+	o.renewedAt.Store(&b.sentAt)
+	if len(b.starts) > 0 {
+		o.cfg.Gate.Confirm(b.sentAt, b.domainVersion)
+		o.pacer.Took(time.Now(), len(b.starts))
+	}
+	if b.planned {
+		o.planner.Commit(b.plan)
+	}
+	for _, c := range b.changes {
+		o.changed(c, version)
+	}
+	o.dirty = slices.DeleteFunc(o.dirty, func(a *assigned) bool { return !a.dirty })
+	for _, e := range b.drops {
+		o.dropEntry(e)
+	}
+	for _, e := range b.parks {
+		o.dropEntry(e)
+	}
+	for _, a := range b.starts {
+		o.started(a, version)
+	}
+	o.throttle(b.plan)
+	o.cfg.Metrics.started(o.cfg.Cell, len(b.starts))
+}
+
+func (o *owner) started(a *assigned, version int64) {
+	a.version = version
+	delete(o.queue.entries, a.row.Task.ID)
+	o.add(a)
+	if w := o.worker(a.row.Worker); w.incarnation != a.row.Incarnation || !w.attached {
+		// The worker restarted or lapsed while the transaction was in flight.
+		o.end(a, EndLapsed, "worker is gone")
+		return
+	}
+	o.sendStart(a)
+}
+
+func (o *owner) changed(c change, version int64) {
+	a := c.a
+	a.version, a.row = version, c.row
+	w := o.worker(a.row.Worker)
+	for _, entry := range a.acks[:c.acks] {
+		entry.done = true
+	}
+	a.acks = slices.Delete(a.acks, 0, c.acks)
+	if !c.removed {
+		// What was reported while the transaction was in flight is written by the next one.
+		a.dirty = a.end != nil || a.checkpoint != a.row.Task.Checkpoint || a.stop != a.row.StopReason
+		if a.stop != "" && a.end == nil {
+			o.sendStop(a)
+		}
+		o.settleAcks(w)
+		return
+	}
+	a.dirty = false
+	for _, entry := range a.acks {
+		entry.done = true
+	}
+	o.remove(a)
+	o.planner.Release(a.row.Task.ID, a.end.end)
+	o.planDue = true
+	o.settleAcks(w)
+	o.cfg.Metrics.ended(o.cfg.Cell, a)
+	if c.next != nil {
+		o.enqueueOwn(*c.next, version)
+	}
+}
+
+// throttle sends the limits of the plan. They need no row: a lost limit costs speed and no guarantee.
+func (o *owner) throttle(plan Plan) {
+	for _, p := range plan.Preemptions {
+		a := o.tasks[p.Task]
+		if a == nil || a.end != nil || p.Action == ActionEvict {
+			continue
+		}
+		percent := p.CPUPercent
+		if percent == 0 {
+			percent = 100
+		}
+		o.holder.Send(p.Worker, platform.Command{Kind: platform.CommandThrottle, Ref: a.ref(), CPUPercent: percent})
+	}
+}
+
+// handover gives the cell to successor, or releases it. The holder is closed, so no lease is granted meanwhile.
+func (o *owner) handover(ctx context.Context, successor func() (Successor, bool), announce Announcer) {
+	ctx, cancel := context.WithTimeout(ctx, callTimeout)
+	defer cancel()
+	for o.unresolved != nil {
+		if err := o.resolve(ctx); err != nil || ctx.Err() != nil {
+			return
+		}
+		if o.unresolved != nil && !sleep(ctx, retryInitial) {
+			return
+		}
+	}
+	to, ok := successor()
+	row := ledger.Owner{Holder: to.VM, Addr: to.Addr, Epoch: o.row.Epoch + 1, Released: true}
+	key := ledger.CellOwnerKey(o.cfg.Cell)
+	for {
+		_, err := o.writer.Commit(ctx, platform.Txn{
+			Conditions: []platform.Condition{{Key: key, Version: o.version}},
+			Writes:     []platform.Write{{Key: key, Value: ledger.Encode(row)}},
+		})
+		if err == nil {
+			break
+		}
+		if !isUnavailable(err) || !sleep(ctx, retryInitial) {
+			// A peer takes the cell over once its row has not changed for a lease term.
+			o.cfg.Logger.WithField("cell", o.cfg.Cell).WithError(err).Warn("cell was not handed over")
+			return
+		}
+	}
+	o.cfg.Logger.WithField("cell", o.cfg.Cell).WithField("successor", to.VM).Info("cell handed over")
+	if !ok {
+		return
+	}
+	if err := announce(ctx, to, o.cfg.Cell, row.Epoch); err != nil {
+		o.cfg.Logger.WithField("cell", o.cfg.Cell).WithError(err).Info("successor was not told of the handover")
+	}
+}
--- a/ledger/rows.go
+++ b/ledger/rows.go
@@ -34,9 +34,11 @@
 
 // Assignment is the value of an assigned task's row.
 type Assignment struct {
-	Task   job.Task        `json:"task"`
-	Worker string          `json:"worker"`
-	State  AssignmentState `json:"state"`
+	Task   job.Task `json:"task"`
+	Worker string   `json:"worker"`
+	// Incarnation is the worker's incarnation that the attempt was assigned to. Another incarnation does not run it.
+	Incarnation string          `json:"incarnation"`
+	State       AssignmentState `json:"state"`
 	// Commitment is what the worker has set aside for the attempt; at least the declared resources.
 	Commitment job.Resources `json:"commitment"`
 	// StopReason says why the attempt is being stopped.
