Use the scheduler's types in the apply loop

Cause: the placement decisions are available as package sched. Weighed: copying the types into cell; they would drift. The planner is an interface over the types of sched, so that tests can keep a first-fit planner. Throttling plans are applied without a transaction.

--- a/cell/events.go
+++ b/cell/events.go
@@ -2,6 +2,7 @@
 
 import (
 	"maps"
+	"reflect"
 	"slices"
 	"time"
 
@@ -9,6 +10,7 @@
 	"github.com/currantthread/currantthread/job"
 	"github.com/currantthread/currantthread/ledger"
 	"github.com/currantthread/currantthread/platform"
+	"github.com/currantthread/currantthread/sched"
 	"github.com/currantthread/currantthread/worker"
 )
 
@@ -46,7 +48,7 @@
 	clear(w.foreign)
 	for _, a := range sortedTasks(w.tasks) {
 		if a.row.Incarnation != incarnation {
-			o.end(a, EndLapsed, "worker restarted")
+			o.end(a, sched.EndLapsed, "worker restarted")
 		}
 	}
 }
@@ -63,9 +65,9 @@
 		return
 	}
 	if a.end != nil {
-		if r.State == platform.RunCompleted && a.end.end == EndLapsed && o.unresolved == nil {
+		if r.State == platform.RunCompleted && a.end.end == sched.EndLapsed && o.unresolved == nil {
 			// The work was done before the lease lapsed, and nothing has been written about the lapse yet.
-			a.end.end = EndCompleted
+			a.end.end = sched.EndCompleted
 		}
 		a.acks = append(a.acks, entry)
 		return
@@ -76,11 +78,11 @@
 	}
 	switch r.State {
 	case platform.RunCompleted:
-		o.end(a, EndCompleted, "")
+		o.end(a, sched.EndCompleted, "")
 	case platform.RunFailed:
-		o.end(a, EndFailed, r.Error)
+		o.end(a, sched.EndFailed, r.Error)
 	case platform.RunStopped:
-		o.end(a, EndStopped, r.Error)
+		o.end(a, sched.EndStopped, r.Error)
 	}
 	if !a.dirty {
 		entry.done = true
@@ -153,7 +155,7 @@
 	w := o.worker(id)
 	w.attached = false
 	for _, a := range sortedTasks(w.tasks) {
-		o.end(a, EndLapsed, "lease of the worker lapsed")
+		o.end(a, sched.EndLapsed, "lease of the worker lapsed")
 	}
 	o.updateReady(w)
 	o.cfg.Metrics.lapsed(o.cfg.Cell)
@@ -161,7 +163,7 @@
 		Warn("lease of the worker lapsed")
 }
 
-func (o *owner) end(a *assigned, end End, reason string) {
+func (o *owner) end(a *assigned, end sched.End, reason string) {
 	if a.end != nil {
 		return
 	}
@@ -212,6 +214,7 @@
 // refreshMembers follows the VM list, which is a hint: a worker that left it keeps its tasks until its lease lapsed.
 func (o *owner) refreshMembers(now time.Time) {
 	o.membersAt = now
+	o.applySettings()
 	members, ok := o.cfg.Members()
 	if !ok {
 		return
@@ -235,13 +238,22 @@
 	}
 }
 
+// applySettings passes changed settings to the planner.
+func (o *owner) applySettings() {
+	if cfg := PlannerConfig(o.cfg.Settings()); !reflect.DeepEqual(cfg, o.plannerConfig) {
+		o.plannerConfig = cfg
+		o.planner.SetConfig(cfg)
+		o.planDue = true
+	}
+}
+
 func (o *owner) upsert(id string, w *workerState) {
 	capacity := w.capacity
 	if capacity.IsZero() {
 		capacity = w.vm.Capacity
 	}
 	w.known = true
-	o.planner.UpsertWorker(PlanWorker{
+	o.planner.UpsertWorker(sched.Worker{
 		ID: id, Region: o.cfg.Region, Domain: o.cfg.Domain, Rack: w.vm.Rack, Capacity: capacity, Ready: w.ready,
 	})
 }
@@ -270,7 +282,7 @@
 func (a *assigned) fate() (done *ledger.Done, next *job.Task) {
 	task := a.row.Task
 	switch {
-	case a.end.end == EndCompleted && task.Spec.Class == job.ClassBatch:
+	case a.end.end == sched.EndCompleted && task.Spec.Class == job.ClassBatch:
 		return &ledger.Done{Outcome: ledger.OutcomeCompleted, Attempt: task.Attempt, Worker: a.row.Worker}, nil
 	case a.stop == stopCancelled:
 		return &ledger.Done{Outcome: ledger.OutcomeCancelled, Attempt: task.Attempt, Worker: a.row.Worker}, nil
@@ -280,7 +292,7 @@
 	if a.stop == stopEvicted {
 		task.Evictions++
 	}
-	if a.end.end == EndFailed && !slices.Contains(task.FailedOn, a.row.Worker) {
+	if a.end.end == sched.EndFailed && !slices.Contains(task.FailedOn, a.row.Worker) {
 		task.FailedOn = append(slices.Clone(task.FailedOn), a.row.Worker)
 	}
 	return nil, &task
--- a/cell/firstfit_test.go
+++ b/cell/firstfit_test.go
@@ -8,56 +8,62 @@
 	"github.com/currantthread/currantthread/cell"
 	"github.com/currantthread/currantthread/job"
 	"github.com/currantthread/currantthread/platform"
+	"github.com/currantthread/currantthread/sched"
 )
 
 // firstFit is a planner that takes the first worker with room. It evicts batch tasks for urgent ones.
 type firstFit struct {
-	workers map[string]*cell.PlanWorker
+	workers map[string]*sched.Worker
 	used    map[string]job.Resources
-	placed  map[job.TaskID]cell.Allocation
+	placed  map[job.TaskID]sched.Allocation
 	stops   map[job.TaskID]bool
 	queue   []job.Task
 }
 
 func newFirstFit() cell.Planner {
 	return &firstFit{
-		workers: map[string]*cell.PlanWorker{}, used: map[string]job.Resources{},
-		placed: map[job.TaskID]cell.Allocation{}, stops: map[job.TaskID]bool{},
+		workers: map[string]*sched.Worker{}, used: map[string]job.Resources{},
+		placed: map[job.TaskID]sched.Allocation{}, stops: map[job.TaskID]bool{},
 	}
 }
 
-func (f *firstFit) UpsertWorker(w cell.PlanWorker) { f.workers[w.ID] = &w }
-func (f *firstFit) RemoveWorker(id string)         { delete(f.workers, id) }
+func (f *firstFit) UpsertWorker(w sched.Worker) { f.workers[w.ID] = &w }
+func (f *firstFit) RemoveWorker(id string)      { delete(f.workers, id) }
 func (f *firstFit) SetWorkerReady(id string, ready bool) {
 	f.workers[id].Ready = ready
 }
 
-func (f *firstFit) Enqueue(t job.Task) {
+func (f *firstFit) SetConfig(sched.Config) {}
+
+func (f *firstFit) Enqueue(t job.Task) error {
 	if _, ok := f.placed[t.ID]; ok {
 		panic("task " + string(t.ID) + " is queued while it is placed")
 	}
 	f.queue = append(f.queue, t)
+	return nil
 }
 
-func (f *firstFit) Dequeue(id job.TaskID) {
+func (f *firstFit) Dequeue(id job.TaskID) bool {
+	before := len(f.queue)
 	f.queue = slices.DeleteFunc(f.queue, func(t job.Task) bool { return t.ID == id })
+	return len(f.queue) < before
 }
 
-func (f *firstFit) Restore(a cell.Allocation) { f.hold(a) }
+func (f *firstFit) Restore(a sched.Allocation) { f.hold(a) }
 
-func (f *firstFit) hold(a cell.Allocation) {
+func (f *firstFit) hold(a sched.Allocation) {
 	f.placed[a.Task.ID] = a
 	f.used[a.Worker] = f.used[a.Worker].Add(a.Commitment)
 }
 
-func (f *firstFit) Plan(_ time.Time, limit int) cell.Plan {
+func (f *firstFit) Plan(_ time.Time, limit int) sched.Plan {
 	slices.SortStableFunc(f.queue, func(a, b job.Task) int {
 		if a.Spec.Priority != b.Spec.Priority {
 			return int(a.Spec.Priority - b.Spec.Priority)
 		}
 		return strings.Compare(string(a.ID), string(b.ID))
 	})
-	var plan cell.Plan
+	var plan sched.Plan
 	var left []job.Task
 	for _, t := range f.queue {
 		worker := f.find(t)
@@ -66,7 +72,7 @@
 			f.evict(t, &plan)
 			continue
 		}
-		a := cell.Allocation{Task: t, Worker: worker, Commitment: t.Spec.Resources}
+		a := sched.Allocation{Task: t, Worker: worker, Commitment: t.Spec.Resources}
 		f.hold(a)
 		plan.Starts = append(plan.Starts, a)
 	}
@@ -84,37 +90,42 @@
 	return ""
 }
 
-func (f *firstFit) evict(t job.Task, plan *cell.Plan) {
+func (f *firstFit) evict(t job.Task, plan *sched.Plan) {
 	if t.Spec.Priority != job.PriorityUrgent || len(plan.Preemptions) > 0 || len(f.stops) > 0 {
 		return
 	}
 	for _, id := range sortedKeys(f.placed) {
 		a := f.placed[id]
 		if a.Task.Spec.Class == job.ClassBatch && a.Task.Spec.Priority > job.PriorityUrgent && f.workers[a.Worker].Ready {
-			plan.Preemptions = append(plan.Preemptions, cell.Preemption{
-				Task: id, Worker: a.Worker, Action: cell.ActionEvict, For: t.ID,
+			plan.Preemptions = append(plan.Preemptions, sched.Preemption{
+				Task: id, Worker: a.Worker, Action: sched.ActionEvict, For: t.ID,
 			})
 			return
 		}
 	}
 }
 
-func (f *firstFit) Commit(p cell.Plan) {
-	for _, e := range p.Preemptions {
-		f.stops[e.Task] = true
-	}
-}
+func (f *firstFit) Commit(sched.Plan) {}
 
-func (f *firstFit) Abort(p cell.Plan) {
+func (f *firstFit) Abort(p sched.Plan) {
 	for _, a := range p.Starts {
-		f.release(a.Task.ID)
-		f.queue = append(f.queue, a.Task)
+		f.AbortStart(a.Task.ID)
 	}
 }
 
+func (f *firstFit) AbortStart(id job.TaskID) {
+	a := f.placed[id]
+	f.release(id)
+	f.queue = append(f.queue, a.Task)
+}
+
 func (f *firstFit) Stopping(id job.TaskID) { f.stops[id] = true }
 
-func (f *firstFit) Release(id job.TaskID, _ cell.End) { f.release(id) }
+func (f *firstFit) Release(id job.TaskID, _ sched.End) bool {
+	_, held := f.placed[id]
+	f.release(id)
+	return held
+}
 
 func (f *firstFit) release(id job.TaskID) {
 	a := f.placed[id]
--- a/cell/owner.go
+++ b/cell/owner.go
@@ -12,6 +12,7 @@
 	"github.com/currantthread/currantthread/job"
 	"github.com/currantthread/currantthread/ledger"
 	"github.com/currantthread/currantthread/platform"
+	"github.com/currantthread/currantthread/sched"
 	"github.com/currantthread/currantthread/worker"
 )
 
@@ -52,7 +53,7 @@
 
 // ending is how an attempt ended.
 type ending struct {
-	end    End
+	end    sched.End
 	reason string
 }
 
@@ -87,14 +88,15 @@
 	writer  *ledger.Writer
 	takenAt time.Time
 
-	holder  *worker.Holder
-	planner Planner
-	pacer   drain.Pacer
-	tasks   map[job.TaskID]*assigned
-	workers map[string]*workerState
-	dirty   []*assigned
-	queue   *queue
-	scans   chan scanPage
+	holder        *worker.Holder
+	planner       Planner
+	plannerConfig sched.Config
+	pacer         drain.Pacer
+	tasks         map[job.TaskID]*assigned
+	workers       map[string]*workerState
+	dirty         []*assigned
+	queue         *queue
+	scans         chan scanPage
 
 	// renewedAt is when the last successful renewal was sent, in Unix nanoseconds of the process clock; any goroutine
 	// reads it through sinceRenewal.
@@ -103,7 +105,7 @@
 	lastPlan   time.Time
 	membersAt  time.Time
 	planDue    bool
-	parked     []Parked
+	parked     map[job.TaskID]string
 	retryAt    time.Time
 	retry      *backoff.ExponentialBackOff
 	unresolved *batch
@@ -119,6 +121,7 @@
 		tasks:   map[job.TaskID]*assigned{},
 		workers: map[string]*workerState{},
 		queue:   newQueue(),
+		parked:  map[job.TaskID]string{},
 		scans:   make(chan scanPage),
 		retry:   backoff.NewExponentialBackOff(),
 		stop:    func() {},
@@ -126,10 +129,10 @@
 	o.retry.InitialInterval = retryInitial
 	o.retry.MaxInterval = retryMax
 	o.renewedAt.Store(&taken.sentAt)
-	sched := c.cfg.Settings().Sched
+	conf := c.cfg.Settings().Sched
 	o.holder = worker.NewHolder(worker.Config{
 		Cell: c.cfg.Cell, Epoch: taken.row.Epoch, OwnerURL: c.cfg.OwnerURL,
-		Lease:       sched.WorkerLease.D(),
+		Lease:       conf.WorkerLease.D(),
 		GrantUntil:  func() time.Time { return o.renewedAt.Load().Add(c.cfg.Settings().Sched.OfflineLimit.D()) },
 		PermitUntil: c.cfg.Gate.PermitUntil,
 		Workers:     c.cfg.Workers, Rand: newRand(c.cfg.Rand), Logger: c.cfg.Logger,
@@ -281,7 +284,7 @@
 	}
 	o.add(a)
 	o.upsert(assignment.Worker, o.worker(assignment.Worker))
-	o.planner.Restore(Allocation{Task: assignment.Task, Worker: assignment.Worker, Commitment: assignment.Commitment})
+	o.planner.Restore(sched.Allocation{Task: assignment.Task, Worker: assignment.Worker, Commitment: assignment.Commitment})
 	if a.stop != "" {
 		o.planner.Stopping(assignment.Task.ID)
 	}
@@ -322,8 +325,8 @@
 		Owned: true, Epoch: o.row.Epoch, Workers: len(o.workers), Running: len(o.tasks), Queued: o.queue.waiting(),
 		DomainVersion: state.Version, StartsAllowed: state.StartsAllowed(time.Now()),
 	}
-	for _, p := range o.parked {
-		status.Parked = append(status.Parked, ParkedTask{Task: string(p.Task), Reason: p.Reason})
+	for id, reason := range o.parked {
+		status.Parked = append(status.Parked, ParkedTask{Task: string(id), Reason: reason})
 	}
 	o.c.setStatus(status)
 	o.cfg.Metrics.observe(o.cfg.Cell, status)
--- a/cell/planner.go
+++ b/cell/planner.go
@@ -3,79 +3,54 @@
 import (
 	"time"
 
+	"github.com/currantthread/currantthread/interference"
 	"github.com/currantthread/currantthread/job"
 	"github.com/currantthread/currantthread/platform"
+	"github.com/currantthread/currantthread/sched"
+	"github.com/currantthread/currantthread/settings"
 )
 
-// PlanWorker is what the planner knows of a worker.
-type PlanWorker struct {
-	ID, Region, Domain, Rack string
-	Capacity                 job.Resources
-	Ready                    bool
-}
-
-// Allocation is a task assigned to a worker.
-type Allocation struct {
-	Task       job.Task
-	Worker     string
-	Commitment job.Resources
-}
-
-// Action is a kind of preemption.
-type Action string
-
-const (
-	ActionThrottle   Action = "throttle"
-	ActionUnthrottle Action = "unthrottle"
-	ActionEvict      Action = "evict"
-)
-
-// Preemption is an action against a running task.
-type Preemption struct {
-	Task       job.TaskID
-	Worker     string
-	Action     Action
-	CPUPercent int
-	For        job.TaskID
-}
-
-// Parked reports tasks that wait for the same reason.
-type Parked struct {
-	Task      job.TaskID
-	Tasks     int
-	Reason    string
-	Permanent bool
-}
-
-// Plan is a set of tentative decisions.
-type Plan struct {
-	Starts      []Allocation
-	Preemptions []Preemption
-	Parked      []Parked
-}
-
-// End says how an attempt ended.
-type End string
-
-const (
-	EndCompleted End = "completed"
-	EndStopped   End = "stopped"
-	EndFailed    End = "failed"
-	EndLapsed    End = "lapsed"
-)
-
-// Planner makes the placement decisions.
+// Planner makes the placement decisions of one ownership. *sched.Scheduler implements it.
 type Planner interface {
-	UpsertWorker(w PlanWorker)
+	SetConfig(cfg sched.Config)
+	UpsertWorker(w sched.Worker)
 	RemoveWorker(id string)
 	SetWorkerReady(id string, ready bool)
-	Enqueue(t job.Task)
-	Dequeue(id job.TaskID)
-	Restore(a Allocation)
-	Plan(now time.Time, limit int) Plan
-	Commit(plan Plan)
-	Abort(plan Plan)
+	Enqueue(t job.Task) error
+	Dequeue(id job.TaskID) bool
+	Restore(a sched.Allocation)
+	Plan(now time.Time, limit int) sched.Plan
+	Commit(plan sched.Plan)
+	Abort(plan sched.Plan)
+	AbortStart(id job.TaskID)
 	Stopping(id job.TaskID)
-	Release(id job.TaskID, end End)
+	Release(id job.TaskID, end sched.End) bool
 	ReportUsage(worker string, u platform.Usage)
 }
+
+// NewPlanner returns an empty scheduler with the settings in force.
+func NewPlanner(s settings.Effective) Planner {
+	return sched.New(PlannerConfig(s), interference.New(interference.DefaultConfig()))
+}
+
+// PlannerConfig translates settings into the scheduler's parameters.
+func PlannerConfig(s settings.Effective) sched.Config {
+	cfg := sched.DefaultConfig()
+	cfg.MaxEvictions = s.Sched.MaxEvictions
+	cfg.BadJobWorkers = s.Sched.BadJobWorkers
+	cfg.BadWorkerJobs = s.Sched.BadWorkerJobs
+	cfg.BadWorkerBackoff = s.Sched.BadWorkerBackoff.D()
+	cfg.UsageLag = s.Sched.UsageLag.D()
+	cfg.Teams = map[string]sched.Team{}
+	for name, t := range s.Teams {
+		cfg.Teams[name] = sched.Team{
+			Quota: job.Resources{
+				CPUMilli:     int64(t.CPUCores) * 1000,
+				MemoryMiB:    int64(t.Memory) >> 20,
+				Accelerators: int64(t.Accelerators),
+			},
+			Weight: t.Weight,
+		}
+	}
+	return cfg
+}
--- a/cell/queue.go
+++ b/cell/queue.go
@@ -152,8 +152,11 @@
 		if e.enqueued || e.cancelled || e.task.Parked != "" || now.Before(e.claimAt) {
 			continue
 		}
+		if err := o.planner.Enqueue(e.task); err != nil {
+			// The planner still holds resources for it, so its row must have changed since it was read.
+			continue
+		}
 		e.enqueued = true
-		o.planner.Enqueue(e.task)
 		o.planDue = true
 	}
 }
--- a/cell/write.go
+++ b/cell/write.go
@@ -10,6 +10,7 @@
 	"github.com/currantthread/currantthread/job"
 	"github.com/currantthread/currantthread/ledger"
 	"github.com/currantthread/currantthread/platform"
+	"github.com/currantthread/currantthread/sched"
 )
 
 const (
@@ -29,7 +30,7 @@
 	starts  []*assigned
 	drops   []*entry
 	parks   []*entry
-	plan    Plan
+	plan    sched.Plan
 	evicted []*assigned
 	// planned is set if plan was made, so that it must be committed or aborted.
 	planned       bool
@@ -48,7 +49,7 @@
 	acks    int       // how many of a.acks are settled by the change
 }
 
-func (b *batch) empty() bool { return len(b.txn.Writes) == 0 && !b.planned }
+func (b *batch) empty() bool { return len(b.txn.Writes) == 0 }
 
 func (b *batch) require(key string, version int64) {
 	b.txn.Conditions = append(b.txn.Conditions, platform.Condition{Key: key, Version: version})
@@ -76,34 +77,32 @@
 	o.addDrops(b, now)
 	o.addParks(b)
 	if b.empty() && now.Before(o.renewalDue()) {
+		// Throttling needs no row.
+		o.planner.Commit(b.plan)
+		o.throttle(b.plan)
 		return nil
 	}
 	return o.commit(ctx, b)
 }
 
-// makePlan asks the planner what to start and evict, and adds the starts to the transaction.
+// makePlan asks the planner what to start, evict and throttle, and adds the starts to the transaction.
 func (o *owner) makePlan(b *batch, now time.Time) {
-	state := o.cfg.Gate.State()
-	if !state.StartsAllowed(now) {
-		return
-	}
-	if !o.planDue && (o.queue.waiting() == 0 || now.Sub(o.lastPlan) < planInterval) {
+	if !o.planDue && now.Sub(o.lastPlan) < planInterval {
 		return
 	}
-	sched := o.cfg.Settings().Sched
-	limit := o.pacer.Allowance(now, state.ReturnedAt, sched.ReturnStartsPerSec, maxStarts)
-	if limit == 0 {
-		return
+	state := o.cfg.Gate.State()
+	limit := 0
+	if state.StartsAllowed(now) {
+		perSecond := o.cfg.Settings().Sched.ReturnStartsPerSec
+		limit = o.pacer.Allowance(now, state.ReturnedAt, perSecond, maxStarts)
 	}
-	o.planDue, o.lastPlan = false, now
+	o.lastPlan = now
 	b.plan = o.planner.Plan(now, limit)
-	o.parked = b.plan.Parked
-	if len(b.plan.Starts) == 0 && len(b.plan.Preemptions) == 0 && len(b.plan.Parked) == 0 {
-		return
-	}
 	b.planned = true
 	b.domainVersion = state.Version
-	o.planDue = len(b.plan.Starts) == limit
+	o.noteParked(b.plan.Parked)
+	// A plan that was cut short goes on with the next transaction.
+	o.planDue = limit > 0 && len(b.plan.Starts) == limit
 	for _, start := range b.plan.Starts {
 		o.addStart(b, start)
 	}
@@ -114,7 +113,7 @@
 		}
 	}
 	for _, p := range b.plan.Preemptions {
-		if a := o.tasks[p.Task]; p.Action == ActionEvict && a != nil && a.end == nil && a.stop == "" {
+		if a := o.tasks[p.Task]; p.Action == sched.ActionEvict && a != nil && a.end == nil && a.stop == "" {
 			a.stop = stopEvicted
 			o.mark(a)
 			b.evicted = append(b.evicted, a)
@@ -122,7 +121,18 @@
 	}
 }
 
-func (o *owner) addStart(b *batch, start Allocation) {
+func (o *owner) noteParked(parked []sched.Parked) {
+	for _, p := range parked {
+		o.parked[p.Task] = p.Reason
+	}
+	for id := range o.parked {
+		if e := o.queue.entries[id]; e == nil || !e.enqueued {
+			delete(o.parked, id)
+		}
+	}
+}
+
+func (o *owner) addStart(b *batch, start sched.Allocation) {
 	e := o.queue.entries[start.Task.ID]
 	w := o.worker(start.Worker)
 	a := &assigned{
@@ -324,6 +334,9 @@
 	if b.planned {
 		o.planner.Commit(b.plan)
 	}
+	for _, a := range b.evicted {
+		o.planner.Stopping(a.row.Task.ID)
+	}
 	for _, c := range b.changes {
 		o.changed(c, version)
 	}
@@ -347,7 +360,7 @@
 	o.add(a)
 	if w := o.worker(a.row.Worker); w.incarnation != a.row.Incarnation || !w.attached {
 		// The worker restarted or lapsed while the transaction was in flight.
-		o.end(a, EndLapsed, "worker is gone")
+		o.end(a, sched.EndLapsed, "worker is gone")
 		return
 	}
 	o.sendStart(a)
@@ -385,10 +398,10 @@
 }
 
 // throttle sends the limits of the plan. They need no row: a lost limit costs speed and no guarantee.
-func (o *owner) throttle(plan Plan) {
+func (o *owner) throttle(plan sched.Plan) {
 	for _, p := range plan.Preemptions {
 		a := o.tasks[p.Task]
-		if a == nil || a.end != nil || p.Action == ActionEvict {
+		if a == nil || a.end != nil || p.Action == sched.ActionEvict {
 			continue
 		}
 		percent := p.CPUPercent
