Add the stand-ins of the platform, of workers and of upstreams

Cause: daemons, the demo and the tests need the platform's side of docs/design.md, sections 5 and 6, with its faults. (3) A cut as a refusal against no answer at all; a cut drops packets, so the caller waits. Ruled out: overload answered with errors. Calls above the table's rate wait in a token bucket. Gate, runner and platform server have no tests yet. internal/standin.Objects refuses other data under a used key, as objects are written once.

--- /dev/null
+++ b/internal/standin/fleet_control.go
@@ -0,0 +1,177 @@
+package standin
+
+import (
+	"context"
+	"net"
+	"net/http"
+	"slices"
+
+	"golang.org/x/sync/errgroup"
+
+	"github.com/currantthread/currantthread/platform"
+)
+
+// Any names all workers or all runners in the fault switches.
+const Any = "*"
+
+// MachineFaults are the fault switches of one worker VM.
+type MachineFaults struct {
+	WorkerFaults
+	// Server holds the faults of the worker's own server, which takes attaches.
+	Server GateFaults `json:"server,omitzero"`
+	// Dead ends the VM without a report, and switched off starts a new incarnation. The runner from the start on the
+	// VM has its own switch.
+	Dead bool `json:"dead,omitempty"`
+	// Silence makes the connections to the worker that are open now go silent for good.
+	Silence bool `json:"silence,omitempty"`
+}
+
+// FleetFaults is the body of POST /faults of the workers' stand-in. It replaces the switches of the VMs that it names.
+type FleetFaults struct {
+	// Workers and Runners are keyed by VM ID, or Any.
+	Workers map[string]MachineFaults `json:"workers,omitempty"`
+	Runners map[string]RunnerFaults  `json:"runners,omitempty"`
+	// Interference replaces coefficients of the interference model: the kind that suffers, then the one it suffers from.
+	Interference map[string]map[string]float64 `json:"interference,omitempty"`
+}
+
+// SetFaults applies fault switches.
+func (f *Fleet) SetFaults(ctx context.Context, faults FleetFaults) {
+	f.interference.Set(faults.Interference)
+	for id, switches := range faults.Workers {
+		for _, m := range f.machinesOf(id) {
+			m.setFaults(ctx, switches)
+		}
+	}
+	for id, switches := range faults.Runners {
+		for _, r := range f.runnersOf(id) {
+			r.SetFaults(switches)
+		}
+	}
+}
+
+func (f *Fleet) machinesOf(id string) []*machine {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	var found []*machine
+	for _, m := range f.machines {
+		if id == Any || m.vm.ID == id {
+			found = append(found, m)
+		}
+	}
+	return found
+}
+
+func (f *Fleet) runnersOf(id string) []*listedRunner {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	var found []*listedRunner
+	for name, r := range f.runners {
+		if id == Any || name == id {
+			found = append(found, r)
+		}
+	}
+	return found
+}
+
+func (m *machine) setFaults(ctx context.Context, switches MachineFaults) {
+	m.gate.SetFaults(switches.Server)
+	worker, dead := m.current()
+	worker.SetFaults(switches.WorkerFaults)
+	if switches.Silence {
+		m.silence()
+	}
+	switch {
+	case switches.Dead && !dead:
+		m.kill()
+	case !switches.Dead && dead:
+		if err := m.boot(ctx, switches.WorkerFaults); err != nil {
+			m.fleet.log.WithError(err).Error("worker did not come back")
+		}
+	}
+}
+
+func (m *machine) silence() {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.listener.Silence()
+}
+
+// Faults returns the fault switches of every VM.
+func (f *Fleet) Faults() FleetFaults {
+	faults := FleetFaults{Workers: map[string]MachineFaults{}, Runners: map[string]RunnerFaults{}}
+	for _, m := range f.machinesOf(Any) {
+		worker, dead := m.current()
+		faults.Workers[m.vm.ID] = MachineFaults{WorkerFaults: worker.Faults(), Server: m.gate.Faults(), Dead: dead}
+	}
+	for _, r := range f.runnersOf(Any) {
+		faults.Runners[r.vm.ID] = r.Faults()
+	}
+	return faults
+}
+
+// FleetCounts is the answer of GET /counts of the workers' stand-in.
+type FleetCounts struct {
+	Domain   string       `json:"domain"`
+	Requests RunSummary   `json:"requests"`
+	Workers  WorkerCounts `json:"workers"`
+	// ConnectionsRefused counts connections to runners above their limit.
+	ConnectionsRefused int64 `json:"connections_refused"`
+}
+
+// Counts returns what ran so far.
+func (f *Fleet) Counts() FleetCounts {
+	counts := FleetCounts{Domain: f.cfg.Domain, Requests: f.runs.Summary(), Workers: f.journal.Counts()}
+	for _, r := range f.runnersOf(Any) {
+		counts.ConnectionsRefused += r.ConnectionsRefused()
+	}
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	counts.ConnectionsRefused += f.closedRefused
+	return counts
+}
+
+// Control returns the handler of the control address. ctx bounds the workers that it brings back.
+func (f *Fleet) Control(ctx context.Context) http.Handler {
+	mux := http.NewServeMux()
+	faultsHandler(mux, f.Faults, func(faults FleetFaults) { f.SetFaults(ctx, faults) })
+	mux.HandleFunc("GET /counts", func(w http.ResponseWriter, r *http.Request) {
+		platform.WriteMessage(w, r, f.Counts())
+	})
+	mux.HandleFunc("GET /runs", func(w http.ResponseWriter, r *http.Request) {
+		platform.WriteMessage(w, r, f.journal.Runs())
+	})
+	mux.HandleFunc("POST /lookup", func(w http.ResponseWriter, r *http.Request) {
+		var l Lookup
+		if receive(w, r, &l) {
+			platform.WriteMessage(w, r, f.runs.Lookup(l))
+		}
+	})
+	return mux
+}
+
+// Serve serves the control address and registers the VMs until ctx ends, then stops every VM.
+func (f *Fleet) Serve(ctx context.Context) error {
+	listener, err := net.Listen("tcp", f.cfg.ControlAddr)
+	if err != nil {
+		return err
+	}
+	group, ctx := errgroup.WithContext(ctx)
+	group.Go(func() error { f.Register(ctx); return nil })
+	group.Go(func() error { return serve(ctx, listener, f.Control(ctx)) })
+	err = group.Wait()
+	f.Kill()
+	return err
+}
+
+func sortVMs(vms []platform.VM) {
+	slices.SortFunc(vms, func(a, b platform.VM) int {
+		switch {
+		case a.ID < b.ID:
+			return -1
+		case a.ID > b.ID:
+			return 1
+		}
+		return 0
+	})
+}
--- a/internal/standin/objects.go
+++ b/internal/standin/objects.go
@@ -1,7 +1,9 @@
 package standin
 
 import (
+	"bytes"
 	"context"
+	"errors"
 	"slices"
 	"sync"
 	"time"
@@ -17,6 +19,9 @@
 	Delay time.Duration
 }
 
+// errOtherData reports a second write of a key with other data.
+var errOtherData = errors.New("object exists with other data")
+
 // Objects is an in-memory object store.
 type Objects struct {
 	mu     sync.Mutex
@@ -52,6 +57,9 @@
 	}
 	o.mu.Lock()
 	defer o.mu.Unlock()
+	if old, found := o.data[key]; found && !bytes.Equal(old, data) {
+		return errOtherData
+	}
 	o.data[key] = slices.Clone(data)
 	return nil
 }
@@ -69,3 +77,15 @@
 	}
 	return slices.Clone(data), nil
 }
+
+// Len returns the number of objects.
+func (o *Objects) Len() int {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	return len(o.data)
+}
+
+func isUnavailable(err error) bool {
+	var target *platform.UnavailableError
+	return errors.As(err, &target)
+}
--- /dev/null
+++ b/internal/standin/platform.go
@@ -0,0 +1,300 @@
+package standin
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"io"
+	"net"
+	"net/http"
+	"strings"
+	"time"
+
+	"golang.org/x/sync/errgroup"
+	"golang.org/x/time/rate"
+
+	"github.com/currantthread/currantthread/observe"
+	"github.com/currantthread/currantthread/platform"
+)
+
+// PlatformConfig configures the stand-ins of the table service, the object store and the VM list.
+type PlatformConfig struct {
+	// Addresses, host:port. ControlAddr serves /faults, /counts and the registration of VMs.
+	TableAddr, ObjectsAddr, VMListAddr, ControlAddr string
+	// Rates of the table service in calls per second. Calls above them wait.
+	WritesPerSecond, ReadsPerSecond float64
+	// VMLag is how old the truth is that the VM list shows.
+	VMLag time.Duration
+	// VMs are always in the list.
+	VMs []platform.VM
+}
+
+// shutdownGrace bounds the wait for requests in flight when a stand-in stops.
+const shutdownGrace = time.Second
+
+// Platform holds the stand-ins of one deployment.
+type Platform struct {
+	Table   *Table
+	Objects *Objects
+	VMs     *VMList
+
+	tableGate, objectsGate, vmsGate *Gate
+	listeners                       map[string]*Listener
+}
+
+// NewPlatform returns healthy, empty stand-ins.
+func NewPlatform(cfg PlatformConfig) *Platform {
+	p := &Platform{
+		Table:     NewTable(),
+		Objects:   NewObjects(),
+		VMs:       NewVMList(cfg.VMLag, cfg.VMs),
+		listeners: map[string]*Listener{},
+	}
+	p.tableGate = NewGate(tableHandler(p.Table, newPace(cfg.WritesPerSecond), newPace(cfg.ReadsPerSecond)),
+		func(r *http.Request) bool { return r.URL.Path == platform.PathTableCommit })
+	p.objectsGate = NewGate(objectsHandler(p.Objects), func(r *http.Request) bool { return r.Method == http.MethodPut })
+	p.vmsGate = NewGate(vmsHandler(p.VMs), func(*http.Request) bool { return false })
+	return p
+}
+
+// Serve serves the stand-ins until ctx ends.
+func (p *Platform) Serve(ctx context.Context, cfg PlatformConfig) error {
+	parts := []struct {
+		name, addr string
+		handler    http.Handler
+	}{
+		{"table", cfg.TableAddr, p.tableGate},
+		{"objects", cfg.ObjectsAddr, p.objectsGate},
+		{"vms", cfg.VMListAddr, p.vmsGate},
+		{"control", cfg.ControlAddr, p.control()},
+	}
+	for _, part := range parts {
+		inner, err := net.Listen("tcp", part.addr)
+		if err != nil {
+			return err
+		}
+		p.listeners[part.name] = NewListener(inner, 0)
+	}
+	group, ctx := errgroup.WithContext(ctx)
+	for _, part := range parts {
+		group.Go(func() error { return serve(ctx, p.listeners[part.name], part.handler) })
+	}
+	return group.Wait()
+}
+
+// serve serves until ctx ends. Connections that are still open after the grace period are cut.
+func serve(ctx context.Context, listener net.Listener, handler http.Handler) error {
+	err := observe.Serve(ctx, listener, handler, shutdownGrace)
+	if errors.Is(err, context.DeadlineExceeded) {
+		return nil
+	}
+	return err
+}
+
+// newPace returns a limiter that lets a tenth of a second's calls pass at once.
+func newPace(perSecond float64) *rate.Limiter {
+	if perSecond <= 0 {
+		return rate.NewLimiter(rate.Inf, 0)
+	}
+	return rate.NewLimiter(rate.Limit(perSecond), max(1, int(perSecond/10)))
+}
+
+func tableHandler(table *Table, writes, reads *rate.Limiter) http.Handler {
+	mux := http.NewServeMux()
+	mux.HandleFunc("POST "+platform.PathTableRead, func(w http.ResponseWriter, r *http.Request) {
+		var req platform.ReadRequest
+		if !receive(w, r, &req) || !admit(w, r, reads) {
+			return
+		}
+		rows, err := table.Read(r.Context(), req.Keys...)
+		answer(w, r, platform.RowsResponse{Rows: rows}, err)
+	})
+	mux.HandleFunc("POST "+platform.PathTableScan, func(w http.ResponseWriter, r *http.Request) {
+		var req platform.ScanRequest
+		if !receive(w, r, &req) || !admit(w, r, reads) {
+			return
+		}
+		rows, err := table.Scan(r.Context(), req.Prefix, req.After, req.Limit)
+		answer(w, r, platform.RowsResponse{Rows: rows}, err)
+	})
+	mux.HandleFunc("POST "+platform.PathTableCommit, func(w http.ResponseWriter, r *http.Request) {
+		var txn platform.Txn
+		if !receive(w, r, &txn) || !admit(w, r, writes) {
+			return
+		}
+		version, err := table.Commit(r.Context(), txn)
+		answer(w, r, platform.CommitResponse{Version: version}, err)
+	})
+	return mux
+}
+
+func receive(w http.ResponseWriter, r *http.Request, message any) bool {
+	if err := platform.ReadMessage(w, r, message); err != nil {
+		platform.WriteError(w, r, http.StatusBadRequest,
+			platform.ErrorBody{Code: platform.CodeInvalid, Message: err.Error()})
+		return false
+	}
+	return true
+}
+
+// admit waits for its turn. It fails only if the client leaves, so that an overload makes answers slow and never wrong.
+func admit(w http.ResponseWriter, r *http.Request, pace *rate.Limiter) bool {
+	if err := pace.Wait(r.Context()); err != nil {
+		refuse(w, r, "client left: %v", err)
+		return false
+	}
+	return true
+}
+
+// answer sends a message, or the error that the clients of package platform type back.
+func answer(w http.ResponseWriter, r *http.Request, message any, err error) {
+	var conflict *platform.ConflictError
+	var unavailable *platform.UnavailableError
+	switch {
+	case err == nil:
+		platform.WriteMessage(w, r, message)
+	case errors.As(err, &conflict):
+		platform.WriteError(w, r, http.StatusConflict, platform.ErrorBody{
+			Code: platform.CodeConflict, Message: err.Error(), Conflicts: conflict.Keys,
+		})
+	case errors.As(err, &unavailable):
+		refuse(w, r, "%v", err)
+	default:
+		platform.WriteError(w, r, http.StatusInternalServerError,
+			platform.ErrorBody{Code: platform.CodeUnknown, Message: err.Error()})
+	}
+}
+
+func objectsHandler(objects *Objects) http.Handler {
+	mux := http.NewServeMux()
+	mux.HandleFunc("PUT "+platform.PathObjects, func(w http.ResponseWriter, r *http.Request) {
+		data, err := io.ReadAll(http.MaxBytesReader(w, r.Body, platform.MaxMessageBytes))
+		if err != nil {
+			platform.WriteError(w, r, http.StatusBadRequest,
+				platform.ErrorBody{Code: platform.CodeInvalid, Message: err.Error()})
+			return
+		}
+		err = objects.Put(r.Context(), strings.TrimPrefix(r.URL.Path, platform.PathObjects), data)
+		if errors.Is(err, errOtherData) {
+			platform.WriteError(w, r, http.StatusConflict,
+				platform.ErrorBody{Code: platform.CodeInvalid, Message: err.Error()})
+			return
+		}
+		answer(w, r, struct{}{}, err)
+	})
+	mux.HandleFunc("GET "+platform.PathObjects, func(w http.ResponseWriter, r *http.Request) {
+		data, err := objects.Get(r.Context(), strings.TrimPrefix(r.URL.Path, platform.PathObjects))
+		if errors.Is(err, platform.ErrNotFound) {
+			platform.WriteError(w, r, http.StatusNotFound,
+				platform.ErrorBody{Code: platform.CodeNotFound, Message: err.Error()})
+			return
+		}
+		if err != nil {
+			answer(w, r, nil, err)
+			return
+		}
+		if id := r.Header.Get(platform.HeaderRequestID); id != "" {
+			w.Header().Set(platform.HeaderRequestID, id)
+		}
+		w.Header().Set("Content-Type", "application/octet-stream")
+		_, _ = w.Write(data)
+	})
+	return mux
+}
+
+func vmsHandler(vms *VMList) http.Handler {
+	mux := http.NewServeMux()
+	mux.HandleFunc("GET "+platform.PathVMs, func(w http.ResponseWriter, r *http.Request) {
+		list, err := vms.List(r.Context())
+		answer(w, r, platform.VMsResponse{VMs: list}, err)
+	})
+	return mux
+}
+
+// PlatformFaults is the body of POST /faults of the platform's stand-in. A part that is absent stays as it is.
+type PlatformFaults struct {
+	Table   *GateFaults `json:"table,omitempty"`
+	Objects *GateFaults `json:"objects,omitempty"`
+	VMs     *GateFaults `json:"vms,omitempty"`
+	// VMLagMillis changes the lag of the VM list.
+	VMLagMillis *int64 `json:"vm_lag_ms,omitempty"`
+	// Silence names the services, of table, objects and vms, whose open connections go silent for good.
+	Silence []string `json:"silence,omitempty"`
+}
+
+// SetFaults applies fault switches.
+func (p *Platform) SetFaults(f PlatformFaults) {
+	set := func(gate *Gate, faults *GateFaults) {
+		if faults != nil {
+			gate.SetFaults(*faults)
+		}
+	}
+	set(p.tableGate, f.Table)
+	set(p.objectsGate, f.Objects)
+	set(p.vmsGate, f.VMs)
+	if f.VMLagMillis != nil {
+		p.VMs.SetLag(time.Duration(*f.VMLagMillis) * time.Millisecond)
+	}
+	for _, name := range f.Silence {
+		if listener, found := p.listeners[name]; found && name != "control" {
+			listener.Silence()
+		}
+	}
+}
+
+// Faults returns the fault switches.
+func (p *Platform) Faults() PlatformFaults {
+	table, objects, vms := p.tableGate.Faults(), p.objectsGate.Faults(), p.vmsGate.Faults()
+	lag := p.VMs.Lag().Milliseconds()
+	return PlatformFaults{Table: &table, Objects: &objects, VMs: &vms, VMLagMillis: &lag}
+}
+
+// PlatformCounts is the answer of GET /counts of the platform's stand-in.
+type PlatformCounts struct {
+	Table   TableStats `json:"table"`
+	Objects int        `json:"objects"`
+}
+
+// Registration is the body of POST /standin/vms, by which stand-ins of workers tell which VMs exist.
+type Registration struct {
+	Source string        `json:"source"`
+	VMs    []platform.VM `json:"vms"`
+}
+
+// pathRegister is the path of Registration. It is no part of the platform's protocol.
+const pathRegister = "/standin/vms"
+
+func (p *Platform) control() http.Handler {
+	mux := http.NewServeMux()
+	faultsHandler(mux, p.Faults, p.SetFaults)
+	mux.HandleFunc("GET /counts", func(w http.ResponseWriter, r *http.Request) {
+		platform.WriteMessage(w, r, PlatformCounts{Table: p.Table.Stats(), Objects: p.Objects.Len()})
+	})
+	mux.HandleFunc("POST "+pathRegister, func(w http.ResponseWriter, r *http.Request) {
+		var req Registration
+		if receive(w, r, &req) {
+			p.VMs.Register(req.Source, req.VMs)
+			platform.WriteMessage(w, r, struct{}{})
+		}
+	})
+	return mux
+}
+
+// faultsHandler adds GET and POST /faults. An unknown switch is refused, so that a misspelt one is not silently healthy.
+func faultsHandler[F any](mux *http.ServeMux, get func() F, set func(F)) {
+	mux.HandleFunc("GET /faults", func(w http.ResponseWriter, r *http.Request) {
+		platform.WriteMessage(w, r, get())
+	})
+	mux.HandleFunc("POST /faults", func(w http.ResponseWriter, r *http.Request) {
+		decoder := json.NewDecoder(http.MaxBytesReader(w, r.Body, platform.MaxMessageBytes))
+		decoder.DisallowUnknownFields()
+		var faults F
+		if err := decoder.Decode(&faults); err != nil {
+			platform.WriteError(w, r, http.StatusBadRequest,
+				platform.ErrorBody{Code: platform.CodeInvalid, Message: err.Error()})
+			return
+		}
+		set(faults)
+		platform.WriteMessage(w, r, get())
+	})
+}
--- a/internal/standin/table.go
+++ b/internal/standin/table.go
@@ -35,7 +35,10 @@
 
 // TableStats counts calls.
 type TableStats struct {
-	Reads, Scans, Commits, Conflicts int64
+	Reads     int64 `json:"reads"`
+	Scans     int64 `json:"scans"`
+	Commits   int64 `json:"commits"`
+	Conflicts int64 `json:"conflicts"`
 }
 
 // Table is an in-memory table service.
