Measure the choice of upstream in virtual time, and speed it up

Cause: figures F2 and F3 had no program. internal/figures holds one file per figure; requestsim is a discrete-event model around the real code of route and limit. Weighed: a probe pool (Prequal) against two choices on reported load. Two choices is kept. Ruled out: a bound against round robin that shares ejection and the bound of connections with p2c; its p99 is made of service times and cannot be divided by five. The baseline of the bound is round robin without these. Failed try: one turn counter for all localities made round robin skip runners; each locality has its own now.

--- /dev/null
+++ b/internal/figures/f2.go
@@ -0,0 +1,183 @@
+package main
+
+import (
+	"fmt"
+	"io"
+	"math"
+	"text/tabwriter"
+	"time"
+
+	"github.com/HdrHistogram/hdrhistogram-go"
+
+	"github.com/currantthread/currantthread/internal/figures/requestsim"
+	"github.com/currantthread/currantthread/limit"
+	"github.com/currantthread/currantthread/route"
+)
+
+func init() {
+	register(figure{ID: "F2", Name: "tail latency with one bad runner of 70, 9 entry VMs, 70% load (virtual time)", Run: runF2})
+}
+
+const (
+	f2Load      = 0.7
+	f2Slowdown  = 20
+	f2Service   = 20 * time.Millisecond
+	f2WarmUp    = 5 * time.Second
+	f2Measure   = 10 * time.Second
+	f2Seed      = 7
+	f2SlowLimit = 1.3 // of the p99 with none slow
+	f2RoundPart = 0.2 // of round robin's p99
+)
+
+// f2Fault is what happens to one runner at the end of the warm-up.
+type f2Fault struct {
+	name  string
+	apply func(w *requestsim.World, r *requestsim.Runner)
+}
+
+func f2Mode(mode requestsim.Mode) func(*requestsim.World, *requestsim.Runner) {
+	return func(w *requestsim.World, r *requestsim.Runner) { w.SetMode(r, mode) }
+}
+
+var f2Faults = []f2Fault{
+	{"none slow", func(*requestsim.World, *requestsim.Runner) {}},
+	{"one 20x slower", func(_ *requestsim.World, r *requestsim.Runner) { r.Slowdown = f2Slowdown }},
+	{"one dead", f2Mode(requestsim.ModeDead)},
+	{"one fast-failing", f2Mode(requestsim.ModeFailing)},
+	{"one silent", f2Mode(requestsim.ModeSilent)},
+}
+
+type f2Policy struct {
+	name string
+	// plain turns ejection, spill-over and the bound of connections off.
+	plain bool
+	make  func(w *requestsim.World, entry int) route.Policy
+}
+
+var (
+	f2TwoChoices = f2Policy{name: "p2c", make: func(*requestsim.World, int) route.Policy { return route.NewTwoChoices() }}
+	// f2RoundRobin is an ordinary balancer: endpoints in turn, without ejection, spill-over or regard to connections in
+	// use. The bound against round robin uses this one, because the guards are part of what is measured.
+	f2RoundRobin = f2Policy{name: "round-robin, plain", plain: true, make: newRoundRobin}
+	f2Baselines  = []f2Policy{
+		f2RoundRobin,
+		{name: "random, plain", plain: true, make: newRandom},
+		{name: "least-in-flight, plain", plain: true, make: newLeastInFlight},
+		{name: "round-robin, guarded", make: newRoundRobin},
+		{name: "random, guarded", make: newRandom},
+		{name: "least-in-flight, guarded", make: newLeastInFlight},
+	}
+)
+
+func newRoundRobin(*requestsim.World, int) route.Policy    { return route.NewRoundRobin() }
+func newRandom(*requestsim.World, int) route.Policy        { return route.NewRandom() }
+func newLeastInFlight(*requestsim.World, int) route.Policy { return route.NewLeastInFlight() }
+
+// f2Config is the service kioscos of the deployment manizales. Service times vary little (standard deviation of half the
+// mean), because a long tail of its own would hide that of the slow runner.
+func f2Config() requestsim.Config {
+	return requestsim.Config{Seed: f2Seed,
+		Places: []requestsim.Place{
+			{Region: "caldas-centro", Domain: "chipre", Entries: 3, Runners: 24},
+			{Region: "caldas-centro", Domain: "la-enea", Entries: 3, Runners: 23},
+			{Region: "valle-norte", Domain: "cartago", Entries: 3, Runners: 23},
+		},
+		Slots: 8, Connections: 64, Service: f2Service, ServiceVariation: 0.5,
+		LocalDelay: 50 * time.Microsecond, DomainDelay: time.Millisecond, RegionDelay: 20 * time.Millisecond,
+		Route:       route.Config{EntryVMs: 9},
+		Concurrency: 256, Queue: 512, Timeout: 2 * time.Second, ConnectTimeout: 500 * time.Millisecond,
+		MaxRetries: 2, RetryPercent: 10, RetryFloor: 3,
+		ListLag: 2 * time.Second, ListInterval: time.Second}
+}
+
+type f2Result struct {
+	stats  *requestsim.Stats
+	atBad  int64 // attempts at the bad runner after the fault
+	probes int64
+}
+
+func f2Run(cfg requestsim.Config, policy f2Policy, fault f2Fault) f2Result {
+	var pools []*requestsim.ProbePool
+	cfg.Policy = func(w *requestsim.World, entry int) route.Policy {
+		p := policy.make(w, entry)
+		if pool, ok := p.(*requestsim.ProbePool); ok {
+			pools = append(pools, pool)
+		}
+		return p
+	}
+	if policy.plain {
+		cfg.Route.EntryVMs = 0
+		cfg.Route.EjectAfter = math.MaxInt32
+		cfg.Route.SpillDomain, cfg.Route.SpillRegion = time.Hour, time.Hour
+	}
+	w := requestsim.New(cfg)
+	w.MeasureFrom = f2WarmUp
+	rate := f2Load * float64(len(w.Runners)*cfg.Slots) / f2Service.Seconds() / float64(len(w.Entries))
+	for entry := range w.Entries {
+		w.Poisson(entry, limit.LatencyCritical, rate, f2WarmUp+f2Measure)
+	}
+	w.Run(f2WarmUp)
+	bad := w.Runners[0]
+	before := bad.Assigned
+	fault.apply(w, bad)
+	w.Run(f2WarmUp + f2Measure + cfg.Timeout)
+	result := f2Result{stats: w.Stats[limit.LatencyCritical], atBad: bad.Assigned - before}
+	for _, pool := range pools {
+		result.probes += pool.Probes
+	}
+	return result
+}
+
+func runF2(out io.Writer) ([]bound, error) {
+	cfg := f2Config()
+	policies := append([]f2Policy{f2TwoChoices}, f2Baselines...)
+	results := f2RunAll(cfg, policies, f2Faults)
+	f2Print(out, policies, f2Faults, results)
+	p99 := func(policy, fault int) float64 { return quantile(results[policy][fault].stats.Latency, 99) }
+	const p2c, roundRobin, none, slow = 0, 1, 0, 1
+	bounds := []bound{
+		{What: "p99 one slow / p99 none slow", Measured: p99(p2c, slow) / p99(p2c, none), Limit: f2SlowLimit,
+			Baseline: fmt.Sprintf("round robin %.3g", p99(roundRobin, slow)/p99(roundRobin, none))},
+		{What: "p99 one slow / round robin's", Measured: p99(p2c, slow) / p99(roundRobin, slow), Limit: f2RoundPart,
+			Baseline: "1"},
+	}
+	return bounds, nil
+}
+
+// f2RunAll runs every policy against every fault, each policy in a goroutine of its own.
+func f2RunAll(cfg requestsim.Config, policies []f2Policy, faults []f2Fault) [][]f2Result {
+	results := make([][]f2Result, len(policies))
+	done := make(chan struct{})
+	for i, policy := range policies {
+		go func() {
+			for _, fault := range faults {
+				results[i] = append(results[i], f2Run(cfg, policy, fault))
+			}
+			done <- struct{}{}
+		}()
+	}
+	for range policies {
+		<-done
+	}
+	return results
+}
+
+func f2Print(out io.Writer, policies []f2Policy, faults []f2Fault, results [][]f2Result) {
+	table := tabwriter.NewWriter(out, 0, 0, 2, ' ', tabwriter.AlignRight)
+	_, _ = fmt.Fprintln(table, "policy\tcase\trequests\tp50 ms\tp99 ms\tp99.9 ms\tfailed\tshed\tretries\tat bad runner\tprobes\t")
+	for i, policy := range policies {
+		for j, fault := range faults {
+			r := results[i][j]
+			h := r.stats.Latency
+			_, _ = fmt.Fprintf(table, "%s\t%s\t%d\t%.1f\t%.1f\t%.1f\t%d\t%d\t%d\t%d\t%d\t\n", policy.name, fault.name, r.stats.Sent,
+				quantile(h, 50), quantile(h, 99), quantile(h, 99.9), r.stats.Failed, r.stats.Shed+r.stats.NoRoute,
+				r.stats.Retries, r.atBad, r.probes)
+		}
+	}
+	_ = table.Flush()
+}
+
+// quantile returns a quantile in milliseconds.
+func quantile(h *hdrhistogram.Histogram, q float64) float64 {
+	return float64(h.ValueAtQuantile(q)) / 1000
+}
--- /dev/null
+++ b/internal/figures/f2_probes.go
@@ -0,0 +1,52 @@
+package main
+
+import (
+	"fmt"
+	"io"
+
+	"github.com/currantthread/currantthread/internal/figures/requestsim"
+	"github.com/currantthread/currantthread/route"
+)
+
+func init() {
+	register(figure{ID: "F2-probes", Name: "two choices on reported load against a probe pool", OnRequest: true, Run: runF2Probes})
+}
+
+func f2ProbePool(perRequest float64) func(w *requestsim.World, entry int) route.Policy {
+	return func(w *requestsim.World, entry int) route.Policy {
+		return requestsim.NewProbePool(w, entry, perRequest)
+	}
+}
+
+// runF2Probes prints a comparison and has no bound of its own.
+func runF2Probes(out io.Writer) ([]bound, error) {
+	policies := []f2Policy{
+		f2TwoChoices,
+		{name: "probe pool, 3 per request", make: f2ProbePool(3)},
+		{name: "probe pool, 1 per request", make: f2ProbePool(1)},
+		{name: "least-in-flight", make: newLeastInFlight},
+	}
+	withoutReports := f2Config()
+	withoutReports.NoReports = true
+	flat := f2Config()
+	flat.Places = []requestsim.Place{{Region: "caldas-centro", Domain: "chipre", Entries: 9, Runners: 70}}
+	varied := f2Config()
+	varied.ServiceVariation = 1
+	busy := f2Config()
+	busy.Service = busy.Service * 9 / 7 // the same requests then are 90% load
+	worlds := []struct {
+		name string
+		cfg  requestsim.Config
+	}{
+		{"three failure domains", f2Config()},
+		{"one failure domain", flat},
+		{"service times that vary by their mean", varied},
+		{"runners that report no load", withoutReports},
+		{"90% load", busy},
+	}
+	for _, world := range worlds {
+		_, _ = fmt.Fprintf(out, "%s:\n", world.name)
+		f2Print(out, policies, f2Faults[:2], f2RunAll(world.cfg, policies, f2Faults[:2]))
+	}
+	return nil, nil
+}
--- a/limit/budget.go
+++ b/limit/budget.go
@@ -44,11 +44,14 @@
 }
 
 // Withdraw reports whether one retry may be sent.
-func (b *RetryBudget) Withdraw() bool {
+func (b *RetryBudget) Withdraw() bool { return b.WithdrawAt(time.Now()) }
+
+// WithdrawAt is Withdraw at a given instant, for simulations.
+func (b *RetryBudget) WithdrawAt(now time.Time) bool {
 	if b.withdrawSaved() {
 		return true
 	}
-	return b.floor.Allow()
+	return b.floor.AllowN(now, 1)
 }
 
 func (b *RetryBudget) withdrawSaved() bool {
@@ -79,8 +82,10 @@
 
 // Take reports whether n bytes may be sent, and counts them if so. More bytes than the bucket holds may be sent when it
 // is full; what they exceed it by becomes a debt, so the rate holds in the long run.
-func (b *ByteBudget) Take(n int64) bool {
-	now := time.Now()
+func (b *ByteBudget) Take(n int64) bool { return b.TakeAt(time.Now(), n) }
+
+// TakeAt is Take at a given instant, for simulations.
+func (b *ByteBudget) TakeAt(now time.Time, n int64) bool {
 	burst := int64(b.limiter.Burst())
 	if burst == 0 || !b.limiter.AllowN(now, int(min(n, burst))) {
 		return false
@@ -89,6 +94,9 @@
 	return true
 }
 
+// Available returns the bytes that may be sent now; a debt is negative.
+func (b *ByteBudget) Available(now time.Time) int64 { return int64(b.limiter.TokensAt(now)) }
+
 // Charge counts n bytes that were sent whether the budget allows them or not, such as the body of an answer whose
 // length nobody knew before.
 func (b *ByteBudget) Charge(n int64) { b.charge(time.Now(), n) }
--- /dev/null
+++ b/route/bench_test.go
@@ -0,0 +1,27 @@
+package route_test
+
+import (
+	"testing"
+	"time"
+
+	"github.com/currantthread/currantthread/route"
+)
+
+// BenchmarkPickParallel shows contention between requests that choose at once; figure F3 measures one at a time.
+func BenchmarkPickParallel(b *testing.B) {
+	set := route.NewSet(local, route.Config{EntryVMs: 9})
+	set.Update(upstreams("caldas-centro", "chipre", 70))
+	for _, e := range set.Endpoints() {
+		e.Begin()
+		e.Begin()
+		e.End(route.Result{Latency: 20 * time.Millisecond, Load: route.Load{InFlight: 5, Slots: 8, Valid: true}})
+	}
+	b.ReportAllocs()
+	b.RunParallel(func(pb *testing.PB) {
+		for pb.Next() {
+			if _, err := set.Pick(nil, true); err != nil {
+				b.Fatal(err)
+			}
+		}
+	})
+}
--- a/route/config.go
+++ b/route/config.go
@@ -27,7 +27,10 @@
 	SpillDomain time.Duration
 	// SpillRegion is the extra delay of a request to another region, there and back.
 	SpillRegion time.Duration
-	// Seed fixes the sequence of random choices; 0 means a random seed.
+	// EntryVMs is the number of live entry VMs, which share the connections of an endpoint; 0 means that the number of
+	// requests in flight at an endpoint is not bounded.
+	EntryVMs int
+	// Seed fixes the sequence of random choices; 0 means the runtime's generator.
 	Seed uint64
 }
 
--- a/route/health.go
+++ b/route/health.go
@@ -23,6 +23,15 @@
 // firstShare is the share of its usual requests with which an endpoint starts its return.
 const firstShare = 0.1
 
+// full reports whether this entry VM uses its whole share of the endpoint's connections.
+func (e *Endpoint) full() bool {
+	entries := e.set.config.Load().EntryVMs
+	if entries == 0 || e.Connections == 0 {
+		return false
+	}
+	return e.inFlight.Load() >= int64(max(e.Connections/entries, 1))
+}
+
 // usable reports whether the endpoint may be chosen at the time at, and whether it should be, as a trial.
 func (h *health) usable(e *Endpoint, at int64, rng *rand.Rand) (ok, trial bool) {
 	if until := h.ejectedUntil.Load(); until != 0 {
--- a/route/policy.go
+++ b/route/policy.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"math/rand/v2"
+	"sync/atomic"
 )
 
 // Policy chooses an endpoint among candidates of one locality. It returns nil if none is usable. Implementations are
@@ -16,6 +17,7 @@
 	endpoints []*Endpoint
 	exclude   []*Endpoint
 	at        int64
+	turn      *atomic.Uint64 // of the locality, for policies that take endpoints in turn
 }
 
 // Len returns the number of endpoints, usable or not.
@@ -36,7 +38,7 @@
 // Usable reports whether e may be chosen, and whether it is on trial after an ejection. A policy that draws an endpoint
 // on trial chooses it, because nothing else shows that the endpoint works again.
 func (c Candidates) Usable(e *Endpoint, rng *rand.Rand) (ok, trial bool) {
-	if contains(c.exclude, e) {
+	if contains(c.exclude, e) || e.full() {
 		return false, false
 	}
 	return e.health.usable(e, c.at, rng)
--- a/route/set.go
+++ b/route/set.go
@@ -28,6 +28,7 @@
 type tierStats struct {
 	latency average // of successful requests, nanoseconds
 	load    average // of reports
+	turn    atomic.Uint64
 }
 
 // noteLatency bounds the sample, so that a single slow endpoint hardly moves what counts as usual.
@@ -143,12 +144,15 @@
 // is set, other regions. Endpoints in exclude are not returned. The only error is ErrNoEndpoint. The caller calls Begin
 // on the endpoint if it sends the request.
 func (s *Set) Pick(exclude []*Endpoint, crossRegion bool) (*Endpoint, error) {
-	return s.PickAt(time.Now(), exclude, crossRegion)
+	return s.pick(max(int64(time.Since(s.base)), 0)+1, exclude, crossRegion)
 }
 
 // PickAt is Pick at a given instant, for simulations.
 func (s *Set) PickAt(now time.Time, exclude []*Endpoint, crossRegion bool) (*Endpoint, error) {
-	at := s.since(now)
+	return s.pick(s.since(now), exclude, crossRegion)
+}
+
+func (s *Set) pick(at int64, exclude []*Endpoint, crossRegion bool) (*Endpoint, error) {
 	config := s.config.Load()
 	current := s.snapshot.Load()
 	var best *Endpoint
@@ -157,17 +161,17 @@
 		if len(endpoints) == 0 || (tier == tierOther && !crossRegion) {
 			continue
 		}
-		e := config.Policy.Choose(Candidates{endpoints: endpoints, exclude: exclude, at: at}, s.rng)
+		distance := config.distance(tier)
+		if best != nil && bestDelay <= distance {
+			break
+		}
+		e := config.Policy.Choose(Candidates{endpoints, exclude, at, &s.tiers[tier].turn}, s.rng)
 		if e == nil {
 			continue
 		}
-		wait := e.wait(at)
-		if delay := wait + config.distance(tier); best == nil || delay < bestDelay {
+		if delay := e.wait(at) + distance; best == nil || delay < bestDelay {
 			best, bestDelay = e, delay
 		}
-		if wait == 0 {
-			break
-		}
 	}
 	if best == nil {
 		best = current.lastResort(exclude, crossRegion)
@@ -189,14 +193,14 @@
 	}
 }
 
-// lastResort returns the nearest endpoint that is neither leaving nor excluded, even if it is ejected.
+// lastResort returns the nearest endpoint that is not leaving, excluded or full, even if it is ejected.
 func (c *snapshot) lastResort(exclude []*Endpoint, crossRegion bool) *Endpoint {
 	for tier, endpoints := range c.tiers {
 		if tier == tierOther && !crossRegion {
 			continue
 		}
 		for _, e := range endpoints {
-			if !contains(exclude, e) {
+			if !contains(exclude, e) && !e.full() {
 				return e
 			}
 		}
--- a/route/shared_rand.go
+++ b/route/shared_rand.go
@@ -20,12 +20,19 @@
 	return z ^ (z >> 31)
 }
 
-// newSharedRand returns a generator that is safe for concurrent use: rand.Rand keeps no state besides its source.
+// runtimeSource draws from the runtime's generator of the running thread, which many requests share without contention.
+type runtimeSource struct{}
+
+// Uint64 implements rand.Source.
+func (runtimeSource) Uint64() uint64 { return rand.Uint64() }
+
+// newSharedRand returns a generator that is safe for concurrent use: rand.Rand keeps no state besides its source. A seed
+// of 0 means the runtime's generator.
 func newSharedRand(seed uint64) *rand.Rand {
-	source := &sharedSource{}
 	if seed == 0 {
-		seed = rand.Uint64()
+		return rand.New(runtimeSource{})
 	}
+	source := &sharedSource{}
 	source.state.Store(seed)
 	return rand.New(source)
 }
