Add the sched daemon

Cause: the cells need a process: poll endpoint, inner messages, metrics, health and a shutdown that hands cells over. Weighed: reading the number of cells from the defaults until the settings are known; a worker's cell would change later, so the daemon owns nothing before the settings in force and the VM list are known. Before: none.

--- a/cell/cell.go
+++ b/cell/cell.go
@@ -84,9 +84,11 @@
 	poke    chan struct{}
 	offered chan struct{}
 
-	mu     sync.Mutex // guards status and holder
+	mu     sync.Mutex // guards the fields below
 	status Status
 	holder holderStatus
+	// startsUntil is until when a start of an earlier ownership may still happen.
+	startsUntil time.Time
 }
 
 type holderStatus interface{ StartsInFlight() bool }
@@ -110,7 +112,7 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	status := c.status
-	status.StartsInFlight = c.holder != nil && c.holder.StartsInFlight()
+	status.StartsInFlight = c.holder != nil && c.holder.StartsInFlight() || time.Now().Before(c.startsUntil)
 	return status
 }
 
@@ -126,6 +128,17 @@
 	c.holder = h
 }
 
+// ended notes that this candidate does not own the cell any more.
+func (c *Cell) ended() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.holder != nil && c.holder.StartsInFlight() {
+		c.startsUntil = c.cfg.Gate.Ceiling()
+	}
+	c.holder = nil
+	c.status = Status{}
+}
+
 func notify(ch chan struct{}) {
 	select {
 	case ch <- struct{}{}:
@@ -149,9 +162,8 @@
 		}
 		o := newOwner(c, taken)
 		err := o.run(ctx)
-		c.setHolder(nil)
-		c.setStatus(Status{})
 		o.close()
+		c.ended()
 		if ctx.Err() == nil {
 			c.cfg.Logger.WithError(err).WithField("cell", c.cfg.Cell).Warn("ownership ended")
 			continue
--- /dev/null
+++ b/cell/daemon/daemon.go
@@ -0,0 +1,199 @@
+// Package daemon assembles the sched daemon: cells, the workers' poll endpoint, inner messages, metrics and health.
+package daemon
+
+import (
+	"context"
+	"io"
+	"math/rand/v2"
+	"net"
+	"net/http"
+	"time"
+
+	"github.com/juju/errors"
+	"github.com/prometheus/client_golang/prometheus"
+	"github.com/sirupsen/logrus"
+	"golang.org/x/sync/errgroup"
+
+	"github.com/currantthread/currantthread/cell"
+	"github.com/currantthread/currantthread/control"
+	"github.com/currantthread/currantthread/innerproto"
+	"github.com/currantthread/currantthread/innerproto/innerprotoconnect"
+	"github.com/currantthread/currantthread/membership"
+	"github.com/currantthread/currantthread/observe"
+	"github.com/currantthread/currantthread/platform"
+	"github.com/currantthread/currantthread/settings"
+)
+
+const (
+	// name is the daemon's name in logs and status.
+	name = "sched"
+	// shutdownGrace bounds the wait for polls and inner messages in flight. Polls are held for up to a second.
+	shutdownGrace = 3 * time.Second
+	// announceTimeout is the deadline of telling a successor of a handover.
+	announceTimeout = 500 * time.Millisecond
+	// startRetryMin and startRetryMax bound the wait between attempts to learn the settings and the VM list at start.
+	startRetryMin = 100 * time.Millisecond
+	startRetryMax = 2 * time.Second
+)
+
+// daemon is one sched daemon.
+type daemon struct {
+	boot     *settings.Bootstrap
+	log      *logrus.Entry
+	registry *prometheus.Registry
+	health   observe.Health
+	dialer   *control.Dialer
+	watcher  *membership.Watcher
+	follower *control.Follower
+	table    platform.Table
+}
+
+// Run runs a sched daemon until ctx ends, then hands its cells over and shuts down. Logs go to out.
+func Run(ctx context.Context, boot *settings.Bootstrap, out io.Writer) error {
+	if boot.PollAddr == "" {
+		return settings.Problems{{Key: "poll_addr", Message: "is missing; a sched daemon needs it"}}
+	}
+	d := newDaemon(boot, out)
+	listeners, err := listen(boot.PollAddr, boot.InnerAddr, boot.AdminAddr)
+	if err != nil {
+		return err
+	}
+	return d.run(ctx, listeners[0], listeners[1], listeners[2])
+}
+
+func newDaemon(boot *settings.Bootstrap, out io.Writer) *daemon {
+	timeout := boot.Platform.Timeout.D()
+	d := &daemon{
+		boot: boot, log: observe.NewLogger(out, name, boot.VM), registry: observe.NewRegistry(),
+		dialer: control.NewDialer(),
+		table:  platform.NewTableClient(boot.Platform.TableURL, boot.Domain, timeout),
+	}
+	objects := platform.NewObjectsClient(boot.Platform.ObjectsURL, boot.Domain, timeout)
+	list := platform.NewVMListClient(boot.Platform.VMListURL, boot.Domain, timeout)
+	d.watcher = membership.NewWatcher(list, func() time.Duration {
+		return d.follower.Effective().Entry.VMListInterval.D()
+	})
+	d.follower = control.NewFollower(control.FollowerConfig{
+		VM: boot.VM, Region: boot.Region, Domain: boot.Domain,
+		Store:   control.NewStore(d.table, objects, "sched/"+boot.VM),
+		Entries: func() []platform.VM { return d.watcher.Entries(boot.Domain) },
+		Dial:    d.dialer.Peer, Log: d.log,
+	})
+	return d
+}
+
+func listen(addrs ...string) ([]net.Listener, error) {
+	var listeners []net.Listener
+	for _, addr := range addrs {
+		listener, err := net.Listen("tcp", addr)
+		if err != nil {
+			for _, l := range listeners {
+				_ = l.Close()
+			}
+			return nil, errors.Trace(err)
+		}
+		listeners = append(listeners, listener)
+	}
+	return listeners, nil
+}
+
+func (d *daemon) run(ctx context.Context, poll, inner, admin net.Listener) error {
+	// Servers outlive ctx, because the cells are handed over while workers still poll.
+	serving, stopServing := context.WithCancel(context.WithoutCancel(ctx))
+	defer stopServing()
+	group, serving := errgroup.WithContext(serving)
+	working, stopWorking := context.WithCancel(ctx)
+	defer stopWorking()
+	context.AfterFunc(serving, stopWorking)
+
+	group.Go(func() error {
+		return observe.Serve(serving, admin, observe.NewAdmin(d.registry, &d.health), shutdownGrace)
+	})
+	group.Go(func() error { d.watcher.Run(serving); return nil })
+	group.Go(func() error {
+		defer stopServing()
+		return d.work(working, serving, group, poll, inner)
+	})
+	d.log.WithField("poll", d.boot.PollAddr).WithField("inner", d.boot.InnerAddr).
+		WithField("admin", d.boot.AdminAddr).Info("started")
+	err := group.Wait()
+	d.log.Info("stopped")
+	return err
+}
+
+// work owns cells until ctx ends.
+func (d *daemon) work(ctx, serving context.Context, group *errgroup.Group, poll, inner net.Listener) error {
+	defer func() { _ = poll.Close() }()
+	defer func() { _ = inner.Close() }()
+	if !d.learn(ctx) {
+		return nil
+	}
+	node := d.newNode()
+	group.Go(func() error { d.follower.Run(serving); return nil })
+	group.Go(func() error {
+		return observe.Serve(serving, poll, platform.NewPollHandler(node), shutdownGrace)
+	})
+	group.Go(func() error { return observe.Serve(serving, inner, d.innerHandler(node), shutdownGrace) })
+	d.health.SetReady(true)
+	node.Run(ctx)
+	d.health.SetReady(false)
+	return nil
+}
+
+// learn waits for the settings in force and the VM list: the number of cells must be right before a cell is owned, and
+// a restarted VM must not fall back to an earlier version.
+func (d *daemon) learn(ctx context.Context) bool {
+	for wait := startRetryMin; ; wait = min(2*wait, startRetryMax) {
+		err := d.follower.Start(ctx)
+		if err == nil && len(d.watcher.VMs()) > 0 {
+			return true
+		}
+		if err != nil && wait == startRetryMin {
+			d.log.WithError(err).Warn("waiting for the settings in force")
+		}
+		timer := time.NewTimer(wait/2 + rand.N(wait/2))
+		select {
+		case <-ctx.Done():
+			timer.Stop()
+			return false
+		case <-timer.C:
+		}
+	}
+}
+
+func (d *daemon) newNode() *cell.Node {
+	return cell.NewNode(cell.NodeConfig{
+		VM: d.boot.VM, Region: d.boot.Region, Domain: d.boot.Domain,
+		Addr: d.boot.InnerAddr, OwnerURL: "http://" + d.boot.PollAddr,
+		Settings: d.follower.Effective, Table: d.table,
+		Workers:    platform.NewWorkersClient(d.boot.Domain, d.boot.Platform.Timeout.D()),
+		VMs:        d.watcher.VMs,
+		NewPlanner: func() cell.Planner { return cell.NewPlanner(d.follower.Effective()) },
+		Announce:   d.announce,
+		Rand:       rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())),
+		Logger:     d.log, Metrics: cell.NewMetrics(d.registry),
+	})
+}
+
+func (d *daemon) announce(ctx context.Context, to cell.Successor, name string, epoch int64) error {
+	ctx, cancel := context.WithTimeout(ctx, announceTimeout)
+	defer cancel()
+	_, err := d.dialer.Cells(to.Addr).Handover(ctx, &innerproto.HandoverRequest{Cell: name, Epoch: epoch})
+	return err
+}
+
+func (d *daemon) innerHandler(node *cell.Node) http.Handler {
+	mux := http.NewServeMux()
+	peers := &control.PeerHandler{
+		Follower: d.follower,
+		DescribeStatus: func(context.Context) *innerproto.StatusResponse {
+			return describe(d.boot.VM, d.boot.Domain, node.Status())
+		},
+		OnDomain: func(ctx context.Context, req *innerproto.AnnounceDomainRequest) bool {
+			return node.AnnounceDomain(ctx, req.Domain, req.Out)
+		},
+	}
+	peers.Mount(mux)
+	mux.Handle(innerprotoconnect.NewCellServiceHandler(&cellService{node: node}))
+	return mux
+}
