--- a/cmd/currantthread-standin/main.go
+++ b/cmd/currantthread-standin/main.go
@@ -16,6 +16,7 @@
 	"github.com/urfave/cli/v3"
 
 	"github.com/currantthread/currantthread/internal/standin"
+	"github.com/currantthread/currantthread/internal/standin/load"
 	"github.com/currantthread/currantthread/job"
 	"github.com/currantthread/currantthread/observe"
 	"github.com/currantthread/currantthread/platform"
@@ -41,7 +42,7 @@
 		Name:     "currantthread-standin",
 		Usage:    "stand-ins for table service, object store, VM list, workers and upstreams",
 		Version:  version(),
-		Commands: []*cli.Command{platformCommand(), workersCommand()},
+		Commands: []*cli.Command{platformCommand(), workersCommand(), layoutCommand(), waitCommand(), faultsCommand(), loadCommand()},
 		OnUsageError: func(_ context.Context, _ *cli.Command, err error, _ bool) error {
 			return usageError{err}
 		},
@@ -154,3 +155,133 @@
 		},
 	}
 }
+
+func layoutCommand() *cli.Command {
+	var name, dir string
+	var network int
+	return &cli.Command{
+		Name:  "layout",
+		Usage: "write the files of a deployment on loopback addresses",
+		Flags: []cli.Flag{
+			&cli.StringFlag{Name: "deployment", Usage: "manizales or baling", Value: "manizales", Destination: &name},
+			&cli.StringFlag{Name: "dir", Required: true, Usage: "directory to write into", Destination: &dir},
+			&cli.IntFlag{Name: "network", Usage: "second number of the addresses; 0 picks a free one", Destination: &network},
+		},
+		Action: func(context.Context, *cli.Command) error {
+			if network == 0 {
+				free, err := standin.FreeNetwork()
+				if err != nil {
+					return err
+				}
+				network = free
+			}
+			deployment, err := standin.NewDeployment(name, network)
+			if err != nil {
+				return usageError{err}
+			}
+			return standin.WriteDeployment(deployment, dir)
+		},
+	}
+}
+
+func faultsCommand() *cli.Command {
+	var url, body string
+	return &cli.Command{
+		Name:  "faults",
+		Usage: "set the fault switches of a stand-in, or show them",
+		Flags: []cli.Flag{
+			&cli.StringFlag{Name: "url", Required: true, Usage: "control URL of the stand-in", Destination: &url},
+		},
+		Arguments: []cli.Argument{&cli.StringArg{Name: "json", UsageText: "[JSON]", Destination: &body}},
+		Action: func(ctx context.Context, _ *cli.Command) error {
+			var faults json.RawMessage
+			var err error
+			if body == "" {
+				err = standin.GetJSON(ctx, url+"/faults", &faults)
+			} else {
+				err = standin.PostJSON(ctx, url+"/faults", json.RawMessage(body), &faults)
+			}
+			if err != nil {
+				return err
+			}
+			fmt.Println(string(faults))
+			return nil
+		},
+	}
+}
+
+func deploymentFlag(file *string) cli.Flag {
+	return &cli.StringFlag{Name: "deployment", Required: true, Usage: "deployment.json that layout wrote", Destination: file}
+}
+
+func waitCommand() *cli.Command {
+	var file string
+	var timeout time.Duration
+	return &cli.Command{
+		Name:  "wait",
+		Usage: "wait until every daemon is ready and every runner is listed",
+		Flags: []cli.Flag{
+			deploymentFlag(&file),
+			&cli.DurationFlag{Name: "timeout", Usage: "longest wait", Value: 20 * time.Second, Destination: &timeout},
+		},
+		Action: func(ctx context.Context, _ *cli.Command) error {
+			deployment, err := standin.ReadDeployment(file)
+			if err != nil {
+				return usageError{err}
+			}
+			ctx, cancel := context.WithTimeout(ctx, timeout)
+			defer cancel()
+			return load.Await(ctx, deployment)
+		},
+	}
+}
+
+func loadCommand() *cli.Command {
+	var cfg load.Config
+	var file, output string
+	return &cli.Command{
+		Name:  "load",
+		Usage: "send requests and jobs, and check by counts that the guarantees held",
+		Flags: []cli.Flag{
+			deploymentFlag(&file),
+			&cli.IntFlag{Name: "callers", Usage: "concurrent callers", Value: 500, Destination: &cfg.Callers},
+			&cli.DurationFlag{Name: "duration", Usage: "how long callers send", Value: 30 * time.Second, Destination: &cfg.Duration},
+			&cli.DurationFlag{Name: "think", Usage: "mean pause of a caller between two requests", Value: 100 * time.Millisecond, Destination: &cfg.Think},
+			&cli.Uint64Flag{Name: "seed", Usage: "seed of the mix of requests", Value: 1, Destination: &cfg.Seed},
+			&cli.BoolFlag{Name: "large", Usage: "send 1 MiB bodies and 8 MiB answers through every entry VM", Destination: &cfg.Large},
+			&cli.BoolFlag{Name: "jobs", Usage: "submit a batch job, standing tasks and a service", Destination: &cfg.Jobs},
+			&cli.DurationFlag{Name: "job-timeout", Usage: "longest wait for the jobs after the requests", Value: 15 * time.Second, Destination: &cfg.JobTimeout},
+			&cli.DurationFlag{Name: "kill-runner-after", Usage: "when to kill one runner; 0 means never", Destination: &cfg.KillRunnerAfter},
+			&cli.StringFlag{Name: "json", Usage: "`FILE` to write the summary to", Destination: &output},
+		},
+		Action: func(ctx context.Context, _ *cli.Command) error {
+			deployment, err := standin.ReadDeployment(file)
+			if err != nil {
+				return usageError{err}
+			}
+			cfg.Deployment = deployment
+			return runLoad(ctx, cfg, output)
+		},
+	}
+}
+
+func runLoad(ctx context.Context, cfg load.Config, output string) error {
+	summary, err := load.Run(ctx, cfg)
+	if err != nil {
+		return err
+	}
+	summary.Print(os.Stdout)
+	if output != "" {
+		data, err := summary.JSON()
+		if err != nil {
+			return err
+		}
+		if err := os.WriteFile(output, data, 0o644); err != nil {
+			return err
+		}
+	}
+	if n := len(summary.Violations()); n > 0 {
+		return fmt.Errorf("%d violations of guarantees", n)
+	}
+	return nil
+}
--- a/internal/standin/fleet.go
+++ b/internal/standin/fleet.go
@@ -1,12 +1,9 @@
 package standin
 
 import (
-	"bytes"
 	"context"
-	"encoding/json"
 	stderrors "errors"
 	"fmt"
-	"io"
 	"net"
 	"net/http"
 	"strconv"
@@ -313,7 +310,7 @@
 	defer ticker.Stop()
 	failed := false
 	for {
-		err := postJSON(ctx, f.cfg.RegisterURL+pathRegister, Registration{Source: f.cfg.Domain, VMs: f.VMs()}, nil)
+		err := PostJSON(ctx, f.cfg.RegisterURL+pathRegister, Registration{Source: f.cfg.Domain, VMs: f.VMs()}, nil)
 		if (err != nil) != failed && ctx.Err() == nil {
 			failed = err != nil
 			f.log.WithField("failed", failed).WithError(err).Info("registration of VMs")
@@ -326,39 +323,6 @@
 	}
 }
 
-// postJSON sends a control message of the stand-ins. A nil reply ignores the answer's body.
-func postJSON(ctx context.Context, url string, message, reply any) error {
-	data, err := json.Marshal(message)
-	if err != nil {
-		return errors.Trace(err)
-	}
-	req, err := http.NewRequestWithContext(ctx, http.MethodPost, url, bytes.NewReader(data))
-	if err != nil {
-		return errors.Trace(err)
-	}
-	req.Header.Set("Content-Type", "application/json")
-	return sendControl(req, reply)
-}
-
-func sendControl(req *http.Request, reply any) error {
-	res, err := http.DefaultClient.Do(req)
-	if err != nil {
-		return errors.Trace(err)
-	}
-	defer func() { _ = res.Body.Close() }()
-	data, err := io.ReadAll(res.Body)
-	if err != nil {
-		return errors.Trace(err)
-	}
-	if res.StatusCode/100 != 2 {
-		return errors.Errorf("%s %s: status %d: %s", req.Method, req.URL, res.StatusCode, data)
-	}
-	if reply == nil {
-		return nil
-	}
-	return errors.Annotatef(json.Unmarshal(data, reply), "%s %s", req.Method, req.URL)
-}
-
 // Kill stops every VM at once.
 func (f *Fleet) Kill() {
 	f.mu.Lock()
--- /dev/null
+++ b/internal/standin/fleet_test.go
@@ -0,0 +1,91 @@
+package standin
+
+import (
+	"context"
+	"errors"
+	"io"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"testing"
+
+	"gotest.tools/v3/assert"
+
+	"github.com/currantthread/currantthread/job"
+	"github.com/currantthread/currantthread/observe"
+	"github.com/currantthread/currantthread/platform"
+)
+
+func serviceSpec() job.TaskSpec {
+	return job.TaskSpec{Class: job.ClassService, Service: "kioscos", Resources: job.Resources{CPUMilli: 1000}}
+}
+
+func newTestFleet(ctx context.Context, t *testing.T) *Fleet {
+	t.Helper()
+	f, err := NewFleet(ctx, FleetConfig{
+		Region: "caldas-centro", Domain: "chipre", Net: "127.0.0", Workers: 2, RackSize: 1, Runners: 1,
+		Service: "kioscos", Slots: 2, Connections: 8, Capacity: job.Resources{CPUMilli: 4000, MemoryMiB: 4096},
+		Timeout: longTimeout,
+	}, observe.NewLogger(io.Discard, "test", "chipre"))
+	assert.NilError(t, err)
+	t.Cleanup(f.Kill)
+	return f
+}
+
+// Guards against a worker protocol that differs between the stand-in and the clients: attach, stale epoch, poll and
+// restart with a new incarnation, over HTTP.
+func TestWorkerOverHTTP(t *testing.T) {
+	ctx, cancel := context.WithCancel(t.Context())
+	defer cancel()
+	f := newTestFleet(ctx, t)
+	polls := make(chan platform.PollRequest)
+	owner := httptest.NewServer(platform.NewPollHandler(pollFunc(func(ctx context.Context, req platform.PollRequest) (platform.PollResponse, error) {
+		select {
+		case polls <- req:
+		case <-ctx.Done():
+		}
+		return platform.PollResponse{LeaseMillis: 10_000, AckSeq: 0}, nil
+	})))
+	defer owner.Close()
+	defer cancel()
+	workers := platform.NewWorkersClient("chipre", longTimeout)
+	attach := func(epoch int64) (platform.AttachResponse, error) {
+		return workers.Attach(ctx, f.machines[0].vm.Addr, platform.AttachRequest{
+			Cell: "chipre-0", Epoch: epoch, OwnerURL: owner.URL,
+		})
+	}
+	first, err := attach(2)
+	assert.NilError(t, err)
+	assert.Equal(t, first.Worker, "chipre-w01")
+	assert.Equal(t, first.Capacity, job.Resources{CPUMilli: 4000, MemoryMiB: 4096})
+	req := <-polls
+	assert.Equal(t, req.Incarnation, first.Incarnation)
+	assert.Equal(t, req.Epoch, int64(2))
+	_, err = attach(1)
+	var stale *platform.StaleEpochError
+	assert.Assert(t, errors.As(err, &stale), "%v", err)
+	assert.Equal(t, stale.Want, int64(2))
+
+	control := httptest.NewServer(f.Control(ctx))
+	defer control.Close()
+	for _, dead := range []string{"true", "false"} {
+		body := `{"workers":{"chipre-w01":{"dead":` + dead + `}}}`
+		res, err := http.Post(control.URL+"/faults", "application/json", strings.NewReader(body))
+		assert.NilError(t, err)
+		assert.NilError(t, res.Body.Close())
+		assert.Equal(t, res.StatusCode, http.StatusOK)
+		if dead == "true" {
+			_, err = attach(3)
+			assert.Assert(t, isUnavailable(err), "%v", err)
+		}
+	}
+	second, err := attach(3)
+	assert.NilError(t, err)
+	assert.Assert(t, second.Incarnation != first.Incarnation)
+}
+
+type pollFunc func(context.Context, platform.PollRequest) (platform.PollResponse, error)
+
+func (f pollFunc) Poll(ctx context.Context, req platform.PollRequest) (platform.PollResponse, error) {
+	return f(ctx, req)
+}
--- /dev/null
+++ b/internal/standin/load/jobs.go
@@ -0,0 +1,175 @@
+package load
+
+import (
+	"context"
+	"fmt"
+	"net/http"
+	"net/url"
+	"time"
+
+	"github.com/juju/errors"
+
+	"github.com/currantthread/currantthread/control"
+	"github.com/currantthread/currantthread/ctl"
+	"github.com/currantthread/currantthread/internal/standin"
+	"github.com/currantthread/currantthread/job"
+)
+
+const (
+	// jobPoll is the time between two questions about a job.
+	jobPoll = 250 * time.Millisecond
+	// batchTasks and the counts below are small, so that the demo ends in time.
+	batchTasks    = 60
+	standingTasks = 3
+	replicas      = 2
+)
+
+// TaskReport counts what became of jobs and tasks.
+type TaskReport struct {
+	BatchTasks     int `json:"batch_tasks"`
+	BatchCompleted int `json:"batch_completed"`
+	// StandingRunning and ReplicasRunning were seen running at the same time.
+	StandingTasks   int   `json:"standing_tasks"`
+	StandingRunning int   `json:"standing_running"`
+	StandingStopped int   `json:"standing_stopped"`
+	Replicas        int   `json:"replicas"`
+	ReplicasRunning int   `json:"replicas_running"`
+	ReplicaRuns     int64 `json:"replica_requests"`
+	// Attempts counts starts on workers, OverCapacity the starts above a worker's capacity, and TwoPlaces the tasks
+	// that ran in two places at once or an attempt twice.
+	Attempts     int64 `json:"attempts"`
+	OverCapacity int64 `json:"over_capacity"`
+	TwoPlaces    int   `json:"two_places"`
+
+	Violations []Violation `json:"violations,omitempty"`
+}
+
+// jobSet is the work that a run submits.
+type jobSet struct {
+	client                   *ctl.Client
+	batch, standing, service job.Job
+}
+
+func (s *jobSet) submit(ctx context.Context, service string) error {
+	small := job.Resources{CPUMilli: 2000, MemoryMiB: 1024}
+	s.batch = job.Job{Name: "settlement", Team: "demo", Tasks: batchTasks, Spec: job.TaskSpec{
+		Class: job.ClassBatch, Priority: job.PriorityBatch, Resources: small, RuntimeMillis: 1000, Kind: "settlement",
+		Payload: `{"actual_ms":3000,"checkpoint_ms":1000}`,
+	}}
+	s.standing = job.Job{Name: "registry", Team: "demo", Tasks: standingTasks, Spec: job.TaskSpec{
+		Class: job.ClassStanding, Priority: job.PriorityBatch, Resources: small, Kind: "registry",
+	}}
+	s.service = job.Job{Name: "more-runners", Team: "demo", Tasks: replicas, Spec: job.TaskSpec{
+		Class: job.ClassService, Priority: job.PriorityService, Service: service, Kind: "service",
+		Resources: job.Resources{CPUMilli: 8000, MemoryMiB: 16 << 10},
+	}}
+	for _, j := range []*job.Job{&s.batch, &s.standing, &s.service} {
+		j.ID = control.NewJobID()
+		if err := s.client.Call(ctx, http.MethodPost, "/jobs", nil, *j, &struct{}{}); err != nil {
+			return errors.Annotatef(err, "submit job %s", j.Name)
+		}
+	}
+	return nil
+}
+
+func (s *jobSet) status(ctx context.Context, j job.Job) (control.JobStatus, error) {
+	var status control.JobStatus
+	err := s.client.Call(ctx, http.MethodGet, "/jobs/"+url.PathEscape(j.ID), nil, nil, &status)
+	return status, err
+}
+
+// await asks for a job until it is as wanted or ctx ends, and returns the last answer.
+func (s *jobSet) await(ctx context.Context, j job.Job, wanted func(control.JobStatus) bool) control.JobStatus {
+	var last control.JobStatus
+	for {
+		status, err := s.status(ctx, j)
+		if err == nil {
+			last = status
+		}
+		if (err == nil && wanted(status)) || !sleep(ctx, jobPoll) {
+			return last
+		}
+	}
+}
+
+func sleep(ctx context.Context, d time.Duration) bool {
+	timer := time.NewTimer(d)
+	defer timer.Stop()
+	select {
+	case <-ctx.Done():
+		return false
+	case <-timer.C:
+		return true
+	}
+}
+
+// follow waits until batch tasks are complete and the others run, then cancels the standing tasks.
+func (s *jobSet) follow(ctx context.Context, report *TaskReport) {
+	report.BatchTasks, report.StandingTasks, report.Replicas = batchTasks, standingTasks, replicas
+	service := s.await(ctx, s.service, func(j control.JobStatus) bool { return j.Assigned == replicas })
+	report.ReplicasRunning = service.Assigned
+	standing := s.await(ctx, s.standing, func(j control.JobStatus) bool { return j.Assigned == standingTasks })
+	report.StandingRunning = standing.Assigned
+	batch := s.await(ctx, s.batch, func(j control.JobStatus) bool { return j.Completed == batchTasks })
+	report.BatchCompleted = batch.Completed
+	query := url.Values{"operator": {"demo"}}
+	err := s.client.Call(ctx, http.MethodPost, "/jobs/"+url.PathEscape(s.standing.ID)+"/cancel", query, nil, &struct{}{})
+	if err != nil {
+		report.violate("jobs", "cancel of the standing tasks: %v", err)
+		return
+	}
+	stopped := s.await(ctx, s.standing, func(j control.JobStatus) bool { return j.Stopped == standingTasks })
+	report.StandingStopped = stopped.Stopped
+}
+
+func (r *TaskReport) violate(guarantee, format string, args ...any) {
+	r.Violations = append(r.Violations, Violation{guarantee, fmt.Sprintf(format, args...)})
+}
+
+// check fills in what the workers saw and lists what did not hold.
+func (r *TaskReport) check(counts []standin.FleetCounts, runs []standin.Run) {
+	for _, c := range counts {
+		r.Attempts += c.Workers.Starts
+		r.OverCapacity += c.Workers.OverCapacity
+	}
+	overlaps := standin.FindOverlaps(runs)
+	r.TwoPlaces = len(overlaps)
+	for _, o := range overlaps[:min(len(overlaps), maxListed)] {
+		r.violate("G2", "%s attempt %d on %s and attempt %d on %s", o.First.Ref.Task, o.First.Ref.Attempt,
+			o.First.Worker, o.Second.Ref.Attempt, o.Second.Worker)
+	}
+	if r.OverCapacity > 0 {
+		r.violate("G1", "%d starts above a worker's capacity", r.OverCapacity)
+	}
+	r.checkCompletions(runs)
+	want := []struct {
+		what        string
+		got, wanted int
+	}{
+		{"batch tasks finished", r.BatchCompleted, r.BatchTasks},
+		{"standing tasks running", r.StandingRunning, r.StandingTasks},
+		{"standing tasks stopped", r.StandingStopped, r.StandingTasks},
+		{"replicas running", r.ReplicasRunning, r.Replicas},
+	}
+	for _, w := range want {
+		if w.got != w.wanted {
+			r.violate("jobs", "%s: %d of %d", w.what, w.got, w.wanted)
+		}
+	}
+}
+
+// checkCompletions demands that no task completed twice. It holds while no worker is lost between the end of an attempt
+// and its report.
+func (r *TaskReport) checkCompletions(runs []standin.Run) {
+	completed := map[job.TaskID]int{}
+	for _, run := range runs {
+		if run.End == "completed" {
+			completed[run.Ref.Task]++
+		}
+	}
+	for task, n := range completed {
+		if n > 1 {
+			r.violate("G3", "%s completed %d times", task, n)
+		}
+	}
+}
--- a/internal/standin/vmlist.go
+++ b/internal/standin/vmlist.go
@@ -85,18 +85,26 @@
 	return slices.Clone(visible.vms), nil
 }
 
-// expire drops sources that did not register in time. The caller holds l.mu.
+// expire drops sources that did not register in time, as of the time at which they expired. The caller holds l.mu.
 func (l *VMList) expire(now time.Time) {
-	for name, source := range l.sources {
-		if source.expires.IsZero() || source.expires.After(now) || len(source.vms) == 0 {
-			continue
+	for {
+		var first string
+		for name, source := range l.sources {
+			expired := !source.expires.IsZero() && !source.expires.After(now) && len(source.vms) > 0
+			if expired && (first == "" || source.expires.Before(l.sources[first].expires)) {
+				first = name
+			}
 		}
-		l.sources[name] = vmSource{expires: source.expires}
-		l.record(now)
+		if first == "" {
+			return
+		}
+		expires := l.sources[first].expires
+		l.sources[first] = vmSource{expires: expires}
+		l.record(expires)
 	}
 }
 
-// record appends the truth of now to the history. The caller holds l.mu.
+// record appends the truth, which has changed at the time now, to the history. The caller holds l.mu.
 func (l *VMList) record(now time.Time) {
 	l.history = append(l.history, vmSnapshot{at: now, vms: l.merge()})
 	for len(l.history) > 1 && l.history[1].at.Before(now.Add(-maxLag)) {
