Silence the shell's message about an ended process id

Cause: alive printed a message of the shell for each process that had ended between two looks. Before: four such lines when four processes were stopped. After: not run against daemons yet. Conclusion: the redirection of the message now covers the opening of the file as well.

--- a/scripts/lib.sh
+++ b/scripts/lib.sh
@@ -24,7 +24,7 @@
 # and a reused id belongs to another program.
 alive() {
   local command
-  command=$(tr '\0' ' ' < "/proc/$1/cmdline" 2> /dev/null) || return 1
+  command=$( (tr '\0' ' ' < "/proc/$1/cmdline") 2> /dev/null) || return 1
   case $command in
     bin/currantthread-*) return 0 ;;
     *) return 1 ;;
