Assemble the entry daemon with settings, inner messages and the operators' API

Cause: the entry daemon ran on the defaults of all settings and served no operators' API. Weighed: the request path and the settings follower each reading the VM list (two reads a second for each daemon), or one read that both see; the watcher now passes reads of the request path on.

--- a/cmd/currantthread-entry/main.go
+++ b/cmd/currantthread-entry/main.go
@@ -11,7 +11,7 @@
 
 	"github.com/urfave/cli/v3"
 
-	"github.com/currantthread/currantthread/entry"
+	"github.com/currantthread/currantthread/entry/daemon"
 	"github.com/currantthread/currantthread/settings"
 )
 
@@ -63,9 +63,10 @@
 	if err != nil {
 		return fmt.Errorf("%w: %w", errUsage, err)
 	}
-	daemon, err := entry.NewDaemon(bootstrap, entry.Options{})
-	if err != nil {
+	err = daemon.Run(ctx, bootstrap, os.Stdout)
+	var problems settings.Problems
+	if errors.As(err, &problems) {
 		return fmt.Errorf("%w: %w", errUsage, err)
 	}
-	return daemon.Run(ctx)
+	return err
 }
--- /dev/null
+++ b/entry/daemon/daemon.go
@@ -0,0 +1,137 @@
+// Package daemon assembles the entry daemon: the request path, settings in force, inner messages and the operators' API.
+package daemon
+
+import (
+	"context"
+	"io"
+	"math/rand/v2"
+	"net"
+	"net/http"
+	"time"
+
+	"github.com/juju/errors"
+	"github.com/sirupsen/logrus"
+	"golang.org/x/sync/errgroup"
+
+	"github.com/currantthread/currantthread/control"
+	"github.com/currantthread/currantthread/entry"
+	"github.com/currantthread/currantthread/innerproto"
+	"github.com/currantthread/currantthread/membership"
+	"github.com/currantthread/currantthread/observe"
+	"github.com/currantthread/currantthread/platform"
+	"github.com/currantthread/currantthread/settings"
+)
+
+const (
+	name = "entry"
+	// innerGrace bounds the wait for inner messages in flight, which are held for up to a second.
+	innerGrace = 2 * time.Second
+	// startRetryMin and startRetryMax bound the wait between attempts to learn the settings in force.
+	startRetryMin = 100 * time.Millisecond
+	startRetryMax = 2 * time.Second
+)
+
+// daemon is one entry daemon with what it shares with other daemons.
+type daemon struct {
+	boot     *settings.Bootstrap
+	log      *logrus.Entry
+	dialer   *control.Dialer
+	watcher  *membership.Watcher
+	follower *control.Follower
+	requests *entry.Daemon
+}
+
+// Run runs an entry daemon until ctx ends, then shuts down gracefully. Logs go to out. The error is settings.Problems
+// if the bootstrap file lacks an address.
+func Run(ctx context.Context, boot *settings.Bootstrap, out io.Writer) error {
+	if boot.CallerAddr == "" {
+		return settings.Problems{{File: "bootstrap", Key: "caller_addr", Message: "is missing; an entry daemon needs it"}}
+	}
+	d, err := newDaemon(boot, out)
+	if err != nil {
+		return err
+	}
+	inner, err := net.Listen("tcp", boot.InnerAddr)
+	if err != nil {
+		return errors.Annotate(err, "inner_addr")
+	}
+	return d.run(ctx, inner)
+}
+
+func newDaemon(boot *settings.Bootstrap, out io.Writer) (*daemon, error) {
+	d := &daemon{boot: boot, log: observe.NewLogger(out, "currantthread-entry", boot.VM), dialer: control.NewDialer()}
+	timeout := boot.Platform.Timeout.D()
+	table := platform.NewTableClient(boot.Platform.TableURL, boot.Domain, timeout)
+	objects := platform.NewObjectsClient(boot.Platform.ObjectsURL, boot.Domain, timeout)
+	d.watcher = membership.NewWatcher(platform.NewVMListClient(boot.Platform.VMListURL, boot.Domain, timeout),
+		func() time.Duration { return d.follower.Effective().Entry.VMListInterval.D() })
+	store := control.NewStore(table, objects, "api/"+boot.VM)
+	d.follower = control.NewFollower(control.FollowerConfig{
+		VM: boot.VM, Region: boot.Region, Domain: boot.Domain, Relay: true,
+		Store:   store,
+		Entries: func() []platform.VM { return d.watcher.Entries(boot.Domain) },
+		Dial:    d.dialer.Peer, Log: d.log,
+	})
+	var err error
+	d.requests, err = entry.NewDaemon(boot, entry.Options{
+		Settings: d.follower.Effective, AwaitSettings: d.awaitSettings, LogOutput: out,
+		Table: table, Objects: objects, VMs: d.watcher,
+	})
+	if err != nil {
+		return nil, err
+	}
+	control.NewAPI(control.APIConfig{
+		Store: store, Table: table, Effective: d.follower.Effective,
+		VMs: d.watcher.VMs, Dial: d.dialer.Daemon, Log: d.log,
+	}).Register(d.requests.Admin.Group("/api/v1"))
+	return d, nil
+}
+
+func (d *daemon) run(ctx context.Context, inner net.Listener) error {
+	// Settings and inner messages go on while requests in flight are finished.
+	background, stop := context.WithCancel(context.WithoutCancel(ctx))
+	defer stop()
+	group, background := errgroup.WithContext(background)
+	group.Go(func() error { return observe.Serve(background, inner, d.innerHandler(), innerGrace) })
+	serving, stopServing := context.WithCancel(ctx)
+	defer stopServing()
+	context.AfterFunc(background, stopServing)
+	group.Go(func() error {
+		defer stop()
+		return d.requests.Run(serving)
+	})
+	return group.Wait()
+}
+
+// awaitSettings returns once the version in force is known, and follows it from then on.
+func (d *daemon) awaitSettings(ctx context.Context) error {
+	for wait := startRetryMin; ; wait = min(2*wait, startRetryMax) {
+		err := d.follower.Start(ctx)
+		if err == nil {
+			go d.follower.Run(ctx)
+			return nil
+		}
+		if wait == startRetryMin {
+			d.log.WithError(err).Warn("waiting for the settings in force")
+		}
+		timer := time.NewTimer(wait/2 + rand.N(wait/2))
+		select {
+		case <-ctx.Done():
+			timer.Stop()
+			return ctx.Err()
+		case <-timer.C:
+		}
+	}
+}
+
+func (d *daemon) innerHandler() http.Handler {
+	mux := http.NewServeMux()
+	peers := &control.PeerHandler{
+		Follower: d.follower,
+		DescribeStatus: func(context.Context) *innerproto.StatusResponse {
+			return &innerproto.StatusResponse{Vm: d.boot.VM, Daemon: name, Domain: d.boot.Domain}
+		},
+	}
+	peers.Mount(mux)
+	return mux
+}
--- a/membership/membership.go
+++ b/membership/membership.go
@@ -23,7 +23,6 @@
 	mu          sync.Mutex // guards the fields below
 	vms         []platform.VM
 	loaded      bool
-	failures    int
 	subscribers []func([]platform.VM)
 }
 
@@ -50,22 +49,25 @@
 
 // Refresh reads the list once and reports whether it answered.
 func (w *Watcher) Refresh(ctx context.Context) bool {
+	_, err := w.List(ctx)
+	return err == nil
+}
+
+// List reads the list once and keeps the answer. It lets a Watcher stand in for the list where another loop reads it.
+func (w *Watcher) List(ctx context.Context) ([]platform.VM, error) {
 	vms, err := w.list.List(ctx)
-	w.mu.Lock()
 	if err != nil {
-		w.failures++
-		w.mu.Unlock()
-		return false
+		return nil, err
 	}
+	w.mu.Lock()
 	w.vms = vms
 	w.loaded = true
-	w.failures = 0
 	subscribers := slices.Clone(w.subscribers)
 	w.mu.Unlock()
 	for _, notify := range subscribers {
 		notify(vms)
 	}
-	return true
+	return vms, nil
 }
 
 // Subscribe calls notify with each answer of the list, at once if there was one.
--- a/settings/tree.go
+++ b/settings/tree.go
@@ -207,14 +207,31 @@
 	return v, nil
 }
 
+// formatValue writes a value as in TOML.
 func formatValue(v reflect.Value) string {
 	if text, ok := v.Interface().(fmt.Stringer); ok {
 		return strconv.Quote(text.String())
 	}
-	if v.Kind() == reflect.String {
+	switch v.Kind() {
+	case reflect.String:
 		return strconv.Quote(v.String())
+	case reflect.Slice:
+		elements := make([]string, v.Len())
+		for i := range elements {
+			elements[i] = formatValue(v.Index(i))
+		}
+		return "[" + strings.Join(elements, ", ") + "]"
+	case reflect.Struct:
+		var pairs []string
+		for _, f := range fieldsOf(v.Type()) {
+			if !v.Field(f.index).IsZero() {
+				pairs = append(pairs, f.key+" = "+formatValue(v.Field(f.index)))
+			}
+		}
+		return "{ " + strings.Join(pairs, ", ") + " }"
+	default:
+		return fmt.Sprint(v.Interface())
 	}
-	return fmt.Sprint(v.Interface())
 }
 
 // Change is one key whose value differs between two trees at a level.
@@ -254,13 +271,19 @@
 	return slices.Compact(keys)
 }
 
+// formatLeaf returns the value that a level names, or "" if it names none. A table counts only while it is empty.
 func formatLeaf(leaves map[string]leaf, key string) string {
 	l, ok := leaves[key]
-	if !ok {
+	switch {
+	case !ok:
 		return ""
+	case l.value.IsValid():
+		return formatValue(l.value)
 	}
-	if !l.value.IsValid() {
-		return "{}"
+	for other := range leaves {
+		if strings.HasPrefix(other, key+".") {
+			return ""
+		}
 	}
-	return formatValue(l.value)
+	return "{}"
 }
