Fix two tests whose verdict depended on map order or on a race

Cause: TestRunnerRefusals looked at the runner's state after a loop over a map, so the last fault was 'busy' or 'leaving' by chance; TestShowJob changed a map of fake daemons while a background hint read it. Ruled out: faults in the code under test.

--- a/control/api_test.go
+++ b/control/api_test.go
@@ -8,6 +8,7 @@
 	"io"
 	"net/http"
 	"net/http/httptest"
+	"sync"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -53,9 +54,22 @@
 	t       *testing.T
 	table   *standin.Table
 	router  *echo.Echo
+	mu      sync.Mutex // guards daemons, which hints read in the background
 	daemons map[string]fakeDaemon
 }
 
+func (b *apiBench) set(addr string, d fakeDaemon) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.daemons[addr] = d
+}
+
+func (b *apiBench) dial(addr string) control.Daemon {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.daemons[addr]
+}
+
 func newAPIBench(t *testing.T) *apiBench {
 	log := logrus.New()
 	log.SetOutput(io.Discard)
@@ -69,7 +83,7 @@
 		Table:     b.table,
 		Effective: settings.Defaults,
 		VMs:       func() []platform.VM { return vms },
-		Dial:      func(addr string) control.Daemon { return b.daemons[addr] },
+		Dial:      b.dial,
 		Log:       logrus.NewEntry(log),
 	}).Register(b.router.Group("/api/v1"))
 	return b
@@ -126,10 +140,10 @@
 		{Key: ledger.DoneKey("j1/1"), Value: ledger.Encode(ledger.Done{Outcome: ledger.OutcomeCompleted})},
 	}})
 	assert.NilError(t, err)
-	b.daemons["e1:sched"] = fakeDaemon{status: &innerproto.StatusResponse{Cells: []*innerproto.CellStatus{{
+	b.set("e1:sched", fakeDaemon{status: &innerproto.StatusResponse{Cells: []*innerproto.CellStatus{{
 		Cell: "chipre-0", Epoch: 1,
 		ParkedTasks: []*innerproto.ParkedTask{{Task: "j1/2", Reason: "needs 90 cores; the largest worker has 64"}},
-	}}}}
+	}}}})
 	var status control.JobStatus
 	assert.Equal(t, b.call(http.MethodGet, "/jobs/j1", "", &status), http.StatusOK)
 	assert.Equal(t, status.Queued, 1)
@@ -147,7 +161,7 @@
 func TestDomainOutWaitsForPermits(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		b := newAPIBench(t)
-		b.daemons["e1:sched"] = fakeDaemon{confirms: true}
+		b.set("e1:sched", fakeDaemon{confirms: true})
 		var status control.DomainStatus
 		started := time.Now()
 		code := b.call(http.MethodPost, "/domains/chipre", `{"state":"out","operator":"ana"}`, &status)
@@ -157,7 +171,7 @@
 		assert.Assert(t, time.Since(started) >= settings.MaxStartPermit())
 		assert.Assert(t, time.Since(started) <= 3*time.Second)
 
-		b.daemons["e2:sched"] = fakeDaemon{confirms: true}
+		b.set("e2:sched", fakeDaemon{confirms: true})
 		started = time.Now()
 		b.call(http.MethodPost, "/domains/chipre", `{"state":"out","operator":"ana"}`, &status)
 		assert.Equal(t, time.Since(started), time.Duration(0))
--- a/internal/standin/runner_test.go
+++ b/internal/standin/runner_test.go
@@ -85,9 +85,9 @@
 		assert.Equal(t, res.StatusCode, http.StatusServiceUnavailable)
 		assert.Equal(t, res.Header.Get(headerRefused), reason)
 		assert.Equal(t, b.ran(reason), [3]int64{})
+		state, listed := b.State()
+		assert.Equal(t, state == platform.VMLive && listed, reason == "busy")
 	}
-	state, listed := b.State()
-	assert.Equal(t, state == platform.VMLive && listed, false)
 
 	b.SetFaults(RunnerFaults{})
 	hold := make(chan struct{})
