Report an in-command as in force only when the cells act on it

Cause: seen by hand on a running deployment: 'domain in' answered 'in force' while it named all daemons as not confirming. Ruled out: announcing more to the sched daemons; they read the row within a second anyway. Before: in force at once. After: the answer waits until every cell that answers allows starts under the row's version, at most 5 s; TestDomainInWaitsForCells fails without the wait.

--- a/Makefile
+++ b/Makefile
@@ -1,6 +1,7 @@
 # Targets are described in README.md.
 GO ?= go
 DEPLOYMENT ?= manizales
+VERSION ?= $(shell git describe --always --dirty 2>/dev/null || echo dev)
 PROGRAMS := currantthread-entry currantthread-sched currantctl currantthread-standin
 # The race detector needs a C compiler; without one the tests run without it.
 RACE ?= $(shell command -v gcc >/dev/null 2>&1 && echo -race)
@@ -13,7 +14,7 @@
 
 build:
 	@mkdir -p bin
-	$(GO) build -o bin/ ./cmd/...
+	$(GO) build -ldflags "-X main.version=$(VERSION)" -o bin/ ./cmd/...
 
 test:
 	$(GO) test $(RACE) ./...
--- a/control/api_domains.go
+++ b/control/api_domains.go
@@ -21,6 +21,12 @@
 // drift of the longest permit and 100 ms.
 const driftMargin = 125 * time.Millisecond
 
+const (
+	// returnTimeout bounds the wait for the cells of a failure domain that comes back. They read its row each second.
+	returnTimeout = 5 * time.Second
+	returnPoll    = 100 * time.Millisecond
+)
+
 // DomainRequest is the body of an out- or in-command.
 type DomainRequest struct {
 	State    ledger.DomainState `json:"state"`
@@ -71,14 +77,34 @@
 	a.cfg.Log.WithField("domain", name).WithField("state", req.State).Info("failure domain command stored")
 	status := DomainStatus{Domain: name, State: req.State, Operator: req.Operator, Reason: req.Reason, Version: version}
 	a.announce(ctx, &status)
-	if req.State == ledger.DomainOut && len(status.Unconfirmed) > 0 {
-		pause(ctx, time.Until(stored.Add(longestPermit()+driftMargin)))
+	if req.State == ledger.DomainOut {
+		a.awaitOut(ctx, &status, stored)
+	} else {
+		a.awaitIn(ctx, &status)
 	}
-	status.InForce = ctx.Err() == nil
 	status.Running = running(a.askAll(ctx, name))
 	return c.JSON(http.StatusOK, status)
 }
 
+// awaitOut returns once no task starts any more: at once if all confirmed, or when the permits have run out.
+func (a *API) awaitOut(ctx context.Context, status *DomainStatus, stored time.Time) {
+	if len(status.Unconfirmed) > 0 {
+		pause(ctx, time.Until(stored.Add(longestPermit()+driftMargin)))
+	}
+	status.InForce = ctx.Err() == nil
+}
+
+// awaitIn returns once every cell of the domain that answers acts on the command, or after returnTimeout.
+func (a *API) awaitIn(ctx context.Context, status *DomainStatus) {
+	status.Confirmed, status.Unconfirmed = nil, nil
+	ctx, cancel := context.WithTimeout(ctx, returnTimeout)
+	defer cancel()
+	for ctx.Err() == nil && !status.InForce {
+		pause(ctx, returnPoll)
+		status.InForce = actOn(a.askAll(ctx, status.Domain), *status)
+	}
+}
+
 func (a *API) storeDomain(ctx context.Context, name string, req DomainRequest) (int64, error) {
 	rows, err := a.cfg.Table.Read(ctx, ledger.DomainKey(name))
 	if err != nil {
--- a/control/api_test.go
+++ b/control/api_test.go
@@ -208,3 +208,18 @@
 	assert.Equal(t, explanation.Level, "/")
 	assert.Equal(t, b.call(http.MethodGet, "/settings/explain?path=/r&key=service.s.q", "", &refused), http.StatusNotFound)
 }
+
+// Guards against an in-command that is reported as in force before the cells act on it.
+func TestDomainInWaitsForCells(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		b := newAPIBench(t)
+		cell := &innerproto.CellStatus{Cell: "chipre-0", Epoch: 1, DomainVersion: 0, StartsAllowed: false}
+		b.set("e1:sched", fakeDaemon{confirms: true, status: &innerproto.StatusResponse{Cells: []*innerproto.CellStatus{cell}}})
+		var status control.DomainStatus
+		b.call(http.MethodPost, "/domains/chipre", `{"state":"in","operator":"ana"}`, &status)
+		assert.Assert(t, !status.InForce)
+		cell.DomainVersion, cell.StartsAllowed = status.Version+1, true
+		b.call(http.MethodPost, "/domains/chipre", `{"state":"in","operator":"ana"}`, &status)
+		assert.Assert(t, status.InForce)
+	})
+}
