--- a/internal/standin/attempt.go
+++ b/internal/standin/attempt.go
@@ -450,7 +450,10 @@
 // dueUsage returns the newest measurement that is old enough to be reported and drops it and all older ones. The caller
 // holds w.mu.
 func (w *Worker) dueUsage(now time.Time) []platform.Usage {
-	lag := time.Duration(w.faults.UsageLagMillis) * time.Millisecond
+	lag := w.cfg.UsageLag
+	if w.faults.UsageLagMillis != nil {
+		lag = time.Duration(*w.faults.UsageLagMillis) * time.Millisecond
+	}
 	var due []platform.Usage
 	for len(w.usage) > 0 && !w.usage[0].at.After(now.Add(-lag)) {
 		due = w.usage[0].usage
--- a/internal/standin/fleet.go
+++ b/internal/standin/fleet.go
@@ -144,8 +144,7 @@
 		}
 		m.resident = runner
 	}
-	faults := WorkerFaults{UsageLagMillis: f.cfg.UsageLag.Milliseconds()}
-	if err := m.boot(ctx, faults); err != nil {
+	if err := m.boot(ctx, WorkerFaults{}); err != nil {
 		return nil, err
 	}
 	return m, nil
@@ -202,6 +201,7 @@
 	cfg := WorkerConfig{
 		ID: m.vm.ID, Domain: f.cfg.Domain, Capacity: f.cfg.Capacity, Poller: f.poller, Objects: f.objects,
 		Interference: f.interference, Journal: f.journal, Seed: uint64(m.index), Open: m.openReplica,
+		UsageLag: f.cfg.UsageLag,
 	}
 	if m.resident != nil {
 		cfg.Resident, cfg.ResidentKind, cfg.ResidentShare = m.resident, "service:"+f.cfg.Service, f.cfg.ResidentShare
--- a/internal/standin/worker.go
+++ b/internal/standin/worker.go
@@ -53,6 +53,8 @@
 	Objects      platform.Objects
 	Interference *Interference
 	Journal      *Journal
+	// UsageLag is the age of usage reports.
+	UsageLag time.Duration
 	// Open opens the runner of a service task.
 	Open func(ref platform.AttemptRef, spec job.TaskSpec) (Replica, error)
 	// Resident is a runner that exists besides the tasks; nil means none. ResidentKind and ResidentShare describe it
@@ -68,8 +70,8 @@
 type WorkerFaults struct {
 	// FailAll makes every attempt fail soon after its start.
 	FailAll bool `json:"fail_all,omitempty"`
-	// UsageLagMillis is the age of usage reports.
-	UsageLagMillis int64 `json:"usage_lag_ms,omitempty"`
+	// UsageLagMillis is the age of usage reports; nil means that of the configuration.
+	UsageLagMillis *int64 `json:"usage_lag_ms,omitempty"`
 	// CutOwner keeps the worker's polls from reaching the cell's owner.
 	CutOwner bool `json:"cut_owner,omitempty"`
 	// SpeedPercent is the speed of the worker's processors; 0 means 100.
--- a/internal/standin/worker_test.go
+++ b/internal/standin/worker_test.go
@@ -321,7 +321,7 @@
 func TestThrottleInterferenceAndUsageLag(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		b := newWorkerBench(t)
-		b.SetFaults(WorkerFaults{UsageLagMillis: 3000})
+		b.SetFaults(WorkerFaults{UsageLagMillis: new(int64(3000))})
 		noisy := batch(4000)
 		noisy.Kind = "noisy"
 		noisy.Resources.CPUMilli = 2000
@@ -351,7 +351,7 @@
 func TestIdleWorkerMeasuresNothing(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		b := newWorkerBench(t)
-		b.SetFaults(WorkerFaults{UsageLagMillis: 60_000})
+		b.SetFaults(WorkerFaults{UsageLagMillis: new(int64(60_000))})
 		time.Sleep(time.Hour)
 		b.poll(t, 0, granted(start("a/0", 1, batch(4000))))
 		time.Sleep(2500 * time.Millisecond)
