Count settings reads and calls of the operators' API

Cause: counters come first, and neither the distribution of settings nor the operators' API had any. Change: version in force, reads by source and result, API calls by route pattern and code; label sets are bounded.

--- a/cell/daemon/daemon.go
+++ b/cell/daemon/daemon.go
@@ -77,7 +77,7 @@
 		VM: boot.VM, Region: boot.Region, Domain: boot.Domain,
 		Store:   control.NewStore(d.table, objects, "sched/"+boot.VM),
 		Entries: func() []platform.VM { return d.watcher.Entries(boot.Domain) },
-		Dial:    d.dialer.Peer, Log: d.log,
+		Dial:    d.dialer.Peer, Log: d.log, Registry: d.registry,
 	})
 	return d
 }
--- a/control/api.go
+++ b/control/api.go
@@ -7,6 +7,7 @@
 
 	"github.com/juju/errors"
 	"github.com/labstack/echo/v4"
+	"github.com/prometheus/client_golang/prometheus"
 	"github.com/sirupsen/logrus"
 	"golang.org/x/sync/errgroup"
 
@@ -44,6 +45,8 @@
 	// Dial returns the daemon at an inner address.
 	Dial func(addr string) Daemon
 	Log  *logrus.Entry
+	// Registry takes the API's metrics; nil registers none.
+	Registry prometheus.Registerer
 }
 
 // API is the operators' HTTP API. Every entry daemon serves it on its admin address under /api/v1.
@@ -56,6 +59,7 @@
 
 // Register adds the routes to a group whose prefix is /api/v1.
 func (a *API) Register(group *echo.Group) {
+	group.Use(newAPIMetrics(a.cfg.Registry).count)
 	group.GET("/settings", a.getSettings)
 	group.POST("/settings", a.applySettings)
 	group.POST("/settings/check", a.checkSettings)
--- a/control/follower.go
+++ b/control/follower.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"github.com/juju/errors"
+	"github.com/prometheus/client_golang/prometheus"
 	"github.com/sirupsen/logrus"
 
 	"github.com/currantthread/currantthread/innerproto"
@@ -58,6 +59,8 @@
 	// Dial returns the entry daemon of a VM as a peer.
 	Dial func(vm platform.VM) Peer
 	Log  *logrus.Entry
+	// Registry takes the follower's metrics; nil registers none.
+	Registry prometheus.Registerer
 }
 
 // inForce is one version of the tree as this VM has it. It is immutable.
@@ -70,7 +73,8 @@
 
 // Follower keeps the newest settings of this VM in force. Versions only ever grow. It is safe for concurrent use.
 type Follower struct {
-	cfg FollowerConfig
+	cfg     FollowerConfig
+	metrics *followerMetrics
 
 	mu          sync.Mutex // guards the fields below
 	now         inForce
@@ -82,7 +86,10 @@
 
 // NewFollower returns a follower with the default settings in force.
 func NewFollower(cfg FollowerConfig) *Follower {
-	return &Follower{cfg: cfg, changed: make(chan struct{}), now: inForce{effective: settings.Defaults()}}
+	return &Follower{
+		cfg: cfg, metrics: newFollowerMetrics(cfg.Registry),
+		changed: make(chan struct{}), now: inForce{effective: settings.Defaults()},
+	}
 }
 
 // Current returns the settings in force on this VM and their version. Version 0 means the defaults.
@@ -208,6 +215,7 @@
 		WaitMs:       wait.Milliseconds(),
 		Have:         digests(now.sources),
 	})
+	f.metrics.read(sourcePeer, err)
 	if err != nil {
 		return err
 	}
@@ -248,6 +256,7 @@
 	defer cancel()
 	sent := time.Now()
 	head, _, err := f.cfg.Store.Head(ctx)
+	f.metrics.read(sourceStore, err)
 	if err != nil {
 		return err
 	}
@@ -308,6 +317,7 @@
 		return nil
 	}
 	f.cfg.Log.WithFields(logrus.Fields{"from": f.now.version, "to": version}).Info("settings version in force changed")
+	f.metrics.version.Set(float64(version))
 	f.now = inForce{version: version, sources: sources, effective: effective}
 	close(f.changed)
 	f.changed = make(chan struct{})
--- a/entry/daemon.go
+++ b/entry/daemon.go
@@ -46,6 +46,8 @@
 	VMs     platform.VMList
 	// Dial opens connections to upstreams; the default dials TCP.
 	Dial upstream.DialFunc
+	// Registry takes the metrics; the default is a new one.
+	Registry *prometheus.Registry
 	// Seed fixes the sequence of random choices; 0 means a random seed.
 	Seed uint64
 }
@@ -78,11 +80,14 @@
 	if options.LogOutput == nil {
 		options.LogOutput = os.Stderr
 	}
+	if options.Registry == nil {
+		options.Registry = observe.NewRegistry()
+	}
 	options.setClients(b)
 	d := &Daemon{
 		Bootstrap: b,
 		Log:       observe.NewLogger(options.LogOutput, "currantthread-entry", b.VM),
-		Registry:  observe.NewRegistry(),
+		Registry:  options.Registry,
 		Health:    &observe.Health{},
 		Table:     options.Table,
 		Objects:   options.Objects,
--- a/entry/daemon/daemon.go
+++ b/entry/daemon/daemon.go
@@ -65,24 +65,25 @@
 	objects := platform.NewObjectsClient(boot.Platform.ObjectsURL, boot.Domain, timeout)
 	d.watcher = membership.NewWatcher(platform.NewVMListClient(boot.Platform.VMListURL, boot.Domain, timeout),
 		func() time.Duration { return d.follower.Effective().Entry.VMListInterval.D() })
+	registry := observe.NewRegistry()
 	store := control.NewStore(table, objects, "api/"+boot.VM)
 	d.follower = control.NewFollower(control.FollowerConfig{
 		VM: boot.VM, Region: boot.Region, Domain: boot.Domain, Relay: true,
 		Store:   store,
 		Entries: func() []platform.VM { return d.watcher.Entries(boot.Domain) },
-		Dial:    d.dialer.Peer, Log: d.log,
+		Dial:    d.dialer.Peer, Log: d.log, Registry: registry,
 	})
 	var err error
 	d.requests, err = entry.NewDaemon(boot, entry.Options{
 		Settings: d.follower.Effective, AwaitSettings: d.awaitSettings, LogOutput: out,
-		Table: table, Objects: objects, VMs: d.watcher,
+		Table: table, Objects: objects, VMs: d.watcher, Registry: registry,
 	})
 	if err != nil {
 		return nil, err
 	}
 	control.NewAPI(control.APIConfig{
 		Store: store, Table: table, Effective: d.follower.Effective,
-		VMs: d.watcher.VMs, Dial: d.dialer.Daemon, Log: d.log,
+		VMs: d.watcher.VMs, Dial: d.dialer.Daemon, Log: d.log, Registry: registry,
 	}).Register(d.requests.Admin.Group("/api/v1"))
 	return d, nil
 }
