Prove placement with a state machine and make interference predictions cheap

Found by TestSchedulerMachine and fixed: a reservation freed within a plan woke nobody until the next plan; the end of the only task of a worker on probation woke nobody. Cause of the cost (profile): predicted slow-downs visited all tasks of each candidate for each service on it.

--- a/interference/model.go
+++ b/interference/model.go
@@ -25,6 +25,9 @@
 // MaxKinds bounds the kinds that are told apart, and so the memory of a Model.
 const MaxKinds = 256
 
+// decaySteps is the number of steps in which a half-life is counted; younger weights are used as they are.
+const decaySteps = 1000
+
 // Config holds the parameters of a Model.
 type Config struct {
 	// HalfLife is the time after which half of what was learned of a pair is forgotten.
@@ -53,12 +56,12 @@
 
 // Estimate is a predicted excess slow-down: 0.25 means that a unit of work takes 25% longer than alone.
 type Estimate struct {
-	Mean      float64
-	Deviation float64
+	Mean     float64
+	Variance float64
 }
 
 // Upper returns the mean plus z standard deviations.
-func (e Estimate) Upper(z float64) float64 { return e.Mean + z*e.Deviation }
+func (e Estimate) Upper(z float64) float64 { return e.Mean + z*math.Sqrt(e.Variance) }
 
 type weight struct {
 	mean     float64
@@ -95,7 +98,7 @@
 // Pair predicts the excess slow-down of a task of kind victim whose neighbours of kind source use a whole worker.
 func (m *Model) Pair(now time.Time, victim, source Kind) Estimate {
 	w := m.current(now, victim, source)
-	return Estimate{Mean: w.mean, Deviation: math.Sqrt(w.variance)}
+	return Estimate{Mean: w.mean, Variance: w.variance}
 }
 
 // Predict returns the excess slow-down of a task of kind victim among neighbours.
@@ -106,7 +109,7 @@
 		mean += n.Share * w.mean
 		variance += n.Share * n.Share * w.variance
 	}
-	return Estimate{Mean: max(mean, 0), Deviation: math.Sqrt(variance)}
+	return Estimate{Mean: mean, Variance: variance}
 }
 
 // Observe learns from one measured slow-down (1 means as fast as alone) of a task of kind victim that ran among
@@ -145,7 +148,7 @@
 	}
 	w := row[source]
 	age := now.Sub(w.updated)
-	if age <= 0 {
+	if age < m.cfg.HalfLife/decaySteps {
 		return w
 	}
 	kept := math.Exp2(-float64(age) / float64(m.cfg.HalfLife))
--- a/sched/control.go
+++ b/sched/control.go
@@ -59,6 +59,7 @@
 func (r *running) setThrottle(now time.Time, percent int) {
 	r.logShare(now)
 	r.cpuPercent = percent
+	r.worker.cache.valid = false
 }
 
 // neighboursAt lists the load on w at a past time, without the task except.
--- a/sched/filter_interference.go
+++ b/sched/filter_interference.go
@@ -1,6 +1,10 @@
 package sched
 
-import "github.com/currantthread/currantthread/interference"
+import (
+	"time"
+
+	"github.com/currantthread/currantthread/interference"
+)
 
 // interferenceFilter keeps the predicted slow-down of each service on the worker within the target.
 type interferenceFilter struct{ s *Scheduler }
@@ -29,39 +33,101 @@
 	return float64(w.committed.CPUMilli+q.need.CPUMilli) <= limit
 }
 
-// predictWorst returns the largest upper estimate of the excess slow-down among the services on w, with q started
-// there, q included if it is a service.
-func (s *Scheduler) predictWorst(q *request, w *worker) float64 {
-	share := ratio(q.need.CPUMilli, w.spec.Capacity.CPUMilli)
-	s.neighbourBuf = w.neighbours(s.neighbourBuf, nil)
-	worst := 0.0
-	if q.latencyCritical() {
-		worst = s.upper(q.kind, s.neighbourBuf)
+// serviceLoad is the predicted excess slow-down of one kind of service on a worker with its present tasks.
+type serviceLoad struct {
+	kind interference.Kind
+	// own is the smallest share of a replica of the kind. A task does not slow itself down.
+	own            float64
+	mean, variance float64
+}
+
+// loadCache holds what predictions need of a worker's tasks, so that a decision does not visit them.
+type loadCache struct {
+	valid bool
+	at    time.Time
+	mix   []interference.Neighbour
+	loads []serviceLoad
+	// request and worst are the last answer of predictWorst.
+	request *request
+	worst   float64
+}
+
+// cachedLoads returns the cache of w. It is rebuilt if tasks changed, or after a report interval for newer weights.
+func (s *Scheduler) cachedLoads(w *worker) *loadCache {
+	c := &w.cache
+	if c.valid && s.now.Sub(c.at) < s.cfg.ReportInterval {
+		return c
 	}
-	s.neighbourBuf = addNeighbour(s.neighbourBuf, q.kind, share)
+	c.valid, c.at, c.request = true, s.now, nil
+	c.mix = w.neighbours(c.mix, nil)
+	c.loads = c.loads[:0]
 	for _, r := range w.tasks {
-		if !r.latencyCritical() {
-			continue
+		if r.latencyCritical() {
+			c.loads = addServiceLoad(c.loads, r.kind, r.share())
 		}
-		// The task's own share is part of the list; a task does not slow itself down.
-		changeShare(s.neighbourBuf, r.kind, -r.share())
-		worst = max(worst, s.upperAt(q, r.kind))
-		changeShare(s.neighbourBuf, r.kind, r.share())
 	}
-	return worst
+	for i := range c.loads {
+		load := &c.loads[i]
+		for _, n := range c.mix {
+			if n.Kind == load.kind {
+				n.Share = max(n.Share-load.own, 0)
+			}
+			e := s.model.Pair(s.now, load.kind, n.Kind)
+			load.mean += n.Share * e.Mean
+			load.variance += n.Share * n.Share * e.Variance
+		}
+	}
+	return c
+}
+
+func addServiceLoad(loads []serviceLoad, kind interference.Kind, share float64) []serviceLoad {
+	for i := range loads {
+		if loads[i].kind == kind {
+			loads[i].own = min(loads[i].own, share)
+			return loads
+		}
+	}
+	return append(loads, serviceLoad{kind: kind, own: share})
 }
 
-func changeShare(list []interference.Neighbour, kind interference.Kind, delta float64) {
-	for i := range list {
-		if list[i].Kind == kind {
-			list[i].Share = max(list[i].Share+delta, 0)
-			return
+// shareOf returns the share of the worker that tasks of a kind have.
+func (c *loadCache) shareOf(kind interference.Kind) float64 {
+	for _, n := range c.mix {
+		if n.Kind == kind {
+			return n.Share
 		}
 	}
+	return 0
 }
 
-func (s *Scheduler) upperAt(q *request, kind interference.Kind) float64 {
-	return s.model.Predict(q.now, kind, s.neighbourBuf).Upper(s.cfg.Confidence)
+// predictWorst returns the largest upper estimate of the excess slow-down among the services on w, with q started
+// there, q included if it is a service.
+func (s *Scheduler) predictWorst(q *request, w *worker) float64 {
+	c := s.cachedLoads(w)
+	if c.request == q {
+		return c.worst
+	}
+	worst := 0.0
+	if q.latencyCritical() {
+		worst = s.upper(q.kind, c.mix)
+	}
+	share := ratio(q.need.CPUMilli, w.spec.Capacity.CPUMilli)
+	before := c.shareOf(q.kind)
+	for i := range c.loads {
+		load := &c.loads[i]
+		present := before
+		if load.kind == q.kind {
+			present = max(before-load.own, 0)
+		}
+		e := s.model.Pair(s.now, load.kind, q.kind)
+		after := interference.Estimate{
+			Mean:     load.mean + share*e.Mean,
+			Variance: load.variance + share*(share+2*present)*e.Variance,
+		}
+		worst = max(worst, after.Upper(s.cfg.Confidence))
+	}
+	c.request, c.worst = q, worst
+	return worst
 }
 
 func (s *Scheduler) upper(kind interference.Kind, list []interference.Neighbour) float64 {
--- /dev/null
+++ b/sched/machine_test.go
@@ -0,0 +1,431 @@
+package sched
+
+import (
+	"fmt"
+	"slices"
+	"strings"
+	"testing"
+	"time"
+
+	"pgregory.net/rapid"
+
+	"github.com/currantthread/currantthread/job"
+	"github.com/currantthread/currantthread/platform"
+)
+
+// place is where the test believes a task to be.
+type place int
+
+const (
+	placeQueued place = iota
+	placePlanned
+	placeRunning
+	placeStopping
+)
+
+type shadowTask struct {
+	task   job.Task
+	place  place
+	worker string
+	// cancelled tasks are not queued again.
+	cancelled bool
+}
+
+// machine drives a Scheduler with random calls and keeps its own books, which Check compares.
+type machine struct {
+	s       *Scheduler
+	now     time.Time
+	tasks   map[job.TaskID]*shadowTask
+	plans   []Plan
+	quota   map[string]job.Resources
+	jobs    int
+	workers map[string]Worker
+}
+
+var machineTeams = []string{"payments", "deposits", "grades"}
+
+func newMachine(t *rapid.T) *machine {
+	cfg := DefaultConfig()
+	cfg.DisableInterference = rapid.Bool().Draw(t, "no interference")
+	if rapid.Bool().Draw(t, "headroom") {
+		cfg.StaticHeadroom = 0.3
+	}
+	m := &machine{
+		s: newScheduler(cfg), now: epoch, tasks: map[job.TaskID]*shadowTask{},
+		quota: map[string]job.Resources{}, workers: map[string]Worker{},
+	}
+	for i := range rapid.IntRange(1, 6).Draw(t, "workers") {
+		w := testWorker(fmt.Sprintf("w%d", i), job.Resources{CPUMilli: 8000, MemoryMiB: 16000, Accelerators: int64(i % 2 * 2)})
+		w.Rack = fmt.Sprintf("r%d", i%3)
+		m.workers[w.ID] = w
+		m.s.UpsertWorker(w)
+	}
+	return m
+}
+
+func (m *machine) pick(t *rapid.T, places ...place) *shadowTask {
+	var ids []job.TaskID
+	for id, x := range m.tasks {
+		if slices.Contains(places, x.place) {
+			ids = append(ids, id)
+		}
+	}
+	if len(ids) == 0 {
+		t.Skip("no such task")
+	}
+	slices.Sort(ids)
+	return m.tasks[rapid.SampledFrom(ids).Draw(t, "task")]
+}
+
+func (m *machine) Enqueue(t *rapid.T) {
+	m.jobs++
+	spec := job.TaskSpec{
+		Class:    rapid.SampledFrom([]job.Class{job.ClassBatch, job.ClassBatch, job.ClassStanding, job.ClassService}).Draw(t, "class"),
+		Priority: rapid.SampledFrom([]job.Priority{job.PriorityUrgent, job.PriorityBatch, job.PriorityBatch, job.PriorityLowest}).Draw(t, "priority"),
+		Resources: job.Resources{
+			CPUMilli:     rapid.SampledFrom([]int64{0, 100, 1000, 3000, 8000, 9000}).Draw(t, "cpu"),
+			MemoryMiB:    rapid.SampledFrom([]int64{1, 500, 4000, 16000}).Draw(t, "memory"),
+			Accelerators: rapid.SampledFrom([]int64{0, 0, 0, 1, 2}).Draw(t, "accelerators"),
+		},
+		Kind: rapid.SampledFrom([]string{"", "settlement", "reconcile"}).Draw(t, "kind"),
+	}
+	if spec.Class == job.ClassService {
+		spec.Service = "kioscos"
+	}
+	team := rapid.SampledFrom(machineTeams).Draw(t, "team")
+	for i := range rapid.IntRange(1, 4).Draw(t, "tasks") {
+		x := job.Task{ID: job.MakeTaskID(fmt.Sprintf("j%d", m.jobs), i), Team: team, Spec: spec, Attempt: 1}
+		m.tasks[x.ID] = &shadowTask{task: x}
+		m.enqueue(t, x)
+	}
+}
+
+func (m *machine) enqueue(t *rapid.T, x job.Task) {
+	if err := m.s.Enqueue(x); err != nil {
+		t.Fatalf("enqueue %s: %v", x.ID, err)
+	}
+	m.tasks[x.ID].task, m.tasks[x.ID].place, m.tasks[x.ID].worker = x, placeQueued, ""
+}
+
+// EnqueueAgain offers a task that holds resources, as a late scan of the queues may.
+func (m *machine) EnqueueAgain(t *rapid.T) {
+	x := m.pick(t, placePlanned, placeRunning, placeStopping)
+	if m.s.Enqueue(x.task) == nil {
+		t.Fatalf("task %s was queued although it holds resources on %s", x.task.ID, x.worker)
+	}
+}
+
+func (m *machine) Plan(t *rapid.T) {
+	limit := rapid.SampledFrom([]int{1, 3, 1000}).Draw(t, "limit")
+	p := m.s.Plan(m.now, limit)
+	if len(p.Starts) > limit {
+		t.Fatalf("%d starts planned, limit %d", len(p.Starts), limit)
+	}
+	for _, a := range p.Starts {
+		x := m.tasks[a.Task.ID]
+		if x == nil || x.place != placeQueued {
+			t.Fatalf("start of task %s, which is not queued: %+v", a.Task.ID, x)
+		}
+		if !a.Task.Spec.Resources.Fits(a.Commitment) {
+			t.Fatalf("commitment %v of task %s is below its declared size %v", a.Commitment, a.Task.ID, a.Task.Spec.Resources)
+		}
+		if w, ok := m.workers[a.Worker]; !ok || !w.Ready {
+			t.Fatalf("start of task %s on worker %s, which is not ready", a.Task.ID, a.Worker)
+		}
+		x.place, x.worker = placePlanned, a.Worker
+	}
+	m.checkVictims(t, p)
+	if len(p.Starts) < limit {
+		m.checkNothingStartable(t)
+	}
+	m.checkQuota(t, p)
+	if !p.Empty() {
+		m.plans = append(m.plans, p)
+	}
+}
+
+func (m *machine) checkVictims(t *rapid.T, p Plan) {
+	for _, v := range p.Preemptions {
+		x := m.tasks[v.Task]
+		if x == nil || x.place != placeRunning || x.task.Spec.Class == job.ClassService {
+			t.Fatalf("preemption %+v of %+v", v, x)
+		}
+		if x.task.Spec.Priority < job.PriorityBatch {
+			t.Fatalf("urgent task %s was preempted", v.Task)
+		}
+	}
+}
+
+// checkNothingStartable compares the queue with a search of all workers: a task that could start must not wait. It
+// covers the index of free resources, the waking of parked tasks and blocking by other tasks.
+func (m *machine) checkNothingStartable(t *rapid.T) {
+	for id, e := range m.s.queued {
+		if e.group == nil || e.group.cause == CauseInterference {
+			continue
+		}
+		if !e.group.isParked {
+			t.Fatalf("task %s is neither started nor parked", id)
+		}
+		if cause, _ := m.s.heldBack(e.group, e); cause != "" {
+			continue
+		}
+		q := m.s.request(e)
+		q.need = q.spec.Resources
+		for _, w := range m.s.list {
+			if m.s.rejectedBy(q, w) == nil {
+				t.Fatalf("task %s is parked (%s: %s) but could start on %s", id, e.group.cause, e.group.reason, w.spec.ID)
+			}
+		}
+	}
+}
+
+func (m *machine) checkQuota(t *rapid.T, p Plan) {
+	for _, a := range p.Starts {
+		quota := m.quota[a.Task.Team]
+		var used job.Resources
+		for _, x := range m.tasks {
+			if x.task.Team == a.Task.Team && x.place != placeQueued {
+				used = used.Add(x.task.Spec.Resources)
+			}
+		}
+		if axis := exceeds(used, quota); axis != "" {
+			t.Fatalf("team %s uses %v beyond its quota %v of %s after a start", a.Task.Team, used, quota, axis)
+		}
+	}
+}
+
+func (m *machine) takePlan(t *rapid.T) Plan {
+	if len(m.plans) == 0 {
+		t.Skip("no plan")
+	}
+	i := rapid.IntRange(0, len(m.plans)-1).Draw(t, "plan")
+	p := m.plans[i]
+	m.plans = slices.Delete(m.plans, i, i+1)
+	return p
+}
+
+func (m *machine) Commit(t *rapid.T) {
+	p := m.takePlan(t)
+	m.s.Commit(p)
+	for _, a := range p.Starts {
+		if x := m.tasks[a.Task.ID]; x.place == placePlanned {
+			x.place = placeRunning
+		}
+	}
+	for _, v := range p.Preemptions {
+		if x := m.tasks[v.Task]; v.Action == ActionEvict && x != nil && x.place == placeRunning {
+			x.place = placeStopping
+			m.s.Stopping(v.Task)
+		}
+	}
+}
+
+func (m *machine) Abort(t *rapid.T) {
+	p := m.takePlan(t)
+	m.s.Abort(p)
+	for _, a := range p.Starts {
+		x := m.tasks[a.Task.ID]
+		x.place, x.worker = placeQueued, ""
+		if x.cancelled {
+			delete(m.tasks, a.Task.ID)
+		}
+	}
+}
+
+func (m *machine) release(t *rapid.T, x *shadowTask, end End) {
+	if !m.s.Release(x.task.ID, end) {
+		t.Fatalf("task %s held no resources", x.task.ID)
+	}
+	if end == EndCompleted || x.cancelled {
+		delete(m.tasks, x.task.ID)
+		return
+	}
+	next := x.task
+	next.Attempt++
+	if end == EndStopped {
+		next.Evictions++
+	}
+	if end == EndFailed && !slices.Contains(next.FailedOn, x.worker) {
+		next.FailedOn = append(slices.Clone(next.FailedOn), x.worker)
+	}
+	m.enqueue(t, next)
+}
+
+func (m *machine) Complete(t *rapid.T) {
+	m.release(t, m.pick(t, placeRunning, placeStopping), EndCompleted)
+}
+
+func (m *machine) Fail(t *rapid.T) {
+	m.release(t, m.pick(t, placeRunning), EndFailed)
+}
+
+// WorkerFailsAll fails everything that runs on one worker.
+func (m *machine) WorkerFailsAll(t *rapid.T) {
+	id := m.anyWorker(t)
+	for _, x := range m.on(id, placeRunning) {
+		m.release(t, x, EndFailed)
+	}
+}
+
+// PlanAndCommit makes deep states more likely than single calls do.
+func (m *machine) PlanAndCommit(t *rapid.T) {
+	m.Plan(t)
+	for len(m.plans) > 0 {
+		m.Commit(t)
+	}
+}
+
+func (m *machine) Stopped(t *rapid.T) {
+	m.release(t, m.pick(t, placeStopping), EndStopped)
+}
+
+func (m *machine) Cancel(t *rapid.T) {
+	jobID := m.pick(t, placeQueued, placePlanned, placeRunning, placeStopping).task.ID.Job()
+	m.s.DequeueJob(jobID)
+	for id, x := range m.tasks {
+		if id.Job() != jobID {
+			continue
+		}
+		x.cancelled = true
+		switch x.place {
+		case placeQueued:
+			delete(m.tasks, id)
+		case placePlanned:
+			m.s.Dequeue(id)
+		case placeRunning:
+			m.s.Stopping(id)
+			x.place = placeStopping
+		}
+	}
+}
+
+func (m *machine) WorkerLost(t *rapid.T) {
+	id := m.anyWorker(t)
+	m.s.RemoveWorker(id)
+	delete(m.workers, id)
+	if rapid.Bool().Draw(t, "lease lapsed") {
+		m.lapse(t, id)
+	}
+}
+
+func (m *machine) lapse(t *rapid.T, worker string) {
+	for _, x := range m.on(worker, placeRunning, placeStopping) {
+		m.release(t, x, EndLapsed)
+	}
+}
+
+// on lists the tasks of a worker in the order of their IDs.
+func (m *machine) on(worker string, places ...place) []*shadowTask {
+	var list []*shadowTask
+	for _, x := range m.tasks {
+		if x.worker == worker && slices.Contains(places, x.place) {
+			list = append(list, x)
+		}
+	}
+	slices.SortFunc(list, func(a, b *shadowTask) int { return strings.Compare(string(a.task.ID), string(b.task.ID)) })
+	return list
+}
+
+func (m *machine) anyWorker(t *rapid.T) string {
+	var ids []string
+	for id := range m.workers {
+		ids = append(ids, id)
+	}
+	if len(ids) == 0 {
+		t.Skip("no worker")
+	}
+	slices.Sort(ids)
+	return rapid.SampledFrom(ids).Draw(t, "worker")
+}
+
+func (m *machine) WorkerBack(t *rapid.T) {
+	i := rapid.IntRange(0, 7).Draw(t, "worker")
+	w := testWorker(fmt.Sprintf("w%d", i), job.Resources{CPUMilli: 8000, MemoryMiB: 16000, Accelerators: int64(i % 2 * 2)})
+	w.Rack = fmt.Sprintf("r%d", i%3)
+	m.workers[w.ID] = w
+	m.s.UpsertWorker(w)
+}
+
+func (m *machine) WorkerReady(t *rapid.T) {
+	id := m.anyWorker(t)
+	w := m.workers[id]
+	w.Ready = !w.Ready
+	m.workers[id] = w
+	m.s.SetWorkerReady(id, w.Ready)
+}
+
+func (m *machine) Quota(t *rapid.T) {
+	team := rapid.SampledFrom(machineTeams).Draw(t, "team")
+	quota := job.Resources{
+		CPUMilli:  rapid.SampledFrom([]int64{0, 2000, 10000}).Draw(t, "cpu quota"),
+		MemoryMiB: rapid.SampledFrom([]int64{0, 0, 8000}).Draw(t, "memory quota"),
+	}
+	m.quota[team] = quota
+	m.s.SetTeam(team, Team{Quota: quota, Weight: rapid.IntRange(1, 3).Draw(t, "weight")})
+}
+
+func (m *machine) Usage(t *rapid.T) {
+	x := m.pick(t, placeRunning)
+	for range rapid.IntRange(1, 8).Draw(t, "reports") {
+		m.s.ReportUsage(x.worker, platform.Usage{
+			Ref: platform.AttemptRef{Task: x.task.ID, Attempt: x.task.Attempt},
+			Used: job.Resources{
+				CPUMilli:  rapid.Int64Range(0, 40_000).Draw(t, "used cpu"),
+				MemoryMiB: rapid.Int64Range(0, 60_000).Draw(t, "used memory"),
+			},
+			AgeMillis:           rapid.Int64Range(0, 20_000).Draw(t, "age"),
+			SlowdownPermille:    rapid.Int64Range(0, 9000).Draw(t, "slowdown"),
+			CheckpointAgeMillis: rapid.Int64Range(0, 100_000).Draw(t, "checkpoint age"),
+		})
+	}
+}
+
+func (m *machine) Time(t *rapid.T) {
+	m.now = m.now.Add(time.Duration(rapid.SampledFrom([]int{1, 500, 5_000, 20_000, 70_000}).Draw(t, "ms")) * time.Millisecond)
+}
+
+// Check compares the scheduler's books with the test's after every call.
+func (m *machine) Check(t *rapid.T) {
+	committed, declared := map[string]job.Resources{}, map[string]job.Resources{}
+	for id, x := range m.tasks {
+		_, queued := m.s.queued[id]
+		r, placed := m.s.tasks[id]
+		if queued == placed || queued != (x.place == placeQueued) {
+			t.Fatalf("task %s: queued %v, placed %v, expected %+v", id, queued, placed, x)
+		}
+		if placed {
+			committed[x.worker] = committed[x.worker].Add(r.commit)
+			declared[x.worker] = declared[x.worker].Add(x.task.Spec.Resources)
+		}
+	}
+	if n := len(m.s.queued) + len(m.s.tasks); n != len(m.tasks) {
+		t.Fatalf("the scheduler holds %d tasks, expected %d", n, len(m.tasks))
+	}
+	for _, w := range m.s.list {
+		if w.committed != committed[w.spec.ID] || !committed[w.spec.ID].Fits(w.spec.Capacity) {
+			t.Fatalf("worker %s: committed %v, sum of tasks %v, capacity %v",
+				w.spec.ID, w.committed, committed[w.spec.ID], w.spec.Capacity)
+		}
+		if !declared[w.spec.ID].Fits(w.spec.Capacity) {
+			t.Fatalf("worker %s: declared sizes %v exceed capacity %v", w.spec.ID, declared[w.spec.ID], w.spec.Capacity)
+		}
+		if !w.reserved.Valid() {
+			t.Fatalf("worker %s: reserved %v", w.spec.ID, w.reserved)
+		}
+	}
+}
+
+// Guards against commitments beyond a worker's capacity (G1), tasks placed twice (G2) or lost (G3), parked tasks that
+// block others or are not woken, and quotas that do not hold, in any order of calls.
+func TestSchedulerMachine(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		m := newMachine(t)
+		t.Repeat(map[string]func(*rapid.T){
+			"": m.Check, "enqueue": m.Enqueue, "enqueue more": m.Enqueue, "enqueue again": m.EnqueueAgain, "plan": m.Plan, "plan and commit": m.PlanAndCommit,
+			"plan and commit again": m.PlanAndCommit, "worker fails all": m.WorkerFailsAll, "usage again": m.Usage,
+			"commit": m.Commit, "abort": m.Abort, "complete": m.Complete, "fail": m.Fail, "stopped": m.Stopped,
+			"cancel": m.Cancel, "worker lost": m.WorkerLost, "worker back": m.WorkerBack,
+			"worker ready": m.WorkerReady, "quota": m.Quota, "usage": m.Usage, "time": m.Time,
+		})
+	})
+}
--- a/sched/plan.go
+++ b/sched/plan.go
@@ -30,12 +30,20 @@
 	s.endBackoffs()
 	s.endTaskBackoffs()
 	s.expireNominations()
-	s.wake()
 	var p Plan
 	s.control(&p)
 	s.startNominated(&p, limit)
+	// Nominated tasks that started elsewhere free their reservations, so waking comes last.
+	s.wake()
+	clear(s.noFit)
 	for len(p.Starts) < limit {
 		g := s.next()
+		if g == nil && s.events.gain {
+			// Throttles for urgent work may free more than it needs.
+			s.wake()
+			clear(s.noFit)
+			g = s.next()
+		}
 		if g == nil {
 			break
 		}
@@ -59,19 +67,47 @@
 		return
 	}
 	q := s.request(e)
-	if w := s.find(q); w != nil {
-		s.start(q, w, p)
-		return
+	key := fitOf(&g.shape)
+	refused, tried := s.noFit[key]
+	if !tried {
+		if w := s.find(q); w != nil {
+			s.start(q, w, p)
+			return
+		}
 	}
 	if q.urgent() && s.makeRoom(q, p) {
 		return
 	}
-	cause, reason := s.explain(q)
-	g.need = q.need
+	if !tried {
+		refused.cause, refused.reason = s.explain(q)
+		s.noFit[key] = refused
+	}
+	cause, reason := refused.cause, refused.reason
+	g.need = q.spec.Resources
 	g.retryAt = s.now.Add(s.cfg.effectDelay())
 	p.Parked = append(p.Parked, s.park(g, cause, reason))
 }
 
+// fit is what decides on which workers a task fits, whoever it belongs to.
+type fit struct {
+	class     job.Class
+	urgent    bool
+	resources job.Resources
+	kind      string
+	limits    job.Constraints
+	failedOn  string
+}
+
+func fitOf(sh *shape) fit {
+	return fit{sh.class, sh.priority <= job.PriorityUrgent, sh.resources, sh.kind, sh.limits, sh.failedOn}
+}
+
+// refusal is why a fit was in vain. It holds for the rest of the plan, because room only shrinks meanwhile.
+type refusal struct {
+	cause  Cause
+	reason string
+}
+
 // heldBack returns why g may not start whatever worker is free.
 func (s *Scheduler) heldBack(g *group, e *entry) (Cause, string) {
 	if g.shape.held != "" {
--- a/sched/scheduler.go
+++ b/sched/scheduler.go
@@ -35,7 +35,9 @@
 	backoff   backoffHeap
 	nominated []*entry
 	nextSeq   int64
-	events    wakeUp
+	// noFit remembers within one plan what fits nowhere.
+	noFit  map[fit]refusal
+	events wakeUp
 
 	jobs       jobHealth
 	badWorkers []*worker
@@ -79,6 +81,7 @@
 		groups:   map[shape]*group{},
 		jobs:     jobHealth{records: map[string]*jobRecord{}},
 		sizes:    map[sizeKey]*size{},
+		noFit:    map[fit]refusal{},
 	}
 	s.byFree[indexCPU] = freeIndex{axis: cpuAxis, id: indexCPU}
 	s.byFree[indexAccelerators] = freeIndex{axis: acceleratorAxis, id: indexAccelerators}
@@ -372,6 +375,7 @@
 // changed brings the indexes up to date with the worker's available resources.
 func (s *Scheduler) changed(w *worker, freed bool) {
 	w.rack.stale = true
+	w.cache.valid = false
 	if !w.present {
 		return
 	}
@@ -401,6 +405,9 @@
 	w.tasks = w.tasks[:len(w.tasks)-1]
 	delete(s.tasks, r.task.ID)
 	s.setCommitment(r, job.Resources{})
+	if w.health.probation && len(w.tasks) == 0 {
+		s.events.workers = true
+	}
 	s.forgetWorker(w)
 }
 
--- a/sched/state.go
+++ b/sched/state.go
@@ -80,7 +80,8 @@
 	health    workerHealth
 	control   workerControl
 	// past lists loads that ended, for reports that lag.
-	past []pastLoad
+	past  []pastLoad
+	cache loadCache
 
 	// listPos is the index in Scheduler.list, rackPos that in rack.workers.
 	listPos int
