Remember refusals for interference per worker

Cause (profile): in the order of best fit, the first workers have room but would slow their services down, and each decision predicted that again. A task could also be parked after 32 such workers although emptier ones allow it. Weighed: a separate index of workers open to batch work; ruled out, as the answer depends on the kind of task.

--- a/sched/filter_interference.go
+++ b/sched/filter_interference.go
@@ -17,7 +17,37 @@
 	if f.s.cfg.DisableInterference || q.urgent() || w.services == 0 && !q.latencyCritical() {
 		return true
 	}
-	return f.s.predictWorst(q, w) <= f.s.cfg.SlowdownTarget-1
+	share := ratio(q.need.CPUMilli, w.spec.Capacity.CPUMilli)
+	if !q.latencyCritical() && f.s.cachedLoads(w).refuses(q.kind, share) {
+		return false
+	}
+	if f.s.predictWorst(q, w) <= f.s.cfg.SlowdownTarget-1 {
+		return true
+	}
+	if !q.latencyCritical() {
+		w.cache.refuse(q.kind, share)
+	}
+	return false
+}
+
+// refuses reports whether a task of that kind and at most that share was refused since the cache was built.
+func (c *loadCache) refuses(kind interference.Kind, share float64) bool {
+	for _, n := range c.refused {
+		if n.Kind == kind {
+			return share >= n.Share
+		}
+	}
+	return false
+}
+
+func (c *loadCache) refuse(kind interference.Kind, share float64) {
+	for i := range c.refused {
+		if c.refused[i].Kind == kind {
+			c.refused[i].Share = min(c.refused[i].Share, share)
+			return
+		}
+	}
+	c.refused = append(c.refused, interference.Neighbour{Kind: kind, Share: share})
 }
 
 // headroomFilter keeps a fixed part of workers that run services free of batch work.
@@ -47,18 +77,20 @@
 	at    time.Time
 	mix   []interference.Neighbour
 	loads []serviceLoad
+	// refused lists for each kind the smallest share that was refused.
+	refused []interference.Neighbour
 	// request and worst are the last answer of predictWorst.
 	request *request
 	worst   float64
 }
 
-// cachedLoads returns the cache of w. It is rebuilt if tasks changed, or after a report interval for newer weights.
+// cachedLoads returns the cache of w. It is rebuilt if tasks changed, or after the effect delay for newer weights.
 func (s *Scheduler) cachedLoads(w *worker) *loadCache {
 	c := &w.cache
-	if c.valid && s.now.Sub(c.at) < s.cfg.ReportInterval {
+	if c.valid && s.now.Sub(c.at) < s.cfg.effectDelay() {
 		return c
 	}
-	c.valid, c.at, c.request = true, s.now, nil
+	c.valid, c.at, c.request, c.refused = true, s.now, nil, c.refused[:0]
 	c.mix = w.neighbours(c.mix, nil)
 	c.loads = c.loads[:0]
 	for _, r := range w.tasks {
--- a/sched/index.go
+++ b/sched/index.go
@@ -90,6 +90,17 @@
 	}
 }
 
+// descend is ascend in the opposite order.
+func (x *freeIndex) descend(amount int64, visit func(*worker) bool) {
+	for b := bucketCount - 1; b >= bucketOf(amount); b-- {
+		for _, w := range x.buckets[b] {
+			if !visit(w) {
+				return
+			}
+		}
+	}
+}
+
 // rack groups workers that fail together.
 type rack struct {
 	name    string
--- a/sched/plan.go
+++ b/sched/plan.go
@@ -12,8 +12,9 @@
 const (
 	// enoughCandidates is the number of workers that are scored for one decision.
 	enoughCandidates = 8
-	// maxInterferenceRejects bounds the workers tried in vain for interference in one decision.
-	maxInterferenceRejects = 32
+	// maxInterferenceRejects bounds the workers tried in vain for interference in one decision, from each end of the
+	// index.
+	maxInterferenceRejects = 16
 )
 
 // Advance sets the scheduler's time without planning anything.
@@ -186,7 +187,8 @@
 	return nil
 }
 
-// packCandidates collects the fullest workers that allow q.
+// packCandidates collects the fullest workers that allow q. If the fullest have room but would slow their services
+// down, it looks among the emptiest.
 func (s *Scheduler) packCandidates(q *request) {
 	s.candidates = s.candidates[:0]
 	rejects := 0
@@ -199,11 +201,15 @@
 		}
 		return len(s.candidates) < enoughCandidates && rejects < maxInterferenceRejects
 	}
+	index, amount := &s.byFree[indexCPU], q.need.CPUMilli
 	if q.need.Accelerators > 0 {
-		s.byFree[indexAccelerators].ascend(q.need.Accelerators, visit)
-		return
+		index, amount = &s.byFree[indexAccelerators], q.need.Accelerators
+	}
+	index.ascend(amount, visit)
+	if rejects >= maxInterferenceRejects && len(s.candidates) == 0 {
+		rejects = 0
+		index.descend(amount, visit)
 	}
-	s.byFree[indexCPU].ascend(q.need.CPUMilli, visit)
 }
 
 // spreadCandidates collects workers that allow q on the racks with the fewest replicas of its service.
