--- a/sched/plan.go
+++ b/sched/plan.go
@@ -12,8 +12,9 @@
 const (
 	// enoughCandidates is the number of workers that are scored for one decision.
 	enoughCandidates = 8
-	// maxInterferenceRejects bounds the workers tried in vain for interference in one decision.
-	maxInterferenceRejects = 32
+	// maxInterferenceRejects bounds the workers tried in vain for interference in one decision, from each end of the
+	// index.
+	maxInterferenceRejects = 16
 )
 
 // Advance sets the scheduler's time without planning anything.
@@ -30,12 +31,20 @@
 	s.endBackoffs()
 	s.endTaskBackoffs()
 	s.expireNominations()
-	s.wake()
 	var p Plan
 	s.control(&p)
 	s.startNominated(&p, limit)
+	// Nominated tasks that started elsewhere free their reservations, so waking comes last.
+	s.wake()
+	clear(s.noFit)
 	for len(p.Starts) < limit {
 		g := s.next()
+		if g == nil && s.events.gain {
+			// Throttles for urgent work may free more than it needs.
+			s.wake()
+			clear(s.noFit)
+			g = s.next()
+		}
 		if g == nil {
 			break
 		}
@@ -59,19 +68,47 @@
 		return
 	}
 	q := s.request(e)
-	if w := s.find(q); w != nil {
-		s.start(q, w, p)
-		return
+	key := fitOf(&g.shape)
+	refused, tried := s.noFit[key]
+	if !tried {
+		if w := s.find(q); w != nil {
+			s.start(q, w, p)
+			return
+		}
 	}
 	if q.urgent() && s.makeRoom(q, p) {
 		return
 	}
-	cause, reason := s.explain(q)
-	g.need = q.need
+	if !tried {
+		refused.cause, refused.reason = s.explain(q)
+		s.noFit[key] = refused
+	}
+	cause, reason := refused.cause, refused.reason
+	g.need = q.spec.Resources
 	g.retryAt = s.now.Add(s.cfg.effectDelay())
 	p.Parked = append(p.Parked, s.park(g, cause, reason))
 }
 
+// fit is what decides on which workers a task fits, whoever it belongs to.
+type fit struct {
+	class     job.Class
+	urgent    bool
+	resources job.Resources
+	kind      string
+	limits    job.Constraints
+	failedOn  string
+}
+
+func fitOf(sh *shape) fit {
+	return fit{sh.class, sh.priority <= job.PriorityUrgent, sh.resources, sh.kind, sh.limits, sh.failedOn}
+}
+
+// refusal is why a fit was in vain. It holds for the rest of the plan, because room only shrinks meanwhile.
+type refusal struct {
+	cause  Cause
+	reason string
+}
+
 // heldBack returns why g may not start whatever worker is free.
 func (s *Scheduler) heldBack(g *group, e *entry) (Cause, string) {
 	if g.shape.held != "" {
@@ -150,7 +187,8 @@
 	return nil
 }
 
-// packCandidates collects the fullest workers that allow q.
+// packCandidates collects the fullest workers that allow q. If the fullest have room but would slow their services
+// down, it looks among the emptiest.
 func (s *Scheduler) packCandidates(q *request) {
 	s.candidates = s.candidates[:0]
 	rejects := 0
@@ -163,11 +201,15 @@
 		}
 		return len(s.candidates) < enoughCandidates && rejects < maxInterferenceRejects
 	}
+	index, amount := &s.byFree[indexCPU], q.need.CPUMilli
 	if q.need.Accelerators > 0 {
-		s.byFree[indexAccelerators].ascend(q.need.Accelerators, visit)
-		return
+		index, amount = &s.byFree[indexAccelerators], q.need.Accelerators
+	}
+	index.ascend(amount, visit)
+	if rejects >= maxInterferenceRejects && len(s.candidates) == 0 {
+		rejects = 0
+		index.descend(amount, visit)
 	}
-	s.byFree[indexCPU].ascend(q.need.CPUMilli, visit)
 }
 
 // spreadCandidates collects workers that allow q on the racks with the fewest replicas of its service.
