Let the load run choose the size of its batch job

Cause: 60 tasks of 3 s end before faults of a long run can hit them, so such a run said nothing about moved tasks. Weighed: longer tasks in the demo as well; they do not fit its 60 s. Before: a run with dead workers and frozen sched daemons started 65 attempts for 65 tasks.

--- a/cmd/currantthread-standin/main.go
+++ b/cmd/currantthread-standin/main.go
@@ -250,6 +250,8 @@
 			&cli.Uint64Flag{Name: "seed", Usage: "seed of the mix of requests", Value: 1, Destination: &cfg.Seed},
 			&cli.BoolFlag{Name: "large", Usage: "send 1 MiB bodies and 8 MiB answers through every entry VM", Destination: &cfg.Large},
 			&cli.BoolFlag{Name: "jobs", Usage: "submit a batch job, standing tasks and a service", Destination: &cfg.Jobs},
+			&cli.IntFlag{Name: "batch-tasks", Usage: "tasks of the batch job", Value: 60, Destination: &cfg.BatchTasks},
+			&cli.DurationFlag{Name: "batch-work", Usage: "work of each of them", Value: 3 * time.Second, Destination: &cfg.BatchWork},
 			&cli.DurationFlag{Name: "job-timeout", Usage: "longest wait for the jobs after the requests", Value: 15 * time.Second, Destination: &cfg.JobTimeout},
 			&cli.DurationFlag{Name: "kill-runner-after", Usage: "when to kill one runner; 0 means never", Destination: &cfg.KillRunnerAfter},
 			&cli.StringFlag{Name: "json", Usage: "`FILE` to write the summary to", Destination: &output},
--- a/internal/standin/load/jobs.go
+++ b/internal/standin/load/jobs.go
@@ -18,8 +18,7 @@
 const (
 	// jobPoll is the time between two questions about a job.
 	jobPoll = 250 * time.Millisecond
-	// batchTasks and the counts below are small, so that the demo ends in time.
-	batchTasks    = 60
+	// The counts are small, so that the demo ends in time.
 	standingTasks = 3
 	replicas      = 2
 )
@@ -46,15 +45,20 @@
 
 // jobSet is the work that a run submits.
 type jobSet struct {
-	client                   *ctl.Client
+	client *ctl.Client
+	// batchTasks is the number of batch tasks and batchWork the work of each.
+	batchTasks               int
+	batchWork                time.Duration
 	batch, standing, service job.Job
 }
 
 func (s *jobSet) submit(ctx context.Context, service string) error {
 	small := job.Resources{CPUMilli: 2000, MemoryMiB: 1024}
-	s.batch = job.Job{Name: "settlement", Team: "demo", Tasks: batchTasks, Spec: job.TaskSpec{
-		Class: job.ClassBatch, Priority: job.PriorityBatch, Resources: small, RuntimeMillis: 1000, Kind: "settlement",
-		Payload: `{"actual_ms":3000,"checkpoint_ms":1000}`,
+	s.batch = job.Job{Name: "settlement", Team: "demo", Tasks: s.batchTasks, Spec: job.TaskSpec{
+		// The declared run time is a third of the true one, as declarations are far off.
+		Class: job.ClassBatch, Priority: job.PriorityBatch, Resources: small, Kind: "settlement",
+		RuntimeMillis: s.batchWork.Milliseconds() / 3,
+		Payload:       fmt.Sprintf(`{"actual_ms":%d,"checkpoint_ms":1000}`, s.batchWork.Milliseconds()),
 	}}
 	s.standing = job.Job{Name: "registry", Team: "demo", Tasks: standingTasks, Spec: job.TaskSpec{
 		Class: job.ClassStanding, Priority: job.PriorityBatch, Resources: small, Kind: "registry",
@@ -105,12 +109,12 @@
 
 // follow waits until batch tasks are complete and the others run, then cancels the standing tasks.
 func (s *jobSet) follow(ctx context.Context, report *TaskReport) {
-	report.BatchTasks, report.StandingTasks, report.Replicas = batchTasks, standingTasks, replicas
+	report.BatchTasks, report.StandingTasks, report.Replicas = s.batchTasks, standingTasks, replicas
 	service := s.await(ctx, s.service, func(j control.JobStatus) bool { return j.Assigned == replicas })
 	report.ReplicasRunning = service.Assigned
 	standing := s.await(ctx, s.standing, func(j control.JobStatus) bool { return j.Assigned == standingTasks })
 	report.StandingRunning = standing.Assigned
-	batch := s.await(ctx, s.batch, func(j control.JobStatus) bool { return j.Completed == batchTasks })
+	batch := s.await(ctx, s.batch, func(j control.JobStatus) bool { return j.Completed == s.batchTasks })
 	report.BatchCompleted = batch.Completed
 	query := url.Values{"operator": {"demo"}}
 	err := s.client.Call(ctx, http.MethodPost, "/jobs/"+url.PathEscape(s.standing.ID)+"/cancel", query, nil, &struct{}{})
--- a/internal/standin/load/load.go
+++ b/internal/standin/load/load.go
@@ -33,6 +33,9 @@
 	Large bool
 	// Jobs submits a batch job, standing tasks and a service.
 	Jobs bool
+	// BatchTasks is the number of batch tasks and BatchWork the work of each.
+	BatchTasks int
+	BatchWork  time.Duration
 	// JobTimeout bounds the wait for the jobs after the requests ended.
 	JobTimeout time.Duration
 	// KillRunnerAfter kills one runner so long after the start; 0 means never.
@@ -183,7 +186,10 @@
 }
 
 func (r *run) jobs(ctx context.Context, report *TaskReport) error {
-	jobs := &jobSet{client: ctl.NewClient(r.cfg.Deployment.Admins())}
+	jobs := &jobSet{
+		client:     ctl.NewClient(r.cfg.Deployment.Admins()),
+		batchTasks: r.cfg.BatchTasks, batchWork: r.cfg.BatchWork,
+	}
 	if err := jobs.submit(ctx, r.cfg.Deployment.Service); err != nil {
 		return err
 	}
