Take the limit of header sizes from the settings in force

Cause: the caller server was made with the limit in force at the start of the daemon. The daemon starts before it knows the settings in force, so entry.max_header above its default of 64 KiB never had an effect. Weighed: making the server after the settings are known would still need a restart for each change. Now net/http reads up to the largest value that the settings allow, 1 MiB, and each request is checked against the limit in force; the cost is that much memory for a connection whose sender uses it. Conclusion: the setting is in force on running daemons.

--- a/entry/callerconn.go
+++ b/entry/callerconn.go
@@ -9,6 +9,7 @@
 	"net"
 	"net/http"
 	"strconv"
+	"strings"
 	"sync/atomic"
 	"time"
 
@@ -70,9 +71,14 @@
 	if !ok || bytes.ContainsAny(statusLine, "\r\n") {
 		return c.Conn.Write(buf)
 	}
-	if _, err := c.Conn.Write(c.refusal(string(statusLine[len("HTTP/1.1 "):]))); err != nil {
+	status := string(statusLine[len("HTTP/1.1 "):])
+	if _, err := c.Conn.Write(c.refusal(status)); err != nil {
 		return 0, err
 	}
+	if strings.HasPrefix(status, strconv.Itoa(http.StatusRequestHeaderFieldsTooLarge)) {
+		// The caller is likely to be still sending the header.
+		c.linger()
+	}
 	return len(buf), nil
 }
 
--- a/entry/daemon.go
+++ b/entry/daemon.go
@@ -145,7 +145,7 @@
 	adminFailed := make(chan error, 1)
 	group.Go(func() { adminFailed <- observe.Serve(background, admin, d.Admin, adminGrace) })
 
-	server := NewCallerServer(d.Server, d.options.Settings)
+	server := NewCallerServer(d.Server)
 	failed := make(chan error, 1)
 	go func() { failed <- server.Serve(d.Server.CallerListener(callers)) }()
 	d.Log.WithField("addr", callers.Addr().String()).Info("accepting requests")
@@ -170,15 +170,18 @@
 	return err
 }
 
-// NewCallerServer returns the HTTP server for callers of s. It serves listeners wrapped by s.CallerListener. The limit of
-// header sizes is the one in force now; later changes of it are checked for each request.
-func NewCallerServer(s *Server, inForce func() settings.Effective) *http.Server {
+// largestHeader is the upper end of the range of entry.max_header in bytes. The limit in force may change while the server
+// runs, so it is checked for each request, and this is only what net/http reads at most.
+const largestHeader = 1 << 20
+
+// NewCallerServer returns the HTTP server for callers of s. It serves listeners wrapped by s.CallerListener.
+func NewCallerServer(s *Server) *http.Server {
 	return &http.Server{
 		Handler:           s.Handler(),
 		ReadHeaderTimeout: callerReadHeaderTimeout,
 		IdleTimeout:       callerIdleTimeout,
 		WriteTimeout:      callerWriteTimeout,
-		MaxHeaderBytes:    int(inForce().Entry.MaxHeaderBytes),
+		MaxHeaderBytes:    largestHeader,
 		ConnContext:       connContext,
 		ConnState:         connState,
 	}
--- a/internal/figures/f1.go
+++ b/internal/figures/f1.go
@@ -119,7 +119,7 @@
 	for !s.KnowsVMs() {
 		time.Sleep(time.Millisecond)
 	}
-	server := entry.NewCallerServer(s, inForce)
+	server := entry.NewCallerServer(s)
 	go func() { _ = server.Serve(s.CallerListener(listener)) }()
 	return listener.Addr().String(), func() {
 		_ = server.Close()
