--- a/internal/figures/requestsim/world.go
+++ b/internal/figures/requestsim/world.go
@@ -129,6 +129,7 @@
 	queue   *limit.Queue
 	retries *limit.RetryBudget
 	bytes   *limit.ByteBudget
+	stream  [2]int // number of the present Poisson process of each class
 }
 
 // Stats counts the requests of one class.
--- a/route/endpoint.go
+++ b/route/endpoint.go
@@ -222,14 +222,19 @@
 	return (e.load(at) + 1) / float64(e.slots.Load()) * e.slowdown(at)
 }
 
-// wait estimates how long a new request would wait for a slot.
-func (e *Endpoint) wait(at int64) time.Duration {
+// wait estimates how long a new request would wait for a slot, in nanoseconds.
+func (e *Endpoint) wait(at int64) float64 {
 	slots := float64(e.slots.Load())
 	beyond := e.load(at) + 1 - slots
 	if beyond <= 0 {
 		return 0
 	}
-	return time.Duration(beyond / slots * e.tier.latency.value() * e.slowdown(at))
+	return beyond / slots * e.tier.latency.value() * e.slowdown(at)
+}
+
+// delay estimates how much longer than usual a new request would take, so that localities can be compared.
+func (e *Endpoint) delay(at int64) time.Duration {
+	return time.Duration(e.wait(at) + (e.slowdown(at)-1)*e.tier.latency.value())
 }
 
 const (
--- a/route/set.go
+++ b/route/set.go
@@ -185,7 +185,7 @@
 		if e == nil {
 			continue
 		}
-		if delay := e.wait(at) + distance; best == nil || delay < bestDelay {
+		if delay := e.delay(at) + distance; best == nil || delay < bestDelay {
 			best, bestDelay = e, delay
 		}
 	}
