--- a/interference/model.go
+++ b/interference/model.go
@@ -95,6 +95,9 @@
 	return k
 }
 
+// Noise returns the standard deviation of one measured slow-down.
+func (m *Model) Noise() float64 { return m.cfg.Noise }
+
 // Pair predicts the excess slow-down of a task of kind victim whose neighbours of kind source use a whole worker.
 func (m *Model) Pair(now time.Time, victim, source Kind) Estimate {
 	w := m.current(now, victim, source)
--- /dev/null
+++ b/internal/figures/placesim/headroom.go
@@ -0,0 +1,133 @@
+package placesim
+
+import (
+	"fmt"
+	"math"
+	"slices"
+	"time"
+
+	"github.com/currantthread/currantthread/job"
+	"github.com/currantthread/currantthread/sched"
+)
+
+// TailTarget is the largest acceptable 99th percentile of the services' slow-down in the comparison.
+const TailTarget = 1.3
+
+// HeadroomResult is the outcome of one policy in the comparison of learned interference with static headroom.
+type HeadroomResult struct {
+	// P99 is the 99th percentile of the services' slow-down over replicas and seconds, the learning phase included.
+	P99 float64
+	// Work is the useful batch work in core hours; ByKind tells it apart.
+	Work   float64
+	ByKind map[string]float64
+	// Throttles, Releases and Evictions count actions; Reversals counts tasks' throttles that were raised and lowered
+	// again.
+	Throttles, Releases, Evictions, Reversals int
+}
+
+const (
+	headroomWorkers  = 12
+	headroomServices = 8
+	headroomTasks    = 90
+	headroomTime     = 40 * time.Minute
+)
+
+// harm is the excess slow-down that a worker full of a kind of batch work causes to each of two kinds of services.
+var harm = map[string][2]float64{
+	"settlement": {0.05, 0.02}, "reconcile": {0.1, 0.9}, "deposits": {0.02, 0.05},
+	"reports": {1.2, 0.1}, "archive": {0.3, 0.3}, "ranking": {1.6, 1.4},
+}
+
+// Headroom replays services and a fixed set of batch tasks of six kinds on 12 workers, of which 8 run services. Each
+// batch task that ends is replaced by an equal one.
+func Headroom(cfg sched.Config, usage bool, seed uint64) HeadroomResult {
+	w := New(cfg, seed)
+	w.Delays.Step = time.Second
+	w.Usage, w.Noise, w.Outliers = usage, 0.15, 0.02
+	w.Load = func(t time.Duration) float64 { return 1 + 0.2*math.Sin(2*math.Pi*t.Minutes()/30) }
+	w.AddWorkers(headroomServices)
+	addServices(w)
+	w.AddWorkers(headroomWorkers - headroomServices)
+	res := HeadroomResult{ByKind: map[string]float64{}}
+	var slow []float64
+	w.Sample = func(_ *Attempt, s float64) { slow = append(slow, s) }
+	w.OnPlan = res.count(map[job.TaskID]bool{})
+	next := 0
+	submit := func(kind string) {
+		next++
+		w.Enqueue(batch(fmt.Sprintf("j%d/0", next), kind, 2000, job.PriorityBatch))
+	}
+	w.OnEnd = func(a *Attempt, end sched.End) {
+		if end == sched.EndCompleted {
+			submit(a.Task.Spec.Kind)
+			return
+		}
+		w.Requeue(a, end)
+	}
+	for range headroomTasks {
+		for _, kind := range harmKinds() {
+			submit(kind)
+		}
+	}
+	w.Run(headroomTime)
+	slices.Sort(slow)
+	res.P99 = slow[len(slow)*99/100]
+	for kind, work := range w.Useful {
+		res.ByKind[kind] = work / 1000 / time.Hour.Seconds()
+		res.Work += res.ByKind[kind]
+	}
+	return res
+}
+
+func (r *HeadroomResult) count(raised map[job.TaskID]bool) func(sched.Plan) {
+	return func(p sched.Plan) {
+		for _, v := range p.Preemptions {
+			switch v.Action {
+			case sched.ActionThrottle:
+				r.Throttles++
+				if raised[v.Task] {
+					r.Reversals++
+				}
+				raised[v.Task] = false
+			case sched.ActionUnthrottle:
+				r.Releases++
+				raised[v.Task] = true
+			case sched.ActionEvict:
+				r.Evictions++
+			}
+		}
+	}
+}
+
+func harmKinds() []string {
+	kinds := make([]string, 0, len(harm))
+	for kind := range harm {
+		kinds = append(kinds, kind)
+	}
+	slices.Sort(kinds)
+	return kinds
+}
+
+// addServices starts two replicas of each of two services on every worker before any batch work.
+func addServices(w *World) {
+	services := []string{"kioscos", "belownia"}
+	for i, service := range services {
+		b := &Behaviour{Slowdown: map[string]float64{}}
+		for kind, h := range harm {
+			b.Slowdown[kind] = h[i]
+		}
+		w.Kinds[service] = b
+	}
+	for kind := range harm {
+		w.Kinds[kind] = &Behaviour{Work: 4 * time.Minute}
+	}
+	// One kind of service on each worker, so that each worker has its own harmful neighbours.
+	for i, service := range services {
+		for j := range headroomServices {
+			t := batch(fmt.Sprintf("svc%d/%d", i, j), service, 8000, job.PriorityService)
+			t.Spec.Class, t.Spec.Service = job.ClassService, service
+			w.Enqueue(t)
+		}
+	}
+	w.Run(5 * time.Second)
+}
--- a/sched/control.go
+++ b/sched/control.go
@@ -2,6 +2,7 @@
 
 import (
 	"cmp"
+	"math"
 	"slices"
 	"time"
 
@@ -12,15 +13,20 @@
 const (
 	// minCPUPercent is the lowest throttle; below it a task is evicted instead.
 	minCPUPercent = 10
-	// releaseStep is how much a throttle is raised at a time, in percent of the declared processor time.
-	releaseStep = 20
+	// releasePart is the part of the tolerated excess still left that raised throttles may use up at a time.
+	releasePart = 0.5
 	// releaseMargin is the part of the tolerated excess below which throttles are raised, so that throttling and
 	// releasing do not follow each other at the same slow-down.
 	releaseMargin = 0.7
 	// maxHoldFactor bounds the wait before a throttle is raised, in multiples of the effect delay.
-	maxHoldFactor = 32
-	// smoothing is the weight of a new slow-down report.
-	smoothing = 0.3
+	maxHoldFactor = 8
+	// drift is the variance that a service's slow-down gains between two reports, as a part of the variance of one
+	// report, so that the estimate follows shifts of load within some tens of reports.
+	drift = 0.05
+	// clipDeviations bounds the surprise of one report, which may be an outlier.
+	clipDeviations = 2
+	// sureDeviations is how many standard deviations an estimate must lie beyond the target before an action.
+	sureDeviations = 1
 	// minReports is the number of reports since the last action before another one.
 	minReports = 3
 )
@@ -35,8 +41,6 @@
 	lastRelease time.Time
 	// hold is the wait after an action before a throttle is raised. It doubles when a raise had to be taken back.
 	hold time.Duration
-	// reports counts slow-down reports taken since the last action.
-	reports int
 }
 
 // pastLoad is the share that a task had of its worker for a time that is over.
@@ -89,17 +93,30 @@
 	if !r.latencyCritical() || at.Before(w.control.lastAction) {
 		return
 	}
-	if r.slowdown == 0 {
-		r.slowdown = slowdown
-	}
-	r.slowdown += smoothing * (slowdown - r.slowdown)
-	w.control.reports++
+	s.estimate(r, slowdown-1)
 	if !w.control.observed {
 		w.control.observed = true
 		s.observed = append(s.observed, w)
 	}
 }
 
+// estimate filters the reports of one service. It starts from what the model predicts, so that noise of the first
+// reports weighs little.
+func (s *Scheduler) estimate(r *running, excess float64) {
+	if r.reports == 0 {
+		s.neighbourBuf = r.worker.neighbours(s.neighbourBuf, r)
+		r.excess = s.model.Predict(s.now, r.kind, s.neighbourBuf)
+	}
+	noise := s.model.Noise() * s.model.Noise()
+	e := &r.excess
+	e.Variance += drift * noise
+	limit := clipDeviations * math.Sqrt(e.Variance+noise)
+	gain := e.Variance / (e.Variance + noise)
+	e.Mean += gain * min(max(excess-e.Mean, -limit), limit)
+	e.Variance *= 1 - gain
+	r.reports++
+}
+
 // control throttles batch work on workers whose services are too slow, and raises throttles that are no longer needed.
 // After each action on a worker it waits until the effect can show in reports.
 func (s *Scheduler) control(p *Plan) {
@@ -107,7 +124,7 @@
 		return
 	}
 	s.observed = slices.DeleteFunc(s.observed, func(w *worker) bool {
-		if s.now.Sub(w.control.lastAction) < s.cfg.effectDelay() || w.control.reports < minReports {
+		if s.now.Sub(w.control.lastAction) < s.cfg.effectDelay() {
 			return false
 		}
 		s.controlWorker(w, p)
@@ -121,9 +138,9 @@
 	if slowest == nil {
 		return
 	}
-	excess, tolerated := slowest.slowdown-1, s.cfg.SlowdownTarget-1
+	excess, tolerated := slowest.excess.Mean, s.cfg.SlowdownTarget-1
 	switch {
-	case excess > tolerated:
+	case slowest.excess.Upper(-sureDeviations) > tolerated:
 		s.throttle(slowest, 1-tolerated/excess, p)
 	case excess < releaseMargin*tolerated && s.now.Sub(w.control.lastAction) >= w.control.hold:
 		s.releaseThrottle(slowest, p)
@@ -133,7 +150,7 @@
 func slowestService(w *worker) *running {
 	var slowest *running
 	for _, r := range w.tasks {
-		if r.latencyCritical() && r.slowdown > 0 && (slowest == nil || r.slowdown > slowest.slowdown) {
+		if r.latencyCritical() && r.reports >= minReports && (slowest == nil || r.excess.Mean > slowest.excess.Mean) {
 			slowest = r
 		}
 	}
@@ -232,35 +249,44 @@
 
 func (s *Scheduler) noteAction(w *worker) {
 	c := &w.control
-	c.previousAction, c.lastAction, c.reports = c.lastAction, s.now, 0
+	c.previousAction, c.lastAction = c.lastAction, s.now
 	for _, r := range w.tasks {
-		r.slowdown = 0
+		r.reports = 0
 	}
 }
 
-// releaseThrottle raises the throttle of the task that harms the service least, if the model expects the service to
-// stay within its target.
+// releaseThrottle raises throttles, least harmful tasks first, as far as the model expects the service to use up only
+// a part of what its target leaves.
 func (s *Scheduler) releaseThrottle(service *running, p *Plan) {
 	list, _ := s.contributions(service)
+	room := releasePart * (s.cfg.SlowdownTarget - 1 - service.excess.Mean)
+	acted := false
 	for _, c := range slices.Backward(list) {
 		r := c.task
 		if r.cpuPercent == 0 {
 			continue
 		}
-		percent := r.cpuPercent + releaseStep
-		added := c.amount * (float64(percent)/float64(r.cpuPercent) - 1)
-		if service.slowdown-1+added > s.cfg.SlowdownTarget-1 {
+		// The contribution grows in proportion to the processor time.
+		whole := c.amount * 100 / float64(r.cpuPercent)
+		percent := 100
+		if whole-c.amount > room {
+			percent = int(100 * (c.amount + room) / whole)
+		}
+		if percent <= r.cpuPercent && percent < 100 {
 			continue
 		}
+		room -= whole*float64(percent)/100 - c.amount
 		if percent >= 100 {
 			percent = 0
 		}
 		p.Preemptions = append(p.Preemptions, Preemption{
 			Task: r.task.ID, Worker: r.worker.spec.ID, Action: ActionUnthrottle, CPUPercent: percent, For: service.task.ID,
 		})
-		s.noteAction(r.worker)
-		r.worker.control.lastRelease = s.now
-		return
+		acted = true
+	}
+	if acted {
+		s.noteAction(service.worker)
+		service.worker.control.lastRelease = s.now
 	}
 }
 
--- a/sched/filter.go
+++ b/sched/filter.go
@@ -17,6 +17,9 @@
 	now  time.Time
 	// own allows the resources reserved for this very task.
 	own *worker
+	// harm is a cached result of Scheduler.harm.
+	harm      float64
+	harmKnown bool
 }
 
 func (q *request) latencyCritical() bool { return q.spec.Class == job.ClassService }
--- a/sched/filter_resources.go
+++ b/sched/filter_resources.go
@@ -21,8 +21,7 @@
 func (f resourceFilter) allows(q *request, w *worker) bool {
 	free := w.available()
 	if q.own == w {
-		free = free.Add(q.need)
-		free = minResources(free, w.free())
+		free = w.freeFor(q.entry)
 	}
 	need := f.axis(q.need)
 	return need == 0 || need <= f.axis(free)
--- a/sched/scheduler.go
+++ b/sched/scheduler.go
@@ -23,6 +23,8 @@
 	byFree   [indexes]freeIndex
 	capacity job.Resources
 	services map[string]*spread
+	// serviceKinds counts the service replicas of each kind.
+	serviceKinds []int
 
 	tasks map[job.TaskID]*running
 	teams map[string]*team
@@ -88,7 +90,7 @@
 	s.filters = append([]filter{readyFilter{}, constraintFilter{}, sizeFilter{}, healthFilter{}, failedOnFilter{}},
 		resourceFilters()...)
 	s.filters = append(s.filters, headroomFilter{s}, interferenceFilter{s})
-	s.batchScores = []weightedScore{{packScore{}, 1}, {acceleratorScore{}, 2}, {interferenceScore{s}, 1}}
+	s.batchScores = []weightedScore{{packScore{}, 1}, {acceleratorScore{}, 2}, {interferenceScore{s}, 1}, {separationScore{s}, 2}}
 	s.serviceScores = []weightedScore{{spreadScore{s}, 4}, {roomScore{}, 1}, {acceleratorScore{}, 2}, {interferenceScore{s}, 2}}
 	s.SetConfig(cfg)
 	return s
@@ -356,6 +358,7 @@
 	r.team.used = r.team.used.Add(t.Spec.Resources)
 	if r.latencyCritical() {
 		w.services++
+		s.countService(r.kind, 1)
 		s.spread(t.Spec.Service).add(w.rack, 1)
 	}
 	s.setCommitment(r, commit)
@@ -396,6 +399,7 @@
 	s.events.teams = append(s.events.teams, r.team)
 	if r.latencyCritical() {
 		w.services--
+		s.countService(r.kind, -1)
 		s.spread(r.task.Spec.Service).add(w.rack, -1)
 	}
 	last := w.tasks[len(w.tasks)-1]
--- a/sched/state.go
+++ b/sched/state.go
@@ -36,8 +36,10 @@
 	startedAt  time.Time
 	// shareSince is when the present share began.
 	shareSince time.Time
-	// slowdown is the smoothed slow-down of a service since the last action on its worker; 0 means no report.
-	slowdown float64
+	// excess is the estimated excess slow-down of a service since the last action on its worker; reports is the number
+	// of reports in it.
+	excess  interference.Estimate
+	reports int
 	// checkpointAge is the work that a stop would lose, as measured at usageAt.
 	checkpointAge time.Duration
 	usageAt       time.Time
@@ -95,6 +97,19 @@
 // available is the capacity for tasks that are not nominated to the worker.
 func (w *worker) available() job.Resources { return w.free().Sub(w.reserved) }
 
+// freeFor is the capacity for a task that is nominated to the worker: what tasks nominated before it leave. Later
+// nominations must not delay it.
+func (w *worker) freeFor(e *entry) job.Resources {
+	free := w.free()
+	for _, x := range w.nominated {
+		if x == e {
+			break
+		}
+		free = free.Sub(x.held)
+	}
+	return free
+}
+
 func (w *worker) ready() bool { return w.present && w.spec.Ready }
 
 // neighbours lists the load on w by kind, without the task except.
