--- /dev/null
+++ b/internal/figures/f4.go
@@ -0,0 +1,51 @@
+package main
+
+import (
+	"fmt"
+	"io"
+	"runtime"
+	"time"
+
+	"github.com/currantthread/currantthread/internal/figures/placesim"
+)
+
+func init() {
+	register(figure{ID: "F4", Name: "placement", Run: runF4})
+}
+
+const (
+	f4Rate    = 10_000
+	f4Growth  = 2
+	f4Small   = 70
+	f4Large   = 20_000
+	f4Decided = 20_000
+	f4Runs    = 5
+)
+
+// runF4 takes the median of several runs on one processor, which alternate between both sizes so that a change of the
+// machine's load touches both.
+func runF4(out io.Writer) ([]bound, error) {
+	defer runtime.GOMAXPROCS(runtime.GOMAXPROCS(1))
+	small, large := placesim.NewCells(f4Small, 1), placesim.NewCells(f4Large, 1)
+	var smallTimes, largeTimes []float64
+	for range f4Runs {
+		smallTimes = append(smallTimes, f4Time(small))
+		largeTimes = append(largeTimes, f4Time(large))
+	}
+	smallTime, largeTime := median(smallTimes), median(largeTimes)
+	_, _ = fmt.Fprintf(out, "ns per decision at %d workers: %.0f, at %d: %.0f\n", f4Small, smallTimes, f4Large, largeTimes)
+	return []bound{
+		{What: fmt.Sprintf("decisions/s on one core at %d workers", f4Large), Measured: 1e9 / largeTime, Limit: f4Rate, AtLeast: true},
+		{What: fmt.Sprintf("cost at %d workers / at %d", f4Large, f4Small), Measured: largeTime / smallTime, Limit: f4Growth},
+	}, nil
+}
+
+// f4Time returns nanoseconds per decision.
+func f4Time(cells *placesim.Cells) float64 {
+	start := time.Now()
+	n := 0
+	for n < f4Decided {
+		n += cells.Decide()
+	}
+	return float64(time.Since(start).Nanoseconds()) / float64(n)
+}
--- a/sched/control.go
+++ b/sched/control.go
@@ -13,6 +13,10 @@
 const (
 	// minCPUPercent is the lowest throttle; below it a task is evicted instead.
 	minCPUPercent = 10
+	// lowCPUPercent and longThrottle say when a throttled task is evicted: at most that part of its processor time, for
+	// that many effect delays.
+	lowCPUPercent = 40
+	longThrottle  = 6
 	// releasePart is the part of the tolerated excess still left that raised throttles may use up at a time.
 	releasePart = 0.5
 	// releaseMargin is the part of the tolerated excess below which throttles are raised, so that throttling and
@@ -24,9 +28,9 @@
 	// report, so that the estimate follows shifts of load within some tens of reports.
 	drift = 0.05
 	// clipDeviations bounds the surprise of one report, which may be an outlier.
-	clipDeviations = 2
+	clipDeviations = 1.25
 	// sureDeviations is how many standard deviations an estimate must lie beyond the target before an action.
-	sureDeviations = 1
+	sureDeviations = 1.5
 	// minReports is the number of reports since the last action before another one.
 	minReports = 3
 )
@@ -62,6 +66,9 @@
 
 func (r *running) setThrottle(now time.Time, percent int) {
 	r.logShare(now)
+	if r.cpuPercent == 0 {
+		r.throttledAt = now
+	}
 	r.cpuPercent = percent
 	r.worker.cache.valid = false
 }
@@ -142,6 +149,7 @@
 	switch {
 	case slowest.excess.Upper(-sureDeviations) > tolerated:
 		s.throttle(slowest, 1-tolerated/excess, p)
+	case s.evictThrottled(slowest, p):
 	case excess < releaseMargin*tolerated && s.now.Sub(w.control.lastAction) >= w.control.hold:
 		s.releaseThrottle(slowest, p)
 	}
@@ -210,6 +218,23 @@
 	s.afterThrottle(victim.worker)
 }
 
+// evictThrottled evicts the most harmful task that has been throttled for long: it holds resources that others could
+// use, and may run at full speed elsewhere.
+func (s *Scheduler) evictThrottled(service *running, p *Plan) bool {
+	list, _ := s.contributions(service)
+	for _, c := range list {
+		r := c.task
+		long := s.now.Sub(r.throttledAt) >= longThrottle*s.cfg.effectDelay()
+		if r.cpuPercent == 0 || r.cpuPercent > lowCPUPercent || !long || r.task.Evictions >= s.cfg.MaxEvictions {
+			continue
+		}
+		s.planEviction(r, service.task.ID, p)
+		s.noteAction(service.worker)
+		return true
+	}
+	return false
+}
+
 func percentOrFull(percent int) int {
 	if percent == 0 {
 		return 100
--- a/sched/filter_interference.go
+++ b/sched/filter_interference.go
@@ -91,7 +91,7 @@
 		return c
 	}
 	c.valid, c.at, c.request, c.refused = true, s.now, nil, c.refused[:0]
-	c.mix = w.neighbours(c.mix, nil)
+	c.mix = w.fullLoad(c.mix)
 	c.loads = c.loads[:0]
 	for _, r := range w.tasks {
 		if r.latencyCritical() {
--- a/sched/state.go
+++ b/sched/state.go
@@ -33,7 +33,9 @@
 	evicting bool
 	// cpuPercent is the throttle in force, 1 to 100; 0 means none.
 	cpuPercent int
-	startedAt  time.Time
+	// throttledAt is when it was first throttled.
+	throttledAt time.Time
+	startedAt   time.Time
 	// shareSince is when the present share began.
 	shareSince time.Time
 	// excess is the estimated excess slow-down of a service since the last action on its worker; reports is the number
@@ -55,13 +57,14 @@
 	return r.checkpointAge + max(now.Sub(r.usageAt), 0)
 }
 
-// share is the part of its worker's processors that r may use.
+// fullShare is the part of its worker's processors that r uses without a throttle.
+func (r *running) fullShare() float64 {
+	return ratio(r.commit.CPUMilli, r.worker.spec.Capacity.CPUMilli)
+}
+
+// share is the part of its worker's processors that r may use now.
 func (r *running) share() float64 {
-	capacity := r.worker.spec.Capacity.CPUMilli
-	if capacity <= 0 {
-		return 0
-	}
-	share := float64(r.commit.CPUMilli) / float64(capacity)
+	share := r.fullShare()
 	if r.cpuPercent > 0 {
 		share *= float64(r.cpuPercent) / 100
 	}
@@ -112,7 +115,7 @@
 
 func (w *worker) ready() bool { return w.present && w.spec.Ready }
 
-// neighbours lists the load on w by kind, without the task except.
+// neighbours lists the present load on w by kind, without the task except.
 func (w *worker) neighbours(buf []interference.Neighbour, except *running) []interference.Neighbour {
 	buf = buf[:0]
 	for _, r := range w.tasks {
@@ -123,6 +126,16 @@
 	return buf
 }
 
+// fullLoad lists the load on w by kind as if nothing were throttled. Placement uses it: otherwise new tasks would take
+// the room that throttles make for services, and would be throttled in turn.
+func (w *worker) fullLoad(buf []interference.Neighbour) []interference.Neighbour {
+	buf = buf[:0]
+	for _, r := range w.tasks {
+		buf = addNeighbour(buf, r.kind, r.fullShare())
+	}
+	return buf
+}
+
 func addNeighbour(list []interference.Neighbour, kind interference.Kind, share float64) []interference.Neighbour {
 	for i := range list {
 		if list[i].Kind == kind {
