--- a/route/endpoint.go
+++ b/route/endpoint.go
@@ -222,19 +222,16 @@
 	return (e.load(at) + 1) / float64(e.slots.Load()) * e.slowdown(at)
 }
 
-// wait estimates how long a new request would wait for a slot, in nanoseconds.
-func (e *Endpoint) wait(at int64) float64 {
-	slots := float64(e.slots.Load())
-	beyond := e.load(at) + 1 - slots
-	if beyond <= 0 {
-		return 0
-	}
-	return beyond / slots * e.tier.latency.value() * e.slowdown(at)
-}
+// hasFreeSlot reports whether a new request would probably not wait for a slot.
+func (e *Endpoint) hasFreeSlot(at int64) bool { return e.load(at)+1 <= float64(e.slots.Load()) }
 
-// delay estimates how much longer than usual a new request would take, so that localities can be compared.
+// delay estimates how much longer than usual a new request would take, for want of a free slot or because the endpoint
+// is slow, so that localities can be compared.
 func (e *Endpoint) delay(at int64) time.Duration {
-	return time.Duration(e.wait(at) + (e.slowdown(at)-1)*e.tier.latency.value())
+	slots := float64(e.slots.Load())
+	queued := max(e.load(at)+1-slots, 0) / slots
+	slowdown := e.slowdown(at)
+	return time.Duration(((1+queued)*slowdown - 1) * e.tier.latency.value())
 }
 
 const (
--- a/route/two_choices.go
+++ b/route/two_choices.go
@@ -20,7 +20,7 @@
 	}
 	bestCost := candidates.Cost(best)
 	for draw := range 1 + extraDraws {
-		if draw > 0 && best.wait(candidates.at) == 0 {
+		if draw > 0 && best.hasFreeSlot(candidates.at) {
 			break
 		}
 		next, trial := candidates.Draw(best, rng)
