--- a/internal/figures/f3.go
+++ b/internal/figures/f3.go
@@ -4,6 +4,7 @@
 	"errors"
 	"fmt"
 	"io"
+	"slices"
 	"testing"
 	"time"
 
@@ -28,8 +29,8 @@
 
 var errF3NoResult = errors.New("the benchmark gave no result")
 
-// runF3 takes the median of several runs, which alternate between both sizes so that a change of the machine's load
-// touches both.
+// runF3 takes the fastest of several runs, because the load of a shared machine only ever adds time. Runs alternate between
+// the cases, so that a change of that load touches all.
 func runF3(out io.Writer) ([]bound, error) {
 	const small, large, full, baseline = 0, 1, 2, 3
 	sets := []*route.Set{
@@ -52,11 +53,11 @@
 	}
 	_, _ = fmt.Fprintf(out, "ns per choice at %d: %.0f, at %d: %.0f, at %d with no free slot: %.0f\n", f3Small, times[small],
 		f3Large, times[large], f3Small, times[full])
-	roundRobin := fmt.Sprintf("round robin %.3g", median(times[baseline]))
-	growth := median(times[large]) / median(times[small])
+	roundRobin := fmt.Sprintf("round robin %.3g", slices.Min(times[baseline]))
+	growth := slices.Min(times[large]) / slices.Min(times[small])
 	return []bound{
-		{What: fmt.Sprintf("ns at %d endpoints", f3Small), Measured: median(times[small]), Limit: f3Limit, Baseline: roundRobin},
-		{What: fmt.Sprintf("ns at %d endpoints, no free slot", f3Small), Measured: median(times[full]), Limit: f3Limit},
+		{What: fmt.Sprintf("ns at %d endpoints", f3Small), Measured: slices.Min(times[small]), Limit: f3Limit, Baseline: roundRobin},
+		{What: fmt.Sprintf("ns at %d endpoints, no free slot", f3Small), Measured: slices.Min(times[full]), Limit: f3Limit},
 		{What: "allocations", Measured: float64(allocs), Limit: 0},
 		{What: fmt.Sprintf("time at %d / at %d", f3Large, f3Small), Measured: growth, Limit: f3Growth},
 	}, nil
--- a/slo/slo_test.go
+++ b/slo/slo_test.go
@@ -191,6 +191,20 @@
 	})
 }
 
+// Guards against old counts that come back, or new ones that are lost, when a ring starts over.
+func TestRingStartsOver(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		r := newRecorder("vm1")
+		r.Record(bad("u1"))
+		time.Sleep(13 * 5 * time.Minute) // the length of an upstream's ring
+		r.Record(good("u1"))
+		r.Record(bad("u1"))
+		s := report(r)
+		assert.Equal(t, len(s.WorstUpstreams), 1)
+		assert.Equal(t, s.WorstUpstreams[0].Counts, slo.Counts{Good: 1, Bad: 1, Ran: 2})
+	})
+}
+
 // Guards against a report that does not name the VMs that could not be reached, and a page that loads anything from
 // elsewhere or runs what a name contains.
 func TestRendering(t *testing.T) {
