--- /dev/null
+++ b/sched/control_test.go
@@ -0,0 +1,62 @@
+package sched
+
+import (
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"github.com/currantthread/currantthread/job"
+	"github.com/currantthread/currantthread/platform"
+)
+
+// Guards against a second action before the effect of the first can show: reports that arrive within the usage lag, and
+// reports that were measured before the action but arrive after it, must not lead to one.
+func TestNoSecondActionBeforeTheFirstShows(t *testing.T) {
+	s := newScheduler(DefaultConfig())
+	s.UpsertWorker(testWorker("w1", cpu(10_000)))
+	s.Plan(epoch, 0)
+	service := batchTask("svc/0", cpu(1000))
+	service.Spec.Class, service.Spec.Service, service.Spec.Kind = job.ClassService, "kioscos", "kioscos"
+	s.Restore(Allocation{Task: service, Worker: "w1", Commitment: cpu(1000)})
+	for i := range 8 {
+		task := batchTask(string(job.MakeTaskID("b", i)), cpu(1000))
+		task.Spec.Kind = "ranking"
+		s.Restore(Allocation{Task: task, Worker: "w1", Commitment: cpu(1000)})
+	}
+	report := func(age time.Duration, slowdown float64) {
+		s.ReportUsage("w1", platform.Usage{
+			Ref:       platform.AttemptRef{Task: "svc/0", Attempt: 1},
+			AgeMillis: age.Milliseconds(), SlowdownPermille: int64(slowdown * 1000),
+		})
+	}
+	now := epoch.Add(time.Minute)
+	plan := func(age time.Duration, slowdown float64) []Preemption {
+		now = now.Add(time.Second)
+		s.Advance(now)
+		report(age, slowdown)
+		return commitPlan(s, now).Preemptions
+	}
+	var first []Preemption
+	for range 30 {
+		if first = plan(0, 2.5); len(first) > 0 {
+			break
+		}
+	}
+	assert.Assert(t, len(first) > 0, "a service 2.5 times slower than alone must lead to throttles")
+	assert.Equal(t, first[0].Action, ActionThrottle)
+	assert.Equal(t, first[0].For, job.TaskID("svc/0"))
+	for range 10 {
+		assert.Equal(t, len(plan(0, 2.5)), 0, "within the usage lag")
+	}
+	s.tasks["svc/0"].reports = 0
+	for i := range 10 {
+		measuredBefore := time.Duration(12+i) * time.Second
+		assert.Equal(t, len(plan(measuredBefore, 2.5)), 0, "measured before the action")
+	}
+	acted := false
+	for range 30 {
+		acted = acted || len(plan(0, 2.5)) > 0
+	}
+	assert.Assert(t, acted, "a service that stays slow must lead to another action")
+}
--- /dev/null
+++ b/sched/health_test.go
@@ -0,0 +1,97 @@
+package sched
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"github.com/currantthread/currantthread/job"
+)
+
+// failOn places a task of the job on the worker and lets it fail there.
+func failOn(t *testing.T, s *Scheduler, jobID, worker string) {
+	t.Helper()
+	task := batchTask(fmt.Sprintf("%s/%d", jobID, len(s.jobs.records)*100+len(s.tasks)), cpu(100))
+	s.Restore(Allocation{Task: task, Worker: worker, Commitment: cpu(100)})
+	assert.Assert(t, s.Release(task.ID, EndFailed))
+}
+
+func healthScheduler() *Scheduler {
+	s := newScheduler(DefaultConfig())
+	for i := range 4 {
+		s.UpsertWorker(testWorker(fmt.Sprintf("w%d", i), cpu(1000)))
+	}
+	s.Plan(epoch, 0)
+	return s
+}
+
+// Guards against a worker that fails everything and goes on getting starts, and against one that is given none for good.
+func TestBadWorkerGetsNoStartsForItsBackoff(t *testing.T) {
+	s := healthScheduler()
+	for _, jobID := range []string{"a", "b", "c"} {
+		failOn(t, s, jobID, "w0")
+	}
+	assert.Equal(t, s.Stats().BadWorkers, 1)
+	assert.Equal(t, s.Stats().BadJobs, 0)
+	for i := range 50 {
+		assert.NilError(t, s.Enqueue(batchTask(fmt.Sprintf("x/%d", i), cpu(100))))
+	}
+	for _, worker := range started(commitPlan(s, epoch)) {
+		assert.Assert(t, worker != "w0")
+	}
+	for _, id := range []string{"w1", "w2", "w3"} {
+		s.SetWorkerReady(id, false)
+	}
+	after := epoch.Add(s.cfg.BadWorkerBackoff)
+	probes := started(commitPlan(s, after))
+	assert.Equal(t, len(probes), 1, "a worker on probation runs one task at a time")
+	for id, worker := range probes {
+		assert.Equal(t, worker, "w0")
+		assert.Equal(t, len(commitPlan(s, after.Add(time.Second)).Starts), 0)
+		s.Release(id, EndStopped)
+	}
+	assert.Equal(t, len(commitPlan(s, after.Add(2*time.Second)).Starts), 1, "the end of the probe must wake parked tasks")
+}
+
+// Guards against bad jobs that make workers look bad, and against good jobs that look bad for a bad worker's sake.
+func TestBadJobsAndBadWorkersAreKeptApart(t *testing.T) {
+	t.Run("three bad jobs", func(t *testing.T) {
+		s := healthScheduler()
+		for i := range 3 {
+			for _, jobID := range []string{"a", "b", "c"} {
+				failOn(t, s, jobID, fmt.Sprintf("w%d", i))
+			}
+		}
+		assert.Equal(t, s.Stats().BadJobs, 3)
+		assert.Equal(t, s.Stats().BadWorkers, 0)
+	})
+	t.Run("one bad worker", func(t *testing.T) {
+		s := healthScheduler()
+		for _, jobID := range []string{"a", "b", "c", "d", "e"} {
+			failOn(t, s, jobID, "w0")
+		}
+		failOn(t, s, "a", "w1")
+		failOn(t, s, "a", "w2")
+		assert.Equal(t, s.Stats().BadWorkers, 1)
+		assert.Equal(t, s.Stats().BadJobs, 0, "failures on a bad worker do not count against a job")
+	})
+}
+
+// Guards against a bad job that goes on being tried, or that parks equal tasks of other jobs.
+func TestBadJobIsParkedAlone(t *testing.T) {
+	s := healthScheduler()
+	assert.NilError(t, s.Enqueue(batchTask("a/7", cpu(100))))
+	assert.NilError(t, s.Enqueue(batchTask("b/0", cpu(100))))
+	for i := range 3 {
+		failOn(t, s, "a", fmt.Sprintf("w%d", i))
+	}
+	p := commitPlan(s, epoch)
+	assert.Equal(t, len(p.Starts), 1)
+	assert.Equal(t, p.Starts[0].Task.ID, job.TaskID("b/0"))
+	assert.Equal(t, p.Parked[0].Cause, CauseBadJob)
+	assert.Assert(t, p.Parked[0].Permanent)
+	s.ReleaseJob("a")
+	assert.Equal(t, len(commitPlan(s, epoch).Starts), 1)
+}
