--- a/sched/bench_test.go
+++ b/sched/bench_test.go
@@ -108,3 +108,40 @@
 	b.ReportMetric(float64(after.HeapAlloc-before.HeapAlloc)/float64(n), "bytes/item")
 	runtime.KeepAlive(kept)
 }
+
+// Processor time per queued and cancelled task, and of a Plan with nothing to do while a backlog is parked.
+func BenchmarkQueue(b *testing.B) {
+	const tasks = 10_000
+	fill := func() *benchCell {
+		c := &benchCell{s: newScheduler(DefaultConfig()), now: epoch}
+		for i := range tasks {
+			_ = c.s.Enqueue(batchTask(string(job.MakeTaskID("wave", i)), cpu(1000)))
+		}
+		return c
+	}
+	b.Run("enqueue", func(b *testing.B) {
+		for range b.N {
+			fill()
+		}
+		b.ReportMetric(float64(b.Elapsed().Nanoseconds())/float64(b.N*tasks), "ns/task")
+	})
+	b.Run("cancel", func(b *testing.B) {
+		for range b.N {
+			b.StopTimer()
+			c := fill()
+			b.StartTimer()
+			if c.s.DequeueJob("wave") != tasks {
+				b.Fatal("tasks are left")
+			}
+		}
+		b.ReportMetric(float64(b.Elapsed().Nanoseconds())/float64(b.N*tasks), "ns/task")
+	})
+	b.Run("idle plan", func(b *testing.B) {
+		c := fill()
+		c.plan()
+		b.ResetTimer()
+		for range b.N {
+			c.plan()
+		}
+	})
+}
