Stop a start whose job was cancelled while its outcome was unknown

Ruled out: a start that ignored the cancellation row; the transaction was applied before the row existed.

--- a/cell/write.go
+++ b/cell/write.go
@@ -365,6 +365,11 @@
 		o.end(a, sched.EndLapsed, "worker is gone")
 		return
 	}
+	if o.queue.cancelledJobs[a.row.Task.ID.Job()] {
+		// The cancellation was read while the outcome of the transaction was unknown.
+		o.requestStop(a, stopCancelled)
+		return
+	}
 	o.sendStart(a)
 }
 
