--- a/internal/standin/fleet.go
+++ b/internal/standin/fleet.go
@@ -1,12 +1,9 @@
 package standin
 
 import (
-	"bytes"
 	"context"
-	"encoding/json"
 	stderrors "errors"
 	"fmt"
-	"io"
 	"net"
 	"net/http"
 	"strconv"
@@ -147,8 +144,7 @@
 		}
 		m.resident = runner
 	}
-	faults := WorkerFaults{UsageLagMillis: f.cfg.UsageLag.Milliseconds()}
-	if err := m.boot(ctx, faults); err != nil {
+	if err := m.boot(ctx, WorkerFaults{}); err != nil {
 		return nil, err
 	}
 	return m, nil
@@ -205,6 +201,7 @@
 	cfg := WorkerConfig{
 		ID: m.vm.ID, Domain: f.cfg.Domain, Capacity: f.cfg.Capacity, Poller: f.poller, Objects: f.objects,
 		Interference: f.interference, Journal: f.journal, Seed: uint64(m.index), Open: m.openReplica,
+		UsageLag: f.cfg.UsageLag,
 	}
 	if m.resident != nil {
 		cfg.Resident, cfg.ResidentKind, cfg.ResidentShare = m.resident, "service:"+f.cfg.Service, f.cfg.ResidentShare
@@ -313,7 +310,7 @@
 	defer ticker.Stop()
 	failed := false
 	for {
-		err := postJSON(ctx, f.cfg.RegisterURL+pathRegister, Registration{Source: f.cfg.Domain, VMs: f.VMs()}, nil)
+		err := PostJSON(ctx, f.cfg.RegisterURL+pathRegister, Registration{Source: f.cfg.Domain, VMs: f.VMs()}, nil)
 		if (err != nil) != failed && ctx.Err() == nil {
 			failed = err != nil
 			f.log.WithField("failed", failed).WithError(err).Info("registration of VMs")
@@ -326,39 +323,6 @@
 	}
 }
 
-// postJSON sends a control message of the stand-ins. A nil reply ignores the answer's body.
-func postJSON(ctx context.Context, url string, message, reply any) error {
-	data, err := json.Marshal(message)
-	if err != nil {
-		return errors.Trace(err)
-	}
-	req, err := http.NewRequestWithContext(ctx, http.MethodPost, url, bytes.NewReader(data))
-	if err != nil {
-		return errors.Trace(err)
-	}
-	req.Header.Set("Content-Type", "application/json")
-	return sendControl(req, reply)
-}
-
-func sendControl(req *http.Request, reply any) error {
-	res, err := http.DefaultClient.Do(req)
-	if err != nil {
-		return errors.Trace(err)
-	}
-	defer func() { _ = res.Body.Close() }()
-	data, err := io.ReadAll(res.Body)
-	if err != nil {
-		return errors.Trace(err)
-	}
-	if res.StatusCode/100 != 2 {
-		return errors.Errorf("%s %s: status %d: %s", req.Method, req.URL, res.StatusCode, data)
-	}
-	if reply == nil {
-		return nil
-	}
-	return errors.Annotatef(json.Unmarshal(data, reply), "%s %s", req.Method, req.URL)
-}
-
 // Kill stops every VM at once.
 func (f *Fleet) Kill() {
 	f.mu.Lock()
--- a/sched/scheduler.go
+++ b/sched/scheduler.go
@@ -23,6 +23,8 @@
 	byFree   [indexes]freeIndex
 	capacity job.Resources
 	services map[string]*spread
+	// serviceKinds counts the service replicas of each kind.
+	serviceKinds []int
 
 	tasks map[job.TaskID]*running
 	teams map[string]*team
@@ -35,7 +37,9 @@
 	backoff   backoffHeap
 	nominated []*entry
 	nextSeq   int64
-	events    wakeUp
+	// noFit remembers within one plan what fits nowhere.
+	noFit  map[fit]refusal
+	events wakeUp
 
 	jobs       jobHealth
 	badWorkers []*worker
@@ -79,13 +83,14 @@
 		groups:   map[shape]*group{},
 		jobs:     jobHealth{records: map[string]*jobRecord{}},
 		sizes:    map[sizeKey]*size{},
+		noFit:    map[fit]refusal{},
 	}
 	s.byFree[indexCPU] = freeIndex{axis: cpuAxis, id: indexCPU}
 	s.byFree[indexAccelerators] = freeIndex{axis: acceleratorAxis, id: indexAccelerators}
 	s.filters = append([]filter{readyFilter{}, constraintFilter{}, sizeFilter{}, healthFilter{}, failedOnFilter{}},
 		resourceFilters()...)
 	s.filters = append(s.filters, headroomFilter{s}, interferenceFilter{s})
-	s.batchScores = []weightedScore{{packScore{}, 1}, {acceleratorScore{}, 2}, {interferenceScore{s}, 1}}
+	s.batchScores = []weightedScore{{packScore{}, 1}, {acceleratorScore{}, 2}, {interferenceScore{s}, 1}, {separationScore{s}, 2}}
 	s.serviceScores = []weightedScore{{spreadScore{s}, 4}, {roomScore{}, 1}, {acceleratorScore{}, 2}, {interferenceScore{s}, 2}}
 	s.SetConfig(cfg)
 	return s
@@ -353,6 +358,7 @@
 	r.team.used = r.team.used.Add(t.Spec.Resources)
 	if r.latencyCritical() {
 		w.services++
+		s.countService(r.kind, 1)
 		s.spread(t.Spec.Service).add(w.rack, 1)
 	}
 	s.setCommitment(r, commit)
@@ -372,6 +378,7 @@
 // changed brings the indexes up to date with the worker's available resources.
 func (s *Scheduler) changed(w *worker, freed bool) {
 	w.rack.stale = true
+	w.cache.valid = false
 	if !w.present {
 		return
 	}
@@ -392,6 +399,7 @@
 	s.events.teams = append(s.events.teams, r.team)
 	if r.latencyCritical() {
 		w.services--
+		s.countService(r.kind, -1)
 		s.spread(r.task.Spec.Service).add(w.rack, -1)
 	}
 	last := w.tasks[len(w.tasks)-1]
@@ -401,6 +409,9 @@
 	w.tasks = w.tasks[:len(w.tasks)-1]
 	delete(s.tasks, r.task.ID)
 	s.setCommitment(r, job.Resources{})
+	if w.health.probation && len(w.tasks) == 0 {
+		s.events.workers = true
+	}
 	s.forgetWorker(w)
 }
 
