--- a/cell/daemon/daemon.go
+++ b/cell/daemon/daemon.go
@@ -186,7 +186,7 @@
 	mux := http.NewServeMux()
 	peers := &control.PeerHandler{
 		Follower: d.follower,
-		DescribeStatus: func(context.Context) *innerproto.StatusResponse {
+		DescribeStatus: func(*innerproto.StatusRequest) *innerproto.StatusResponse {
 			return describe(d.boot.VM, d.boot.Domain, node.Status())
 		},
 		OnDomain: func(ctx context.Context, req *innerproto.AnnounceDomainRequest) bool {
--- a/control/api.go
+++ b/control/api.go
@@ -73,6 +73,7 @@
 	group.GET("/domains", a.listDomains)
 	group.POST("/domains/:name", a.setDomain)
 	group.GET("/cells", a.listCells)
+	group.GET("/burn", a.burnReport)
 }
 
 // APIError is the body of every refusal.
@@ -165,7 +166,7 @@
 }
 
 // askAll asks every daemon of every entry VM, or of one failure domain, for its status.
-func (a *API) askAll(ctx context.Context, domain string) []DaemonStatus {
+func (a *API) askAll(ctx context.Context, domain string, req *innerproto.StatusRequest) []DaemonStatus {
 	var statuses []DaemonStatus
 	var addrs []string
 	for _, vm := range a.cfg.VMs() {
@@ -180,7 +181,7 @@
 	group.SetLimit(maxParallelAsks)
 	for i := range statuses {
 		group.Go(func() error {
-			a.ask(ctx, addrs[i], &statuses[i])
+			a.ask(ctx, addrs[i], req, &statuses[i])
 			return nil
 		})
 	}
@@ -188,10 +189,10 @@
 	return statuses
 }
 
-func (a *API) ask(ctx context.Context, addr string, status *DaemonStatus) {
+func (a *API) ask(ctx context.Context, addr string, req *innerproto.StatusRequest, status *DaemonStatus) {
 	ctx, cancel := context.WithTimeout(ctx, askTimeout)
 	defer cancel()
-	answer, err := a.cfg.Dial(addr).Status(ctx, &innerproto.StatusRequest{})
+	answer, err := a.cfg.Dial(addr).Status(ctx, req)
 	if err != nil {
 		status.Error = err.Error()
 		return
--- a/control/api_domains.go
+++ b/control/api_domains.go
@@ -82,7 +82,7 @@
 	} else {
 		a.awaitIn(ctx, &status)
 	}
-	status.Running = running(a.askAll(ctx, name))
+	status.Running = running(a.askAll(ctx, name, &innerproto.StatusRequest{}))
 	return c.JSON(http.StatusOK, status)
 }
 
@@ -101,7 +101,7 @@
 	defer cancel()
 	for ctx.Err() == nil && !status.InForce {
 		pause(ctx, returnPoll)
-		status.InForce = actOn(a.askAll(ctx, status.Domain), *status)
+		status.InForce = actOn(a.askAll(ctx, status.Domain, &innerproto.StatusRequest{}), *status)
 	}
 }
 
@@ -176,7 +176,7 @@
 			}
 			status.State, status.Operator, status.Reason = row.State, row.Operator, row.Reason
 		}
-		daemons := a.askAll(ctx, name)
+		daemons := a.askAll(ctx, name, &innerproto.StatusRequest{})
 		status.Running = running(daemons)
 		status.InForce = actOn(daemons, status)
 		statuses = append(statuses, status)
@@ -210,7 +210,7 @@
 func (a *API) listCells(c echo.Context) error {
 	ctx, cancel := a.timeout(c)
 	defer cancel()
-	return c.JSON(http.StatusOK, cellsOf(a.askAll(ctx, "")))
+	return c.JSON(http.StatusOK, cellsOf(a.askAll(ctx, "", &innerproto.StatusRequest{})))
 }
 
 // cellsOf returns the cells that daemons own. Of two daemons that name the same cell the higher epoch counts.
--- a/control/api_jobs.go
+++ b/control/api_jobs.go
@@ -220,7 +220,7 @@
 	if err := a.countQueued(ctx, status); err != nil {
 		return nil, err
 	}
-	statuses := a.askAll(ctx, j.Spec.Constraints.Domain)
+	statuses := a.askAll(ctx, j.Spec.Constraints.Domain, &innerproto.StatusRequest{})
 	if err := a.countAssigned(ctx, status, statuses); err != nil {
 		return nil, err
 	}
--- a/control/api_settings.go
+++ b/control/api_settings.go
@@ -9,6 +9,7 @@
 	"github.com/juju/errors"
 	"github.com/labstack/echo/v4"
 
+	"github.com/currantthread/currantthread/innerproto"
 	"github.com/currantthread/currantthread/settings"
 )
 
@@ -122,5 +123,5 @@
 		return a.fail(c, err)
 	}
 	c.Response().Header().Set("Currantthread-Settings-Version", strconv.FormatInt(head.Version, 10))
-	return c.JSON(http.StatusOK, StatusResponse{Version: head.Version, Daemons: a.askAll(ctx, "")})
+	return c.JSON(http.StatusOK, StatusResponse{Version: head.Version, Daemons: a.askAll(ctx, "", &innerproto.StatusRequest{})})
 }
--- a/control/inner.go
+++ b/control/inner.go
@@ -76,7 +76,7 @@
 type PeerHandler struct {
 	Follower *Follower
 	// DescribeStatus fills in what the daemon knows; the settings version is added.
-	DescribeStatus func(context.Context) *innerproto.StatusResponse
+	DescribeStatus func(*innerproto.StatusRequest) *innerproto.StatusResponse
 	// OnDomain is called with each announcement and reports whether it is in force; nil on entry daemons.
 	OnDomain func(context.Context, *innerproto.AnnounceDomainRequest) bool
 }
@@ -92,8 +92,8 @@
 }
 
 // Status implements innerprotoconnect.PeerServiceHandler.
-func (h *PeerHandler) Status(ctx context.Context, _ *innerproto.StatusRequest) (*innerproto.StatusResponse, error) {
-	status := h.DescribeStatus(ctx)
+func (h *PeerHandler) Status(_ context.Context, req *innerproto.StatusRequest) (*innerproto.StatusResponse, error) {
+	status := h.DescribeStatus(req)
 	_, status.SettingsVersion = h.Follower.Current()
 	return status, nil
 }
--- a/entry/daemon/daemon.go
+++ b/entry/daemon/daemon.go
@@ -3,6 +3,7 @@
 
 import (
 	"context"
+	"encoding/json"
 	"io"
 	"math/rand/v2"
 	"net"
@@ -20,6 +21,8 @@
 	"github.com/currantthread/currantthread/observe"
 	"github.com/currantthread/currantthread/platform"
 	"github.com/currantthread/currantthread/settings"
+	"github.com/currantthread/currantthread/slo"
+	"github.com/currantthread/currantthread/verdict"
 )
 
 const (
@@ -39,6 +42,7 @@
 	watcher  *membership.Watcher
 	follower *control.Follower
 	requests *entry.Daemon
+	counts   *slo.Recorder
 }
 
 // Run runs an entry daemon until ctx ends, then shuts down gracefully. Logs go to out. The error is settings.Problems
@@ -59,7 +63,10 @@
 }
 
 func newDaemon(boot *settings.Bootstrap, out io.Writer) (*daemon, error) {
-	d := &daemon{boot: boot, log: observe.NewLogger(out, "currantthread-entry", boot.VM), dialer: control.NewDialer()}
+	d := &daemon{
+		boot: boot, log: observe.NewLogger(out, "currantthread-entry", boot.VM), dialer: control.NewDialer(),
+		counts: slo.NewRecorder(boot.VM),
+	}
 	timeout := boot.Platform.Timeout.D()
 	table := platform.NewTableClient(boot.Platform.TableURL, boot.Domain, timeout)
 	objects := platform.NewObjectsClient(boot.Platform.ObjectsURL, boot.Domain, timeout)
@@ -73,10 +80,11 @@
 		Entries: func() []platform.VM { return d.watcher.Entries(boot.Domain) },
 		Dial:    d.dialer.Peer, Log: d.log, Registry: registry,
 	})
+	d.follower.Subscribe(d.setObjectives)
 	var err error
 	d.requests, err = entry.NewDaemon(boot, entry.Options{
 		Settings: d.follower.Effective, AwaitSettings: d.awaitSettings, LogOutput: out,
-		Table: table, Objects: objects, VMs: d.watcher, Registry: registry,
+		Table: table, Objects: objects, VMs: d.watcher, Registry: registry, Observe: d.record,
 	})
 	if err != nil {
 		return nil, err
@@ -127,12 +135,45 @@
 
 func (d *daemon) innerHandler() http.Handler {
 	mux := http.NewServeMux()
-	peers := &control.PeerHandler{
-		Follower: d.follower,
-		DescribeStatus: func(context.Context) *innerproto.StatusResponse {
-			return &innerproto.StatusResponse{Vm: d.boot.VM, Daemon: name, Domain: d.boot.Domain}
-		},
-	}
+	peers := &control.PeerHandler{Follower: d.follower, DescribeStatus: d.describe}
 	peers.Mount(mux)
 	return mux
 }
+
+// setObjectives keeps the objectives of the burn report as the settings have them.
+func (d *daemon) setObjectives(effective settings.Effective) {
+	for name, service := range effective.Services {
+		d.counts.SetObjective(name, slo.Objective{
+			Latency:  service.ObjectiveLatency.D(),
+			Permille: service.ObjectivePermille,
+			Window:   time.Duration(service.ObjectiveWindowDay) * day,
+		})
+	}
+}
+
+const day = 24 * time.Hour
+
+// record counts a finished request for the burn report. Requests refused for bad input say nothing about the service.
+func (d *daemon) record(o entry.Observation) {
+	if o.Verdict == verdict.NotRun && o.Status >= http.StatusBadRequest && o.Status < http.StatusInternalServerError &&
+		o.Status != http.StatusTooManyRequests {
+		return
+	}
+	d.counts.Record(slo.Event{
+		Service: o.Service, Domain: o.Domain, Upstream: o.Upstream, Verdict: o.Verdict,
+		Failed: o.Status == 0 || o.Status >= http.StatusInternalServerError, Latency: o.Latency,
+	})
+}
+
+func (d *daemon) describe(req *innerproto.StatusRequest) *innerproto.StatusResponse {
+	status := &innerproto.StatusResponse{Vm: d.boot.VM, Daemon: name, Domain: d.boot.Domain}
+	if !req.SloCounts {
+		return status
+	}
+	counts, err := json.Marshal(d.counts.Export())
+	if err != nil {
+		d.log.WithError(err).Error("service-level counts cannot be encoded")
+	}
+	status.SloCounts = counts
+	return status
+}
