Exit with 0 when a sched daemon stops on SIGTERM

Cause: seen by hand: the daemon closed its listeners before their servers had ended, so the servers failed with 'use of closed network connection' and the process exited with 1. Ruled out: a late handover; the cell was handed over before. After: a sched daemon ended by SIGTERM hands its cell over, logs 'stopped' and no error. Also: the burn report says '20s' instead of '0s' for counts of less than a minute.

--- a/cell/daemon/daemon.go
+++ b/cell/daemon/daemon.go
@@ -3,6 +3,7 @@
 
 import (
 	"context"
+	stderrors "errors"
 	"io"
 	"math/rand/v2"
 	"net"
@@ -123,10 +124,8 @@
 
 // work owns cells until ctx ends.
 func (d *daemon) work(ctx, serving context.Context, group *errgroup.Group, poll, inner net.Listener) error {
-	defer func() { _ = poll.Close() }()
-	defer func() { _ = inner.Close() }()
 	if !d.learn(ctx) {
-		return nil
+		return errors.Trace(stderrors.Join(poll.Close(), inner.Close()))
 	}
 	node := d.newNode()
 	group.Go(func() error { d.follower.Run(serving); return nil })
--- a/slo/render.go
+++ b/slo/render.go
@@ -99,6 +99,9 @@
 	if d >= day {
 		return fmt.Sprintf("%.3g days", float64(d)/float64(day))
 	}
+	if d < time.Minute {
+		return d.Round(time.Second).String()
+	}
 	return d.Round(time.Minute).String()
 }
 
