Let keyed requests on a quiet VM claim without waiting for the spacing

Cause: a keyed request waited for the spacing that the outcome of the previous one had started. Change: transactions follow a token bucket of the same rate with a burst of 4, and outcomes wait up to one spacing for a new claim to go with. Seen failing without it: TestClaimOnQuietVMDoesNotWait (20 ms of virtual time). TestClaimsAreGrouped still bounds the rate.

--- a/entry/claims.go
+++ b/entry/claims.go
@@ -7,6 +7,8 @@
 	"sync"
 	"time"
 
+	"golang.org/x/time/rate"
+
 	"github.com/currantthread/currantthread/ledger"
 	"github.com/currantthread/currantthread/platform"
 	"github.com/currantthread/currantthread/verdict"
@@ -24,6 +26,9 @@
 	claimBacklog = 100_000
 	// claimRetryWait is the longest wait before outcomes are sent again to an unavailable table.
 	claimRetryWait = time.Second
+	// claimBurst is how many transactions may go out without the spacing between them after a quiet time, so that a keyed
+	// request on a VM with few of them does not wait for its claim.
+	claimBurst = 4
 	// claimSlack is added to a request's time when its claim is judged to be abandoned.
 	claimSlack = 2 * time.Second
 )
@@ -54,6 +59,8 @@
 	server *Server
 	writer *ledger.Writer
 	wake   chan struct{}
+	// limiter spaces transactions; its owner is the goroutine of run.
+	limiter *rate.Limiter
 
 	mu      sync.Mutex // owner: claims; guards pending and stopped
 	pending []*claimOp
@@ -63,7 +70,10 @@
 }
 
 func newClaims(s *Server) *claims {
-	return &claims{server: s, writer: ledger.NewWriter(s.cfg.Table, "entry/"+s.cfg.VM), wake: make(chan struct{}, 1)}
+	return &claims{
+		server: s, writer: ledger.NewWriter(s.cfg.Table, "entry/"+s.cfg.VM), wake: make(chan struct{}, 1),
+		limiter: rate.NewLimiter(rate.Inf, claimBurst),
+	}
 }
 
 // claim is a claim that this process holds.
@@ -181,24 +191,51 @@
 
 // commitPending commits until nothing is pending or ctx ends.
 func (c *claims) commitPending(ctx context.Context) {
-	wait := c.spacing()
+	retry := c.spacing()
 	for ctx.Err() == nil {
+		c.gather(ctx)
+		c.limiter.SetLimit(rate.Every(c.spacing()))
+		if c.limiter.Wait(ctx) != nil {
+			return
+		}
 		batch := c.take()
 		if len(batch) == 0 {
 			return
 		}
-		began := time.Now()
 		if c.commit(ctx, batch) {
-			wait = c.spacing()
-		} else {
-			wait = min(2*wait, claimRetryWait)
+			retry = c.spacing()
+			continue
 		}
-		if !sleep(ctx, wait-time.Since(began)) {
+		retry = min(2*retry, claimRetryWait)
+		if !sleep(ctx, retry) {
 			return
 		}
 	}
 }
 
+// gather lets outcomes, for which nobody waits, go with the next new claim: it returns once a new claim is pending, or
+// after one spacing.
+func (c *claims) gather(ctx context.Context) {
+	timer := time.NewTimer(c.spacing())
+	defer timer.Stop()
+	for c.onlyOutcomesPending() {
+		select {
+		case <-ctx.Done():
+			return
+		case <-timer.C:
+			return
+		case <-c.wake:
+		}
+	}
+}
+
+func (c *claims) onlyOutcomesPending() bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	create := slices.ContainsFunc(c.pending, func(op *claimOp) bool { return op.create })
+	return len(c.pending) > 0 && !create
+}
+
 func (c *claims) spacing() time.Duration { return c.server.cfg.Settings().Entry.ClaimSpacing.D() }
 
 // take removes the next batch from the pending changes. A row appears in a batch once only, because conditions are
--- a/entry/claims_test.go
+++ b/entry/claims_test.go
@@ -360,3 +360,19 @@
 		}
 	})
 }
+
+// Guards against keyed requests on a quiet VM that wait out the spacing between transactions of claims.
+func TestClaimOnQuietVMDoesNotWait(t *testing.T) {
+	inBubble(t, func(t *testing.T, b *bench) {
+		b.addUpstream("u1", "r1", "d1", nil)
+		e := b.addEntry("e1")
+		e.send(keyed("0", "0"))
+		for i := range 5 {
+			time.Sleep(200 * time.Millisecond)
+			began := time.Now()
+			e.send(keyed(fmt.Sprint(i+1), fmt.Sprint(i+1)))
+			e.send(keyed(fmt.Sprint(i+10), fmt.Sprint(i+10)))
+			assert.Assert(t, time.Since(began) < 20*time.Millisecond, "took %v", time.Since(began))
+		}
+	})
+}
