--- a/cell/domain_test.go
+++ b/cell/domain_test.go
@@ -32,9 +32,9 @@
 		{
 			// Starts are committed and wait for polls that come only after the command.
 			name:   "workers unreachable and owner cut off",
-			before: func(w *world) { w.cutWorkers("a", true) },
+			before: func(w *world) { w.cutWorkers(true) },
 			at:     func(w *world) { w.table.SetFaults(standin.TableFaults{CutDomains: []string{"a"}}) },
-			heal:   func(w *world) { w.cutWorkers("a", false) },
+			heal:   func(w *world) { w.cutWorkers(false) },
 		},
 		{name: "late packets", before: func(w *world) { w.net.setFaults(netFaults{latePercent: 50, late: 3 * time.Second}) }},
 	}
@@ -90,8 +90,9 @@
 	}
 }
 
-// cutWorkers cuts the workers of a domain off from its nodes.
-func (w *world) cutWorkers(domain string, cut bool) {
+// cutWorkers cuts the workers of the first domain off from its nodes.
+func (w *world) cutWorkers(cut bool) {
+	domain := w.layout.domainName(0)
 	for _, f := range w.workers {
 		for _, n := range w.nodes {
 			if f.vm.Domain == domain && n.vm.Domain == domain {
--- a/cell/fakeworker_test.go
+++ b/cell/fakeworker_test.go
@@ -24,6 +24,8 @@
 	saved   string
 	savedAt time.Duration
 	timer   *time.Timer
+	// stopping is set while a stop command is being carried out.
+	stopping bool
 }
 
 // fakeWorker follows section 5 of the design page: it counts leases and permits from when it sent a poll, refuses lower
@@ -284,10 +286,7 @@
 			f.seen[c.Ref] = a
 			f.report(a, "stopped before it began")
 		case a.state == platform.RunRunning:
-			if c.SaveCheckpoint {
-				f.save(a)
-			}
-			f.finish(a, platform.RunStopped, time.Now())
+			f.stopSlowly(a, c.SaveCheckpoint)
 		default:
 			// The attempt has ended before; its report is repeated in case it was acknowledged by an owner that is gone.
 			f.report(a, "")
@@ -300,6 +299,29 @@
 	}
 }
 
+// defaultStopTime is how long an attempt goes on after a stop command, to store its checkpoint.
+const defaultStopTime = 300 * time.Millisecond
+
+func (f *fakeWorker) stopSlowly(a *attempt, save bool) {
+	if a.stopping {
+		return
+	}
+	a.stopping = true
+	incarnation := f.incarnation
+	time.AfterFunc(f.w.stopTime, func() {
+		f.mu.Lock()
+		defer f.mu.Unlock()
+		a.stopping = false
+		if !f.alive || f.incarnation != incarnation || !f.frozenAt.IsZero() || a.state != platform.RunRunning {
+			return
+		}
+		if save {
+			f.save(a)
+		}
+		f.finish(a, platform.RunStopped, time.Now())
+	})
+}
+
 func (f *fakeWorker) start(c platform.Command) {
 	a := &attempt{ref: c.Ref, state: platform.RunRunning, begin: time.Now(), saved: c.Checkpoint}
 	a.done = f.w.workOf(c.Checkpoint)
--- a/cell/world_test.go
+++ b/cell/world_test.go
@@ -52,6 +52,8 @@
 	workers map[string]*fakeWorker
 	conf    settings.Effective
 	logTo   io.Writer
+	// stopTime is how long workers take to stop a task.
+	stopTime time.Duration
 
 	mu    sync.Mutex // guards the fields below
 	nodes map[string]*node
@@ -67,7 +69,7 @@
 	w := &world{
 		t: t, layout: l, rng: rand.New(rand.NewPCG(l.seed, 1)), table: standin.NewTable(), history: newHistory(),
 		workers: map[string]*fakeWorker{}, nodes: map[string]*node{}, saved: map[string]time.Duration{},
-		conf: settings.Defaults(), logTo: io.Discard,
+		conf: settings.Defaults(), logTo: io.Discard, stopTime: defaultStopTime,
 	}
 	w.ctx, w.cancel = context.WithCancel(context.Background())
 	w.net = &network{ctx: w.ctx, rng: rand.New(rand.NewPCG(l.seed, 2)), cut: map[[2]string]bool{}}
--- a/worker/commands.go
+++ b/worker/commands.go
@@ -1,6 +1,7 @@
 package worker
 
 import (
+	"slices"
 	"time"
 
 	"github.com/currantthread/currantthread/platform"
@@ -40,6 +41,11 @@
 	return false
 }
 
+// stops reports whether a stop waits for its report.
+func (l *lease) stops() bool {
+	return slices.ContainsFunc(l.commands, func(c *command) bool { return c.Kind == platform.CommandStop && c.sends > 0 })
+}
+
 // reported drops the commands that a report confirms.
 func (l *lease) reported(r platform.Report) {
 	l.drop(func(c *command) bool {
--- a/worker/holder.go
+++ b/worker/holder.go
@@ -23,6 +23,8 @@
 	lapseMargin = 100 * time.Millisecond
 	// maxHold bounds how long a poll is held, whatever the worker allows.
 	maxHold = time.Second
+	// stopHold replaces maxHold while a worker carries out a stop, because urgent work may wait for its report.
+	stopHold = 100 * time.Millisecond
 	// resendAfter is how long a command waits for its report before it is sent again.
 	resendAfter = time.Second
 	// silentAfter is how long a worker may send no poll before it is attached again and gets no starts.
--- /dev/null
+++ b/worker/holder_test.go
@@ -0,0 +1,100 @@
+package worker_test
+
+import (
+	"context"
+	"fmt"
+	"math/rand/v2"
+	"runtime"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"github.com/currantthread/currantthread/platform"
+	"github.com/currantthread/currantthread/worker"
+)
+
+const term = 10 * time.Second
+
+// idle answers the first attach of each worker as one that runs nothing, and no later one.
+type idle struct{ answered sync.Map }
+
+func (i *idle) Attach(_ context.Context, addr string, _ platform.AttachRequest) (platform.AttachResponse, error) {
+	if _, again := i.answered.LoadOrStore(addr, true); again {
+		return platform.AttachResponse{}, &platform.UnknownOutcomeError{Err: context.DeadlineExceeded}
+	}
+	return platform.AttachResponse{Worker: addr, Incarnation: "i1"}, nil
+}
+
+func newHolder(ctx context.Context, workers int) *worker.Holder {
+	later := func() time.Time { return time.Now().Add(time.Hour) }
+	h := worker.NewHolder(worker.Config{
+		Cell: "c", Epoch: 1, Lease: term, GrantUntil: later, PermitUntil: later, Workers: &idle{},
+		Rand: rand.New(rand.NewPCG(1, 1)),
+	})
+	for i := range workers {
+		h.AddWorker(fmt.Sprintf("w%d", i), fmt.Sprintf("w%d", i))
+	}
+	go h.Run(ctx)
+	return h
+}
+
+func poll(ctx context.Context, h *worker.Holder, id string, hold time.Duration) (platform.PollResponse, error) {
+	return h.Poll(ctx, platform.PollRequest{
+		Worker: id, Incarnation: "i1", Cell: "c", Epoch: 1, HoldMillis: hold.Milliseconds(),
+	})
+}
+
+// Guards against a lease that the holder counts as lapsed while the worker still counts it as valid, for any time that
+// the poll is held and any clock of the worker within the drift bound.
+func TestLeaseOutlivesNoWorkerDeadline(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		ctx, cancel := context.WithCancel(t.Context())
+		defer cancel()
+		h := newHolder(ctx, 1)
+		time.Sleep(time.Second)
+		sent := time.Now()
+		resp, err := poll(ctx, h, "w0", 700*time.Millisecond)
+		assert.NilError(t, err)
+		slowClock := sent.Add(resp.Lease() * 101 / 100)
+		time.Sleep(time.Until(slowClock))
+		assert.Equal(t, len(h.Lapsed(time.Now())), 0)
+		time.Sleep(time.Second)
+		assert.DeepEqual(t, h.Lapsed(time.Now()), []string{"w0"})
+		_, err = poll(ctx, h, "w0", 0)
+		assert.ErrorType(t, err, &platform.StaleEpochError{})
+	})
+}
+
+// BenchmarkPoll measures one poll without commands, and reports the memory for each worker.
+func BenchmarkPoll(b *testing.B) {
+	const workers = 1000
+	var before, after runtime.MemStats
+	runtime.GC()
+	runtime.ReadMemStats(&before)
+	ctx, cancel := context.WithCancel(b.Context())
+	defer cancel()
+	h := newHolder(ctx, workers)
+	for {
+		if _, err := poll(ctx, h, fmt.Sprintf("w%d", workers-1), 0); err == nil {
+			break
+		}
+		time.Sleep(time.Millisecond)
+	}
+	h.Drain()
+	runtime.GC()
+	runtime.ReadMemStats(&after)
+	ids := make([]string, workers)
+	for i := range ids {
+		ids[i] = fmt.Sprintf("w%d", i)
+	}
+	b.ResetTimer()
+	b.ReportAllocs()
+	for i := range b.N {
+		_, _ = poll(ctx, h, ids[i%workers], 0)
+	}
+	b.ReportMetric(float64(after.HeapAlloc-before.HeapAlloc)/workers, "heap-bytes/worker")
+	runtime.KeepAlive(h)
+}
--- a/worker/poll.go
+++ b/worker/poll.go
@@ -22,6 +22,9 @@
 	l := h.leases[req.Worker]
 	h.take(l, req, received)
 	poll := l.poll
+	if l.stops() {
+		timer.Reset(min(hold, stopHold))
+	}
 	if err := h.hold(ctx, l, poll, timer.C); err != nil {
 		return platform.PollResponse{}, err
 	}
