Park a task that fails everywhere although its job completes elsewhere

Cause: a completion clears the failures counted against a job, so one task that fails on every worker was tried without end, only slowed by its backoff. Weighed: keeping the job's failures after completions; ruled out, because a few random failures would then park a large job. Before: TestTaskThatFailsEverywhereIsParked fails without the check (a start is planned). Conclusion: the reason is permanent, so the owner stores it; ReleaseJob lets the task start again.

--- a/sched/health.go
+++ b/sched/health.go
@@ -5,6 +5,8 @@
 	"slices"
 	"strings"
 	"time"
+
+	"github.com/currantthread/currantthread/job"
 )
 
 // workerHealth tells a worker that fails everything from one that was given bad jobs.
@@ -137,18 +139,29 @@
 	}
 }
 
+// failsEverywhere reports whether t alone failed on so many workers that it is parked, even if other tasks of its job
+// complete.
+func (s *Scheduler) failsEverywhere(t *job.Task) bool {
+	return s.goodWorkers(t.FailedOn) >= s.cfg.BadJobWorkers
+}
+
+// goodWorkers counts the workers that are not judged bad.
+func (s *Scheduler) goodWorkers(ids []string) int {
+	n := 0
+	for _, id := range ids {
+		if w := s.workers[id]; w == nil || !w.health.bad {
+			n++
+		}
+	}
+	return n
+}
+
 func (s *Scheduler) judgeJob(jobID string) {
 	record := s.jobs.records[jobID]
 	if record == nil {
 		return
 	}
-	failed := 0
-	for _, id := range record.workers {
-		if w := s.workers[id]; w == nil || !w.health.bad {
-			failed++
-		}
-	}
-	bad := failed >= s.cfg.BadJobWorkers
+	bad := s.goodWorkers(record.workers) >= s.cfg.BadJobWorkers
 	if bad == record.bad {
 		return
 	}
--- a/sched/health_test.go
+++ b/sched/health_test.go
@@ -95,3 +95,20 @@
 	s.ReleaseJob("a")
 	assert.Equal(t, len(commitPlan(s, epoch).Starts), 1)
 }
+
+// Guards against one task that fails everywhere and is tried without end because other tasks of its job complete.
+func TestTaskThatFailsEverywhereIsParked(t *testing.T) {
+	s := healthScheduler()
+	task := batchTask("a/0", cpu(100))
+	task.FailedOn = []string{"w0", "w1", "w2"}
+	assert.NilError(t, s.Enqueue(task))
+	s.Restore(Allocation{Task: batchTask("a/1", cpu(100)), Worker: "w0", Commitment: cpu(100)})
+	s.Release("a/1", EndCompleted)
+	p := commitPlan(s, epoch.Add(time.Minute))
+	assert.Equal(t, len(p.Starts), 0)
+	assert.Equal(t, len(p.Parked), 1)
+	assert.Assert(t, p.Parked[0].Permanent)
+	assert.Equal(t, len(commitPlan(s, epoch.Add(2*time.Minute)).Parked), 0, "it must not be examined again and again")
+	s.ReleaseJob("a")
+	assert.Equal(t, len(commitPlan(s, epoch.Add(3*time.Minute)).Starts), 1)
+}
--- a/sched/plan.go
+++ b/sched/plan.go
@@ -117,6 +117,10 @@
 	if g.shape.job != "" && s.jobs.isBad(g.shape.job) {
 		return CauseBadJob, s.badJobReason(g.shape.job)
 	}
+	if s.failsEverywhere(&e.task) {
+		return CauseBadJob, fmt.Sprintf("the task failed on %d different workers (%s); correct it and release its job",
+			len(e.task.FailedOn), strings.Join(e.task.FailedOn, ", "))
+	}
 	if reason := g.lane.team.overQuota(e.task.Spec.Resources); reason != "" {
 		return CauseQuota, reason
 	}
--- a/sched/queue.go
+++ b/sched/queue.go
@@ -291,7 +291,7 @@
 	e := &s.events
 	switch g.cause {
 	case CauseBadJob:
-		return !s.jobs.isBad(g.shape.job)
+		return !s.jobs.isBad(g.shape.job) && !s.failsEverywhere(&g.head().task)
 	case CauseOperator:
 		return false
 	case CauseQuota:
