Give each load run its own tokens and keys

Cause: a second load run with the same seed reported 5,395 operations that ran twice. Its requests without a key carried the tokens of the first run, so the runners counted two different requests under one token. Ruled out: a repeat by the entry daemons; runs with different seeds against the same deployment showed none, and the keyed requests of the repeated run were answered from their claims.

--- a/internal/standin/load/load.go
+++ b/internal/standin/load/load.go
@@ -8,6 +8,7 @@
 	"math/rand/v2"
 	"net/http"
 	"slices"
+	"strconv"
 	"strings"
 	"sync"
 	"time"
@@ -98,10 +99,12 @@
 	if cfg.Deployment.Name == "baling" {
 		reserve = "/settlements"
 	}
+	// Requests of another run with the same seed are other requests, so their tokens and keys differ.
+	prefix := strconv.FormatInt(time.Now().UnixMilli(), 36)
 	client := newClient(cfg.Callers)
 	for i := range cfg.Callers + 1 {
 		r.callers = append(r.callers, &caller{
-			id: fmt.Sprintf("%d.%d", cfg.Seed, i), rng: rand.New(rand.NewPCG(cfg.Seed, uint64(i))),
+			id: fmt.Sprintf("%s.%d.%d", prefix, cfg.Seed, i), rng: rand.New(rand.NewPCG(cfg.Seed, uint64(i))),
 			client: client, targets: r.targets, took: r.took, reserve: reserve,
 		})
 	}
