--- a/worker/holder_test.go
+++ b/worker/holder_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"fmt"
 	"math/rand/v2"
+	"net/http/httptest"
 	"runtime"
 	"sync"
 	"testing"
@@ -98,3 +99,25 @@
 	b.ReportMetric(float64(after.HeapAlloc-before.HeapAlloc)/workers, "heap-bytes/worker")
 	runtime.KeepAlive(h)
 }
+
+// BenchmarkPollHTTP measures one poll over HTTP on loopback, with client and server in one process.
+func BenchmarkPollHTTP(b *testing.B) {
+	ctx, cancel := context.WithCancel(b.Context())
+	defer cancel()
+	h := newHolder(ctx, 1)
+	server := httptest.NewServer(platform.NewPollHandler(h))
+	defer server.Close()
+	client := platform.NewPollClient("d", time.Second)
+	req := platform.PollRequest{Worker: "w0", Incarnation: "i1", Cell: "c", Epoch: 1}
+	for {
+		if _, err := client.Poll(ctx, server.URL, req); err == nil {
+			break
+		}
+		time.Sleep(time.Millisecond)
+	}
+	for b.Loop() {
+		if _, err := client.Poll(ctx, server.URL, req); err != nil {
+			b.Fatal(err)
+		}
+	}
+}
