Submit the due runs of schedules from the sched daemons

Cause: package calendar tells when runs are due; nobody submitted them. Conclusion: done for schedules that are set on one level; a schedule whose time differs between levels runs at each time.

--- a/cell/daemon/daemon.go
+++ b/cell/daemon/daemon.go
@@ -133,6 +133,7 @@
 		return observe.Serve(serving, poll, platform.NewPollHandler(node), shutdownGrace)
 	})
 	group.Go(func() error { return observe.Serve(serving, inner, d.innerHandler(node), shutdownGrace) })
+	group.Go(func() error { newSchedules(d).run(serving); return nil })
 	d.health.SetReady(true)
 	node.Run(ctx)
 	d.health.SetReady(false)
