--- a/internal/standin/platform.go
+++ b/internal/standin/platform.go
@@ -7,12 +7,14 @@
 	"io"
 	"net"
 	"net/http"
+	"strconv"
 	"strings"
 	"time"
 
 	"golang.org/x/sync/errgroup"
 	"golang.org/x/time/rate"
 
+	"github.com/cespare/xxhash/v2"
 	"github.com/currantthread/currantthread/observe"
 	"github.com/currantthread/currantthread/platform"
 )
@@ -202,10 +204,31 @@
 	return mux
 }
 
+// unchanged answers a conditional read whose entity tag is that of list. It sets the tag for every answer.
+func unchanged(w http.ResponseWriter, r *http.Request, list []platform.VM) bool {
+	hash := xxhash.New()
+	if err := json.NewEncoder(hash).Encode(list); err != nil {
+		return false
+	}
+	etag := strconv.Quote(strconv.FormatUint(hash.Sum64(), 16))
+	w.Header().Set("ETag", etag)
+	if r.Header.Get("If-None-Match") != etag {
+		return false
+	}
+	if id := r.Header.Get(platform.HeaderRequestID); id != "" {
+		w.Header().Set(platform.HeaderRequestID, id)
+	}
+	w.WriteHeader(http.StatusNotModified)
+	return true
+}
+
 func vmsHandler(vms *VMList) http.Handler {
 	mux := http.NewServeMux()
 	mux.HandleFunc("GET "+platform.PathVMs, func(w http.ResponseWriter, r *http.Request) {
 		list, err := vms.List(r.Context())
+		if err == nil && unchanged(w, r, list) {
+			return
+		}
 		answer(w, r, platform.VMsResponse{VMs: list}, err)
 	})
 	return mux
--- a/slo/render.go
+++ b/slo/render.go
@@ -154,7 +154,6 @@
 	p := plot.New()
 	p.Title.Text = "burn rate by the minute (1 uses the budget exactly)"
 	p.X.Tick.Marker = plot.TimeTicks{Format: "15:04"}
-	p.Y.Min = 0
 	points := make(plotter.XYs, len(s.History))
 	for i, point := range s.History {
 		points[i] = plotter.XY{X: float64(point.At.Unix()), Y: point.Burn}
@@ -166,6 +165,8 @@
 		}
 		p.Add(line)
 	}
+	// Without a floor a plot of nothing but zeros reaches from -1 to 1.
+	p.Y.Min, p.Y.Max = 0, max(p.Y.Max, 1)
 	canvas := vgsvg.New(plotWidth, plotHeight)
 	p.Draw(draw.New(canvas))
 	var svg bytes.Buffer
