--- a/cell/metrics.go
+++ b/cell/metrics.go
@@ -12,7 +12,7 @@
 // Metrics are the counters of all cells of a daemon.
 type Metrics struct {
 	starts, ends, commits, lapses, takeovers *prometheus.CounterVec
-	running, queued, workers                 *prometheus.GaugeVec
+	owned, running, queued, workers          *prometheus.GaugeVec
 }
 
 // NewMetrics registers the metrics of cells.
@@ -37,13 +37,25 @@
 		commits:   counter("commits_total", "Ledger transactions, by result.", "result"),
 		lapses:    counter("worker_lapses_total", "Worker leases that certainly lapsed."),
 		takeovers: counter("takeovers_total", "Times that this VM became the owner."),
+		owned:     gauge("owned", "1 while this VM owns the cell, otherwise 0."),
 		running:   gauge("assigned_tasks", "Tasks assigned in the cell."),
 		queued:    gauge("queued_tasks", "Queued tasks that the planner considers."),
 		workers:   gauge("workers", "Workers of the cell."),
 	}
 }
 
-func (m *Metrics) taken(cell string)          { m.takeovers.WithLabelValues(cell).Inc() }
+func (m *Metrics) taken(cell string) {
+	m.takeovers.WithLabelValues(cell).Inc()
+	m.owned.WithLabelValues(cell).Set(1)
+}
+
+// released clears the gauges of a cell that this VM owns no more, so that sums over VMs count it once.
+func (m *Metrics) released(cell string) {
+	for _, gauge := range []*prometheus.GaugeVec{m.owned, m.running, m.queued, m.workers} {
+		gauge.WithLabelValues(cell).Set(0)
+	}
+}
+
 func (m *Metrics) lapsed(cell string)         { m.lapses.WithLabelValues(cell).Inc() }
 func (m *Metrics) started(cell string, n int) { m.starts.WithLabelValues(cell).Add(float64(n)) }
 func (m *Metrics) ended(cell string, a *assigned) {
