Give no tasks to workers whose polls do not arrive, and let their leases lapse

Each attach moved the owner's lease deadline forward and made the worker look ready, so the tasks that the workers had stopped were assigned to the same workers again, and the start commands, which travel in answers to polls, never arrived. Ruled out: the claims of other cells (they take the tasks at once when offered); a wrong judgement of the lease (safe all along, nothing ran twice). Change: an attach grants no lease, so only the first answer moves the deadline; a worker is ready for starts only once it polls after the attach, and its first poll wakes the apply loop. Before: TestWorkersWithoutPollsGetNoTasks fails ('all run in the other domain: not within 40s'). After: passes; each moved task is started once more. 1,500 random histories and the package's tests with the race detector pass; handover and takeover stay within their bounds.

--- a/cell/cell.go
+++ b/cell/cell.go
@@ -163,6 +163,7 @@
 		o := newOwner(c, taken)
 		err := o.run(ctx)
 		o.close()
+		c.cfg.Metrics.released(c.cfg.Cell)
 		c.ended()
 		if ctx.Err() == nil {
 			c.cfg.Logger.WithError(err).WithField("cell", c.cfg.Cell).Warn("ownership ended")
--- a/cell/events.go
+++ b/cell/events.go
@@ -37,6 +37,7 @@
 		for _, u := range e.Usage {
 			o.planner.ReportUsage(e.Worker, u)
 		}
+		o.updateReady(w)
 		o.planDue = true
 	}
 }
--- a/cell/fakeworker_test.go
+++ b/cell/fakeworker_test.go
@@ -35,9 +35,11 @@
 	vm   platform.VM
 	rate float64 // of its clock against true time, within the drift bound
 
-	mu          sync.Mutex // guards the fields below
-	alive       bool
-	frozenAt    time.Time
+	mu       sync.Mutex // guards the fields below
+	alive    bool
+	frozenAt time.Time
+	// pollsCut loses every poll, while attaches still arrive.
+	pollsCut    bool
 	thawed      chan struct{} // closed while the worker is not frozen
 	incarnation string
 	restarts    int
@@ -104,6 +106,19 @@
 	}
 }
 
+// cutPolls loses every poll from now on, or no more.
+func (f *fakeWorker) cutPolls(cut bool) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.pollsCut = cut
+}
+
+func (f *fakeWorker) losesPolls() bool {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.pollsCut
+}
+
 // freeze halts the whole machine: nothing runs, nothing is sent or received.
 func (f *fakeWorker) freeze() {
 	f.mu.Lock()
@@ -229,6 +244,9 @@
 		}
 		sent := time.Now()
 		resp, err := send(ctx, f.w.net, f.vm.ID, owner, func(ctx context.Context) (platform.PollResponse, error) {
+			if f.losesPolls() {
+				return platform.PollResponse{}, errNoAnswer
+			}
 			return f.w.poll(ctx, owner, req)
 		})
 		if !f.awake(ctx, incarnation) {
--- a/cell/owner_test.go
+++ b/cell/owner_test.go
@@ -104,6 +104,27 @@
 	})
 }
 
+// Guards against tasks that are assigned again and again to workers that answer attaches while their polls do not arrive:
+// such a worker cannot be told to start anything, and attaching it renews no lease.
+func TestWorkersWithoutPollsGetNoTasks(t *testing.T) {
+	runWorld(t, layout{domains: 2, nodes: 1, workers: 2, capacity: big}, func(w *world) {
+		w.submit("j", 8, 10*time.Minute, nil)
+		w.eventually("tasks run", 20*time.Second, func() bool { return w.running("a")+w.running("b") == 8 })
+		moved := w.running("a")
+		assert.Assert(t, moved > 0)
+		for _, name := range []string{"a-w0", "a-w1"} {
+			w.workers[name].cutPolls(true)
+		}
+		w.eventually("all run in the other domain", 40*time.Second, func() bool { return w.running("b") == 8 })
+		assert.Equal(t, w.history.starts(), 8+moved)
+		for _, name := range []string{"a-w0", "a-w1"} {
+			w.workers[name].cutPolls(false)
+		}
+		w.submit("k", 8, 10*time.Minute, func(s *job.TaskSpec) { s.Constraints.Domain = "a" })
+		w.eventually("the workers are used again", 20*time.Second, func() bool { return w.running("a") == 8 })
+	})
+}
+
 // Guards against a lost eviction: the task is checkpointed, makes room, and resumes exactly once from its checkpoint.
 func TestEvictedTaskResumes(t *testing.T) {
 	runWorld(t, layout{domains: 1, nodes: 1, workers: 1, capacity: job.Resources{CPUMilli: 1000, MemoryMiB: 100}}, func(w *world) {
--- a/worker/attach.go
+++ b/worker/attach.go
@@ -57,7 +57,7 @@
 	}
 	var due []*lease
 	for _, l := range h.leases {
-		current := l.state == attached && now.Sub(l.lastPoll) <= silentAfter
+		current := l.state == attached && now.Sub(l.lastHeard) <= silentAfter
 		if l.addr != "" && !l.attaching && !current && !now.Before(l.nextAttach) {
 			due = append(due, l)
 		}
@@ -94,8 +94,10 @@
 }
 
 // attached records a worker's answer. The worker now refuses earlier epochs, so its lease, whoever granted it, runs for
-// at most one term from here.
+// at most one term from the first answer. An attach grants no lease, so the answers after the first move no deadline:
+// otherwise a worker whose polls are lost while attaches arrive would never be found to have lapsed.
 func (h *Holder) attached(l *lease, resp platform.AttachResponse) {
+	first := l.state != attached || l.incarnation != resp.Incarnation
 	if l.incarnation != resp.Incarnation {
 		l.incarnation = resp.Incarnation
 		l.received, l.acked = 0, 0
@@ -103,12 +105,15 @@
 		l.deadline = time.Time{}
 	}
 	now := time.Now()
-	if deadline := now.Add(h.cfg.Lease); deadline.After(l.deadline) {
+	if deadline := now.Add(h.cfg.Lease); first && deadline.After(l.deadline) {
 		l.deadline = deadline
 	}
+	if first {
+		l.lastPoll = time.Time{}
+	}
 	l.state = attached
 	l.provenAt = time.Time{}
-	l.lastPoll = now
+	l.lastHeard = now
 	l.attachWait = 0
 	h.takeReports(l, resp.Reports)
 	h.emit(Event{Worker: l.id, Incarnation: l.incarnation, Attached: &resp})
--- a/worker/holder.go
+++ b/worker/holder.go
@@ -92,7 +92,8 @@
 	deadline time.Time
 	// provenAt is when the lease of a worker that never attached has certainly lapsed; zero if nothing depends on it.
 	provenAt time.Time
-	lastPoll time.Time
+	// lastPoll is when the last poll since the first attach came, and lastHeard the last poll or attach.
+	lastPoll, lastHeard time.Time
 	// received and acked are the highest report numbers of the incarnation that were taken and are settled.
 	received, acked int64
 	commands        []*command
@@ -118,7 +119,8 @@
 	// Attached is set when the worker attached. Reports that it listed come before as events of their own.
 	Attached *platform.AttachResponse
 	Report   *platform.Report
-	Usage    []platform.Usage
+	// Usage is what a poll measured. An event with nothing else is a worker that polls for the first time in a while.
+	Usage []platform.Usage
 }
 
 // Wake signals that Drain has something to return.
@@ -206,7 +208,8 @@
 // Status is the state of one worker as the holder sees it.
 type Status struct {
 	Attached bool
-	// Silent is set if no poll has come for a while; such a worker gets no starts.
+	// Silent is set if no poll has come since the attach, or for a while. Commands travel in the answers to polls, so
+	// such a worker gets no starts.
 	Silent      bool
 	Incarnation string
 }
--- a/worker/poll.go
+++ b/worker/poll.go
@@ -77,11 +77,12 @@
 
 // take records what the poll reports.
 func (h *Holder) take(l *lease, req platform.PollRequest, received time.Time) {
-	l.lastPoll = received
+	firstPoll := received.Sub(l.lastPoll) > silentAfter
+	l.lastPoll, l.lastHeard = received, received
 	l.poll++
 	l.touch()
 	h.takeReports(l, req.Reports)
-	if len(req.Usage) > 0 {
+	if len(req.Usage) > 0 || firstPoll {
 		h.emit(Event{Worker: l.id, Incarnation: l.incarnation, Usage: req.Usage})
 	}
 }
