--- a/settings/schema.go
+++ b/settings/schema.go
@@ -7,6 +7,7 @@
 	"regexp"
 	"slices"
 	"strings"
+	"sync"
 	"time"
 )
 
@@ -16,6 +17,8 @@
 	typ   reflect.Type
 	index int
 	tag   reflect.StructTag
+	// preset, low and high are the parsed tags default, min and max; invalid if the tag is absent.
+	preset, low, high reflect.Value
 }
 
 var (
@@ -23,16 +26,37 @@
 	nameOfTable     = regexp.MustCompile(`^[A-Za-z0-9][A-Za-z0-9_/+-]*$`)
 )
 
+// knownFields holds the fields of each settings struct by its type, because reading struct tags is slow and every daemon
+// resolves the tree for each of some ten thousand versions a day.
+var knownFields sync.Map
+
+// fieldsOf returns the fields of a settings struct. The slice must not be changed.
 func fieldsOf(t reflect.Type) []field {
+	if known, ok := knownFields.Load(t); ok {
+		return known.([]field)
+	}
 	fields := make([]field, t.NumField())
 	for i := range fields {
 		f := t.Field(i)
 		key, _, _ := strings.Cut(f.Tag.Get("toml"), ",")
-		fields[i] = field{key: key, typ: f.Type, index: i, tag: f.Tag}
+		fields[i] = field{
+			key: key, typ: f.Type, index: i, tag: f.Tag,
+			preset: parseTag(f, "default"), low: parseTag(f, "min"), high: parseTag(f, "max"),
+		}
 	}
+	knownFields.Store(t, fields)
 	return fields
 }
 
+// parseTag returns the value of a struct tag as the field's type, or an invalid value if there is no such tag.
+func parseTag(f reflect.StructField, name string) reflect.Value {
+	text, ok := f.Tag.Lookup(name)
+	if !ok {
+		return reflect.Value{}
+	}
+	return mustParseTag(f.Type, text)
+}
+
 func findField(t reflect.Type, key string) (field, bool) {
 	for _, f := range fieldsOf(t) {
 		if f.key == key {
@@ -61,8 +85,8 @@
 			v.Field(f.index).Set(newWithDefaults(f.typ))
 			continue
 		}
-		if text, ok := f.tag.Lookup("default"); ok {
-			v.Field(f.index).Set(mustParseTag(f.typ, text))
+		if f.preset.IsValid() {
+			v.Field(f.index).Set(f.preset)
 		}
 	}
 	return v
@@ -166,13 +190,11 @@
 			return fmt.Errorf("%q is none of %s", v.String(), strings.Join(allowed, ", "))
 		}
 	}
-	low, hasLow := f.tag.Lookup("min")
-	high, hasHigh := f.tag.Lookup("max")
-	if !hasLow || !hasHigh {
+	if !f.low.IsValid() || !f.high.IsValid() {
 		return nil
 	}
-	if v.Int() < mustParseTag(f.typ, low).Int() || v.Int() > mustParseTag(f.typ, high).Int() {
-		return fmt.Errorf("%v is outside %s to %s", v.Interface(), low, high)
+	if v.Int() < f.low.Int() || v.Int() > f.high.Int() {
+		return fmt.Errorf("%v is outside %s to %s", v.Interface(), f.tag.Get("min"), f.tag.Get("max"))
 	}
 	return nil
 }
@@ -231,5 +253,5 @@
 // MaxStartPermit returns the longest start permit that settings may name.
 func MaxStartPermit() time.Duration {
 	f, _ := findField(reflect.TypeFor[Sched](), "start_permit")
-	return mustParseTag(f.typ, f.tag.Get("max")).Interface().(Duration).D()
+	return f.high.Interface().(Duration).D()
 }
--- a/settings/settings_test.go
+++ b/settings/settings_test.go
@@ -1,7 +1,9 @@
 package settings_test
 
 import (
+	"fmt"
 	"os"
+	"strings"
 	"testing"
 	"testing/fstest"
 	"time"
@@ -142,3 +144,27 @@
 	assert.NilError(t, err)
 	assert.Equal(t, string(page), settings.Reference(), "run: currantctl settings reference > docs/settings.md")
 }
+
+// BenchmarkParse measures what a daemon does for each version: checking the levels of its failure domain and resolving
+// its own.
+func BenchmarkParse(b *testing.B) {
+	var root strings.Builder
+	for i := range 62 {
+		fmt.Fprintf(&root, "[team.t%d]\ncpu_cores = %d\nmemory = \"8TiB\"\nweight = 2\n", i, 100+i)
+	}
+	for i := range 20 {
+		fmt.Fprintf(&root, "[service.s%d]\ntimeout = \"5s\"\nqueue = %d\n", i, 100+i)
+	}
+	sources := settings.Sources{"/": root.String(), "/r": "[entry]\n", "/r/d": "[service.s1]\nqueue = 7\n"}
+	for i := range 8 {
+		sources[fmt.Sprintf("/r/d/e%d", i)] = "[entry]\nbalancer_lag = \"2s\"\n"
+	}
+	b.ReportAllocs()
+	for b.Loop() {
+		tree, err := settings.Parse(sources)
+		if err != nil {
+			b.Fatal(err)
+		}
+		tree.Resolve("/r/d/e1")
+	}
+}
