Share one wait and one start of the settings follower

Cause: the read-through found five copies of a wait that a context can end, only one of which avoided the timer that crashes the race detector in a synctest bubble, and two copies of the loop that waits for the settings at start. Change: internal/wait; Follower.AwaitStart; plainer names for an attempt's outcome and for the steps of the random faults. Checked: tests of cell, control, entry, ledger and the stand-ins with the race detector; lint.

--- a/cell/daemon/daemon.go
+++ b/cell/daemon/daemon.go
@@ -19,6 +19,7 @@
 	"github.com/currantthread/currantthread/control"
 	"github.com/currantthread/currantthread/innerproto"
 	"github.com/currantthread/currantthread/innerproto/innerprotoconnect"
+	"github.com/currantthread/currantthread/internal/wait"
 	"github.com/currantthread/currantthread/membership"
 	"github.com/currantthread/currantthread/observe"
 	"github.com/currantthread/currantthread/platform"
@@ -32,9 +33,8 @@
 	shutdownGrace = 3 * time.Second
 	// announceTimeout is the deadline of telling a successor of a handover.
 	announceTimeout = 500 * time.Millisecond
-	// startRetryMin and startRetryMax bound the wait between attempts to learn the settings and the VM list at start.
-	startRetryMin = 100 * time.Millisecond
-	startRetryMax = 2 * time.Second
+	// vmListPoll is how often a starting daemon looks whether the VM list was read.
+	vmListPoll = 50 * time.Millisecond
 )
 
 // daemon is one sched daemon.
@@ -143,22 +143,15 @@
 // learn waits for the settings in force and the VM list: the number of cells must be right before a cell is owned, and
 // a restarted VM must not fall back to an earlier version.
 func (d *daemon) learn(ctx context.Context) bool {
-	for wait := startRetryMin; ; wait = min(2*wait, startRetryMax) {
-		err := d.follower.Start(ctx)
-		if err == nil && len(d.watcher.VMs()) > 0 {
-			return true
-		}
-		if err != nil && wait == startRetryMin {
-			d.log.WithError(err).Warn("waiting for the settings in force")
-		}
-		timer := time.NewTimer(wait/2 + rand.N(wait/2))
-		select {
-		case <-ctx.Done():
-			timer.Stop()
+	if !d.follower.AwaitStart(ctx) {
+		return false
+	}
+	for len(d.watcher.VMs()) == 0 {
+		if !wait.For(ctx, vmListPoll) {
 			return false
-		case <-timer.C:
 		}
 	}
+	return true
 }
 
 func (d *daemon) newNode() *cell.Node {
--- a/cell/events.go
+++ b/cell/events.go
@@ -59,7 +59,7 @@
 	w.acks = append(w.acks, entry)
 	a := o.tasks[r.Ref.Task]
 	if a == nil || a.ref() != r.Ref || a.row.Worker != w.vm.ID || a.row.Incarnation != w.incarnation {
-		// The ledger already holds another fate of this attempt, so the report has no effect.
+		// The ledger already holds another outcome of this attempt, so the report has no effect.
 		entry.done = true
 		o.handleForeign(w, r)
 		o.settleAcks(w)
@@ -279,8 +279,8 @@
 	return out
 }
 
-// fate decides what becomes of a task whose attempt has ended: it is done, or queued again for its next attempt.
-func (a *assigned) fate() (done *ledger.Done, next *job.Task) {
+// outcome decides what becomes of a task whose attempt has ended: it is done, or queued again for its next attempt.
+func (a *assigned) outcome() (done *ledger.Done, next *job.Task) {
 	task := a.row.Task
 	switch {
 	case a.end.end == sched.EndCompleted && task.Spec.Class == job.ClassBatch:
--- a/cell/faults_test.go
+++ b/cell/faults_test.go
@@ -25,8 +25,8 @@
 
 func (s step) String() string { return fmt.Sprintf("%s(%d,%d)+%s", s.what, s.a, s.b, s.wait) }
 
-// happenings are what can happen to a deployment. Each takes two numbers that choose among its parts.
-var happenings = map[string]func(w *world, a, b int){
+// faultActions are the faults and commands that a history is made of. Each takes two numbers that choose among its parts.
+var faultActions = map[string]func(w *world, a, b int){
 	"submit batch": func(w *world, a, b int) { w.submitNext(1+a%6, time.Duration(2+b)*time.Second, nil) },
 	"submit standing": func(w *world, a, _ int) {
 		w.submitNext(1+a%2, 0, func(s *job.TaskSpec) { s.Class = job.ClassStanding })
@@ -206,7 +206,7 @@
 		w.start()
 		time.Sleep(2 * time.Second)
 		for _, s := range steps {
-			happenings[s.what](w, s.a, s.b)
+			faultActions[s.what](w, s.a, s.b)
 			time.Sleep(s.wait)
 		}
 		w.healAll()
@@ -236,7 +236,7 @@
 // cut off so that two believe they hold the cell, workers crashed, restarted and frozen, packets and commits delayed,
 // lost and reordered, the table down and slow, domains out and in while cut off, and cancellations that race starts.
 func TestGuaranteesUnderFaults(t *testing.T) {
-	names := sortedKeys(happenings)
+	names := sortedKeys(faultActions)
 	one := rapid.Custom(func(rt *rapid.T) step {
 		return step{
 			what: rapid.SampledFrom(names).Draw(rt, "what"),
--- a/cell/node.go
+++ b/cell/node.go
@@ -14,6 +14,7 @@
 	"github.com/sirupsen/logrus"
 
 	"github.com/currantthread/currantthread/drain"
+	"github.com/currantthread/currantthread/internal/wait"
 	"github.com/currantthread/currantthread/job"
 	"github.com/currantthread/currantthread/platform"
 	"github.com/currantthread/currantthread/settings"
@@ -203,7 +204,7 @@
 	}
 	until := n.gate.Ceiling()
 	for n.startsInFlight() && time.Now().Before(until) {
-		if !sleep(ctx, announceInterval) {
+		if !wait.For(ctx, announceInterval) {
 			return false
 		}
 	}
--- a/cell/owner.go
+++ b/cell/owner.go
@@ -9,6 +9,7 @@
 	"github.com/cenkalti/backoff/v5"
 
 	"github.com/currantthread/currantthread/drain"
+	"github.com/currantthread/currantthread/internal/wait"
 	"github.com/currantthread/currantthread/job"
 	"github.com/currantthread/currantthread/ledger"
 	"github.com/currantthread/currantthread/platform"
@@ -252,7 +253,7 @@
 				break
 			}
 			after = rows[len(rows)-1].Key
-		} else if !sleep(ctx, o.retry.NextBackOff()) {
+		} else if !wait.For(ctx, o.retry.NextBackOff()) {
 			return ctx.Err()
 		}
 		if !time.Now().Before(o.renewalDue()) {
@@ -334,15 +335,3 @@
 	o.c.setStatus(status)
 	o.cfg.Metrics.observe(o.cfg.Cell, status)
 }
-
-// sleep waits for d and reports false if ctx ended first.
-func sleep(ctx context.Context, d time.Duration) bool {
-	timer := time.NewTimer(d)
-	defer timer.Stop()
-	select {
-	case <-ctx.Done():
-		return false
-	case <-timer.C:
-		return true
-	}
-}
--- a/cell/write.go
+++ b/cell/write.go
@@ -7,6 +7,7 @@
 	"strings"
 	"time"
 
+	"github.com/currantthread/currantthread/internal/wait"
 	"github.com/currantthread/currantthread/job"
 	"github.com/currantthread/currantthread/ledger"
 	"github.com/currantthread/currantthread/platform"
@@ -168,7 +169,7 @@
 			c.removed = true
 			b.remove(key)
 			var done *ledger.Done
-			if done, c.next = a.fate(); done != nil {
+			if done, c.next = a.outcome(); done != nil {
 				b.put(ledger.DoneKey(a.row.Task.ID), done)
 			} else {
 				queueKey := ledger.QueueKeyOf(*c.next)
@@ -427,7 +428,7 @@
 		if err := o.resolve(ctx); err != nil || ctx.Err() != nil {
 			return
 		}
-		if o.unresolved != nil && !sleep(ctx, retryInitial) {
+		if o.unresolved != nil && !wait.For(ctx, retryInitial) {
 			return
 		}
 	}
@@ -442,7 +443,7 @@
 		if err == nil {
 			break
 		}
-		if !isUnavailable(err) || !sleep(ctx, retryInitial) {
+		if !isUnavailable(err) || !wait.For(ctx, retryInitial) {
 			// A peer takes the cell over once its row has not changed for a lease term.
 			o.cfg.Logger.WithField("cell", o.cfg.Cell).WithError(err).Warn("cell was not handed over")
 			return
--- a/control/api_domains.go
+++ b/control/api_domains.go
@@ -12,6 +12,7 @@
 	"github.com/labstack/echo/v4"
 
 	"github.com/currantthread/currantthread/innerproto"
+	"github.com/currantthread/currantthread/internal/wait"
 	"github.com/currantthread/currantthread/ledger"
 	"github.com/currantthread/currantthread/platform"
 	"github.com/currantthread/currantthread/settings"
@@ -89,7 +90,7 @@
 // awaitOut returns once no task starts any more: at once if all confirmed, or when the permits have run out.
 func (a *API) awaitOut(ctx context.Context, status *DomainStatus, stored time.Time) {
 	if len(status.Unconfirmed) > 0 {
-		pause(ctx, time.Until(stored.Add(longestPermit()+driftMargin)))
+		wait.For(ctx, time.Until(stored.Add(longestPermit()+driftMargin)))
 	}
 	status.InForce = ctx.Err() == nil
 }
@@ -100,7 +101,7 @@
 	ctx, cancel := context.WithTimeout(ctx, returnTimeout)
 	defer cancel()
 	for ctx.Err() == nil && !status.InForce {
-		pause(ctx, returnPoll)
+		wait.For(ctx, returnPoll)
 		status.InForce = actOn(a.askAll(ctx, status.Domain, &innerproto.StatusRequest{}), *status)
 	}
 }
--- a/control/follower.go
+++ b/control/follower.go
@@ -12,6 +12,7 @@
 	"github.com/sirupsen/logrus"
 
 	"github.com/currantthread/currantthread/innerproto"
+	"github.com/currantthread/currantthread/internal/wait"
 	"github.com/currantthread/currantthread/membership"
 	"github.com/currantthread/currantthread/platform"
 	"github.com/currantthread/currantthread/settings"
@@ -141,6 +142,22 @@
 	return nil
 }
 
+// AwaitStart calls Start until it succeeds, and reports false if ctx ends first. The wait is logged once.
+func (f *Follower) AwaitStart(ctx context.Context) bool {
+	for backoff := minStoreBackoff; ; backoff = min(2*backoff, maxStoreBackoff) {
+		err := f.Start(ctx)
+		if err == nil {
+			return true
+		}
+		if backoff == minStoreBackoff {
+			f.cfg.Log.WithError(err).Warn("waiting for the settings in force")
+		}
+		if !wait.For(ctx, jitter(backoff)) {
+			return false
+		}
+	}
+}
+
 // Run follows new versions until ctx ends.
 func (f *Follower) Run(ctx context.Context) {
 	backoff := minStoreBackoff
@@ -150,10 +167,10 @@
 			backoff = minStoreBackoff
 		case f.pollStore(ctx) == nil:
 			backoff = minStoreBackoff
-			pause(ctx, jitter(storePollInterval))
+			wait.For(ctx, jitter(storePollInterval))
 		default:
 			f.askAnyPeer(ctx)
-			pause(ctx, jitter(backoff))
+			wait.For(ctx, jitter(backoff))
 			backoff = min(2*backoff, maxStoreBackoff)
 		}
 	}
@@ -402,12 +419,3 @@
 func jitter(d time.Duration) time.Duration {
 	return d - d/10 + rand.N(d/5+1)
 }
-
-func pause(ctx context.Context, d time.Duration) {
-	timer := time.NewTimer(d)
-	defer timer.Stop()
-	select {
-	case <-ctx.Done():
-	case <-timer.C:
-	}
-}
--- a/entry/call.go
+++ b/entry/call.go
@@ -13,6 +13,7 @@
 
 	"github.com/labstack/echo/v4"
 
+	"github.com/currantthread/currantthread/internal/wait"
 	"github.com/currantthread/currantthread/ledger"
 	"github.com/currantthread/currantthread/limit"
 	"github.com/currantthread/currantthread/route"
@@ -344,7 +345,7 @@
 	claims := c.server.claims
 	key := c.claimKey()
 	began := time.Now()
-	for wait := firstClaimPoll; ; wait = min(2*wait, maxClaimPoll) {
+	for interval := firstClaimPoll; ; interval = min(2*interval, maxClaimPoll) {
 		row, version, err := claims.read(c.ctx, key)
 		switch {
 		case c.ctx.Err() != nil:
@@ -367,7 +368,7 @@
 			c.refuse(verdict.New(verdict.MayHaveRun, codeKeyUnknown, "the entry VM that held the first request is gone"))
 			return true
 		}
-		sleep(c.ctx, c.server.jitter.around(wait))
+		wait.For(c.ctx, c.server.jitter.around(interval))
 	}
 }
 
--- a/entry/claimexpiry.go
+++ b/entry/claimexpiry.go
@@ -4,6 +4,7 @@
 	"context"
 	"time"
 
+	"github.com/currantthread/currantthread/internal/wait"
 	"github.com/currantthread/currantthread/ledger"
 	"github.com/currantthread/currantthread/platform"
 )
@@ -22,7 +23,7 @@
 func (c *claims) collectExpired(ctx context.Context) {
 	for {
 		expiry := c.server.cfg.Settings().Entry.ClaimExpiry.D()
-		if !sleep(ctx, c.server.jitter.around(expiry/claimScansPerExpiry)) {
+		if !wait.For(ctx, c.server.jitter.around(expiry/claimScansPerExpiry)) {
 			return
 		}
 		if c.server.view.Load().first == c.server.cfg.VM {
@@ -41,7 +42,7 @@
 		}
 		c.removeExpired(rows, expiry)
 		after = rows[len(rows)-1].Key
-		if len(rows) < claimScanPage || !sleep(ctx, claimScanPause) {
+		if len(rows) < claimScanPage || !wait.For(ctx, claimScanPause) {
 			return
 		}
 	}
--- a/entry/claims.go
+++ b/entry/claims.go
@@ -9,6 +9,7 @@
 
 	"golang.org/x/time/rate"
 
+	"github.com/currantthread/currantthread/internal/wait"
 	"github.com/currantthread/currantthread/ledger"
 	"github.com/currantthread/currantthread/platform"
 	"github.com/currantthread/currantthread/verdict"
@@ -207,7 +208,7 @@
 			continue
 		}
 		retry = min(2*retry, claimRetryWait)
-		if !sleep(ctx, retry) {
+		if !wait.For(ctx, retry) {
 			return
 		}
 	}
@@ -320,7 +321,7 @@
 			return c.appliedVersion(ctx, batch)
 		}
 		c.refuseCreates(batch, cause)
-		if !sleep(ctx, c.server.jitter.around(claimRetryWait)) {
+		if !wait.For(ctx, c.server.jitter.around(claimRetryWait)) {
 			return 0, err
 		}
 	}
@@ -359,7 +360,7 @@
 			return rows[0].Version, nil
 		}
 		c.refuseCreates(batch, err)
-		if !sleep(ctx, c.server.jitter.around(claimRetryWait)) {
+		if !wait.For(ctx, c.server.jitter.around(claimRetryWait)) {
 			return 0, err
 		}
 	}
--- a/entry/daemon.go
+++ b/entry/daemon.go
@@ -15,6 +15,7 @@
 	"github.com/prometheus/client_golang/prometheus"
 	"github.com/sirupsen/logrus"
 
+	"github.com/currantthread/currantthread/internal/wait"
 	"github.com/currantthread/currantthread/observe"
 	"github.com/currantthread/currantthread/platform"
 	"github.com/currantthread/currantthread/settings"
@@ -195,7 +196,7 @@
 		}
 	}
 	for !d.Server.KnowsVMs() {
-		if !sleep(ctx, readyPoll) {
+		if !wait.For(ctx, readyPoll) {
 			return
 		}
 	}
@@ -211,7 +212,7 @@
 	d.Log.WithField("lag", entry.BalancerLag.String()).Info("shutting down")
 	d.Health.SetReady(false)
 	d.Server.SetClosing()
-	sleep(ctx, entry.BalancerLag.D())
+	wait.For(ctx, entry.BalancerLag.D())
 	grace, cancel := context.WithTimeout(ctx, entry.ShutdownGrace.D())
 	defer cancel()
 	err := server.Shutdown(grace)
--- a/entry/daemon/daemon.go
+++ b/entry/daemon/daemon.go
@@ -5,7 +5,6 @@
 	"context"
 	"encoding/json"
 	"io"
-	"math/rand/v2"
 	"net"
 	"net/http"
 	"time"
@@ -29,9 +28,6 @@
 	name = "entry"
 	// innerGrace bounds the wait for inner messages in flight, which are held for up to a second.
 	innerGrace = 2 * time.Second
-	// startRetryMin and startRetryMax bound the wait between attempts to learn the settings in force.
-	startRetryMin = 100 * time.Millisecond
-	startRetryMax = 2 * time.Second
 )
 
 // daemon is one entry daemon with what it shares with other daemons.
@@ -115,23 +111,11 @@
 
 // awaitSettings returns once the version in force is known, and follows it from then on.
 func (d *daemon) awaitSettings(ctx context.Context) error {
-	for wait := startRetryMin; ; wait = min(2*wait, startRetryMax) {
-		err := d.follower.Start(ctx)
-		if err == nil {
-			go d.follower.Run(ctx)
-			return nil
-		}
-		if wait == startRetryMin {
-			d.log.WithError(err).Warn("waiting for the settings in force")
-		}
-		timer := time.NewTimer(wait/2 + rand.N(wait/2))
-		select {
-		case <-ctx.Done():
-			timer.Stop()
-			return ctx.Err()
-		case <-timer.C:
-		}
+	if !d.follower.AwaitStart(ctx) {
+		return ctx.Err()
 	}
+	go d.follower.Run(ctx)
+	return nil
 }
 
 func (d *daemon) innerHandler() http.Handler {
--- a/entry/exchange.go
+++ b/entry/exchange.go
@@ -5,6 +5,7 @@
 	"io"
 	"time"
 
+	"github.com/currantthread/currantthread/internal/wait"
 	"github.com/currantthread/currantthread/route"
 	"github.com/currantthread/currantthread/upstream"
 	"github.com/currantthread/currantthread/verdict"
@@ -75,7 +76,7 @@
 			return nil, nil, verdict.Wrap(worst, last.Code, last.Err)
 		}
 		tried = append(tried, e)
-		if !sleep(c.ctx, c.server.jitter.upTo(firstRetryWait<<n)) {
+		if !wait.For(c.ctx, c.server.jitter.upTo(firstRetryWait<<n)) {
 			return nil, nil, verdict.Wrap(worst, last.Code, last.Err)
 		}
 	}
--- a/entry/jitter.go
+++ b/entry/jitter.go
@@ -1,7 +1,6 @@
 package entry
 
 import (
-	"context"
 	"math/rand/v2"
 	"sync"
 	"time"
@@ -32,18 +31,3 @@
 
 // around returns a time in [d - d/8, d + d/8).
 func (j *jitter) around(d time.Duration) time.Duration { return d - d/8 + j.upTo(d/4) }
-
-// sleep waits for d and reports false if ctx ended first.
-func sleep(ctx context.Context, d time.Duration) bool {
-	if d <= 0 {
-		return ctx.Err() == nil
-	}
-	timer := time.NewTimer(d)
-	defer timer.Stop()
-	select {
-	case <-ctx.Done():
-		return false
-	case <-timer.C:
-		return ctx.Err() == nil
-	}
-}
--- a/entry/vms.go
+++ b/entry/vms.go
@@ -4,6 +4,7 @@
 	"context"
 	"time"
 
+	"github.com/currantthread/currantthread/internal/wait"
 	"github.com/currantthread/currantthread/platform"
 	"github.com/currantthread/currantthread/settings"
 )
@@ -35,7 +36,7 @@
 				s.cfg.Log.Info("VM list is available again")
 			}
 		}
-		if !sleep(ctx, s.jitter.around(s.cfg.Settings().Entry.VMListInterval.D())) {
+		if !wait.For(ctx, s.jitter.around(s.cfg.Settings().Entry.VMListInterval.D())) {
 			return
 		}
 	}
--- a/internal/standin/load/jobs.go
+++ b/internal/standin/load/jobs.go
@@ -12,6 +12,7 @@
 	"github.com/currantthread/currantthread/control"
 	"github.com/currantthread/currantthread/ctl"
 	"github.com/currantthread/currantthread/internal/standin"
+	"github.com/currantthread/currantthread/internal/wait"
 	"github.com/currantthread/currantthread/job"
 )
 
@@ -90,23 +91,12 @@
 		if err == nil {
 			last = status
 		}
-		if (err == nil && wanted(status)) || !sleep(ctx, jobPoll) {
+		if (err == nil && wanted(status)) || !wait.For(ctx, jobPoll) {
 			return last
 		}
 	}
 }
 
-func sleep(ctx context.Context, d time.Duration) bool {
-	timer := time.NewTimer(d)
-	defer timer.Stop()
-	select {
-	case <-ctx.Done():
-		return false
-	case <-timer.C:
-		return true
-	}
-}
-
 // follow waits until batch tasks are complete and the others run, then cancels the standing tasks.
 func (s *jobSet) follow(ctx context.Context, report *TaskReport) {
 	report.BatchTasks, report.StandingTasks, report.Replicas = s.batchTasks, standingTasks, replicas
--- a/internal/standin/load/load.go
+++ b/internal/standin/load/load.go
@@ -19,6 +19,7 @@
 
 	"github.com/currantthread/currantthread/ctl"
 	"github.com/currantthread/currantthread/internal/standin"
+	"github.com/currantthread/currantthread/internal/wait"
 	"github.com/currantthread/currantthread/platform"
 )
 
@@ -138,7 +139,7 @@
 	group.Go(func() error { r.special(ctx); return nil })
 	if r.cfg.KillRunnerAfter > 0 {
 		group.Go(func() error {
-			if !sleep(ctx, r.cfg.KillRunnerAfter) {
+			if !wait.For(ctx, r.cfg.KillRunnerAfter) {
 				return nil
 			}
 			killed, err := killRunner(ctx, r.cfg.Deployment)
@@ -270,7 +271,7 @@
 			return counts, nil
 		}
 		last = total
-		if !sleep(ctx, settlePoll) {
+		if !wait.For(ctx, settlePoll) {
 			return nil, ctx.Err()
 		}
 	}
@@ -306,7 +307,7 @@
 		if waiting = pending(ctx, d); waiting == "" {
 			return nil
 		}
-		if !sleep(ctx, 100*time.Millisecond) {
+		if !wait.For(ctx, 100*time.Millisecond) {
 			return errors.Errorf("still waiting for %s", waiting)
 		}
 	}
--- /dev/null
+++ b/internal/wait/wait.go
@@ -0,0 +1,23 @@
+// Package wait holds the wait that a context can end.
+package wait
+
+import (
+	"context"
+	"time"
+)
+
+// For waits for d and reports whether ctx is still running. A d of zero or less does not wait: a timer that is due when it
+// is created crashes Go 1.26's race detector in a synctest bubble.
+func For(ctx context.Context, d time.Duration) bool {
+	if d <= 0 {
+		return ctx.Err() == nil
+	}
+	timer := time.NewTimer(d)
+	defer timer.Stop()
+	select {
+	case <-ctx.Done():
+		return false
+	case <-timer.C:
+		return ctx.Err() == nil
+	}
+}
--- a/ledger/writer.go
+++ b/ledger/writer.go
@@ -9,6 +9,7 @@
 	"github.com/google/uuid"
 	"github.com/juju/errors"
 
+	"github.com/currantthread/currantthread/internal/wait"
 	"github.com/currantthread/currantthread/platform"
 )
 
@@ -119,7 +120,7 @@
 		// The outcome of this or an earlier send is unknown.
 		sentBefore = true
 		w.pending = id
-		if !sleep(ctx, retry.NextBackOff()) {
+		if !wait.For(ctx, retry.NextBackOff()) {
 			return 0, &platform.UnknownOutcomeError{Err: err}
 		}
 	}
@@ -191,15 +192,3 @@
 	w.version = version
 	w.pending = ""
 }
-
-// sleep waits for d and reports false if ctx ended first.
-func sleep(ctx context.Context, d time.Duration) bool {
-	timer := time.NewTimer(d)
-	defer timer.Stop()
-	select {
-	case <-ctx.Done():
-		return false
-	case <-timer.C:
-		return true
-	}
-}
