Check that idempotent requests are answered although an entry daemon and a runner die

Cause: the load run counted cut connections but did not check the demand that every idempotent request is answered. Change: a caller whose connection broke sends an idempotent request again through another entry VM, as callers behind the balancer do; any answer is final. An idempotent request without an upstream's answer or a refusal is a violation. One case of TestCheck that broke both demands is now non-idempotent, and four cases are new.

--- a/internal/standin/load/caller.go
+++ b/internal/standin/load/caller.go
@@ -118,7 +118,7 @@
 
 func (c *caller) availability() {
 	token := c.token()
-	send := c.send(request{method: http.MethodGet, path: "/availability?place=p1&date=2027-03-07&token=" + token},
+	sends := c.sendIdempotent(request{method: http.MethodGet, path: "/availability?place=p1&date=2027-03-07&token=" + token},
 		func(body io.Reader) (string, string) {
 			var got standin.Availability
 			if err := json.NewDecoder(body).Decode(&got); err != nil || got.Token != token || !got.Free {
@@ -126,7 +126,7 @@
 			}
 			return "", ""
 		})
-	c.add(Operation{Token: token, Kind: "availability", Idempotent: true, Sends: []Send{send}})
+	c.add(Operation{Token: token, Kind: "availability", Idempotent: true, Sends: sends})
 }
 
 func (c *caller) reservation() {
@@ -178,15 +178,15 @@
 func (c *caller) work(size int) {
 	token := c.token()
 	path := fmt.Sprintf("/work?token=%s&bytes=%d", token, size)
-	send := c.send(request{method: http.MethodGet, path: path}, checkPattern(token, size))
-	c.add(Operation{Token: token, Kind: "work", Idempotent: true, Sends: []Send{send}})
+	sends := c.sendIdempotent(request{method: http.MethodGet, path: path}, checkPattern(token, size))
+	c.add(Operation{Token: token, Kind: "work", Idempotent: true, Sends: sends})
 }
 
 func (c *caller) echo(size int) {
 	token := c.token()
 	body := standin.PatternBytes(token, size)
-	send := c.send(request{method: http.MethodPut, path: "/echo?token=" + token, body: body}, checkPattern(token, size))
-	c.add(Operation{Token: token, Kind: "echo", Idempotent: true, Sends: []Send{send}})
+	sends := c.sendIdempotent(request{method: http.MethodPut, path: "/echo?token=" + token, body: body}, checkPattern(token, size))
+	c.add(Operation{Token: token, Kind: "echo", Idempotent: true, Sends: sends})
 }
 
 func checkPattern(token string, size int) checkFunc {
@@ -228,6 +228,23 @@
 	return c.sendTo(c.pick(), r, check)
 }
 
+// maxIdempotentSends bounds how often a caller sends an idempotent request whose connection to an entry VM broke.
+const maxIdempotentSends = 3
+
+// sendIdempotent sends a request, and again through another entry VM if no answer came because the connection broke, as
+// callers of an entry VM that dies do. Any answer, also an error, is final: retries towards upstreams are the entry VM's.
+func (c *caller) sendIdempotent(r request, check checkFunc) []Send {
+	var sends []Send
+	for range maxIdempotentSends {
+		s := c.send(r, check)
+		sends = append(sends, s)
+		if s.End == Answered {
+			break
+		}
+	}
+	return sends
+}
+
 func (c *caller) sendTo(t *target, r request, check checkFunc) Send {
 	req, err := http.NewRequest(r.method, t.base+r.path, bytes.NewReader(r.body))
 	if err != nil {
--- a/internal/standin/load/check.go
+++ b/internal/standin/load/check.go
@@ -3,6 +3,7 @@
 
 import (
 	"fmt"
+	"slices"
 
 	"github.com/currantthread/currantthread/verdict"
 )
@@ -71,12 +72,17 @@
 	WrongAnswers int `json:"wrong_answers"`
 	// AnsweredNotRun counts operations that were answered with success and ran nowhere.
 	AnsweredNotRun int `json:"answered_not_run"`
+	// Unanswered counts idempotent operations that were neither answered by an upstream nor refused as not run.
+	Unanswered int `json:"unanswered"`
 	// NoVerdict counts answers without a verdict.
 	NoVerdict int `json:"no_verdict"`
 
 	Violations []Violation `json:"violations,omitempty"`
 }
 
+// unansweredIdempotent names the demand that an idempotent request is answered although an entry daemon or a runner dies.
+const unansweredIdempotent = "idempotent requests answered"
+
 // maxListed bounds the violations that are listed for each guarantee.
 const maxListed = 5
 
@@ -103,6 +109,9 @@
 		if op.succeeded() && runs[i] == 0 {
 			violate(&report.AnsweredNotRun, "G5", op, "answered and never ran")
 		}
+		if op.Idempotent && !op.answered() && !op.refused() {
+			violate(&report.Unanswered, unansweredIdempotent, op, "none of %d sends was answered", len(op.Sends))
+		}
 		for _, s := range op.Sends {
 			if s.Wrong != "" {
 				violate(&report.WrongAnswers, "G5", op, "%s", s.Wrong)
@@ -153,6 +162,13 @@
 	return told
 }
 
+// answered reports whether an upstream's answer reached the caller, whatever its status.
+func (op Operation) answered() bool {
+	return slices.ContainsFunc(op.Sends, func(s Send) bool {
+		return s.End == Answered && s.HasVerdict && s.Verdict == verdict.Ran
+	})
+}
+
 func (op Operation) succeeded() bool {
 	for _, s := range op.Sends {
 		if s.good() {
--- a/internal/standin/load/check_test.go
+++ b/internal/standin/load/check_test.go
@@ -50,7 +50,11 @@
 		"another answer to the same key": {false, []Send{numbered("1"), numbered("2")}, 1, "G7"},
 		"answered and never ran":         {false, []Send{numbered("1")}, 0, "G5"},
 		"wrong answer":                   {true, []Send{wrong}, 1, "G5"},
-		"no verdict":                     {true, []Send{{End: Answered, Status: 500}}, 0, "verdict"},
+		"no verdict":                     {false, []Send{{End: Answered, Status: 500}}, 0, "verdict"},
+		"idempotent, cut":                {true, []Send{{End: NoAnswer}, {End: NoAnswer}}, 1, unansweredIdempotent},
+		"idempotent, may have run":       {true, []Send{answered(502, verdict.MayHaveRun)}, 1, unansweredIdempotent},
+		"idempotent, repeated after cut": {true, []Send{{End: NoAnswer}, answered(200, verdict.Ran)}, 2, ""},
+		"idempotent, upstream's error":   {true, []Send{answered(500, verdict.Ran)}, 1, ""},
 	}
 	for name, c := range cases {
 		report := Check([]Operation{{Token: "t", Idempotent: c.idempotent, Sends: c.sends}}, []int64{c.runs})
--- a/internal/standin/load/load.go
+++ b/internal/standin/load/load.go
@@ -369,6 +369,7 @@
 	line("  other answers", "%d", q.OtherAnswers)
 	line("  cut without an answer", "%d", q.NoAnswer)
 	line("  entry VM not reached", "%d", q.NotSent)
+	line("idempotent, unanswered", "%d", q.Unanswered)
 	line("non-idempotent operations", "%d, ran twice %d", q.NonIdempotent, q.RanTwice)
 	line("false refusals", "%d", q.FalseRefusals)
 	line("wrong answers", "%d", q.WrongAnswers)
