Say which version a refused domain command met

Cause: seen by hand: 'conflict: conditions on domain/gliwice do not hold' tells an operator nothing. Before and after: the message now names the failure domain and both versions; TestDomainCommandsRefused still passes.

--- a/control/api_domains.go
+++ b/control/api_domains.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"fmt"
 	"maps"
 	"net/http"
 	"slices"
@@ -112,7 +113,8 @@
 		return 0, err
 	}
 	if req.IfVersion != nil && *req.IfVersion != rows[0].Version {
-		return 0, &platform.ConflictError{Keys: []string{rows[0].Key}}
+		message := fmt.Sprintf("failure domain %s changed: its state has version %d, not %d", name, rows[0].Version, *req.IfVersion)
+		return 0, &APIError{Code: "conflict", Message: message}
 	}
 	value := ledger.Encode(ledger.Domain{State: req.State, Operator: req.Operator, Reason: req.Reason})
 	return a.cfg.Store.Commit(ctx, platform.Txn{
