--- a/cell/acquire.go
+++ b/cell/acquire.go
@@ -5,6 +5,7 @@
 	"errors"
 	"time"
 
+	"github.com/currantthread/currantthread/internal/wait"
 	"github.com/currantthread/currantthread/ledger"
 	"github.com/currantthread/currantthread/platform"
 )
@@ -35,7 +36,7 @@
 	writer := c.newWriter()
 	unresolved := false
 	for {
-		wait := watchInterval - time.Duration(c.cfg.Rand.Int64N(int64(watchInterval/4)))
+		pause := watchInterval - time.Duration(c.cfg.Rand.Int64N(int64(watchInterval/4)))
 		if unresolved {
 			writer, unresolved = c.resolve(ctx, writer)
 		} else {
@@ -49,17 +50,11 @@
 					}
 					unresolved = platform.IsUnknownOutcome(err)
 				}
-				wait = min(wait, max(left, time.Millisecond))
+				pause = min(pause, max(left, time.Millisecond))
 			}
 		}
-		timer := time.NewTimer(wait)
-		select {
-		case <-ctx.Done():
-			timer.Stop()
+		if !wait.ForSignal(ctx, pause, c.offered) {
 			return nil, false
-		case <-timer.C:
-		case <-c.offered:
-			timer.Stop()
 		}
 	}
 }
--- a/cell/fakeworker_test.go
+++ b/cell/fakeworker_test.go
@@ -28,7 +28,7 @@
 	stopping bool
 }
 
-// fakeWorker follows section 5 of the design page: it counts leases and permits from when it sent a poll, refuses lower
+// fakeWorker follows docs/design.md §5: it counts leases and permits from when it sent a poll, refuses lower
 // epochs and attempts that it has seen, stops exclusive tasks when its lease runs out, and repeats reports.
 type fakeWorker struct {
 	w    *world
--- a/cell/owner.go
+++ b/cell/owner.go
@@ -102,8 +102,8 @@
 	// renewedAt is when the last successful renewal was sent, in Unix nanoseconds of the process clock; any goroutine
 	// reads it through sinceRenewal.
 	renewedAt atomic.Pointer[time.Time]
-	// hungry is set while the planner has little to choose from; the scanner reads it.
-	hungry     atomic.Bool
+	// hasRoom is set while the planner has little to choose from; the scanner reads it.
+	hasRoom    atomic.Bool
 	lastCommit time.Time
 	lastPlan   time.Time
 	membersAt  time.Time
@@ -204,7 +204,7 @@
 	}
 	o.emptyDomain()
 	err := o.write(ctx, now)
-	o.hungry.Store(o.queue.enqueued < lowWater)
+	o.hasRoom.Store(o.queue.enqueued < lowWater)
 	o.publish()
 	return err
 }
--- a/cell/scan.go
+++ b/cell/scan.go
@@ -8,6 +8,7 @@
 
 	"github.com/cenkalti/backoff/v5"
 
+	"github.com/currantthread/currantthread/internal/wait"
 	"github.com/currantthread/currantthread/ledger"
 	"github.com/currantthread/currantthread/platform"
 	"github.com/currantthread/currantthread/settings"
@@ -49,7 +50,7 @@
 	prefixes []string
 	cursors  map[string]string
 	settings func() settings.Effective
-	hungry   *atomic.Bool
+	hasRoom  *atomic.Bool
 	poke     <-chan struct{}
 	out      chan<- scanPage
 	jitter   func(time.Duration) time.Duration
@@ -62,7 +63,7 @@
 		prefixes: []string{
 			ledger.CancelPrefix, ledger.QueuePrefix(o.cfg.Domain), ledger.QueuePrefix(ledger.AnyDomain),
 		},
-		cursors: map[string]string{}, settings: o.cfg.Settings, hungry: &o.hungry, poke: o.c.poke, out: o.scans,
+		cursors: map[string]string{}, settings: o.cfg.Settings, hasRoom: &o.hasRoom, poke: o.c.poke, out: o.scans,
 		jitter: func(d time.Duration) time.Duration { return d - time.Duration(rng.Int64N(int64(d/5)+1)) },
 	}
 }
@@ -72,19 +73,13 @@
 	retry.InitialInterval = retryInitial
 	retry.MaxInterval = scanBackoffMax
 	for ctx.Err() == nil {
-		wait := s.jitter(s.settings().Sched.ScanInterval.D())
+		pause := s.jitter(s.settings().Sched.ScanInterval.D())
 		if s.scanAll(ctx) {
 			retry.Reset()
 		} else {
-			wait = retry.NextBackOff()
+			pause = retry.NextBackOff()
 		}
-		timer := time.NewTimer(wait)
-		select {
-		case <-ctx.Done():
-		case <-timer.C:
-		case <-s.poke:
-		}
-		timer.Stop()
+		wait.ForSignal(ctx, pause, s.poke)
 	}
 }
 
@@ -102,7 +97,7 @@
 	page, ok := s.scan(ctx, prefix, "")
 	after := s.cursors[prefix]
 	for scans := 1; ok && !page.complete && scans < maxScans; scans++ {
-		if prefix != ledger.CancelPrefix && !s.hungry.Load() {
+		if prefix != ledger.CancelPrefix && !s.hasRoom.Load() {
 			return true
 		}
 		after = max(after, page.rows[len(page.rows)-1].Key)
--- a/cmd/currantthread-standin/main.go
+++ b/cmd/currantthread-standin/main.go
@@ -22,7 +22,7 @@
 	"github.com/currantthread/currantthread/platform"
 )
 
-// Exit codes (design page, section 2).
+// Exit codes (docs/design.md §2).
 const (
 	exitFailed = 1
 	exitUsage  = 2
--- a/drain/gate.go
+++ b/drain/gate.go
@@ -9,6 +9,7 @@
 
 	"github.com/cenkalti/backoff/v5"
 
+	"github.com/currantthread/currantthread/internal/wait"
 	"github.com/currantthread/currantthread/ledger"
 	"github.com/currantthread/currantthread/platform"
 )
@@ -72,19 +73,13 @@
 	retry.InitialInterval = readInterval / 2
 	retry.MaxInterval = readBackoffMax
 	for ctx.Err() == nil {
-		wait := readInterval - time.Duration(g.rng.Int64N(int64(readInterval/5)))
+		pause := readInterval - time.Duration(g.rng.Int64N(int64(readInterval/5)))
 		if g.Read(ctx) == nil {
 			retry.Reset()
 		} else {
-			wait = retry.NextBackOff()
+			pause = retry.NextBackOff()
 		}
-		timer := time.NewTimer(wait)
-		select {
-		case <-ctx.Done():
-		case <-timer.C:
-		case <-g.poke:
-		}
-		timer.Stop()
+		wait.ForSignal(ctx, pause, g.poke)
 	}
 }
 
--- a/internal/figures/figure.go
+++ b/internal/figures/figure.go
@@ -25,7 +25,7 @@
 	return b.Measured <= b.Limit
 }
 
-// figure is one row of the table of figures in the design page.
+// figure is one row of the table of figures in docs/design.md.
 type figure struct {
 	// ID is the row, such as "F2", and Name what it is about.
 	ID, Name string
--- a/internal/figures/main.go
+++ b/internal/figures/main.go
@@ -1,4 +1,4 @@
-// Command figures measures the figures of the design page and prints each beside its target and its baseline. It exits
+// Command figures measures the figures of docs/design.md and prints each beside its target and its baseline. It exits
 // with 1 if a bound is broken. Arguments select figures by ID; none means all.
 package main
 
--- a/internal/standin/deployment.go
+++ b/internal/standin/deployment.go
@@ -78,7 +78,7 @@
 	ControlURL string `json:"control_url"`
 }
 
-// deployments are those of the design page, section 1.
+// deployments are those of docs/design.md §1.
 var deployments = map[string]Deployment{
 	"manizales": {Name: "manizales", Service: "kioscos", Domains: []DeployedDomain{
 		{Region: "caldas-centro", Domain: "chipre", Workers: 24, EntryVMs: 3},
--- a/internal/standin/runner.go
+++ b/internal/standin/runner.go
@@ -15,7 +15,7 @@
 	"github.com/currantthread/currantthread/platform"
 )
 
-// Headers between entry daemons and upstreams (design page, section 6).
+// Headers between entry daemons and upstreams (docs/design.md §6).
 const (
 	headerTimeout        = "Currantthread-Timeout-Ms"
 	headerLoad           = "Currantthread-Load"
--- a/internal/standin/worker.go
+++ b/internal/standin/worker.go
@@ -15,7 +15,7 @@
 )
 
 const (
-	// pollHold is how long an owner may hold a poll (design page, section 5).
+	// pollHold is how long an owner may hold a poll (docs/design.md §5).
 	pollHold = time.Second
 	// shortPollHold is used while an attempt is about to end, so that its report does not wait for a held poll.
 	shortPollHold = 50 * time.Millisecond
@@ -78,7 +78,7 @@
 	SpeedPercent int `json:"speed_percent,omitempty"`
 }
 
-// Worker is one incarnation of a worker. It follows section 5 of the design page.
+// Worker is one incarnation of a worker. It follows docs/design.md §5.
 type Worker struct {
 	cfg         WorkerConfig
 	incarnation string
--- a/internal/wait/wait.go
+++ b/internal/wait/wait.go
@@ -21,3 +21,16 @@
 		return ctx.Err() == nil
 	}
 }
+
+// ForSignal waits for d, which must be above zero, or until signal delivers, and reports whether ctx is still running.
+func ForSignal(ctx context.Context, d time.Duration, signal <-chan struct{}) bool {
+	timer := time.NewTimer(d)
+	defer timer.Stop()
+	select {
+	case <-ctx.Done():
+		return false
+	case <-timer.C:
+	case <-signal:
+	}
+	return true
+}
