--- a/Makefile
+++ b/Makefile
@@ -36,7 +36,7 @@
 down:
 	bash scripts/down.sh
 
-bench:
+bench: build
 	$(GO) run ./internal/figures
 
 clean:
