Hash each settings level once; remove what nothing calls

The follower hashed every level for each question to a peer, once a second, and for each peer that asked, and built the same map of texts by digest in two places. The VM watcher had subscriptions, and the operators' API a settings function, that nothing used. Change: the version in force carries its digests, computed when it is applied; the unused parts are gone; the watcher uses the shared wait. Behaviour and tests are as before.

--- a/control/api.go
+++ b/control/api.go
@@ -38,8 +38,6 @@
 type APIConfig struct {
 	Store *Store
 	Table platform.Table
-	// Effective returns the settings in force on this VM.
-	Effective func() settings.Effective
 	// VMs returns the VM list.
 	VMs func() []platform.VM
 	// Dial returns the daemon at an inner address.
--- a/control/api_test.go
+++ b/control/api_test.go
@@ -79,12 +79,11 @@
 		{ID: "e2", Role: platform.RoleEntry, Domain: "chipre", Addr: "e2:entry", SchedAddr: "e2:sched"},
 	}
 	control.NewAPI(control.APIConfig{
-		Store:     control.NewStore(b.table, standin.NewObjects(), "api/e1"),
-		Table:     b.table,
-		Effective: settings.Defaults,
-		VMs:       func() []platform.VM { return vms },
-		Dial:      b.dial,
-		Log:       logrus.NewEntry(log),
+		Store: control.NewStore(b.table, standin.NewObjects(), "api/e1"),
+		Table: b.table,
+		VMs:   func() []platform.VM { return vms },
+		Dial:  b.dial,
+		Log:   logrus.NewEntry(log),
 	}).Register(b.router.Group("/api/v1"))
 	return b
 }
--- a/control/follower.go
+++ b/control/follower.go
@@ -2,7 +2,9 @@
 
 import (
 	"context"
+	"maps"
 	"math/rand/v2"
+	"slices"
 	"strings"
 	"sync"
 	"time"
@@ -68,10 +70,26 @@
 type inForce struct {
 	version int64
 	// sources are the levels of this failure domain and those that it inherits from.
-	sources   settings.Sources
+	sources settings.Sources
+	// digests holds the digest of each level by its path, and byDigest its text by the digest.
+	digests   map[string]string
+	byDigest  map[string]string
 	effective settings.Effective
 }
 
+func newInForce(version int64, sources settings.Sources, effective settings.Effective) inForce {
+	now := inForce{
+		version: version, sources: sources, effective: effective,
+		digests: map[string]string{}, byDigest: map[string]string{},
+	}
+	for path, source := range sources {
+		digest := settings.Digest(source)
+		now.digests[path] = digest
+		now.byDigest[digest] = source
+	}
+	return now
+}
+
 // Follower keeps the newest settings of this VM in force. Versions only ever grow. It is safe for concurrent use.
 type Follower struct {
 	cfg     FollowerConfig
@@ -230,7 +248,7 @@
 	response, err := f.cfg.Dial(vm).FetchSettings(ctx, &innerproto.FetchSettingsRequest{
 		KnownVersion: now.version,
 		WaitMs:       wait.Milliseconds(),
-		Have:         digests(now.sources),
+		Have:         slices.Sorted(maps.Keys(now.byDigest)),
 	})
 	f.metrics.read(sourcePeer, err)
 	if err != nil {
@@ -240,7 +258,7 @@
 	if response.Version <= now.version {
 		return nil
 	}
-	sources, err := assemble(now.sources, response.Levels)
+	sources, err := assemble(now.byDigest, response.Levels)
 	if err != nil {
 		return err
 	}
@@ -248,16 +266,12 @@
 }
 
 // assemble puts the levels of an answer together with the text that this VM already had.
-func assemble(held settings.Sources, levels []*innerproto.SettingsLevel) (settings.Sources, error) {
-	byDigest := map[string]string{}
-	for _, source := range held {
-		byDigest[settings.Digest(source)] = source
-	}
+func assemble(held map[string]string, levels []*innerproto.SettingsLevel) (settings.Sources, error) {
 	sources := settings.Sources{}
 	for _, level := range levels {
 		source := level.Source
 		if source == "" {
-			source = byDigest[level.Digest]
+			source = held[level.Digest]
 		}
 		if settings.Digest(source) != level.Digest {
 			return nil, errors.Errorf("text of level %s does not match its digest", level.Path)
@@ -282,28 +296,24 @@
 	if head.Version <= now.version {
 		return nil
 	}
-	sources, err := f.download(ctx, head, now.sources)
+	sources, err := f.download(ctx, head, now.byDigest)
 	if err != nil {
 		return err
 	}
 	return f.apply(head.Version, sources)
 }
 
-func (f *Follower) download(ctx context.Context, head Head, held settings.Sources) (settings.Sources, error) {
+func (f *Follower) download(ctx context.Context, head Head, held map[string]string) (settings.Sources, error) {
 	manifest, err := f.cfg.Store.Manifest(ctx, head)
 	if err != nil {
 		return nil, err
 	}
-	byDigest := map[string]string{}
-	for _, source := range held {
-		byDigest[settings.Digest(source)] = source
-	}
 	sources := settings.Sources{}
 	for path, digest := range manifest {
 		if !f.concerns(path) {
 			continue
 		}
-		source, ok := byDigest[digest]
+		source, ok := held[digest]
 		if !ok {
 			if source, err = f.cfg.Store.Level(ctx, digest); err != nil {
 				return nil, err
@@ -335,7 +345,7 @@
 	}
 	f.cfg.Log.WithFields(logrus.Fields{"from": f.now.version, "to": version}).Info("settings version in force changed")
 	f.metrics.version.Set(float64(version))
-	f.now = inForce{version: version, sources: sources, effective: effective}
+	f.now = newInForce(version, sources, effective)
 	close(f.changed)
 	f.changed = make(chan struct{})
 	for _, notify := range f.subscribers {
@@ -389,7 +399,7 @@
 		held[digest] = true
 	}
 	for path, source := range now.sources {
-		level := &innerproto.SettingsLevel{Path: path, Digest: settings.Digest(source), Source: source}
+		level := &innerproto.SettingsLevel{Path: path, Digest: now.digests[path], Source: source}
 		if held[level.Digest] {
 			level.Source = ""
 		}
--- a/control/store.go
+++ b/control/store.go
@@ -5,7 +5,6 @@
 	"context"
 	"encoding/json"
 	"fmt"
-	"maps"
 	"slices"
 	"sync"
 	"time"
@@ -260,13 +259,3 @@
 }
 
 func levelObject(digest string) string { return "settings/level/" + digest }
-
-// digests returns the sorted digests of the levels held.
-func digests(sources settings.Sources) []string {
-	held := make([]string, 0, len(sources))
-	for source := range maps.Values(sources) {
-		held = append(held, settings.Digest(source))
-	}
-	slices.Sort(held)
-	return held
-}
--- a/entry/daemon/daemon.go
+++ b/entry/daemon/daemon.go
@@ -87,7 +87,7 @@
 		return nil, err
 	}
 	control.NewAPI(control.APIConfig{
-		Store: store, Table: table, Effective: d.follower.Effective,
+		Store: store, Table: table,
 		VMs: d.watcher.VMs, Dial: d.dialer.Daemon, Log: d.log, Registry: registry,
 	}).Register(d.requests.Admin.Group("/api/v1"))
 	return d, nil
--- a/membership/membership.go
+++ b/membership/membership.go
@@ -11,6 +11,7 @@
 
 	"github.com/cespare/xxhash/v2"
 
+	"github.com/currantthread/currantthread/internal/wait"
 	"github.com/currantthread/currantthread/platform"
 )
 
@@ -20,10 +21,8 @@
 	list     platform.VMList
 	interval func() time.Duration
 
-	mu          sync.Mutex // guards the fields below
-	vms         []platform.VM
-	loaded      bool
-	subscribers []func([]platform.VM)
+	mu  sync.Mutex // guards the fields below
+	vms []platform.VM
 }
 
 // NewWatcher returns a watcher that reads list each interval once Run is called.
@@ -34,25 +33,15 @@
 // Run reads the list until ctx ends. Reads are jittered, so that a mass restart does not synchronize them.
 func (w *Watcher) Run(ctx context.Context) {
 	for {
-		w.Refresh(ctx)
+		_, _ = w.List(ctx) // the last answer stays in use
 		interval := w.interval()
 		jitter := time.Duration(rand.Int64N(int64(interval)/5 + 1))
-		timer := time.NewTimer(interval - interval/10 + jitter)
-		select {
-		case <-ctx.Done():
-			timer.Stop()
+		if !wait.For(ctx, interval-interval/10+jitter) {
 			return
-		case <-timer.C:
 		}
 	}
 }
 
-// Refresh reads the list once and reports whether it answered.
-func (w *Watcher) Refresh(ctx context.Context) bool {
-	_, err := w.List(ctx)
-	return err == nil
-}
-
 // List reads the list once and keeps the answer. It lets a Watcher stand in for the list where another loop reads it.
 func (w *Watcher) List(ctx context.Context) ([]platform.VM, error) {
 	vms, err := w.list.List(ctx)
@@ -60,27 +49,11 @@
 		return nil, err
 	}
 	w.mu.Lock()
+	defer w.mu.Unlock()
 	w.vms = vms
-	w.loaded = true
-	subscribers := slices.Clone(w.subscribers)
-	w.mu.Unlock()
-	for _, notify := range subscribers {
-		notify(vms)
-	}
 	return vms, nil
 }
 
-// Subscribe calls notify with each answer of the list, at once if there was one.
-func (w *Watcher) Subscribe(notify func([]platform.VM)) {
-	w.mu.Lock()
-	w.subscribers = append(w.subscribers, notify)
-	vms, loaded := w.vms, w.loaded
-	w.mu.Unlock()
-	if loaded {
-		notify(vms)
-	}
-}
-
 // VMs returns the last answer. It must not be changed.
 func (w *Watcher) VMs() []platform.VM {
 	w.mu.Lock()
