--- a/cell/acquire.go
+++ b/cell/acquire.go
@@ -5,9 +5,9 @@
 	"errors"
 	"time"
 
+	"github.com/currantthread/currantthread/infra"
 	"github.com/currantthread/currantthread/internal/wait"
 	"github.com/currantthread/currantthread/ledger"
-	"github.com/currantthread/currantthread/platform"
 )
 
 const (
@@ -48,7 +48,7 @@
 					if err == nil {
 						return taken, true
 					}
-					unresolved = platform.IsUnknownOutcome(err)
+					unresolved = infra.IsUnknownOutcome(err)
 				}
 				pause = min(pause, max(left, time.Millisecond))
 			}
@@ -60,7 +60,7 @@
 }
 
 // observe reports whether the cell may be taken, and if not how long its row must stay unchanged.
-func (w *watch) observe(row platform.Row, owner ledger.Owner, cfg Config, now time.Time) (free bool, left time.Duration) {
+func (w *watch) observe(row infra.Row, owner ledger.Owner, cfg Config, now time.Time) (free bool, left time.Duration) {
 	if row.Version != w.version || w.since.IsZero() || now.Sub(w.lastGood) > watchGap {
 		w.version, w.since = row.Version, now
 	}
@@ -77,12 +77,12 @@
 	return left <= 0, left
 }
 
-func (c *Cell) readOwner(ctx context.Context) (platform.Row, ledger.Owner, error) {
+func (c *Cell) readOwner(ctx context.Context) (infra.Row, ledger.Owner, error) {
 	ctx, cancel := context.WithTimeout(ctx, callTimeout)
 	defer cancel()
 	rows, err := c.cfg.Table.Read(ctx, ledger.CellOwnerKey(c.cfg.Cell))
 	if err != nil {
-		return platform.Row{}, ledger.Owner{}, err
+		return infra.Row{}, ledger.Owner{}, err
 	}
 	row := rows[0]
 	if row.Version == 0 {
@@ -93,15 +93,15 @@
 }
 
 // take writes this VM into the ownership row with the next epoch.
-func (c *Cell) take(ctx context.Context, w *ledger.Writer, seen platform.Row, previous ledger.Owner) (*ownership, error) {
+func (c *Cell) take(ctx context.Context, w *ledger.Writer, seen infra.Row, previous ledger.Owner) (*ownership, error) {
 	ctx, cancel := context.WithTimeout(ctx, callTimeout)
 	defer cancel()
 	row := ledger.Owner{Holder: c.cfg.VM, Epoch: previous.Epoch + 1, Addr: c.cfg.Addr}
 	key := ledger.CellOwnerKey(c.cfg.Cell)
 	sent := time.Now()
-	version, err := w.Commit(ctx, platform.Txn{
-		Conditions: []platform.Condition{{Key: key, Version: seen.Version}},
-		Writes:     []platform.Write{{Key: key, Value: ledger.Encode(row)}},
+	version, err := w.Commit(ctx, infra.Txn{
+		Conditions: []infra.Condition{{Key: key, Version: seen.Version}},
+		Writes:     []infra.Write{{Key: key, Value: ledger.Encode(row)}},
 	})
 	if err != nil {
 		return nil, err
@@ -119,7 +119,7 @@
 	switch {
 	case err == nil:
 		return w, false
-	case isUnavailable(err) || platform.IsUnknownOutcome(err):
+	case isUnavailable(err) || infra.IsUnknownOutcome(err):
 		return w, true
 	default:
 		// Another process of this VM used the marker. The lost write is harmless: it only names this VM.
@@ -132,6 +132,6 @@
 }
 
 func isUnavailable(err error) bool {
-	var target *platform.UnavailableError
+	var target *infra.UnavailableError
 	return errors.As(err, &target)
 }
--- a/cell/capacity_internal_test.go
+++ b/cell/capacity_internal_test.go
@@ -11,18 +11,18 @@
 	"github.com/prometheus/client_golang/prometheus"
 
 	"github.com/currantthread/currantthread/drain"
+	"github.com/currantthread/currantthread/infra"
 	"github.com/currantthread/currantthread/internal/standin"
 	"github.com/currantthread/currantthread/job"
 	"github.com/currantthread/currantthread/ledger"
 	"github.com/currantthread/currantthread/observe"
-	"github.com/currantthread/currantthread/platform"
 	"github.com/currantthread/currantthread/settings"
 )
 
 // BenchmarkRestore measures taking over a running task, and reports the memory that the owner keeps for each.
 func BenchmarkRestore(b *testing.B) {
 	const tasks, workers = 9000, 300
-	rows := make([]platform.Row, tasks)
+	rows := make([]infra.Row, tasks)
 	for i := range rows {
 		id := job.MakeTaskID(fmt.Sprintf("j%05d", i/10), i%10)
 		value := ledger.Encode(ledger.Assignment{
@@ -33,7 +33,7 @@
 			Worker: fmt.Sprintf("w%03d", i%workers), Incarnation: "0b5f2f2e-incarnation", State: ledger.Assigned,
 			Commitment: job.Resources{CPUMilli: 1000, MemoryMiB: 1024},
 		})
-		rows[i] = platform.Row{Key: ledger.CellTaskKey("c", id), Value: value, Version: 1}
+		rows[i] = infra.Row{Key: ledger.CellTaskKey("c", id), Value: value, Version: 1}
 	}
 	var heap uint64
 	for b.Loop() {
--- a/cell/cell.go
+++ b/cell/cell.go
@@ -12,9 +12,9 @@
 	"github.com/sirupsen/logrus"
 
 	"github.com/currantthread/currantthread/drain"
+	"github.com/currantthread/currantthread/infra"
 	"github.com/currantthread/currantthread/job"
 	"github.com/currantthread/currantthread/ledger"
-	"github.com/currantthread/currantthread/platform"
 	"github.com/currantthread/currantthread/settings"
 )
 
@@ -36,13 +36,13 @@
 	// OwnerURL is the base URL that workers poll.
 	OwnerURL string
 	Settings func() settings.Effective
-	Table    platform.Table
-	Workers  platform.Workers
+	Table    infra.Table
+	Workers  infra.Workers
 	Gate     *drain.Gate
 	// NewPlanner returns an empty planner for a new ownership.
 	NewPlanner func() Planner
 	// Members returns the workers of the cell as the VM list last showed them; ok is false before its first answer.
-	Members func() (workers []platform.VM, ok bool)
+	Members func() (workers []infra.VM, ok bool)
 	// Home orders the cells by their claim on a queued task: rank 0 claims at once, others only after a delay.
 	Home func(t job.Task) (rank int)
 	// Rand is the source of jitter. It is used by one goroutine at a time.
@@ -55,7 +55,7 @@
 }
 
 // PollServer answers polls of one cell's workers.
-type PollServer = platform.PollServer
+type PollServer = infra.PollServer
 
 // Status is what a cell tells about itself.
 type Status struct {
--- a/cell/daemon/daemon.go
+++ b/cell/daemon/daemon.go
@@ -17,12 +17,12 @@
 
 	"github.com/currantthread/currantthread/cell"
 	"github.com/currantthread/currantthread/control"
+	"github.com/currantthread/currantthread/infra"
 	"github.com/currantthread/currantthread/innerproto"
 	"github.com/currantthread/currantthread/innerproto/innerprotoconnect"
 	"github.com/currantthread/currantthread/internal/wait"
 	"github.com/currantthread/currantthread/membership"
 	"github.com/currantthread/currantthread/observe"
-	"github.com/currantthread/currantthread/platform"
 	"github.com/currantthread/currantthread/settings"
 )
 
@@ -46,7 +46,7 @@
 	dialer   *control.Dialer
 	watcher  *membership.Watcher
 	follower *control.Follower
-	table    platform.Table
+	table    infra.Table
 }
 
 // Run runs a sched daemon until ctx ends, then hands its cells over and shuts down. Logs go to out.
@@ -67,17 +67,17 @@
 	d := &daemon{
 		boot: boot, log: observe.NewLogger(out, name, boot.VM), registry: observe.NewRegistry(),
 		dialer: control.NewDialer(),
-		table:  platform.NewTableClient(boot.Platform.TableURL, boot.Domain, timeout),
+		table:  infra.NewTableClient(boot.Platform.TableURL, boot.Domain, timeout),
 	}
-	objects := platform.NewObjectsClient(boot.Platform.ObjectsURL, boot.Domain, timeout)
-	list := platform.NewVMListClient(boot.Platform.VMListURL, boot.Domain, timeout)
+	objects := infra.NewObjectsClient(boot.Platform.ObjectsURL, boot.Domain, timeout)
+	list := infra.NewVMListClient(boot.Platform.VMListURL, boot.Domain, timeout)
 	d.watcher = membership.NewWatcher(list, func() time.Duration {
 		return d.follower.Effective().Entry.VMListInterval.D()
 	})
 	d.follower = control.NewFollower(control.FollowerConfig{
 		VM: boot.VM, Region: boot.Region, Domain: boot.Domain,
 		Store:   control.NewStore(d.table, objects, "sched/"+boot.VM),
-		Entries: func() []platform.VM { return d.watcher.Entries(boot.Domain) },
+		Entries: func() []infra.VM { return d.watcher.Entries(boot.Domain) },
 		Dial:    d.dialer.Peer, Log: d.log, Registry: d.registry,
 	})
 	return d
@@ -130,7 +130,7 @@
 	node := d.newNode()
 	group.Go(func() error { d.follower.Run(serving); return nil })
 	group.Go(func() error {
-		return observe.Serve(serving, poll, platform.NewPollHandler(node), shutdownGrace)
+		return observe.Serve(serving, poll, infra.NewPollHandler(node), shutdownGrace)
 	})
 	group.Go(func() error { return observe.Serve(serving, inner, d.innerHandler(node), shutdownGrace) })
 	group.Go(func() error { newSchedules(d).run(serving); return nil })
@@ -159,7 +159,7 @@
 		VM: d.boot.VM, Region: d.boot.Region, Domain: d.boot.Domain,
 		Addr: d.boot.InnerAddr, OwnerURL: "http://" + d.boot.PollAddr,
 		Settings: d.follower.Effective, Table: d.table,
-		Workers:    platform.NewWorkersClient(d.boot.Domain, d.boot.Platform.Timeout.D()),
+		Workers:    infra.NewWorkersClient(d.boot.Domain, d.boot.Platform.Timeout.D()),
 		VMs:        d.watcher.VMs,
 		NewPlanner: func() cell.Planner { return cell.NewPlanner(d.follower.Effective()) },
 		Announce:   d.announce,
--- a/cell/daemon/schedules.go
+++ b/cell/daemon/schedules.go
@@ -12,9 +12,9 @@
 
 	"github.com/currantthread/currantthread/calendar"
 	"github.com/currantthread/currantthread/control"
+	"github.com/currantthread/currantthread/infra"
 	"github.com/currantthread/currantthread/job"
 	"github.com/currantthread/currantthread/ledger"
-	"github.com/currantthread/currantthread/platform"
 	"github.com/currantthread/currantthread/settings"
 )
 
@@ -30,7 +30,7 @@
 // schedules submits the due runs of all schedules. Every sched daemon does so; the row of a run lets one of them win.
 type schedules struct {
 	settings func() settings.Effective
-	table    platform.Table
+	table    infra.Table
 	writer   *ledger.Writer
 	log      *logrus.Entry
 	// last is the civil date of the latest run that each schedule is known to have had.
@@ -126,7 +126,7 @@
 	}
 	start := schedule.Start(zone, now)
 	id := time.Unix(int64(start)*int64(24*time.Hour/time.Second), 0).UTC().Format("2006-01-02T15:04")
-	if !s.commit(ctx, schedule.Name, id, "", platform.Txn{}) {
+	if !s.commit(ctx, schedule.Name, id, "", infra.Txn{}) {
 		return false
 	}
 	s.last[schedule.Name] = start
@@ -134,19 +134,19 @@
 }
 
 // commit writes txn together with the row of a run. It reports true also if another daemon has written that row.
-func (s *schedules) commit(ctx context.Context, schedule, run, jobID string, txn platform.Txn) bool {
+func (s *schedules) commit(ctx context.Context, schedule, run, jobID string, txn infra.Txn) bool {
 	key := ledger.ScheduleRunKey(schedule, run)
-	txn.Conditions = append(txn.Conditions, platform.Condition{Key: key})
-	txn.Writes = append(txn.Writes, platform.Write{Key: key, Value: []byte(jobID)})
+	txn.Conditions = append(txn.Conditions, infra.Condition{Key: key})
+	txn.Writes = append(txn.Writes, infra.Write{Key: key, Value: []byte(jobID)})
 	_, err := s.writer.Commit(ctx, txn)
 	switch {
 	case err == nil:
 		s.log.WithField("schedule", schedule).WithField("run", run).WithField("job", jobID).Info("run of the schedule recorded")
 		return true
-	case platform.IsConflict(err):
+	case infra.IsConflict(err):
 		return true
 	default:
-		s.unresolved = platform.IsUnknownOutcome(err)
+		s.unresolved = infra.IsUnknownOutcome(err)
 		return false
 	}
 }
--- a/cell/events.go
+++ b/cell/events.go
@@ -7,9 +7,9 @@
 	"time"
 
 	"github.com/currantthread/currantthread/drain"
+	"github.com/currantthread/currantthread/infra"
 	"github.com/currantthread/currantthread/job"
 	"github.com/currantthread/currantthread/ledger"
-	"github.com/currantthread/currantthread/platform"
 	"github.com/currantthread/currantthread/sched"
 	"github.com/currantthread/currantthread/worker"
 )
@@ -54,7 +54,7 @@
 	}
 }
 
-func (o *owner) handleReport(w *workerState, r platform.Report) {
+func (o *owner) handleReport(w *workerState, r infra.Report) {
 	entry := &ack{seq: r.Seq}
 	w.acks = append(w.acks, entry)
 	a := o.tasks[r.Ref.Task]
@@ -66,7 +66,7 @@
 		return
 	}
 	if a.end != nil {
-		if r.State == platform.RunCompleted && a.end.end == sched.EndLapsed && o.unresolved == nil {
+		if r.State == infra.RunCompleted && a.end.end == sched.EndLapsed && o.unresolved == nil {
 			// The work was done before the lease lapsed, and nothing has been written about the lapse yet.
 			a.end.end = sched.EndCompleted
 		}
@@ -78,11 +78,11 @@
 		o.mark(a)
 	}
 	switch r.State {
-	case platform.RunCompleted:
+	case infra.RunCompleted:
 		o.end(a, sched.EndCompleted, "")
-	case platform.RunFailed:
+	case infra.RunFailed:
 		o.end(a, sched.EndFailed, r.Error)
-	case platform.RunStopped:
+	case infra.RunStopped:
 		o.end(a, sched.EndStopped, r.Error)
 	}
 	if !a.dirty {
@@ -93,7 +93,7 @@
 	a.acks = append(a.acks, entry)
 }
 
-func (o *owner) handleForeign(w *workerState, r platform.Report) {
+func (o *owner) handleForeign(w *workerState, r infra.Report) {
 	if r.State.Ended() {
 		delete(w.foreign, r.Ref)
 	} else if _, known := w.foreign[r.Ref]; !known {
@@ -102,9 +102,9 @@
 	o.updateReady(w)
 }
 
-func (o *owner) stopForeign(w *workerState, ref platform.AttemptRef) {
+func (o *owner) stopForeign(w *workerState, ref infra.AttemptRef) {
 	w.foreign[ref] = struct{}{}
-	o.holder.Send(w.vm.ID, platform.Command{Kind: platform.CommandStop, Ref: ref})
+	o.holder.Send(w.vm.ID, infra.Command{Kind: infra.CommandStop, Ref: ref})
 }
 
 // settleAcks acknowledges the reports up to the first whose effect is not in the table yet.
@@ -121,10 +121,10 @@
 }
 
 // handleAttached compares what the worker runs with the ledger. Reports of the same answer were handled before.
-func (o *owner) handleAttached(w *workerState, resp platform.AttachResponse) {
+func (o *owner) handleAttached(w *workerState, resp infra.AttachResponse) {
 	w.attached = true
 	w.capacity = resp.Capacity
-	running := map[platform.AttemptRef]bool{}
+	running := map[infra.AttemptRef]bool{}
 	for _, ref := range resp.Running {
 		running[ref] = true
 	}
@@ -173,14 +173,14 @@
 }
 
 func (o *owner) sendStart(a *assigned) {
-	o.holder.Send(a.row.Worker, platform.Command{
-		Kind: platform.CommandStart, Ref: a.ref(), Spec: a.row.Task.Spec, Checkpoint: a.row.Task.Checkpoint,
+	o.holder.Send(a.row.Worker, infra.Command{
+		Kind: infra.CommandStart, Ref: a.ref(), Spec: a.row.Task.Spec, Checkpoint: a.row.Task.Checkpoint,
 	})
 }
 
 func (o *owner) sendStop(a *assigned) {
-	o.holder.Send(a.row.Worker, platform.Command{
-		Kind: platform.CommandStop, Ref: a.ref(), SaveCheckpoint: a.row.Task.Spec.Class.Exclusive() && a.stop != stopCancelled,
+	o.holder.Send(a.row.Worker, infra.Command{
+		Kind: infra.CommandStop, Ref: a.ref(), SaveCheckpoint: a.row.Task.Spec.Class.Exclusive() && a.stop != stopCancelled,
 	})
 }
 
@@ -261,7 +261,7 @@
 
 func (o *owner) updateReady(w *workerState) {
 	status := o.holder.Status(w.vm.ID)
-	ready := w.attached && w.listed && w.vm.State != platform.VMLeaving && len(w.foreign) == 0 &&
+	ready := w.attached && w.listed && w.vm.State != infra.VMLeaving && len(w.foreign) == 0 &&
 		status.Attached && !status.Silent && status.Incarnation == w.incarnation
 	if ready == w.ready || !w.known {
 		return
--- a/cell/fakeworker_test.go
+++ b/cell/fakeworker_test.go
@@ -10,13 +10,13 @@
 	"sync"
 	"time"
 
-	"github.com/currantthread/currantthread/platform"
+	"github.com/currantthread/currantthread/infra"
 )
 
 // attempt is what a fake worker knows of one attempt.
 type attempt struct {
-	ref     platform.AttemptRef
-	state   platform.RunState
+	ref     infra.AttemptRef
+	state   infra.RunState
 	run     *run // nil if it never ran
 	begin   time.Time
 	done    time.Duration // work at begin
@@ -32,7 +32,7 @@
 // epochs and attempts that it has seen, stops exclusive tasks when its lease runs out, and repeats reports.
 type fakeWorker struct {
 	w    *world
-	vm   platform.VM
+	vm   infra.VM
 	rate float64 // of its clock against true time, within the drift bound
 
 	mu       sync.Mutex // guards the fields below
@@ -48,8 +48,8 @@
 	epoch       int64
 	leaseUntil  time.Time
 	permitUntil time.Time
-	seen        map[platform.AttemptRef]*attempt
-	reports     []platform.Report
+	seen        map[infra.AttemptRef]*attempt
+	reports     []infra.Report
 	seq         int64
 	attachedCh  chan struct{}
 	failAll     bool
@@ -73,7 +73,7 @@
 	f.epochs = map[string]int64{}
 	f.cell, f.owner, f.epoch = "", "", 0
 	f.leaseUntil, f.permitUntil = time.Time{}, time.Time{}
-	f.seen = map[platform.AttemptRef]*attempt{}
+	f.seen = map[infra.AttemptRef]*attempt{}
 	f.reports, f.seq = nil, 0
 	f.thawed = make(chan struct{})
 	close(f.thawed)
@@ -100,7 +100,7 @@
 		close(f.thawed)
 	}
 	for _, a := range f.seen {
-		if a.state == platform.RunRunning {
+		if a.state == infra.RunRunning {
 			f.halt(a, at)
 		}
 	}
@@ -129,7 +129,7 @@
 	f.frozenAt = time.Now()
 	f.thawed = make(chan struct{})
 	for _, a := range f.seen {
-		if a.state == platform.RunRunning && a.timer != nil {
+		if a.state == infra.RunRunning && a.timer != nil {
 			a.timer.Stop()
 		}
 	}
@@ -148,7 +148,7 @@
 		f.lapse(frozenAt)
 	}
 	for _, a := range f.seen {
-		if a.state == platform.RunRunning {
+		if a.state == infra.RunRunning {
 			a.begin = a.begin.Add(time.Since(frozenAt))
 			f.schedule(a)
 		}
@@ -178,25 +178,25 @@
 }
 
 // attach answers an owner.
-func (f *fakeWorker) attach(ctx context.Context, req platform.AttachRequest) (platform.AttachResponse, error) {
+func (f *fakeWorker) attach(ctx context.Context, req infra.AttachRequest) (infra.AttachResponse, error) {
 	f.mu.Lock()
 	incarnation := f.incarnation
 	f.mu.Unlock()
 	if !f.awake(ctx, incarnation) {
-		return platform.AttachResponse{}, errNotRunning
+		return infra.AttachResponse{}, errNotRunning
 	}
 	defer f.mu.Unlock()
 	if req.Epoch < f.epochs[req.Cell] {
-		return platform.AttachResponse{}, &platform.StaleEpochError{Cell: req.Cell, Got: req.Epoch, Want: f.epochs[req.Cell]}
+		return infra.AttachResponse{}, &infra.StaleEpochError{Cell: req.Cell, Got: req.Epoch, Want: f.epochs[req.Cell]}
 	}
 	f.epochs[req.Cell] = req.Epoch
 	f.cell, f.owner, f.epoch = req.Cell, req.OwnerURL, req.Epoch
 	f.expire()
-	resp := platform.AttachResponse{
+	resp := infra.AttachResponse{
 		Worker: f.vm.ID, Incarnation: f.incarnation, Capacity: f.vm.Capacity, Reports: slices.Clone(f.reports),
 	}
 	for _, a := range f.ordered() {
-		if a.state == platform.RunRunning {
+		if a.state == infra.RunRunning {
 			resp.Running = append(resp.Running, a.ref)
 		}
 	}
@@ -231,7 +231,7 @@
 			return
 		}
 		owner, epoch := f.owner, f.epoch
-		req := platform.PollRequest{
+		req := infra.PollRequest{
 			Worker: f.vm.ID, Incarnation: f.incarnation, Cell: f.cell, Epoch: f.epoch,
 			Reports: slices.Clone(f.reports), HoldMillis: 1000,
 		}
@@ -243,9 +243,9 @@
 			continue
 		}
 		sent := time.Now()
-		resp, err := send(ctx, f.w.net, f.vm.ID, owner, func(ctx context.Context) (platform.PollResponse, error) {
+		resp, err := send(ctx, f.w.net, f.vm.ID, owner, func(ctx context.Context) (infra.PollResponse, error) {
 			if f.losesPolls() {
-				return platform.PollResponse{}, errNoAnswer
+				return infra.PollResponse{}, errNoAnswer
 			}
 			return f.w.poll(ctx, owner, req)
 		})
@@ -275,42 +275,42 @@
 }
 
 // apply handles an answer to a poll sent at sent. The caller holds mu.
-func (f *fakeWorker) apply(sent time.Time, resp platform.PollResponse) {
+func (f *fakeWorker) apply(sent time.Time, resp infra.PollResponse) {
 	f.expire()
 	if until := sent.Add(f.term(resp.LeaseMillis)); until.After(f.leaseUntil) {
 		f.leaseUntil = until
 	}
 	f.permitUntil = sent.Add(f.term(resp.StartPermitMillis))
-	f.reports = slices.DeleteFunc(f.reports, func(r platform.Report) bool { return r.Seq <= resp.AckSeq })
+	f.reports = slices.DeleteFunc(f.reports, func(r infra.Report) bool { return r.Seq <= resp.AckSeq })
 	f.w.acknowledged(f)
 	for _, c := range resp.Commands {
 		f.command(c)
 	}
 }
 
-func (f *fakeWorker) command(c platform.Command) {
+func (f *fakeWorker) command(c infra.Command) {
 	a := f.seen[c.Ref]
 	switch c.Kind {
-	case platform.CommandStart:
+	case infra.CommandStart:
 		now := time.Now()
 		if a != nil || now.After(f.permitUntil) || now.After(f.leaseUntil) {
 			return
 		}
 		f.start(c)
-	case platform.CommandStop:
+	case infra.CommandStop:
 		switch {
 		case a == nil:
-			a = &attempt{ref: c.Ref, state: platform.RunStopped}
+			a = &attempt{ref: c.Ref, state: infra.RunStopped}
 			f.seen[c.Ref] = a
 			f.report(a, "stopped before it began")
-		case a.state == platform.RunRunning:
+		case a.state == infra.RunRunning:
 			f.stopSlowly(a, c.SaveCheckpoint)
 		default:
 			// The attempt has ended before; its report is repeated in case it was acknowledged by an owner that is gone.
 			f.report(a, "")
 		}
-	case platform.CommandCheckpoint:
-		if a != nil && a.state == platform.RunRunning {
+	case infra.CommandCheckpoint:
+		if a != nil && a.state == infra.RunRunning {
 			f.save(a)
 			f.report(a, "")
 		}
@@ -330,18 +330,18 @@
 		f.mu.Lock()
 		defer f.mu.Unlock()
 		a.stopping = false
-		if !f.alive || f.incarnation != incarnation || !f.frozenAt.IsZero() || a.state != platform.RunRunning {
+		if !f.alive || f.incarnation != incarnation || !f.frozenAt.IsZero() || a.state != infra.RunRunning {
 			return
 		}
 		if save {
 			f.save(a)
 		}
-		f.finish(a, platform.RunStopped, time.Now())
+		f.finish(a, infra.RunStopped, time.Now())
 	})
 }
 
-func (f *fakeWorker) start(c platform.Command) {
-	a := &attempt{ref: c.Ref, state: platform.RunRunning, begin: time.Now(), saved: c.Checkpoint}
+func (f *fakeWorker) start(c infra.Command) {
+	a := &attempt{ref: c.Ref, state: infra.RunRunning, begin: time.Now(), saved: c.Checkpoint}
 	a.done = f.w.workOf(c.Checkpoint)
 	a.savedAt = a.done
 	a.total, _ = time.ParseDuration(c.Spec.Payload)
@@ -352,7 +352,7 @@
 	f.seen[c.Ref] = a
 	f.w.history.began(a.run)
 	if f.failAll {
-		f.finish(a, platform.RunFailed, a.begin)
+		f.finish(a, infra.RunFailed, a.begin)
 		return
 	}
 	f.report(a, "")
@@ -368,8 +368,8 @@
 	a.timer = time.AfterFunc(a.total-a.done-time.Since(a.begin), func() {
 		f.mu.Lock()
 		defer f.mu.Unlock()
-		if f.alive && f.incarnation == incarnation && f.frozenAt.IsZero() && a.state == platform.RunRunning {
-			f.finish(a, platform.RunCompleted, time.Now())
+		if f.alive && f.incarnation == incarnation && f.frozenAt.IsZero() && a.state == infra.RunRunning {
+			f.finish(a, infra.RunCompleted, time.Now())
 		}
 	})
 }
@@ -382,7 +382,7 @@
 	f.w.save(a.saved, a.savedAt)
 }
 
-func (f *fakeWorker) finish(a *attempt, state platform.RunState, at time.Time) {
+func (f *fakeWorker) finish(a *attempt, state infra.RunState, at time.Time) {
 	f.halt(a, at)
 	a.state = state
 	f.report(a, "")
@@ -392,13 +392,13 @@
 	if a.timer != nil {
 		a.timer.Stop()
 	}
-	a.state = platform.RunStopped
+	a.state = infra.RunStopped
 	f.w.history.stopped(a.run, at)
 }
 
 func (f *fakeWorker) report(a *attempt, message string) {
 	f.seq++
-	f.reports = append(f.reports, platform.Report{
+	f.reports = append(f.reports, infra.Report{
 		Seq: f.seq, Ref: a.ref, State: a.state, Checkpoint: a.saved, Error: message,
 	})
 }
@@ -434,8 +434,8 @@
 // lapse stops exclusive tasks; service replicas go on.
 func (f *fakeWorker) lapse(at time.Time) {
 	for _, a := range f.ordered() {
-		if a.state == platform.RunRunning && a.run.class.Exclusive() {
-			f.finish(a, platform.RunStopped, at)
+		if a.state == infra.RunRunning && a.run.class.Exclusive() {
+			f.finish(a, infra.RunStopped, at)
 		}
 	}
 }
@@ -445,7 +445,7 @@
 	defer f.mu.Unlock()
 	n := 0
 	for _, a := range f.seen {
-		if a.state == platform.RunRunning {
+		if a.state == infra.RunRunning {
 			n++
 		}
 	}
--- a/cell/firstfit_test.go
+++ b/cell/firstfit_test.go
@@ -6,8 +6,8 @@
 	"time"
 
 	"github.com/currantthread/currantthread/cell"
+	"github.com/currantthread/currantthread/infra"
 	"github.com/currantthread/currantthread/job"
-	"github.com/currantthread/currantthread/platform"
 	"github.com/currantthread/currantthread/sched"
 )
 
@@ -134,7 +134,7 @@
 	delete(f.stops, id)
 }
 
-func (f *firstFit) ReportUsage(string, platform.Usage) {}
+func (f *firstFit) ReportUsage(string, infra.Usage) {}
 
 func sortedKeys[K ~string, V any](m map[K]V) []K {
 	keys := make([]K, 0, len(m))
--- a/cell/history_test.go
+++ b/cell/history_test.go
@@ -6,13 +6,13 @@
 	"sync"
 	"time"
 
+	"github.com/currantthread/currantthread/infra"
 	"github.com/currantthread/currantthread/job"
-	"github.com/currantthread/currantthread/platform"
 )
 
 // run is one attempt as it really ran on a worker.
 type run struct {
-	ref         platform.AttemptRef
+	ref         infra.AttemptRef
 	worker      string
 	domain      string
 	incarnation string
@@ -29,14 +29,14 @@
 	runs []*run
 	outs map[string][]interval // failure domain: when it was out
 	// settled maps an attempt to the checkpoint with which the ledger took note of its end.
-	settled map[platform.AttemptRef]string
+	settled map[infra.AttemptRef]string
 }
 
 // interval is a span of time; a zero end is open.
 type interval struct{ from, to time.Time }
 
 func newHistory() *history {
-	return &history{outs: map[string][]interval{}, settled: map[platform.AttemptRef]string{}}
+	return &history{outs: map[string][]interval{}, settled: map[infra.AttemptRef]string{}}
 }
 
 func (h *history) began(r *run) {
@@ -170,7 +170,7 @@
 			if i > 0 && runs[i-1].ref.Attempt >= r.ref.Attempt {
 				violations = append(violations, fmt.Sprintf("G3: %v starts on %s after %v", r.ref, r.worker, runs[i-1].ref))
 			}
-			previous := platform.AttemptRef{Task: id, Attempt: r.ref.Attempt - 1}
+			previous := infra.AttemptRef{Task: id, Attempt: r.ref.Attempt - 1}
 			want, settled := h.settled[previous]
 			if settled && want != "" && r.checkpoint != want {
 				violations = append(violations, fmt.Sprintf("G3: %v starts from %q, want %q", r.ref, r.checkpoint, want))
--- a/cell/metrics.go
+++ b/cell/metrics.go
@@ -5,8 +5,8 @@
 
 	"github.com/prometheus/client_golang/prometheus"
 
+	"github.com/currantthread/currantthread/infra"
 	"github.com/currantthread/currantthread/observe"
-	"github.com/currantthread/currantthread/platform"
 )
 
 // Metrics are the counters of all cells of a daemon.
@@ -65,9 +65,9 @@
 func (m *Metrics) committed(cell string, err error) {
 	result := "ok"
 	switch {
-	case platform.IsConflict(err):
+	case infra.IsConflict(err):
 		result = "conflict"
-	case platform.IsUnknownOutcome(err):
+	case infra.IsUnknownOutcome(err):
 		result = "unknown"
 	case err != nil:
 		result = "unavailable"
--- a/cell/network_test.go
+++ b/cell/network_test.go
@@ -8,7 +8,7 @@
 	"sync"
 	"time"
 
-	"github.com/currantthread/currantthread/platform"
+	"github.com/currantthread/currantthread/infra"
 )
 
 // netFaults are the faults of the fake network. The zero value delivers everything after oneWay.
@@ -113,6 +113,6 @@
 		return a.value, a.err
 	case <-ctx.Done():
 		var zero T
-		return zero, &platform.UnknownOutcomeError{Err: errNoAnswer}
+		return zero, &infra.UnknownOutcomeError{Err: errNoAnswer}
 	}
 }
--- a/cell/node.go
+++ b/cell/node.go
@@ -14,9 +14,9 @@
 	"github.com/sirupsen/logrus"
 
 	"github.com/currantthread/currantthread/drain"
+	"github.com/currantthread/currantthread/infra"
 	"github.com/currantthread/currantthread/internal/wait"
 	"github.com/currantthread/currantthread/job"
-	"github.com/currantthread/currantthread/platform"
 	"github.com/currantthread/currantthread/settings"
 )
 
@@ -26,10 +26,10 @@
 	// Addr is host:port for inner messages, and OwnerURL the base URL that workers poll.
 	Addr, OwnerURL string
 	Settings       func() settings.Effective
-	Table          platform.Table
-	Workers        platform.Workers
+	Table          infra.Table
+	Workers        infra.Workers
 	// VMs returns the last answer of the VM list; empty means that it has not answered yet.
-	VMs        func() []platform.VM
+	VMs        func() []infra.VM
 	NewPlanner func() Planner
 	// Announce tells a successor of a handover.
 	Announce Announcer
@@ -48,7 +48,7 @@
 	holders map[string]PollServer
 	// byRegion holds the failure domains of each region in domainsOf, the VM list that they were taken from.
 	byRegion  map[string][]string
-	domainsOf []platform.VM
+	domainsOf []infra.VM
 }
 
 // NewNode returns a node. The number of cells is read once, because it is fixed while a deployment runs.
@@ -75,17 +75,17 @@
 		Cell: name, Domain: n.cfg.Domain, Region: n.cfg.Region, VM: n.cfg.VM, Addr: n.cfg.Addr,
 		OwnerURL: n.cfg.OwnerURL, Settings: n.cfg.Settings, Table: n.cfg.Table, Workers: n.cfg.Workers, Gate: n.gate,
 		NewPlanner: n.cfg.NewPlanner,
-		Members:    func() ([]platform.VM, bool) { return n.members(i, count) },
+		Members:    func() ([]infra.VM, bool) { return n.members(i, count) },
 		Home:       func(t job.Task) int { return n.rank(t, i, count) },
 		Rand:       newRand(n.cfg.Rand), Logger: n.cfg.Logger, Metrics: n.cfg.Metrics, Serve: n.serve,
 	})
 }
 
-func (n *Node) members(i, count int) ([]platform.VM, bool) {
+func (n *Node) members(i, count int) ([]infra.VM, bool) {
 	vms := n.cfg.VMs()
-	var members []platform.VM
+	var members []infra.VM
 	for _, vm := range vms {
-		if vm.Role == platform.RoleWorker && vm.Domain == n.cfg.Domain && index(vm.Rack, count) == i {
+		if vm.Role == infra.RoleWorker && vm.Domain == n.cfg.Domain && index(vm.Rack, count) == i {
 			members = append(members, vm)
 		}
 	}
@@ -124,7 +124,7 @@
 	}
 	seen := map[string]bool{}
 	for _, vm := range vms {
-		if vm.Role == platform.RoleWorker && (region == "" || vm.Region == region) {
+		if vm.Role == infra.RoleWorker && (region == "" || vm.Region == region) {
 			seen[vm.Domain] = true
 		}
 	}
@@ -152,18 +152,18 @@
 
 // successor picks a live peer of the failure domain from the VM list.
 func (n *Node) successor() (Successor, bool) {
-	var peers []platform.VM
+	var peers []infra.VM
 	for _, vm := range n.cfg.VMs() {
-		if vm.Role == platform.RoleEntry && vm.Domain == n.cfg.Domain && vm.ID != n.cfg.VM &&
-			vm.State == platform.VMLive && vm.SchedAddr != "" {
+		if vm.Role == infra.RoleEntry && vm.Domain == n.cfg.Domain && vm.ID != n.cfg.VM &&
+			vm.State == infra.VMLive && vm.SchedAddr != "" {
 			peers = append(peers, vm)
 		}
 	}
 	if len(peers) == 0 {
 		return Successor{}, false
 	}
-	slices.SortFunc(peers, func(a, b platform.VM) int { return strings.Compare(a.ID, b.ID) })
-	own, _ := slices.BinarySearchFunc(peers, n.cfg.VM, func(vm platform.VM, id string) int { return strings.Compare(vm.ID, id) })
+	slices.SortFunc(peers, func(a, b infra.VM) int { return strings.Compare(a.ID, b.ID) })
+	own, _ := slices.BinarySearchFunc(peers, n.cfg.VM, func(vm infra.VM, id string) int { return strings.Compare(vm.ID, id) })
 	next := peers[own%len(peers)]
 	return Successor{VM: next.ID, Addr: next.SchedAddr}, true
 }
@@ -178,13 +178,13 @@
 	n.holders[cell] = holder
 }
 
-// Poll implements platform.PollServer.
-func (n *Node) Poll(ctx context.Context, req platform.PollRequest) (platform.PollResponse, error) {
+// Poll implements infra.PollServer.
+func (n *Node) Poll(ctx context.Context, req infra.PollRequest) (infra.PollResponse, error) {
 	n.mu.Lock()
 	holder := n.holders[req.Cell]
 	n.mu.Unlock()
 	if holder == nil {
-		return platform.PollResponse{}, &platform.StaleEpochError{Cell: req.Cell, Got: req.Epoch}
+		return infra.PollResponse{}, &infra.StaleEpochError{Cell: req.Cell, Got: req.Epoch}
 	}
 	return holder.Poll(ctx, req)
 }
--- a/cell/owner.go
+++ b/cell/owner.go
@@ -9,10 +9,10 @@
 	"github.com/cenkalti/backoff/v5"
 
 	"github.com/currantthread/currantthread/drain"
+	"github.com/currantthread/currantthread/infra"
 	"github.com/currantthread/currantthread/internal/wait"
 	"github.com/currantthread/currantthread/job"
 	"github.com/currantthread/currantthread/ledger"
-	"github.com/currantthread/currantthread/platform"
 	"github.com/currantthread/currantthread/sched"
 	"github.com/currantthread/currantthread/worker"
 )
@@ -48,8 +48,8 @@
 	dirty bool
 }
 
-func (a *assigned) ref() platform.AttemptRef {
-	return platform.AttemptRef{Task: a.row.Task.ID, Attempt: a.row.Task.Attempt}
+func (a *assigned) ref() infra.AttemptRef {
+	return infra.AttemptRef{Task: a.row.Task.ID, Attempt: a.row.Task.Attempt}
 }
 
 // ending is how an attempt ended.
@@ -66,7 +66,7 @@
 
 // workerState is what the owner knows of a worker besides its lease.
 type workerState struct {
-	vm          platform.VM
+	vm          infra.VM
 	listed      bool
 	attached    bool
 	incarnation string
@@ -74,7 +74,7 @@
 	tasks       map[job.TaskID]*assigned
 	// foreign are attempts that the worker runs and the ledger does not know. The worker gets no starts until each is
 	// confirmed gone, because nothing is set aside for them.
-	foreign map[platform.AttemptRef]struct{}
+	foreign map[infra.AttemptRef]struct{}
 	acks    []*ack
 	ready   bool
 	known   bool // to the planner
@@ -271,13 +271,13 @@
 	return nil
 }
 
-func (o *owner) scanPage(ctx context.Context, prefix, after string) ([]platform.Row, error) {
+func (o *owner) scanPage(ctx context.Context, prefix, after string) ([]infra.Row, error) {
 	ctx, cancel := context.WithTimeout(ctx, callTimeout)
 	defer cancel()
 	return o.cfg.Table.Scan(ctx, prefix, after, recoverPage)
 }
 
-func (o *owner) restore(row platform.Row) error {
+func (o *owner) restore(row infra.Row) error {
 	assignment, err := ledger.Decode[ledger.Assignment](row.Key, row.Value)
 	if err != nil {
 		return err
@@ -309,7 +309,7 @@
 	w := o.workers[id]
 	if w == nil {
 		w = &workerState{
-			vm: platform.VM{ID: id}, tasks: map[job.TaskID]*assigned{}, foreign: map[platform.AttemptRef]struct{}{},
+			vm: infra.VM{ID: id}, tasks: map[job.TaskID]*assigned{}, foreign: map[infra.AttemptRef]struct{}{},
 		}
 		o.workers[id] = w
 	}
--- a/cell/planner.go
+++ b/cell/planner.go
@@ -3,9 +3,9 @@
 import (
 	"time"
 
+	"github.com/currantthread/currantthread/infra"
 	"github.com/currantthread/currantthread/interference"
 	"github.com/currantthread/currantthread/job"
-	"github.com/currantthread/currantthread/platform"
 	"github.com/currantthread/currantthread/sched"
 	"github.com/currantthread/currantthread/settings"
 )
@@ -25,7 +25,7 @@
 	AbortStart(id job.TaskID)
 	Stopping(id job.TaskID)
 	Release(id job.TaskID, end sched.End) bool
-	ReportUsage(worker string, u platform.Usage)
+	ReportUsage(worker string, u infra.Usage)
 }
 
 // NewPlanner returns an empty scheduler with the settings in force.
--- a/cell/queue.go
+++ b/cell/queue.go
@@ -6,9 +6,9 @@
 	"strings"
 	"time"
 
+	"github.com/currantthread/currantthread/infra"
 	"github.com/currantthread/currantthread/job"
 	"github.com/currantthread/currantthread/ledger"
-	"github.com/currantthread/currantthread/platform"
 )
 
 const (
@@ -119,7 +119,7 @@
 	o.promote(now)
 }
 
-func (o *owner) seeQueued(row platform.Row, now time.Time) {
+func (o *owner) seeQueued(row infra.Row, now time.Time) {
 	if known := o.queue.keys[row.Key]; known != nil && known.version >= row.Version {
 		return
 	}
--- a/cell/scan.go
+++ b/cell/scan.go
@@ -8,9 +8,9 @@
 
 	"github.com/cenkalti/backoff/v5"
 
+	"github.com/currantthread/currantthread/infra"
 	"github.com/currantthread/currantthread/internal/wait"
 	"github.com/currantthread/currantthread/ledger"
-	"github.com/currantthread/currantthread/platform"
 	"github.com/currantthread/currantthread/settings"
 )
 
@@ -30,7 +30,7 @@
 type scanPage struct {
 	prefix string
 	after  string
-	rows   []platform.Row
+	rows   []infra.Row
 	// complete is set if the page reaches the end of the prefix.
 	complete bool
 	sentAt   time.Time
@@ -46,7 +46,7 @@
 
 // scanner reads the queues and the cancellations. It runs beside the apply loop, so that slow scans delay no write.
 type scanner struct {
-	table    platform.Table
+	table    infra.Table
 	prefixes []string
 	cursors  map[string]string
 	settings func() settings.Effective
--- a/cell/world_test.go
+++ b/cell/world_test.go
@@ -18,11 +18,11 @@
 	"gotest.tools/v3/assert"
 
 	"github.com/currantthread/currantthread/cell"
+	"github.com/currantthread/currantthread/infra"
 	"github.com/currantthread/currantthread/internal/standin"
 	"github.com/currantthread/currantthread/job"
 	"github.com/currantthread/currantthread/ledger"
 	"github.com/currantthread/currantthread/observe"
-	"github.com/currantthread/currantthread/platform"
 	"github.com/currantthread/currantthread/settings"
 )
 
@@ -57,7 +57,7 @@
 
 	mu    sync.Mutex // guards the fields below
 	nodes map[string]*node
-	vms   []platform.VM
+	vms   []infra.VM
 	saved map[string]time.Duration
 	jobs  []job.Job
 }
@@ -89,13 +89,13 @@
 func (w *world) addDomain(domain string) {
 	for i := range w.layout.nodes {
 		id := fmt.Sprintf("%s-n%d", domain, i)
-		w.vms = append(w.vms, platform.VM{
-			ID: id, Role: platform.RoleEntry, State: platform.VMLive, Region: "r", Domain: domain, SchedAddr: id,
+		w.vms = append(w.vms, infra.VM{
+			ID: id, Role: infra.RoleEntry, State: infra.VMLive, Region: "r", Domain: domain, SchedAddr: id,
 		})
 	}
 	for i := range w.layout.workers {
-		vm := platform.VM{
-			ID: fmt.Sprintf("%s-w%d", domain, i), Role: platform.RoleWorker, State: platform.VMLive, Region: "r",
+		vm := infra.VM{
+			ID: fmt.Sprintf("%s-w%d", domain, i), Role: infra.RoleWorker, State: infra.VMLive, Region: "r",
 			Domain: domain, Rack: fmt.Sprintf("%s-rack%d", domain, i/8), Capacity: w.layout.capacity,
 		}
 		vm.Addr = vm.ID
@@ -109,7 +109,7 @@
 // start boots every node.
 func (w *world) start() {
 	for _, vm := range w.vms {
-		if vm.Role == platform.RoleEntry {
+		if vm.Role == infra.RoleEntry {
 			w.startNode(vm)
 		}
 	}
@@ -185,7 +185,7 @@
 	return violations
 }
 
-func (w *world) scan(prefix string) []platform.Row {
+func (w *world) scan(prefix string) []infra.Row {
 	faults := w.table.Faults()
 	w.table.SetFaults(standin.TableFaults{})
 	defer w.table.SetFaults(faults)
@@ -201,7 +201,7 @@
 }
 
 // commit applies a transaction of an operator, whatever the faults of the table.
-func (w *world) commit(txn platform.Txn) error {
+func (w *world) commit(txn infra.Txn) error {
 	faults := w.table.Faults()
 	w.table.SetFaults(standin.TableFaults{})
 	defer w.table.SetFaults(faults)
@@ -221,10 +221,10 @@
 		change(&spec)
 	}
 	j := job.Job{ID: id, Name: id, Team: "t", Tasks: tasks, Spec: spec}
-	txn := platform.Txn{Writes: []platform.Write{{Key: ledger.JobKey(id), Value: ledger.Encode(j)}}}
+	txn := infra.Txn{Writes: []infra.Write{{Key: ledger.JobKey(id), Value: ledger.Encode(j)}}}
 	for i := range tasks {
 		t := job.Task{ID: job.MakeTaskID(id, i), Team: "t", Spec: spec, Attempt: 1}
-		txn.Writes = append(txn.Writes, platform.Write{Key: ledger.QueueKeyOf(t), Value: ledger.Encode(t)})
+		txn.Writes = append(txn.Writes, infra.Write{Key: ledger.QueueKeyOf(t), Value: ledger.Encode(t)})
 	}
 	assert.NilError(w.t, w.commit(txn))
 	w.mu.Lock()
@@ -233,14 +233,14 @@
 }
 
 func (w *world) cancelJob(id string) {
-	assert.NilError(w.t, w.commit(platform.Txn{
-		Writes: []platform.Write{{Key: ledger.CancelKey(id), Value: ledger.Encode(ledger.Cancel{By: "test"})}},
+	assert.NilError(w.t, w.commit(infra.Txn{
+		Writes: []infra.Write{{Key: ledger.CancelKey(id), Value: ledger.Encode(ledger.Cancel{By: "test"})}},
 	}))
 }
 
 func (w *world) setDomain(domain string, state ledger.DomainState) {
-	assert.NilError(w.t, w.commit(platform.Txn{
-		Writes: []platform.Write{{Key: ledger.DomainKey(domain), Value: ledger.Encode(ledger.Domain{State: state})}},
+	assert.NilError(w.t, w.commit(infra.Txn{
+		Writes: []infra.Write{{Key: ledger.DomainKey(domain), Value: ledger.Encode(ledger.Domain{State: state})}},
 	}))
 	if state == ledger.DomainOut {
 		w.history.domainOut(domain, time.Now())
@@ -276,7 +276,7 @@
 }
 
 func (w *world) pendingReport(f *fakeWorker, a *attempt) bool {
-	return slices.ContainsFunc(f.reports, func(r platform.Report) bool { return r.Ref == a.ref })
+	return slices.ContainsFunc(f.reports, func(r infra.Report) bool { return r.Ref == a.ref })
 }
 
 // done counts the finished tasks by outcome.
@@ -325,16 +325,16 @@
 }
 
 // poll delivers a poll to the node at url.
-func (w *world) poll(ctx context.Context, url string, req platform.PollRequest) (platform.PollResponse, error) {
+func (w *world) poll(ctx context.Context, url string, req infra.PollRequest) (infra.PollResponse, error) {
 	w.mu.Lock()
 	n := w.nodes[url]
 	w.mu.Unlock()
 	if n == nil || !n.await(ctx) {
-		return platform.PollResponse{}, errNotRunning
+		return infra.PollResponse{}, errNotRunning
 	}
 	resp, err := n.Poll(ctx, req)
 	if !n.await(ctx) {
-		return platform.PollResponse{}, errNotRunning
+		return infra.PollResponse{}, errNotRunning
 	}
 	return resp, err
 }
@@ -343,7 +343,7 @@
 type node struct {
 	*cell.Node
 	w    *world
-	vm   platform.VM
+	vm   infra.VM
 	stop context.CancelFunc
 	end  chan struct{}
 
@@ -366,7 +366,7 @@
 	return n.dead
 }
 
-func (w *world) startNode(vm platform.VM) {
+func (w *world) startNode(vm infra.VM) {
 	n := &node{w: w, vm: vm, end: make(chan struct{}), thawed: make(chan struct{})}
 	close(n.thawed)
 	ctx, stop := context.WithCancel(w.ctx)
@@ -389,7 +389,7 @@
 	})
 }
 
-func (w *world) list() []platform.VM {
+func (w *world) list() []infra.VM {
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	return w.vms
@@ -463,16 +463,16 @@
 
 type nodeWorkers struct{ node *node }
 
-func (n *nodeWorkers) Attach(ctx context.Context, addr string, req platform.AttachRequest) (platform.AttachResponse, error) {
+func (n *nodeWorkers) Attach(ctx context.Context, addr string, req infra.AttachRequest) (infra.AttachResponse, error) {
 	w := n.node.w
 	if !n.node.await(ctx) {
-		return platform.AttachResponse{}, &platform.UnavailableError{Err: errDead}
+		return infra.AttachResponse{}, &infra.UnavailableError{Err: errDead}
 	}
-	resp, err := send(ctx, w.net, n.node.vm.ID, addr, func(ctx context.Context) (platform.AttachResponse, error) {
+	resp, err := send(ctx, w.net, n.node.vm.ID, addr, func(ctx context.Context) (infra.AttachResponse, error) {
 		return w.workers[addr].attach(ctx, req)
 	})
 	if !n.node.await(ctx) {
-		return platform.AttachResponse{}, &platform.UnavailableError{Err: errDead}
+		return infra.AttachResponse{}, &infra.UnavailableError{Err: errDead}
 	}
 	return resp, err
 }
@@ -483,7 +483,7 @@
 // nodeTable is the table as a node reaches it. Besides the faults of the stand-in it applies commits late.
 type nodeTable struct {
 	node  *node
-	table platform.Table
+	table infra.Table
 
 	mu  sync.Mutex // guards rng
 	rng *rand.Rand
@@ -491,12 +491,12 @@
 
 func (n *nodeTable) before(ctx context.Context) error {
 	if !sleepFor(ctx, tableLatency/2) || !n.node.await(ctx) {
-		return &platform.UnavailableError{Err: errDead}
+		return &infra.UnavailableError{Err: errDead}
 	}
 	n.node.mu.Lock()
 	defer n.node.mu.Unlock()
 	if n.node.tableCut {
-		return &platform.UnavailableError{Err: errNoAnswer}
+		return &infra.UnavailableError{Err: errNoAnswer}
 	}
 	return nil
 }
@@ -508,29 +508,29 @@
 	return nil
 }
 
-func (n *nodeTable) Read(ctx context.Context, keys ...string) ([]platform.Row, error) {
+func (n *nodeTable) Read(ctx context.Context, keys ...string) ([]infra.Row, error) {
 	if err := n.before(ctx); err != nil {
 		return nil, err
 	}
 	rows, err := n.table.Read(ctx, keys...)
 	if err == nil && n.after(ctx) != nil {
-		return nil, &platform.UnavailableError{Err: errDead}
+		return nil, &infra.UnavailableError{Err: errDead}
 	}
 	return rows, err
 }
 
-func (n *nodeTable) Scan(ctx context.Context, prefix, after string, limit int) ([]platform.Row, error) {
+func (n *nodeTable) Scan(ctx context.Context, prefix, after string, limit int) ([]infra.Row, error) {
 	if err := n.before(ctx); err != nil {
 		return nil, err
 	}
 	rows, err := n.table.Scan(ctx, prefix, after, limit)
 	if err == nil && n.after(ctx) != nil {
-		return nil, &platform.UnavailableError{Err: errDead}
+		return nil, &infra.UnavailableError{Err: errDead}
 	}
 	return rows, err
 }
 
-func (n *nodeTable) Commit(ctx context.Context, txn platform.Txn) (int64, error) {
+func (n *nodeTable) Commit(ctx context.Context, txn infra.Txn) (int64, error) {
 	if err := n.before(ctx); err != nil {
 		return 0, err
 	}
@@ -540,11 +540,11 @@
 				_, _ = n.table.Commit(n.node.w.ctx, txn)
 			}
 		})
-		return 0, &platform.UnknownOutcomeError{Err: errNoAnswer}
+		return 0, &infra.UnknownOutcomeError{Err: errNoAnswer}
 	}
 	version, err := n.table.Commit(ctx, txn)
 	if n.after(ctx) != nil {
-		return 0, &platform.UnknownOutcomeError{Err: errNoAnswer}
+		return 0, &infra.UnknownOutcomeError{Err: errNoAnswer}
 	}
 	return version, err
 }
--- a/cell/write.go
+++ b/cell/write.go
@@ -7,10 +7,10 @@
 	"strings"
 	"time"
 
+	"github.com/currantthread/currantthread/infra"
 	"github.com/currantthread/currantthread/internal/wait"
 	"github.com/currantthread/currantthread/job"
 	"github.com/currantthread/currantthread/ledger"
-	"github.com/currantthread/currantthread/platform"
 	"github.com/currantthread/currantthread/sched"
 )
 
@@ -24,7 +24,7 @@
 
 // batch is one grouped transaction and what follows from it.
 type batch struct {
-	txn     platform.Txn
+	txn     infra.Txn
 	sentAt  time.Time
 	row     ledger.Owner
 	changes []change
@@ -53,15 +53,15 @@
 func (b *batch) empty() bool { return len(b.txn.Writes) == 0 }
 
 func (b *batch) require(key string, version int64) {
-	b.txn.Conditions = append(b.txn.Conditions, platform.Condition{Key: key, Version: version})
+	b.txn.Conditions = append(b.txn.Conditions, infra.Condition{Key: key, Version: version})
 }
 
 func (b *batch) put(key string, value any) {
-	b.txn.Writes = append(b.txn.Writes, platform.Write{Key: key, Value: ledger.Encode(value)})
+	b.txn.Writes = append(b.txn.Writes, infra.Write{Key: key, Value: ledger.Encode(value)})
 }
 
 func (b *batch) remove(key string) {
-	b.txn.Writes = append(b.txn.Writes, platform.Write{Key: key, Delete: true})
+	b.txn.Writes = append(b.txn.Writes, infra.Write{Key: key, Delete: true})
 }
 
 // write commits what is due. It returns an error only if the ownership is over.
@@ -231,7 +231,7 @@
 	defer cancel()
 	version, err := o.writer.Commit(ctx, b.txn)
 	o.cfg.Metrics.committed(o.cfg.Cell, err)
-	var conflict *platform.ConflictError
+	var conflict *infra.ConflictError
 	switch {
 	case err == nil:
 		o.succeeded(b, version)
@@ -239,7 +239,7 @@
 	case stderrors.As(err, &conflict):
 		o.failed(b)
 		return o.conflicted(conflict)
-	case platform.IsUnknownOutcome(err):
+	case infra.IsUnknownOutcome(err):
 		o.unresolved = b
 		o.backOff()
 		return nil
@@ -260,7 +260,7 @@
 	if !b.applied {
 		applied, err := o.writer.Resolve(ctx)
 		switch {
-		case isUnavailable(err) || platform.IsUnknownOutcome(err):
+		case isUnavailable(err) || infra.IsUnknownOutcome(err):
 			o.backOff()
 			return nil
 		case err != nil:
@@ -287,7 +287,7 @@
 }
 
 // conflicted finds out which of the conditions did not hold. What was not started stays queued.
-func (o *owner) conflicted(conflict *platform.ConflictError) error {
+func (o *owner) conflicted(conflict *infra.ConflictError) error {
 	o.planDue = true
 	for _, key := range conflict.Keys {
 		switch {
@@ -416,7 +416,7 @@
 		if percent == 0 {
 			percent = 100
 		}
-		o.holder.Send(p.Worker, platform.Command{Kind: platform.CommandThrottle, Ref: a.ref(), CPUPercent: percent})
+		o.holder.Send(p.Worker, infra.Command{Kind: infra.CommandThrottle, Ref: a.ref(), CPUPercent: percent})
 	}
 }
 
@@ -436,9 +436,9 @@
 	row := ledger.Owner{Holder: to.VM, Addr: to.Addr, Epoch: o.row.Epoch + 1, Released: true}
 	key := ledger.CellOwnerKey(o.cfg.Cell)
 	for {
-		_, err := o.writer.Commit(ctx, platform.Txn{
-			Conditions: []platform.Condition{{Key: key, Version: o.version}},
-			Writes:     []platform.Write{{Key: key, Value: ledger.Encode(row)}},
+		_, err := o.writer.Commit(ctx, infra.Txn{
+			Conditions: []infra.Condition{{Key: key, Version: o.version}},
+			Writes:     []infra.Write{{Key: key, Value: ledger.Encode(row)}},
 		})
 		if err == nil {
 			break
--- a/cmd/currantthread-standin/main.go
+++ b/cmd/currantthread-standin/main.go
@@ -15,11 +15,11 @@
 
 	"github.com/urfave/cli/v3"
 
+	"github.com/currantthread/currantthread/infra"
 	"github.com/currantthread/currantthread/internal/standin"
 	"github.com/currantthread/currantthread/internal/standin/load"
 	"github.com/currantthread/currantthread/job"
 	"github.com/currantthread/currantthread/observe"
-	"github.com/currantthread/currantthread/platform"
 )
 
 // Exit codes (docs/design.md §2).
@@ -98,7 +98,7 @@
 	}
 }
 
-func readVMs(file string) ([]platform.VM, error) {
+func readVMs(file string) ([]infra.VM, error) {
 	if file == "" {
 		return nil, nil
 	}
@@ -106,7 +106,7 @@
 	if err != nil {
 		return nil, err
 	}
-	var vms []platform.VM
+	var vms []infra.VM
 	if err := json.Unmarshal(data, &vms); err != nil {
 		return nil, fmt.Errorf("%s: %w", file, err)
 	}
--- a/control/api.go
+++ b/control/api.go
@@ -11,8 +11,8 @@
 	"github.com/sirupsen/logrus"
 	"golang.org/x/sync/errgroup"
 
+	"github.com/currantthread/currantthread/infra"
 	"github.com/currantthread/currantthread/innerproto"
-	"github.com/currantthread/currantthread/platform"
 	"github.com/currantthread/currantthread/settings"
 )
 
@@ -37,9 +37,9 @@
 // APIConfig holds what the operators' API works on.
 type APIConfig struct {
 	Store *Store
-	Table platform.Table
+	Table infra.Table
 	// VMs returns the VM list.
-	VMs func() []platform.VM
+	VMs func() []infra.VM
 	// Dial returns the daemon at an inner address.
 	Dial func(addr string) Daemon
 	Log  *logrus.Entry
@@ -98,7 +98,7 @@
 	body := &APIError{Code: "internal", Message: err.Error()}
 	var api *APIError
 	var problems settings.Problems
-	var unavailable *platform.UnavailableError
+	var unavailable *infra.UnavailableError
 	switch {
 	case errors.As(err, &api):
 		body = api
@@ -110,9 +110,9 @@
 		body.Code = "not-found"
 	case errors.Is(err, errors.NotValid):
 		body.Code = "invalid"
-	case platform.IsConflict(err):
+	case infra.IsConflict(err):
 		body.Code = "conflict"
-	case platform.IsUnknownOutcome(err):
+	case infra.IsUnknownOutcome(err):
 		body.Code = "unknown-outcome"
 	case errors.As(err, &unavailable), errors.Is(err, context.DeadlineExceeded):
 		body.Code = "unavailable"
@@ -168,7 +168,7 @@
 	var statuses []DaemonStatus
 	var addrs []string
 	for _, vm := range a.cfg.VMs() {
-		if vm.Role != platform.RoleEntry || (domain != "" && vm.Domain != domain) {
+		if vm.Role != infra.RoleEntry || (domain != "" && vm.Domain != domain) {
 			continue
 		}
 		statuses = append(statuses, DaemonStatus{VM: vm.ID, Daemon: "entry", Domain: vm.Domain, SettingsVersion: -1})
--- a/control/api_domains.go
+++ b/control/api_domains.go
@@ -12,10 +12,10 @@
 
 	"github.com/labstack/echo/v4"
 
+	"github.com/currantthread/currantthread/infra"
 	"github.com/currantthread/currantthread/innerproto"
 	"github.com/currantthread/currantthread/internal/wait"
 	"github.com/currantthread/currantthread/ledger"
-	"github.com/currantthread/currantthread/platform"
 	"github.com/currantthread/currantthread/settings"
 )
 
@@ -117,9 +117,9 @@
 		return 0, &APIError{Code: "conflict", Message: message}
 	}
 	value := ledger.Encode(ledger.Domain{State: req.State, Operator: req.Operator, Reason: req.Reason})
-	return a.cfg.Store.Commit(ctx, platform.Txn{
-		Conditions: []platform.Condition{{Key: rows[0].Key, Version: rows[0].Version}},
-		Writes:     []platform.Write{{Key: rows[0].Key, Value: value}},
+	return a.cfg.Store.Commit(ctx, infra.Txn{
+		Conditions: []infra.Condition{{Key: rows[0].Key, Version: rows[0].Version}},
+		Writes:     []infra.Write{{Key: rows[0].Key, Value: value}},
 	})
 }
 
@@ -133,7 +133,7 @@
 	var mu sync.Mutex // guards the lists of status
 	var group sync.WaitGroup
 	for _, vm := range a.cfg.VMs() {
-		if vm.Role != platform.RoleEntry || vm.Domain != status.Domain {
+		if vm.Role != infra.RoleEntry || vm.Domain != status.Domain {
 			continue
 		}
 		group.Go(func() {
--- a/control/api_jobs.go
+++ b/control/api_jobs.go
@@ -11,10 +11,10 @@
 	"github.com/juju/errors"
 	"github.com/labstack/echo/v4"
 
+	"github.com/currantthread/currantthread/infra"
 	"github.com/currantthread/currantthread/innerproto"
 	"github.com/currantthread/currantthread/job"
 	"github.com/currantthread/currantthread/ledger"
-	"github.com/currantthread/currantthread/platform"
 )
 
 const (
@@ -104,7 +104,7 @@
 // submit writes the job and all its queued tasks in one transaction.
 func (a *API) submit(ctx context.Context, j job.Job) error {
 	_, err := a.cfg.Store.Commit(ctx, SubmitTxn(j))
-	if !platform.IsConflict(err) {
+	if !infra.IsConflict(err) {
 		return err
 	}
 	existing, readErr := a.readJob(ctx, j.ID)
@@ -119,14 +119,14 @@
 }
 
 // SubmitTxn returns the transaction that accepts a job. It conflicts on the job's row if the job exists.
-func SubmitTxn(j job.Job) platform.Txn {
-	txn := platform.Txn{
-		Conditions: []platform.Condition{{Key: ledger.JobKey(j.ID)}},
-		Writes:     []platform.Write{{Key: ledger.JobKey(j.ID), Value: ledger.Encode(j)}},
+func SubmitTxn(j job.Job) infra.Txn {
+	txn := infra.Txn{
+		Conditions: []infra.Condition{{Key: ledger.JobKey(j.ID)}},
+		Writes:     []infra.Write{{Key: ledger.JobKey(j.ID), Value: ledger.Encode(j)}},
 	}
 	for i := range j.Tasks {
 		t := job.Task{ID: job.MakeTaskID(j.ID, i), Team: j.Team, Spec: j.Spec, Attempt: 1}
-		txn.Writes = append(txn.Writes, platform.Write{Key: ledger.QueueKeyOf(t), Value: ledger.Encode(t)})
+		txn.Writes = append(txn.Writes, infra.Write{Key: ledger.QueueKeyOf(t), Value: ledger.Encode(t)})
 	}
 	return txn
 }
@@ -138,7 +138,7 @@
 		req.Domains = []string{domain}
 	}
 	for _, vm := range a.cfg.VMs() {
-		if vm.Role != platform.RoleEntry || (domain != "" && vm.Domain != domain) {
+		if vm.Role != infra.RoleEntry || (domain != "" && vm.Domain != domain) {
 			continue
 		}
 		go func() {
@@ -164,7 +164,7 @@
 	ctx, cancel := a.timeout(c)
 	defer cancel()
 	jobs := []job.Job{}
-	err := a.scan(ctx, ledger.JobPrefix, func(row platform.Row) error {
+	err := a.scan(ctx, ledger.JobPrefix, func(row infra.Row) error {
 		j, err := ledger.Decode[job.Job](row.Key, row.Value)
 		if team := c.QueryParam("team"); team == "" || team == j.Team {
 			jobs = append(jobs, j)
@@ -179,7 +179,7 @@
 }
 
 // scan calls visit with each row under a prefix.
-func (a *API) scan(ctx context.Context, prefix string, visit func(platform.Row) error) error {
+func (a *API) scan(ctx context.Context, prefix string, visit func(infra.Row) error) error {
 	after := ""
 	for {
 		rows, err := a.cfg.Table.Scan(ctx, prefix, after, scanPage)
@@ -234,7 +234,7 @@
 		return err
 	}
 	status.Cancelled = rows[0].Version > 0
-	return a.scan(ctx, ledger.DonePrefix(status.Job.ID), func(row platform.Row) error {
+	return a.scan(ctx, ledger.DonePrefix(status.Job.ID), func(row infra.Row) error {
 		done, err := ledger.Decode[ledger.Done](row.Key, row.Value)
 		switch done.Outcome {
 		case ledger.OutcomeCompleted:
@@ -272,7 +272,7 @@
 func (a *API) countAssigned(ctx context.Context, status *JobStatus, statuses []DaemonStatus) error {
 	for _, cell := range cellsOf(statuses) {
 		prefix := ledger.CellTaskPrefix(cell.Cell) + status.Job.ID + "/"
-		err := a.scan(ctx, prefix, func(row platform.Row) error {
+		err := a.scan(ctx, prefix, func(row infra.Row) error {
 			assignment, err := ledger.Decode[ledger.Assignment](row.Key, row.Value)
 			status.Assigned++
 			if len(status.Running) < maxListedTasks {
@@ -330,7 +330,7 @@
 		return a.fail(c, err)
 	}
 	value := ledger.Encode(ledger.Cancel{By: c.QueryParam("operator")})
-	txn := platform.Txn{Writes: []platform.Write{{Key: ledger.CancelKey(id), Value: value}}}
+	txn := infra.Txn{Writes: []infra.Write{{Key: ledger.CancelKey(id), Value: value}}}
 	if _, err := a.cfg.Store.Commit(ctx, txn); err != nil {
 		return a.fail(c, err)
 	}
--- a/control/api_test.go
+++ b/control/api_test.go
@@ -18,11 +18,11 @@
 	"gotest.tools/v3/assert"
 
 	"github.com/currantthread/currantthread/control"
+	"github.com/currantthread/currantthread/infra"
 	"github.com/currantthread/currantthread/innerproto"
 	"github.com/currantthread/currantthread/internal/standin"
 	"github.com/currantthread/currantthread/job"
 	"github.com/currantthread/currantthread/ledger"
-	"github.com/currantthread/currantthread/platform"
 	"github.com/currantthread/currantthread/settings"
 )
 
@@ -74,14 +74,14 @@
 	log := logrus.New()
 	log.SetOutput(io.Discard)
 	b := &apiBench{t: t, table: standin.NewTable(), router: echo.New(), daemons: map[string]fakeDaemon{}}
-	vms := []platform.VM{
-		{ID: "e1", Role: platform.RoleEntry, Domain: "chipre", Addr: "e1:entry", SchedAddr: "e1:sched"},
-		{ID: "e2", Role: platform.RoleEntry, Domain: "chipre", Addr: "e2:entry", SchedAddr: "e2:sched"},
+	vms := []infra.VM{
+		{ID: "e1", Role: infra.RoleEntry, Domain: "chipre", Addr: "e1:entry", SchedAddr: "e1:sched"},
+		{ID: "e2", Role: infra.RoleEntry, Domain: "chipre", Addr: "e2:entry", SchedAddr: "e2:sched"},
 	}
 	control.NewAPI(control.APIConfig{
 		Store: control.NewStore(b.table, standin.NewObjects(), "api/e1"),
 		Table: b.table,
-		VMs:   func() []platform.VM { return vms },
+		VMs:   func() []infra.VM { return vms },
 		Dial:  b.dial,
 		Log:   logrus.NewEntry(log),
 	}).Register(b.router.Group("/api/v1"))
@@ -132,7 +132,7 @@
 	var j job.Job
 	b.call(http.MethodPost, "/jobs", exampleJob, &j)
 	assignment := ledger.Assignment{Task: job.Task{ID: "j1/0", Attempt: 2}, Worker: "w1", State: ledger.Assigned}
-	_, err := b.table.Commit(t.Context(), platform.Txn{Writes: []platform.Write{
+	_, err := b.table.Commit(t.Context(), infra.Txn{Writes: []infra.Write{
 		{Key: ledger.QueueKey(ledger.AnyDomain, 50, "j1/0"), Delete: true},
 		{Key: ledger.CellTaskKey("chipre-0", "j1/0"), Value: ledger.Encode(assignment)},
 		{Key: ledger.QueueKey(ledger.AnyDomain, 50, "j1/1"), Delete: true},
--- a/control/follower.go
+++ b/control/follower.go
@@ -13,10 +13,10 @@
 	"github.com/prometheus/client_golang/prometheus"
 	"github.com/sirupsen/logrus"
 
+	"github.com/currantthread/currantthread/infra"
 	"github.com/currantthread/currantthread/innerproto"
 	"github.com/currantthread/currantthread/internal/wait"
 	"github.com/currantthread/currantthread/membership"
-	"github.com/currantthread/currantthread/platform"
 	"github.com/currantthread/currantthread/settings"
 )
 
@@ -58,9 +58,9 @@
 	Relay bool
 	Store SettingsStore
 	// Entries returns the entry VMs of the failure domain.
-	Entries func() []platform.VM
+	Entries func() []infra.VM
 	// Dial returns the entry daemon of a VM as a peer.
-	Dial func(vm platform.VM) Peer
+	Dial func(vm infra.VM) Peer
 	Log  *logrus.Entry
 	// Registry takes the follower's metrics; nil registers none.
 	Registry prometheus.Registerer
@@ -218,8 +218,8 @@
 }
 
 // relays returns the entry VMs that this VM asks before it reads the store itself.
-func (f *Follower) relays() []platform.VM {
-	var before []platform.VM
+func (f *Follower) relays() []infra.VM {
+	var before []infra.VM
 	for _, vm := range membership.Rank("relay/"+f.cfg.Domain, f.cfg.Entries()) {
 		if vm.ID == f.cfg.VM && f.cfg.Relay {
 			break
@@ -229,8 +229,8 @@
 	return before
 }
 
-func (f *Follower) peers() []platform.VM {
-	var peers []platform.VM
+func (f *Follower) peers() []infra.VM {
+	var peers []infra.VM
 	for _, vm := range f.cfg.Entries() {
 		if vm.ID != f.cfg.VM || !f.cfg.Relay {
 			peers = append(peers, vm)
@@ -240,7 +240,7 @@
 }
 
 // fetch asks a peer for a version above the one in force.
-func (f *Follower) fetch(ctx context.Context, vm platform.VM, wait time.Duration) error {
+func (f *Follower) fetch(ctx context.Context, vm infra.VM, wait time.Duration) error {
 	ctx, cancel := context.WithTimeout(ctx, wait+callMargin)
 	defer cancel()
 	now := f.snapshot()
--- a/control/follower_test.go
+++ b/control/follower_test.go
@@ -15,9 +15,9 @@
 	"gotest.tools/v3/assert"
 
 	"github.com/currantthread/currantthread/control"
+	"github.com/currantthread/currantthread/infra"
 	"github.com/currantthread/currantthread/innerproto"
 	"github.com/currantthread/currantthread/internal/standin"
-	"github.com/currantthread/currantthread/platform"
 	"github.com/currantthread/currantthread/settings"
 )
 
@@ -81,7 +81,7 @@
 	cut := s.net.storeCut[s.domain]
 	s.net.mu.Unlock()
 	if cut {
-		return control.Head{}, 0, &platform.UnavailableError{Err: errCut}
+		return control.Head{}, 0, &infra.UnavailableError{Err: errCut}
 	}
 	if err := s.net.lose(ctx); err != nil {
 		return control.Head{}, 0, err
@@ -114,10 +114,10 @@
 
 func domainName(i int) string { return fmt.Sprintf("d%d", i) }
 
-func entries(domain string) []platform.VM {
-	vms := make([]platform.VM, vmsPerDomain)
+func entries(domain string) []infra.VM {
+	vms := make([]infra.VM, vmsPerDomain)
 	for i := range vms {
-		vms[i] = platform.VM{ID: fmt.Sprintf("%s-e%d", domain, i), Role: platform.RoleEntry, Domain: domain}
+		vms[i] = infra.VM{ID: fmt.Sprintf("%s-e%d", domain, i), Role: infra.RoleEntry, Domain: domain}
 	}
 	return vms
 }
@@ -136,8 +136,8 @@
 	f := control.NewFollower(control.FollowerConfig{
 		VM: vm, Region: "r", Domain: domain, Relay: relay,
 		Store:   lossyStore{Store: b.store, net: b.net, domain: domain},
-		Entries: func() []platform.VM { return entries(domain) },
-		Dial:    func(vm platform.VM) control.Peer { return lossyPeer{net: b.net, vm: vm.ID} },
+		Entries: func() []infra.VM { return entries(domain) },
+		Dial:    func(vm infra.VM) control.Peer { return lossyPeer{net: b.net, vm: vm.ID} },
 		Log:     logrus.NewEntry(log),
 	})
 	ctx, cancel := context.WithCancel(b.ctx)
--- a/control/inner.go
+++ b/control/inner.go
@@ -8,9 +8,9 @@
 
 	"connectrpc.com/connect"
 
+	"github.com/currantthread/currantthread/infra"
 	"github.com/currantthread/currantthread/innerproto"
 	"github.com/currantthread/currantthread/innerproto/innerprotoconnect"
-	"github.com/currantthread/currantthread/platform"
 )
 
 const (
@@ -67,7 +67,7 @@
 func (d *Dialer) Daemon(addr string) Daemon { return d.dial(addr) }
 
 // Peer returns the entry daemon of a VM, which passes settings on.
-func (d *Dialer) Peer(vm platform.VM) Peer { return d.dial(vm.Addr) }
+func (d *Dialer) Peer(vm infra.VM) Peer { return d.dial(vm.Addr) }
 
 // Cells returns the cell service of the sched daemon at an inner address.
 func (d *Dialer) Cells(addr string) innerprotoconnect.CellServiceClient { return d.dial(addr).cells }
--- a/control/store.go
+++ b/control/store.go
@@ -11,8 +11,8 @@
 
 	"github.com/juju/errors"
 
+	"github.com/currantthread/currantthread/infra"
 	"github.com/currantthread/currantthread/ledger"
-	"github.com/currantthread/currantthread/platform"
 	"github.com/currantthread/currantthread/settings"
 )
 
@@ -48,15 +48,15 @@
 // Store keeps settings trees in the platform's table and object store. Levels and manifests are objects named by their
 // content; only the version row is ever overwritten, under the condition that it names the parent.
 type Store struct {
-	table   platform.Table
-	objects platform.Objects
+	table   infra.Table
+	objects infra.Objects
 
 	mu     sync.Mutex // serializes commits of writer
 	writer *ledger.Writer
 }
 
 // NewStore returns a store. writer names this process among all that write at the same time.
-func NewStore(table platform.Table, objects platform.Objects, writer string) *Store {
+func NewStore(table infra.Table, objects infra.Objects, writer string) *Store {
 	return &Store{table: table, objects: objects, writer: ledger.NewWriter(table, writer)}
 }
 
@@ -132,7 +132,7 @@
 // Apply makes sources the tree in force if parent is the version in force, and returns the new version.
 //
 // Errors: settings.Problems if the tree is not accepted, *StaleParentError if another tree was accepted meanwhile, and
-// the errors of the platform. After *platform.UnknownOutcomeError the tree may be in force or not.
+// the errors of the platform. After *infra.UnknownOutcomeError the tree may be in force or not.
 func (s *Store) Apply(ctx context.Context, parent int64, sources settings.Sources, author, comment string) (int64, error) {
 	tree, err := settings.Parse(sources)
 	if err != nil {
@@ -150,7 +150,7 @@
 		return 0, err
 	}
 	err = s.commit(ctx, row, next)
-	if platform.IsConflict(err) {
+	if infra.IsConflict(err) {
 		return 0, s.staleParent(ctx, parent, tree)
 	}
 	return next.Version, err
@@ -180,9 +180,9 @@
 
 func (s *Store) commit(ctx context.Context, row int64, next Head) error {
 	value := ledger.Encode(next)
-	txn := platform.Txn{
-		Conditions: []platform.Condition{{Key: ledger.SettingsVersionKey, Version: row}},
-		Writes: []platform.Write{
+	txn := infra.Txn{
+		Conditions: []infra.Condition{{Key: ledger.SettingsVersionKey, Version: row}},
+		Writes: []infra.Write{
 			{Key: ledger.SettingsVersionKey, Value: value},
 			{Key: ledger.SettingsHistoryKey(next.Version), Value: value},
 		},
@@ -192,14 +192,14 @@
 }
 
 // Commit applies a transaction of this process exactly once. See ledger.Writer.Commit for its errors.
-func (s *Store) Commit(ctx context.Context, txn platform.Txn) (int64, error) {
+func (s *Store) Commit(ctx context.Context, txn infra.Txn) (int64, error) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	version, err := s.writer.Commit(ctx, txn)
 	if errors.Is(err, ledger.ErrUnresolved) {
 		// The caller of the unresolved commit was told that its outcome is unknown; it must only be settled.
 		if _, err := s.writer.Resolve(ctx); err != nil {
-			return 0, &platform.UnavailableError{Err: err}
+			return 0, &infra.UnavailableError{Err: err}
 		}
 		version, err = s.writer.Commit(ctx, txn)
 	}
--- a/drain/gate.go
+++ b/drain/gate.go
@@ -9,9 +9,9 @@
 
 	"github.com/cenkalti/backoff/v5"
 
+	"github.com/currantthread/currantthread/infra"
 	"github.com/currantthread/currantthread/internal/wait"
 	"github.com/currantthread/currantthread/ledger"
-	"github.com/currantthread/currantthread/platform"
 )
 
 const (
@@ -44,7 +44,7 @@
 
 // Gate follows the row of one failure domain. It is safe for concurrent use; mu guards the fields below it.
 type Gate struct {
-	table  platform.Table
+	table  infra.Table
 	key    string
 	permit func() time.Duration
 	rng    *rand.Rand
@@ -60,7 +60,7 @@
 }
 
 // NewGate returns a Gate that allows no starts until it has read the row. permit returns the length of a start permit.
-func NewGate(table platform.Table, domain string, permit func() time.Duration, rng *rand.Rand) *Gate {
+func NewGate(table infra.Table, domain string, permit func() time.Duration, rng *rand.Rand) *Gate {
 	return &Gate{
 		table: table, key: ledger.DomainKey(domain), permit: permit, rng: rng,
 		poke: make(chan struct{}, 1), changed: make(chan struct{}),
--- a/entry/claimexpiry.go
+++ b/entry/claimexpiry.go
@@ -4,9 +4,9 @@
 	"context"
 	"time"
 
+	"github.com/currantthread/currantthread/infra"
 	"github.com/currantthread/currantthread/internal/wait"
 	"github.com/currantthread/currantthread/ledger"
-	"github.com/currantthread/currantthread/platform"
 )
 
 const (
@@ -48,7 +48,7 @@
 	}
 }
 
-func (c *claims) removeExpired(rows []platform.Row, expiry time.Duration) {
+func (c *claims) removeExpired(rows []infra.Row, expiry time.Duration) {
 	now := time.Now()
 	for _, row := range rows {
 		value, err := ledger.Decode[claimRow](row.Key, row.Value)
@@ -57,8 +57,8 @@
 		}
 		c.server.metrics.claims.WithLabelValues("expired").Inc()
 		c.submit(&claimOp{
-			write:     platform.Write{Key: row.Key, Delete: true},
-			condition: platform.Condition{Key: row.Key, Version: row.Version},
+			write:     infra.Write{Key: row.Key, Delete: true},
+			condition: infra.Condition{Key: row.Key, Version: row.Version},
 			done:      make(chan struct{}),
 		})
 	}
--- a/entry/claims.go
+++ b/entry/claims.go
@@ -9,9 +9,9 @@
 
 	"golang.org/x/time/rate"
 
+	"github.com/currantthread/currantthread/infra"
 	"github.com/currantthread/currantthread/internal/wait"
 	"github.com/currantthread/currantthread/ledger"
-	"github.com/currantthread/currantthread/platform"
 	"github.com/currantthread/currantthread/verdict"
 )
 
@@ -41,8 +41,8 @@
 
 // claimOp is one change of one claim's row. The goroutine of claims.run owns it until done is closed.
 type claimOp struct {
-	write     platform.Write
-	condition platform.Condition
+	write     infra.Write
+	condition infra.Condition
 	// create is set for new claims, whose requests wait for the result. Other changes are repeated until stored.
 	create bool
 	// ctx ends the wait of a new claim.
@@ -88,8 +88,8 @@
 // time. Such a claim is removed if it turns up later.
 func (c *claims) create(ctx context.Context, key string, row claimRow) (*claim, error) {
 	op := &claimOp{
-		write:     platform.Write{Key: key, Value: ledger.Encode(row)},
-		condition: platform.Condition{Key: key},
+		write:     infra.Write{Key: key, Value: ledger.Encode(row)},
+		condition: infra.Condition{Key: key},
 		create:    true,
 		ctx:       ctx,
 		done:      make(chan struct{}),
@@ -106,7 +106,7 @@
 	switch {
 	case op.err == nil:
 		return &claim{key: key, version: op.version, row: row}, nil
-	case platform.IsConflict(op.err):
+	case infra.IsConflict(op.err):
 		return nil, errClaimExists
 	default:
 		return nil, verdict.Wrap(verdict.NotRun, codeClaimsUnavailable, op.err)
@@ -131,8 +131,8 @@
 	}
 	c.server.metrics.claims.WithLabelValues(string(state)).Inc()
 	c.submit(&claimOp{
-		write:     platform.Write{Key: held.key, Value: ledger.Encode(row)},
-		condition: platform.Condition{Key: held.key, Version: held.version},
+		write:     infra.Write{Key: held.key, Value: ledger.Encode(row)},
+		condition: infra.Condition{Key: held.key, Version: held.version},
 		done:      make(chan struct{}),
 	})
 }
@@ -141,8 +141,8 @@
 func (c *claims) remove(held *claim) {
 	c.server.metrics.claims.WithLabelValues("removed").Inc()
 	c.submit(&claimOp{
-		write:     platform.Write{Key: held.key, Delete: true},
-		condition: platform.Condition{Key: held.key, Version: held.version},
+		write:     infra.Write{Key: held.key, Delete: true},
+		condition: infra.Condition{Key: held.key, Version: held.version},
 		done:      make(chan struct{}),
 	})
 }
@@ -265,7 +265,7 @@
 // commit writes a batch and ends or requeues its changes. It reports false if the table was unavailable.
 func (c *claims) commit(ctx context.Context, batch []*claimOp) bool {
 	version, err := c.transact(ctx, batch)
-	var conflict *platform.ConflictError
+	var conflict *infra.ConflictError
 	switch {
 	case err == nil:
 		c.noteAvailable(nil)
@@ -285,7 +285,7 @@
 // transact commits a batch and settles an unknown outcome. Any error but a conflict means that nothing was written and
 // nothing will be, or that ctx ended.
 func (c *claims) transact(ctx context.Context, batch []*claimOp) (int64, error) {
-	txn := platform.Txn{}
+	txn := infra.Txn{}
 	for _, op := range batch {
 		txn.Conditions = append(txn.Conditions, op.condition)
 		txn.Writes = append(txn.Writes, op.write)
@@ -302,7 +302,7 @@
 		}
 		version, err = c.writer.Commit(commitCtx, txn)
 	}
-	if !platform.IsUnknownOutcome(err) {
+	if !infra.IsUnknownOutcome(err) {
 		return version, err
 	}
 	c.noteAvailable(err)
@@ -315,7 +315,7 @@
 	for {
 		applied, err := c.writer.Resolve(ctx)
 		if err == nil && !applied {
-			return 0, &platform.UnavailableError{Err: cause}
+			return 0, &infra.UnavailableError{Err: cause}
 		}
 		if err == nil {
 			return c.appliedVersion(ctx, batch)
@@ -379,7 +379,7 @@
 }
 
 // splitConflict ends the changes whose own conditions failed and requeues the others.
-func (c *claims) splitConflict(batch []*claimOp, conflict *platform.ConflictError) {
+func (c *claims) splitConflict(batch []*claimOp, conflict *infra.ConflictError) {
 	var again []*claimOp
 	for _, op := range batch {
 		if !conflict.Has(op.write.Key) {
--- a/entry/claims_test.go
+++ b/entry/claims_test.go
@@ -13,8 +13,8 @@
 
 	"gotest.tools/v3/assert"
 
+	"github.com/currantthread/currantthread/infra"
 	"github.com/currantthread/currantthread/internal/standin"
-	"github.com/currantthread/currantthread/platform"
 	"github.com/currantthread/currantthread/settings"
 	"github.com/currantthread/currantthread/verdict"
 )
@@ -164,7 +164,7 @@
 			time.Sleep(200 * time.Millisecond)
 			first.kill()
 			if successor != "e1" {
-				b.setVMs(func(vms []platform.VM) []platform.VM { return vms[:1] }, nil)
+				b.setVMs(func(vms []infra.VM) []infra.VM { return vms[:1] }, nil)
 			}
 			e := b.addEntry(successor)
 			begin := time.Now()
@@ -235,13 +235,13 @@
 
 // blockedTable loses the answer of the first claim and is unreachable from then on, until it is opened.
 type blockedTable struct {
-	platform.Table
+	infra.Table
 	mu      sync.Mutex // guards the fields below
 	blocked bool
 	opened  bool
 }
 
-func (b *blockedTable) Commit(ctx context.Context, txn platform.Txn) (int64, error) {
+func (b *blockedTable) Commit(ctx context.Context, txn infra.Txn) (int64, error) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	switch {
@@ -251,14 +251,14 @@
 		b.blocked = true
 		_, _ = b.Table.Commit(ctx, txn)
 	}
-	return 0, &platform.UnknownOutcomeError{Err: io.ErrUnexpectedEOF}
+	return 0, &infra.UnknownOutcomeError{Err: io.ErrUnexpectedEOF}
 }
 
-func (b *blockedTable) Read(ctx context.Context, keys ...string) ([]platform.Row, error) {
+func (b *blockedTable) Read(ctx context.Context, keys ...string) ([]infra.Row, error) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	if b.blocked && !b.opened {
-		return nil, &platform.UnavailableError{Err: io.ErrUnexpectedEOF}
+		return nil, &infra.UnavailableError{Err: io.ErrUnexpectedEOF}
 	}
 	return b.Table.Read(ctx, keys...)
 }
--- a/entry/daemon.go
+++ b/entry/daemon.go
@@ -15,9 +15,9 @@
 	"github.com/prometheus/client_golang/prometheus"
 	"github.com/sirupsen/logrus"
 
+	"github.com/currantthread/currantthread/infra"
 	"github.com/currantthread/currantthread/internal/wait"
 	"github.com/currantthread/currantthread/observe"
-	"github.com/currantthread/currantthread/platform"
 	"github.com/currantthread/currantthread/settings"
 	"github.com/currantthread/currantthread/upstream"
 )
@@ -42,9 +42,9 @@
 	// Observe takes finished requests, for service-level reports.
 	Observe func(Observation)
 	// Table, Objects and VMs replace the clients of the addresses in the bootstrap file.
-	Table   platform.Table
-	Objects platform.Objects
-	VMs     platform.VMList
+	Table   infra.Table
+	Objects infra.Objects
+	VMs     infra.VMList
 	// Dial opens connections to upstreams; the default dials TCP.
 	Dial upstream.DialFunc
 	// Registry takes the metrics; the default is a new one.
@@ -61,9 +61,9 @@
 	Health    *observe.Health
 	// Admin serves metrics, health and whatever is added to it.
 	Admin   *echo.Echo
-	Table   platform.Table
-	Objects platform.Objects
-	VMs     platform.VMList
+	Table   infra.Table
+	Objects infra.Objects
+	VMs     infra.VMList
 	Server  *Server
 
 	options Options
@@ -113,13 +113,13 @@
 func (o *Options) setClients(b *settings.Bootstrap) {
 	timeout := b.Platform.Timeout.D()
 	if o.Table == nil {
-		o.Table = platform.NewTableClient(b.Platform.TableURL, b.Domain, timeout)
+		o.Table = infra.NewTableClient(b.Platform.TableURL, b.Domain, timeout)
 	}
 	if o.Objects == nil {
-		o.Objects = platform.NewObjectsClient(b.Platform.ObjectsURL, b.Domain, timeout)
+		o.Objects = infra.NewObjectsClient(b.Platform.ObjectsURL, b.Domain, timeout)
 	}
 	if o.VMs == nil {
-		o.VMs = platform.NewVMListClient(b.Platform.VMListURL, b.Domain, timeout)
+		o.VMs = infra.NewVMListClient(b.Platform.VMListURL, b.Domain, timeout)
 	}
 }
 
--- a/entry/daemon/daemon.go
+++ b/entry/daemon/daemon.go
@@ -15,10 +15,10 @@
 
 	"github.com/currantthread/currantthread/control"
 	"github.com/currantthread/currantthread/entry"
+	"github.com/currantthread/currantthread/infra"
 	"github.com/currantthread/currantthread/innerproto"
 	"github.com/currantthread/currantthread/membership"
 	"github.com/currantthread/currantthread/observe"
-	"github.com/currantthread/currantthread/platform"
 	"github.com/currantthread/currantthread/settings"
 	"github.com/currantthread/currantthread/slo"
 	"github.com/currantthread/currantthread/verdict"
@@ -65,16 +65,16 @@
 		counts: slo.NewRecorder(boot.VM),
 	}
 	timeout := boot.Platform.Timeout.D()
-	table := platform.NewTableClient(boot.Platform.TableURL, boot.Domain, timeout)
-	objects := platform.NewObjectsClient(boot.Platform.ObjectsURL, boot.Domain, timeout)
-	d.watcher = membership.NewWatcher(platform.NewVMListClient(boot.Platform.VMListURL, boot.Domain, timeout),
+	table := infra.NewTableClient(boot.Platform.TableURL, boot.Domain, timeout)
+	objects := infra.NewObjectsClient(boot.Platform.ObjectsURL, boot.Domain, timeout)
+	d.watcher = membership.NewWatcher(infra.NewVMListClient(boot.Platform.VMListURL, boot.Domain, timeout),
 		func() time.Duration { return d.follower.Effective().Entry.VMListInterval.D() })
 	registry := observe.NewRegistry()
 	store := control.NewStore(table, objects, "api/"+boot.VM)
 	d.follower = control.NewFollower(control.FollowerConfig{
 		VM: boot.VM, Region: boot.Region, Domain: boot.Domain, Relay: true,
 		Store:   store,
-		Entries: func() []platform.VM { return d.watcher.Entries(boot.Domain) },
+		Entries: func() []infra.VM { return d.watcher.Entries(boot.Domain) },
 		Dial:    d.dialer.Peer, Log: d.log, Registry: registry,
 	})
 	d.follower.Subscribe(d.setObjectives)
--- a/entry/entry.go
+++ b/entry/entry.go
@@ -16,8 +16,8 @@
 	"github.com/prometheus/client_golang/prometheus"
 	"github.com/sirupsen/logrus"
 
+	"github.com/currantthread/currantthread/infra"
 	"github.com/currantthread/currantthread/limit"
-	"github.com/currantthread/currantthread/platform"
 	"github.com/currantthread/currantthread/route"
 	"github.com/currantthread/currantthread/settings"
 	"github.com/currantthread/currantthread/upstream"
@@ -30,8 +30,8 @@
 	VM, Region, Domain string
 	// Settings returns the settings in force on this VM. It is called for each request and must be cheap.
 	Settings func() settings.Effective
-	Table    platform.Table
-	VMs      platform.VMList
+	Table    infra.Table
+	VMs      infra.VMList
 	// Dial opens connections to upstreams; the default dials TCP.
 	Dial     upstream.DialFunc
 	Log      *logrus.Entry
--- a/entry/entry_test.go
+++ b/entry/entry_test.go
@@ -15,10 +15,10 @@
 
 	"gotest.tools/v3/assert"
 
+	"github.com/currantthread/currantthread/infra"
 	"github.com/currantthread/currantthread/internal/memnet"
 	"github.com/currantthread/currantthread/internal/standin"
 	"github.com/currantthread/currantthread/limit"
-	"github.com/currantthread/currantthread/platform"
 	"github.com/currantthread/currantthread/settings"
 	"github.com/currantthread/currantthread/upstream"
 	"github.com/currantthread/currantthread/verdict"
@@ -76,8 +76,8 @@
 			}()
 		}
 	}()
-	b.setVMs(func(vms []platform.VM) []platform.VM {
-		return append(vms, platform.VM{ID: id, Role: platform.RoleUpstream, State: platform.VMLive, Region: "r1", Domain: "d1", Addr: addr, Service: testService})
+	b.setVMs(func(vms []infra.VM) []infra.VM {
+		return append(vms, infra.VM{ID: id, Role: infra.RoleUpstream, State: infra.VMLive, Region: "r1", Domain: "d1", Addr: addr, Service: testService})
 	}, nil)
 }
 
@@ -541,8 +541,8 @@
 			late = late || (r.Host == "late" && r.Context().Value(http.LocalAddrContextKey).(net.Addr).String() == "u1:80")
 		})
 		e := b.addEntry("e1")
-		b.setVMs(func(vms []platform.VM) []platform.VM {
-			vms[0].State = platform.VMLeaving
+		b.setVMs(func(vms []infra.VM) []infra.VM {
+			vms[0].State = infra.VMLeaving
 			return vms
 		}, nil)
 		time.Sleep(3 * time.Second)
@@ -560,8 +560,8 @@
 		b.setAnswer(func(http.ResponseWriter, *http.Request) { time.Sleep(time.Second) })
 		b.addUpstream("u1", "r1", "d1", nil)
 		for i := range 8 {
-			b.setVMs(func(vms []platform.VM) []platform.VM {
-				return append(vms, platform.VM{ID: fmt.Sprintf("x%d", i), Role: platform.RoleEntry, State: platform.VMLive, Region: "r1"})
+			b.setVMs(func(vms []infra.VM) []infra.VM {
+				return append(vms, infra.VM{ID: fmt.Sprintf("x%d", i), Role: infra.RoleEntry, State: infra.VMLive, Region: "r1"})
 			}, nil)
 		}
 		e := b.addEntry("e1")
--- a/entry/helpers_test.go
+++ b/entry/helpers_test.go
@@ -20,9 +20,9 @@
 	"gotest.tools/v3/assert"
 
 	"github.com/currantthread/currantthread/entry"
+	"github.com/currantthread/currantthread/infra"
 	"github.com/currantthread/currantthread/internal/memnet"
 	"github.com/currantthread/currantthread/internal/standin"
-	"github.com/currantthread/currantthread/platform"
 	"github.com/currantthread/currantthread/settings"
 	"github.com/currantthread/currantthread/upstream"
 	"github.com/currantthread/currantthread/verdict"
@@ -37,10 +37,10 @@
 	table   *standin.Table
 	log     lockedBuffer
 	// through replaces table for entry VMs; nil means table itself.
-	through platform.Table
+	through infra.Table
 
 	mu       sync.Mutex // guards the fields below
-	vms      []platform.VM
+	vms      []infra.VM
 	listErr  error
 	settings settings.Effective
 	runs     map[string]int // by the value of the Test-Id header
@@ -104,14 +104,14 @@
 	return b.settings
 }
 
-// List implements platform.VMList.
-func (b *bench) List(context.Context) ([]platform.VM, error) {
+// List implements infra.VMList.
+func (b *bench) List(context.Context) ([]infra.VM, error) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	return append([]platform.VM(nil), b.vms...), b.listErr
+	return append([]infra.VM(nil), b.vms...), b.listErr
 }
 
-func (b *bench) setVMs(change func(vms []platform.VM) []platform.VM, err error) {
+func (b *bench) setVMs(change func(vms []infra.VM) []infra.VM, err error) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	b.vms, b.listErr = change(b.vms), err
@@ -120,7 +120,7 @@
 var errListDown = errors.New("the VM list is down")
 
 // nop leaves a VM list as it is.
-func nop(vms []platform.VM) []platform.VM { return vms }
+func nop(vms []infra.VM) []infra.VM { return vms }
 
 // addUpstream starts a runner. A nil handler counts runs and answers with b.answer.
 func (b *bench) addUpstream(id, region, domain string, handler http.Handler) {
@@ -129,8 +129,8 @@
 	}
 	addr := id + ":80"
 	b.serve(addr, handler)
-	b.setVMs(func(vms []platform.VM) []platform.VM {
-		return append(vms, platform.VM{ID: id, Role: platform.RoleUpstream, State: platform.VMLive, Region: region,
+	b.setVMs(func(vms []infra.VM) []infra.VM {
+		return append(vms, infra.VM{ID: id, Role: infra.RoleUpstream, State: infra.VMLive, Region: region,
 			Domain: domain, Addr: addr, Service: testService, Slots: 8, Connections: 64})
 	}, nil)
 }
@@ -188,7 +188,7 @@
 	logger := logrus.New()
 	logger.SetOutput(&b.log)
 	registry := prometheus.NewRegistry()
-	var table platform.Table = b.table
+	var table infra.Table = b.table
 	if b.through != nil {
 		table = b.through
 	}
@@ -198,13 +198,13 @@
 		Log: logrus.NewEntry(logger), Registry: registry, Seed: 1,
 		Observe: func(o entry.Observation) { e.observed <- o },
 	})
-	b.setVMs(func(vms []platform.VM) []platform.VM {
+	b.setVMs(func(vms []infra.VM) []infra.VM {
 		for _, vm := range vms {
 			if vm.ID == name {
 				return vms
 			}
 		}
-		return append(vms, platform.VM{ID: name, Role: platform.RoleEntry, State: platform.VMLive, Region: "r1", Domain: "d1", Addr: name + ":81"})
+		return append(vms, infra.VM{ID: name, Role: infra.RoleEntry, State: infra.VMLive, Region: "r1", Domain: "d1", Addr: name + ":81"})
 	}, nil)
 	ctx, cancel := context.WithCancel(context.Background())
 	e.cancel = cancel
@@ -261,15 +261,15 @@
 
 // mortalTable is the table as a process that may be killed sees it.
 type mortalTable struct {
-	platform.Table
+	infra.Table
 	dead *atomic.Bool
 }
 
 var errDead = errors.New("the process was killed")
 
-func (m *mortalTable) Commit(ctx context.Context, txn platform.Txn) (int64, error) {
+func (m *mortalTable) Commit(ctx context.Context, txn infra.Txn) (int64, error) {
 	if m.dead.Load() {
-		return 0, &platform.UnavailableError{Err: errDead}
+		return 0, &infra.UnavailableError{Err: errDead}
 	}
 	return m.Table.Commit(ctx, txn)
 }
--- a/entry/service.go
+++ b/entry/service.go
@@ -3,8 +3,8 @@
 import (
 	"sync"
 
+	"github.com/currantthread/currantthread/infra"
 	"github.com/currantthread/currantthread/limit"
-	"github.com/currantthread/currantthread/platform"
 	"github.com/currantthread/currantthread/route"
 	"github.com/currantthread/currantthread/settings"
 	"github.com/currantthread/currantthread/upstream"
@@ -76,7 +76,7 @@
 }
 
 // update replaces the upstreams and closes the pools of those that are gone.
-func (v *service) update(vms []platform.VM, entryVMs int) {
+func (v *service) update(vms []infra.VM, entryVMs int) {
 	v.endpoints.Update(vms)
 	present := map[*route.Endpoint]bool{}
 	for _, e := range v.endpoints.Endpoints() {
--- a/entry/vms.go
+++ b/entry/vms.go
@@ -4,8 +4,8 @@
 	"context"
 	"time"
 
+	"github.com/currantthread/currantthread/infra"
 	"github.com/currantthread/currantthread/internal/wait"
-	"github.com/currantthread/currantthread/platform"
 	"github.com/currantthread/currantthread/settings"
 )
 
@@ -63,9 +63,9 @@
 }
 
 // Update puts a VM list in force.
-func (s *Server) Update(vms []platform.VM) {
+func (s *Server) Update(vms []infra.VM) {
 	view := &vmView{live: map[string]bool{}}
-	upstreams := map[string][]platform.VM{}
+	upstreams := map[string][]infra.VM{}
 	entryVM := func(id, region string) {
 		if view.live[id] {
 			return
@@ -83,9 +83,9 @@
 	entryVM(s.cfg.VM, s.cfg.Region)
 	for _, vm := range vms {
 		switch vm.Role {
-		case platform.RoleEntry:
+		case infra.RoleEntry:
 			entryVM(vm.ID, vm.Region)
-		case platform.RoleUpstream:
+		case infra.RoleUpstream:
 			upstreams[vm.Service] = append(upstreams[vm.Service], vm)
 		}
 	}
--- a/platform/client_test.go
+++ b/infra/client_test.go
@@ -1,4 +1,4 @@
-package platform_test
+package infra_test
 
 import (
 	"bufio"
@@ -15,7 +15,7 @@
 
 	"gotest.tools/v3/assert"
 
-	"github.com/currantthread/currantthread/platform"
+	"github.com/currantthread/currantthread/infra"
 )
 
 // testTimeout is long enough that only a test that waits for it sees it.
@@ -73,8 +73,8 @@
 	return fmt.Sprintf("HTTP/1.1 %d Status\r\nContent-Length: %d\r\n\r\n%s", status, len(body), body)
 }
 
-func oneWrite() platform.Txn {
-	return platform.Txn{Writes: []platform.Write{{Key: "a", Value: []byte("1")}}}
+func oneWrite() infra.Txn {
+	return infra.Txn{Writes: []infra.Write{{Key: "a", Value: []byte("1")}}}
 }
 
 // Guards against the Go transport sending a commit again by itself when a reused connection closes without an answer,
@@ -86,11 +86,11 @@
 		}
 		return ""
 	})
-	table := platform.NewTableClient(server.url, "chipre", testTimeout)
+	table := infra.NewTableClient(server.url, "chipre", testTimeout)
 	_, err := table.Commit(t.Context(), oneWrite())
 	assert.NilError(t, err)
 	_, err = table.Commit(t.Context(), oneWrite())
-	assert.Assert(t, platform.IsUnknownOutcome(err), "%v", err)
+	assert.Assert(t, infra.IsUnknownOutcome(err), "%v", err)
 	assert.Equal(t, server.requests.Load(), int64(2))
 }
 
@@ -102,7 +102,7 @@
 		}
 		return httpAnswer(200, `{"rows":[{"key":"a","version":1}]}`)
 	})
-	table := platform.NewTableClient(server.url, "chipre", testTimeout)
+	table := infra.NewTableClient(server.url, "chipre", testTimeout)
 	for range 2 {
 		_, err := table.Read(t.Context(), "a")
 		assert.NilError(t, err)
@@ -118,8 +118,8 @@
 		http.Redirect(w, r, "/elsewhere", http.StatusTemporaryRedirect)
 	}))
 	t.Cleanup(server.Close)
-	_, err := platform.NewTableClient(server.URL, "chipre", testTimeout).Commit(t.Context(), oneWrite())
-	assert.Assert(t, platform.IsUnknownOutcome(err), "%v", err)
+	_, err := infra.NewTableClient(server.URL, "chipre", testTimeout).Commit(t.Context(), oneWrite())
+	assert.Assert(t, infra.IsUnknownOutcome(err), "%v", err)
 	assert.Equal(t, requests.Load(), int64(1))
 }
 
@@ -130,28 +130,28 @@
 		check  func(error) bool
 	}{
 		"applied":                  {httpAnswer(200, `{"version":7}`), func(err error) bool { return err == nil }},
-		"conflict":                 {httpAnswer(409, `{"code":"conflict","conflicts":["a"]}`), platform.IsConflict},
+		"conflict":                 {httpAnswer(409, `{"code":"conflict","conflicts":["a"]}`), infra.IsConflict},
 		"stated refusal":           {httpAnswer(503, `{"code":"refused"}`), isUnavailable},
 		"stated invalid":           {httpAnswer(400, `{"code":"invalid"}`), isUnavailable},
-		"stated unknown":           {httpAnswer(500, `{"code":"unknown"}`), platform.IsUnknownOutcome},
-		"status 503 alone":         {httpAnswer(503, ""), platform.IsUnknownOutcome},
-		"status 404 alone":         {httpAnswer(404, "not here"), platform.IsUnknownOutcome},
-		"status 409 alone":         {httpAnswer(409, `{}`), platform.IsUnknownOutcome},
-		"conflict without keys":    {httpAnswer(409, `{"code":"conflict"}`), platform.IsUnknownOutcome},
-		"success without version":  {httpAnswer(200, `{}`), platform.IsUnknownOutcome},
-		"success that is not JSON": {httpAnswer(200, `ok`), platform.IsUnknownOutcome},
-		"truncated refusal":        {"HTTP/1.1 503 Status\r\nContent-Length: 40\r\n\r\n{\"code\":\"refused\"}", platform.IsUnknownOutcome},
-		"truncated header":         {"HTTP/1.1 200 OK\r\nContent-Le", platform.IsUnknownOutcome},
-		"no answer":                {"", platform.IsUnknownOutcome},
+		"stated unknown":           {httpAnswer(500, `{"code":"unknown"}`), infra.IsUnknownOutcome},
+		"status 503 alone":         {httpAnswer(503, ""), infra.IsUnknownOutcome},
+		"status 404 alone":         {httpAnswer(404, "not here"), infra.IsUnknownOutcome},
+		"status 409 alone":         {httpAnswer(409, `{}`), infra.IsUnknownOutcome},
+		"conflict without keys":    {httpAnswer(409, `{"code":"conflict"}`), infra.IsUnknownOutcome},
+		"success without version":  {httpAnswer(200, `{}`), infra.IsUnknownOutcome},
+		"success that is not JSON": {httpAnswer(200, `ok`), infra.IsUnknownOutcome},
+		"truncated refusal":        {"HTTP/1.1 503 Status\r\nContent-Length: 40\r\n\r\n{\"code\":\"refused\"}", infra.IsUnknownOutcome},
+		"truncated header":         {"HTTP/1.1 200 OK\r\nContent-Le", infra.IsUnknownOutcome},
+		"no answer":                {"", infra.IsUnknownOutcome},
 		"answer to another request": {
 			"HTTP/1.1 200 OK\r\nCurrantthread-Request-Id: other\r\nContent-Length: 13\r\n\r\n{\"version\":7}",
-			platform.IsUnknownOutcome,
+			infra.IsUnknownOutcome,
 		},
 	}
 	for name, c := range cases {
 		t.Run(name, func(t *testing.T) {
 			server := newRawServer(t, true, func(int64) string { return c.answer })
-			table := platform.NewTableClient(server.url, "chipre", testTimeout)
+			table := infra.NewTableClient(server.url, "chipre", testTimeout)
 			_, err := table.Commit(t.Context(), oneWrite())
 			assert.Assert(t, c.check(err), "%v", err)
 			assert.Equal(t, server.requests.Load(), int64(1))
@@ -160,7 +160,7 @@
 }
 
 func isUnavailable(err error) bool {
-	var target *platform.UnavailableError
+	var target *infra.UnavailableError
 	return errors.As(err, &target)
 }
 
@@ -171,12 +171,12 @@
 	assert.NilError(t, err)
 	url := "http://" + listener.Addr().String()
 	assert.NilError(t, listener.Close())
-	_, err = platform.NewTableClient(url, "chipre", testTimeout).Commit(t.Context(), oneWrite())
+	_, err = infra.NewTableClient(url, "chipre", testTimeout).Commit(t.Context(), oneWrite())
 	assert.Assert(t, isUnavailable(err), "%v", err)
 
 	ctx, cancel := context.WithCancel(t.Context())
 	cancel()
-	_, err = platform.NewTableClient(url, "chipre", testTimeout).Commit(ctx, oneWrite())
+	_, err = infra.NewTableClient(url, "chipre", testTimeout).Commit(ctx, oneWrite())
 	assert.Assert(t, isUnavailable(err), "%v", err)
 }
 
@@ -191,34 +191,34 @@
 	t.Cleanup(server.Close)
 	ctx, cancel := context.WithCancel(t.Context())
 	go func() { <-arrived; cancel() }()
-	_, err := platform.NewTableClient(server.URL, "chipre", testTimeout).Commit(ctx, oneWrite())
-	assert.Assert(t, platform.IsUnknownOutcome(err), "%v", err)
+	_, err := infra.NewTableClient(server.URL, "chipre", testTimeout).Commit(ctx, oneWrite())
+	assert.Assert(t, infra.IsUnknownOutcome(err), "%v", err)
 }
 
 type pollServer struct {
-	got platform.PollRequest
+	got infra.PollRequest
 	err error
 }
 
-func (s *pollServer) Poll(_ context.Context, req platform.PollRequest) (platform.PollResponse, error) {
+func (s *pollServer) Poll(_ context.Context, req infra.PollRequest) (infra.PollResponse, error) {
 	s.got = req
-	return platform.PollResponse{LeaseMillis: 10_000, StartPermitMillis: 2_000, AckSeq: 3}, s.err
+	return infra.PollResponse{LeaseMillis: 10_000, StartPermitMillis: 2_000, AckSeq: 3}, s.err
 }
 
 // Guards against a poll that loses fields or the stale epoch on the wire, which would extend or cut a lease.
 func TestPollRoundTrip(t *testing.T) {
 	backend := &pollServer{}
 	var domain string
-	handler := platform.NewPollHandler(backend)
+	handler := infra.NewPollHandler(backend)
 	server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
-		domain = r.Header.Get(platform.HeaderDomain)
+		domain = r.Header.Get(infra.HeaderDomain)
 		handler.ServeHTTP(w, r)
 	}))
 	t.Cleanup(server.Close)
-	poll := platform.NewPollClient("la-enea", testTimeout)
-	req := platform.PollRequest{
+	poll := infra.NewPollClient("la-enea", testTimeout)
+	req := infra.PollRequest{
 		Worker: "w1", Incarnation: "i1", Cell: "la-enea-0", Epoch: 4, HoldMillis: 1000,
-		Reports: []platform.Report{{Seq: 1, Ref: platform.AttemptRef{Task: "j/0", Attempt: 2}, State: platform.RunStopped}},
+		Reports: []infra.Report{{Seq: 1, Ref: infra.AttemptRef{Task: "j/0", Attempt: 2}, State: infra.RunStopped}},
 	}
 	res, err := poll.Poll(t.Context(), server.URL, req)
 	assert.NilError(t, err)
@@ -226,11 +226,11 @@
 	assert.DeepEqual(t, backend.got, req)
 	assert.Equal(t, domain, "la-enea")
 
-	backend.err = &platform.StaleEpochError{Cell: "la-enea-0", Got: 4, Want: 5}
+	backend.err = &infra.StaleEpochError{Cell: "la-enea-0", Got: 4, Want: 5}
 	_, err = poll.Poll(t.Context(), server.URL, req)
-	var stale *platform.StaleEpochError
+	var stale *infra.StaleEpochError
 	assert.Assert(t, errors.As(err, &stale), "%v", err)
-	assert.Equal(t, *stale, platform.StaleEpochError{Cell: "la-enea-0", Got: 4, Want: 5})
+	assert.Equal(t, *stale, infra.StaleEpochError{Cell: "la-enea-0", Got: 4, Want: 5})
 
 	req.Worker = ""
 	_, err = poll.Poll(t.Context(), server.URL, req)
@@ -241,22 +241,22 @@
 func TestObjects(t *testing.T) {
 	stored := map[string][]byte{}
 	mux := http.NewServeMux()
-	mux.HandleFunc("PUT "+platform.PathObjects, func(w http.ResponseWriter, r *http.Request) {
+	mux.HandleFunc("PUT "+infra.PathObjects, func(w http.ResponseWriter, r *http.Request) {
 		data, err := io.ReadAll(r.Body)
 		assert.Check(t, err)
 		stored[r.URL.Path] = data
 	})
-	mux.HandleFunc("GET "+platform.PathObjects, func(w http.ResponseWriter, r *http.Request) {
+	mux.HandleFunc("GET "+infra.PathObjects, func(w http.ResponseWriter, r *http.Request) {
 		data, found := stored[r.URL.Path]
 		if !found {
-			platform.WriteError(w, r, http.StatusNotFound, platform.ErrorBody{Code: platform.CodeNotFound})
+			infra.WriteError(w, r, http.StatusNotFound, infra.ErrorBody{Code: infra.CodeNotFound})
 			return
 		}
 		_, _ = w.Write(data)
 	})
 	server := httptest.NewServer(mux)
 	t.Cleanup(server.Close)
-	objects := platform.NewObjectsClient(server.URL+"/", "chipre", testTimeout)
+	objects := infra.NewObjectsClient(server.URL+"/", "chipre", testTimeout)
 	for _, data := range [][]byte{nil, []byte("x\x00y")} {
 		assert.NilError(t, objects.Put(t.Context(), "settings/7 a", data))
 		got, err := objects.Get(t.Context(), "settings/7 a")
@@ -264,16 +264,16 @@
 		assert.Equal(t, string(got), string(data))
 	}
 	_, err := objects.Get(t.Context(), "missing")
-	assert.ErrorIs(t, err, platform.ErrNotFound)
+	assert.ErrorIs(t, err, infra.ErrNotFound)
 
-	elsewhere := platform.NewObjectsClient(server.URL+"/elsewhere", "chipre", testTimeout)
+	elsewhere := infra.NewObjectsClient(server.URL+"/elsewhere", "chipre", testTimeout)
 	_, err = elsewhere.Get(t.Context(), "missing")
 	assert.Assert(t, isUnavailable(err), "%v", err)
 }
 
 // Guards against a list that is sent again although it did not change, and against an old list that is kept after a change.
 func TestVMListIsReadConditionally(t *testing.T) {
-	list := []platform.VM{{ID: "v1", Role: platform.RoleWorker}}
+	list := []infra.VM{{ID: "v1", Role: infra.RoleWorker}}
 	bodies := 0
 	server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		etag := `"` + list[0].ID + `"`
@@ -283,12 +283,12 @@
 			return
 		}
 		bodies++
-		platform.WriteMessage(w, r, platform.VMsResponse{VMs: list})
+		infra.WriteMessage(w, r, infra.VMsResponse{VMs: list})
 	}))
 	defer server.Close()
-	client := platform.NewVMListClient(server.URL, "chipre", time.Minute)
+	client := infra.NewVMListClient(server.URL, "chipre", time.Minute)
 	for _, id := range []string{"v1", "v1", "v2", "v2"} {
-		list = []platform.VM{{ID: id, Role: platform.RoleWorker}}
+		list = []infra.VM{{ID: id, Role: infra.RoleWorker}}
 		vms, err := client.List(t.Context())
 		assert.NilError(t, err)
 		assert.Equal(t, vms[0].ID, id)
--- a/platform/fuzz_test.go
+++ b/infra/fuzz_test.go
@@ -1,4 +1,4 @@
-package platform_test
+package infra_test
 
 import (
 	"context"
@@ -10,7 +10,7 @@
 
 	"gotest.tools/v3/assert"
 
-	"github.com/currantthread/currantthread/platform"
+	"github.com/currantthread/currantthread/infra"
 )
 
 // Guards against a poll decoder that panics, or that passes on a poll that names no worker, incarnation or cell.
@@ -20,9 +20,9 @@
 	f.Add(`[]`)
 	f.Fuzz(func(t *testing.T, body string) {
 		backend := &pollServer{}
-		handler := platform.NewPollHandler(backend)
+		handler := infra.NewPollHandler(backend)
 		res := httptest.NewRecorder()
-		handler.ServeHTTP(res, httptest.NewRequest(http.MethodPost, platform.PathPoll, strings.NewReader(body)))
+		handler.ServeHTTP(res, httptest.NewRequest(http.MethodPost, infra.PathPoll, strings.NewReader(body)))
 		if res.Code == http.StatusOK {
 			assert.Assert(t, backend.got.Worker != "" && backend.got.Incarnation != "" && backend.got.Cell != "")
 			return
@@ -56,13 +56,13 @@
 		}
 		server := httptest.NewServer(fixedAnswer{status, body})
 		defer server.Close()
-		version, err := platform.NewTableClient(server.URL, "chipre", testTimeout).Commit(context.Background(), oneWrite())
+		version, err := infra.NewTableClient(server.URL, "chipre", testTimeout).Commit(context.Background(), oneWrite())
 		switch {
 		case err == nil:
 			assert.Assert(t, status == 200 && version > 0)
-		case platform.IsConflict(err):
+		case infra.IsConflict(err):
 			assert.Assert(t, strings.Contains(strings.ToLower(body), "conflicts"), body)
-		case !platform.IsUnknownOutcome(err):
+		case !infra.IsUnknownOutcome(err):
 			assert.Assert(t, isUnavailable(err), "%v", err)
 		}
 	})
--- a/platform/platform.go
+++ b/infra/platform.go
@@ -1,6 +1,6 @@
-// Package platform is the boundary to what the platform provides: table service, object store, VM list and workers.
+// Package infra is the boundary to what the platform provides: table service, object store, VM list and workers.
 // It holds the interfaces, the types that cross them and the HTTP clients. No other package knows a wire detail.
-package platform
+package infra
 
 import (
 	"context"
--- a/platform/wire.go
+++ b/infra/wire.go
@@ -1,4 +1,4 @@
-package platform
+package infra
 
 import "github.com/google/uuid"
 
--- a/internal/figures/f1.go
+++ b/internal/figures/f1.go
@@ -14,8 +14,8 @@
 	"github.com/sirupsen/logrus"
 
 	"github.com/currantthread/currantthread/entry"
+	"github.com/currantthread/currantthread/infra"
 	"github.com/currantthread/currantthread/internal/standin"
-	"github.com/currantthread/currantthread/platform"
 	"github.com/currantthread/currantthread/settings"
 )
 
@@ -39,9 +39,9 @@
 // f1VMs is the VM list of one upstream.
 type f1VMs struct{ addr string }
 
-// List implements platform.VMList.
-func (v f1VMs) List(context.Context) ([]platform.VM, error) {
-	return []platform.VM{{ID: "u1", Role: platform.RoleUpstream, State: platform.VMLive, Region: "r", Domain: "d", Addr: v.addr, Service: f1Service}}, nil
+// List implements infra.VMList.
+func (v f1VMs) List(context.Context) ([]infra.VM, error) {
+	return []infra.VM{{ID: "u1", Role: infra.RoleUpstream, State: infra.VMLive, Region: "r", Domain: "d", Addr: v.addr, Service: f1Service}}, nil
 }
 
 // runF1 sends the same load to an upstream directly and through an entry server, in turns, so that a change of the
--- a/internal/figures/f3.go
+++ b/internal/figures/f3.go
@@ -8,7 +8,7 @@
 	"testing"
 	"time"
 
-	"github.com/currantthread/currantthread/platform"
+	"github.com/currantthread/currantthread/infra"
 	"github.com/currantthread/currantthread/route"
 )
 
@@ -66,10 +66,10 @@
 // f3Set returns a set in which every endpoint has requests in flight and a load report.
 func f3Set(n int, policy route.Policy, inFlight int) *route.Set {
 	set := route.NewSet(route.Locality{Region: "r", Domain: "d"}, route.Config{Policy: policy})
-	vms := make([]platform.VM, n)
+	vms := make([]infra.VM, n)
 	for i := range vms {
 		id := fmt.Sprintf("u%d", i)
-		vms[i] = platform.VM{ID: id, Role: platform.RoleUpstream, State: platform.VMLive, Region: "r", Domain: "d",
+		vms[i] = infra.VM{ID: id, Role: infra.RoleUpstream, State: infra.VMLive, Region: "r", Domain: "d",
 			Addr: id, Slots: f3Slots, Connections: 64}
 	}
 	set.Update(vms)
--- a/internal/figures/placesim/world.go
+++ b/internal/figures/placesim/world.go
@@ -9,9 +9,9 @@
 	"math/rand/v2"
 	"time"
 
+	"github.com/currantthread/currantthread/infra"
 	"github.com/currantthread/currantthread/interference"
 	"github.com/currantthread/currantthread/job"
-	"github.com/currantthread/currantthread/platform"
 	"github.com/currantthread/currantthread/sched"
 )
 
@@ -353,8 +353,8 @@
 	if f := w.behaviour(a).UsedFactor; f > 0 {
 		used.CPUMilli, used.MemoryMiB = int64(float64(used.CPUMilli)*f), int64(float64(used.MemoryMiB)*f)
 	}
-	u := platform.Usage{
-		Ref: platform.AttemptRef{Task: a.Task.ID, Attempt: a.Task.Attempt}, Used: used,
+	u := infra.Usage{
+		Ref: infra.AttemptRef{Task: a.Task.ID, Attempt: a.Task.Attempt}, Used: used,
 		AgeMillis: w.Delays.UsageLag.Milliseconds(), SlowdownPermille: int64(measured * 1000),
 		CheckpointAgeMillis: a.Progress.Milliseconds(),
 	}
--- a/internal/figures/requestsim/world.go
+++ b/internal/figures/requestsim/world.go
@@ -12,8 +12,8 @@
 
 	"github.com/HdrHistogram/hdrhistogram-go"
 
+	"github.com/currantthread/currantthread/infra"
 	"github.com/currantthread/currantthread/limit"
-	"github.com/currantthread/currantthread/platform"
 	"github.com/currantthread/currantthread/route"
 )
 
@@ -75,7 +75,7 @@
 
 // Runner is one upstream.
 type Runner struct {
-	VM   platform.VM
+	VM   infra.VM
 	Mode Mode
 	// Slowdown multiplies service times; 1 is usual.
 	Slowdown float64
@@ -190,7 +190,7 @@
 func (w *World) addRunners(place Place) {
 	for i := range place.Runners {
 		id := fmt.Sprintf("%s-%02d", place.Domain, i)
-		r := &Runner{Slowdown: 1, Slots: w.Config.Slots, VM: platform.VM{ID: id, Role: platform.RoleUpstream, State: platform.VMLive,
+		r := &Runner{Slowdown: 1, Slots: w.Config.Slots, VM: infra.VM{ID: id, Role: infra.RoleUpstream, State: infra.VMLive,
 			Region: place.Region, Domain: place.Domain, Addr: id + ":7000", Slots: w.Config.Slots,
 			Connections: w.Config.Connections}}
 		w.Runners = append(w.Runners, r)
@@ -270,12 +270,12 @@
 }
 
 // list returns the VM list as entry VMs see it, with its lag.
-func (w *World) list() []platform.VM {
-	vms := make([]platform.VM, len(w.Runners))
+func (w *World) list() []infra.VM {
+	vms := make([]infra.VM, len(w.Runners))
 	for i, r := range w.Runners {
 		vms[i] = r.VM
 		if r.left && w.now-r.leftAt >= w.Config.ListLag {
-			vms[i].State = platform.VMLeaving
+			vms[i].State = infra.VMLeaving
 		}
 	}
 	return vms
--- a/internal/standin/attempt.go
+++ b/internal/standin/attempt.go
@@ -7,8 +7,8 @@
 	"math"
 	"time"
 
+	"github.com/currantthread/currantthread/infra"
 	"github.com/currantthread/currantthread/job"
-	"github.com/currantthread/currantthread/platform"
 )
 
 const (
@@ -36,7 +36,7 @@
 
 // attempt is an attempt that occupies its resources. Its worker's mutex owns it.
 type attempt struct {
-	ref     platform.AttemptRef
+	ref     infra.AttemptRef
 	spec    job.TaskSpec
 	payload Payload
 	journal int
@@ -61,21 +61,21 @@
 
 // savedWork is the content of a checkpoint.
 type savedWork struct {
-	Ref        platform.AttemptRef `json:"ref"`
-	WorkMillis float64             `json:"work_ms"`
+	Ref        infra.AttemptRef `json:"ref"`
+	WorkMillis float64          `json:"work_ms"`
 }
 
 // begin starts an attempt. The caller holds w.mu.
-func (w *Worker) begin(c platform.Command, now time.Time) {
+func (w *Worker) begin(c infra.Command, now time.Time) {
 	a := newAttempt(c)
-	w.seen[c.Ref.Task] = platform.Report{Ref: c.Ref, State: platform.RunRunning}
+	w.seen[c.Ref.Task] = infra.Report{Ref: c.Ref, State: infra.RunRunning}
 	if w.faults.FailAll {
 		a.failAt = a.done + float64(failDelay.Milliseconds())
 	}
 	if a.spec.Class == job.ClassService {
 		replica, err := w.cfg.Open(c.Ref, c.Spec)
 		if err != nil {
-			end := platform.Report{Ref: c.Ref, State: platform.RunFailed, Error: err.Error()}
+			end := infra.Report{Ref: c.Ref, State: infra.RunFailed, Error: err.Error()}
 			w.seen[c.Ref.Task] = end
 			w.report(end)
 			return
@@ -90,14 +90,14 @@
 	a.journal = w.cfg.Journal.started(Run{
 		Ref: a.ref, Class: a.spec.Class, Worker: w.cfg.ID, Domain: w.cfg.Domain, StartNanos: now.UnixNano(),
 	}, !w.committed().Fits(w.cfg.Capacity))
-	w.report(platform.Report{Ref: a.ref, State: platform.RunRunning, Checkpoint: a.checkpoint})
+	w.report(infra.Report{Ref: a.ref, State: infra.RunRunning, Checkpoint: a.checkpoint})
 	if a.checkpoint != "" {
 		a.loading = true
 		go w.load(a)
 	}
 }
 
-func newAttempt(c platform.Command) *attempt {
+func newAttempt(c infra.Command) *attempt {
 	a := &attempt{
 		ref: c.Ref, spec: c.Spec, checkpoint: c.Checkpoint,
 		cpuPercent: 100, total: math.Inf(1), failAt: math.Inf(1), nextSave: math.Inf(1),
@@ -299,32 +299,32 @@
 func (w *Worker) lapse(at time.Time) {
 	for _, a := range w.attempts {
 		if a.spec.Class.Exclusive() {
-			w.cfg.Journal.ended(a.journal, at, platform.RunStopped, true)
-			w.remove(a, platform.RunStopped, "lease ran out")
+			w.cfg.Journal.ended(a.journal, at, infra.RunStopped, true)
+			w.remove(a, infra.RunStopped, "lease ran out")
 		}
 	}
 }
 
 func (w *Worker) finish(a *attempt, at time.Time) {
 	if a.failAt <= a.total {
-		w.end(a, at, platform.RunFailed, "task failed")
+		w.end(a, at, infra.RunFailed, "task failed")
 		return
 	}
-	w.end(a, at, platform.RunCompleted, "")
+	w.end(a, at, infra.RunCompleted, "")
 }
 
 // end ends an attempt and reports it. The caller holds w.mu.
-func (w *Worker) end(a *attempt, at time.Time, state platform.RunState, reason string) {
+func (w *Worker) end(a *attempt, at time.Time, state infra.RunState, reason string) {
 	w.cfg.Journal.ended(a.journal, at, state, false)
 	w.remove(a, state, reason)
 }
 
-func (w *Worker) remove(a *attempt, state platform.RunState, reason string) {
+func (w *Worker) remove(a *attempt, state infra.RunState, reason string) {
 	delete(w.attempts, a.ref.Task)
 	if a.replica != nil {
 		a.replica.Kill()
 	}
-	end := platform.Report{
+	end := infra.Report{
 		Ref: a.ref, State: state, Checkpoint: a.checkpoint, WorkMillis: int64(a.done - a.base), Error: reason,
 	}
 	// A later attempt may have been refused while this one ran.
@@ -341,7 +341,7 @@
 	now := time.Now()
 	w.advance(now)
 	if !w.dead && w.find(a.ref) == a {
-		w.end(a, now, platform.RunStopped, "")
+		w.end(a, now, infra.RunStopped, "")
 		w.reschedule()
 	}
 }
@@ -384,10 +384,10 @@
 	}
 	switch {
 	case a.ending && number == a.lastSave:
-		w.end(a, now, platform.RunStopped, "")
+		w.end(a, now, infra.RunStopped, "")
 	case err == nil && !a.ending:
-		w.report(platform.Report{
-			Ref: a.ref, State: platform.RunRunning, Checkpoint: key, WorkMillis: int64(a.done - a.base),
+		w.report(infra.Report{
+			Ref: a.ref, State: infra.RunRunning, Checkpoint: key, WorkMillis: int64(a.done - a.base),
 		})
 	}
 	w.reschedule()
@@ -428,7 +428,7 @@
 	case isUnavailable(err):
 		return false
 	default:
-		w.end(a, now, platform.RunFailed, fmt.Sprintf("checkpoint %s: %v", a.checkpoint, err))
+		w.end(a, now, infra.RunFailed, fmt.Sprintf("checkpoint %s: %v", a.checkpoint, err))
 	}
 	w.reschedule()
 	return true
@@ -439,7 +439,7 @@
 	w.sampledAt = at
 	s := usageSample{at: at}
 	for _, a := range w.attempts {
-		s.usage = append(s.usage, platform.Usage{
+		s.usage = append(s.usage, infra.Usage{
 			Ref: a.ref, Used: a.used(), SlowdownPermille: int64(w.slowdown(a) * 1000),
 			CheckpointAgeMillis: int64(a.done - max(a.saved, a.base)),
 		})
@@ -449,12 +449,12 @@
 
 // dueUsage returns the newest measurement that is old enough to be reported and drops it and all older ones. The caller
 // holds w.mu.
-func (w *Worker) dueUsage(now time.Time) []platform.Usage {
+func (w *Worker) dueUsage(now time.Time) []infra.Usage {
 	lag := w.cfg.UsageLag
 	if w.faults.UsageLagMillis != nil {
 		lag = time.Duration(*w.faults.UsageLagMillis) * time.Millisecond
 	}
-	var due []platform.Usage
+	var due []infra.Usage
 	for len(w.usage) > 0 && !w.usage[0].at.After(now.Add(-lag)) {
 		due = w.usage[0].usage
 		age := now.Sub(w.usage[0].at).Milliseconds()
--- a/internal/standin/deployment.go
+++ b/internal/standin/deployment.go
@@ -13,7 +13,7 @@
 	"github.com/juju/errors"
 	"github.com/pelletier/go-toml/v2"
 
-	"github.com/currantthread/currantthread/platform"
+	"github.com/currantthread/currantthread/infra"
 	"github.com/currantthread/currantthread/settings"
 )
 
@@ -158,10 +158,10 @@
 	for _, domain := range d.Domains {
 		processes = append(processes, d.workersProcess(domain))
 	}
-	var vms []platform.VM
+	var vms []infra.VM
 	for _, e := range d.Entries {
-		vms = append(vms, platform.VM{
-			ID: e.VM, Role: platform.RoleEntry, State: platform.VMLive, Region: e.Region, Domain: e.Domain,
+		vms = append(vms, infra.VM{
+			ID: e.VM, Role: infra.RoleEntry, State: infra.VMLive, Region: e.Region, Domain: e.Domain,
 			Addr: e.Inner, SchedAddr: e.SchedInner,
 		})
 		for _, daemon := range []string{"entry", "sched"} {
--- a/internal/standin/fleet.go
+++ b/internal/standin/fleet.go
@@ -13,8 +13,8 @@
 	"github.com/juju/errors"
 	"github.com/sirupsen/logrus"
 
+	"github.com/currantthread/currantthread/infra"
 	"github.com/currantthread/currantthread/job"
-	"github.com/currantthread/currantthread/platform"
 )
 
 // FleetConfig configures the workers and runners of one failure domain.
@@ -74,8 +74,8 @@
 	runs         *RunCounts
 	journal      *Journal
 	interference *Interference
-	poller       *platform.PollClient
-	objects      platform.Objects
+	poller       *infra.PollClient
+	objects      infra.Objects
 
 	mu       sync.Mutex // owned by the methods below
 	machines []*machine
@@ -87,14 +87,14 @@
 
 type listedRunner struct {
 	*Runner
-	vm platform.VM
+	vm infra.VM
 }
 
 // machine is one worker VM. The worker on it is replaced when the VM dies and comes back.
 type machine struct {
 	fleet *Fleet
 	index int
-	vm    platform.VM
+	vm    infra.VM
 	gate  *Gate
 
 	mu       sync.Mutex // owned by the methods below
@@ -113,8 +113,8 @@
 	}
 	f := &Fleet{
 		cfg: cfg, log: log, runs: NewRunCounts(), journal: NewJournal(), interference: NewInterference(),
-		poller:  platform.NewPollClient(cfg.Domain, cfg.Timeout),
-		objects: platform.NewObjectsClient(cfg.ObjectsURL, cfg.Domain, cfg.Timeout),
+		poller:  infra.NewPollClient(cfg.Domain, cfg.Timeout),
+		objects: infra.NewObjectsClient(cfg.ObjectsURL, cfg.Domain, cfg.Timeout),
 		runners: map[string]*listedRunner{},
 	}
 	for i := range cfg.Workers {
@@ -131,8 +131,8 @@
 func (f *Fleet) newMachine(ctx context.Context, i int) (*machine, error) {
 	id := fmt.Sprintf("%s-w%02d", f.cfg.Domain, i+1)
 	ip := fmt.Sprintf("%s.%d", f.cfg.Net, i+1)
-	m := &machine{fleet: f, index: i, vm: platform.VM{
-		ID: id, Role: platform.RoleWorker, State: platform.VMLive, Region: f.cfg.Region, Domain: f.cfg.Domain,
+	m := &machine{fleet: f, index: i, vm: infra.VM{
+		ID: id, Role: infra.RoleWorker, State: infra.VMLive, Region: f.cfg.Region, Domain: f.cfg.Domain,
 		Rack: fmt.Sprintf("%s-r%02d", f.cfg.Domain, i/f.cfg.RackSize+1), Capacity: f.cfg.Capacity,
 		Addr: net.JoinHostPort(ip, strconv.Itoa(f.cfg.WorkerPort)),
 	}}
@@ -151,7 +151,7 @@
 }
 
 // openRunner starts a runner on a VM and lists it.
-func (f *Fleet) openRunner(id, service string, on platform.VM, port int) (*Runner, error) {
+func (f *Fleet) openRunner(id, service string, on infra.VM, port int) (*Runner, error) {
 	host, _, err := net.SplitHostPort(on.Addr)
 	if err != nil {
 		return nil, errors.Trace(err)
@@ -163,8 +163,8 @@
 	if err != nil {
 		return nil, errors.Annotatef(err, "runner %s", id)
 	}
-	vm := platform.VM{
-		ID: id, Role: platform.RoleUpstream, Region: on.Region, Domain: on.Domain, Rack: on.Rack, Addr: runner.Addr(),
+	vm := infra.VM{
+		ID: id, Role: infra.RoleUpstream, Region: on.Region, Domain: on.Domain, Rack: on.Rack, Addr: runner.Addr(),
 		Service: service, Slots: f.cfg.Slots, Connections: f.cfg.Connections,
 	}
 	f.mu.Lock()
@@ -220,7 +220,7 @@
 	return nil
 }
 
-func (m *machine) openReplica(ref platform.AttemptRef, spec job.TaskSpec) (Replica, error) {
+func (m *machine) openReplica(ref infra.AttemptRef, spec job.TaskSpec) (Replica, error) {
 	id := fmt.Sprintf("%s-%s-%d", m.vm.ID, ref.Task, ref.Attempt)
 	runner, err := m.fleet.openRunner(id, spec.Service, m.vm, 0)
 	if err != nil {
@@ -248,7 +248,7 @@
 	return m.worker, m.dead
 }
 
-func (m *machine) listed() (vm platform.VM, dead bool) {
+func (m *machine) listed() (vm infra.VM, dead bool) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	return m.vm, m.dead
@@ -256,25 +256,25 @@
 
 // attach serves the worker's side of the worker protocol.
 func (m *machine) attach(w http.ResponseWriter, r *http.Request) {
-	if r.Method != http.MethodPost || r.URL.Path != platform.PathAttach {
+	if r.Method != http.MethodPost || r.URL.Path != infra.PathAttach {
 		http.NotFound(w, r)
 		return
 	}
-	var req platform.AttachRequest
+	var req infra.AttachRequest
 	if !receive(w, r, &req) {
 		return
 	}
 	if req.Cell == "" || req.OwnerURL == "" {
-		platform.WriteError(w, r, http.StatusBadRequest,
-			platform.ErrorBody{Code: platform.CodeInvalid, Message: "cell and owner_url must not be empty"})
+		infra.WriteError(w, r, http.StatusBadRequest,
+			infra.ErrorBody{Code: infra.CodeInvalid, Message: "cell and owner_url must not be empty"})
 		return
 	}
 	worker, _ := m.current()
 	response, err := worker.Attach(req)
-	var stale *platform.StaleEpochError
+	var stale *infra.StaleEpochError
 	if stderrors.As(err, &stale) {
-		platform.WriteError(w, r, http.StatusConflict, platform.ErrorBody{
-			Code: platform.CodeStaleEpoch, Message: stale.Error(), Cell: stale.Cell, Got: stale.Got, Want: stale.Want,
+		infra.WriteError(w, r, http.StatusConflict, infra.ErrorBody{
+			Code: infra.CodeStaleEpoch, Message: stale.Error(), Cell: stale.Cell, Got: stale.Got, Want: stale.Want,
 		})
 		return
 	}
@@ -282,8 +282,8 @@
 }
 
 // VMs returns the truth about the VMs of the failure domain.
-func (f *Fleet) VMs() []platform.VM {
-	var vms []platform.VM
+func (f *Fleet) VMs() []infra.VM {
+	var vms []infra.VM
 	for _, m := range f.machinesOf(Any) {
 		if vm, dead := m.listed(); !dead {
 			vms = append(vms, vm)
--- a/internal/standin/fleet_control.go
+++ b/internal/standin/fleet_control.go
@@ -8,7 +8,7 @@
 
 	"golang.org/x/sync/errgroup"
 
-	"github.com/currantthread/currantthread/platform"
+	"github.com/currantthread/currantthread/infra"
 )
 
 // Any names all workers or all runners in the fault switches.
@@ -136,15 +136,15 @@
 	mux := http.NewServeMux()
 	faultsHandler(mux, f.Faults, func(faults FleetFaults) { f.SetFaults(ctx, faults) })
 	mux.HandleFunc("GET /counts", func(w http.ResponseWriter, r *http.Request) {
-		platform.WriteMessage(w, r, f.Counts())
+		infra.WriteMessage(w, r, f.Counts())
 	})
 	mux.HandleFunc("GET /runs", func(w http.ResponseWriter, r *http.Request) {
-		platform.WriteMessage(w, r, f.journal.Runs())
+		infra.WriteMessage(w, r, f.journal.Runs())
 	})
 	mux.HandleFunc("POST /lookup", func(w http.ResponseWriter, r *http.Request) {
 		var l Lookup
 		if receive(w, r, &l) {
-			platform.WriteMessage(w, r, f.runs.Lookup(l))
+			infra.WriteMessage(w, r, f.runs.Lookup(l))
 		}
 	})
 	return mux
@@ -164,8 +164,8 @@
 	return err
 }
 
-func sortVMs(vms []platform.VM) {
-	slices.SortFunc(vms, func(a, b platform.VM) int {
+func sortVMs(vms []infra.VM) {
+	slices.SortFunc(vms, func(a, b infra.VM) int {
 		switch {
 		case a.ID < b.ID:
 			return -1
--- a/internal/standin/fleet_test.go
+++ b/internal/standin/fleet_test.go
@@ -11,9 +11,9 @@
 
 	"gotest.tools/v3/assert"
 
+	"github.com/currantthread/currantthread/infra"
 	"github.com/currantthread/currantthread/job"
 	"github.com/currantthread/currantthread/observe"
-	"github.com/currantthread/currantthread/platform"
 )
 
 func serviceSpec() job.TaskSpec {
@@ -38,19 +38,19 @@
 	ctx, cancel := context.WithCancel(t.Context())
 	defer cancel()
 	f := newTestFleet(ctx, t)
-	polls := make(chan platform.PollRequest)
-	owner := httptest.NewServer(platform.NewPollHandler(pollFunc(func(ctx context.Context, req platform.PollRequest) (platform.PollResponse, error) {
+	polls := make(chan infra.PollRequest)
+	owner := httptest.NewServer(infra.NewPollHandler(pollFunc(func(ctx context.Context, req infra.PollRequest) (infra.PollResponse, error) {
 		select {
 		case polls <- req:
 		case <-ctx.Done():
 		}
-		return platform.PollResponse{LeaseMillis: 10_000, AckSeq: 0}, nil
+		return infra.PollResponse{LeaseMillis: 10_000, AckSeq: 0}, nil
 	})))
 	defer owner.Close()
 	defer cancel()
-	workers := platform.NewWorkersClient("chipre", longTimeout)
-	attach := func(epoch int64) (platform.AttachResponse, error) {
-		return workers.Attach(ctx, f.machines[0].vm.Addr, platform.AttachRequest{
+	workers := infra.NewWorkersClient("chipre", longTimeout)
+	attach := func(epoch int64) (infra.AttachResponse, error) {
+		return workers.Attach(ctx, f.machines[0].vm.Addr, infra.AttachRequest{
 			Cell: "chipre-0", Epoch: epoch, OwnerURL: owner.URL,
 		})
 	}
@@ -62,7 +62,7 @@
 	assert.Equal(t, req.Incarnation, first.Incarnation)
 	assert.Equal(t, req.Epoch, int64(2))
 	_, err = attach(1)
-	var stale *platform.StaleEpochError
+	var stale *infra.StaleEpochError
 	assert.Assert(t, errors.As(err, &stale), "%v", err)
 	assert.Equal(t, stale.Want, int64(2))
 
@@ -78,7 +78,7 @@
 			_, err = attach(3)
 			// A kept connection may be reset after bytes of the attach left, so both errors of a worker that did not
 			// answer are right.
-			assert.Assert(t, isUnavailable(err) || platform.IsUnknownOutcome(err), "%v", err)
+			assert.Assert(t, isUnavailable(err) || infra.IsUnknownOutcome(err), "%v", err)
 		}
 	}
 	second, err := attach(3)
@@ -86,8 +86,8 @@
 	assert.Assert(t, second.Incarnation != first.Incarnation)
 }
 
-type pollFunc func(context.Context, platform.PollRequest) (platform.PollResponse, error)
+type pollFunc func(context.Context, infra.PollRequest) (infra.PollResponse, error)
 
-func (f pollFunc) Poll(ctx context.Context, req platform.PollRequest) (platform.PollResponse, error) {
+func (f pollFunc) Poll(ctx context.Context, req infra.PollRequest) (infra.PollResponse, error) {
 	return f(ctx, req)
 }
--- a/internal/standin/gate.go
+++ b/internal/standin/gate.go
@@ -10,7 +10,7 @@
 	"sync"
 	"time"
 
-	"github.com/currantthread/currantthread/platform"
+	"github.com/currantthread/currantthread/infra"
 )
 
 // GateFaults are the fault switches of one HTTP server. The zero value is a healthy server. Counts fall with each use.
@@ -105,7 +105,7 @@
 func (g *Gate) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	p := g.plan(g.writes(r))
 	switch {
-	case p.Hang || slices.Contains(p.CutDomains, r.Header.Get(platform.HeaderDomain)):
+	case p.Hang || slices.Contains(p.CutDomains, r.Header.Get(infra.HeaderDomain)):
 		hang(r)
 	case p.Down:
 		refuse(w, r, "server is down")
@@ -148,7 +148,7 @@
 	}
 	if other == nil {
 		other = &keptAnswer{own.status, own.header.Clone(), own.body}
-		other.header.Set(platform.HeaderRequestID, "crossed")
+		other.header.Set(infra.HeaderRequestID, "crossed")
 	}
 	return other
 }
@@ -193,8 +193,8 @@
 
 // refuse answers that nothing was written and nothing will be.
 func refuse(w http.ResponseWriter, r *http.Request, format string, args ...any) {
-	platform.WriteError(w, r, http.StatusServiceUnavailable,
-		platform.ErrorBody{Code: platform.CodeRefused, Message: fmt.Sprintf(format, args...)})
+	infra.WriteError(w, r, http.StatusServiceUnavailable,
+		infra.ErrorBody{Code: infra.CodeRefused, Message: fmt.Sprintf(format, args...)})
 }
 
 type recorder struct {
--- a/internal/standin/journal.go
+++ b/internal/standin/journal.go
@@ -5,20 +5,20 @@
 	"sync"
 	"time"
 
+	"github.com/currantthread/currantthread/infra"
 	"github.com/currantthread/currantthread/job"
-	"github.com/currantthread/currantthread/platform"
 )
 
 // Run is the time during which an attempt ran on a worker.
 type Run struct {
-	Ref    platform.AttemptRef `json:"ref"`
-	Class  job.Class           `json:"class"`
-	Worker string              `json:"worker"`
-	Domain string              `json:"domain"`
+	Ref    infra.AttemptRef `json:"ref"`
+	Class  job.Class        `json:"class"`
+	Worker string           `json:"worker"`
+	Domain string           `json:"domain"`
 	// StartNanos and EndNanos are Unix times in nanoseconds. EndNanos is 0 while the attempt runs.
-	StartNanos int64             `json:"start_ns"`
-	EndNanos   int64             `json:"end_ns,omitempty"`
-	End        platform.RunState `json:"end,omitempty"`
+	StartNanos int64          `json:"start_ns"`
+	EndNanos   int64          `json:"end_ns,omitempty"`
+	End        infra.RunState `json:"end,omitempty"`
 }
 
 // WorkerCounts counts what the workers of a failure domain did.
@@ -80,15 +80,15 @@
 }
 
 // ended records the end of a run.
-func (j *Journal) ended(index int, at time.Time, state platform.RunState, lapsed bool) {
+func (j *Journal) ended(index int, at time.Time, state infra.RunState, lapsed bool) {
 	j.mu.Lock()
 	defer j.mu.Unlock()
 	j.runs[index].EndNanos = at.UnixNano()
 	j.runs[index].End = state
 	switch state {
-	case platform.RunCompleted:
+	case infra.RunCompleted:
 		j.counts.Completed++
-	case platform.RunFailed:
+	case infra.RunFailed:
 		j.counts.Failed++
 	default:
 		j.counts.Stopped++
--- a/internal/standin/load/check_test.go
+++ b/internal/standin/load/check_test.go
@@ -5,9 +5,9 @@
 
 	"gotest.tools/v3/assert"
 
+	"github.com/currantthread/currantthread/infra"
 	"github.com/currantthread/currantthread/internal/standin"
 	"github.com/currantthread/currantthread/job"
-	"github.com/currantthread/currantthread/platform"
 	"github.com/currantthread/currantthread/verdict"
 )
 
@@ -83,14 +83,14 @@
 func TestTaskReport(t *testing.T) {
 	attempt := func(n int, class job.Class, start, end int64) standin.Run {
 		return standin.Run{
-			Ref: platform.AttemptRef{Task: "j/0", Attempt: n}, Class: class, StartNanos: start, EndNanos: end,
-			End: platform.RunStopped,
+			Ref: infra.AttemptRef{Task: "j/0", Attempt: n}, Class: class, StartNanos: start, EndNanos: end,
+			End: infra.RunStopped,
 		}
 	}
 	completed := attempt(1, job.ClassBatch, 1, 2)
-	completed.End = platform.RunCompleted
+	completed.End = infra.RunCompleted
 	again := attempt(2, job.ClassBatch, 3, 4)
-	again.End = platform.RunCompleted
+	again.End = infra.RunCompleted
 	cases := map[string]struct {
 		runs   []standin.Run
 		broken string
--- a/internal/standin/load/load.go
+++ b/internal/standin/load/load.go
@@ -18,9 +18,9 @@
 	"golang.org/x/sync/errgroup"
 
 	"github.com/currantthread/currantthread/ctl"
+	"github.com/currantthread/currantthread/infra"
 	"github.com/currantthread/currantthread/internal/standin"
 	"github.com/currantthread/currantthread/internal/wait"
-	"github.com/currantthread/currantthread/platform"
 )
 
 // Config configures a run.
@@ -322,7 +322,7 @@
 			}
 		}
 	}
-	vms, err := platform.NewVMListClient(d.VMListURL, "", time.Second).List(ctx)
+	vms, err := infra.NewVMListClient(d.VMListURL, "", time.Second).List(ctx)
 	if err != nil {
 		return "the VM list: " + err.Error()
 	}
@@ -331,7 +331,7 @@
 		wanted += domain.Workers
 	}
 	for _, vm := range vms {
-		if vm.Role == platform.RoleUpstream {
+		if vm.Role == infra.RoleUpstream {
 			listed++
 		}
 	}
--- a/internal/standin/objects.go
+++ b/internal/standin/objects.go
@@ -8,7 +8,7 @@
 	"sync"
 	"time"
 
-	"github.com/currantthread/currantthread/platform"
+	"github.com/currantthread/currantthread/infra"
 )
 
 // ObjectsFaults are the fault switches of Objects. The zero value is a healthy store.
@@ -45,12 +45,12 @@
 	o.mu.Unlock()
 	time.Sleep(faults.Delay)
 	if faults.Down {
-		return &platform.UnavailableError{Err: errDown}
+		return &infra.UnavailableError{Err: errDown}
 	}
 	return nil
 }
 
-// Put implements platform.Objects.
+// Put implements infra.Objects.
 func (o *Objects) Put(_ context.Context, key string, data []byte) error {
 	if err := o.enter(); err != nil {
 		return err
@@ -64,7 +64,7 @@
 	return nil
 }
 
-// Get implements platform.Objects.
+// Get implements infra.Objects.
 func (o *Objects) Get(_ context.Context, key string) ([]byte, error) {
 	if err := o.enter(); err != nil {
 		return nil, err
@@ -73,7 +73,7 @@
 	defer o.mu.Unlock()
 	data, ok := o.data[key]
 	if !ok {
-		return nil, platform.ErrNotFound
+		return nil, infra.ErrNotFound
 	}
 	return slices.Clone(data), nil
 }
@@ -86,6 +86,6 @@
 }
 
 func isUnavailable(err error) bool {
-	var target *platform.UnavailableError
+	var target *infra.UnavailableError
 	return errors.As(err, &target)
 }
--- a/internal/standin/platform.go
+++ b/internal/standin/platform.go
@@ -15,8 +15,8 @@
 	"golang.org/x/time/rate"
 
 	"github.com/cespare/xxhash/v2"
+	"github.com/currantthread/currantthread/infra"
 	"github.com/currantthread/currantthread/observe"
-	"github.com/currantthread/currantthread/platform"
 )
 
 // PlatformConfig configures the stand-ins of the table service, the object store and the VM list.
@@ -28,7 +28,7 @@
 	// VMLag is how old the truth is that the VM list shows.
 	VMLag time.Duration
 	// VMs are always in the list.
-	VMs []platform.VM
+	VMs []infra.VM
 }
 
 // shutdownGrace bounds the wait for requests in flight when a stand-in stops.
@@ -53,7 +53,7 @@
 		listeners: map[string]*Listener{},
 	}
 	p.tableGate = NewGate(tableHandler(p.Table, newPace(cfg.WritesPerSecond), newPace(cfg.ReadsPerSecond)),
-		func(r *http.Request) bool { return r.URL.Path == platform.PathTableCommit })
+		func(r *http.Request) bool { return r.URL.Path == infra.PathTableCommit })
 	p.objectsGate = NewGate(objectsHandler(p.Objects), func(r *http.Request) bool { return r.Method == http.MethodPut })
 	p.vmsGate = NewGate(vmsHandler(p.VMs), func(*http.Request) bool { return false })
 	return p
@@ -103,37 +103,37 @@
 
 func tableHandler(table *Table, writes, reads *rate.Limiter) http.Handler {
 	mux := http.NewServeMux()
-	mux.HandleFunc("POST "+platform.PathTableRead, func(w http.ResponseWriter, r *http.Request) {
-		var req platform.ReadRequest
+	mux.HandleFunc("POST "+infra.PathTableRead, func(w http.ResponseWriter, r *http.Request) {
+		var req infra.ReadRequest
 		if !receive(w, r, &req) || !admit(w, r, reads) {
 			return
 		}
 		rows, err := table.Read(r.Context(), req.Keys...)
-		answer(w, r, platform.RowsResponse{Rows: rows}, err)
+		answer(w, r, infra.RowsResponse{Rows: rows}, err)
 	})
-	mux.HandleFunc("POST "+platform.PathTableScan, func(w http.ResponseWriter, r *http.Request) {
-		var req platform.ScanRequest
+	mux.HandleFunc("POST "+infra.PathTableScan, func(w http.ResponseWriter, r *http.Request) {
+		var req infra.ScanRequest
 		if !receive(w, r, &req) || !admit(w, r, reads) {
 			return
 		}
 		rows, err := table.Scan(r.Context(), req.Prefix, req.After, req.Limit)
-		answer(w, r, platform.RowsResponse{Rows: rows}, err)
+		answer(w, r, infra.RowsResponse{Rows: rows}, err)
 	})
-	mux.HandleFunc("POST "+platform.PathTableCommit, func(w http.ResponseWriter, r *http.Request) {
-		var txn platform.Txn
+	mux.HandleFunc("POST "+infra.PathTableCommit, func(w http.ResponseWriter, r *http.Request) {
+		var txn infra.Txn
 		if !receive(w, r, &txn) || !admit(w, r, writes) {
 			return
 		}
 		version, err := table.Commit(r.Context(), txn)
-		answer(w, r, platform.CommitResponse{Version: version}, err)
+		answer(w, r, infra.CommitResponse{Version: version}, err)
 	})
 	return mux
 }
 
 func receive(w http.ResponseWriter, r *http.Request, message any) bool {
-	if err := platform.ReadMessage(w, r, message); err != nil {
-		platform.WriteError(w, r, http.StatusBadRequest,
-			platform.ErrorBody{Code: platform.CodeInvalid, Message: err.Error()})
+	if err := infra.ReadMessage(w, r, message); err != nil {
+		infra.WriteError(w, r, http.StatusBadRequest,
+			infra.ErrorBody{Code: infra.CodeInvalid, Message: err.Error()})
 		return false
 	}
 	return true
@@ -150,53 +150,53 @@
 
 // answer sends a message, or the error that the clients of package platform type back.
 func answer(w http.ResponseWriter, r *http.Request, message any, err error) {
-	var conflict *platform.ConflictError
-	var unavailable *platform.UnavailableError
+	var conflict *infra.ConflictError
+	var unavailable *infra.UnavailableError
 	switch {
 	case err == nil:
-		platform.WriteMessage(w, r, message)
+		infra.WriteMessage(w, r, message)
 	case errors.As(err, &conflict):
-		platform.WriteError(w, r, http.StatusConflict, platform.ErrorBody{
-			Code: platform.CodeConflict, Message: err.Error(), Conflicts: conflict.Keys,
+		infra.WriteError(w, r, http.StatusConflict, infra.ErrorBody{
+			Code: infra.CodeConflict, Message: err.Error(), Conflicts: conflict.Keys,
 		})
 	case errors.As(err, &unavailable):
 		refuse(w, r, "%v", err)
 	default:
-		platform.WriteError(w, r, http.StatusInternalServerError,
-			platform.ErrorBody{Code: platform.CodeUnknown, Message: err.Error()})
+		infra.WriteError(w, r, http.StatusInternalServerError,
+			infra.ErrorBody{Code: infra.CodeUnknown, Message: err.Error()})
 	}
 }
 
 func objectsHandler(objects *Objects) http.Handler {
 	mux := http.NewServeMux()
-	mux.HandleFunc("PUT "+platform.PathObjects, func(w http.ResponseWriter, r *http.Request) {
-		data, err := io.ReadAll(http.MaxBytesReader(w, r.Body, platform.MaxMessageBytes))
+	mux.HandleFunc("PUT "+infra.PathObjects, func(w http.ResponseWriter, r *http.Request) {
+		data, err := io.ReadAll(http.MaxBytesReader(w, r.Body, infra.MaxMessageBytes))
 		if err != nil {
-			platform.WriteError(w, r, http.StatusBadRequest,
-				platform.ErrorBody{Code: platform.CodeInvalid, Message: err.Error()})
+			infra.WriteError(w, r, http.StatusBadRequest,
+				infra.ErrorBody{Code: infra.CodeInvalid, Message: err.Error()})
 			return
 		}
-		err = objects.Put(r.Context(), strings.TrimPrefix(r.URL.Path, platform.PathObjects), data)
+		err = objects.Put(r.Context(), strings.TrimPrefix(r.URL.Path, infra.PathObjects), data)
 		if errors.Is(err, errOtherData) {
-			platform.WriteError(w, r, http.StatusConflict,
-				platform.ErrorBody{Code: platform.CodeInvalid, Message: err.Error()})
+			infra.WriteError(w, r, http.StatusConflict,
+				infra.ErrorBody{Code: infra.CodeInvalid, Message: err.Error()})
 			return
 		}
 		answer(w, r, struct{}{}, err)
 	})
-	mux.HandleFunc("GET "+platform.PathObjects, func(w http.ResponseWriter, r *http.Request) {
-		data, err := objects.Get(r.Context(), strings.TrimPrefix(r.URL.Path, platform.PathObjects))
-		if errors.Is(err, platform.ErrNotFound) {
-			platform.WriteError(w, r, http.StatusNotFound,
-				platform.ErrorBody{Code: platform.CodeNotFound, Message: err.Error()})
+	mux.HandleFunc("GET "+infra.PathObjects, func(w http.ResponseWriter, r *http.Request) {
+		data, err := objects.Get(r.Context(), strings.TrimPrefix(r.URL.Path, infra.PathObjects))
+		if errors.Is(err, infra.ErrNotFound) {
+			infra.WriteError(w, r, http.StatusNotFound,
+				infra.ErrorBody{Code: infra.CodeNotFound, Message: err.Error()})
 			return
 		}
 		if err != nil {
 			answer(w, r, nil, err)
 			return
 		}
-		if id := r.Header.Get(platform.HeaderRequestID); id != "" {
-			w.Header().Set(platform.HeaderRequestID, id)
+		if id := r.Header.Get(infra.HeaderRequestID); id != "" {
+			w.Header().Set(infra.HeaderRequestID, id)
 		}
 		w.Header().Set("Content-Type", "application/octet-stream")
 		_, _ = w.Write(data)
@@ -205,7 +205,7 @@
 }
 
 // unchanged answers a conditional read whose entity tag is that of list. It sets the tag for every answer.
-func unchanged(w http.ResponseWriter, r *http.Request, list []platform.VM) bool {
+func unchanged(w http.ResponseWriter, r *http.Request, list []infra.VM) bool {
 	hash := xxhash.New()
 	if err := json.NewEncoder(hash).Encode(list); err != nil {
 		return false
@@ -215,8 +215,8 @@
 	if r.Header.Get("If-None-Match") != etag {
 		return false
 	}
-	if id := r.Header.Get(platform.HeaderRequestID); id != "" {
-		w.Header().Set(platform.HeaderRequestID, id)
+	if id := r.Header.Get(infra.HeaderRequestID); id != "" {
+		w.Header().Set(infra.HeaderRequestID, id)
 	}
 	w.WriteHeader(http.StatusNotModified)
 	return true
@@ -224,12 +224,12 @@
 
 func vmsHandler(vms *VMList) http.Handler {
 	mux := http.NewServeMux()
-	mux.HandleFunc("GET "+platform.PathVMs, func(w http.ResponseWriter, r *http.Request) {
+	mux.HandleFunc("GET "+infra.PathVMs, func(w http.ResponseWriter, r *http.Request) {
 		list, err := vms.List(r.Context())
 		if err == nil && unchanged(w, r, list) {
 			return
 		}
-		answer(w, r, platform.VMsResponse{VMs: list}, err)
+		answer(w, r, infra.VMsResponse{VMs: list}, err)
 	})
 	return mux
 }
@@ -280,8 +280,8 @@
 
 // Registration is the body of POST /standin/vms, by which stand-ins of workers tell which VMs exist.
 type Registration struct {
-	Source string        `json:"source"`
-	VMs    []platform.VM `json:"vms"`
+	Source string     `json:"source"`
+	VMs    []infra.VM `json:"vms"`
 }
 
 // pathRegister is the path of Registration. It is no part of the platform's protocol.
@@ -291,13 +291,13 @@
 	mux := http.NewServeMux()
 	faultsHandler(mux, p.Faults, p.SetFaults)
 	mux.HandleFunc("GET /counts", func(w http.ResponseWriter, r *http.Request) {
-		platform.WriteMessage(w, r, PlatformCounts{Table: p.Table.Stats(), Objects: p.Objects.Len()})
+		infra.WriteMessage(w, r, PlatformCounts{Table: p.Table.Stats(), Objects: p.Objects.Len()})
 	})
 	mux.HandleFunc("POST "+pathRegister, func(w http.ResponseWriter, r *http.Request) {
 		var req Registration
 		if receive(w, r, &req) {
 			p.VMs.Register(req.Source, req.VMs)
-			platform.WriteMessage(w, r, struct{}{})
+			infra.WriteMessage(w, r, struct{}{})
 		}
 	})
 	return mux
@@ -306,18 +306,18 @@
 // faultsHandler adds GET and POST /faults. An unknown switch is refused, so that a misspelt one is not silently healthy.
 func faultsHandler[F any](mux *http.ServeMux, get func() F, set func(F)) {
 	mux.HandleFunc("GET /faults", func(w http.ResponseWriter, r *http.Request) {
-		platform.WriteMessage(w, r, get())
+		infra.WriteMessage(w, r, get())
 	})
 	mux.HandleFunc("POST /faults", func(w http.ResponseWriter, r *http.Request) {
-		decoder := json.NewDecoder(http.MaxBytesReader(w, r.Body, platform.MaxMessageBytes))
+		decoder := json.NewDecoder(http.MaxBytesReader(w, r.Body, infra.MaxMessageBytes))
 		decoder.DisallowUnknownFields()
 		var faults F
 		if err := decoder.Decode(&faults); err != nil {
-			platform.WriteError(w, r, http.StatusBadRequest,
-				platform.ErrorBody{Code: platform.CodeInvalid, Message: err.Error()})
+			infra.WriteError(w, r, http.StatusBadRequest,
+				infra.ErrorBody{Code: infra.CodeInvalid, Message: err.Error()})
 			return
 		}
 		set(faults)
-		platform.WriteMessage(w, r, get())
+		infra.WriteMessage(w, r, get())
 	})
 }
--- a/internal/standin/platform_test.go
+++ b/internal/standin/platform_test.go
@@ -13,8 +13,8 @@
 	"golang.org/x/sync/errgroup"
 	"gotest.tools/v3/assert"
 
+	"github.com/currantthread/currantthread/infra"
 	"github.com/currantthread/currantthread/ledger"
-	"github.com/currantthread/currantthread/platform"
 )
 
 // longTimeout is waited for by no test.
@@ -22,9 +22,9 @@
 
 type platformBench struct {
 	*Platform
-	table   platform.Table
-	objects platform.Objects
-	vms     platform.VMList
+	table   infra.Table
+	objects infra.Objects
+	vms     infra.VMList
 	control string
 }
 
@@ -42,9 +42,9 @@
 	}
 	return &platformBench{
 		Platform: p,
-		table:    platform.NewTableClient(serve("table", p.tableGate), "chipre", longTimeout),
-		objects:  platform.NewObjectsClient(serve("objects", p.objectsGate), "chipre", longTimeout),
-		vms:      platform.NewVMListClient(serve("vms", p.vmsGate), "chipre", longTimeout),
+		table:    infra.NewTableClient(serve("table", p.tableGate), "chipre", longTimeout),
+		objects:  infra.NewObjectsClient(serve("objects", p.objectsGate), "chipre", longTimeout),
+		vms:      infra.NewVMListClient(serve("vms", p.vmsGate), "chipre", longTimeout),
 		control:  serve("control", p.control()),
 	}
 }
@@ -57,10 +57,10 @@
 	assert.Equal(t, res.StatusCode, http.StatusOK)
 }
 
-func create(key, value string) platform.Txn {
-	return platform.Txn{
-		Conditions: []platform.Condition{{Key: key, Version: 0}},
-		Writes:     []platform.Write{{Key: key, Value: []byte(value)}},
+func create(key, value string) infra.Txn {
+	return infra.Txn{
+		Conditions: []infra.Condition{{Key: key, Version: 0}},
+		Writes:     []infra.Write{{Key: key, Value: []byte(value)}},
 	}
 }
 
@@ -71,16 +71,16 @@
 	version, err := b.table.Commit(ctx, create("a/1", "x\x00\xff"))
 	assert.NilError(t, err)
 	_, err = b.table.Commit(ctx, create("a/1", "y"))
-	assert.Assert(t, platform.IsConflict(err), "%v", err)
+	assert.Assert(t, infra.IsConflict(err), "%v", err)
 	_, err = b.table.Commit(ctx, create("a/2", "z"))
 	assert.NilError(t, err)
 	rows, err := b.table.Read(ctx, "a/1", "missing")
 	assert.NilError(t, err)
-	assert.DeepEqual(t, rows, []platform.Row{{Key: "a/1", Value: []byte("x\x00\xff"), Version: version}, {Key: "missing"}})
+	assert.DeepEqual(t, rows, []infra.Row{{Key: "a/1", Value: []byte("x\x00\xff"), Version: version}, {Key: "missing"}})
 	rows, err = b.table.Scan(ctx, "a/", "a/1", 10)
 	assert.NilError(t, err)
 	assert.Equal(t, len(rows), 1)
-	_, err = b.table.Commit(ctx, platform.Txn{Writes: []platform.Write{{Key: "a/1", Delete: true}}})
+	_, err = b.table.Commit(ctx, infra.Txn{Writes: []infra.Write{{Key: "a/1", Delete: true}}})
 	assert.NilError(t, err)
 	rows, err = b.table.Read(ctx, "a/1")
 	assert.NilError(t, err)
@@ -97,10 +97,10 @@
 		applied bool
 	}{
 		{`{"table":{"down":true}}`, isUnavailable, false},
-		{`{"table":{"lose_answers":1}}`, platform.IsUnknownOutcome, true},
-		{`{"table":{"lose_requests":1}}`, platform.IsUnknownOutcome, false},
-		{`{"table":{"truncate_answers":1}}`, platform.IsUnknownOutcome, true},
-		{`{"table":{"cross_answers":1}}`, platform.IsUnknownOutcome, true},
+		{`{"table":{"lose_answers":1}}`, infra.IsUnknownOutcome, true},
+		{`{"table":{"lose_requests":1}}`, infra.IsUnknownOutcome, false},
+		{`{"table":{"truncate_answers":1}}`, infra.IsUnknownOutcome, true},
+		{`{"table":{"cross_answers":1}}`, infra.IsUnknownOutcome, true},
 		{`{"table":{}}`, func(err error) bool { return err == nil }, true},
 	}
 	for i, c := range cases {
@@ -129,13 +129,13 @@
 	_, err := b.table.Commit(t.Context(), create("before", "1"))
 	assert.NilError(t, err)
 	b.fault(t, `{"table":{"cut_domains":["chipre"]}}`)
-	assert.Assert(t, platform.IsUnknownOutcome(commit("cut")))
+	assert.Assert(t, infra.IsUnknownOutcome(commit("cut")))
 	b.fault(t, `{"table":{"cut_domains":["cartago"]}}`)
 	_, err = b.table.Commit(t.Context(), create("kept", "1"))
 	assert.NilError(t, err)
 
 	b.fault(t, `{"silence":["table"]}`)
-	assert.Assert(t, platform.IsUnknownOutcome(commit("silent")))
+	assert.Assert(t, infra.IsUnknownOutcome(commit("silent")))
 	_, err = b.table.Commit(t.Context(), create("after", "1"))
 	assert.NilError(t, err)
 	rows, err := b.Table.Read(t.Context(), "cut", "silent", "kept", "after")
@@ -196,10 +196,10 @@
 	assert.NilError(t, err)
 	assert.Equal(t, string(data), "1")
 	_, err = b.objects.Get(ctx, "a/b")
-	assert.ErrorIs(t, err, platform.ErrNotFound)
+	assert.ErrorIs(t, err, infra.ErrNotFound)
 	// The transport repeats a put once by itself, which is harmless.
 	b.fault(t, `{"objects":{"lose_answers":2}}`)
-	assert.Assert(t, platform.IsUnknownOutcome(b.objects.Put(ctx, "lost", []byte("3"))))
+	assert.Assert(t, infra.IsUnknownOutcome(b.objects.Put(ctx, "lost", []byte("3"))))
 	assert.NilError(t, b.objects.Put(ctx, "lost", []byte("3")))
 	b.fault(t, `{"objects":{"truncate_answers":1}}`)
 	_, err = b.objects.Get(ctx, "lost")
@@ -210,16 +210,16 @@
 // forgets VMs whose process died.
 func TestVMListLags(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
-		entry := platform.VM{ID: "e1", Role: platform.RoleEntry}
-		worker := platform.VM{ID: "w1", Role: platform.RoleWorker}
-		list := NewVMList(2*time.Second, []platform.VM{entry})
+		entry := infra.VM{ID: "e1", Role: infra.RoleEntry}
+		worker := infra.VM{ID: "w1", Role: infra.RoleWorker}
+		list := NewVMList(2*time.Second, []infra.VM{entry})
 		shown := func() int {
 			vms, err := list.List(t.Context())
 			assert.NilError(t, err)
 			return len(vms)
 		}
 		time.Sleep(time.Minute)
-		list.Register("chipre", []platform.VM{worker})
+		list.Register("chipre", []infra.VM{worker})
 		time.Sleep(2*time.Second - time.Nanosecond)
 		assert.Equal(t, shown(), 1)
 		time.Sleep(time.Nanosecond)
@@ -230,7 +230,7 @@
 		assert.Equal(t, shown(), 2)
 		time.Sleep(time.Nanosecond)
 		assert.Equal(t, shown(), 1)
-		list.Register("chipre", []platform.VM{worker})
+		list.Register("chipre", []infra.VM{worker})
 		assert.Equal(t, shown(), 1)
 		list.SetLag(0)
 		assert.Equal(t, shown(), 2)
@@ -240,18 +240,18 @@
 // Guards against a VM list whose registration over HTTP does not reach the clients.
 func TestVMListOverHTTP(t *testing.T) {
 	b := newPlatformBench(t, PlatformConfig{})
-	vm := platform.VM{ID: "r1", Role: platform.RoleUpstream, State: platform.VMLeaving, Addr: "127.0.0.1:1", Slots: 8}
-	assert.NilError(t, PostJSON(t.Context(), b.control+pathRegister, Registration{Source: "s", VMs: []platform.VM{vm}}, nil))
+	vm := infra.VM{ID: "r1", Role: infra.RoleUpstream, State: infra.VMLeaving, Addr: "127.0.0.1:1", Slots: 8}
+	assert.NilError(t, PostJSON(t.Context(), b.control+pathRegister, Registration{Source: "s", VMs: []infra.VM{vm}}, nil))
 	vms, err := b.vms.List(t.Context())
 	assert.NilError(t, err)
-	assert.DeepEqual(t, vms, []platform.VM{vm})
+	assert.DeepEqual(t, vms, []infra.VM{vm})
 }
 
 // Guards against decoders of the table service that panic on what a client may send.
 func FuzzTableHandler(f *testing.F) {
-	f.Add(platform.PathTableCommit, `{"conditions":[{"key":"a","version":0}],"writes":[{"key":"a","value":"eA=="}]}`)
-	f.Add(platform.PathTableScan, `{"prefix":"a","limit":-1}`)
-	f.Add(platform.PathTableRead, `{"keys":["a",""]}`)
+	f.Add(infra.PathTableCommit, `{"conditions":[{"key":"a","version":0}],"writes":[{"key":"a","value":"eA=="}]}`)
+	f.Add(infra.PathTableScan, `{"prefix":"a","limit":-1}`)
+	f.Add(infra.PathTableRead, `{"keys":["a",""]}`)
 	f.Fuzz(func(t *testing.T, path, body string) {
 		if !strings.HasPrefix(path, "/v1/table/") || strings.ContainsAny(path, " \r\n?#%") {
 			return
--- a/internal/standin/runcounts.go
+++ b/internal/standin/runcounts.go
@@ -4,7 +4,7 @@
 	"net/http"
 	"sync"
 
-	"github.com/currantthread/currantthread/platform"
+	"github.com/currantthread/currantthread/infra"
 )
 
 // RunCounts counts the requests that the runners of one process ran. It outlives the runners.
@@ -39,7 +39,7 @@
 			counts[name]++
 		}
 	}
-	count(c.requestIDs, req.Header.Get(platform.HeaderRequestID))
+	count(c.requestIDs, req.Header.Get(infra.HeaderRequestID))
 	count(c.keys, req.Header.Get(headerIdempotencyKey))
 	count(c.tokens, req.URL.Query().Get("token"))
 }
--- a/internal/standin/runner.go
+++ b/internal/standin/runner.go
@@ -12,7 +12,7 @@
 	"sync"
 	"time"
 
-	"github.com/currantthread/currantthread/platform"
+	"github.com/currantthread/currantthread/infra"
 )
 
 // Headers between entry daemons and upstreams (docs/design.md §6).
@@ -114,13 +114,13 @@
 }
 
 // State returns what the VM list shows once its lag has passed. listed is false for a dead runner.
-func (r *Runner) State() (state platform.VMState, listed bool) {
+func (r *Runner) State() (state infra.VMState, listed bool) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	if r.leaving || r.faults.Leaving {
-		return platform.VMLeaving, !r.faults.Dead
+		return infra.VMLeaving, !r.faults.Dead
 	}
-	return platform.VMLive, !r.faults.Dead
+	return infra.VMLive, !r.faults.Dead
 }
 
 // SetFaults replaces the fault switches.
@@ -195,8 +195,8 @@
 func (r *Runner) serve(w http.ResponseWriter, req *http.Request) {
 	faults := r.snapshot()
 	if !faults.Plain {
-		if id := req.Header.Get(platform.HeaderRequestID); id != "" {
-			w.Header().Set(platform.HeaderRequestID, id)
+		if id := req.Header.Get(infra.HeaderRequestID); id != "" {
+			w.Header().Set(infra.HeaderRequestID, id)
 		}
 	}
 	if reason := r.enter(req, faults); reason != "" {
--- a/internal/standin/runner_test.go
+++ b/internal/standin/runner_test.go
@@ -10,7 +10,7 @@
 
 	"gotest.tools/v3/assert"
 
-	"github.com/currantthread/currantthread/platform"
+	"github.com/currantthread/currantthread/infra"
 )
 
 type runnerBench struct {
@@ -41,7 +41,7 @@
 		return nil, "", err
 	}
 	req.GetBody = nil
-	req.Header.Set(platform.HeaderRequestID, "id-"+token)
+	req.Header.Set(infra.HeaderRequestID, "id-"+token)
 	req.Header.Set(headerIdempotencyKey, "key-"+token)
 	res, err := b.client.Do(req)
 	if err != nil {
@@ -66,7 +66,7 @@
 	res, body, err := b.do(http.MethodPost, "/reservations", "a")
 	assert.NilError(t, err)
 	assert.Equal(t, res.StatusCode, http.StatusCreated)
-	assert.Equal(t, res.Header.Get(platform.HeaderRequestID), "id-a")
+	assert.Equal(t, res.Header.Get(infra.HeaderRequestID), "id-a")
 	assert.Equal(t, res.Header.Get(headerLoad), "inflight=1,slots=1,queue=0")
 	assert.Equal(t, body, `{"number":"r1-1","token":"a","body_bytes":4}`+"\n")
 	_, _, err = b.do(http.MethodPost, "/reservations", "a")
@@ -86,7 +86,7 @@
 		assert.Equal(t, res.Header.Get(headerRefused), reason)
 		assert.Equal(t, b.ran(reason), [3]int64{})
 		state, listed := b.State()
-		assert.Equal(t, state == platform.VMLive && listed, reason == "busy")
+		assert.Equal(t, state == infra.VMLive && listed, reason == "busy")
 	}
 
 	b.SetFaults(RunnerFaults{})
@@ -108,7 +108,7 @@
 	b.SetFaults(RunnerFaults{Plain: true})
 	res, _, err := b.do(http.MethodGet, "/availability", "a")
 	assert.NilError(t, err)
-	assert.Equal(t, res.Header.Get(platform.HeaderRequestID)+res.Header.Get(headerLoad), "")
+	assert.Equal(t, res.Header.Get(infra.HeaderRequestID)+res.Header.Get(headerLoad), "")
 	b.SetFaults(RunnerFaults{Plain: true, Busy: true})
 	res, _, err = b.do(http.MethodGet, "/availability", "b")
 	assert.NilError(t, err)
@@ -133,10 +133,10 @@
 	b.SetFaults(RunnerFaults{GateFaults: GateFaults{CrossAnswers: 2}})
 	res, _, err = b.do(http.MethodGet, "/work?bytes=10", "first")
 	assert.NilError(t, err)
-	assert.Equal(t, res.Header.Get(platform.HeaderRequestID), "crossed")
+	assert.Equal(t, res.Header.Get(infra.HeaderRequestID), "crossed")
 	res, body, err = b.do(http.MethodGet, "/work?bytes=10", "second")
 	assert.NilError(t, err)
-	assert.Equal(t, res.Header.Get(platform.HeaderRequestID), "id-first")
+	assert.Equal(t, res.Header.Get(infra.HeaderRequestID), "id-first")
 	assert.Equal(t, body, string(PatternBytes("first", 10)))
 }
 
@@ -196,9 +196,9 @@
 	defer cancel()
 	f := newTestFleet(ctx, t)
 	worker, _ := f.machines[0].current()
-	ref := platform.AttemptRef{Task: "s/0", Attempt: 1}
+	ref := infra.AttemptRef{Task: "s/0", Attempt: 1}
 	worker.mu.Lock()
-	worker.begin(platform.Command{Ref: ref, Spec: serviceSpec()}, worker.settledAt)
+	worker.begin(infra.Command{Ref: ref, Spec: serviceSpec()}, worker.settledAt)
 	worker.mu.Unlock()
 	id := "chipre-w01-s/0-" + strconv.Itoa(ref.Attempt)
 	found := false
--- a/internal/standin/table.go
+++ b/internal/standin/table.go
@@ -10,7 +10,7 @@
 	"sync"
 	"time"
 
-	"github.com/currantthread/currantthread/platform"
+	"github.com/currantthread/currantthread/infra"
 )
 
 // TableFaults are the fault switches of a Table. The zero value is a healthy table.
@@ -44,7 +44,7 @@
 // Table is an in-memory table service.
 type Table struct {
 	mu      sync.Mutex
-	rows    map[string]platform.Row
+	rows    map[string]infra.Row
 	keys    []string // sorted keys of rows
 	version int64
 	faults  TableFaults
@@ -53,7 +53,7 @@
 
 // NewTable returns an empty, healthy table.
 func NewTable() *Table {
-	return &Table{rows: map[string]platform.Row{}}
+	return &Table{rows: map[string]infra.Row{}}
 }
 
 // SetFaults replaces the fault switches.
@@ -78,20 +78,20 @@
 }
 
 // For returns the table as callers of a failure domain reach it.
-func (t *Table) For(domain string) platform.Table { return &domainTable{table: t, domain: domain} }
+func (t *Table) For(domain string) infra.Table { return &domainTable{table: t, domain: domain} }
 
-// Read implements platform.Table.
-func (t *Table) Read(ctx context.Context, keys ...string) ([]platform.Row, error) {
+// Read implements infra.Table.
+func (t *Table) Read(ctx context.Context, keys ...string) ([]infra.Row, error) {
 	return t.For("").Read(ctx, keys...)
 }
 
-// Scan implements platform.Table.
-func (t *Table) Scan(ctx context.Context, prefix, after string, limit int) ([]platform.Row, error) {
+// Scan implements infra.Table.
+func (t *Table) Scan(ctx context.Context, prefix, after string, limit int) ([]infra.Row, error) {
 	return t.For("").Scan(ctx, prefix, after, limit)
 }
 
-// Commit implements platform.Table.
-func (t *Table) Commit(ctx context.Context, txn platform.Txn) (int64, error) {
+// Commit implements infra.Table.
+func (t *Table) Commit(ctx context.Context, txn infra.Txn) (int64, error) {
 	return t.For("").Commit(ctx, txn)
 }
 
@@ -104,10 +104,10 @@
 func (d *domainTable) enter(ctx context.Context) error {
 	faults := d.table.Faults()
 	if faults.Down {
-		return &platform.UnavailableError{Err: errDown}
+		return &infra.UnavailableError{Err: errDown}
 	}
 	if slices.Contains(faults.CutDomains, d.domain) {
-		return &platform.UnavailableError{Err: errCut}
+		return &infra.UnavailableError{Err: errCut}
 	}
 	if faults.Delay <= 0 {
 		return nil
@@ -116,14 +116,14 @@
 	defer timer.Stop()
 	select {
 	case <-ctx.Done():
-		return &platform.UnavailableError{Err: ctx.Err()}
+		return &infra.UnavailableError{Err: ctx.Err()}
 	case <-timer.C:
 		return nil
 	}
 }
 
-// Read implements platform.Table.
-func (d *domainTable) Read(ctx context.Context, keys ...string) ([]platform.Row, error) {
+// Read implements infra.Table.
+func (d *domainTable) Read(ctx context.Context, keys ...string) ([]infra.Row, error) {
 	if err := d.enter(ctx); err != nil {
 		return nil, err
 	}
@@ -131,7 +131,7 @@
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	t.stats.Reads++
-	rows := make([]platform.Row, len(keys))
+	rows := make([]infra.Row, len(keys))
 	for i, key := range keys {
 		row := t.rows[key]
 		row.Key = key
@@ -140,8 +140,8 @@
 	return rows, nil
 }
 
-// Scan implements platform.Table.
-func (d *domainTable) Scan(ctx context.Context, prefix, after string, limit int) ([]platform.Row, error) {
+// Scan implements infra.Table.
+func (d *domainTable) Scan(ctx context.Context, prefix, after string, limit int) ([]infra.Row, error) {
 	if err := d.enter(ctx); err != nil {
 		return nil, err
 	}
@@ -154,15 +154,15 @@
 	if found && from == after {
 		i++
 	}
-	var rows []platform.Row
+	var rows []infra.Row
 	for ; i < len(t.keys) && len(rows) < limit && strings.HasPrefix(t.keys[i], prefix); i++ {
 		rows = append(rows, t.rows[t.keys[i]])
 	}
 	return rows, nil
 }
 
-// Commit implements platform.Table.
-func (d *domainTable) Commit(ctx context.Context, txn platform.Txn) (int64, error) {
+// Commit implements infra.Table.
+func (d *domainTable) Commit(ctx context.Context, txn infra.Txn) (int64, error) {
 	if err := d.enter(ctx); err != nil {
 		return 0, err
 	}
@@ -171,18 +171,18 @@
 	defer t.mu.Unlock()
 	if t.faults.LoseRequests > 0 {
 		t.faults.LoseRequests--
-		return 0, &platform.UnknownOutcomeError{Err: errLost}
+		return 0, &infra.UnknownOutcomeError{Err: errLost}
 	}
 	version, err := t.apply(txn)
 	if t.faults.LoseAnswers > 0 {
 		t.faults.LoseAnswers--
-		return 0, &platform.UnknownOutcomeError{Err: errLost}
+		return 0, &infra.UnknownOutcomeError{Err: errLost}
 	}
 	return version, err
 }
 
 // apply checks conditions and writes rows. The caller holds t.mu.
-func (t *Table) apply(txn platform.Txn) (int64, error) {
+func (t *Table) apply(txn infra.Txn) (int64, error) {
 	t.stats.Commits++
 	var conflicts []string
 	for _, c := range txn.Conditions {
@@ -192,7 +192,7 @@
 	}
 	if len(conflicts) > 0 {
 		t.stats.Conflicts++
-		return 0, &platform.ConflictError{Keys: conflicts}
+		return 0, &infra.ConflictError{Keys: conflicts}
 	}
 	t.version++
 	for _, w := range txn.Writes {
@@ -201,7 +201,7 @@
 	return t.version, nil
 }
 
-func (t *Table) write(w platform.Write) {
+func (t *Table) write(w infra.Write) {
 	i, found := slices.BinarySearch(t.keys, w.Key)
 	switch {
 	case w.Delete && found:
@@ -213,5 +213,5 @@
 	case !found:
 		t.keys = slices.Insert(t.keys, i, w.Key)
 	}
-	t.rows[w.Key] = platform.Row{Key: w.Key, Value: slices.Clone(w.Value), Version: t.version}
+	t.rows[w.Key] = infra.Row{Key: w.Key, Value: slices.Clone(w.Value), Version: t.version}
 }
--- a/internal/standin/vmlist.go
+++ b/internal/standin/vmlist.go
@@ -7,7 +7,7 @@
 	"sync"
 	"time"
 
-	"github.com/currantthread/currantthread/platform"
+	"github.com/currantthread/currantthread/infra"
 )
 
 // sourceExpiry is how long the VMs of a source stay in the list after its last registration. Sources register each
@@ -23,20 +23,20 @@
 }
 
 type vmSource struct {
-	vms     []platform.VM
+	vms     []infra.VM
 	expires time.Time // zero means never
 }
 
 type vmSnapshot struct {
 	at  time.Time
-	vms []platform.VM
+	vms []infra.VM
 }
 
 // maxLag bounds the history that is kept.
 const maxLag = 10 * time.Minute
 
 // NewVMList returns a list of VMs that never leave it.
-func NewVMList(lag time.Duration, fixed []platform.VM) *VMList {
+func NewVMList(lag time.Duration, fixed []infra.VM) *VMList {
 	l := &VMList{lag: lag, sources: map[string]vmSource{"": {vms: fixed}}}
 	l.history = []vmSnapshot{{vms: l.merge()}}
 	return l
@@ -57,7 +57,7 @@
 }
 
 // Register replaces the VMs of a source. They expire unless the source registers again.
-func (l *VMList) Register(source string, vms []platform.VM) {
+func (l *VMList) Register(source string, vms []infra.VM) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	now := time.Now()
@@ -69,8 +69,8 @@
 	}
 }
 
-// List implements platform.VMList.
-func (l *VMList) List(context.Context) ([]platform.VM, error) {
+// List implements infra.VMList.
+func (l *VMList) List(context.Context) ([]infra.VM, error) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	now := time.Now()
@@ -112,11 +112,11 @@
 	}
 }
 
-func (l *VMList) merge() []platform.VM {
-	var vms []platform.VM
+func (l *VMList) merge() []infra.VM {
+	var vms []infra.VM
 	for _, source := range l.sources {
 		vms = append(vms, source.vms...)
 	}
-	slices.SortFunc(vms, func(a, b platform.VM) int { return strings.Compare(a.ID, b.ID) })
+	slices.SortFunc(vms, func(a, b infra.VM) int { return strings.Compare(a.ID, b.ID) })
 	return vms
 }
--- a/internal/standin/worker.go
+++ b/internal/standin/worker.go
@@ -10,8 +10,8 @@
 	"github.com/cenkalti/backoff/v5"
 	"github.com/google/uuid"
 
+	"github.com/currantthread/currantthread/infra"
 	"github.com/currantthread/currantthread/job"
-	"github.com/currantthread/currantthread/platform"
 )
 
 const (
@@ -30,9 +30,9 @@
 	pollRetryMax     = time.Second
 )
 
-// Poller sends polls to the owner of a cell. *platform.PollClient is one.
+// Poller sends polls to the owner of a cell. *infra.PollClient is one.
 type Poller interface {
-	Poll(ctx context.Context, ownerURL string, req platform.PollRequest) (platform.PollResponse, error)
+	Poll(ctx context.Context, ownerURL string, req infra.PollRequest) (infra.PollResponse, error)
 }
 
 // Replica is the open runner of a service task.
@@ -50,13 +50,13 @@
 	ID, Domain   string
 	Capacity     job.Resources
 	Poller       Poller
-	Objects      platform.Objects
+	Objects      infra.Objects
 	Interference *Interference
 	Journal      *Journal
 	// UsageLag is the age of usage reports.
 	UsageLag time.Duration
 	// Open opens the runner of a service task.
-	Open func(ref platform.AttemptRef, spec job.TaskSpec) (Replica, error)
+	Open func(ref infra.AttemptRef, spec job.TaskSpec) (Replica, error)
 	// Resident is a runner that exists besides the tasks; nil means none. ResidentKind and ResidentShare describe it
 	// to the interference model.
 	Resident      Replica
@@ -86,17 +86,17 @@
 	mu sync.Mutex // owned by the exported methods, the poll loop and the timer
 	// epochs holds the highest epoch seen for each cell.
 	epochs map[string]int64
-	owner  platform.AttachRequest
+	owner  infra.AttachRequest
 	// attached is closed and replaced by each attach, and cancelPoll ends the poll to the owner before.
 	attached   chan struct{}
 	cancelPoll context.CancelFunc
 	leaseUntil time.Time
 	attempts   map[job.TaskID]*attempt
 	// seen holds the highest attempt seen of each task and how it ended.
-	seen map[job.TaskID]platform.Report
+	seen map[job.TaskID]infra.Report
 	// nextSeq is the Seq of the newest report, and reports holds those that are not acknowledged.
 	nextSeq int64
-	reports []platform.Report
+	reports []infra.Report
 	faults  WorkerFaults
 	usage   []usageSample
 	// settledAt is the instant up to which the progress of all attempts is counted.
@@ -109,7 +109,7 @@
 // usageSample is a measurement that waits until it is old enough to be reported.
 type usageSample struct {
 	at    time.Time
-	usage []platform.Usage
+	usage []infra.Usage
 }
 
 // NewWorker returns a worker that runs nothing and waits to be attached.
@@ -121,7 +121,7 @@
 		epochs:      map[string]int64{},
 		attached:    make(chan struct{}),
 		attempts:    map[job.TaskID]*attempt{},
-		seen:        map[job.TaskID]platform.Report{},
+		seen:        map[job.TaskID]infra.Report{},
 		faults:      faults,
 		settledAt:   now,
 		sampledAt:   now,
@@ -156,7 +156,7 @@
 	w.dead = true
 	w.timer.Stop()
 	for _, a := range w.attempts {
-		w.cfg.Journal.ended(a.journal, now, platform.RunStopped, false)
+		w.cfg.Journal.ended(a.journal, now, infra.RunStopped, false)
 		if a.replica != nil {
 			a.replica.Kill()
 		}
@@ -168,12 +168,12 @@
 }
 
 // Attach makes the sender the owner that the worker polls. It refuses a lower epoch than the highest seen of the cell.
-func (w *Worker) Attach(req platform.AttachRequest) (platform.AttachResponse, error) {
+func (w *Worker) Attach(req infra.AttachRequest) (infra.AttachResponse, error) {
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	if highest := w.epochs[req.Cell]; req.Epoch < highest {
 		w.cfg.Journal.stale()
-		return platform.AttachResponse{}, &platform.StaleEpochError{Cell: req.Cell, Got: req.Epoch, Want: highest}
+		return infra.AttachResponse{}, &infra.StaleEpochError{Cell: req.Cell, Got: req.Epoch, Want: highest}
 	}
 	w.advance(time.Now())
 	w.epochs[req.Cell] = req.Epoch
@@ -185,9 +185,9 @@
 	}
 	close(w.attached)
 	w.attached = make(chan struct{})
-	response := platform.AttachResponse{
+	response := infra.AttachResponse{
 		Worker: w.cfg.ID, Incarnation: w.incarnation, Capacity: w.cfg.Capacity,
-		Running: []platform.AttemptRef{}, Reports: append([]platform.Report{}, w.reports...),
+		Running: []infra.AttemptRef{}, Reports: append([]infra.Report{}, w.reports...),
 	}
 	for _, a := range w.attempts {
 		response.Running = append(response.Running, a.ref)
@@ -204,7 +204,7 @@
 	rng := rand.New(rand.NewPCG(w.cfg.Seed, 0))
 	for ctx.Err() == nil {
 		wait, err := w.pollOnce(ctx)
-		var stale *platform.StaleEpochError
+		var stale *infra.StaleEpochError
 		switch {
 		case err == nil:
 			retry.Reset()
@@ -248,21 +248,21 @@
 	return wait, nil
 }
 
-func (w *Worker) preparePoll(sent time.Time, cancel context.CancelFunc) (platform.PollRequest, string, <-chan struct{}, error) {
+func (w *Worker) preparePoll(sent time.Time, cancel context.CancelFunc) (infra.PollRequest, string, <-chan struct{}, error) {
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	w.advance(sent)
 	if w.owner.OwnerURL == "" {
-		return platform.PollRequest{}, "", w.attached, errNotAttached
+		return infra.PollRequest{}, "", w.attached, errNotAttached
 	}
 	if w.faults.CutOwner {
-		return platform.PollRequest{}, "", w.attached, errCutOwner
+		return infra.PollRequest{}, "", w.attached, errCutOwner
 	}
 	w.cancelPoll = cancel
 	reports := w.reports[:min(len(w.reports), maxReports)]
-	return platform.PollRequest{
+	return infra.PollRequest{
 		Worker: w.cfg.ID, Incarnation: w.incarnation, Cell: w.owner.Cell, Epoch: w.owner.Epoch,
-		Reports: append([]platform.Report{}, reports...), Usage: w.dueUsage(sent),
+		Reports: append([]infra.Report{}, reports...), Usage: w.dueUsage(sent),
 		HoldMillis: w.hold(sent).Milliseconds(),
 	}, w.owner.OwnerURL, w.attached, nil
 }
@@ -285,7 +285,7 @@
 }
 
 // applyPoll applies the answer to the poll sent at sent while attached was the channel of the current attach.
-func (w *Worker) applyPoll(sent time.Time, attached <-chan struct{}, res platform.PollResponse) {
+func (w *Worker) applyPoll(sent time.Time, attached <-chan struct{}, res infra.PollResponse) {
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	if w.dead || attached != w.attached {
@@ -307,24 +307,24 @@
 }
 
 // apply applies one command. The caller holds w.mu.
-func (w *Worker) apply(c platform.Command, now, permitUntil time.Time) {
+func (w *Worker) apply(c infra.Command, now, permitUntil time.Time) {
 	switch c.Kind {
-	case platform.CommandStart:
+	case infra.CommandStart:
 		w.start(c, now, permitUntil)
-	case platform.CommandStop:
+	case infra.CommandStop:
 		w.stop(c, now)
-	case platform.CommandCheckpoint:
+	case infra.CommandCheckpoint:
 		if a := w.find(c.Ref); a != nil && !a.ending {
 			w.save(a)
 		}
-	case platform.CommandThrottle:
+	case infra.CommandThrottle:
 		if a := w.find(c.Ref); a != nil {
 			a.cpuPercent = min(max(c.CPUPercent, 1), 100)
 		}
 	}
 }
 
-func (w *Worker) find(ref platform.AttemptRef) *attempt {
+func (w *Worker) find(ref infra.AttemptRef) *attempt {
 	a := w.attempts[ref.Task]
 	if a == nil || a.ref != ref {
 		return nil
@@ -333,7 +333,7 @@
 }
 
 // start starts an attempt or refuses it. The caller holds w.mu.
-func (w *Worker) start(c platform.Command, now, permitUntil time.Time) {
+func (w *Worker) start(c infra.Command, now, permitUntil time.Time) {
 	if w.repeatEnd(c.Ref) {
 		return
 	}
@@ -352,7 +352,7 @@
 
 // repeatEnd reports whether the worker has seen ref or a later attempt of its task. It reports the end of ref again
 // unless that report is still outstanding. The caller holds w.mu.
-func (w *Worker) repeatEnd(ref platform.AttemptRef) bool {
+func (w *Worker) repeatEnd(ref infra.AttemptRef) bool {
 	last, found := w.seen[ref.Task]
 	if !found || last.Ref.Attempt < ref.Attempt {
 		return false
@@ -366,21 +366,21 @@
 		}
 	}
 	if last.Ref != ref {
-		last = platform.Report{Ref: ref, State: platform.RunStopped, Error: "a later attempt was seen"}
+		last = infra.Report{Ref: ref, State: infra.RunStopped, Error: "a later attempt was seen"}
 	}
 	w.report(last)
 	return true
 }
 
-func (w *Worker) refuse(ref platform.AttemptRef, reason string) {
+func (w *Worker) refuse(ref infra.AttemptRef, reason string) {
 	w.cfg.Journal.refused(reason)
-	end := platform.Report{Ref: ref, State: platform.RunStopped, Error: reason}
+	end := infra.Report{Ref: ref, State: infra.RunStopped, Error: reason}
 	w.seen[ref.Task] = end
 	w.report(end)
 }
 
 // stop stops an attempt. A stop of an attempt not yet seen makes the worker refuse its start. The caller holds w.mu.
-func (w *Worker) stop(c platform.Command, now time.Time) {
+func (w *Worker) stop(c infra.Command, now time.Time) {
 	a := w.find(c.Ref)
 	switch {
 	case a == nil && w.repeatEnd(c.Ref):
@@ -398,12 +398,12 @@
 		w.save(a)
 		a.lastSave = a.saves
 	default:
-		w.end(a, now, platform.RunStopped, "")
+		w.end(a, now, infra.RunStopped, "")
 	}
 }
 
 // report queues a report until it is acknowledged. The caller holds w.mu.
-func (w *Worker) report(r platform.Report) {
+func (w *Worker) report(r infra.Report) {
 	w.nextSeq++
 	r.Seq = w.nextSeq
 	w.reports = append(w.reports, r)
--- a/internal/standin/worker_test.go
+++ b/internal/standin/worker_test.go
@@ -9,25 +9,25 @@
 
 	"gotest.tools/v3/assert"
 
+	"github.com/currantthread/currantthread/infra"
 	"github.com/currantthread/currantthread/job"
-	"github.com/currantthread/currantthread/platform"
 )
 
 // scriptedOwner answers polls with a function that runs in virtual time.
 type scriptedOwner struct {
-	polls []platform.PollRequest
-	reply func(ctx context.Context, req platform.PollRequest) (platform.PollResponse, error)
+	polls []infra.PollRequest
+	reply func(ctx context.Context, req infra.PollRequest) (infra.PollResponse, error)
 }
 
-func (o *scriptedOwner) Poll(ctx context.Context, _ string, req platform.PollRequest) (platform.PollResponse, error) {
+func (o *scriptedOwner) Poll(ctx context.Context, _ string, req infra.PollRequest) (infra.PollResponse, error) {
 	o.polls = append(o.polls, req)
 	return o.reply(ctx, req)
 }
 
 var errNoAnswer = errors.New("no answer")
 
-func lost(context.Context, platform.PollRequest) (platform.PollResponse, error) {
-	return platform.PollResponse{}, errNoAnswer
+func lost(context.Context, infra.PollRequest) (infra.PollResponse, error) {
+	return infra.PollResponse{}, errNoAnswer
 }
 
 type workerBench struct {
@@ -45,7 +45,7 @@
 	b.Worker = NewWorker(WorkerConfig{
 		ID: "w1", Domain: "chipre", Capacity: job.Resources{CPUMilli: 4000, MemoryMiB: 4096},
 		Poller: b.owner, Objects: b.objects, Journal: b.journal, Interference: interference,
-		Open: func(platform.AttemptRef, job.TaskSpec) (Replica, error) { return &fakeReplica{}, nil },
+		Open: func(infra.AttemptRef, job.TaskSpec) (Replica, error) { return &fakeReplica{}, nil },
 	}, WorkerFaults{})
 	b.attach(t, 1)
 	t.Cleanup(b.Kill)
@@ -58,17 +58,17 @@
 func (*fakeReplica) Close()              {}
 func (r *fakeReplica) Kill()             { r.killed = true }
 
-func (b *workerBench) attach(t *testing.T, epoch int64) platform.AttachResponse {
+func (b *workerBench) attach(t *testing.T, epoch int64) infra.AttachResponse {
 	t.Helper()
-	res, err := b.Attach(platform.AttachRequest{Cell: "chipre-0", Epoch: epoch, OwnerURL: "http://owner"})
+	res, err := b.Attach(infra.AttachRequest{Cell: "chipre-0", Epoch: epoch, OwnerURL: "http://owner"})
 	assert.NilError(t, err)
 	return res
 }
 
 // poll sends one poll that is answered after delay.
-func (b *workerBench) poll(t *testing.T, delay time.Duration, res platform.PollResponse) platform.PollRequest {
+func (b *workerBench) poll(t *testing.T, delay time.Duration, res infra.PollResponse) infra.PollRequest {
 	t.Helper()
-	b.owner.reply = func(context.Context, platform.PollRequest) (platform.PollResponse, error) {
+	b.owner.reply = func(context.Context, infra.PollRequest) (infra.PollResponse, error) {
 		time.Sleep(delay)
 		return res, nil
 	}
@@ -81,28 +81,28 @@
 	return job.TaskSpec{Class: job.ClassBatch, Resources: job.Resources{CPUMilli: 1000, MemoryMiB: 64}, RuntimeMillis: millis}
 }
 
-func start(task job.TaskID, attempt int, spec job.TaskSpec) platform.Command {
-	return platform.Command{Kind: platform.CommandStart, Ref: platform.AttemptRef{Task: task, Attempt: attempt}, Spec: spec}
+func start(task job.TaskID, attempt int, spec job.TaskSpec) infra.Command {
+	return infra.Command{Kind: infra.CommandStart, Ref: infra.AttemptRef{Task: task, Attempt: attempt}, Spec: spec}
 }
 
-func granted(commands ...platform.Command) platform.PollResponse {
-	return platform.PollResponse{LeaseMillis: 10_000, StartPermitMillis: 2_000, Commands: commands}
+func granted(commands ...infra.Command) infra.PollResponse {
+	return infra.PollResponse{LeaseMillis: 10_000, StartPermitMillis: 2_000, Commands: commands}
 }
 
 // ends returns the state of the last report of each attempt.
-func (b *workerBench) ends() map[platform.AttemptRef]platform.RunState {
+func (b *workerBench) ends() map[infra.AttemptRef]infra.RunState {
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	b.advance(time.Now())
-	states := map[platform.AttemptRef]platform.RunState{}
+	states := map[infra.AttemptRef]infra.RunState{}
 	for _, r := range b.reports {
 		states[r.Ref] = r.State
 	}
 	return states
 }
 
-func ref(task job.TaskID, attempt int) platform.AttemptRef {
-	return platform.AttemptRef{Task: task, Attempt: attempt}
+func ref(task job.TaskID, attempt int) infra.AttemptRef {
+	return infra.AttemptRef{Task: task, Attempt: attempt}
 }
 
 // Guards against a lease or a permit that counts from the receipt of the answer: both would outlive the owner's record.
@@ -110,16 +110,16 @@
 	synctest.Test(t, func(t *testing.T) {
 		b := newWorkerBench(t)
 		b.poll(t, 1900*time.Millisecond, granted(start("j/0", 1, batch(60_000))))
-		assert.Equal(t, b.ends()[ref("j/0", 1)], platform.RunRunning)
+		assert.Equal(t, b.ends()[ref("j/0", 1)], infra.RunRunning)
 
 		b.poll(t, 2*time.Second, granted(start("j/1", 1, batch(60_000))))
-		assert.Equal(t, b.ends()[ref("j/1", 1)], platform.RunStopped, "the permit ran out on the way")
+		assert.Equal(t, b.ends()[ref("j/1", 1)], infra.RunStopped, "the permit ran out on the way")
 
 		// The last poll was sent 2 s ago, so its lease of 10 s ends in 8 s.
 		time.Sleep(8*time.Second - time.Millisecond)
-		assert.Equal(t, b.ends()[ref("j/0", 1)], platform.RunRunning)
+		assert.Equal(t, b.ends()[ref("j/0", 1)], infra.RunRunning)
 		time.Sleep(time.Millisecond)
-		assert.Equal(t, b.ends()[ref("j/0", 1)], platform.RunStopped)
+		assert.Equal(t, b.ends()[ref("j/0", 1)], infra.RunStopped)
 		assert.Equal(t, b.journal.Counts().Lapsed, int64(1))
 	})
 }
@@ -129,10 +129,10 @@
 func TestLateAnswerStartsNothing(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		b := newWorkerBench(t)
-		late := platform.PollResponse{LeaseMillis: 1_000, StartPermitMillis: 5_000}
-		late.Commands = []platform.Command{start("j/0", 1, batch(1000))}
+		late := infra.PollResponse{LeaseMillis: 1_000, StartPermitMillis: 5_000}
+		late.Commands = []infra.Command{start("j/0", 1, batch(1000))}
 		b.poll(t, time.Second, late)
-		assert.Equal(t, b.ends()[ref("j/0", 1)], platform.RunStopped)
+		assert.Equal(t, b.ends()[ref("j/0", 1)], infra.RunStopped)
 		assert.Equal(t, len(b.journal.Runs()), 0)
 	})
 }
@@ -145,9 +145,9 @@
 		standing := job.TaskSpec{Class: job.ClassStanding, Resources: job.Resources{CPUMilli: 1000}}
 		b.poll(t, 0, granted(start("s/0", 1, service), start("m/0", 1, standing)))
 		time.Sleep(11 * time.Second)
-		assert.Equal(t, b.ends()[ref("s/0", 1)], platform.RunRunning)
-		assert.Equal(t, b.ends()[ref("m/0", 1)], platform.RunStopped)
-		assert.DeepEqual(t, b.attach(t, 2).Running, []platform.AttemptRef{ref("s/0", 1)})
+		assert.Equal(t, b.ends()[ref("s/0", 1)], infra.RunRunning)
+		assert.Equal(t, b.ends()[ref("m/0", 1)], infra.RunStopped)
+		assert.DeepEqual(t, b.attach(t, 2).Running, []infra.AttemptRef{ref("s/0", 1)})
 	})
 }
 
@@ -161,7 +161,7 @@
 		time.Sleep(time.Second)
 		b.poll(t, 0, granted(command))
 		assert.Equal(t, len(b.journal.Runs()), 1)
-		assert.Equal(t, b.ends()[ref("j/0", 1)], platform.RunCompleted)
+		assert.Equal(t, b.ends()[ref("j/0", 1)], infra.RunCompleted)
 
 		// Once the end was acknowledged, a repeated start makes the worker tell the end again.
 		done := granted()
@@ -169,7 +169,7 @@
 		b.poll(t, 0, done)
 		assert.Equal(t, len(b.ends()), 0)
 		b.poll(t, 0, granted(command))
-		assert.Equal(t, b.ends()[ref("j/0", 1)], platform.RunCompleted)
+		assert.Equal(t, b.ends()[ref("j/0", 1)], infra.RunCompleted)
 		assert.Equal(t, len(b.journal.Runs()), 1)
 	})
 }
@@ -179,14 +179,14 @@
 func TestStopBeforeStartRefusesStart(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		b := newWorkerBench(t)
-		b.poll(t, 0, granted(platform.Command{Kind: platform.CommandStop, Ref: ref("j/0", 1)}))
+		b.poll(t, 0, granted(infra.Command{Kind: infra.CommandStop, Ref: ref("j/0", 1)}))
 		b.poll(t, 0, granted(start("j/0", 1, batch(500))))
-		assert.Equal(t, b.ends()[ref("j/0", 1)], platform.RunStopped)
+		assert.Equal(t, b.ends()[ref("j/0", 1)], infra.RunStopped)
 
-		noPermit := platform.PollResponse{LeaseMillis: 10_000, Commands: []platform.Command{start("j/1", 1, batch(500))}}
+		noPermit := infra.PollResponse{LeaseMillis: 10_000, Commands: []infra.Command{start("j/1", 1, batch(500))}}
 		b.poll(t, 0, noPermit)
 		b.poll(t, 0, granted(start("j/1", 1, batch(500))))
-		assert.Equal(t, b.ends()[ref("j/1", 1)], platform.RunStopped)
+		assert.Equal(t, b.ends()[ref("j/1", 1)], infra.RunStopped)
 		assert.Equal(t, len(b.journal.Runs()), 0)
 
 		b.poll(t, 0, granted(start("j/1", 2, batch(500)), start("j/0", 2, batch(500))))
@@ -200,9 +200,9 @@
 	synctest.Test(t, func(t *testing.T) {
 		b := newWorkerBench(t)
 		b.poll(t, 0, granted(start("j/0", 1, batch(1000)), start("j/0", 2, batch(1000))))
-		assert.Equal(t, b.ends()[ref("j/0", 2)], platform.RunStopped)
+		assert.Equal(t, b.ends()[ref("j/0", 2)], infra.RunStopped)
 		time.Sleep(1500 * time.Millisecond)
-		assert.Equal(t, b.ends()[ref("j/0", 1)], platform.RunCompleted)
+		assert.Equal(t, b.ends()[ref("j/0", 1)], infra.RunCompleted)
 		b.poll(t, 0, granted(start("j/0", 2, batch(1000))))
 		assert.Equal(t, len(b.journal.Runs()), 1)
 		assert.Equal(t, len(FindOverlaps(b.journal.Runs())), 0)
@@ -213,7 +213,7 @@
 func TestPreviousOwnerHasNoEffect(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		b := newWorkerBench(t)
-		b.owner.reply = func(context.Context, platform.PollRequest) (platform.PollResponse, error) {
+		b.owner.reply = func(context.Context, infra.PollRequest) (infra.PollResponse, error) {
 			b.attach(t, 2)
 			return granted(start("j/0", 1, batch(500))), nil
 		}
@@ -222,8 +222,8 @@
 		assert.Equal(t, len(b.journal.Runs()), 0)
 		assert.Assert(t, b.leaseUntil.IsZero())
 
-		_, err = b.Attach(platform.AttachRequest{Cell: "chipre-0", Epoch: 1, OwnerURL: "http://old"})
-		var stale *platform.StaleEpochError
+		_, err = b.Attach(infra.AttachRequest{Cell: "chipre-0", Epoch: 1, OwnerURL: "http://old"})
+		var stale *infra.StaleEpochError
 		assert.Assert(t, errors.As(err, &stale), "%v", err)
 		assert.Equal(t, stale.Want, int64(2))
 	})
@@ -246,8 +246,8 @@
 		assert.Equal(t, len(b.poll(t, 0, granted()).Reports), 1)
 		assert.Equal(t, len(b.attach(t, 2).Reports), 1)
 
-		b.owner.reply = func(context.Context, platform.PollRequest) (platform.PollResponse, error) {
-			return platform.PollResponse{}, &platform.StaleEpochError{}
+		b.owner.reply = func(context.Context, infra.PollRequest) (infra.PollResponse, error) {
+			return infra.PollResponse{}, &infra.StaleEpochError{}
 		}
 		lease := b.leaseUntil
 		polls := len(b.owner.polls)
@@ -271,10 +271,10 @@
 		b := newWorkerBench(t)
 		b.poll(t, 0, granted(start("j/0", 1, batch(8000))))
 		time.Sleep(3 * time.Second)
-		b.poll(t, 0, granted(platform.Command{Kind: platform.CommandStop, Ref: ref("j/0", 1), SaveCheckpoint: true}))
+		b.poll(t, 0, granted(infra.Command{Kind: infra.CommandStop, Ref: ref("j/0", 1), SaveCheckpoint: true}))
 		synctest.Wait()
 		last := b.reports[len(b.reports)-1]
-		assert.Equal(t, last.State, platform.RunStopped)
+		assert.Equal(t, last.State, infra.RunStopped)
 		assert.Equal(t, last.WorkMillis, int64(3000))
 
 		next := NewWorker(b.cfg, WorkerFaults{})
@@ -285,9 +285,9 @@
 		resume.Checkpoint = last.Checkpoint
 		second.poll(t, 0, granted(resume))
 		time.Sleep(5*time.Second - time.Millisecond)
-		assert.Equal(t, second.ends()[ref("j/0", 2)], platform.RunRunning)
+		assert.Equal(t, second.ends()[ref("j/0", 2)], infra.RunRunning)
 		time.Sleep(time.Millisecond)
-		assert.Equal(t, second.ends()[ref("j/0", 2)], platform.RunCompleted)
+		assert.Equal(t, second.ends()[ref("j/0", 2)], infra.RunCompleted)
 	})
 }
 
@@ -297,11 +297,11 @@
 		b := newWorkerBench(t)
 		b.objects.SetFaults(ObjectsFaults{Down: true, Delay: time.Second})
 		b.poll(t, 0, granted(start("j/0", 1, batch(60_000))))
-		b.poll(t, 0, granted(platform.Command{Kind: platform.CommandStop, Ref: ref("j/0", 1), SaveCheckpoint: true}))
-		assert.DeepEqual(t, b.attach(t, 1).Running, []platform.AttemptRef{ref("j/0", 1)})
+		b.poll(t, 0, granted(infra.Command{Kind: infra.CommandStop, Ref: ref("j/0", 1), SaveCheckpoint: true}))
+		assert.DeepEqual(t, b.attach(t, 1).Running, []infra.AttemptRef{ref("j/0", 1)})
 		time.Sleep(time.Second)
 		synctest.Wait()
-		assert.Equal(t, b.ends()[ref("j/0", 1)], platform.RunStopped)
+		assert.Equal(t, b.ends()[ref("j/0", 1)], infra.RunStopped)
 		assert.Equal(t, b.reports[len(b.reports)-1].Checkpoint, "")
 	})
 }
@@ -337,13 +337,13 @@
 		assert.Equal(t, usage[0].AgeMillis, int64(3500))
 
 		// 4.5 s at two thirds are 3 s of work; the rest takes 2 s at half of the speed.
-		slow := platform.Command{Kind: platform.CommandThrottle, Ref: ref("a/0", 1), CPUPercent: 50}
-		stop := platform.Command{Kind: platform.CommandStop, Ref: ref("b/0", 1)}
+		slow := infra.Command{Kind: infra.CommandThrottle, Ref: ref("a/0", 1), CPUPercent: 50}
+		stop := infra.Command{Kind: infra.CommandStop, Ref: ref("b/0", 1)}
 		b.poll(t, 0, granted(slow, stop))
 		time.Sleep(2*time.Second - time.Millisecond)
-		assert.Equal(t, b.ends()[ref("a/0", 1)], platform.RunRunning)
+		assert.Equal(t, b.ends()[ref("a/0", 1)], infra.RunRunning)
 		time.Sleep(2 * time.Millisecond)
-		assert.Equal(t, b.ends()[ref("a/0", 1)], platform.RunCompleted)
+		assert.Equal(t, b.ends()[ref("a/0", 1)], infra.RunCompleted)
 	})
 }
 
--- a/ledger/writer.go
+++ b/ledger/writer.go
@@ -9,8 +9,8 @@
 	"github.com/google/uuid"
 	"github.com/juju/errors"
 
+	"github.com/currantthread/currantthread/infra"
 	"github.com/currantthread/currantthread/internal/wait"
-	"github.com/currantthread/currantthread/platform"
 )
 
 // ErrUnresolved reports that the previous commit's outcome must be settled by Resolve first.
@@ -27,7 +27,7 @@
 // since the previous one. A transaction that is sent twice therefore takes effect once, and reading the marker tells
 // whether it did. A Writer is not safe for concurrent use; its owner is the goroutine that commits.
 type Writer struct {
-	table  platform.Table
+	table  infra.Table
 	marker string
 	// version is the marker's version after the last settled commit; -1 before the first read.
 	version int64
@@ -36,16 +36,16 @@
 }
 
 // NewWriter returns a Writer that nobody else uses at the same time under the same name.
-func NewWriter(table platform.Table, name string) *Writer {
+func NewWriter(table infra.Table, name string) *Writer {
 	return &Writer{table: table, marker: markerKey(name), version: -1}
 }
 
 // Commit applies txn. A lost answer is settled by reading the marker and repeating until ctx ends.
 //
-// Errors: *platform.ConflictError and *platform.UnavailableError mean that txn was not applied and never will be.
-// *platform.UnknownOutcomeError means that ctx ended first; Resolve must be called before the next Commit, which
+// Errors: *infra.ConflictError and *infra.UnavailableError mean that txn was not applied and never will be.
+// *infra.UnknownOutcomeError means that ctx ended first; Resolve must be called before the next Commit, which
 // returns ErrUnresolved until then.
-func (w *Writer) Commit(ctx context.Context, txn platform.Txn) (int64, error) {
+func (w *Writer) Commit(ctx context.Context, txn infra.Txn) (int64, error) {
 	if w.pending != "" {
 		return 0, ErrUnresolved
 	}
@@ -56,7 +56,7 @@
 	return w.settle(ctx, id, w.marked(txn, id))
 }
 
-// Resolve settles the outcome of a commit that returned *platform.UnknownOutcomeError. It returns whether that
+// Resolve settles the outcome of a commit that returned *infra.UnknownOutcomeError. It returns whether that
 // transaction was applied; if not, it never will be. An error means that the outcome is still unknown.
 func (w *Writer) Resolve(ctx context.Context) (applied bool, err error) {
 	if w.pending == "" {
@@ -66,12 +66,12 @@
 	fence := uuid.NewString()
 	for {
 		// The fence takes the marker version that the unresolved transaction needs, so only one of them can apply.
-		version, err := w.table.Commit(ctx, w.marked(platform.Txn{}, fence))
+		version, err := w.table.Commit(ctx, w.marked(infra.Txn{}, fence))
 		if err == nil {
 			w.settled(version)
 			return false, nil
 		}
-		if !platform.IsConflict(err) && !platform.IsUnknownOutcome(err) {
+		if !infra.IsConflict(err) && !infra.IsUnknownOutcome(err) {
 			return false, err
 		}
 		row, err := w.readMarker(ctx)
@@ -93,7 +93,7 @@
 }
 
 // settle sends a marked transaction until its outcome is known or ctx ends.
-func (w *Writer) settle(ctx context.Context, id string, txn platform.Txn) (int64, error) {
+func (w *Writer) settle(ctx context.Context, id string, txn infra.Txn) (int64, error) {
 	retry := backoff.NewExponentialBackOff()
 	retry.InitialInterval = retryInitialInterval
 	retry.MaxInterval = retryMaxInterval
@@ -104,8 +104,8 @@
 			w.settled(version)
 			return version, nil
 		}
-		var conflict *platform.ConflictError
-		unavailable := &platform.UnavailableError{}
+		var conflict *infra.ConflictError
+		unavailable := &infra.UnavailableError{}
 		switch {
 		case stderrors.As(err, &conflict) && conflict.Has(w.marker):
 			version, done, err := w.checkMarker(ctx, id)
@@ -121,7 +121,7 @@
 		sentBefore = true
 		w.pending = id
 		if !wait.For(ctx, retry.NextBackOff()) {
-			return 0, &platform.UnknownOutcomeError{Err: err}
+			return 0, &infra.UnknownOutcomeError{Err: err}
 		}
 	}
 }
@@ -134,7 +134,7 @@
 	}
 	applied, err := w.Resolve(ctx)
 	if err != nil {
-		return 0, &platform.UnknownOutcomeError{Err: err}
+		return 0, &infra.UnknownOutcomeError{Err: err}
 	}
 	if applied {
 		return w.version, nil
@@ -153,18 +153,18 @@
 		return row.Version, true, nil
 	}
 	// Another transaction holds the marker, so this one was not applied and cannot be any more.
-	return 0, true, &platform.ConflictError{Keys: []string{w.marker}}
+	return 0, true, &infra.ConflictError{Keys: []string{w.marker}}
 }
 
-func (w *Writer) marked(txn platform.Txn, id string) platform.Txn {
-	marked := platform.Txn{
-		Conditions: make([]platform.Condition, 0, len(txn.Conditions)+1),
-		Writes:     make([]platform.Write, 0, len(txn.Writes)+1),
+func (w *Writer) marked(txn infra.Txn, id string) infra.Txn {
+	marked := infra.Txn{
+		Conditions: make([]infra.Condition, 0, len(txn.Conditions)+1),
+		Writes:     make([]infra.Write, 0, len(txn.Writes)+1),
 	}
 	marked.Conditions = append(append(marked.Conditions, txn.Conditions...),
-		platform.Condition{Key: w.marker, Version: w.version})
+		infra.Condition{Key: w.marker, Version: w.version})
 	marked.Writes = append(append(marked.Writes, txn.Writes...),
-		platform.Write{Key: w.marker, Value: []byte(id)})
+		infra.Write{Key: w.marker, Value: []byte(id)})
 	return marked
 }
 
@@ -180,10 +180,10 @@
 	return nil
 }
 
-func (w *Writer) readMarker(ctx context.Context) (platform.Row, error) {
+func (w *Writer) readMarker(ctx context.Context) (infra.Row, error) {
 	rows, err := w.table.Read(ctx, w.marker)
 	if err != nil {
-		return platform.Row{}, err
+		return infra.Row{}, err
 	}
 	return rows[0], nil
 }
--- a/ledger/writer_test.go
+++ b/ledger/writer_test.go
@@ -10,14 +10,14 @@
 	"gotest.tools/v3/assert"
 	"pgregory.net/rapid"
 
+	"github.com/currantthread/currantthread/infra"
 	"github.com/currantthread/currantthread/internal/standin"
 	"github.com/currantthread/currantthread/ledger"
-	"github.com/currantthread/currantthread/platform"
 )
 
 // appendTo returns a transaction that is visible as often as it was applied: it adds a row under a fresh key.
-func appendTo(key string) platform.Txn {
-	return platform.Txn{Writes: []platform.Write{{Key: key, Value: []byte("x")}}}
+func appendTo(key string) infra.Txn {
+	return infra.Txn{Writes: []infra.Write{{Key: key, Value: []byte("x")}}}
 }
 
 // Guards against a write that is applied twice, or reported as failed, after its answer was lost.
@@ -48,14 +48,14 @@
 
 // heldTable delays one commit until release and answers it as lost, like a packet that arrives late.
 type heldTable struct {
-	platform.Table
-	held *platform.Txn
+	infra.Table
+	held *infra.Txn
 }
 
-func (h *heldTable) Commit(ctx context.Context, txn platform.Txn) (int64, error) {
+func (h *heldTable) Commit(ctx context.Context, txn infra.Txn) (int64, error) {
 	if h.held == nil {
 		h.held = &txn
-		return 0, &platform.UnknownOutcomeError{Err: errors.New("held")}
+		return 0, &infra.UnknownOutcomeError{Err: errors.New("held")}
 	}
 	return h.Table.Commit(ctx, txn)
 }
@@ -69,14 +69,14 @@
 		ctx, cancel := context.WithTimeout(t.Context(), time.Millisecond)
 		defer cancel()
 		_, err := w.Commit(ctx, appendTo("a"))
-		assert.Assert(t, platform.IsUnknownOutcome(err))
+		assert.Assert(t, infra.IsUnknownOutcome(err))
 		_, err = w.Commit(t.Context(), appendTo("b"))
 		assert.ErrorIs(t, err, ledger.ErrUnresolved)
 		applied, err := w.Resolve(t.Context())
 		assert.NilError(t, err)
 		assert.Assert(t, !applied)
 		_, err = table.Commit(t.Context(), *held.held)
-		assert.Assert(t, platform.IsConflict(err))
+		assert.Assert(t, infra.IsConflict(err))
 	})
 }
 
@@ -99,12 +99,12 @@
 		})
 		key := string(rune('a' + i))
 		txn := appendTo(key)
-		txn.Conditions = []platform.Condition{{Key: key, Version: 0}}
+		txn.Conditions = []infra.Condition{{Key: key, Version: 0}}
 		ctx, cancel := context.WithTimeout(t.Context(), 50*time.Millisecond)
 		_, err := w.Commit(ctx, txn)
 		cancel()
 		applied := err == nil
-		if platform.IsUnknownOutcome(err) {
+		if infra.IsUnknownOutcome(err) {
 			table.SetFaults(standin.TableFaults{LoseAnswers: rapid.IntRange(0, 1).Draw(rt, "lose fence")})
 			applied, err = w.Resolve(t.Context())
 			assert.NilError(t, err)
--- a/membership/membership.go
+++ b/membership/membership.go
@@ -11,22 +11,22 @@
 
 	"github.com/cespare/xxhash/v2"
 
+	"github.com/currantthread/currantthread/infra"
 	"github.com/currantthread/currantthread/internal/wait"
-	"github.com/currantthread/currantthread/platform"
 )
 
 // Watcher reads the VM list from time to time and keeps the last answer while the list is away.
 // It is safe for concurrent use.
 type Watcher struct {
-	list     platform.VMList
+	list     infra.VMList
 	interval func() time.Duration
 
 	mu  sync.Mutex // guards the fields below
-	vms []platform.VM
+	vms []infra.VM
 }
 
 // NewWatcher returns a watcher that reads list each interval once Run is called.
-func NewWatcher(list platform.VMList, interval func() time.Duration) *Watcher {
+func NewWatcher(list infra.VMList, interval func() time.Duration) *Watcher {
 	return &Watcher{list: list, interval: interval}
 }
 
@@ -43,7 +43,7 @@
 }
 
 // List reads the list once and keeps the answer. It lets a Watcher stand in for the list where another loop reads it.
-func (w *Watcher) List(ctx context.Context) ([]platform.VM, error) {
+func (w *Watcher) List(ctx context.Context) ([]infra.VM, error) {
 	vms, err := w.list.List(ctx)
 	if err != nil {
 		return nil, err
@@ -55,17 +55,17 @@
 }
 
 // VMs returns the last answer. It must not be changed.
-func (w *Watcher) VMs() []platform.VM {
+func (w *Watcher) VMs() []infra.VM {
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	return w.vms
 }
 
 // Entries returns the live and leaving entry VMs of a failure domain, or of all if domain is empty.
-func (w *Watcher) Entries(domain string) []platform.VM {
-	var entries []platform.VM
+func (w *Watcher) Entries(domain string) []infra.VM {
+	var entries []infra.VM
 	for _, vm := range w.VMs() {
-		if vm.Role == platform.RoleEntry && (domain == "" || vm.Domain == domain) {
+		if vm.Role == infra.RoleEntry && (domain == "" || vm.Domain == domain) {
 			entries = append(entries, vm)
 		}
 	}
@@ -73,9 +73,9 @@
 }
 
 // Rank orders VMs by rendezvous hash for a key: all VMs agree on the order, and it changes little as VMs come and go.
-func Rank(key string, vms []platform.VM) []platform.VM {
+func Rank(key string, vms []infra.VM) []infra.VM {
 	ranked := slices.Clone(vms)
-	slices.SortFunc(ranked, func(a, b platform.VM) int {
+	slices.SortFunc(ranked, func(a, b infra.VM) int {
 		weightA, weightB := xxhash.Sum64String(key+"/"+a.ID), xxhash.Sum64String(key+"/"+b.ID)
 		switch {
 		case weightA < weightB:
--- a/route/endpoint.go
+++ b/route/endpoint.go
@@ -5,7 +5,7 @@
 	"sync/atomic"
 	"time"
 
-	"github.com/currantthread/currantthread/platform"
+	"github.com/currantthread/currantthread/infra"
 )
 
 // Outcome is how a request to an endpoint ended.
@@ -88,7 +88,7 @@
 	health     health
 }
 
-func newEndpoint(set *Set, vm platform.VM) *Endpoint {
+func newEndpoint(set *Set, vm infra.VM) *Endpoint {
 	slots := vm.Slots
 	if slots <= 0 {
 		slots = defaultSlots
--- a/route/health_test.go
+++ b/route/health_test.go
@@ -8,7 +8,7 @@
 	"gotest.tools/v3/assert"
 	"pgregory.net/rapid"
 
-	"github.com/currantthread/currantthread/platform"
+	"github.com/currantthread/currantthread/infra"
 	"github.com/currantthread/currantthread/route"
 )
 
@@ -99,10 +99,10 @@
 	set.UpdateAt(now, vms)
 	assert.Equal(t, shares(t, set, now, 1000)[gone.ID], 0)
 
-	vms[0].State = platform.VMLeaving
+	vms[0].State = infra.VMLeaving
 	set.UpdateAt(now, vms)
 	assert.Equal(t, shares(t, set, now, 1000)[gone.ID], 0)
-	vms[0].State = platform.VMLive
+	vms[0].State = infra.VMLive
 	set.UpdateAt(now, vms)
 	assert.Assert(t, shares(t, set, now, 1000)[gone.ID] > 0)
 
--- a/route/load_test.go
+++ b/route/load_test.go
@@ -7,7 +7,7 @@
 
 	"gotest.tools/v3/assert"
 
-	"github.com/currantthread/currantthread/platform"
+	"github.com/currantthread/currantthread/infra"
 	"github.com/currantthread/currantthread/route"
 )
 
@@ -134,7 +134,7 @@
 		assert.NilError(t, err)
 		return e.Domain
 	}
-	set := newSet(append(append(append([]platform.VM{}, near...), region...), far...), route.Config{})
+	set := newSet(append(append(append([]infra.VM{}, near...), region...), far...), route.Config{})
 	warm(set, epoch)
 	load(set, "chipre", 8)
 	assert.Equal(t, pickDomain(set, true), "la-enea")
--- a/route/set.go
+++ b/route/set.go
@@ -7,7 +7,7 @@
 	"sync/atomic"
 	"time"
 
-	"github.com/currantthread/currantthread/platform"
+	"github.com/currantthread/currantthread/infra"
 )
 
 // ErrNoEndpoint reports that no endpoint may take the request.
@@ -82,10 +82,10 @@
 
 // Update replaces the endpoints by those of vms and keeps the state of endpoints that stay. VMs of other roles are
 // ignored; the caller passes the VMs of one service.
-func (s *Set) Update(vms []platform.VM) { s.UpdateAt(time.Now(), vms) }
+func (s *Set) Update(vms []infra.VM) { s.UpdateAt(time.Now(), vms) }
 
 // UpdateAt is Update at a given instant, for simulations.
-func (s *Set) UpdateAt(now time.Time, vms []platform.VM) {
+func (s *Set) UpdateAt(now time.Time, vms []infra.VM) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	at := s.since(now)
@@ -95,21 +95,21 @@
 	}
 	all := make([]*Endpoint, 0, len(vms))
 	for _, vm := range vms {
-		if vm.Role != platform.RoleUpstream {
+		if vm.Role != infra.RoleUpstream {
 			continue
 		}
 		e := known[vm.ID]
 		if e == nil || e.changed(vm) {
 			e = newEndpoint(s, vm)
 		}
-		s.setListed(e, vm.State == platform.VMLeaving, at)
+		s.setListed(e, vm.State == infra.VMLeaving, at)
 		all = append(all, e)
 	}
 	s.publish(all)
 }
 
 // changed reports whether vm is another upstream under the same ID.
-func (e *Endpoint) changed(vm platform.VM) bool {
+func (e *Endpoint) changed(vm infra.VM) bool {
 	return e.Addr != vm.Addr || e.Region != vm.Region || e.Domain != vm.Domain || e.Service != vm.Service ||
 		(vm.Slots > 0 && vm.Slots != e.Slots) || e.Connections != vm.Connections
 }
--- a/route/set_test.go
+++ b/route/set_test.go
@@ -7,7 +7,7 @@
 
 	"gotest.tools/v3/assert"
 
-	"github.com/currantthread/currantthread/platform"
+	"github.com/currantthread/currantthread/infra"
 	"github.com/currantthread/currantthread/route"
 )
 
@@ -15,16 +15,16 @@
 
 var local = route.Locality{Region: "caldas-centro", Domain: "chipre"}
 
-func upstreams(region, domain string, n int) []platform.VM {
-	vms := make([]platform.VM, n)
+func upstreams(region, domain string, n int) []infra.VM {
+	vms := make([]infra.VM, n)
 	for i := range vms {
-		vms[i] = platform.VM{ID: fmt.Sprintf("%s-%d", domain, i), Role: platform.RoleUpstream, State: platform.VMLive,
+		vms[i] = infra.VM{ID: fmt.Sprintf("%s-%d", domain, i), Role: infra.RoleUpstream, State: infra.VMLive,
 			Region: region, Domain: domain, Addr: fmt.Sprintf("127.1.0.%d:7000", i+1), Service: "kioscos", Slots: 8}
 	}
 	return vms
 }
 
-func newSet(vms []platform.VM, cfg route.Config) *route.Set {
+func newSet(vms []infra.VM, cfg route.Config) *route.Set {
 	cfg.Seed = 1
 	set := route.NewSetAt(epoch, local, cfg)
 	set.UpdateAt(epoch, vms)
@@ -39,12 +39,12 @@
 	far := upstreams("valle-norte", "cartago", 2)
 	cases := []struct {
 		name   string
-		vms    []platform.VM
+		vms    []infra.VM
 		cross  bool
 		domain string
 	}{
-		{"own domain", append(append(append([]platform.VM{}, far...), region...), near...), true, "chipre"},
-		{"own region", append(append([]platform.VM{}, far...), region...), true, "la-enea"},
+		{"own domain", append(append(append([]infra.VM{}, far...), region...), near...), true, "chipre"},
+		{"own region", append(append([]infra.VM{}, far...), region...), true, "la-enea"},
 		{"other region", far, true, "cartago"},
 		{"other region refused", far, false, ""},
 	}
--- a/sched/control_test.go
+++ b/sched/control_test.go
@@ -6,8 +6,8 @@
 
 	"gotest.tools/v3/assert"
 
+	"github.com/currantthread/currantthread/infra"
 	"github.com/currantthread/currantthread/job"
-	"github.com/currantthread/currantthread/platform"
 )
 
 // Guards against a second action before the effect of the first can show: reports that arrive within the usage lag, and
@@ -25,8 +25,8 @@
 		s.Restore(Allocation{Task: task, Worker: "w1", Commitment: cpu(1000)})
 	}
 	report := func(age time.Duration, slowdown float64) {
-		s.ReportUsage("w1", platform.Usage{
-			Ref:       platform.AttemptRef{Task: "svc/0", Attempt: 1},
+		s.ReportUsage("w1", infra.Usage{
+			Ref:       infra.AttemptRef{Task: "svc/0", Attempt: 1},
 			AgeMillis: age.Milliseconds(), SlowdownPermille: int64(slowdown * 1000),
 		})
 	}
--- a/sched/machine_test.go
+++ b/sched/machine_test.go
@@ -10,8 +10,8 @@
 
 	"pgregory.net/rapid"
 
+	"github.com/currantthread/currantthread/infra"
 	"github.com/currantthread/currantthread/job"
-	"github.com/currantthread/currantthread/platform"
 )
 
 // place is where the test believes a task to be.
@@ -375,8 +375,8 @@
 func (m *machine) Usage(t *rapid.T) {
 	x := m.pick(t, placeRunning)
 	for range rapid.IntRange(1, 8).Draw(t, "reports") {
-		m.s.ReportUsage(x.worker, platform.Usage{
-			Ref: platform.AttemptRef{Task: x.task.ID, Attempt: x.task.Attempt},
+		m.s.ReportUsage(x.worker, infra.Usage{
+			Ref: infra.AttemptRef{Task: x.task.ID, Attempt: x.task.Attempt},
 			Used: job.Resources{
 				CPUMilli:  rapid.Int64Range(0, 40_000).Draw(t, "used cpu"),
 				MemoryMiB: rapid.Int64Range(0, 60_000).Draw(t, "used memory"),
--- a/sched/sizes.go
+++ b/sched/sizes.go
@@ -3,8 +3,8 @@
 import (
 	"time"
 
+	"github.com/currantthread/currantthread/infra"
 	"github.com/currantthread/currantthread/job"
-	"github.com/currantthread/currantthread/platform"
 )
 
 // sizeKey groups tasks whose sizes are learned together: by kind, or by job if no kind is declared.
@@ -90,7 +90,7 @@
 }
 
 // ReportUsage learns from a measurement of a task on a worker. Reports of other attempts are ignored.
-func (s *Scheduler) ReportUsage(workerID string, u platform.Usage) {
+func (s *Scheduler) ReportUsage(workerID string, u infra.Usage) {
 	r := s.tasks[u.Ref.Task]
 	if r == nil || r.state == statePlanned || r.worker.spec.ID != workerID || r.task.Attempt != u.Ref.Attempt {
 		return
--- a/worker/attach.go
+++ b/worker/attach.go
@@ -6,7 +6,7 @@
 	"sync"
 	"time"
 
-	"github.com/currantthread/currantthread/platform"
+	"github.com/currantthread/currantthread/infra"
 )
 
 const (
@@ -76,7 +76,7 @@
 func (h *Holder) attach(ctx context.Context, target attachTarget) {
 	ctx, cancel := context.WithTimeout(ctx, attachTimeout)
 	defer cancel()
-	resp, err := h.cfg.Workers.Attach(ctx, target.addr, platform.AttachRequest{
+	resp, err := h.cfg.Workers.Attach(ctx, target.addr, infra.AttachRequest{
 		Cell: h.cfg.Cell, Epoch: h.cfg.Epoch, OwnerURL: h.cfg.OwnerURL,
 	})
 	h.mu.Lock()
@@ -96,7 +96,7 @@
 // attached records a worker's answer. The worker now refuses earlier epochs, so its lease, whoever granted it, runs for
 // at most one term from the first answer. An attach grants no lease, so the answers after the first move no deadline:
 // otherwise a worker whose polls are lost while attaches arrive would never be found to have lapsed.
-func (h *Holder) attached(l *lease, resp platform.AttachResponse) {
+func (h *Holder) attached(l *lease, resp infra.AttachResponse) {
 	first := l.state != attached || l.incarnation != resp.Incarnation
 	if l.incarnation != resp.Incarnation {
 		l.incarnation = resp.Incarnation
