--- a/worker/commands.go
+++ b/worker/commands.go
@@ -4,7 +4,7 @@
 	"slices"
 	"time"
 
-	"github.com/currantthread/currantthread/platform"
+	"github.com/currantthread/currantthread/infra"
 )
 
 // maxUnreportedSends bounds how often a command is sent that no report confirms. Repeating it is harmless, and losing
@@ -12,7 +12,7 @@
 const maxUnreportedSends = 2
 
 // Send queues a command until the worker reports its effect. A stop replaces all queued commands for its attempt.
-func (h *Holder) Send(id string, cmd platform.Command) {
+func (h *Holder) Send(id string, cmd infra.Command) {
 	h.mu.Lock()
 	defer h.mu.Unlock()
 	l := h.leases[id]
@@ -20,7 +20,7 @@
 		return
 	}
 	l.drop(func(c *command) bool {
-		return c.Ref == cmd.Ref && (c.Kind == cmd.Kind || cmd.Kind == platform.CommandStop)
+		return c.Ref == cmd.Ref && (c.Kind == cmd.Kind || cmd.Kind == infra.CommandStop)
 	})
 	l.commands = append(l.commands, &command{Command: cmd})
 	l.touch()
@@ -33,7 +33,7 @@
 	defer h.mu.Unlock()
 	for _, l := range h.leases {
 		for _, c := range l.commands {
-			if c.Kind == platform.CommandStart && c.sends > 0 {
+			if c.Kind == infra.CommandStart && c.sends > 0 {
 				return true
 			}
 		}
@@ -43,19 +43,19 @@
 
 // stops reports whether a stop waits for its report.
 func (l *lease) stops() bool {
-	return slices.ContainsFunc(l.commands, func(c *command) bool { return c.Kind == platform.CommandStop && c.sends > 0 })
+	return slices.ContainsFunc(l.commands, func(c *command) bool { return c.Kind == infra.CommandStop && c.sends > 0 })
 }
 
 // reported drops the commands that a report confirms.
-func (l *lease) reported(r platform.Report) {
+func (l *lease) reported(r infra.Report) {
 	l.drop(func(c *command) bool {
 		if c.Ref != r.Ref {
 			return false
 		}
-		if r.State.Ended() || c.Kind == platform.CommandStart {
+		if r.State.Ended() || c.Kind == infra.CommandStart {
 			return true
 		}
-		return c.Kind == platform.CommandCheckpoint && r.Checkpoint != ""
+		return c.Kind == infra.CommandCheckpoint && r.Checkpoint != ""
 	})
 }
 
@@ -81,16 +81,16 @@
 }
 
 func (c *command) due(now time.Time, startsPermitted bool) bool {
-	if c.Kind == platform.CommandStart && !startsPermitted {
+	if c.Kind == infra.CommandStart && !startsPermitted {
 		return false
 	}
 	return c.sends == 0 || now.Sub(c.sentAt) >= resendAfter
 }
 
 // collect returns the commands that are due and marks them as sent.
-func (h *Holder) collect(l *lease, now time.Time) []platform.Command {
+func (h *Holder) collect(l *lease, now time.Time) []infra.Command {
 	permitted := now.Before(h.cfg.PermitUntil())
-	var out []platform.Command
+	var out []infra.Command
 	for _, c := range l.commands {
 		if len(out) == maxCommands {
 			break
@@ -103,7 +103,7 @@
 		out = append(out, c.Command)
 	}
 	l.drop(func(c *command) bool {
-		confirmed := c.Kind == platform.CommandStart || c.Kind == platform.CommandStop
+		confirmed := c.Kind == infra.CommandStart || c.Kind == infra.CommandStop
 		return !confirmed && c.sends >= maxUnreportedSends
 	})
 	return out
--- a/worker/holder.go
+++ b/worker/holder.go
@@ -13,7 +13,7 @@
 
 	"github.com/sirupsen/logrus"
 
-	"github.com/currantthread/currantthread/platform"
+	"github.com/currantthread/currantthread/infra"
 )
 
 const (
@@ -48,7 +48,7 @@
 	GrantUntil func() time.Time
 	// PermitUntil returns the instant until which tasks may start; the zero time forbids starts.
 	PermitUntil func() time.Time
-	Workers     platform.Workers
+	Workers     infra.Workers
 	Rand        *rand.Rand
 	Logger      *logrus.Entry
 }
@@ -107,7 +107,7 @@
 }
 
 type command struct {
-	platform.Command
+	infra.Command
 	sentAt time.Time
 	sends  int
 }
@@ -117,10 +117,10 @@
 	Worker      string
 	Incarnation string
 	// Attached is set when the worker attached. Reports that it listed come before as events of their own.
-	Attached *platform.AttachResponse
-	Report   *platform.Report
+	Attached *infra.AttachResponse
+	Report   *infra.Report
 	// Usage is what a poll measured. An event with nothing else is a worker that polls for the first time in a while.
-	Usage []platform.Usage
+	Usage []infra.Usage
 }
 
 // Wake signals that Drain has something to return.
--- a/worker/holder_test.go
+++ b/worker/holder_test.go
@@ -13,7 +13,7 @@
 
 	"gotest.tools/v3/assert"
 
-	"github.com/currantthread/currantthread/platform"
+	"github.com/currantthread/currantthread/infra"
 	"github.com/currantthread/currantthread/worker"
 )
 
@@ -22,11 +22,11 @@
 // idle answers the first attach of each worker as one that runs nothing, and no later one.
 type idle struct{ answered sync.Map }
 
-func (i *idle) Attach(_ context.Context, addr string, _ platform.AttachRequest) (platform.AttachResponse, error) {
+func (i *idle) Attach(_ context.Context, addr string, _ infra.AttachRequest) (infra.AttachResponse, error) {
 	if _, again := i.answered.LoadOrStore(addr, true); again {
-		return platform.AttachResponse{}, &platform.UnknownOutcomeError{Err: context.DeadlineExceeded}
+		return infra.AttachResponse{}, &infra.UnknownOutcomeError{Err: context.DeadlineExceeded}
 	}
-	return platform.AttachResponse{Worker: addr, Incarnation: "i1"}, nil
+	return infra.AttachResponse{Worker: addr, Incarnation: "i1"}, nil
 }
 
 func newHolder(ctx context.Context, workers int) *worker.Holder {
@@ -42,8 +42,8 @@
 	return h
 }
 
-func poll(ctx context.Context, h *worker.Holder, id string, hold time.Duration) (platform.PollResponse, error) {
-	return h.Poll(ctx, platform.PollRequest{
+func poll(ctx context.Context, h *worker.Holder, id string, hold time.Duration) (infra.PollResponse, error) {
+	return h.Poll(ctx, infra.PollRequest{
 		Worker: id, Incarnation: "i1", Cell: "c", Epoch: 1, HoldMillis: hold.Milliseconds(),
 	})
 }
@@ -65,7 +65,7 @@
 		time.Sleep(time.Second)
 		assert.DeepEqual(t, h.Lapsed(time.Now()), []string{"w0"})
 		_, err = poll(ctx, h, "w0", 0)
-		assert.ErrorType(t, err, &platform.StaleEpochError{})
+		assert.ErrorType(t, err, &infra.StaleEpochError{})
 	})
 }
 
@@ -105,10 +105,10 @@
 	ctx, cancel := context.WithCancel(b.Context())
 	defer cancel()
 	h := newHolder(ctx, 1)
-	server := httptest.NewServer(platform.NewPollHandler(h))
+	server := httptest.NewServer(infra.NewPollHandler(h))
 	defer server.Close()
-	client := platform.NewPollClient("d", time.Second)
-	req := platform.PollRequest{Worker: "w0", Incarnation: "i1", Cell: "c", Epoch: 1}
+	client := infra.NewPollClient("d", time.Second)
+	req := infra.PollRequest{Worker: "w0", Incarnation: "i1", Cell: "c", Epoch: 1}
 	for {
 		if _, err := client.Poll(ctx, server.URL, req); err == nil {
 			break
--- a/worker/poll.go
+++ b/worker/poll.go
@@ -4,11 +4,11 @@
 	"context"
 	"time"
 
-	"github.com/currantthread/currantthread/platform"
+	"github.com/currantthread/currantthread/infra"
 )
 
-// Poll implements platform.PollServer.
-func (h *Holder) Poll(ctx context.Context, req platform.PollRequest) (platform.PollResponse, error) {
+// Poll implements infra.PollServer.
+func (h *Holder) Poll(ctx context.Context, req infra.PollRequest) (infra.PollResponse, error) {
 	received := time.Now()
 	hold := min(time.Duration(req.HoldMillis)*time.Millisecond, maxHold)
 	timer := time.NewTimer(hold)
@@ -17,7 +17,7 @@
 	h.mu.Lock()
 	defer h.mu.Unlock()
 	if err := h.admit(ctx, req, timer.C); err != nil {
-		return platform.PollResponse{}, err
+		return infra.PollResponse{}, err
 	}
 	l := h.leases[req.Worker]
 	h.take(l, req, received)
@@ -26,21 +26,21 @@
 		timer.Reset(min(hold, stopHold))
 	}
 	if err := h.hold(ctx, l, poll, timer.C); err != nil {
-		return platform.PollResponse{}, err
+		return infra.PollResponse{}, err
 	}
 	if l.state != attached || l.incarnation != req.Incarnation {
-		return platform.PollResponse{}, h.stale(req)
+		return infra.PollResponse{}, h.stale(req)
 	}
 	return h.answer(l, req, received)
 }
 
-func (h *Holder) stale(req platform.PollRequest) error {
-	return &platform.StaleEpochError{Cell: req.Cell, Got: req.Epoch, Want: h.cfg.Epoch}
+func (h *Holder) stale(req infra.PollRequest) error {
+	return &infra.StaleEpochError{Cell: req.Cell, Got: req.Epoch, Want: h.cfg.Epoch}
 }
 
 // admit waits until no attach of the worker is in flight and checks that the poll belongs to the attached incarnation.
 // While an attach is in flight no poll is taken, so that its answer is never older than a report already handled.
-func (h *Holder) admit(ctx context.Context, req platform.PollRequest, deadline <-chan time.Time) error {
+func (h *Holder) admit(ctx context.Context, req infra.PollRequest, deadline <-chan time.Time) error {
 	for {
 		l := h.leases[req.Worker]
 		if h.closed || l == nil || req.Epoch != h.cfg.Epoch || req.Cell != h.cfg.Cell {
@@ -76,7 +76,7 @@
 }
 
 // take records what the poll reports.
-func (h *Holder) take(l *lease, req platform.PollRequest, received time.Time) {
+func (h *Holder) take(l *lease, req infra.PollRequest, received time.Time) {
 	firstPoll := received.Sub(l.lastPoll) > silentAfter
 	l.lastPoll, l.lastHeard = received, received
 	l.poll++
@@ -87,7 +87,7 @@
 	}
 }
 
-func (h *Holder) takeReports(l *lease, reports []platform.Report) {
+func (h *Holder) takeReports(l *lease, reports []infra.Report) {
 	for _, r := range reports {
 		if r.Seq <= l.received {
 			continue
@@ -122,15 +122,15 @@
 }
 
 // answer grants the lease. The worker counts it from when it sent the poll, which is never after received.
-func (h *Holder) answer(l *lease, req platform.PollRequest, received time.Time) (platform.PollResponse, error) {
+func (h *Holder) answer(l *lease, req infra.PollRequest, received time.Time) (infra.PollResponse, error) {
 	now := time.Now()
 	if !now.Before(h.cfg.GrantUntil()) {
-		return platform.PollResponse{}, h.stale(req)
+		return infra.PollResponse{}, h.stale(req)
 	}
 	if deadline := now.Add(h.cfg.Lease); deadline.After(l.deadline) {
 		l.deadline = deadline
 	}
-	return platform.PollResponse{
+	return infra.PollResponse{
 		LeaseMillis:       (now.Sub(received) + h.cfg.Lease).Milliseconds(),
 		StartPermitMillis: max(0, h.cfg.PermitUntil().Sub(received).Milliseconds()),
 		AckSeq:            l.acked,
