--- /dev/null
+++ b/cmd/currantthread/main.go
@@ -0,0 +1,78 @@
+// Command currantthread runs one node on the users' platform.
+package main
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"os"
+	"os/signal"
+	"syscall"
+
+	"github.com/urfave/cli/v3"
+
+	"github.com/currantthread/currantthread/node"
+	"github.com/currantthread/currantthread/platform"
+	"github.com/currantthread/currantthread/settings"
+)
+
+// version is set by the build.
+var version = "dev"
+
+const (
+	exitFailed = 1
+	// exitUsage is for wrong arguments and for settings that are not accepted.
+	exitUsage = 2
+)
+
+// runError is a failure of the node, as opposed to wrong usage.
+type runError struct{ error }
+
+func main() {
+	ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt, syscall.SIGTERM)
+	err := command().Run(ctx, os.Args)
+	stop()
+	if err != nil {
+		fmt.Fprintf(os.Stderr, "currantthread: %v\n", err)
+		os.Exit(exitCode(err))
+	}
+}
+
+func command() *cli.Command {
+	return &cli.Command{
+		Name:    "currantthread",
+		Usage:   "run jobs on the runners of the platform",
+		Version: version,
+		Commands: []*cli.Command{{
+			Name:  "node",
+			Usage: "run one node",
+			Flags: []cli.Flag{&cli.StringFlag{
+				Name: "config", Usage: "read the platform's settings from `FILE`",
+				Sources: cli.EnvVars(platform.SettingsEnv), Required: true,
+			}},
+			Action: func(ctx context.Context, c *cli.Command) error {
+				if c.Args().Present() {
+					return fmt.Errorf("unexpected argument %q", c.Args().First())
+				}
+				boot, err := platform.LoadSettings(c.String("config"))
+				if err != nil {
+					return err
+				}
+				if err := node.Run(ctx, boot, os.Stdout); err != nil {
+					return runError{err}
+				}
+				return nil
+			},
+		}},
+		ExitErrHandler: func(context.Context, *cli.Command, error) {},
+	}
+}
+
+func exitCode(err error) int {
+	var problems settings.Problems
+	var failed runError
+	if errors.As(err, &failed) && !errors.As(err, &problems) {
+		return exitFailed
+	}
+	return exitUsage
+}
--- /dev/null
+++ b/dispatch/acquire.go
@@ -0,0 +1,161 @@
+package dispatch
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"strconv"
+	"time"
+
+	"github.com/sirupsen/logrus"
+
+	"github.com/currantthread/currantthread/internal/wait"
+	"github.com/currantthread/currantthread/runner"
+	"github.com/currantthread/currantthread/store"
+)
+
+// ErrOwned means that a cell has an owner that is at work.
+var ErrOwned = errors.New("cell has an owner")
+
+// ReadOwner returns a cell's ownership row and its version, which is 0 if the cell never had an owner.
+func ReadOwner(ctx context.Context, s store.Store, part string) (Ownership, int64, error) {
+	page, err := s.Range(ctx, TableCells, part, "", "", 0)
+	if err != nil {
+		return Ownership{}, 0, err
+	}
+	for _, row := range page.Rows {
+		if row.Key.Name != rowOwner {
+			continue
+		}
+		var owner Ownership
+		if err := json.Unmarshal(row.Value, &owner); err != nil {
+			return Ownership{}, 0, fmt.Errorf("ownership row of partition %s: %w", part, err)
+		}
+		return owner, row.Version, nil
+	}
+	return Ownership{}, 0, nil
+}
+
+// Acquire takes a cell over whose ownership row has the version, and reads its jobs. runners are those that may run
+// tasks of the cell. The error is ErrOwned if the row changed meanwhile.
+func Acquire(ctx context.Context, cfg Config, previous Ownership, version int64, runners []runner.Info) (*Cell, error) {
+	nonce := cfg.Node + "/acquire/" + strconv.FormatInt(time.Now().UnixNano(), 36)
+	value, err := json.Marshal(Ownership{Node: cfg.Node, Addr: cfg.Addr, Incarnation: cfg.Incarnation, Nonce: nonce})
+	if err != nil {
+		return nil, err
+	}
+	sent := time.Now()
+	epoch, err := commitOnce(ctx, cfg.Store, nonce, OwnerKey(cfg.Part), store.Txn{
+		Conditions: []store.Condition{{Key: OwnerKey(cfg.Part), Version: version}},
+		Writes:     []store.Write{{Key: OwnerKey(cfg.Part), Value: value}},
+	})
+	if err != nil {
+		return nil, err
+	}
+	c := newCell(cfg, epoch)
+	c.ownerVersion, c.lastCommit = epoch, sent
+	if version != 0 {
+		if err := c.load(ctx); err != nil {
+			return nil, err
+		}
+		c.expectRuns(previous, runners)
+	}
+	cfg.Log.WithFields(logrus.Fields{"cell": cfg.Name, "epoch": epoch, "previous": previous.Node, "released": previous.Released,
+		"jobs": len(c.jobs), "took_ms": time.Since(sent).Milliseconds()}).Info("acquired the cell")
+	return c, nil
+}
+
+// commitOnce repeats a commit until its outcome is known, which the nonce in the row tells.
+func commitOnce(ctx context.Context, s store.Store, nonce string, key store.Key, txn store.Txn) (int64, error) {
+	for {
+		version, err := s.Commit(ctx, txn)
+		if err == nil {
+			return version, nil
+		}
+		var conflict *store.ConflictError
+		if errors.As(err, &conflict) {
+			row := conflict.Row(key)
+			var owner Ownership
+			if row.Version != 0 && json.Unmarshal(row.Value, &owner) == nil && owner.Nonce == nonce {
+				return row.Version, nil
+			}
+			return 0, ErrOwned
+		}
+		if errors.Is(err, store.ErrUnavailable) {
+			return 0, err
+		}
+		if !wait.For(ctx, commitRetry) {
+			return 0, err
+		}
+	}
+}
+
+// load reads the cell's jobs and their progress.
+func (c *Cell) load(ctx context.Context) error {
+	defs, err := store.ReadAll(ctx, c.cfg.Store, TableJobs, c.cfg.Part)
+	if err != nil {
+		return err
+	}
+	progressPage, err := store.ReadAll(ctx, c.cfg.Store, TableProgress, c.cfg.Part)
+	if err != nil {
+		return err
+	}
+	progressRows := make(map[string][]byte, len(progressPage.Rows))
+	for _, row := range progressPage.Rows {
+		progressRows[row.Key.Name] = row.Value
+	}
+	now := time.Now()
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	for _, row := range defs.Rows {
+		j, err := restore(row.Value, progressRows[row.Key.Name])
+		if err != nil {
+			c.cfg.Log.WithFields(logrus.Fields{"request": row.Key.Name, "error": err.Error()}).Error("job can't be read")
+			continue
+		}
+		c.jobs[row.Key.Name] = j
+		c.resume(now, j)
+	}
+	return nil
+}
+
+// runGap is added to the run numbers of units whose last runs an earlier owner started without a record.
+const runGap = 8
+
+// resume makes the units of a restored job ready. The caller holds mu.
+func (c *Cell) resume(now time.Time, j *jobState) {
+	if j.state.Terminal() {
+		return
+	}
+	if !j.started && j.def.StartAt.IsZero() {
+		c.pending[j.def.Policy.Queue]++
+	}
+	if j.def.StartAt.IsZero() && j.nextOcc == 0 {
+		j.newOccurrence(0)
+		j.nextOcc = 1
+	}
+	if len(j.occs) == 0 && j.nextOcc > 0 && len(j.doneOccs) == 0 {
+		j.newOccurrence(0)
+	}
+	for _, occ := range j.occs {
+		for i := range occ.steps {
+			for _, u := range occ.steps[i].units {
+				u.recovered = true
+				u.run += runGap
+			}
+		}
+		c.activate(now, occ)
+	}
+}
+
+// expectRuns notes the runners that may run tasks which the predecessor started. The caller is the only user.
+func (c *Cell) expectRuns(previous Ownership, runners []runner.Info) {
+	until := time.Now().Add(time.Duration(float64(c.cfg.Lease)*(1+clockDrift)) + leaseSlack)
+	if !previous.Released && !c.cfg.PredecessorDead {
+		until = until.Add(storeSilenceBound)
+	}
+	for _, info := range runners {
+		c.unresolved[info.ID] = until
+	}
+}
--- /dev/null
+++ b/dispatch/flush.go
@@ -0,0 +1,378 @@
+package dispatch
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"strconv"
+	"time"
+
+	"github.com/sirupsen/logrus"
+
+	"github.com/currantthread/currantthread/internal/wait"
+	"github.com/currantthread/currantthread/store"
+	"github.com/currantthread/currantthread/workload"
+)
+
+// Tables of the system. Rows of one cell share a partition, so that a commit needs one.
+const (
+	// TableCells holds the ownership row of each cell.
+	TableCells = "cells"
+	// TableJobs holds jobs as submitted; they are never rewritten.
+	TableJobs = "jobs"
+	// TableProgress holds what changes of a job.
+	TableProgress = "progress"
+	// TableIndex holds, for each job, the name of its cell.
+	TableIndex = "index"
+
+	rowOwner = "owner"
+)
+
+const (
+	// commitSpacing groups ends of tasks into one commit.
+	commitSpacing = 40 * time.Millisecond
+	// renewInterval is how often an idle owner writes its ownership row.
+	renewInterval = 1 * time.Second
+	// commitRetry is the pause after a commit that failed.
+	commitRetry = 150 * time.Millisecond
+	// submissionPatience is how long submissions wait for a store that refuses before they are refused.
+	submissionPatience = 600 * time.Millisecond
+)
+
+// Ownership is the value of a cell's ownership row.
+type Ownership struct {
+	Node  string `json:"node"`
+	Addr  string `json:"addr"`
+	Epoch int64  `json:"epoch,omitempty"`
+	// Incarnation is that of the owner's process.
+	Incarnation string `json:"inc,omitempty"`
+	// Nonce identifies the commit that wrote the row, so that a commit without an answer can be recognised.
+	Nonce string `json:"nonce"`
+	// Released means that the owner handed the cell back and sends nothing any more.
+	Released bool `json:"released,omitempty"`
+}
+
+// OwnerKey returns the key of a cell's ownership row.
+func OwnerKey(part string) store.Key { return store.Key{Table: TableCells, Part: part, Name: rowOwner} }
+
+func (c *Cell) key(table, name string) store.Key {
+	return store.Key{Table: table, Part: c.cfg.Part, Name: name}
+}
+
+func (c *Cell) indexKey(id string) store.Key {
+	return store.Key{Table: TableIndex, Part: c.cfg.IndexPart(id), Name: id}
+}
+
+// batch is one commit and what becomes true with it.
+type batch struct {
+	txn         store.Txn
+	nonce       string
+	submissions []*submission
+	jobs        []batchJob
+	processed   map[*host]int64
+	expired     []*jobState
+}
+
+// batchJob is a job whose progress a batch writes.
+type batchJob struct {
+	job     *jobState
+	state   workload.State
+	waiting []chan struct{}
+}
+
+// flushLoop is the only writer of the cell's rows. It has one commit in flight and repeats a commit without an answer
+// until its outcome is known.
+func (c *Cell) flushLoop(ctx context.Context) {
+	last := time.Time{}
+	timer := time.NewTimer(renewInterval)
+	defer timer.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			c.flushLast()
+			return
+		case <-c.flushKick:
+		case <-timer.C:
+		}
+		c.mu.Lock()
+		urgent := c.urgent
+		c.mu.Unlock()
+		if spacing := commitSpacing - time.Since(last); !urgent && spacing > 0 {
+			if !c.waitSpacing(ctx, spacing) {
+				c.flushLast()
+				return
+			}
+		}
+		last = time.Now()
+		c.flush(ctx)
+		timer.Reset(renewInterval)
+	}
+}
+
+// waitSpacing waits until the next commit is due, or one is urgent.
+func (c *Cell) waitSpacing(ctx context.Context, spacing time.Duration) bool {
+	deadline := time.Now().Add(spacing)
+	for {
+		left := time.Until(deadline)
+		if left <= 0 {
+			return ctx.Err() == nil
+		}
+		if !wait.ForSignal(ctx, left, c.flushKick) {
+			return false
+		}
+		c.mu.Lock()
+		urgent := c.urgent
+		c.mu.Unlock()
+		if urgent {
+			return true
+		}
+	}
+}
+
+// lastFlushTimeout bounds the final commit of a cell that is handed over.
+const lastFlushTimeout = 1500 * time.Millisecond
+
+// flushLast writes what is not yet durable, and that the cell is free.
+func (c *Cell) flushLast() {
+	c.mu.Lock()
+	lost := c.lost
+	c.mu.Unlock()
+	if lost {
+		return
+	}
+	ctx, cancel := context.WithTimeout(context.Background(), lastFlushTimeout)
+	defer cancel()
+	c.flush(ctx)
+	c.mu.Lock()
+	value, err := json.Marshal(Ownership{Node: c.cfg.Node, Addr: c.cfg.Addr, Incarnation: c.cfg.Incarnation, Epoch: c.epoch, Nonce: "released", Released: true})
+	txn := store.Txn{
+		Conditions: []store.Condition{{Key: OwnerKey(c.cfg.Part), Version: c.ownerVersion}},
+		Writes:     []store.Write{{Key: OwnerKey(c.cfg.Part), Value: value}},
+	}
+	c.lost = true
+	c.mu.Unlock()
+	if err == nil {
+		_, err = c.cfg.Store.Commit(ctx, txn)
+	}
+	fields := logrus.Fields{"cell": c.cfg.Name, "epoch": c.epoch}
+	if err != nil {
+		c.cfg.Log.WithFields(fields).WithField("error", err.Error()).Warn("cell was not released")
+		return
+	}
+	c.cfg.Log.WithFields(fields).Info("released the cell")
+}
+
+// flush commits everything that waits, in as many commits as it takes.
+func (c *Cell) flush(ctx context.Context) {
+	for ctx.Err() == nil {
+		c.mu.Lock()
+		b, more := c.buildBatch(time.Now())
+		c.mu.Unlock()
+		if !c.commit(ctx, b) || !more {
+			return
+		}
+	}
+}
+
+// buildBatch takes what waits, up to the size of a transaction. The caller holds mu.
+func (c *Cell) buildBatch(now time.Time) (b *batch, more bool) {
+	c.urgent = false
+	b = &batch{nonce: c.cfg.Node + "/" + strconv.FormatInt(now.UnixNano(), 36), processed: map[*host]int64{}}
+	owner, err := json.Marshal(Ownership{Node: c.cfg.Node, Addr: c.cfg.Addr, Incarnation: c.cfg.Incarnation, Epoch: c.epoch, Nonce: b.nonce})
+	if err != nil {
+		c.cfg.Log.WithError(err).Error("ownership row can't be encoded")
+	}
+	b.txn.Conditions = append(b.txn.Conditions, store.Condition{Key: OwnerKey(c.cfg.Part), Version: c.ownerVersion})
+	b.txn.Writes = append(b.txn.Writes, store.Write{Key: OwnerKey(c.cfg.Part), Value: owner})
+	size := 0
+	rest := c.submissions[:0:0]
+	for _, s := range c.submissions {
+		if b.txn.Entries()+3 > store.MaxTxnEntries || size > store.MaxTxnBytes {
+			rest = append(rest, s)
+			continue
+		}
+		size += c.addSubmission(b, s)
+	}
+	c.submissions = rest
+	for j := range c.dirty {
+		if b.txn.Entries()+1 > store.MaxTxnEntries || size > store.MaxTxnBytes {
+			more = true
+			break
+		}
+		size += c.addProgress(b, j)
+	}
+	if !more {
+		// Ends are durable only if all jobs that they changed are part of this or an earlier commit.
+		for _, h := range c.runners {
+			b.processed[h] = h.processed
+		}
+	}
+	return b, more || len(rest) > 0
+}
+
+func (c *Cell) addSubmission(b *batch, s *submission) int {
+	if s.finished {
+		return 0
+	}
+	value, err := json.Marshal(s.job)
+	if err != nil {
+		c.cfg.Log.WithField("request", s.job.ID).WithError(err).Error("job can't be encoded")
+		s.finish(OutcomeRefused, "")
+		return 0
+	}
+	b.submissions = append(b.submissions, s)
+	b.txn.Conditions = append(b.txn.Conditions, store.Condition{Key: c.indexKey(s.job.ID)})
+	b.txn.Writes = append(b.txn.Writes,
+		store.Write{Key: c.indexKey(s.job.ID), Value: []byte(c.cfg.Name)},
+		store.Write{Key: c.key(TableJobs, s.job.ID), Value: value})
+	return len(value)
+}
+
+func (c *Cell) addProgress(b *batch, j *jobState) int {
+	delete(c.dirty, j)
+	j.dirty = false
+	value, err := encodeProgress(j)
+	if err != nil {
+		c.cfg.Log.WithField("request", j.def.ID).WithError(err).Error("progress can't be encoded")
+		return 0
+	}
+	b.jobs = append(b.jobs, batchJob{job: j, state: j.state, waiting: j.waiting})
+	j.waiting = nil
+	b.txn.Writes = append(b.txn.Writes, store.Write{Key: c.key(TableProgress, j.def.ID), Value: value})
+	return len(value)
+}
+
+// commit applies a batch and reports whether it did. It repeats a commit whose outcome is unknown unchanged: its
+// condition on the ownership row holds for at most one of the repeats, and the row's nonce tells whether one did.
+func (c *Cell) commit(ctx context.Context, b *batch) bool {
+	started := time.Now()
+	unknown := false
+	for {
+		sent := time.Now()
+		version, err := c.cfg.Store.Commit(ctx, b.txn)
+		c.cfg.Metrics.commits.Inc()
+		if err == nil {
+			c.committed(sent, version, b)
+			return true
+		}
+		var conflict *store.ConflictError
+		if errors.As(err, &conflict) {
+			return c.conflicted(sent, b, conflict)
+		}
+		if errors.Is(err, store.ErrUnavailable) && !unknown {
+			if time.Since(started) > submissionPatience {
+				c.refuseSubmissions(b)
+			}
+			if time.Since(started) > submissionPatience && c.lostCause(b) {
+				return false
+			}
+		} else {
+			unknown = true
+		}
+		if !wait.For(ctx, commitRetry) {
+			c.requeue(b)
+			return false
+		}
+	}
+}
+
+// lostCause gives a batch back after the store refused for a while, so that the next one holds what came since.
+func (c *Cell) lostCause(b *batch) bool {
+	c.requeue(b)
+	return true
+}
+
+// refuseSubmissions refuses the jobs of a batch that the store surely did not apply.
+func (c *Cell) refuseSubmissions(b *batch) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	for _, s := range b.submissions {
+		s.finish(OutcomeRefused, "")
+	}
+	b.submissions = nil
+}
+
+// requeue gives back what a batch took.
+func (c *Cell) requeue(b *batch) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	for _, s := range b.submissions {
+		if !s.finished {
+			c.submissions = append(c.submissions, s)
+		}
+	}
+	for _, bj := range b.jobs {
+		bj.job.waiting = append(bj.job.waiting, bj.waiting...)
+		bj.job.dirty = true
+		c.dirty[bj.job] = true
+	}
+	kick(c.flushKick)
+}
+
+// committed makes true what became durable with a batch.
+func (c *Cell) committed(sent time.Time, version int64, b *batch) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.ownerVersion = version
+	c.lastCommit = sent
+	now := time.Now()
+	for _, s := range b.submissions {
+		c.accept(now, s.job)
+		s.finish(OutcomeAccepted, "")
+	}
+	for _, bj := range b.jobs {
+		if bj.state.Terminal() {
+			bj.job.shown = bj.state
+		}
+		for _, w := range bj.waiting {
+			close(w)
+		}
+	}
+	for h, processed := range b.processed {
+		if h.processed >= processed {
+			h.acked = processed
+		}
+	}
+}
+
+// conflicted handles a commit whose condition did not hold and reports whether the batch is durable nevertheless.
+func (c *Cell) conflicted(sent time.Time, b *batch, conflict *store.ConflictError) bool {
+	row := conflict.Row(OwnerKey(c.cfg.Part))
+	var owner Ownership
+	if row.Version != 0 {
+		if err := json.Unmarshal(row.Value, &owner); err != nil {
+			c.cfg.Log.WithError(err).Error("ownership row can't be read")
+		}
+	}
+	if row.Version != 0 && owner.Nonce == b.nonce {
+		c.committed(sent, row.Version, b)
+		return true
+	}
+	c.mu.Lock()
+	ours := row.Version == c.ownerVersion
+	if !ours {
+		for _, s := range b.submissions {
+			s.finish(OutcomeUnknown, "")
+		}
+		c.loseOwnership("ownership row was written by " + owner.Node)
+		c.mu.Unlock()
+		return false
+	}
+	kept := b.submissions[:0]
+	for _, s := range b.submissions {
+		index := conflict.Row(c.indexKey(s.job.ID))
+		switch {
+		case index.Version == 0:
+			kept = append(kept, s)
+		case string(index.Value) == c.cfg.Name:
+			s.finish(OutcomeAccepted, "")
+		default:
+			s.finish(OutcomeElsewhere, string(index.Value))
+		}
+	}
+	b.submissions = kept
+	c.urgent = true
+	c.mu.Unlock()
+	c.requeue(b)
+	return false
+}
--- /dev/null
+++ b/dispatch/intake.go
@@ -0,0 +1,208 @@
+package dispatch
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"time"
+
+	"github.com/sirupsen/logrus"
+
+	"github.com/currantthread/currantthread/store"
+	"github.com/currantthread/currantthread/workload"
+)
+
+// Outcome says what became of a submitted job.
+type Outcome uint8
+
+// Outcomes of a submission.
+const (
+	// OutcomeUnknown means that the job may have been accepted, or may still be.
+	OutcomeUnknown Outcome = iota
+	// OutcomeAccepted means that the job is durable in this cell.
+	OutcomeAccepted
+	// OutcomeElsewhere means that another cell has accepted the job.
+	OutcomeElsewhere
+	// OutcomeRefused means that the job was not accepted and never runs by this submission.
+	OutcomeRefused
+	// OutcomeNotOwner means that this node does not own the cell; nothing was done.
+	OutcomeNotOwner
+)
+
+// submission is a job that waits to become durable.
+type submission struct {
+	job      *workload.Job
+	outcome  Outcome
+	cell     string // for OutcomeElsewhere
+	done     chan struct{}
+	finished bool
+}
+
+func (s *submission) finish(outcome Outcome, cell string) {
+	if s.finished {
+		return
+	}
+	s.finished = true
+	s.outcome, s.cell = outcome, cell
+	close(s.done)
+}
+
+// Submit makes a job durable in the cell. A job that the cell has already is accepted again, without effect. For
+// OutcomeElsewhere it also returns the name of the other cell.
+func (c *Cell) Submit(ctx context.Context, job *workload.Job) (Outcome, string) {
+	c.mu.Lock()
+	if c.lost {
+		c.mu.Unlock()
+		return OutcomeNotOwner, ""
+	}
+	if _, ok := c.jobs[job.ID]; ok {
+		c.mu.Unlock()
+		return OutcomeAccepted, ""
+	}
+	s := c.waitingSubmission(job.ID)
+	if s == nil {
+		s = &submission{job: job, done: make(chan struct{})}
+		c.submissions = append(c.submissions, s)
+		c.urgent = true
+		kick(c.flushKick)
+	}
+	c.mu.Unlock()
+	select {
+	case <-s.done:
+		return s.outcome, s.cell
+	case <-ctx.Done():
+		return OutcomeUnknown, ""
+	case <-c.done:
+		return OutcomeUnknown, ""
+	}
+}
+
+func (c *Cell) waitingSubmission(id string) *submission {
+	for _, s := range c.submissions {
+		if s.job.ID == id && !s.finished {
+			return s
+		}
+	}
+	return nil
+}
+
+// accept adds a job that is now durable. The caller holds mu.
+func (c *Cell) accept(now time.Time, job *workload.Job) {
+	if _, ok := c.jobs[job.ID]; ok {
+		return
+	}
+	j := newJobState(job)
+	c.jobs[job.ID] = j
+	if job.StartAt.IsZero() {
+		c.pending[job.Policy.Queue]++
+		c.addOccurrence(now, j)
+	}
+	c.cfg.Log.WithFields(logrus.Fields{"request": job.ID, "queue": job.Policy.Queue, "cell": c.cfg.Name, "steps": len(job.Steps),
+		"accept_ms": now.Sub(job.AcceptedAt).Milliseconds()}).Info("job accepted")
+}
+
+// State returns a job's state as clients may see it, and whether the cell has the job.
+func (c *Cell) State(id string) (workload.State, bool) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	j := c.jobs[id]
+	if j == nil {
+		return "", false
+	}
+	return j.visible(), true
+}
+
+// Cancel ends a job unless it ended before, and returns once that is durable. found is false if the cell does not have
+// the job.
+func (c *Cell) Cancel(ctx context.Context, id string) (found bool, err error) {
+	c.mu.Lock()
+	if c.lost {
+		c.mu.Unlock()
+		return false, errNotOwner
+	}
+	j := c.jobs[id]
+	if j == nil {
+		c.mu.Unlock()
+		return false, nil
+	}
+	if j.shown.Terminal() {
+		c.mu.Unlock()
+		return true, nil
+	}
+	if !j.state.Terminal() {
+		c.finish(time.Now(), j, workload.StateCancelled, "cancelled by the client")
+	}
+	durable := make(chan struct{})
+	j.waiting = append(j.waiting, durable)
+	c.markUrgent(j)
+	c.mu.Unlock()
+	select {
+	case <-durable:
+		return true, nil
+	case <-ctx.Done():
+		return true, ctx.Err()
+	case <-c.done:
+		return true, errNotOwner
+	}
+}
+
+// Load describes a cell to nodes that choose one for a job.
+type Load struct {
+	Cell  string `json:"cell"`
+	Epoch int64  `json:"epoch"`
+	// BacklogMs is the time that the waiting tasks need on all runners of the cell together.
+	BacklogMs int64 `json:"backlog_ms,omitempty"`
+	Runners   int   `json:"runners"`
+	// Capacity is that of all usable runners, in thousandths of a core.
+	Capacity int64 `json:"cap"`
+	// Pending counts accepted jobs without a started task, by queue.
+	Pending map[string]int `json:"pending,omitempty"`
+}
+
+// Load returns the cell's load.
+func (c *Cell) Load() Load {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	load := Load{Cell: c.cfg.Name, Epoch: c.epoch, Pending: map[string]int{}}
+	for queue, n := range c.pending {
+		if n > 0 {
+			load.Pending[queue] = n
+		}
+	}
+	now := time.Now()
+	for _, h := range c.runners {
+		if h.present && !h.info.Draining && !c.evacuated[h.info.Domain] && h.reachable(now) {
+			load.Runners++
+			load.Capacity += h.info.Capacity.CPU
+		}
+	}
+	var work int64
+	for _, u := range c.ready {
+		if u.phase == phaseReady {
+			work += u.def().Resources.CPU * int64(u.size) * max(u.def().Estimated.Milliseconds(), 1)
+		}
+	}
+	if load.Capacity > 0 {
+		load.BacklogMs = work / load.Capacity
+	}
+	return load
+}
+
+// StoredState returns the state of a job as the store has it, for nodes that can't reach the cell's owner.
+func StoredState(ctx context.Context, s store.Store, part, id string) (workload.State, error) {
+	page, err := s.Range(ctx, TableProgress, part, id, id+"\x00", 1)
+	if err != nil {
+		return "", err
+	}
+	if len(page.Rows) == 0 {
+		return workload.StateQueued, nil
+	}
+	var p progress
+	if err := json.Unmarshal(page.Rows[0].Value, &p); err != nil {
+		return "", fmt.Errorf("progress row of job %s: %w", id, err)
+	}
+	if p.State.Terminal() || !p.Started {
+		return p.State, nil
+	}
+	return workload.StateRunning, nil
+}
--- /dev/null
+++ b/dispatch/plan.go
@@ -0,0 +1,191 @@
+package dispatch
+
+import (
+	"context"
+	"sort"
+	"time"
+
+	"github.com/currantthread/currantthread/placement"
+	"github.com/currantthread/currantthread/workload"
+)
+
+// planSpacing groups what happens within a few milliseconds into one plan.
+const planSpacing = 2 * time.Millisecond
+
+func (c *Cell) planLoop(ctx context.Context) {
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-c.planKick:
+		}
+		c.mu.Lock()
+		if c.mayOrder(time.Now()) {
+			c.plan(ctx, time.Now())
+		}
+		c.mu.Unlock()
+		select {
+		case <-ctx.Done():
+			return
+		case <-time.After(planSpacing):
+		}
+	}
+}
+
+// shape identifies units for which a placement has the same outcome within one plan.
+type shape struct {
+	job  *jobState
+	occ  int
+	step int
+}
+
+// plan starts what can be started now. The caller holds mu.
+func (c *Cell) plan(ctx context.Context, now time.Time) {
+	if len(c.ready) == 0 {
+		return
+	}
+	hosts := c.hosts(now)
+	c.sortReady(now)
+	blocked := map[shape]bool{}
+	kept := c.ready[:0:0]
+	queue := c.ready
+	c.ready = nil
+	for _, u := range queue {
+		if u.phase != phaseReady || u.job.state.Terminal() {
+			continue
+		}
+		key := shape{u.job, u.occ, u.step}
+		if blocked[key] || now.Before(u.notBefore) || u.recovered && len(c.unresolved) > 0 {
+			kept = append(kept, u)
+			continue
+		}
+		if !c.place(ctx, now, u, hosts) {
+			blocked[key] = true
+			kept = append(kept, u)
+		}
+	}
+	c.ready = append(c.ready, kept...)
+}
+
+// sortReady orders units by priority, then by the time at which they must start to meet their job's objective.
+func (c *Cell) sortReady(_ time.Time) {
+	sort.SliceStable(c.ready, func(a, b int) bool {
+		x, y := c.ready[a], c.ready[b]
+		if px, py := x.job.def.Policy.Priority, y.job.def.Policy.Priority; px != py {
+			return px < py
+		}
+		return x.latestStart().Before(y.latestStart())
+	})
+}
+
+// latestStart is the time at which the unit must start so that its job can meet its objective.
+func (u *unit) latestStart() time.Time {
+	objective := u.job.objective
+	if !u.job.def.StartAt.IsZero() {
+		objective = u.job.def.Due(u.occ).Add(objective.Sub(u.job.def.AcceptedAt))
+	}
+	return objective.Add(-u.job.chain[u.step])
+}
+
+// hosts returns the runners of the cell as placement needs them. The caller holds mu.
+func (c *Cell) hosts(now time.Time) []*hostView {
+	views := make([]*hostView, 0, len(c.runners))
+	for _, h := range c.runners {
+		p := &h.place
+		p.Domain, p.Labels, p.Capacity = h.info.Domain, h.info.Labels, h.info.Capacity
+		p.Available = h.present && !h.info.Draining && !c.evacuated[h.info.Domain] && h.reachable(now) &&
+			!now.Before(h.roomUntil) && h.foreign == 0
+		p.Far = c.cfg.Regions[h.info.Domain] != c.cfg.Region
+		p.Committed, p.FillCPU, p.Serving, p.Harmed = workload.Resources{}, 0, 0, 0
+		for r := range h.runs {
+			def := r.unit.def()
+			p.Committed = p.Committed.Add(def.Committed())
+			if def.Fills {
+				p.FillCPU += def.Resources.CPU
+			}
+			if def.LatencyTarget > 0 {
+				p.Serving++
+				if r.hasFigure && r.figure > harmedShare*float64(def.LatencyTarget.Milliseconds()) {
+					p.Harmed++
+				}
+			}
+		}
+		p.Slowdown, p.Suspect = h.health.slowdown(), h.health.suspect(now)
+		views = append(views, &hostView{host: h, place: p})
+	}
+	sort.Slice(views, func(a, b int) bool { return views[a].place.ID < views[b].place.ID })
+	return views
+}
+
+type hostView struct {
+	host  *host
+	place *placement.Host
+}
+
+// place starts a unit if there is room for all its members, and reports whether it did. The caller holds mu.
+func (c *Cell) place(ctx context.Context, now time.Time, u *unit, views []*hostView) bool {
+	service := c.serviceOf(u.job)
+	byID := map[string]*hostView{}
+	hosts := make([]*placement.Host, 0, len(views))
+	for _, v := range views {
+		if v.host.info.Service == service {
+			hosts = append(hosts, v.place)
+			byID[v.place.ID] = v
+		}
+	}
+	def := u.def()
+	onRunner := u.stepState().onRunner
+	taken := map[string]int{}
+	request := &placement.Request{Step: def, Avoid: u.avoid,
+		OnHost: func(id string) int { return onRunner[id] + taken[id] }}
+	chosen := make([]*hostView, 0, u.size)
+	for range u.size {
+		best := placement.Pick(request, hosts)
+		if best == nil {
+			break
+		}
+		chosen = append(chosen, byID[best.ID])
+		taken[best.ID]++
+		reserve(best, def)
+	}
+	if len(chosen) < u.size {
+		for _, v := range chosen {
+			unreserve(v.place, def)
+		}
+		return false
+	}
+	number := u.run + 1
+	u.phase = phaseActive
+	for member, v := range chosen {
+		c.beginRun(ctx, now, u, member, number, v.host)
+	}
+	return true
+}
+
+func reserve(p *placement.Host, def *workload.Step) {
+	p.Committed = p.Committed.Add(def.Committed())
+	if def.Fills {
+		p.FillCPU += def.Resources.CPU
+	}
+	if def.LatencyTarget > 0 {
+		p.Serving++
+	}
+}
+
+func unreserve(p *placement.Host, def *workload.Step) {
+	p.Committed = p.Committed.Sub(def.Committed())
+	if def.Fills {
+		p.FillCPU -= def.Resources.CPU
+	}
+	if def.LatencyTarget > 0 {
+		p.Serving--
+	}
+}
+
+// serviceOf returns the service that runs a job: the newest configuration that has the queue decides.
+func (c *Cell) serviceOf(j *jobState) string {
+	if q := c.catalog.Queue(j.def.Policy.Queue); q != nil {
+		return q.Policy.Service
+	}
+	return j.def.Policy.Service
+}
--- /dev/null
+++ b/dispatch/progress.go
@@ -0,0 +1,135 @@
+package dispatch
+
+import (
+	"encoding/json"
+	"fmt"
+	"sort"
+
+	"github.com/currantthread/currantthread/workload"
+)
+
+// progress is the durable part of a job that changes. What runs is not in it: runners themselves list that.
+type progress struct {
+	State   workload.State `json:"s,omitempty"`
+	Started bool           `json:"b,omitempty"`
+	Next    int            `json:"n,omitempty"`
+	// Done are the finished occurrences.
+	Done []int         `json:"d,omitempty"`
+	Occs []occProgress `json:"o,omitempty"`
+	// FinishedMs is the Unix time at which the job ended; 0 while it has not.
+	FinishedMs int64 `json:"f,omitempty"`
+}
+
+type occProgress struct {
+	Number int            `json:"k,omitempty"`
+	Steps  []stepProgress `json:"s"`
+}
+
+type stepProgress struct {
+	// Done is a bitmap of the units that are done, least significant bit first.
+	Done  []byte         `json:"d,omitempty"`
+	Units []unitProgress `json:"u,omitempty"`
+}
+
+// unitProgress is kept for units that are not in their first run.
+type unitProgress struct {
+	Unit       int    `json:"i"`
+	Run        int    `json:"r,omitempty"`
+	Fails      int    `json:"f,omitempty"`
+	Checkpoint string `json:"c,omitempty"`
+}
+
+func (j *jobState) progress() progress {
+	p := progress{State: j.state, Started: j.started, Next: j.nextOcc}
+	if j.state.Terminal() {
+		p.FinishedMs = j.finishedAt.UnixMilli()
+		return p
+	}
+	for number := range j.doneOccs {
+		p.Done = append(p.Done, number)
+	}
+	sort.Ints(p.Done)
+	for number, occ := range j.occs {
+		if j.doneOccs[number] {
+			continue
+		}
+		o := occProgress{Number: number, Steps: make([]stepProgress, len(occ.steps))}
+		for i := range occ.steps {
+			o.Steps[i] = occ.steps[i].progress()
+		}
+		p.Occs = append(p.Occs, o)
+	}
+	sort.Slice(p.Occs, func(a, b int) bool { return p.Occs[a].Number < p.Occs[b].Number })
+	return p
+}
+
+func (s *stepState) progress() stepProgress {
+	var p stepProgress
+	for i, u := range s.units {
+		if u.phase == phaseDone {
+			if p.Done == nil {
+				p.Done = make([]byte, (len(s.units)+7)/8)
+			}
+			p.Done[i/8] |= 1 << (i % 8)
+			continue
+		}
+		if u.run > 1 || u.fails > 0 || u.checkpoint != "" {
+			p.Units = append(p.Units, unitProgress{i, u.run, u.fails, u.checkpoint})
+		}
+	}
+	return p
+}
+
+func encodeProgress(j *jobState) ([]byte, error) { return json.Marshal(j.progress()) }
+
+// restore builds a job's state from its rows. A job without a progress row was only accepted.
+func restore(defRow, progressRow []byte) (*jobState, error) {
+	var def workload.Job
+	if err := json.Unmarshal(defRow, &def); err != nil {
+		return nil, fmt.Errorf("job row: %w", err)
+	}
+	j := newJobState(&def)
+	var p progress
+	if len(progressRow) > 0 {
+		if err := json.Unmarshal(progressRow, &p); err != nil {
+			return nil, fmt.Errorf("progress row of job %s: %w", def.ID, err)
+		}
+	}
+	if p.State != "" {
+		j.state = p.State
+	}
+	j.started, j.nextOcc = p.Started, p.Next
+	if j.state.Terminal() {
+		j.shown = j.state
+		j.finishedAt = timeOfMs(p.FinishedMs)
+		j.release()
+		return j, nil
+	}
+	for _, number := range p.Done {
+		j.doneOccs[number] = true
+	}
+	for _, o := range p.Occs {
+		occ := j.newOccurrence(o.Number)
+		for i := range o.Steps {
+			if i < len(occ.steps) {
+				occ.steps[i].restore(o.Steps[i])
+			}
+		}
+	}
+	return j, nil
+}
+
+func (s *stepState) restore(p stepProgress) {
+	for i, u := range s.units {
+		if i/8 < len(p.Done) && p.Done[i/8]&(1<<(i%8)) != 0 {
+			u.phase = phaseDone
+			s.left--
+		}
+	}
+	for _, saved := range p.Units {
+		if saved.Unit < len(s.units) {
+			u := s.units[saved.Unit]
+			u.run, u.fails, u.checkpoint = saved.Run, saved.Fails, saved.Checkpoint
+		}
+	}
+}
--- a/innerproto/innerprotoconnect/currantthread.connect.go
+++ b/innerproto/innerprotoconnect/currantthread.connect.go
@@ -25,6 +25,8 @@
 	PeerServiceName = "currantthread.inner.v1.PeerService"
 	// CellServiceName is the fully-qualified name of the CellService service.
 	CellServiceName = "currantthread.inner.v1.CellService"
+	// JobServiceName is the fully-qualified name of the JobService service.
+	JobServiceName = "currantthread.inner.v1.JobService"
 )
 
 // These constants are the fully-qualified names of the RPCs defined in this package. They're
@@ -47,6 +49,12 @@
 	CellServiceHandoverProcedure = "/currantthread.inner.v1.CellService/Handover"
 	// CellServicePokeProcedure is the fully-qualified name of the CellService's Poke RPC.
 	CellServicePokeProcedure = "/currantthread.inner.v1.CellService/Poke"
+	// JobServiceSubmitProcedure is the fully-qualified name of the JobService's Submit RPC.
+	JobServiceSubmitProcedure = "/currantthread.inner.v1.JobService/Submit"
+	// JobServiceJobStateProcedure is the fully-qualified name of the JobService's JobState RPC.
+	JobServiceJobStateProcedure = "/currantthread.inner.v1.JobService/JobState"
+	// JobServiceCancelJobProcedure is the fully-qualified name of the JobService's CancelJob RPC.
+	JobServiceCancelJobProcedure = "/currantthread.inner.v1.JobService/CancelJob"
 )
 
 // PeerServiceClient is a client for the currantthread.inner.v1.PeerService service.
@@ -298,3 +306,137 @@
 func (UnimplementedCellServiceHandler) Poke(context.Context, *innerproto.PokeRequest) (*innerproto.PokeResponse, error) {
 	return nil, connect.NewError(connect.CodeUnimplemented, errors.New("currantthread.inner.v1.CellService.Poke is not implemented"))
 }
+
+// JobServiceClient is a client for the currantthread.inner.v1.JobService service.
+type JobServiceClient interface {
+	Submit(context.Context, *innerproto.SubmitRequest) (*innerproto.SubmitResponse, error)
+	JobState(context.Context, *innerproto.JobStateRequest) (*innerproto.JobStateResponse, error)
+	CancelJob(context.Context, *innerproto.CancelJobRequest) (*innerproto.CancelJobResponse, error)
+}
+
+// NewJobServiceClient constructs a client for the currantthread.inner.v1.JobService service. By
+// default, it uses the Connect protocol with the binary Protobuf Codec, asks for gzipped responses,
+// and sends uncompressed requests. To use the gRPC or gRPC-Web protocols, supply the
+// connect.WithGRPC() or connect.WithGRPCWeb() options.
+//
+// The URL supplied here should be the base URL for the Connect or gRPC server (for example,
+// http://api.acme.com or https://acme.com/grpc).
+func NewJobServiceClient(httpClient connect.HTTPClient, baseURL string, opts ...connect.ClientOption) JobServiceClient {
+	baseURL = strings.TrimRight(baseURL, "/")
+	jobServiceMethods := innerproto.File_currantthread_proto.Services().ByName("JobService").Methods()
+	return &jobServiceClient{
+		submit: connect.NewClient[innerproto.SubmitRequest, innerproto.SubmitResponse](
+			httpClient,
+			baseURL+JobServiceSubmitProcedure,
+			connect.WithSchema(jobServiceMethods.ByName("Submit")),
+			connect.WithClientOptions(opts...),
+		),
+		jobState: connect.NewClient[innerproto.JobStateRequest, innerproto.JobStateResponse](
+			httpClient,
+			baseURL+JobServiceJobStateProcedure,
+			connect.WithSchema(jobServiceMethods.ByName("JobState")),
+			connect.WithClientOptions(opts...),
+		),
+		cancelJob: connect.NewClient[innerproto.CancelJobRequest, innerproto.CancelJobResponse](
+			httpClient,
+			baseURL+JobServiceCancelJobProcedure,
+			connect.WithSchema(jobServiceMethods.ByName("CancelJob")),
+			connect.WithClientOptions(opts...),
+		),
+	}
+}
+
+// jobServiceClient implements JobServiceClient.
+type jobServiceClient struct {
+	submit    *connect.Client[innerproto.SubmitRequest, innerproto.SubmitResponse]
+	jobState  *connect.Client[innerproto.JobStateRequest, innerproto.JobStateResponse]
+	cancelJob *connect.Client[innerproto.CancelJobRequest, innerproto.CancelJobResponse]
+}
+
+// Submit calls currantthread.inner.v1.JobService.Submit.
+func (c *jobServiceClient) Submit(ctx context.Context, req *innerproto.SubmitRequest) (*innerproto.SubmitResponse, error) {
+	response, err := c.submit.CallUnary(ctx, connect.NewRequest(req))
+	if response != nil {
+		return response.Msg, err
+	}
+	return nil, err
+}
+
+// JobState calls currantthread.inner.v1.JobService.JobState.
+func (c *jobServiceClient) JobState(ctx context.Context, req *innerproto.JobStateRequest) (*innerproto.JobStateResponse, error) {
+	response, err := c.jobState.CallUnary(ctx, connect.NewRequest(req))
+	if response != nil {
+		return response.Msg, err
+	}
+	return nil, err
+}
+
+// CancelJob calls currantthread.inner.v1.JobService.CancelJob.
+func (c *jobServiceClient) CancelJob(ctx context.Context, req *innerproto.CancelJobRequest) (*innerproto.CancelJobResponse, error) {
+	response, err := c.cancelJob.CallUnary(ctx, connect.NewRequest(req))
+	if response != nil {
+		return response.Msg, err
+	}
+	return nil, err
+}
+
+// JobServiceHandler is an implementation of the currantthread.inner.v1.JobService service.
+type JobServiceHandler interface {
+	Submit(context.Context, *innerproto.SubmitRequest) (*innerproto.SubmitResponse, error)
+	JobState(context.Context, *innerproto.JobStateRequest) (*innerproto.JobStateResponse, error)
+	CancelJob(context.Context, *innerproto.CancelJobRequest) (*innerproto.CancelJobResponse, error)
+}
+
+// NewJobServiceHandler builds an HTTP handler from the service implementation. It returns the path
+// on which to mount the handler and the handler itself.
+//
+// By default, handlers support the Connect, gRPC, and gRPC-Web protocols with the binary Protobuf
+// and JSON codecs. They also support gzip compression.
+func NewJobServiceHandler(svc JobServiceHandler, opts ...connect.HandlerOption) (string, http.Handler) {
+	jobServiceMethods := innerproto.File_currantthread_proto.Services().ByName("JobService").Methods()
+	jobServiceSubmitHandler := connect.NewUnaryHandlerSimple(
+		JobServiceSubmitProcedure,
+		svc.Submit,
+		connect.WithSchema(jobServiceMethods.ByName("Submit")),
+		connect.WithHandlerOptions(opts...),
+	)
+	jobServiceJobStateHandler := connect.NewUnaryHandlerSimple(
+		JobServiceJobStateProcedure,
+		svc.JobState,
+		connect.WithSchema(jobServiceMethods.ByName("JobState")),
+		connect.WithHandlerOptions(opts...),
+	)
+	jobServiceCancelJobHandler := connect.NewUnaryHandlerSimple(
+		JobServiceCancelJobProcedure,
+		svc.CancelJob,
+		connect.WithSchema(jobServiceMethods.ByName("CancelJob")),
+		connect.WithHandlerOptions(opts...),
+	)
+	return "/currantthread.inner.v1.JobService/", http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		switch r.URL.Path {
+		case JobServiceSubmitProcedure:
+			jobServiceSubmitHandler.ServeHTTP(w, r)
+		case JobServiceJobStateProcedure:
+			jobServiceJobStateHandler.ServeHTTP(w, r)
+		case JobServiceCancelJobProcedure:
+			jobServiceCancelJobHandler.ServeHTTP(w, r)
+		default:
+			http.NotFound(w, r)
+		}
+	})
+}
+
+// UnimplementedJobServiceHandler returns CodeUnimplemented from all methods.
+type UnimplementedJobServiceHandler struct{}
+
+func (UnimplementedJobServiceHandler) Submit(context.Context, *innerproto.SubmitRequest) (*innerproto.SubmitResponse, error) {
+	return nil, connect.NewError(connect.CodeUnimplemented, errors.New("currantthread.inner.v1.JobService.Submit is not implemented"))
+}
+
+func (UnimplementedJobServiceHandler) JobState(context.Context, *innerproto.JobStateRequest) (*innerproto.JobStateResponse, error) {
+	return nil, connect.NewError(connect.CodeUnimplemented, errors.New("currantthread.inner.v1.JobService.JobState is not implemented"))
+}
+
+func (UnimplementedJobServiceHandler) CancelJob(context.Context, *innerproto.CancelJobRequest) (*innerproto.CancelJobResponse, error) {
+	return nil, connect.NewError(connect.CodeUnimplemented, errors.New("currantthread.inner.v1.JobService.CancelJob is not implemented"))
+}
--- /dev/null
+++ b/node/clients.go
@@ -0,0 +1,301 @@
+package node
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"hash/fnv"
+	"net/http"
+	"sort"
+	"sync"
+	"time"
+
+	"connectrpc.com/connect"
+
+	"github.com/currantthread/currantthread/catalog"
+	"github.com/currantthread/currantthread/dispatch"
+	"github.com/currantthread/currantthread/innerproto"
+	"github.com/currantthread/currantthread/innerproto/innerprotoconnect"
+	"github.com/currantthread/currantthread/intake"
+	"github.com/currantthread/currantthread/ownership"
+	"github.com/currantthread/currantthread/workload"
+)
+
+const (
+	// peerTimeout bounds a call to the owner of a cell: a commit of the store and two paths between regions.
+	peerTimeout = 1500 * time.Millisecond
+	// submitTries is the number of cells that a job is offered to.
+	submitTries = 2
+	// maxLocated bounds the memory of which cell has which job.
+	maxLocated = 20_000
+)
+
+// peers holds the clients of other nodes.
+type peers struct {
+	mu      sync.Mutex // owned by client
+	http    *http.Client
+	clients map[string]innerprotoconnect.JobServiceClient
+}
+
+func newPeers() *peers {
+	return &peers{
+		http:    &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: 8, IdleConnTimeout: time.Minute, DisableCompression: true}},
+		clients: map[string]innerprotoconnect.JobServiceClient{},
+	}
+}
+
+func (p *peers) client(addr string) innerprotoconnect.JobServiceClient {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	client := p.clients[addr]
+	if client == nil {
+		client = innerprotoconnect.NewJobServiceClient(p.http, "http://"+addr)
+		p.clients[addr] = client
+	}
+	return client
+}
+
+// Catalog implements intake.Service.
+func (n *Node) Catalog() *catalog.Config { return n.catalog.Load() }
+
+// Submit implements intake.Service.
+func (n *Node) Submit(ctx context.Context, job *workload.Job) intake.Decision {
+	value, err := json.Marshal(job)
+	if err != nil {
+		return intake.Decision{Outcome: intake.Refused, Reason: err.Error()}
+	}
+	unknown := false
+	tried := map[string]bool{}
+	for _, target := range n.targets(job.ID) {
+		if len(tried) >= submitTries {
+			break
+		}
+		tried[target.Load.Cell] = true
+		outcome, elsewhere := n.submitTo(ctx, target, job, value)
+		switch outcome {
+		case dispatch.OutcomeAccepted:
+			n.locate(job.ID, target.Load.Cell)
+			return intake.Decision{Outcome: intake.Accepted, Cell: target.Load.Cell}
+		case dispatch.OutcomeElsewhere:
+			n.locate(job.ID, elsewhere)
+			return intake.Decision{Outcome: intake.Accepted, Cell: elsewhere}
+		case dispatch.OutcomeUnknown:
+			unknown = true
+		}
+	}
+	switch {
+	case unknown:
+		return intake.Decision{Outcome: intake.Unknown, Reason: "no owner of a cell answered in time"}
+	default:
+		return intake.Decision{Outcome: intake.Refused, Reason: "no cell takes jobs", RetryAfter: refusedRetryAfter}
+	}
+}
+
+// refusedRetryAfter is when a client may return after no cell took its job: a new owner is found within three beats.
+const refusedRetryAfter = 1 * time.Second
+
+// targets returns the owners of cells in the order in which a job is offered to them.
+func (n *Node) targets(jobID string) []ownership.Owner {
+	owners := n.directory.Owners(time.Now())
+	n.mu.Lock()
+	known := n.located[jobID]
+	for name, c := range n.cells {
+		if o, ok := owners[name]; ok && !c.Lost() {
+			o.Load = c.Load()
+			owners[name] = o
+		}
+	}
+	n.mu.Unlock()
+	list := make([]ownership.Owner, 0, len(owners))
+	for _, o := range owners {
+		list = append(list, o)
+	}
+	sort.Slice(list, func(a, b int) bool {
+		x, y := list[a], list[b]
+		if kx, ky := x.Load.Cell == known, y.Load.Cell == known; kx != ky {
+			return kx
+		}
+		if bx, by := x.Load.Runners > 0, y.Load.Runners > 0; bx != by {
+			return bx
+		}
+		if x.Load.BacklogMs != y.Load.BacklogMs {
+			return x.Load.BacklogMs < y.Load.BacklogMs
+		}
+		return spread(jobID, x.Load.Cell) < spread(jobID, y.Load.Cell)
+	})
+	return list
+}
+
+func (n *Node) submitTo(ctx context.Context, target ownership.Owner, job *workload.Job, value []byte) (dispatch.Outcome, string) {
+	if c := n.ownCell(target.Load.Cell); c != nil {
+		return c.Submit(ctx, job)
+	}
+	ctx, cancel := context.WithTimeout(ctx, peerTimeout)
+	defer cancel()
+	res, err := n.peers.client(target.Addr).Submit(ctx, &innerproto.SubmitRequest{Cell: target.Load.Cell, Job: value})
+	if err != nil {
+		n.log.WithField("request", job.ID).WithField("peer", target.Node).WithError(err).Warn("owner did not answer a submission")
+		return dispatch.OutcomeUnknown, ""
+	}
+	return dispatch.Outcome(res.Outcome), res.Cell
+}
+
+func (n *Node) ownCell(name string) *dispatch.Cell {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	return n.cells[name]
+}
+
+func (n *Node) locate(jobID, cell string) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	if len(n.located) >= maxLocated {
+		clear(n.located)
+	}
+	n.located[jobID] = cell
+}
+
+// errNoAnswer means that neither the owner nor the store could be asked.
+var errNoAnswer = errors.New("neither the owner of the job's cell nor the store answers")
+
+// find returns the cell of a job, or "" if no job with the ID was accepted.
+func (n *Node) find(ctx context.Context, jobID string) (string, error) {
+	n.mu.Lock()
+	cell := n.located[jobID]
+	n.mu.Unlock()
+	if cell != "" {
+		return cell, nil
+	}
+	page, err := n.store.Range(ctx, dispatch.TableIndex, n.indexPart(jobID), jobID, jobID+"\x00", 1)
+	if err != nil {
+		return "", errors.Join(errNoAnswer, err)
+	}
+	if len(page.Rows) == 0 {
+		return "", nil
+	}
+	cell = string(page.Rows[0].Value)
+	n.locate(jobID, cell)
+	return cell, nil
+}
+
+// State implements intake.Service.
+func (n *Node) State(ctx context.Context, jobID string) (workload.State, bool, error) {
+	cell, err := n.find(ctx, jobID)
+	if err != nil || cell == "" {
+		return "", false, err
+	}
+	if c := n.ownCell(cell); c != nil && !c.Lost() {
+		if state, found := c.State(jobID); found {
+			return state, true, nil
+		}
+	} else if owner, ok := n.directory.Owners(time.Now())[cell]; ok && owner.Node != n.settings.Node {
+		callCtx, cancel := context.WithTimeout(ctx, peerTimeout)
+		defer cancel()
+		res, err := n.peers.client(owner.Addr).JobState(callCtx, &innerproto.JobStateRequest{Cell: cell, Job: jobID})
+		if err == nil && res.Owner && res.Found {
+			return workload.State(res.State), true, nil
+		}
+	}
+	state, err := dispatch.StoredState(ctx, n.store, n.cellPart(cell), jobID)
+	if err != nil {
+		return "", false, errors.Join(errNoAnswer, err)
+	}
+	return state, true, nil
+}
+
+// Cancel implements intake.Service.
+func (n *Node) Cancel(ctx context.Context, jobID string) (bool, error) {
+	cell, err := n.find(ctx, jobID)
+	if err != nil || cell == "" {
+		return false, err
+	}
+	if c := n.ownCell(cell); c != nil {
+		return c.Cancel(ctx, jobID)
+	}
+	owner, ok := n.directory.Owners(time.Now())[cell]
+	if !ok {
+		return true, errNoAnswer
+	}
+	res, err := n.peers.client(owner.Addr).CancelJob(ctx, &innerproto.CancelJobRequest{Cell: cell, Job: jobID})
+	if err != nil {
+		return true, err
+	}
+	if !res.Done {
+		return true, errNoAnswer
+	}
+	return res.Found, nil
+}
+
+// Pending implements intake.Service.
+func (n *Node) Pending(queue string) int {
+	total := 0
+	own := map[string]bool{}
+	n.mu.Lock()
+	for name, c := range n.cells {
+		if !c.Lost() {
+			own[name] = true
+			total += c.Load().Pending[queue]
+		}
+	}
+	n.mu.Unlock()
+	for name, owner := range n.directory.Owners(time.Now()) {
+		if !own[name] {
+			total += owner.Load.Pending[queue]
+		}
+	}
+	return total
+}
+
+// innerHandler serves the other nodes.
+func (n *Node) innerHandler() http.Handler {
+	mux := http.NewServeMux()
+	mux.Handle(innerprotoconnect.NewJobServiceHandler(&jobService{node: n}))
+	return mux
+}
+
+// jobService serves requests of other nodes about jobs of this node's cells.
+type jobService struct{ node *Node }
+
+// Submit implements innerprotoconnect.JobServiceHandler.
+func (s *jobService) Submit(ctx context.Context, req *innerproto.SubmitRequest) (*innerproto.SubmitResponse, error) {
+	var job workload.Job
+	if err := json.Unmarshal(req.Job, &job); err != nil {
+		return nil, connect.NewError(connect.CodeInvalidArgument, err)
+	}
+	c := s.node.ownCell(req.Cell)
+	if c == nil {
+		return &innerproto.SubmitResponse{Outcome: uint32(dispatch.OutcomeNotOwner)}, nil
+	}
+	outcome, cell := c.Submit(ctx, &job)
+	return &innerproto.SubmitResponse{Outcome: uint32(outcome), Cell: cell}, nil
+}
+
+// JobState implements innerprotoconnect.JobServiceHandler.
+func (s *jobService) JobState(_ context.Context, req *innerproto.JobStateRequest) (*innerproto.JobStateResponse, error) {
+	c := s.node.ownCell(req.Cell)
+	if c == nil || c.Lost() {
+		return &innerproto.JobStateResponse{}, nil
+	}
+	state, found := c.State(req.Job)
+	return &innerproto.JobStateResponse{Owner: true, Found: found, State: string(state)}, nil
+}
+
+// CancelJob implements innerprotoconnect.JobServiceHandler.
+func (s *jobService) CancelJob(ctx context.Context, req *innerproto.CancelJobRequest) (*innerproto.CancelJobResponse, error) {
+	c := s.node.ownCell(req.Cell)
+	if c == nil {
+		return &innerproto.CancelJobResponse{}, nil
+	}
+	found, err := c.Cancel(ctx, req.Job)
+	if err != nil {
+		return &innerproto.CancelJobResponse{Found: found}, nil //nolint:nilerr // the answer says that it is not done
+	}
+	return &innerproto.CancelJobResponse{Done: true, Found: found}, nil
+}
+
+// spread orders cells differently for each job, so that equally loaded cells get equal shares.
+func spread(jobID, cell string) uint64 {
+	h := fnv.New64a()
+	_, _ = h.Write([]byte(jobID + "/" + cell)) // a hash never fails
+	return h.Sum64()
+}
--- /dev/null
+++ b/node/node.go
@@ -0,0 +1,357 @@
+// Package node assembles one node of the system: it follows the operators' configuration and service discovery, owns
+// cells, and answers clients by itself or through the owners of cells.
+package node
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"hash/fnv"
+	"io"
+	"net"
+	"net/http"
+	"strconv"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/prometheus/client_golang/prometheus"
+	"github.com/sirupsen/logrus"
+	"golang.org/x/sync/errgroup"
+
+	"github.com/currantthread/currantthread/catalog"
+	"github.com/currantthread/currantthread/dispatch"
+	"github.com/currantthread/currantthread/observe"
+	"github.com/currantthread/currantthread/ownership"
+	"github.com/currantthread/currantthread/platform"
+	"github.com/currantthread/currantthread/runner"
+	"github.com/currantthread/currantthread/store"
+)
+
+const (
+	// indexParts spreads the index of jobs over partitions, each of which applies a few hundred transactions a second.
+	indexParts = 16
+	// leaseShare is the share of the longest lease that is granted; see docs/design.md.
+	leaseShare = 0.6
+	// shutdownGrace is the share of the platform's grace that open requests get.
+	shutdownGrace = 0.6
+)
+
+// Node is one process of the system.
+type Node struct {
+	settings    *platform.Settings
+	log         *logrus.Entry
+	registry    *prometheus.Registry
+	store       store.Store
+	runners     runner.Client
+	directory   *ownership.Directory
+	incarnation string
+	innerAddr   string
+	peers       *peers
+	metrics     *dispatch.Metrics
+	health      observe.Health
+	catalog     atomic.Pointer[catalog.Config]
+	storeMs     atomic.Int64
+	leaving     atomic.Bool
+
+	operator *store.Follower
+	servers  *store.Follower
+	roster   *store.Follower
+
+	mu         sync.Mutex // owned by the methods of Node
+	cells      map[string]*dispatch.Cell
+	acquiring  map[string]bool
+	evacuated  map[string]bool
+	infos      map[string]runner.Info
+	homes      map[string]string // cell of each runner, from the roster
+	ownerless  map[string]time.Time
+	located    map[string]string // cell of jobs that this node has seen
+	cellCount  int
+	rosterKick chan struct{}
+}
+
+// Run runs a node until ctx ends, then hands its cells over and shuts down. Logs go to out.
+func Run(ctx context.Context, settings *platform.Settings, out io.Writer) error {
+	n := newNode(settings, out)
+	var listeners []net.Listener
+	for _, addr := range []string{settings.ClientAddr, settings.ReadyAddr, n.innerAddr, n.metricsAddr()} {
+		listener, err := net.Listen("tcp", addr)
+		if err != nil {
+			return fmt.Errorf("listen: %w", err)
+		}
+		listeners = append(listeners, listener)
+	}
+	n.log.WithFields(logrus.Fields{"client_addr": settings.ClientAddr, "inner_addr": n.innerAddr,
+		"incarnation": n.incarnation, "bootstrap": settings.Bootstrap}).Info("started")
+	err := n.run(ctx, listeners)
+	n.log.Info("stopped")
+	return err
+}
+
+func newNode(s *platform.Settings, out io.Writer) *Node {
+	services := platform.Connect(s)
+	n := &Node{
+		settings: s, log: observe.NewLogger(out, "node", s.Node), registry: observe.NewRegistry(),
+		store: services.Store, runners: services.Runners, directory: ownership.NewDirectory(s.Node),
+		incarnation: strconv.FormatInt(time.Now().UnixNano(), 36),
+		innerAddr:   net.JoinHostPort(s.IP, strconv.Itoa(s.InnerPorts[0])),
+		peers:       newPeers(),
+		cells:       map[string]*dispatch.Cell{}, acquiring: map[string]bool{}, evacuated: map[string]bool{},
+		infos: map[string]runner.Info{}, homes: map[string]string{}, ownerless: map[string]time.Time{},
+		located: map[string]string{}, rosterKick: make(chan struct{}, 1),
+	}
+	n.metrics = dispatch.NewMetrics(n.registry)
+	n.operator = store.NewFollower(n.store, platform.TableOperator, n.operatorChanged, n.dependency("operator's rows"))
+	n.servers = store.NewFollower(n.store, platform.TableServers, n.serversChanged, n.dependency("service discovery"))
+	n.roster = store.NewFollower(n.store, tableRoster, n.rosterChanged, n.dependency("roster"))
+	return n
+}
+
+func (n *Node) metricsAddr() string {
+	return net.JoinHostPort(n.settings.IP, strconv.Itoa(n.settings.InnerPorts[0]+1))
+}
+
+// dependency returns a function that logs when a dependency is lost and when it is back.
+func (n *Node) dependency(name string) func(error) {
+	lost := false
+	return func(err error) {
+		switch {
+		case err != nil && !lost:
+			lost = true
+			n.log.WithField("dependency", name).WithError(err).Warn("dependency lost")
+		case err == nil && lost:
+			lost = false
+			n.log.WithField("dependency", name).Info("dependency regained")
+		}
+	}
+}
+
+func (n *Node) run(ctx context.Context, listeners []net.Listener) error {
+	// Servers outlive ctx: open requests are answered while cells are handed over.
+	serving, stopServing := context.WithCancel(context.WithoutCancel(ctx))
+	defer stopServing()
+	group, serving := errgroup.WithContext(serving)
+	grace := time.Duration(float64(n.settings.Bounds.Grace) * shutdownGrace)
+	frontend := platform.NewFrontend(n, n.log)
+	handlers := []http.Handler{frontend, platform.NewReadiness(n.health.Ready), n.innerHandler(), observe.NewAdmin(n.registry, &n.health)}
+	for i, handler := range handlers {
+		group.Go(func() error { return observe.Serve(serving, listeners[i], handler, grace) })
+	}
+	group.Go(func() error { n.operator.Run(serving); return nil })
+	group.Go(func() error { n.servers.Run(serving); return nil })
+	group.Go(func() error { n.roster.Run(serving); return nil })
+	group.Go(func() error {
+		n.beatLoop(ctx, serving)
+		return nil
+	})
+	group.Go(func() error { n.rosterLoop(serving); return nil })
+	group.Go(func() error {
+		<-ctx.Done()
+		n.leave()
+		stopServing()
+		return nil
+	})
+	return group.Wait()
+}
+
+// leave hands the cells over and gives clients the time to be answered.
+func (n *Node) leave() {
+	n.leaving.Store(true)
+	n.health.SetReady(false)
+	n.log.Info("leaving")
+	n.mu.Lock()
+	cells := make([]*dispatch.Cell, 0, len(n.cells))
+	for _, c := range n.cells {
+		cells = append(cells, c)
+	}
+	n.mu.Unlock()
+	for _, c := range cells {
+		c.Stop()
+	}
+	for _, c := range cells {
+		<-c.Done()
+	}
+	ctx, cancel := context.WithTimeout(context.Background(), time.Second)
+	defer cancel()
+	if err := n.beat(ctx); err != nil {
+		n.log.WithError(err).Warn("could not say that the node is leaving")
+	}
+}
+
+func (n *Node) operatorChanged(rows []store.Row) {
+	for _, row := range rows {
+		switch {
+		case row.Key.Name == platform.RowConfig && !row.Deleted:
+			n.configChanged(row)
+		case strings.HasPrefix(row.Key.Name, platform.PrefixEvacuate):
+			n.evacuationChanged(strings.TrimPrefix(row.Key.Name, platform.PrefixEvacuate), !row.Deleted)
+		}
+	}
+}
+
+func (n *Node) configChanged(row store.Row) {
+	config, err := platform.DecodeConfig(row.Value)
+	if err != nil {
+		n.log.WithError(err).Error("configuration was not accepted; the earlier one stays in force")
+		return
+	}
+	old := n.catalog.Load()
+	if old != nil && old.Version >= config.Version {
+		return
+	}
+	n.catalog.Store(config)
+	n.log.WithFields(logrus.Fields{"version": config.Version, "queues": len(config.Queues)}).Info("configuration in force")
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	for _, c := range n.cells {
+		c.SetCatalog(config)
+	}
+}
+
+func (n *Node) evacuationChanged(domain string, out bool) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	evacuated := map[string]bool{}
+	for d := range n.evacuated {
+		evacuated[d] = true
+	}
+	if out {
+		evacuated[domain] = true
+	} else {
+		delete(evacuated, domain)
+	}
+	n.evacuated = evacuated
+	n.log.WithFields(logrus.Fields{"domain": domain, "out": out}).Info("failure domain changed")
+	for _, c := range n.cells {
+		c.SetEvacuated(evacuated)
+	}
+}
+
+func (n *Node) serversChanged(rows []store.Row) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	for _, row := range rows {
+		id := row.Key.Name
+		if row.Deleted {
+			if info, ok := n.infos[id]; ok {
+				delete(n.infos, id)
+				n.tellCell(info, false)
+			}
+			continue
+		}
+		info, err := platform.DecodeRunner(id, row.Value)
+		if err != nil {
+			n.log.WithError(err).Warn("row of service discovery names no runner")
+			continue
+		}
+		n.infos[id] = info
+		n.tellCell(info, true)
+	}
+	n.kickRoster()
+}
+
+// tellCell passes what service discovery says about a runner to its cell, if this node owns it. The caller holds mu.
+func (n *Node) tellCell(info runner.Info, present bool) {
+	if c := n.cells[n.homes[info.ID]]; c != nil {
+		c.SetRunner(context.Background(), info, present)
+	}
+}
+
+// indexPart returns the partition of the index row of a job.
+func (n *Node) indexPart(jobID string) string {
+	if !n.settings.Across {
+		return ""
+	}
+	h := fnv.New32a()
+	_, _ = h.Write([]byte(jobID)) // a hash never fails
+	return "i" + strconv.Itoa(int(h.Sum32()%indexParts))
+}
+
+func (n *Node) cellPart(cell string) string {
+	if !n.settings.Across {
+		return ""
+	}
+	return cell
+}
+
+func (n *Node) cellConfig(cell string, predecessorDead bool) dispatch.Config {
+	b := n.settings.Bounds
+	return dispatch.Config{
+		Name: cell, Part: n.cellPart(cell), IndexPart: n.indexPart, Node: n.settings.Node, Addr: n.innerAddr,
+		Incarnation: n.incarnation, Metrics: n.metrics, Region: n.settings.Region, Regions: n.settings.Regions,
+		Lease:       time.Duration(float64(b.HoldMax) * leaseShare),
+		StopTimeout: b.StopTimeout, GangTimeout: b.GangTimeout, Early: b.Early, PaceDelay: b.PaceDelay, Harm: b.Harm,
+		Retention: b.StatusRetention, Store: n.store, Runners: n.runners, Log: n.log, PredecessorDead: predecessorDead,
+	}
+}
+
+// beatLoop shows that the node is alive, learns about the others and takes cells over.
+func (n *Node) beatLoop(ctx, serving context.Context) {
+	lost := n.dependency("store")
+	for {
+		started := time.Now()
+		err := n.beatOnce(serving, ctx)
+		lost(err)
+		n.updateReadiness()
+		select {
+		case <-serving.Done():
+			return
+		case <-time.After(max(ownership.BeatInterval-time.Since(started), ownership.BeatInterval/4)):
+		}
+	}
+}
+
+func (n *Node) beatOnce(ctx, working context.Context) error {
+	beatErr := n.beat(ctx)
+	page, err := store.ReadAll(ctx, n.store, ownership.TableNodes, "")
+	if err != nil {
+		return errors.Join(beatErr, err)
+	}
+	for _, problem := range n.directory.Update(time.Now(), page.Rows) {
+		n.log.WithError(problem).Warn("row of a node can't be read")
+	}
+	if beatErr == nil && working.Err() == nil {
+		n.takeCells(working)
+	}
+	return beatErr
+}
+
+// beat rewrites the node's row.
+func (n *Node) beat(ctx context.Context) error {
+	beat := ownership.Beat{
+		Node: n.settings.Node, Addr: n.innerAddr, Incarnation: n.incarnation, Region: n.settings.Region,
+		Leaving: n.leaving.Load(), StoreMs: n.storeMs.Load(), CPUShare: n.settings.CPUShare,
+	}
+	n.mu.Lock()
+	for _, c := range n.cells {
+		if !c.Lost() {
+			beat.Cells = append(beat.Cells, c.Load())
+		}
+	}
+	n.mu.Unlock()
+	value, err := json.Marshal(beat)
+	if err != nil {
+		return err
+	}
+	sent := time.Now()
+	_, err = n.store.Commit(ctx, store.Txn{Writes: []store.Write{
+		{Key: store.Key{Table: ownership.TableNodes, Name: n.settings.Node}, Value: value}}})
+	if err == nil {
+		took := time.Since(sent).Milliseconds()
+		if old := n.storeMs.Load(); old == 0 || took < old {
+			n.storeMs.Store(max(took, 1))
+		}
+	}
+	return err
+}
+
+func (n *Node) updateReadiness() {
+	ready := n.catalog.Load() != nil && n.directory.Fresh(time.Now()) && !n.leaving.Load() &&
+		len(n.directory.Owners(time.Now())) > 0
+	if ready != n.health.Ready() {
+		n.health.SetReady(ready)
+		n.log.WithField("ready", ready).Info("readiness changed")
+	}
+}
--- /dev/null
+++ b/ownership/directory.go
@@ -0,0 +1,198 @@
+// Package ownership says which nodes are alive and which node owns which cell, and takes cells over whose owner is gone.
+// Nodes show that they are alive by rewriting a row of the store; nobody else decides who owns a cell than the
+// conditional write of its ownership row.
+package ownership
+
+import (
+	"encoding/json"
+	"hash/fnv"
+	"sort"
+	"sync"
+	"time"
+
+	"github.com/currantthread/currantthread/dispatch"
+	"github.com/currantthread/currantthread/store"
+)
+
+// TableNodes holds one row for each node, which the node rewrites every BeatInterval.
+const TableNodes = "nodes"
+
+const (
+	// BeatInterval is how often a node rewrites its row and reads those of the others.
+	BeatInterval = 800 * time.Millisecond
+	// deadAfter is how long a row may stay the same until its node counts as gone: three intervals.
+	deadAfter = 3 * BeatInterval
+)
+
+// Beat is the value of a node's row.
+type Beat struct {
+	Node string `json:"node"`
+	Addr string `json:"addr"`
+	// Incarnation differs for each start of the node's process.
+	Incarnation string `json:"inc"`
+	Region      string `json:"region"`
+	// Leaving nodes hand their cells over and take no new ones.
+	Leaving bool `json:"leaving,omitempty"`
+	// StoreMs is the shortest answer time of the store that the node saw, in milliseconds.
+	StoreMs int64 `json:"store_ms"`
+	// CPUShare is the share of a core that the node has.
+	CPUShare float64         `json:"cpu"`
+	Cells    []dispatch.Load `json:"cells,omitempty"`
+}
+
+// member is a node as this node sees it.
+type member struct {
+	beat    Beat
+	version int64
+	// changedAt is when this node saw the row change last.
+	changedAt time.Time
+}
+
+// Directory is what a node knows of all nodes. It is safe for concurrent use.
+type Directory struct {
+	self string
+
+	mu      sync.Mutex // owned by the methods of Directory
+	members map[string]*member
+	// readAt is when the rows were last read, and gapEnd when reads last began to work again after a gap.
+	readAt time.Time
+	gapEnd time.Time
+}
+
+// NewDirectory returns an empty directory of the node self.
+func NewDirectory(self string) *Directory {
+	return &Directory{self: self, members: map[string]*member{}}
+}
+
+// Update takes rows as read from the store.
+func (d *Directory) Update(now time.Time, rows []store.Row) []error {
+	var problems []error
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	if now.Sub(d.readAt) > deadAfter {
+		// Nobody's rows were seen meanwhile, so nobody's silence counts from before.
+		d.gapEnd = now
+	}
+	d.readAt = now
+	for _, row := range rows {
+		m := d.members[row.Key.Name]
+		if m == nil {
+			m = &member{}
+			d.members[row.Key.Name] = m
+		}
+		if row.Version <= m.version {
+			continue
+		}
+		var beat Beat
+		if err := json.Unmarshal(row.Value, &beat); err != nil {
+			problems = append(problems, err)
+			continue
+		}
+		m.beat, m.version, m.changedAt = beat, row.Version, now
+	}
+	return problems
+}
+
+// alive reports whether a member counts as alive. The caller holds mu.
+func (d *Directory) alive(now time.Time, m *member) bool {
+	since := m.changedAt
+	if d.gapEnd.After(since) {
+		since = d.gapEnd
+	}
+	return now.Sub(since) < deadAfter
+}
+
+// Fresh reports whether the directory was read a short time ago.
+func (d *Directory) Fresh(now time.Time) bool {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return !d.readAt.IsZero() && now.Sub(d.readAt) < deadAfter
+}
+
+// Owner is a node that says that it owns a cell.
+type Owner struct {
+	Node string
+	Addr string
+	Load dispatch.Load
+	// StoreMs is as in Beat.
+	StoreMs int64
+	Region  string
+}
+
+// Owners returns the owner of each cell that has a living one. Of two nodes the one with the higher epoch counts.
+func (d *Directory) Owners(now time.Time) map[string]Owner {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	owners := map[string]Owner{}
+	for name, m := range d.members {
+		if !d.alive(now, m) {
+			continue
+		}
+		for _, load := range m.beat.Cells {
+			if other, ok := owners[load.Cell]; !ok || other.Load.Epoch < load.Epoch {
+				owners[load.Cell] = Owner{Node: name, Addr: m.beat.Addr, Load: load, StoreMs: m.beat.StoreMs, Region: m.beat.Region}
+			}
+		}
+	}
+	return owners
+}
+
+// Incarnation returns the incarnation in a node's row, or "" if it has none.
+func (d *Directory) Incarnation(node string) string {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	if m := d.members[node]; m != nil {
+		return m.beat.Incarnation
+	}
+	return ""
+}
+
+// farStoreMs is the answer time of the store from which a node counts as far from it: within a region it takes a few
+// milliseconds, and 40 more from another one.
+const farStoreMs = 25
+
+// Rank returns the position of the node self among the nodes that may take a cell, best first, and -1 if it may not.
+// Nodes with fewer cells come first, then those near the store, then by a hash that differs by cell.
+func (d *Directory) Rank(now time.Time, cell string) int {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	type candidate struct {
+		name  string
+		cells int
+		far   bool
+		hash  uint64
+	}
+	var candidates []candidate
+	for name, m := range d.members {
+		if !d.alive(now, m) || m.beat.Leaving {
+			continue
+		}
+		candidates = append(candidates, candidate{name, len(m.beat.Cells), m.beat.StoreMs > farStoreMs, hashOf(cell, name)})
+	}
+	sort.Slice(candidates, func(a, b int) bool {
+		x, y := candidates[a], candidates[b]
+		switch {
+		case x.cells != y.cells:
+			return x.cells < y.cells
+		case x.far != y.far:
+			return !x.far
+		default:
+			return x.hash < y.hash
+		}
+	})
+	for i, c := range candidates {
+		if c.name == d.self {
+			return i
+		}
+	}
+	return -1
+}
+
+func hashOf(parts ...string) uint64 {
+	h := fnv.New64a()
+	for _, p := range parts {
+		_, _ = h.Write([]byte(p)) // a hash never fails
+		_, _ = h.Write([]byte{0})
+	}
+	return h.Sum64()
+}
--- /dev/null
+++ b/placement/placement.go
@@ -0,0 +1,186 @@
+// Package placement chooses the runner for a task among those that a cell owns. Decisions are pure: small filters say
+// which runners may take the task, small scores say which of them is best.
+package placement
+
+import (
+	"github.com/currantthread/currantthread/workload"
+)
+
+// Host is what a decision needs to know of a runner.
+type Host struct {
+	ID     string
+	Domain string
+	Labels []string
+	// Available is false for runners that take no new tasks: draining, in a failure domain that is out, or unreachable.
+	Available bool
+	Capacity  workload.Resources
+	// Committed is what runs, may run or is being stopped there, without the processor time of tasks that fill.
+	Committed workload.Resources
+	// FillCPU is the processor demand of tasks that fill, in thousandths of a core.
+	FillCPU int64
+	// Serving is the number of tasks with a latency target, and Harmed of those that are near or over it.
+	Serving int
+	Harmed  int
+	// Far is set for runners in another region than the cell's owner.
+	Far bool
+	// Slowdown is the learned factor of run times on this runner against others; 1 is normal.
+	Slowdown float64
+	// Suspect is set for runners that failed tasks which succeed elsewhere.
+	Suspect bool
+}
+
+// Free returns the capacity that is not committed.
+func (h *Host) Free() workload.Resources { return h.Capacity.Sub(h.Committed) }
+
+func (h *Host) hasLabel(label string) bool {
+	for _, l := range h.Labels {
+		if l == label {
+			return true
+		}
+	}
+	return false
+}
+
+// Request is one task to place.
+type Request struct {
+	Step *workload.Step
+	// OnHost returns how many tasks of the same step and occurrence a runner has.
+	OnHost func(hostID string) int
+	// Avoid is a runner on which the task failed before; empty if none.
+	Avoid string
+	// Rack, if set, is the only rack that is allowed.
+	Rack string
+}
+
+// Filter reports whether a runner may take a task.
+type Filter func(r *Request, h *Host) bool
+
+// Score says how well a runner suits a task; scores of several functions are added.
+type Score func(r *Request, h *Host) float64
+
+func isAvailable(_ *Request, h *Host) bool { return h.Available }
+
+func hasRoom(r *Request, h *Host) bool { return r.Step.Committed().Fits(h.Free()) }
+
+// fillsWhatIsThere keeps tasks that fill from runners that could never give them their processor time.
+func fillsWhatIsThere(r *Request, h *Host) bool {
+	return !r.Step.Fills || r.Step.Resources.CPU <= h.Capacity.CPU
+}
+
+func hasRequiredLabel(r *Request, h *Host) bool {
+	return r.Step.Label == "" || h.hasLabel(r.Step.Label)
+}
+
+func isBelowSpreadLimit(r *Request, h *Host) bool {
+	return r.Step.MaxPerRunner == 0 || r.OnHost(h.ID) < r.Step.MaxPerRunner
+}
+
+func isOnRack(r *Request, h *Host) bool { return r.Rack == "" || h.hasLabel(r.Rack) }
+
+// filters are applied in this order, the cheapest and most selective first.
+var filters = []Filter{isAvailable, hasRoom, fillsWhatIsThere, hasRequiredLabel, isOnRack, isBelowSpreadLimit}
+
+// Weights of the scores. A score of 1 is worth the whole processor of a runner.
+const (
+	weightLeftover = 1.0
+	// weightData outweighs an empty runner, because a task away from its data takes a multiple of the time.
+	weightData = 2.0
+	// weightDomain prefers the owner's region, which saves 40 ms a step and traffic between regions.
+	weightDomain = 0.15
+	// weightServing keeps tasks that fill and tasks that serve apart, which disturb each other.
+	weightServing = 0.6
+	weightHarmed  = 1.5
+	weightSlow    = 1.0
+	// weightSuspect and weightAvoid are above all others: another runner is tried first.
+	weightSuspect = 4.0
+	weightAvoid   = 8.0
+)
+
+// scoreLeftover prefers runners whose processors are used least.
+func scoreLeftover(_ *Request, h *Host) float64 {
+	left := h.Capacity.CPU - h.Committed.CPU - h.FillCPU
+	return weightLeftover * float64(left) / float64(max(h.Capacity.CPU, 1))
+}
+
+func scoreData(r *Request, h *Host) float64 {
+	if r.Step.DataRack != "" && h.hasLabel(r.Step.DataRack) {
+		return weightData
+	}
+	return 0
+}
+
+func scoreRegion(_ *Request, h *Host) float64 {
+	if h.Far {
+		return -weightDomain
+	}
+	return 0
+}
+
+func scoreInterference(r *Request, h *Host) float64 {
+	switch {
+	case r.Step.Fills && h.Harmed > 0:
+		return -weightHarmed
+	case r.Step.Fills && h.Serving > 0:
+		return -weightServing
+	case r.Step.LatencyTarget > 0 && h.FillCPU > 0:
+		return -weightServing * float64(h.FillCPU) / float64(max(h.Capacity.CPU, 1))
+	}
+	return 0
+}
+
+func scoreHealth(r *Request, h *Host) float64 {
+	score := 0.0
+	if h.Slowdown > 1 {
+		score -= weightSlow * (h.Slowdown - 1)
+	}
+	if h.Suspect {
+		score -= weightSuspect
+	}
+	if h.ID == r.Avoid {
+		score -= weightAvoid
+	}
+	return score
+}
+
+var scores = []Score{scoreLeftover, scoreData, scoreRegion, scoreInterference, scoreHealth}
+
+// Pick returns the best runner for the request, or nil if none may take it. Of equal runners it returns the first.
+func Pick(r *Request, hosts []*Host) *Host {
+	var best *Host
+	bestScore := 0.0
+	for _, h := range hosts {
+		if !passes(r, h) {
+			continue
+		}
+		score := 0.0
+		for _, s := range scores {
+			score += s(r, h)
+		}
+		if best == nil || score > bestScore {
+			best, bestScore = h, score
+		}
+	}
+	return best
+}
+
+func passes(r *Request, h *Host) bool {
+	for _, f := range filters {
+		if !f(r, h) {
+			return false
+		}
+	}
+	return true
+}
+
+// Possible reports whether any runner could take the task if it were empty.
+func Possible(step *workload.Step, hosts []*Host) bool {
+	for _, h := range hosts {
+		if !step.Committed().Fits(h.Capacity) || step.Fills && step.Resources.CPU > h.Capacity.CPU {
+			continue
+		}
+		if step.Label == "" || h.hasLabel(step.Label) {
+			return true
+		}
+	}
+	return false
+}
--- /dev/null
+++ b/workload/workload.go
@@ -0,0 +1,305 @@
+// Package workload is the model of jobs: steps of tasks, their order, sizes and rules, and what is durable about their
+// progress. It does no I/O.
+package workload
+
+import (
+	"fmt"
+	"strconv"
+	"strings"
+	"time"
+)
+
+const (
+	// MaxSpecBytes is the largest specification that a job may carry.
+	MaxSpecBytes = 4000
+	// MaxSteps bounds the steps of a job.
+	MaxSteps = 200
+	// MaxTasks bounds the tasks of one occurrence of a job.
+	MaxTasks = 10_000
+	// MaxOccurrences bounds the occurrences of a job.
+	MaxOccurrences = 100_000
+)
+
+// Resources is an amount of a runner's resources.
+type Resources struct {
+	// CPU is in thousandths of a core.
+	CPU      int64 `json:"cpu,omitempty"`
+	MemoryMB int64 `json:"mem,omitempty"`
+	GPU      int64 `json:"gpu,omitempty"`
+}
+
+// Add returns r + o.
+func (r Resources) Add(o Resources) Resources {
+	return Resources{CPU: r.CPU + o.CPU, MemoryMB: r.MemoryMB + o.MemoryMB, GPU: r.GPU + o.GPU}
+}
+
+// Sub returns r - o.
+func (r Resources) Sub(o Resources) Resources {
+	return Resources{CPU: r.CPU - o.CPU, MemoryMB: r.MemoryMB - o.MemoryMB, GPU: r.GPU - o.GPU}
+}
+
+// Fits reports whether r fits into free.
+func (r Resources) Fits(free Resources) bool {
+	return r.CPU <= free.CPU && r.MemoryMB <= free.MemoryMB && r.GPU <= free.GPU
+}
+
+// Step is a group of like tasks.
+type Step struct {
+	Count     int           `json:"n"`
+	Resources Resources     `json:"res"`
+	Estimated time.Duration `json:"est,omitempty"`
+	// After lists the steps whose tasks must all be done before this step starts.
+	After         []int `json:"after,omitempty"`
+	Checkpointing bool  `json:"ckpt,omitempty"`
+	// Gang tasks work only together and end together.
+	Gang     bool `json:"gang,omitempty"`
+	SameRack bool `json:"same_rack,omitempty"`
+	// Label is a label that the runner must have; empty means any runner.
+	Label string `json:"label,omitempty"`
+	// DataRack is the rack on which the step's data is near; empty means any.
+	DataRack string `json:"data_rack,omitempty"`
+	// MaxPerRunner bounds the tasks of the step on one runner; 0 means no bound.
+	MaxPerRunner    int    `json:"per_runner,omitempty"`
+	AllowDuplicates bool   `json:"dup,omitempty"`
+	LongRunning     bool   `json:"long,omitempty"`
+	Image           string `json:"image,omitempty"`
+	// LatencyTarget is the bound of the tail latency of a serving task; 0 for tasks that serve nobody.
+	LatencyTarget time.Duration `json:"target,omitempty"`
+	// Fills marks tasks that use only processor time that others leave.
+	Fills bool `json:"fills,omitempty"`
+	// MaxUnavailable bounds the tasks that the system may make unavailable at once; negative means no bound.
+	MaxUnavailable int `json:"max_unavail"`
+}
+
+// Committed returns the resources that a task of the step takes from a runner's capacity.
+func (s *Step) Committed() Resources {
+	r := s.Resources
+	if s.Fills {
+		r.CPU = 0
+	}
+	return r
+}
+
+// Policy is what the queue's configuration says about a job at its submission.
+type Policy struct {
+	Queue string `json:"queue"`
+	// Service names the runners that run the job.
+	Service string `json:"service"`
+	// Priority 0 comes first.
+	Priority    int     `json:"prio,omitempty"`
+	MaxAttempts int     `json:"attempts"`
+	Stretch     float64 `json:"stretch,omitempty"`
+	// Slack is added to Stretch times the longest chain to give the completion objective.
+	Slack time.Duration `json:"slack,omitempty"`
+	// Advised marks queues whose steps may run only on runners that the advice service names.
+	Advised bool `json:"advised,omitempty"`
+}
+
+// Job is what a client submitted, and the policy under which it was accepted.
+type Job struct {
+	ID     string `json:"id"`
+	Spec   string `json:"spec,omitempty"`
+	Steps  []Step `json:"steps"`
+	Policy Policy `json:"policy"`
+	// Occurrences is how often the steps run; 1 for a job without a schedule.
+	Occurrences int `json:"occ"`
+	// StartAt is when the first occurrence is due; zero means at once.
+	StartAt  time.Time     `json:"start_at,omitzero"`
+	Interval time.Duration `json:"interval,omitempty"`
+	// AcceptedAt is the acceptor's time of day.
+	AcceptedAt time.Time `json:"accepted_at"`
+}
+
+// Due returns when an occurrence is due.
+func (j *Job) Due(occurrence int) time.Time {
+	if j.StartAt.IsZero() {
+		return time.Time{}
+	}
+	return j.StartAt.Add(time.Duration(occurrence) * j.Interval)
+}
+
+// LongRunning reports whether the job has tasks that run until it is cancelled.
+func (j *Job) LongRunning() bool {
+	for i := range j.Steps {
+		if j.Steps[i].LongRunning {
+			return true
+		}
+	}
+	return false
+}
+
+// Chain returns, for each step, the estimated time of the longest chain of steps that begins with it.
+func (j *Job) Chain() []time.Duration {
+	chain := make([]time.Duration, len(j.Steps))
+	var visit func(i int) time.Duration
+	followers := make([][]int, len(j.Steps))
+	for i := range j.Steps {
+		for _, before := range j.Steps[i].After {
+			followers[before] = append(followers[before], i)
+		}
+	}
+	visited := make([]bool, len(j.Steps))
+	visit = func(i int) time.Duration {
+		if visited[i] {
+			return chain[i]
+		}
+		visited[i] = true
+		var longest time.Duration
+		for _, f := range followers[i] {
+			longest = max(longest, visit(f))
+		}
+		chain[i] = longest + j.Steps[i].Estimated
+		return chain[i]
+	}
+	for i := range j.Steps {
+		visit(i)
+	}
+	return chain
+}
+
+// InvalidError says why a submitted job is not accepted.
+type InvalidError struct {
+	Field  string
+	Reason string
+}
+
+// Error implements error.
+func (e *InvalidError) Error() string { return fmt.Sprintf("%s: %s", e.Field, e.Reason) }
+
+// Validate returns an *InvalidError for a job that no queue accepts.
+func (j *Job) Validate() error {
+	if !ValidID(j.ID) {
+		return &InvalidError{"id", "must be 16 hexadecimal digits"}
+	}
+	if len(j.Spec) > MaxSpecBytes {
+		return &InvalidError{"spec", fmt.Sprintf("has %d bytes, at most %d are allowed", len(j.Spec), MaxSpecBytes)}
+	}
+	if len(j.Steps) == 0 || len(j.Steps) > MaxSteps {
+		return &InvalidError{"steps", fmt.Sprintf("has %d entries, 1 to %d are allowed", len(j.Steps), MaxSteps)}
+	}
+	if j.Occurrences < 1 || j.Occurrences > MaxOccurrences {
+		return &InvalidError{"occurrences", fmt.Sprintf("must be 1 to %d", MaxOccurrences)}
+	}
+	if j.Interval < 0 {
+		return &InvalidError{"interval", "must not be negative"}
+	}
+	total := 0
+	for i := range j.Steps {
+		if err := j.Steps[i].validate(i, len(j.Steps)); err != nil {
+			return err
+		}
+		total += j.Steps[i].Count
+		if total > MaxTasks {
+			return &InvalidError{"steps", fmt.Sprintf("has more than %d tasks", MaxTasks)}
+		}
+	}
+	return j.acyclic()
+}
+
+func (s *Step) validate(index, steps int) error {
+	field := "steps[" + strconv.Itoa(index) + "]"
+	switch {
+	case s.Count < 1 || s.Count > MaxTasks:
+		return &InvalidError{field + ".count", fmt.Sprintf("must be 1 to %d", MaxTasks)}
+	case s.Resources.CPU < 0 || s.Resources.MemoryMB < 0 || s.Resources.GPU < 0:
+		return &InvalidError{field, "sizes must not be negative"}
+	case s.Estimated < 0 || s.LatencyTarget < 0:
+		return &InvalidError{field, "times must not be negative"}
+	case s.MaxPerRunner < 0:
+		return &InvalidError{field, "the bound for each runner must not be negative"}
+	}
+	for _, before := range s.After {
+		if before < 0 || before >= steps || before == index {
+			return &InvalidError{field + ".after", fmt.Sprintf("%d is not another step of the job", before)}
+		}
+	}
+	return nil
+}
+
+func (j *Job) acyclic() error {
+	done := make([]bool, len(j.Steps))
+	for left := len(j.Steps); left > 0; {
+		progressed := false
+		for i := range j.Steps {
+			if done[i] || !allDone(done, j.Steps[i].After) {
+				continue
+			}
+			done[i], progressed = true, true
+			left--
+		}
+		if !progressed {
+			return &InvalidError{"steps.after", "has a cycle"}
+		}
+	}
+	return nil
+}
+
+func allDone(done []bool, steps []int) bool {
+	for _, s := range steps {
+		if !done[s] {
+			return false
+		}
+	}
+	return true
+}
+
+// ValidID reports whether id is 16 hexadecimal digits.
+func ValidID(id string) bool {
+	if len(id) != 16 {
+		return false
+	}
+	for i := range len(id) {
+		c := id[i]
+		if (c < '0' || c > '9') && (c < 'a' || c > 'f') && (c < 'A' || c > 'F') {
+			return false
+		}
+	}
+	return true
+}
+
+// TaskID names one task.
+type TaskID struct {
+	Job        string
+	Occurrence int
+	Step       int
+	Index      int
+}
+
+// String returns JOB.OCCURRENCE.STEP.INDEX.
+func (t TaskID) String() string {
+	return t.Job + "." + strconv.Itoa(t.Occurrence) + "." + strconv.Itoa(t.Step) + "." + strconv.Itoa(t.Index)
+}
+
+// ParseTaskID reads the form of TaskID.String.
+func ParseTaskID(s string) (TaskID, error) {
+	parts := strings.Split(s, ".")
+	if len(parts) != 4 {
+		return TaskID{}, fmt.Errorf("task name %q does not have four parts", s)
+	}
+	var numbers [3]int
+	for i, part := range parts[1:] {
+		n, err := strconv.Atoi(part)
+		if err != nil || n < 0 {
+			return TaskID{}, fmt.Errorf("task name %q: part %q is not a number", s, part)
+		}
+		numbers[i] = n
+	}
+	return TaskID{Job: parts[0], Occurrence: numbers[0], Step: numbers[1], Index: numbers[2]}, nil
+}
+
+// State is what clients see of a job.
+type State string
+
+// States of a job.
+const (
+	StateQueued    State = "queued"
+	StateRunning   State = "running"
+	StateCompleted State = "completed"
+	StateFailed    State = "failed"
+	StateCancelled State = "cancelled"
+)
+
+// Terminal reports whether the state never changes again.
+func (s State) Terminal() bool {
+	return s == StateCompleted || s == StateFailed || s == StateCancelled
+}
