Learn how tasks that fill disturb serving tasks, and pace and place by it

Cause: tasks that fill took serving tasks far over their latency targets, by amounts that differ for each pair of images. Change: interference.Pressure learns a coefficient for each pair from tails; placement keeps tasks that fill where they disturb little; service discovery is read every 0.4 s by owners only.

--- a/dispatch/cell.go
+++ b/dispatch/cell.go
@@ -14,6 +14,7 @@
 	"github.com/sirupsen/logrus"
 
 	"github.com/currantthread/currantthread/catalog"
+	"github.com/currantthread/currantthread/interference"
 	"github.com/currantthread/currantthread/runner"
 	"github.com/currantthread/currantthread/store"
 	"github.com/currantthread/currantthread/workload"
@@ -82,6 +83,7 @@
 	runners      map[string]*host
 	catalog      *catalog.Config
 	evacuated    map[string]bool
+	pressure     *interference.Pressure
 	submissions  []*submission
 	dirty        map[*jobState]bool
 	// urgent asks for a commit without the usual delay.
@@ -101,7 +103,7 @@
 		cfg: cfg, epoch: epoch, jobs: map[string]*jobState{}, runners: map[string]*host{},
 		evacuated: map[string]bool{}, dirty: map[*jobState]bool{}, unresolved: map[string]time.Time{},
 		pending: map[string]int{}, planKick: make(chan struct{}, 1), flushKick: make(chan struct{}, 1),
-		done: make(chan struct{}), catalog: &catalog.Config{},
+		done: make(chan struct{}), catalog: &catalog.Config{}, pressure: interference.NewPressure(),
 	}
 }
 
--- a/dispatch/host.go
+++ b/dispatch/host.go
@@ -7,6 +7,7 @@
 
 	"github.com/sirupsen/logrus"
 
+	"github.com/currantthread/currantthread/interference"
 	"github.com/currantthread/currantthread/internal/wait"
 	"github.com/currantthread/currantthread/placement"
 	"github.com/currantthread/currantthread/runner"
@@ -57,8 +58,10 @@
 	hasFigure   bool
 	stopping    bool // a goroutine sends stop orders
 	stopReason  string
-	paced       int
-	overSince   time.Time
+	// speed is the share at which a task that fills may work, in percent, as last ordered.
+	speed int
+	// load is the learned load of a serving task.
+	load interference.Load
 }
 
 func (r *run) id() workload.TaskID { return r.unit.task(r.member) }
@@ -514,7 +517,7 @@
 		c.stopForeign(h, listed.Task, listed.Run)
 		return nil
 	}
-	r := &run{unit: u, member: listed.Task.Index - u.first, number: listed.Run, host: h, startedAt: now}
+	r := &run{unit: u, member: listed.Task.Index - u.first, number: listed.Run, host: h, startedAt: now, speed: fullSpeed}
 	c.attach(r)
 	c.confirmRun(now, r, listed)
 	c.cfg.Log.WithFields(logrus.Fields{"request": j.def.ID, "task": listed.Task.String(), "run": listed.Run, "runner": h.info.ID}).Info("took over a run")
--- a/dispatch/interference.go
+++ b/dispatch/interference.go
@@ -2,60 +2,142 @@
 
 import (
 	"context"
+	"sort"
 	"time"
 
 	"github.com/sirupsen/logrus"
+
+	"github.com/currantthread/currantthread/interference"
 )
 
 const (
-	// harmedShare is the share of its latency target from which a serving task counts as harmed.
-	harmedShare = 0.85
-	// pacedPercent is the speed of tasks that fill beside a serving task over its target.
-	pacedPercent = 0
-	// fullPercent lets a task work without a limit.
-	fullPercent = 100
-	// calmShare is the share of the target below which paced tasks may work again.
-	calmShare = 0.5
+	// fullSpeed lets a task work without a limit, in percent.
+	fullSpeed = 100
+	// speedStep is the smallest change of speed that is worth an order, in percent.
+	speedStep = 20
+	// raiseMargin is the pressure that must be free beyond need before a task is made faster, so that the orders do not
+	// follow each swing of the load.
+	raiseMargin = 0.05
 )
 
-// judgeInterference slows tasks that fill on a runner where a serving task is near or over its latency target, and lets
-// them work again once it is well below. The caller holds mu.
-func (c *Cell) judgeInterference(now time.Time, h *host) {
-	worst := 0.0
+// shares returns the processor time that tasks that fill used on the runner lately, by image.
+func (h *host) shares() []interference.Share {
+	used := map[string]float64{}
+	for r := range h.runs {
+		if r.unit.def().Fills && r.hasFigure {
+			used[r.unit.def().Image] += r.figure / float64(max(h.info.Capacity.CPU, 1))
+		}
+	}
+	shares := make([]interference.Share, 0, len(used))
+	for image, u := range used {
+		shares = append(shares, interference.Share{Image: image, Used: u})
+	}
+	return shares
+}
+
+// granted returns the processor time that tasks that fill may use on the runner at their ordered speeds, by image.
+func (h *host) granted() []interference.Share {
+	var shares []interference.Share
 	for r := range h.runs {
-		if target := r.unit.def().LatencyTarget; target > 0 && r.hasFigure {
-			worst = max(worst, r.figure/float64(target.Milliseconds()))
+		if def := r.unit.def(); def.Fills {
+			share := float64(def.Resources.CPU) * float64(r.speed) / fullSpeed / float64(max(h.info.Capacity.CPU, 1))
+			shares = append(shares, interference.Share{Image: def.Image, Used: share})
 		}
 	}
+	return shares
+}
+
+// room returns the pressure that a serving task bears beyond that of the shares. The caller holds mu.
+func (c *Cell) room(r *run, _ []interference.Share) float64 {
+	def := r.unit.def()
+	limit := c.pressure.Limit(def.Image, float64(def.LatencyTarget.Milliseconds()))
+	return limit - r.load.Value() - c.pressure.Sum(def.Image, r.host.granted())
+}
+
+// judgeInterference learns from what a runner reports and sets the speeds of tasks that fill. The caller holds mu.
+func (c *Cell) judgeInterference(now time.Time, h *host) {
+	var serving, filling []*run
 	for r := range h.runs {
-		if !r.unit.def().Fills || r.phase != runRunning {
-			continue
+		switch def := r.unit.def(); {
+		case def.LatencyTarget > 0:
+			serving = append(serving, r)
+		case def.Fills && r.phase == runRunning:
+			filling = append(filling, r)
 		}
-		switch {
-		case worst > harmedShare && r.paced != pacedPercent+1:
-			c.pace(now, r, pacedPercent)
-		case worst < calmShare && r.paced != 0:
-			c.pace(now, r, fullPercent)
+	}
+	if len(serving) == 0 {
+		for _, r := range filling {
+			c.setSpeed(now, r, fullSpeed)
 		}
+		return
+	}
+	shares := h.shares()
+	for _, r := range serving {
+		if r.hasFigure && r.percent == 100 {
+			c.pressure.Observe(r.unit.def().Image, r.figure, shares, &r.load)
+		}
+	}
+	if len(filling) > 0 {
+		c.shareOut(now, h, serving, filling)
 	}
 }
 
-// pace orders the speed of a run. The caller holds mu.
-func (c *Cell) pace(_ time.Time, r *run, percent int) {
-	previous := r.paced
-	r.paced = percent + 1
-	if percent == fullPercent {
-		r.paced = 0
+// shareOut gives tasks that fill the speeds that the serving tasks of a runner bear, the most urgent job first.
+func (c *Cell) shareOut(now time.Time, h *host, serving, filling []*run) {
+	room := make([]float64, len(serving))
+	for i, r := range serving {
+		def := r.unit.def()
+		room[i] = c.pressure.Limit(def.Image, float64(def.LatencyTarget.Milliseconds())) - r.load.Value()
 	}
+	sort.Slice(filling, func(a, b int) bool {
+		x, y := filling[a].unit.latestStart(), filling[b].unit.latestStart()
+		if !x.Equal(y) {
+			return x.Before(y)
+		}
+		return filling[a].id().String() < filling[b].id().String()
+	})
+	for _, r := range filling {
+		def := r.unit.def()
+		share := float64(def.Resources.CPU) / float64(max(h.info.Capacity.CPU, 1))
+		allowed := 1.0
+		margin := 0.0
+		if r.speed < fullSpeed {
+			margin = raiseMargin
+		}
+		for i, s := range serving {
+			if p := share * c.pressure.Coefficient(interference.Pair{Serving: s.unit.def().Image, Filling: def.Image}); p > 0 {
+				allowed = min(allowed, max(room[i]-margin, 0)/p)
+			}
+		}
+		speed := int(allowed*fullSpeed) / speedStep * speedStep
+		c.setSpeed(now, r, speed)
+		for i, s := range serving {
+			p := share * c.pressure.Coefficient(interference.Pair{Serving: s.unit.def().Image, Filling: def.Image})
+			room[i] -= p * float64(speed) / fullSpeed
+		}
+	}
+}
+
+// setSpeed orders the speed of a task that fills, in percent. The caller holds mu.
+func (c *Cell) setSpeed(_ time.Time, r *run, percent int) {
+	if r.speed == percent {
+		return
+	}
+	previous := r.speed
+	r.speed = percent
 	target, id := r.host.target(), r.id()
 	c.work.Go(func() {
 		ctx, cancel := context.WithTimeout(context.Background(), c.cfg.Lease)
 		defer cancel()
-		if err := c.cfg.Runners.Pace(ctx, target, id, r.number, percent, c.epoch); err != nil {
-			c.cfg.Log.WithFields(logrus.Fields{"task": id.String(), "runner": target.ID, "error": err.Error()}).Warn("pace order failed")
-			c.mu.Lock()
-			r.paced = previous
-			c.mu.Unlock()
+		err := c.cfg.Runners.Pace(ctx, target, id, r.number, percent, c.epoch)
+		if err == nil {
+			return
+		}
+		c.cfg.Log.WithFields(logrus.Fields{"task": id.String(), "runner": target.ID, "error": err.Error()}).Warn("pace order failed")
+		c.mu.Lock()
+		defer c.mu.Unlock()
+		if r.speed == percent {
+			r.speed = previous
 		}
 	})
 }
--- a/dispatch/orders.go
+++ b/dispatch/orders.go
@@ -23,7 +23,7 @@
 
 // beginRun creates a run and sends its start order. The caller holds mu.
 func (c *Cell) beginRun(ctx context.Context, now time.Time, u *unit, member, number int, h *host) {
-	r := &run{unit: u, member: member, number: number, host: h, startedAt: now, percent: -1}
+	r := &run{unit: u, member: member, number: number, host: h, startedAt: now, percent: -1, speed: fullSpeed}
 	c.attach(r)
 	c.cfg.Metrics.starts.Inc()
 	order := runner.Start{
--- a/dispatch/plan.go
+++ b/dispatch/plan.go
@@ -5,6 +5,7 @@
 	"sort"
 	"time"
 
+	"github.com/currantthread/currantthread/interference"
 	"github.com/currantthread/currantthread/placement"
 	"github.com/currantthread/currantthread/workload"
 )
@@ -96,18 +97,14 @@
 		p.Available = h.present && !h.info.Draining && !c.evacuated[h.info.Domain] && h.reachable(now) &&
 			!now.Before(h.roomUntil) && h.foreign == 0
 		p.Far = c.cfg.Regions[h.info.Domain] != c.cfg.Region
-		p.Committed, p.FillCPU, p.Serving, p.Harmed = workload.Resources{}, 0, 0, 0
+		p.Committed, p.UsedCPU, p.Serving = workload.Resources{}, 0, p.Serving[:0]
+		shares := h.shares()
 		for r := range h.runs {
 			def := r.unit.def()
 			p.Committed = p.Committed.Add(def.Committed())
-			if def.Fills {
-				p.FillCPU += def.Resources.CPU
-			}
+			p.UsedCPU += expectedCPU(def)
 			if def.LatencyTarget > 0 {
-				p.Serving++
-				if r.hasFigure && r.figure > harmedShare*float64(def.LatencyTarget.Milliseconds()) {
-					p.Harmed++
-				}
+				p.Serving = append(p.Serving, placement.Serving{Image: def.Image, Room: c.room(r, shares)})
 			}
 		}
 		p.Slowdown, p.Suspect = h.health.slowdown(), h.health.suspect(now)
@@ -137,7 +134,10 @@
 	onRunner := u.stepState().onRunner
 	taken := map[string]int{}
 	request := &placement.Request{Step: def, Avoid: u.avoid,
-		OnHost: func(id string) int { return onRunner[id] + taken[id] }}
+		OnHost: func(id string) int { return onRunner[id] + taken[id] },
+		Pressure: func(serving string) float64 {
+			return c.pressure.Coefficient(interference.Pair{Serving: serving, Filling: def.Image})
+		}}
 	chosen := make([]*hostView, 0, u.size)
 	for range u.size {
 		best := placement.Pick(request, hosts)
@@ -146,12 +146,10 @@
 		}
 		chosen = append(chosen, byID[best.ID])
 		taken[best.ID]++
-		reserve(best, def)
+		reserve(best, request)
 	}
 	if len(chosen) < u.size {
-		for _, v := range chosen {
-			unreserve(v.place, def)
-		}
+		// The views are rebuilt for the next plan; until then the runners look fuller than they are.
 		return false
 	}
 	number := u.run + 1
@@ -162,24 +160,34 @@
 	return true
 }
 
-func reserve(p *placement.Host, def *workload.Step) {
-	p.Committed = p.Committed.Add(def.Committed())
-	if def.Fills {
-		p.FillCPU += def.Resources.CPU
+// reserve notes on a view that a task was placed there.
+func reserve(p *placement.Host, r *placement.Request) {
+	p.Committed = p.Committed.Add(r.Step.Committed())
+	p.UsedCPU += expectedCPU(r.Step)
+	if r.Step.Fills {
+		share := float64(r.Step.Resources.CPU) / float64(max(p.Capacity.CPU, 1))
+		for i := range p.Serving {
+			p.Serving[i].Room -= r.Pressure(p.Serving[i].Image) * share
+		}
 	}
-	if def.LatencyTarget > 0 {
-		p.Serving++
+	if r.Step.LatencyTarget > 0 {
+		p.Serving = append(p.Serving, placement.Serving{Image: r.Step.Image, Room: newServingRoom})
 	}
 }
 
-func unreserve(p *placement.Host, def *workload.Step) {
-	p.Committed = p.Committed.Sub(def.Committed())
-	if def.Fills {
-		p.FillCPU -= def.Resources.CPU
-	}
+const (
+	// newServingRoom is assumed of a serving task that has just started.
+	newServingRoom = 0.2
+	// servingUse is the share of their processor time that serving tasks are expected to use.
+	servingUse = 0.6
+)
+
+// expectedCPU returns the processor time that a task of a step is expected to use, in thousandths of a core.
+func expectedCPU(def *workload.Step) int64 {
 	if def.LatencyTarget > 0 {
-		p.Serving--
+		return int64(servingUse * float64(def.Resources.CPU))
 	}
+	return def.Resources.CPU
 }
 
 // serviceOf returns the service that runs a job: the newest configuration that has the queue decides.
--- a/node/node.go
+++ b/node/node.go
@@ -33,6 +33,8 @@
 const (
 	// indexParts spreads the index of jobs over partitions, each of which applies a few hundred transactions a second.
 	indexParts = 16
+	// discoverySpacing groups the heartbeats of runners, each of which changes its row.
+	discoverySpacing = 400 * time.Millisecond
 	// leaseShare is the share of the longest lease that is granted; see docs/design.md.
 	leaseShare = 0.6
 	// shutdownGrace is the share of the platform's grace that open requests get.
@@ -105,10 +107,18 @@
 	n.metrics = dispatch.NewMetrics(n.registry)
 	n.operator = store.NewFollower(n.store, platform.TableOperator, n.operatorChanged, n.dependency("operator's rows"))
 	n.servers = store.NewFollower(n.store, platform.TableServers, n.serversChanged, n.dependency("service discovery"))
+	n.servers.Spacing, n.servers.Active = discoverySpacing, n.needsRunners
 	n.roster = store.NewFollower(n.store, tableRoster, n.rosterChanged, n.dependency("roster"))
 	return n
 }
 
+// needsRunners reports whether this node has use for service discovery: it owns cells, or cells are not laid out yet.
+func (n *Node) needsRunners() bool {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	return n.cellCount == 0 || len(n.cells) > 0 || len(n.acquiring) > 0
+}
+
 func (n *Node) metricsAddr() string {
 	return net.JoinHostPort(n.settings.IP, strconv.Itoa(n.settings.InnerPorts[0]+1))
 }
--- a/placement/placement.go
+++ b/placement/placement.go
@@ -16,11 +16,11 @@
 	Capacity  workload.Resources
 	// Committed is what runs, may run or is being stopped there, without the processor time of tasks that fill.
 	Committed workload.Resources
-	// FillCPU is the processor demand of tasks that fill, in thousandths of a core.
-	FillCPU int64
-	// Serving is the number of tasks with a latency target, and Harmed of those that are near or over it.
-	Serving int
-	Harmed  int
+	// UsedCPU is the processor time that tasks are expected to use, in thousandths of a core; serving tasks use less
+	// than they commit.
+	UsedCPU int64
+	// Serving are the tasks with a latency target.
+	Serving []Serving
 	// Far is set for runners in another region than the cell's owner.
 	Far bool
 	// Slowdown is the learned factor of run times on this runner against others; 1 is normal.
@@ -29,6 +29,13 @@
 	Suspect bool
 }
 
+// Serving is a task with a latency target on a runner.
+type Serving struct {
+	Image string
+	// Room is how much more pressure of tasks that fill keeps it below its target; negative if it is above.
+	Room float64
+}
+
 // Free returns the capacity that is not committed.
 func (h *Host) Free() workload.Resources { return h.Capacity.Sub(h.Committed) }
 
@@ -50,6 +57,22 @@
 	Avoid string
 	// Rack, if set, is the only rack that is allowed.
 	Rack string
+	// Pressure returns how much of a serving task's capacity the request's tasks would take if they used a whole
+	// runner; it is used for tasks that fill.
+	Pressure func(servingImage string) float64
+}
+
+// Allowance returns the share of its speed at which a task that fills could work on a runner without taking a serving
+// task there over its target.
+func Allowance(r *Request, h *Host) float64 {
+	share := float64(r.Step.Resources.CPU) / float64(max(h.Capacity.CPU, 1))
+	allowance := 1.0
+	for _, s := range h.Serving {
+		if pressure := r.Pressure(s.Image) * share; pressure > 0 {
+			allowance = min(allowance, max(s.Room, 0)/pressure)
+		}
+	}
+	return allowance
 }
 
 // Filter reports whether a runner may take a task.
@@ -77,8 +100,22 @@
 
 func isOnRack(r *Request, h *Host) bool { return r.Rack == "" || h.hasLabel(r.Rack) }
 
+// minAllowance is the speed below which a task that fills waits for another runner or another time.
+const minAllowance = 0.5
+
+// disturbsLittle keeps tasks that fill from runners where they would have to be slowed down for a serving task.
+func disturbsLittle(r *Request, h *Host) bool {
+	return !r.Step.Fills || Allowance(r, h) >= minAllowance
+}
+
+// leavesTime keeps tasks that fill from runners whose processors are used.
+func leavesTime(r *Request, h *Host) bool {
+	return !r.Step.Fills || h.UsedCPU+r.Step.Resources.CPU <= h.Capacity.CPU
+}
+
 // filters are applied in this order, the cheapest and most selective first.
-var filters = []Filter{isAvailable, hasRoom, fillsWhatIsThere, hasRequiredLabel, isOnRack, isBelowSpreadLimit}
+var filters = []Filter{isAvailable, hasRoom, fillsWhatIsThere, hasRequiredLabel, isOnRack, isBelowSpreadLimit,
+	leavesTime, disturbsLittle}
 
 // Weights of the scores. A score of 1 is worth the whole processor of a runner.
 const (
@@ -87,18 +124,25 @@
 	weightData = 2.0
 	// weightDomain prefers the owner's region, which saves 40 ms a step and traffic between regions.
 	weightDomain = 0.15
-	// weightServing keeps tasks that fill and tasks that serve apart, which disturb each other.
-	weightServing = 0.6
-	weightHarmed  = 1.5
-	weightSlow    = 1.0
+	// weightAllowance prefers runners where a task that fills need not be slowed down.
+	weightAllowance = 1.0
+	// weightSameImage gathers serving tasks of one image: what fills beside them has to suit only that image.
+	weightSameImage  = 0.6
+	weightOtherImage = 0.4
+	// weightPack fills runners with serving tasks one after another, which leaves others free of them.
+	weightPack = 0.5
+	weightSlow = 1.0
 	// weightSuspect and weightAvoid are above all others: another runner is tried first.
 	weightSuspect = 4.0
 	weightAvoid   = 8.0
 )
 
-// scoreLeftover prefers runners whose processors are used least.
-func scoreLeftover(_ *Request, h *Host) float64 {
-	left := h.Capacity.CPU - h.Committed.CPU - h.FillCPU
+// scoreLeftover prefers runners whose processors are used least, and for serving tasks those that are nearly full.
+func scoreLeftover(r *Request, h *Host) float64 {
+	if r.Step.LatencyTarget > 0 {
+		return -weightPack * float64(h.Free().CPU) / float64(max(h.Capacity.CPU, 1))
+	}
+	left := h.Capacity.CPU - h.UsedCPU
 	return weightLeftover * float64(left) / float64(max(h.Capacity.CPU, 1))
 }
 
@@ -118,16 +162,29 @@
 
 func scoreInterference(r *Request, h *Host) float64 {
 	switch {
-	case r.Step.Fills && h.Harmed > 0:
-		return -weightHarmed
-	case r.Step.Fills && h.Serving > 0:
-		return -weightServing
-	case r.Step.LatencyTarget > 0 && h.FillCPU > 0:
-		return -weightServing * float64(h.FillCPU) / float64(max(h.Capacity.CPU, 1))
+	case r.Step.Fills:
+		return weightAllowance * Allowance(r, h)
+	case r.Step.LatencyTarget > 0:
+		return scoreCompany(r, h)
 	}
 	return 0
 }
 
+// scoreCompany prefers runners whose serving tasks have the same image.
+func scoreCompany(r *Request, h *Host) float64 {
+	if len(h.Serving) == 0 {
+		return 0
+	}
+	same := 0
+	for _, s := range h.Serving {
+		if s.Image == r.Step.Image {
+			same++
+		}
+	}
+	share := float64(same) / float64(len(h.Serving))
+	return weightSameImage*share - weightOtherImage*(1-share)
+}
+
 func scoreHealth(r *Request, h *Host) float64 {
 	score := 0.0
 	if h.Slowdown > 1 {
--- a/store/follower.go
+++ b/store/follower.go
@@ -15,6 +15,8 @@
 	feedWait = 8 * time.Second
 	// retryDelay is the pause after a failed call.
 	retryDelay = 200 * time.Millisecond
+	// idleCheck is how often a follower that is not needed looks whether it is.
+	idleCheck = 100 * time.Millisecond
 )
 
 // Follower keeps a copy of the rows of one table whose partition is empty. It never replaces a row by an older one.
@@ -23,6 +25,10 @@
 	table    string
 	onChange func(rows []Row)
 	onError  func(err error)
+	// Spacing is the least time between two calls; it groups the changes of tables that change all the time.
+	Spacing time.Duration
+	// Active, if set, says whether the rows are needed at present.
+	Active func() bool
 
 	mu      sync.Mutex // owned by the methods of Follower
 	rows    map[string]Row
@@ -54,8 +60,13 @@
 func (f *Follower) Run(ctx context.Context) {
 	failed := false
 	for ctx.Err() == nil {
+		if f.Active != nil && !f.Active() {
+			wait.For(ctx, idleCheck)
+			continue
+		}
 		err := f.step(ctx)
 		if err == nil {
+			wait.For(ctx, f.Spacing)
 			if failed {
 				failed = false
 				f.onError(nil)
