--- a/dispatch/host.go
+++ b/dispatch/host.go
@@ -18,6 +18,8 @@
 	// holdWait is how long a runner waits for an end before it answers; 2 s is the platform's maximum. Each call is
 	// priced, so it is the maximum.
 	holdWait = 2 * time.Second
+	// harmedWait replaces holdWait while a serving task is over its latency target.
+	harmedWait = 600 * time.Millisecond
 	// ackDelay spaces two looks at a runner, so that one look shows the ends of several tasks, and gives the ends that
 	// were seen the time to become durable.
 	ackDelay = 30 * time.Millisecond
@@ -60,6 +62,8 @@
 	stopReason  string
 	// speed is the share at which a task that fills may work, in percent, as last ordered.
 	speed int
+	// overSince is when a serving task was first seen over its latency target; zero if it was not in the last report.
+	overSince time.Time
 	// load is the learned load of a serving task.
 	load interference.Load
 }
@@ -191,12 +195,25 @@
 		order.Deadline = c.leaseDeadline(now, h)
 		if !h.failing {
 			order.Wait = holdWait
+			if h.harmed() {
+				order.Wait = harmedWait
+			}
 		}
 	}
 	c.cfg.Metrics.looks.Inc()
 	return order, true
 }
 
+// harmed reports whether a serving task was over its target in the last report while others fill. The caller holds mu.
+func (h *host) harmed() bool {
+	over, fills := false, false
+	for r := range h.runs {
+		over = over || !r.overSince.IsZero()
+		fills = fills || r.unit.def().Fills && r.speed > 0
+	}
+	return over && fills
+}
+
 // leaseDeadline returns the end of the lease on the runner's clock and notes when it ends by ours. The caller holds mu.
 func (c *Cell) leaseDeadline(now time.Time, h *host) time.Duration {
 	end := now.Add(time.Duration(float64(c.cfg.Lease)*(1+clockDrift)) + leaseSlack)
--- a/dispatch/interference.go
+++ b/dispatch/interference.go
@@ -18,6 +18,11 @@
 	// raiseMargin is the pressure that must be free beyond need before a task is made faster, so that the orders do not
 	// follow each swing of the load.
 	raiseMargin = 0.05
+	// minRoom keeps quotients finite for serving tasks that bear nothing more.
+	minRoom = 0.01
+	// overPatience is how long a serving task may be over its target before everything that fills beside it stops,
+	// whatever the model says. The users allow 4 s.
+	overPatience = 1200 * time.Millisecond
 )
 
 // shares returns the processor time that tasks that fill used on the runner lately, by image.
@@ -82,19 +87,36 @@
 	}
 }
 
-// shareOut gives tasks that fill the speeds that the serving tasks of a runner bear, the most urgent job first.
+// shareOut gives tasks that fill the speeds that the serving tasks of a runner bear, those that disturb least first.
 func (c *Cell) shareOut(now time.Time, h *host, serving, filling []*run) {
 	room := make([]float64, len(serving))
 	for i, r := range serving {
 		def := r.unit.def()
 		room[i] = c.pressure.Limit(def.Image, float64(def.LatencyTarget.Milliseconds())) - r.load.Value()
 	}
+	if c.overTarget(now, serving) {
+		for _, r := range filling {
+			c.setSpeed(now, r, 0)
+		}
+		return
+	}
+	worst := make(map[string]float64, len(filling))
+	for _, r := range filling {
+		image := r.unit.def().Image
+		for i, s := range serving {
+			p := c.pressure.Coefficient(interference.Pair{Serving: s.unit.def().Image, Filling: image})
+			worst[image] = max(worst[image], p/max(room[i], minRoom))
+		}
+	}
 	sort.Slice(filling, func(a, b int) bool {
-		x, y := filling[a].unit.latestStart(), filling[b].unit.latestStart()
-		if !x.Equal(y) {
-			return x.Before(y)
+		x, y := filling[a], filling[b]
+		if wx, wy := worst[x.unit.def().Image], worst[y.unit.def().Image]; wx != wy {
+			return wx < wy
+		}
+		if lx, ly := x.unit.latestStart(), y.unit.latestStart(); !lx.Equal(ly) {
+			return lx.Before(ly)
 		}
-		return filling[a].id().String() < filling[b].id().String()
+		return x.id().String() < y.id().String()
 	})
 	for _, r := range filling {
 		def := r.unit.def()
@@ -118,6 +140,22 @@
 	}
 }
 
+// overTarget reports whether a serving task has been over its latency target for long. The caller holds mu.
+func (c *Cell) overTarget(now time.Time, serving []*run) bool {
+	over := false
+	for _, r := range serving {
+		switch {
+		case !r.hasFigure || r.figure <= float64(r.unit.def().LatencyTarget.Milliseconds()):
+			r.overSince = time.Time{}
+		case r.overSince.IsZero():
+			r.overSince = now
+		case now.Sub(r.overSince) > overPatience:
+			over = true
+		}
+	}
+	return over
+}
+
 // setSpeed orders the speed of a task that fills, in percent. The caller holds mu.
 func (c *Cell) setSpeed(_ time.Time, r *run, percent int) {
 	if r.speed == percent {
--- a/interference/pressure.go
+++ b/interference/pressure.go
@@ -11,7 +11,7 @@
 
 const (
 	// priorPressure is assumed of pairs that were not seen together.
-	priorPressure = 0.7
+	priorPressure = 1.0
 	// priorLoad is assumed of a serving task's own load until it was seen.
 	priorLoad = 0.45
 	// pressureGain and loadGain weight a new observation.
@@ -26,7 +26,7 @@
 	// saturation is the utilization from which the tail grows without saying how far the load is above it.
 	saturation = 0.93
 	// targetShare is the share of the latency target that is aimed for.
-	targetShare = 0.8
+	targetShare = 0.7
 )
 
 // Pressure learns, for each pair of images, how much of a serving task's capacity the tasks that fill take. The tail
@@ -117,6 +117,10 @@
 		l.value, l.known = value, true
 		return
 	}
+	if value > l.value {
+		// A rising load harms before the next observation; a falling one only wastes a little.
+		gain = 1
+	}
 	l.value += gain * (value - l.value)
 }
 
--- a/node/cells.go
+++ b/node/cells.go
@@ -22,8 +22,9 @@
 const (
 	// rowLayout of tableRoster holds the number of cells, which is fixed at the first start.
 	rowLayout = "layout/cells"
-	// runnersPerCell is the size that cells are laid out for: an owner with a fifth of a core serves that many.
-	runnersPerCell = 22
+	// runnersPerCell is the size that cells are laid out for. Its 150 starts a second cost the owner a tenth of a core,
+	// and larger cells pack better and learn interference faster.
+	runnersPerCell = 66
 	// layoutDelay is how long the first start waits for runners to show up before it lays the cells out.
 	layoutDelay = 2500 * time.Millisecond
 	// rankDelay is how much longer each next candidate waits before it takes a cell.
@@ -318,7 +319,7 @@
 }
 
 // rackTolerance lets a cell exceed its share by this part of it, to keep a rack in one cell.
-const rackTolerance = 8
+const rackTolerance = 16
 
 func (n *Node) smallestCell(capacity map[string]int64) string {
 	best := ""
--- a/placement/placement.go
+++ b/placement/placement.go
@@ -128,9 +128,11 @@
 	weightAllowance = 1.0
 	// weightSameImage gathers serving tasks of one image: what fills beside them has to suit only that image.
 	weightSameImage  = 0.6
-	weightOtherImage = 0.4
-	// weightPack fills runners with serving tasks one after another, which leaves others free of them.
+	weightOtherImage = 0.2
+	// weightPack fills runners with serving tasks one after another, which leaves others free of them, and weightOpen
+	// keeps runners free that have none.
 	weightPack = 0.5
+	weightOpen = 0.6
 	weightSlow = 1.0
 	// weightSuspect and weightAvoid are above all others: another runner is tried first.
 	weightSuspect = 4.0
@@ -173,7 +175,7 @@
 // scoreCompany prefers runners whose serving tasks have the same image.
 func scoreCompany(r *Request, h *Host) float64 {
 	if len(h.Serving) == 0 {
-		return 0
+		return -weightOpen
 	}
 	same := 0
 	for _, s := range h.Serving {
