Gather serving tasks by image, move paused tasks, start those in time first

Cause: serving tasks of five images were mixed on each runner, so that nearly every task that fills disturbed one of them, and paused tasks stayed put.

--- a/dispatch/host.go
+++ b/dispatch/host.go
@@ -64,6 +64,8 @@
 	speed int
 	// overSince is when a serving task was first seen over its latency target; zero if it was not in the last report.
 	overSince time.Time
+	// pausedSince is when the speed was set to 0; zero while it is not.
+	pausedSince time.Time
 	// load is the learned load of a serving task.
 	load interference.Load
 }
@@ -582,6 +584,7 @@
 
 // tickRunner ends what lapsed on a runner that can't be reached. The caller holds mu.
 func (c *Cell) tickRunner(now time.Time, h *host) {
+	c.movePaused(now, h)
 	if len(h.runs) == 0 || now.Before(h.leaseEnd) || !h.failing && now.Sub(h.seenAt) < c.cfg.Lease {
 		return
 	}
--- a/dispatch/interference.go
+++ b/dispatch/interference.go
@@ -18,6 +18,10 @@
 	// raiseMargin is the pressure that must be free beyond need before a task is made faster, so that the orders do not
 	// follow each swing of the load.
 	raiseMargin = 0.05
+	// pausedPatience is how long a task that fills stays paused before it is moved to another runner.
+	pausedPatience = 1 * time.Second
+	// keptProgress is the progress in percent from which a task without checkpoints is not stopped to be moved.
+	keptProgress = 40
 	// minRoom keeps quotients finite for serving tasks that bear nothing more.
 	minRoom = 0.01
 	// overPatience is how long a serving task may be over its target before everything that fills beside it stops,
@@ -156,13 +160,29 @@
 	return over
 }
 
+// movePaused stops tasks that fill and have been at a standstill, so that they start again elsewhere. The caller holds mu.
+func (c *Cell) movePaused(now time.Time, h *host) {
+	for r := range h.runs {
+		if r.pausedSince.IsZero() || now.Sub(r.pausedSince) < pausedPatience {
+			continue
+		}
+		if r.unit.def().Checkpointing || r.percent < keptProgress {
+			c.stopRun(r, "paused beside a serving task")
+		}
+	}
+}
+
 // setSpeed orders the speed of a task that fills, in percent. The caller holds mu.
-func (c *Cell) setSpeed(_ time.Time, r *run, percent int) {
+func (c *Cell) setSpeed(now time.Time, r *run, percent int) {
 	if r.speed == percent {
 		return
 	}
 	previous := r.speed
 	r.speed = percent
+	r.pausedSince = time.Time{}
+	if percent == 0 {
+		r.pausedSince = now
+	}
 	target, id := r.host.target(), r.id()
 	c.work.Go(func() {
 		ctx, cancel := context.WithTimeout(context.Background(), c.cfg.Lease)
--- a/dispatch/job.go
+++ b/dispatch/job.go
@@ -36,6 +36,8 @@
 	// notBefore delays the next start after refusals.
 	notBefore time.Time
 	readyAt   time.Time
+	// class is the lateness as of the last plan.
+	class int
 	runs      []*run
 	// recovered units were accepted under an earlier owner; runs that this owner has not seen may exist.
 	recovered bool
--- a/dispatch/plan.go
+++ b/dispatch/plan.go
@@ -68,13 +68,49 @@
 	c.ready = append(c.ready, kept...)
 }
 
-// sortReady orders units by priority, then by the time at which they must start to meet their job's objective.
-func (c *Cell) sortReady(_ time.Time) {
+// Classes of lateness, in the order in which units are started.
+const (
+	// classInTime can still meet its objective.
+	classInTime = iota
+	// classLate misses the objective but is still worth something to its client.
+	classLate
+	// classHopeless is too late to be worth anything; it is done when nothing else waits.
+	classHopeless
+)
+
+// lateFactor is the multiple of the time from submission to objective after which a job is worth nothing.
+const lateFactor = 3
+
+func (u *unit) lateness(now time.Time) int {
+	if u.def().LongRunning {
+		return classInTime
+	}
+	latest := u.latestStart()
+	allowed := u.job.objective.Sub(u.job.def.AcceptedAt)
+	switch {
+	case !now.After(latest):
+		return classInTime
+	case !now.After(latest.Add((lateFactor - 1) * allowed)):
+		return classLate
+	default:
+		return classHopeless
+	}
+}
+
+// sortReady orders units by priority, then by what meeting their objective is still possible, then by the time at which
+// they must start for it. When the runners are overloaded, those that are late wait for those that are not yet.
+func (c *Cell) sortReady(now time.Time) {
+	for _, u := range c.ready {
+		u.class = u.lateness(now)
+	}
 	sort.SliceStable(c.ready, func(a, b int) bool {
 		x, y := c.ready[a], c.ready[b]
 		if px, py := x.job.def.Policy.Priority, y.job.def.Policy.Priority; px != py {
 			return px < py
 		}
+		if x.class != y.class {
+			return x.class < y.class
+		}
 		return x.latestStart().Before(y.latestStart())
 	})
 }
--- a/placement/placement.go
+++ b/placement/placement.go
@@ -128,11 +128,11 @@
 	weightAllowance = 1.0
 	// weightSameImage gathers serving tasks of one image: what fills beside them has to suit only that image.
 	weightSameImage  = 0.6
-	weightOtherImage = 0.2
+	weightOtherImage = 1.0
 	// weightPack fills runners with serving tasks one after another, which leaves others free of them, and weightOpen
 	// keeps runners free that have none.
 	weightPack = 0.5
-	weightOpen = 0.6
+	weightOpen = 0.2
 	weightSlow = 1.0
 	// weightSuspect and weightAvoid are above all others: another runner is tried first.
 	weightSuspect = 4.0
