Count failed runs by number over takeovers; extend no lease with failing looks; reload settings

Cause: ends that were not acknowledged were counted again by the next owner (LOST: shown as failed without cause), looks that failed kept extending the lease that the owner waits for (LOST: lasting task not restarted), SIGHUP ended the process (exit 129), and starts without an answer were repeated at the same runner at once. Change: runs with counted failures are durable; tests in dispatch with an emulator of store and runners, each seen red without its mechanism.

--- a/cmd/currantthread/main.go
+++ b/cmd/currantthread/main.go
@@ -54,11 +54,15 @@
 				if c.Args().Present() {
 					return fmt.Errorf("unexpected argument %q", c.Args().First())
 				}
-				boot, err := platform.LoadSettings(c.String("config"))
+				file := c.String("config")
+				boot, err := platform.LoadSettings(file)
 				if err != nil {
 					return err
 				}
-				if err := node.Run(ctx, boot, os.Stdout); err != nil {
+				reload := make(chan os.Signal, 1)
+				signal.Notify(reload, syscall.SIGHUP)
+				defer signal.Stop(reload)
+				if err := node.Run(ctx, file, boot, reload, os.Stdout); err != nil {
 					return runError{err}
 				}
 				return nil
--- /dev/null
+++ b/dispatch/cell_test.go
@@ -0,0 +1,410 @@
+package dispatch_test
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/prometheus/client_golang/prometheus"
+	"gotest.tools/v3/assert"
+
+	"github.com/currantthread/currantthread/dispatch"
+	"github.com/currantthread/currantthread/internal/emulator"
+	"github.com/currantthread/currantthread/observe"
+	"github.com/currantthread/currantthread/runner"
+	"github.com/currantthread/currantthread/workload"
+)
+
+const (
+	cellName = "c0"
+	// lease is the lease that cells of the tests grant.
+	lease = 6 * time.Second
+)
+
+// world is a store, runners and the owners of one cell.
+type world struct {
+	t     *testing.T
+	store *emulator.Store
+	fleet *emulator.Fleet
+	infos []runner.Info
+}
+
+// newWorld returns a world with runners of 64 cores in one failure domain.
+func newWorld(t *testing.T, runners int, work emulator.Work) *world {
+	t.Helper()
+	w := &world{t: t, store: emulator.NewStore(), fleet: emulator.NewFleet(work)}
+	for i := range runners {
+		info := runner.Info{ID: fmt.Sprintf("r%d", i), Service: "kioscos", Addr: fmt.Sprintf("r%d", i), Domain: "chipre",
+			Capacity: workload.Resources{CPU: 64000, MemoryMB: 256000}, Labels: []string{"a", fmt.Sprintf("rack%d", i/8)}}
+		w.infos = append(w.infos, info)
+		w.fleet.Add(info)
+	}
+	return w
+}
+
+// always returns work of one duration that never fails.
+func always(d time.Duration) emulator.Work {
+	return func(workload.TaskID, int) (time.Duration, bool) { return d, false }
+}
+
+// own makes a node the owner of the cell and returns the cell and what ends its work.
+func (w *world) own(node string, predecessorDead bool) (*dispatch.Cell, context.CancelFunc) {
+	w.t.Helper()
+	ctx, cancel := context.WithCancel(w.t.Context())
+	previous, version, err := dispatch.ReadOwner(ctx, w.store, cellName)
+	assert.NilError(w.t, err)
+	registry := prometheus.NewRegistry()
+	cfg := dispatch.Config{
+		Name: cellName, Part: cellName, IndexPart: func(string) string { return "i0" }, Node: node, Addr: node,
+		Incarnation: node, Region: "caldas-centro", Regions: map[string]string{"chipre": "caldas-centro", "cartago": "valle-norte"},
+		Lease: lease, StopTimeout: time.Second, GangTimeout: 3 * time.Second, Retention: 2 * time.Minute,
+		Store: w.store, Runners: w.fleet, Log: observe.NewLogger(io.Discard, "test", node),
+		Metrics: dispatch.NewMetrics(registry), PredecessorDead: predecessorDead,
+	}
+	c, err := dispatch.Acquire(ctx, cfg, previous, version, w.infos)
+	assert.NilError(w.t, err)
+	for _, info := range w.infos {
+		c.SetRunner(ctx, info, true)
+	}
+	go c.Run(ctx)
+	return c, cancel
+}
+
+// jobOf returns a job whose steps follow one another.
+func jobOf(id int, steps ...workload.Step) *workload.Job {
+	for i := range steps {
+		if i > 0 {
+			steps[i].After = []int{i - 1}
+		}
+		steps[i].MaxUnavailable = -1
+	}
+	return &workload.Job{ID: fmt.Sprintf("%016x", id), Spec: "x", Steps: steps, Occurrences: 1, AcceptedAt: time.Now(),
+		Policy: workload.Policy{Queue: "q", Service: "kioscos", MaxAttempts: 3, Stretch: 2, Slack: time.Second}}
+}
+
+// tasks returns a step of like tasks.
+func tasks(count int, cpu int64) workload.Step {
+	return workload.Step{Count: count, Resources: workload.Resources{CPU: cpu, MemoryMB: 1000}, Estimated: time.Second}
+}
+
+func (w *world) submit(c *dispatch.Cell, job *workload.Job) {
+	w.t.Helper()
+	outcome, _ := c.Submit(w.t.Context(), job)
+	assert.Equal(w.t, outcome, dispatch.OutcomeAccepted)
+}
+
+// noOverlap fails the test if a task ran in two places at once.
+func (w *world) noOverlap() {
+	w.t.Helper()
+	assert.Equal(w.t, len(w.fleet.Overlaps()), 0, "tasks ran in two places at once: %v", w.fleet.Overlaps())
+}
+
+func state(c *dispatch.Cell, job *workload.Job) workload.State {
+	s, _ := c.State(job.ID)
+	return s
+}
+
+// Guards against a later step that starts before all tasks of the earlier one are done, and a job that is not completed.
+func TestStepsRunInOrder(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		w := newWorld(t, 3, always(time.Second))
+		c, stop := w.own("a", true)
+		job := jobOf(1, tasks(6, 4000), tasks(4, 4000))
+		w.submit(c, job)
+		time.Sleep(1900 * time.Millisecond)
+		assert.Equal(t, state(c, job), workload.StateRunning)
+		time.Sleep(500 * time.Millisecond)
+		assert.Equal(t, state(c, job), workload.StateCompleted)
+		starts := w.fleet.Starts()
+		assert.Equal(t, len(starts), 10)
+		first := starts[0].At
+		for _, s := range starts {
+			if s.Task.Step == 1 {
+				assert.Assert(t, s.At.Sub(first) >= time.Second, "%v started after %v", s.Task, s.At.Sub(first))
+			}
+		}
+		w.noOverlap()
+		stop()
+		<-c.Done()
+	})
+}
+
+// Guards against runs that stay known for ever on a runner that is gone for good: looks that fail must not extend the
+// lease that the owner waits for.
+func TestTasksOfVanishedRunnerStartAgain(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		w := newWorld(t, 2, always(time.Hour))
+		c, stop := w.own("a", true)
+		step := tasks(2, 13000)
+		step.LongRunning = true
+		w.submit(c, jobOf(1, step))
+		time.Sleep(time.Second)
+		gone := w.fleet.Starts()[0].Runner
+		w.fleet.Crash(gone)
+		time.Sleep(10 * time.Second)
+		running := 0
+		for _, info := range w.infos {
+			if info.ID != gone {
+				running += w.fleet.Running(info.ID)
+			}
+		}
+		assert.Equal(t, running, 2)
+		stop()
+		<-c.Done()
+	})
+}
+
+// Guards against a failed run that is counted by the owner, is listed again because it was not acknowledged, and is
+// counted a second time by the next owner, so that the job fails before its attempts are used.
+func TestFailureIsCountedOnceOverTakeover(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		w := newWorld(t, 1, func(_ workload.TaskID, run int) (time.Duration, bool) {
+			return time.Second, run == 1
+		})
+		c, stop := w.own("a", true)
+		job := jobOf(1, tasks(1, 4000))
+		job.Policy.MaxAttempts = 2
+		w.submit(c, job)
+		// The failure becomes durable, and the runner never hears that it may forget it.
+		time.Sleep(1025 * time.Millisecond)
+		w.fleet.SetFault("r0", emulator.RunnerCut)
+		time.Sleep(200 * time.Millisecond)
+		w.store.SetFault(emulator.StoreSilent)
+		stop()
+		<-c.Done()
+		w.store.SetFault(emulator.StoreWorks)
+		w.fleet.SetFault("r0", emulator.RunnerWorks)
+		next, stopNext := w.own("b", true)
+		time.Sleep(3 * time.Second)
+		assert.Equal(t, state(next, job), workload.StateCompleted)
+		stopNext()
+		<-next.Done()
+	})
+}
+
+// Guards against a task that gets more attempts than allowed: failures that the last owner could not write are listed by
+// several runners, and the next owner may hear of the later one first.
+func TestFailuresOfSeveralRunnersAreAllCounted(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		w := newWorld(t, 3, func(workload.TaskID, int) (time.Duration, bool) { return 300 * time.Millisecond, true })
+		c, stop := w.own("a", true)
+		time.Sleep(100 * time.Millisecond)
+		job := jobOf(1, tasks(1, 4000))
+		w.submit(c, job)
+		w.store.SetFault(emulator.StoreSilent)
+		time.Sleep(4 * time.Second)
+		assert.Equal(t, len(w.fleet.Starts()), 3)
+		stop()
+		<-c.Done()
+		w.store.SetFault(emulator.StoreWorks)
+		next, stopNext := w.own("b", true)
+		time.Sleep(3 * time.Second)
+		assert.Equal(t, len(w.fleet.Starts()), 3)
+		assert.Equal(t, state(next, job), workload.StateFailed)
+		stopNext()
+		<-next.Done()
+	})
+}
+
+// Guards against a task that runs in two places when a start order arrives after its sender gave it up.
+func TestLateStartDoesNotRunTwice(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		w := newWorld(t, 3, always(time.Second))
+		c, stop := w.own("a", true)
+		time.Sleep(100 * time.Millisecond)
+		w.fleet.SetFault("r0", emulator.RunnerAppliesLate)
+		job := jobOf(1, tasks(12, 8000))
+		w.submit(c, job)
+		time.Sleep(8 * time.Second)
+		w.noOverlap()
+		assert.Equal(t, state(c, job), workload.StateCompleted)
+		stop()
+		<-c.Done()
+	})
+}
+
+// Guards against a task that is started a second time because the answer to its first start was lost.
+func TestLostAnswerOfStartIsAdopted(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		w := newWorld(t, 2, always(2*time.Second))
+		c, stop := w.own("a", true)
+		time.Sleep(100 * time.Millisecond)
+		w.fleet.SetFault("r0", emulator.RunnerLosesAnswers)
+		job := jobOf(1, tasks(8, 8000))
+		w.submit(c, job)
+		time.Sleep(4 * time.Second)
+		w.noOverlap()
+		assert.Equal(t, state(c, job), workload.StateCompleted)
+		assert.Equal(t, len(w.fleet.Starts()), 8)
+		stop()
+		<-c.Done()
+	})
+}
+
+// Guards against a successor that starts tasks again which its killed predecessor had started, and against one that loses
+// the job.
+func TestTakeoverAfterKillAdoptsRuns(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		w := newWorld(t, 3, always(3*time.Second))
+		first, kill := w.own("a", true)
+		job := jobOf(1, tasks(9, 8000))
+		w.submit(first, job)
+		time.Sleep(time.Second)
+		// A killed owner writes nothing more.
+		w.store.SetFault(emulator.StoreSilent)
+		kill()
+		<-first.Done()
+		w.store.SetFault(emulator.StoreWorks)
+		next, stop := w.own("b", false)
+		time.Sleep(4 * time.Second)
+		assert.Equal(t, state(next, job), workload.StateCompleted)
+		assert.Equal(t, len(w.fleet.Starts()), 9)
+		w.noOverlap()
+		stop()
+		<-next.Done()
+	})
+}
+
+// Guards against a successor that starts a task again which runs on a runner that it can't reach.
+func TestTakeoverWaitsForUnreachableRunner(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		w := newWorld(t, 3, always(5*time.Second))
+		first, kill := w.own("a", true)
+		job := jobOf(1, tasks(9, 8000))
+		w.submit(first, job)
+		time.Sleep(time.Second)
+		w.store.SetFault(emulator.StoreSilent)
+		kill()
+		<-first.Done()
+		w.store.SetFault(emulator.StoreWorks)
+		w.fleet.SetFault("r1", emulator.RunnerCut)
+		next, stop := w.own("b", true)
+		time.Sleep(20 * time.Second)
+		w.noOverlap()
+		assert.Equal(t, state(next, job), workload.StateCompleted)
+		stop()
+		<-next.Done()
+	})
+}
+
+// Guards against a job that is accepted twice or lost when the store applies a commit without an answer, or late.
+func TestSubmissionWithLostAnswer(t *testing.T) {
+	for name, fault := range map[string]emulator.StoreFault{"lost": emulator.StoreLosesAnswers, "late": emulator.StoreAppliesLate} {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				w := newWorld(t, 2, always(time.Second))
+				c, stop := w.own("a", true)
+				time.Sleep(100 * time.Millisecond)
+				w.store.SetFault(fault)
+				job := jobOf(1, tasks(2, 4000))
+				go func() {
+					time.Sleep(2500 * time.Millisecond)
+					w.store.SetFault(emulator.StoreWorks)
+				}()
+				w.submit(c, job)
+				time.Sleep(3 * time.Second)
+				assert.Equal(t, state(c, job), workload.StateCompleted)
+				assert.Equal(t, len(w.fleet.Starts()), 2)
+				stop()
+				<-c.Done()
+			})
+		})
+	}
+}
+
+// Guards against a refusal that is not true: a store that refuses has done nothing, so the job may be refused and must
+// not run.
+func TestSubmissionIsRefusedWhileStoreRefuses(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		w := newWorld(t, 1, always(time.Second))
+		c, stop := w.own("a", true)
+		w.store.SetFault(emulator.StoreRefuses)
+		outcome, _ := c.Submit(t.Context(), jobOf(1, tasks(1, 4000)))
+		assert.Equal(t, outcome, dispatch.OutcomeRefused)
+		w.store.SetFault(emulator.StoreWorks)
+		time.Sleep(5 * time.Second)
+		assert.Equal(t, len(w.fleet.Starts()), 0)
+		stop()
+		<-c.Done()
+	})
+}
+
+// Guards against tasks of a cancelled job that run on or start later.
+func TestCancelStopsTasks(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		w := newWorld(t, 2, always(time.Hour))
+		c, stop := w.own("a", true)
+		job := jobOf(1, tasks(4, 8000), tasks(4, 8000))
+		w.submit(c, job)
+		time.Sleep(time.Second)
+		found, err := c.Cancel(t.Context(), job.ID)
+		assert.NilError(t, err)
+		assert.Assert(t, found)
+		assert.Equal(t, state(c, job), workload.StateCancelled)
+		time.Sleep(time.Second)
+		assert.Equal(t, w.fleet.Running("r0")+w.fleet.Running("r1"), 0)
+		stop()
+		<-c.Done()
+	})
+}
+
+// Guards against starts in a failure domain that operators have taken out.
+func TestNoStartInEvacuatedDomain(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		w := newWorld(t, 2, always(time.Second))
+		w.infos[1].Domain = "cartago"
+		c, stop := w.own("a", true)
+		c.SetEvacuated(map[string]bool{"chipre": true})
+		w.submit(c, jobOf(1, tasks(20, 8000)))
+		time.Sleep(6 * time.Second)
+		for _, s := range w.fleet.Starts() {
+			assert.Equal(t, s.Runner, "r1")
+		}
+		assert.Equal(t, len(w.fleet.Starts()), 20)
+		stop()
+		<-c.Done()
+	})
+}
+
+// Guards against tasks that are taken as running on a process that started again under its old ID.
+func TestRebornRunnerHasLostItsTasks(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		w := newWorld(t, 1, always(time.Hour))
+		c, stop := w.own("a", true)
+		step := tasks(2, 13000)
+		step.LongRunning = true
+		w.submit(c, jobOf(1, step))
+		time.Sleep(time.Second)
+		w.fleet.Crash("r0")
+		w.fleet.Restart("r0")
+		time.Sleep(4 * time.Second)
+		assert.Equal(t, w.fleet.Running("r0"), 2)
+		w.noOverlap()
+		stop()
+		<-c.Done()
+	})
+}
+
+// Guards against members of a gang that start without the others, and against a gang that is counted by its members.
+func TestGangStartsTogether(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		w := newWorld(t, 2, always(time.Second))
+		c, stop := w.own("a", true)
+		time.Sleep(100 * time.Millisecond)
+		blocker := tasks(1, 60000)
+		w.submit(c, jobOf(1, blocker))
+		gang := tasks(4, 20000)
+		gang.Gang = true
+		job := jobOf(2, gang)
+		w.submit(c, job)
+		time.Sleep(900 * time.Millisecond)
+		assert.Equal(t, len(w.fleet.Starts()), 1, "three members fit beside the blocker, the fourth does not")
+		time.Sleep(2 * time.Second)
+		assert.Equal(t, state(c, job), workload.StateCompleted)
+		stop()
+		<-c.Done()
+	})
+}
--- a/dispatch/host.go
+++ b/dispatch/host.go
@@ -93,6 +93,7 @@
 	roomUntil time.Time
 	// backoffUntil keeps tasks away from a runner that refused or did not answer.
 	backoffUntil time.Time
+	unanswered   int // start orders in a row without an answer
 	foreign      int // listed runs that belong to no job of the cell
 	health       health
 	stop         context.CancelFunc
@@ -193,13 +194,12 @@
 		return runner.Hold{}, false
 	}
 	order := runner.Hold{Token: c.epoch, Acked: h.acked}
-	if h.synced {
+	if h.synced && !h.failing {
+		// A look without an answer may still extend the lease, so a runner that does not answer gets none that could.
 		order.Deadline = c.leaseDeadline(now, h)
-		if !h.failing {
-			order.Wait = holdWait
-			if h.harmed() {
-				order.Wait = harmedWait
-			}
+		order.Wait = holdWait
+		if h.harmed() {
+			order.Wait = harmedWait
 		}
 	}
 	c.cfg.Metrics.looks.Inc()
@@ -352,6 +352,9 @@
 	case runner.EndDone:
 		c.unitDone(now, u)
 	case runner.EndFailed:
+		if !u.noteFailure(e.Run) {
+			return
+		}
 		c.unitFailed(now, u, h)
 	}
 	if e.Checkpoint != "" && u.phase != phaseDone {
@@ -407,6 +410,7 @@
 		return
 	case runner.EndFailed:
 		h.health.failed(now, r)
+		u.noteFailure(r.number)
 		c.cfg.Metrics.failures.Inc()
 		if c.unitFailed(now, u, h) {
 			return
@@ -585,7 +589,7 @@
 // tickRunner ends what lapsed on a runner that can't be reached. The caller holds mu.
 func (c *Cell) tickRunner(now time.Time, h *host) {
 	c.movePaused(now, h)
-	if len(h.runs) == 0 || now.Before(h.leaseEnd) || !h.failing && now.Sub(h.seenAt) < c.cfg.Lease {
+	if len(h.runs) == 0 || now.Before(h.leaseEnd) || !h.failing {
 		return
 	}
 	for r := range h.runs {
--- a/dispatch/job.go
+++ b/dispatch/job.go
@@ -1,6 +1,7 @@
 package dispatch
 
 import (
+	"slices"
 	"time"
 
 	"github.com/currantthread/currantthread/workload"
@@ -27,9 +28,12 @@
 	first int // index of the unit's first task
 	size  int // number of tasks
 
-	phase      phase
-	run        int // highest run number used
-	fails      int
+	phase phase
+	run   int // highest run number used
+	fails int
+	// failedRuns are the runs whose failures are counted. An end that was not acknowledged is listed again to the next
+	// owner, and runners list their ends in no order between them.
+	failedRuns []int
 	checkpoint string
 	// avoid is the runner of the last failed run.
 	avoid string
@@ -38,7 +42,7 @@
 	readyAt   time.Time
 	// class is the lateness as of the last plan.
 	class int
-	runs      []*run
+	runs  []*run
 	// recovered units were accepted under an earlier owner; runs that this owner has not seen may exist.
 	recovered bool
 }
@@ -136,6 +140,21 @@
 	return occ
 }
 
+// keptFailures bounds the failures that are remembered of one unit; only tasks that last may fail so often.
+const keptFailures = 16
+
+// noteFailure remembers a failed run and reports whether it was not counted before.
+func (u *unit) noteFailure(number int) bool {
+	if slices.Contains(u.failedRuns, number) {
+		return false
+	}
+	u.failedRuns = append(u.failedRuns, number)
+	if len(u.failedRuns) > keptFailures {
+		u.failedRuns = u.failedRuns[1:]
+	}
+	return true
+}
+
 // unitOf returns the unit of a task, or nil if the task is not one of the job's present tasks.
 func (j *jobState) unitOf(id workload.TaskID) *unit {
 	occ := j.occs[id.Occurrence]
--- a/dispatch/orders.go
+++ b/dispatch/orders.go
@@ -17,6 +17,8 @@
 	stopRetry = 200 * time.Millisecond
 	// refusedPause keeps tasks away from a runner that refused one as unhealthy or did not answer.
 	refusedPause = 1 * time.Second
+	// maxBackoffDoublings bounds how often refusedPause is doubled for a runner that leaves starts unanswered.
+	maxBackoffDoublings = 3
 	// roomPause keeps tasks away from a runner that had less room than the cell believed.
 	roomPause = 300 * time.Millisecond
 )
@@ -39,6 +41,7 @@
 	defer c.mu.Unlock()
 	now := time.Now()
 	if err == nil {
+		r.host.unanswered = 0
 		if r.phase == runStarting {
 			r.phase = runRunning
 			r.confirmedAt = now
@@ -71,7 +74,9 @@
 	reason := runner.ReasonOf(err)
 	if reason == "" && !errors.Is(err, runner.ErrNotSent) {
 		r.phase = runUnsettled
-		h.backoffUntil = now.Add(refusedPause)
+		u.avoid = h.info.ID
+		h.backoffUntil = now.Add(refusedPause << min(h.unanswered, maxBackoffDoublings))
+		h.unanswered++
 		c.logStart(r, "start has no answer", err.Error())
 		c.work.Go(func() { c.settle(ctx, r) })
 		return
--- a/dispatch/progress.go
+++ b/dispatch/progress.go
@@ -36,6 +36,7 @@
 	Unit       int    `json:"i"`
 	Run        int    `json:"r,omitempty"`
 	Fails      int    `json:"f,omitempty"`
+	FailedRuns []int  `json:"l,omitempty"`
 	Checkpoint string `json:"c,omitempty"`
 }
 
@@ -74,7 +75,7 @@
 			continue
 		}
 		if u.run > 1 || u.fails > 0 || u.checkpoint != "" {
-			p.Units = append(p.Units, unitProgress{i, u.run, u.fails, u.checkpoint})
+			p.Units = append(p.Units, unitProgress{i, u.run, u.fails, u.failedRuns, u.checkpoint})
 		}
 	}
 	return p
@@ -129,7 +130,7 @@
 	for _, saved := range p.Units {
 		if saved.Unit < len(s.units) {
 			u := s.units[saved.Unit]
-			u.run, u.fails, u.checkpoint = saved.Run, saved.Fails, saved.Checkpoint
+			u.run, u.fails, u.failedRuns, u.checkpoint = saved.Run, saved.Fails, saved.FailedRuns, saved.Checkpoint
 		}
 	}
 }
--- /dev/null
+++ b/internal/emulator/runner.go
@@ -0,0 +1,366 @@
+package emulator
+
+import (
+	"context"
+	"errors"
+	"sort"
+	"sync"
+	"time"
+
+	"github.com/currantthread/currantthread/runner"
+	"github.com/currantthread/currantthread/workload"
+)
+
+// RunnerFault is a way in which a runner misbehaves.
+type RunnerFault uint8
+
+// Faults of a runner.
+const (
+	// RunnerWorks is no fault.
+	RunnerWorks RunnerFault = iota
+	// RunnerCut runs on and is not reached.
+	RunnerCut
+	// RunnerLosesAnswers carries orders out and never answers starts.
+	RunnerLosesAnswers
+	// RunnerAppliesLate carries starts out after LateDelay and never answers them.
+	RunnerAppliesLate
+	// RunnerFails fails every task that it starts.
+	RunnerFails
+)
+
+// errLost is the error of an order without an answer.
+var errLost = errors.New("order has no answer")
+
+// orderTimeout is the time after which an order without an answer fails.
+const orderTimeout = 700 * time.Millisecond
+
+// Work says how long a task works, and whether it fails at its end. Long-running tasks never end by themselves.
+type Work func(task workload.TaskID, run int) (duration time.Duration, fails bool)
+
+// StartRecord is a start that a runner carried out.
+type StartRecord struct {
+	At     time.Time
+	Runner string
+	Task   workload.TaskID
+	Run    int
+	Token  int64
+}
+
+// Fleet is a set of runners. It implements runner.Client and is safe for concurrent use.
+type Fleet struct {
+	// Work gives the work of each run.
+	Work Work
+	// StopTime is how long a stop takes.
+	StopTime time.Duration
+
+	mu      sync.Mutex // owned by the methods of Fleet and of its runners
+	runners map[string]*simRunner
+	starts  []StartRecord
+	done    map[workload.TaskID]int
+	// overlaps are tasks that ran in two places at once.
+	overlaps []workload.TaskID
+}
+
+type simRunner struct {
+	info    runner.Info
+	fault   RunnerFault
+	alive   bool
+	booted  time.Time
+	token   int64
+	lease   time.Time
+	running map[runKey]*simRun
+	// highest is the highest run that ended or was stopped, for each task.
+	highest map[workload.TaskID]int
+	ends    []runner.Ended
+	next    int64
+	changed chan struct{}
+}
+
+type runKey struct {
+	task workload.TaskID
+	run  int
+}
+
+type simRun struct {
+	timer    *time.Timer
+	stopping bool
+}
+
+// NewFleet returns a fleet without runners.
+func NewFleet(work Work) *Fleet {
+	return &Fleet{Work: work, StopTime: 50 * time.Millisecond, runners: map[string]*simRunner{}, done: map[workload.TaskID]int{}}
+}
+
+// Add starts a runner.
+func (f *Fleet) Add(info runner.Info) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.runners[info.ID] = &simRunner{info: info, alive: true, booted: time.Now(), running: map[runKey]*simRun{},
+		highest: map[workload.TaskID]int{}, next: 1, changed: make(chan struct{})}
+}
+
+// SetFault changes how a runner misbehaves from now on.
+func (f *Fleet) SetFault(id string, fault RunnerFault) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.runners[id].fault = fault
+}
+
+// Crash ends a runner and everything on it. Restart starts it again under the same ID.
+func (f *Fleet) Crash(id string) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	r := f.runners[id]
+	r.alive = false
+	for key, run := range r.running {
+		run.timer.Stop()
+		delete(r.running, key)
+	}
+}
+
+// Restart starts a crashed runner again under its ID; it knows nothing of before.
+func (f *Fleet) Restart(id string) {
+	f.mu.Lock()
+	info := f.runners[id].info
+	f.mu.Unlock()
+	info.Born = time.Now().UnixMilli()
+	f.Add(info)
+}
+
+// Starts returns the starts that were carried out, in order.
+func (f *Fleet) Starts() []StartRecord {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return append([]StartRecord(nil), f.starts...)
+}
+
+// Overlaps returns the tasks that ran in two places at once.
+func (f *Fleet) Overlaps() []workload.TaskID {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return append([]workload.TaskID(nil), f.overlaps...)
+}
+
+// Running returns the number of runs on a runner.
+func (f *Fleet) Running(id string) int {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return len(f.runners[id].running)
+}
+
+// Done returns how often runs of a task ended as done.
+func (f *Fleet) Done(task workload.TaskID) int {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.done[task]
+}
+
+func (r *simRunner) clock() time.Duration { return time.Since(r.booted) }
+
+// reach returns the runner of a target, or waits for the order's timeout if it can't be reached.
+func (f *Fleet) reach(ctx context.Context, target runner.Target) (*simRunner, RunnerFault, error) {
+	f.mu.Lock()
+	r := f.runners[target.ID]
+	if r != nil && r.alive && r.fault != RunnerCut {
+		return r, r.fault, nil
+	}
+	f.mu.Unlock()
+	silence(ctx)
+	return nil, RunnerWorks, errLost
+}
+
+func silence(ctx context.Context) {
+	select {
+	case <-ctx.Done():
+	case <-time.After(orderTimeout):
+	}
+}
+
+// Start implements runner.Client.
+func (f *Fleet) Start(ctx context.Context, target runner.Target, order runner.Start) (time.Duration, error) {
+	r, fault, err := f.reach(ctx, target)
+	if err != nil {
+		return 0, err
+	}
+	if fault == RunnerAppliesLate {
+		f.mu.Unlock()
+		time.AfterFunc(LateDelay, func() {
+			f.mu.Lock()
+			defer f.mu.Unlock()
+			if f.runners[target.ID] == r && r.alive {
+				_ = f.start(r, order) // nobody hears the answer
+			}
+		})
+		silence(ctx)
+		return 0, errLost
+	}
+	err = f.start(r, order)
+	clock := r.clock()
+	f.mu.Unlock()
+	if fault == RunnerLosesAnswers {
+		silence(ctx)
+		return 0, errLost
+	}
+	return clock, err
+}
+
+// start carries a start order out. The caller holds mu.
+func (f *Fleet) start(r *simRunner, order runner.Start) error {
+	refuse := func(reason runner.Reason) error { return &runner.RefusedError{Reason: reason, Clock: r.clock()} }
+	if order.Token < r.token {
+		return refuse(runner.ReasonFenced)
+	}
+	r.token = order.Token
+	r.extend(f, order.Deadline)
+	key := runKey{order.Task, order.Run}
+	switch {
+	case r.running[key] != nil:
+		return nil
+	case order.Run <= r.highest[order.Task]:
+		return refuse(runner.ReasonOldRun)
+	case order.Deadline <= r.clock():
+		return refuse(runner.ReasonLate)
+	}
+	for _, other := range f.runners {
+		for running := range other.running {
+			if running.task == order.Task && other.alive {
+				f.overlaps = append(f.overlaps, order.Task)
+			}
+		}
+	}
+	duration, fails := f.Work(order.Task, order.Run)
+	fails = fails || r.fault == RunnerFails
+	run := &simRun{}
+	run.timer = time.AfterFunc(duration, func() {
+		f.mu.Lock()
+		defer f.mu.Unlock()
+		how := runner.EndDone
+		if fails {
+			how = runner.EndFailed
+		}
+		r.end(f, key, how)
+	})
+	r.running[key] = run
+	f.starts = append(f.starts, StartRecord{time.Now(), r.info.ID, order.Task, order.Run, order.Token})
+	return nil
+}
+
+// end lists the end of a run. The caller holds mu.
+func (r *simRunner) end(f *Fleet, key runKey, how runner.How) {
+	run := r.running[key]
+	if run == nil {
+		return
+	}
+	run.timer.Stop()
+	delete(r.running, key)
+	r.highest[key.task] = max(r.highest[key.task], key.run)
+	r.ends = append(r.ends, runner.Ended{Number: r.next, Task: key.task, Run: key.run, How: how})
+	r.next++
+	if how == runner.EndDone {
+		f.done[key.task]++
+	}
+	close(r.changed)
+	r.changed = make(chan struct{})
+}
+
+// extend moves the end of the lease. The caller holds mu.
+func (r *simRunner) extend(f *Fleet, deadline time.Duration) {
+	end := r.booted.Add(deadline)
+	if deadline <= 0 || !end.After(r.lease) {
+		return
+	}
+	r.lease = end
+	time.AfterFunc(time.Until(end), func() {
+		f.mu.Lock()
+		defer f.mu.Unlock()
+		if time.Now().Before(r.lease) {
+			return
+		}
+		for key := range r.running {
+			r.end(f, key, runner.EndLapsed)
+		}
+	})
+}
+
+// Stop implements runner.Client.
+func (f *Fleet) Stop(ctx context.Context, target runner.Target, task workload.TaskID, number int, token int64) error {
+	r, _, err := f.reach(ctx, target)
+	if err != nil {
+		return err
+	}
+	defer f.mu.Unlock()
+	if token < r.token {
+		return &runner.RefusedError{Reason: runner.ReasonFenced, Clock: r.clock()}
+	}
+	r.token = token
+	key := runKey{task, number}
+	run := r.running[key]
+	if run == nil {
+		r.highest[task] = max(r.highest[task], number)
+		return nil
+	}
+	if !run.stopping {
+		run.stopping = true
+		time.AfterFunc(f.StopTime, func() {
+			f.mu.Lock()
+			defer f.mu.Unlock()
+			r.end(f, key, runner.EndStopped)
+		})
+	}
+	return nil
+}
+
+// Pace implements runner.Client. Speeds have no effect here.
+func (f *Fleet) Pace(ctx context.Context, target runner.Target, _ workload.TaskID, _, _ int, _ int64) error {
+	_, _, err := f.reach(ctx, target)
+	if err == nil {
+		f.mu.Unlock()
+	}
+	return err
+}
+
+// Hold implements runner.Client.
+func (f *Fleet) Hold(ctx context.Context, target runner.Target, order runner.Hold) (runner.Report, error) {
+	deadline := time.After(order.Wait)
+	for {
+		r, _, err := f.reach(ctx, target)
+		if err != nil {
+			return runner.Report{}, err
+		}
+		if order.Token < r.token {
+			f.mu.Unlock()
+			return runner.Report{}, &runner.RefusedError{Reason: runner.ReasonFenced, Clock: r.clock()}
+		}
+		r.token = order.Token
+		r.extend(f, order.Deadline)
+		for len(r.ends) > 0 && r.ends[0].Number <= order.Acked {
+			r.ends = r.ends[1:]
+		}
+		if len(r.ends) > 0 || order.Wait == 0 {
+			report := r.report()
+			f.mu.Unlock()
+			return report, nil
+		}
+		changed := r.changed
+		f.mu.Unlock()
+		select {
+		case <-ctx.Done():
+			return runner.Report{}, ctx.Err()
+		case <-changed:
+		case <-deadline:
+			order.Wait = 0
+		}
+	}
+}
+
+// report lists what runs and what ended. The caller holds the fleet's mu.
+func (r *simRunner) report() runner.Report {
+	report := runner.Report{Clock: r.clock(), Born: r.info.Born, Ended: append([]runner.Ended(nil), r.ends...)}
+	for key := range r.running {
+		report.Running = append(report.Running, runner.Running{Task: key.task, Run: key.run, Percent: 100})
+	}
+	sort.Slice(report.Running, func(a, b int) bool {
+		return report.Running[a].Task.String() < report.Running[b].Task.String()
+	})
+	return report
+}
--- a/node/node.go
+++ b/node/node.go
@@ -11,6 +11,7 @@
 	"io"
 	"net"
 	"net/http"
+	"os"
 	"strconv"
 	"strings"
 	"sync"
@@ -43,20 +44,23 @@
 
 // Node is one process of the system.
 type Node struct {
-	settings    *platform.Settings
-	log         *logrus.Entry
-	registry    *prometheus.Registry
-	store       store.Store
-	runners     runner.Client
-	directory   *ownership.Directory
-	incarnation string
-	innerAddr   string
-	peers       *peers
-	metrics     *dispatch.Metrics
-	health      observe.Health
-	catalog     atomic.Pointer[catalog.Config]
-	storeMs     atomic.Int64
-	leaving     atomic.Bool
+	settingsFile string
+	reload       <-chan os.Signal
+	settings     *platform.Settings
+	log          *logrus.Entry
+	registry     *prometheus.Registry
+	store        store.Store
+	runners      runner.Client
+	directory    *ownership.Directory
+	incarnation  string
+	innerAddr    string
+	peers        *peers
+	metrics      *dispatch.Metrics
+	health       observe.Health
+	catalog      atomic.Pointer[catalog.Config]
+	bounds       atomic.Pointer[platform.Bounds]
+	storeMs      atomic.Int64
+	leaving      atomic.Bool
 
 	operator *store.Follower
 	servers  *store.Follower
@@ -74,9 +78,11 @@
 	rosterKick chan struct{}
 }
 
-// Run runs a node until ctx ends, then hands its cells over and shuts down. Logs go to out.
-func Run(ctx context.Context, settings *platform.Settings, out io.Writer) error {
+// Run runs a node until ctx ends, then hands its cells over and shuts down. The settings were read from file, which is
+// read again on each signal of reload and when it changes. Logs go to out.
+func Run(ctx context.Context, file string, settings *platform.Settings, reload <-chan os.Signal, out io.Writer) error {
 	n := newNode(settings, out)
+	n.settingsFile, n.reload = file, reload
 	var listeners []net.Listener
 	for _, addr := range []string{settings.ClientAddr, settings.ReadyAddr, n.innerAddr, n.metricsAddr()} {
 		listener, err := net.Listen("tcp", addr)
@@ -105,6 +111,7 @@
 		located: map[string]string{}, rosterKick: make(chan struct{}, 1),
 	}
 	n.metrics = dispatch.NewMetrics(n.registry)
+	n.bounds.Store(&s.Bounds)
 	n.operator = store.NewFollower(n.store, platform.TableOperator, n.operatorChanged, n.dependency("operator's rows"))
 	n.servers = store.NewFollower(n.store, platform.TableServers, n.serversChanged, n.dependency("service discovery"))
 	n.servers.Spacing, n.servers.Active = discoverySpacing, n.needsRunners
@@ -143,7 +150,7 @@
 	serving, stopServing := context.WithCancel(context.WithoutCancel(ctx))
 	defer stopServing()
 	group, serving := errgroup.WithContext(serving)
-	grace := time.Duration(float64(n.settings.Bounds.Grace) * shutdownGrace)
+	grace := time.Duration(float64(n.bounds.Load().Grace) * shutdownGrace)
 	frontend := platform.NewFrontend(n, n.log)
 	handlers := []http.Handler{frontend, platform.NewReadiness(n.health.Ready), n.innerHandler(), observe.NewAdmin(n.registry, &n.health)}
 	for i, handler := range handlers {
@@ -157,6 +164,7 @@
 		return nil
 	})
 	group.Go(func() error { n.rosterLoop(serving); return nil })
+	group.Go(func() error { n.reloadLoop(serving); return nil })
 	group.Go(func() error {
 		<-ctx.Done()
 		n.leave()
@@ -287,7 +295,7 @@
 }
 
 func (n *Node) cellConfig(cell string, predecessorDead bool) dispatch.Config {
-	b := n.settings.Bounds
+	b := n.bounds.Load()
 	return dispatch.Config{
 		Name: cell, Part: n.cellPart(cell), IndexPart: n.indexPart, Node: n.settings.Node, Addr: n.innerAddr,
 		Incarnation: n.incarnation, Metrics: n.metrics, Region: n.settings.Region, Regions: n.settings.Regions,
