--- a/dispatch/flush.go
+++ b/dispatch/flush.go
@@ -70,7 +70,6 @@
 	submissions []*submission
 	jobs        []batchJob
 	processed   map[*host]int64
-	expired     []*jobState
 }
 
 // batchJob is a job whose progress a batch writes.
--- a/dispatch/host.go
+++ b/dispatch/host.go
@@ -160,7 +160,7 @@
 		if ctx.Err() != nil {
 			return
 		}
-		pause := c.applyLook(h, order, sent, report, err)
+		pause := c.applyLook(h, sent, report, err)
 		if c.forget(h) {
 			return
 		}
@@ -226,7 +226,7 @@
 }
 
 // applyLook takes the answer to a look into the state and returns how long to wait before the next look.
-func (c *Cell) applyLook(h *host, order runner.Hold, sent time.Time, report runner.Report, err error) time.Duration {
+func (c *Cell) applyLook(h *host, sent time.Time, report runner.Report, err error) time.Duration {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	now := time.Now()
--- a/dispatch/intake.go
+++ b/dispatch/intake.go
@@ -153,8 +153,9 @@
 	// BacklogMs is the time that the waiting tasks need on all runners of the cell together.
 	BacklogMs int64 `json:"backlog_ms,omitempty"`
 	Runners   int   `json:"runners"`
-	// Capacity is that of all usable runners, in thousandths of a core.
+	// Capacity is that of all usable runners, and Free what of it is not committed, in thousandths of a core.
 	Capacity int64 `json:"cap"`
+	Free     int64 `json:"free"`
 	// Pending counts accepted jobs without a started task, by queue.
 	Pending map[string]int `json:"pending,omitempty"`
 }
@@ -174,12 +175,17 @@
 		if h.present && !h.info.Draining && !c.evacuated[h.info.Domain] && h.reachable(now) {
 			load.Runners++
 			load.Capacity += h.info.Capacity.CPU
+			load.Free += h.info.Capacity.CPU
+			for r := range h.runs {
+				load.Free -= r.unit.def().Committed().CPU
+			}
 		}
 	}
 	var work int64
 	for _, u := range c.ready {
 		if u.phase == phaseReady {
 			work += u.def().Resources.CPU * int64(u.size) * max(u.def().Estimated.Milliseconds(), 1)
+			load.Free -= u.def().Committed().CPU * int64(u.size)
 		}
 	}
 	if load.Capacity > 0 {
--- /dev/null
+++ b/dispatch/load.go
@@ -0,0 +1,44 @@
+package dispatch
+
+import "github.com/currantthread/currantthread/workload"
+
+// Demand is what jobs add to the load of a cell.
+type Demand struct {
+	// Committed is the processor time that the first steps commit, in thousandths of a core.
+	Committed int64
+	// WorkMs is the work of all steps, in thousandths of a core times milliseconds.
+	WorkMs int64
+}
+
+// Add adds the demand of a job that is due at once.
+func (d *Demand) Add(job *workload.Job) {
+	if !job.StartAt.IsZero() {
+		return
+	}
+	for i := range job.Steps {
+		step := &job.Steps[i]
+		count := int64(step.Count)
+		if len(step.After) == 0 {
+			d.Committed += step.Committed().CPU * count
+		}
+		if !step.LongRunning {
+			d.WorkMs += step.Resources.CPU * count * step.Estimated.Milliseconds()
+		}
+	}
+}
+
+// Add adds demand that the cell's owner has not counted yet.
+func (l *Load) Add(d Demand) {
+	l.Free -= d.Committed
+	if l.Capacity > 0 {
+		l.BacklogMs += d.WorkMs / l.Capacity
+	}
+}
+
+// Pressure orders cells for a new job: the seconds of work that wait, and the share of the capacity that is committed.
+func (l *Load) Pressure() float64 {
+	if l.Capacity == 0 {
+		return 1
+	}
+	return float64(l.BacklogMs)/1000 + 1 - float64(l.Free)/float64(l.Capacity)
+}
--- a/dispatch/orders.go
+++ b/dispatch/orders.go
@@ -123,7 +123,7 @@
 	sent := time.Now()
 	report, err := c.cfg.Runners.Hold(ctx, target, order)
 	if err == nil {
-		c.applyLook(h, order, sent, report, nil)
+		c.applyLook(h, sent, report, nil)
 	}
 	c.mu.Lock()
 	defer c.mu.Unlock()
--- a/node/cells.go
+++ b/node/cells.go
@@ -25,8 +25,8 @@
 	// runnersPerCell is the size that cells are laid out for. Its 150 starts a second cost the owner a tenth of a core,
 	// and larger cells pack better and learn interference faster.
 	runnersPerCell = 66
-	// layoutDelay is how long the first start waits for runners to show up before it lays the cells out.
-	layoutDelay = 2500 * time.Millisecond
+	// layoutDelay is how long no new runner must have shown up at the first start before the cells are laid out.
+	layoutDelay = 1500 * time.Millisecond
 	// rankDelay is how much longer each next candidate waits before it takes a cell.
 	rankDelay = 1500 * time.Millisecond
 	// rosterRetry is the pause after a failed write of the roster.
@@ -89,7 +89,7 @@
 		log.WithError(err).Warn("ownership row can't be read")
 		return
 	}
-	if version != 0 && !previous.Released && previous.Node != n.settings.Node && n.ownerAtWork(ctx, cell, version) {
+	if version != 0 && !previous.Released && previous.Node != n.settings.Node && n.ownerAtWork(previous, cell, version) {
 		return
 	}
 	dead := previous.Node == n.settings.Node || previous.Incarnation != n.directory.Incarnation(previous.Node)
@@ -105,18 +105,30 @@
 	n.runCell(ctx, cell, c)
 }
 
-// ownerAtWork reports whether the ownership row still changes although the owner's own row does not.
-func (n *Node) ownerAtWork(ctx context.Context, cell string, version int64) bool {
-	if !wait.For(ctx, ownerCheck) {
+// seenOwner is an ownership row as this node saw it first.
+type seenOwner struct {
+	version int64
+	at      time.Time
+}
+
+// acquireTime is how long a new owner may take to read a cell's jobs before its own row shows the cell.
+const acquireTime = 3 * time.Second
+
+// ownerAtWork reports whether an ownership row was written a short time ago by a process that lives: an owner whose own
+// row is late, or one that is reading the cell's jobs.
+func (n *Node) ownerAtWork(previous dispatch.Ownership, cell string, version int64) bool {
+	if !n.directory.Lives(time.Now(), previous.Node, previous.Incarnation) {
+		return false
+	}
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	if seen := n.seenOwners[cell]; seen.version != version {
+		n.seenOwners[cell] = seenOwner{version, time.Now()}
 		return true
 	}
-	_, now, err := dispatch.ReadOwner(ctx, n.store, n.cellPart(cell))
-	return err != nil || now != version
+	return time.Since(n.seenOwners[cell].at) < acquireTime
 }
 
-// ownerCheck is how long a candidate watches an ownership row before it takes the cell.
-const ownerCheck = 200 * time.Millisecond
-
 func (n *Node) runCell(ctx context.Context, cell string, c *dispatch.Cell) {
 	n.mu.Lock()
 	n.cells[cell] = c
@@ -210,7 +222,7 @@
 
 // layOut writes the number of cells if no node has done so, and reports whether it is known.
 func (n *Node) layOut(ctx context.Context) bool {
-	started := time.Now()
+	quietSince, seen := time.Now(), 0
 	for {
 		n.mu.Lock()
 		known, runners := n.cellCount > 0, len(n.infos)
@@ -218,8 +230,11 @@
 		if known {
 			return true
 		}
+		if runners != seen {
+			quietSince, seen = time.Now(), runners
+		}
 		_, synced := n.roster.Rows()
-		if synced && runners > 0 && time.Since(started) > layoutDelay {
+		if synced && runners > 0 && time.Since(quietSince) > layoutDelay {
 			count := max(1, (runners+runnersPerCell/2)/runnersPerCell)
 			_, err := n.store.Commit(ctx, store.Txn{
 				Conditions: []store.Condition{{Key: store.Key{Table: tableRoster, Name: rowLayout}}},
--- a/node/clients.go
+++ b/node/clients.go
@@ -75,6 +75,7 @@
 		switch outcome {
 		case dispatch.OutcomeAccepted:
 			n.locate(job.ID, target.Load.Cell)
+			n.noteSent(target, job)
 			return intake.Decision{Outcome: intake.Accepted, Cell: target.Load.Cell}
 		case dispatch.OutcomeElsewhere:
 			n.locate(job.ID, elsewhere)
@@ -105,6 +106,12 @@
 			owners[name] = o
 		}
 	}
+	for name, o := range owners {
+		if n.cells[name] == nil {
+			o.Load.Add(n.sentWork[name].since(o.Version))
+			owners[name] = o
+		}
+	}
 	n.mu.Unlock()
 	list := make([]ownership.Owner, 0, len(owners))
 	for _, o := range owners {
@@ -118,8 +125,8 @@
 		if bx, by := x.Load.Runners > 0, y.Load.Runners > 0; bx != by {
 			return bx
 		}
-		if x.Load.BacklogMs != y.Load.BacklogMs {
-			return x.Load.BacklogMs < y.Load.BacklogMs
+		if px, py := x.Load.Pressure(), y.Load.Pressure(); px != py {
+			return px < py
 		}
 		return spread(jobID, x.Load.Cell) < spread(jobID, y.Load.Cell)
 	})
@@ -140,6 +147,27 @@
 	return dispatch.Outcome(res.Outcome), res.Cell
 }
 
+// sentWork is what this node submitted to a cell since the owner last told its load.
+type sentWork struct {
+	version int64
+	demand  dispatch.Demand
+}
+
+func (s sentWork) since(version int64) dispatch.Demand {
+	if s.version != version {
+		return dispatch.Demand{}
+	}
+	return s.demand
+}
+
+func (n *Node) noteSent(target ownership.Owner, job *workload.Job) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	s := sentWork{version: target.Version, demand: n.sentWork[target.Load.Cell].since(target.Version)}
+	s.demand.Add(job)
+	n.sentWork[target.Load.Cell] = s
+}
+
 func (n *Node) ownCell(name string) *dispatch.Cell {
 	n.mu.Lock()
 	defer n.mu.Unlock()
--- a/node/node.go
+++ b/node/node.go
@@ -35,7 +35,7 @@
 	// indexParts spreads the index of jobs over partitions, each of which applies a few hundred transactions a second.
 	indexParts = 16
 	// discoverySpacing groups the heartbeats of runners, each of which changes its row.
-	discoverySpacing = 400 * time.Millisecond
+	discoverySpacing = 1 * time.Second
 	// leaseShare is the share of the longest lease that is granted; see docs/design.md.
 	leaseShare = 0.6
 	// shutdownGrace is the share of the platform's grace that open requests get.
@@ -66,15 +66,18 @@
 	servers  *store.Follower
 	roster   *store.Follower
 
-	mu         sync.Mutex // owned by the methods of Node
-	cells      map[string]*dispatch.Cell
-	acquiring  map[string]bool
-	evacuated  map[string]bool
-	infos      map[string]runner.Info
-	homes      map[string]string // cell of each runner, from the roster
-	ownerless  map[string]time.Time
-	located    map[string]string // cell of jobs that this node has seen
-	cellCount  int
+	mu        sync.Mutex // owned by the methods of Node
+	cells     map[string]*dispatch.Cell
+	acquiring map[string]bool
+	evacuated map[string]bool
+	infos     map[string]runner.Info
+	homes     map[string]string // cell of each runner, from the roster
+	ownerless map[string]time.Time
+	located   map[string]string // cell of jobs that this node has seen
+	cellCount int
+	// seenOwners are the ownership rows of cells that seem to have no owner.
+	seenOwners map[string]seenOwner
+	sentWork   map[string]sentWork
 	rosterKick chan struct{}
 }
 
@@ -108,7 +111,7 @@
 		peers:       newPeers(),
 		cells:       map[string]*dispatch.Cell{}, acquiring: map[string]bool{}, evacuated: map[string]bool{},
 		infos: map[string]runner.Info{}, homes: map[string]string{}, ownerless: map[string]time.Time{},
-		located: map[string]string{}, rosterKick: make(chan struct{}, 1),
+		located: map[string]string{}, seenOwners: map[string]seenOwner{}, sentWork: map[string]sentWork{}, rosterKick: make(chan struct{}, 1),
 	}
 	n.metrics = dispatch.NewMetrics(n.registry)
 	n.bounds.Store(&s.Bounds)
@@ -340,7 +343,7 @@
 func (n *Node) beat(ctx context.Context) error {
 	beat := ownership.Beat{
 		Node: n.settings.Node, Addr: n.innerAddr, Incarnation: n.incarnation, Region: n.settings.Region,
-		Leaving: n.leaving.Load(), StoreMs: n.storeMs.Load(), CPUShare: n.settings.CPUShare,
+		Leaving: n.leaving.Load(), StoreMs: n.storeMs.Load(), CPUShare: n.settings.CPUShare, LinkMbps: n.settings.LinkMbps,
 	}
 	n.mu.Lock()
 	for _, c := range n.cells {
--- a/ownership/directory.go
+++ b/ownership/directory.go
@@ -35,8 +35,9 @@
 	Leaving bool `json:"leaving,omitempty"`
 	// StoreMs is the shortest answer time of the store that the node saw, in milliseconds.
 	StoreMs int64 `json:"store_ms"`
-	// CPUShare is the share of a core that the node has.
+	// CPUShare is the share of a core that the node has, and LinkMbps the bandwidth of its link in Mbit/s.
 	CPUShare float64         `json:"cpu"`
+	LinkMbps float64         `json:"mbps"`
 	Cells    []dispatch.Load `json:"cells,omitempty"`
 }
 
@@ -117,6 +118,8 @@
 	// StoreMs is as in Beat.
 	StoreMs int64
 	Region  string
+	// Version is the version of the node's row; it tells whether Load is new.
+	Version int64
 }
 
 // Owners returns the owner of each cell that has a living one. Of two nodes the one with the higher epoch counts.
@@ -130,13 +133,21 @@
 		}
 		for _, load := range m.beat.Cells {
 			if other, ok := owners[load.Cell]; !ok || other.Load.Epoch < load.Epoch {
-				owners[load.Cell] = Owner{Node: name, Addr: m.beat.Addr, Load: load, StoreMs: m.beat.StoreMs, Region: m.beat.Region}
+				owners[load.Cell] = Owner{Node: name, Addr: m.beat.Addr, Load: load, StoreMs: m.beat.StoreMs, Region: m.beat.Region, Version: m.version}
 			}
 		}
 	}
 	return owners
 }
 
+// Lives reports whether a node's row shows that the incarnation is alive and keeps its cells.
+func (d *Directory) Lives(now time.Time, node, incarnation string) bool {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	m := d.members[node]
+	return m != nil && d.alive(now, m) && m.beat.Incarnation == incarnation && !m.beat.Leaving
+}
+
 // Incarnation returns the incarnation in a node's row, or "" if it has none.
 func (d *Directory) Incarnation(node string) string {
 	d.mu.Lock()
@@ -151,29 +162,42 @@
 // milliseconds, and 40 more from another one.
 const farStoreMs = 25
 
+// What a node needs to own a cell of the usual size without waiting for its processor or its link.
+const (
+	cpuPerCell  = 0.3
+	mbpsPerCell = 25.0
+)
+
+// strength returns how many cells a node serves well, in halves so that like nodes are equal; at least one half.
+func (b *Beat) strength() int {
+	cells := min(b.CPUShare/cpuPerCell, b.LinkMbps/mbpsPerCell)
+	return max(int(2*cells), 1)
+}
+
 // Rank returns the position of the node self among the nodes that may take a cell, best first, and -1 if it may not.
-// Nodes with fewer cells come first, then those near the store, then by a hash that differs by cell.
+// Nodes whose cells take the smallest part of their strength come first, then those near the store, then by a hash that
+// differs by cell.
 func (d *Directory) Rank(now time.Time, cell string) int {
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	type candidate struct {
-		name  string
-		cells int
-		far   bool
-		hash  uint64
+		name string
+		load float64
+		far  bool
+		hash uint64
 	}
 	var candidates []candidate
 	for name, m := range d.members {
 		if !d.alive(now, m) || m.beat.Leaving {
 			continue
 		}
-		candidates = append(candidates, candidate{name, len(m.beat.Cells), m.beat.StoreMs > farStoreMs, hashOf(cell, name)})
+		candidates = append(candidates, candidate{name, m.beat.loadWithOneMore(), m.beat.StoreMs > farStoreMs, hashOf(cell, name)})
 	}
 	sort.Slice(candidates, func(a, b int) bool {
 		x, y := candidates[a], candidates[b]
 		switch {
-		case x.cells != y.cells:
-			return x.cells < y.cells
+		case x.load != y.load:
+			return x.load < y.load
 		case x.far != y.far:
 			return !x.far
 		default:
@@ -188,6 +212,18 @@
 	return -1
 }
 
+// maxStrength bounds the strength that counts for a node's first cell, so that nodes that are strong enough are equal.
+const maxStrength = 2
+
+// loadWithOneMore returns the part of the node's strength that its cells and one more take.
+func (b *Beat) loadWithOneMore() float64 {
+	strength := b.strength()
+	if len(b.Cells) == 0 {
+		strength = min(strength, maxStrength)
+	}
+	return float64(len(b.Cells)+1) / float64(strength)
+}
+
 func hashOf(parts ...string) uint64 {
 	h := fnv.New64a()
 	for _, p := range parts {
