--- a/node/cells.go
+++ b/node/cells.go
@@ -25,8 +25,11 @@
 	// runnersPerCell is the size that cells are laid out for. Its 150 starts a second cost the owner a tenth of a core,
 	// and larger cells pack better and learn interference faster.
 	runnersPerCell = 66
-	// layoutDelay is how long no new runner must have shown up at the first start before the cells are laid out.
-	layoutDelay = 1500 * time.Millisecond
+	// nodesPerCell is how many nodes there are for one cell. Runners may show up seconds after the nodes, and jobs come
+	// before all have, so the nodes count as well.
+	nodesPerCell = 5
+	// layoutDelay is how long no new node must have shown up at the first start before the cells are laid out.
+	layoutDelay = 1 * time.Second
 	// rankDelay is how much longer each next candidate waits before it takes a cell.
 	rankDelay = 1500 * time.Millisecond
 	// rosterRetry is the pause after a failed write of the roster.
@@ -230,12 +233,13 @@
 		if known {
 			return true
 		}
-		if runners != seen {
-			quietSince, seen = time.Now(), runners
+		nodes := n.directory.Living(time.Now())
+		if nodes != seen {
+			quietSince, seen = time.Now(), nodes
 		}
 		_, synced := n.roster.Rows()
 		if synced && runners > 0 && time.Since(quietSince) > layoutDelay {
-			count := max(1, (runners+runnersPerCell/2)/runnersPerCell)
+			count := max(1, (runners+runnersPerCell/2)/runnersPerCell, nodes/nodesPerCell)
 			_, err := n.store.Commit(ctx, store.Txn{
 				Conditions: []store.Condition{{Key: store.Key{Table: tableRoster, Name: rowLayout}}},
 				Writes:     []store.Write{{Key: store.Key{Table: tableRoster, Name: rowLayout}, Value: []byte(strconv.Itoa(count))}},
--- a/ownership/directory.go
+++ b/ownership/directory.go
@@ -140,6 +140,19 @@
 	return owners
 }
 
+// Living returns the number of nodes that are alive.
+func (d *Directory) Living(now time.Time) int {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	count := 0
+	for _, m := range d.members {
+		if d.alive(now, m) {
+			count++
+		}
+	}
+	return count
+}
+
 // Lives reports whether a node's row shows that the incarnation is alive and keeps its cells.
 func (d *Directory) Lives(now time.Time, node, incarnation string) bool {
 	d.mu.Lock()
