Learn pressure with full covariance; place tasks that fill where they disturb least; choose of two cells

Cause: several images fill beside a serving task at once, and normalised least mean squares blamed all of them; all nodes chose the same least loaded cell.

--- a/interference/pressure.go
+++ b/interference/pressure.go
@@ -14,11 +14,15 @@
 	priorPressure = 1.0
 	// priorLoad is assumed of a serving task's own load until it was seen.
 	priorLoad = 0.45
-	// pressureGain and loadGain weight a new observation.
-	pressureGain = 0.3
-	loadGain     = 0.35
-	// ridge keeps one observation with a small share from moving a coefficient far.
-	ridge = 0.02
+	// priorDeviation is the standard deviation of coefficients among pairs.
+	priorDeviation = 1.5
+	// loadDeviation is the standard deviation of a serving task's own load around its estimate, which is the noise of
+	// an observation.
+	loadDeviation = 0.15
+	// loadGain weights a new observation of a falling load.
+	loadGain = 0.35
+	// minVariance keeps coefficients open to what changes.
+	minVariance = 0.01
 	// maxPressure bounds a coefficient.
 	maxPressure = 6.0
 	// quietShare is the pressure below which an observation shows the task's own load.
@@ -33,22 +37,27 @@
 // latency of a serving task follows floor / (1 - u), where the utilization u is its own load and the sum of shares times
 // coefficients; observations of it lag by half a second and its own load moves meanwhile. The zero value is not usable.
 type Pressure struct {
-	coefficients map[Pair]float64
+	images map[string]*sensitivity
 	// floors holds the lowest tail latency seen of each serving image.
 	floors map[string]float64
 }
 
 // NewPressure returns a model that has seen nothing.
 func NewPressure() *Pressure {
-	return &Pressure{coefficients: map[Pair]float64{}, floors: map[string]float64{}}
+	return &Pressure{images: map[string]*sensitivity{}, floors: map[string]float64{}}
 }
 
 // Coefficient returns what a full share of the filling image takes from a serving task.
 func (p *Pressure) Coefficient(pair Pair) float64 {
-	if c, ok := p.coefficients[pair]; ok {
-		return c
+	s := p.images[pair.Serving]
+	if s == nil {
+		return priorPressure
 	}
-	return priorPressure
+	i, ok := s.index[pair.Filling]
+	if !ok {
+		return priorPressure
+	}
+	return s.mean[i]
 }
 
 // Sum returns the pressure of shares on a serving image.
@@ -132,15 +141,65 @@
 	return sum
 }
 
-// learn moves the coefficients of the images beside a serving task by normalised least mean squares.
+// learn moves the coefficients of the images beside a serving task.
 func (p *Pressure) learn(image string, residual float64, shares []Share) {
-	norm := ridge
-	for _, s := range shares {
-		norm += s.Used * s.Used
+	s := p.images[image]
+	if s == nil {
+		s = &sensitivity{index: map[string]int{}}
+		p.images[image] = s
 	}
-	for _, s := range shares {
-		pair := Pair{image, s.Image}
-		c := p.Coefficient(pair) + pressureGain*residual*s.Used/norm
-		p.coefficients[pair] = min(max(c, 0), maxPressure)
+	s.update(residual, shares)
+}
+
+// sensitivity holds the coefficients of one serving image as a Gaussian estimate. Several images fill beside a task at
+// once, so an observation is about their sum; the covariance tells which of them the sum is due to once they were seen
+// in other combinations.
+type sensitivity struct {
+	index map[string]int
+	mean  []float64
+	cov   [][]float64
+}
+
+// grow adds an image with the prior.
+func (s *sensitivity) grow(image string) int {
+	i := len(s.mean)
+	s.index[image] = i
+	s.mean = append(s.mean, priorPressure)
+	for k := range s.cov {
+		s.cov[k] = append(s.cov[k], 0)
+	}
+	row := make([]float64, i+1)
+	row[i] = priorDeviation * priorDeviation
+	s.cov = append(s.cov, row)
+	return i
+}
+
+// update is one step of recursive least squares: residual is the observed pressure less the predicted one.
+func (s *sensitivity) update(residual float64, shares []Share) {
+	at := make([]int, len(shares))
+	for k, share := range shares {
+		i, ok := s.index[share.Image]
+		if !ok {
+			i = s.grow(share.Image)
+		}
+		at[k] = i
+	}
+	gain := make([]float64, len(s.mean))
+	variance := loadDeviation * loadDeviation
+	for i := range gain {
+		for k, share := range shares {
+			gain[i] += s.cov[i][at[k]] * share.Used
+		}
+	}
+	for k, share := range shares {
+		variance += gain[at[k]] * share.Used
+	}
+	for i := range s.mean {
+		s.mean[i] = min(max(s.mean[i]+gain[i]*residual/variance, 0), maxPressure)
+		for k := range s.mean {
+			s.cov[i][k] -= gain[i] * gain[k] / variance
+		}
+		// The estimate never becomes so sure of itself that it stops following.
+		s.cov[i][i] = max(s.cov[i][i], minVariance)
 	}
 }
--- a/node/clients.go
+++ b/node/clients.go
@@ -125,11 +125,13 @@
 		if bx, by := x.Load.Runners > 0, y.Load.Runners > 0; bx != by {
 			return bx
 		}
-		if px, py := x.Load.Pressure(), y.Load.Pressure(); px != py {
-			return px < py
-		}
 		return spread(jobID, x.Load.Cell) < spread(jobID, y.Load.Cell)
 	})
+	// Of two random cells the one with less load takes the job: the loads are up to a second old, so that all nodes
+	// would choose the same cell if each took the one with the least.
+	if len(list) > 1 && list[0].Load.Cell != known && list[1].Load.Runners > 0 && list[1].Load.Pressure() < list[0].Load.Pressure() {
+		list[0], list[1] = list[1], list[0]
+	}
 	return list
 }
 
--- a/placement/placement.go
+++ b/placement/placement.go
@@ -124,8 +124,9 @@
 	weightData = 2.0
 	// weightDomain prefers the owner's region, which saves 40 ms a step and traffic between regions.
 	weightDomain = 0.15
-	// weightAllowance prefers runners where a task that fills need not be slowed down.
-	weightAllowance = 1.0
+	// weightDisturbance prefers runners whose serving tasks a task that fills disturbs least, measured by the part that it
+	// takes of the pressure that they still bear.
+	weightDisturbance = 1.0
 	// weightSameImage gathers serving tasks of one image: what fills beside them has to suit only that image.
 	weightSameImage  = 0.6
 	weightOtherImage = 1.0
@@ -165,13 +166,27 @@
 func scoreInterference(r *Request, h *Host) float64 {
 	switch {
 	case r.Step.Fills:
-		return weightAllowance * Allowance(r, h)
+		return -weightDisturbance * disturbance(r, h)
 	case r.Step.LatencyTarget > 0:
 		return scoreCompany(r, h)
 	}
 	return 0
 }
 
+// minServingRoom keeps quotients finite for serving tasks that bear nothing more.
+const minServingRoom = 0.05
+
+// disturbance returns the largest part that a task that fills takes of the pressure which a serving task still bears, at
+// most 1.
+func disturbance(r *Request, h *Host) float64 {
+	share := float64(r.Step.Resources.CPU) / float64(max(h.Capacity.CPU, 1))
+	worst := 0.0
+	for _, s := range h.Serving {
+		worst = max(worst, r.Pressure(s.Image)*share/max(s.Room, minServingRoom))
+	}
+	return min(worst, 1)
+}
+
 // scoreCompany prefers runners whose serving tasks have the same image.
 func scoreCompany(r *Request, h *Host) float64 {
 	if len(h.Serving) == 0 {
