--- a/dispatch/interference.go
+++ b/dispatch/interference.go
@@ -19,7 +19,7 @@
 	// follow each swing of the load.
 	raiseMargin = 0.05
 	// pausedPatience is how long a task that fills stays paused before it is moved to another runner.
-	pausedPatience = 500 * time.Millisecond
+	pausedPatience = 200 * time.Millisecond
 	// keptProgress is the progress in percent from which a task without checkpoints is not stopped to be moved.
 	keptProgress = 40
 	// minRoom keeps quotients finite for serving tasks that bear nothing more.
--- a/interference/pressure.go
+++ b/interference/pressure.go
@@ -30,7 +30,7 @@
 	// saturation is the utilization from which the tail grows without saying how far the load is above it.
 	saturation = 0.93
 	// targetShare is the share of the latency target that is aimed for.
-	targetShare = 0.7
+	targetShare = 0.9
 )
 
 // Pressure learns, for each pair of images, how much of a serving task's capacity the tasks that fill take. The tail
--- a/placement/placement.go
+++ b/placement/placement.go
@@ -101,7 +101,7 @@
 func isOnRack(r *Request, h *Host) bool { return r.Rack == "" || h.hasLabel(r.Rack) }
 
 // minAllowance is the speed below which a task that fills waits for another runner or another time.
-const minAllowance = 0.8
+const minAllowance = 1.0
 
 // disturbsLittle keeps tasks that fill from runners where they would have to be slowed down for a serving task.
 func disturbsLittle(r *Request, h *Host) bool {
