--- a/dispatch/host.go
+++ b/dispatch/host.go
@@ -19,7 +19,7 @@
 	// priced, so it is the maximum.
 	holdWait = 2 * time.Second
 	// harmedWait replaces holdWait while a serving task is over its latency target.
-	harmedWait = 600 * time.Millisecond
+	harmedWait = 500 * time.Millisecond
 	// ackDelay spaces two looks at a runner, so that one look shows the ends of several tasks, and gives the ends that
 	// were seen the time to become durable.
 	ackDelay = 30 * time.Millisecond
--- a/dispatch/interference.go
+++ b/dispatch/interference.go
@@ -26,7 +26,7 @@
 	minRoom = 0.01
 	// overPatience is how long a serving task may be over its target before everything that fills beside it stops,
 	// whatever the model says. The users allow 4 s.
-	overPatience = 1200 * time.Millisecond
+	overPatience = 400 * time.Millisecond
 )
 
 // shares returns the processor time that tasks that fill used on the runner lately, by image.
@@ -86,19 +86,21 @@
 			c.pressure.Observe(r.unit.def().Image, r.figure, shares, &r.load)
 		}
 	}
+	over := overTarget(now, serving)
 	if len(filling) > 0 {
-		c.shareOut(now, h, serving, filling)
+		c.shareOut(now, h, serving, filling, over)
 	}
 }
 
-// shareOut gives tasks that fill the speeds that the serving tasks of a runner bear, those that disturb least first.
-func (c *Cell) shareOut(now time.Time, h *host, serving, filling []*run) {
+// shareOut gives tasks that fill the speeds that the serving tasks of a runner bear, those that disturb least first, and
+// none if a serving task has been over its target for long.
+func (c *Cell) shareOut(now time.Time, h *host, serving, filling []*run, over bool) {
 	room := make([]float64, len(serving))
 	for i, r := range serving {
 		def := r.unit.def()
 		room[i] = c.pressure.Limit(def.Image, float64(def.LatencyTarget.Milliseconds())) - r.load.Value()
 	}
-	if c.overTarget(now, serving) {
+	if over {
 		for _, r := range filling {
 			c.setSpeed(now, r, 0)
 		}
@@ -144,8 +146,9 @@
 	}
 }
 
-// overTarget reports whether a serving task has been over its latency target for long. The caller holds mu.
-func (c *Cell) overTarget(now time.Time, serving []*run) bool {
+// overTarget notes which serving tasks are over their latency targets and reports whether one has been for long. The
+// caller holds the cell's mu.
+func overTarget(now time.Time, serving []*run) bool {
 	over := false
 	for _, r := range serving {
 		switch {
--- a/dispatch/plan.go
+++ b/dispatch/plan.go
@@ -133,13 +133,14 @@
 		p.Available = h.present && !h.info.Draining && !c.evacuated[h.info.Domain] && h.reachable(now) &&
 			!now.Before(h.roomUntil) && h.foreign == 0
 		p.Far = c.cfg.Regions[h.info.Domain] != c.cfg.Region
-		p.Committed, p.UsedCPU, p.Serving = workload.Resources{}, 0, p.Serving[:0]
+		p.Committed, p.UsedCPU, p.Serving, p.Harmed = workload.Resources{}, 0, p.Serving[:0], false
 		shares := h.shares()
 		for r := range h.runs {
 			def := r.unit.def()
 			p.Committed = p.Committed.Add(def.Committed())
 			p.UsedCPU += expectedCPU(def)
 			if def.LatencyTarget > 0 {
+				p.Harmed = p.Harmed || !r.overSince.IsZero()
 				p.Serving = append(p.Serving, placement.Serving{Image: def.Image, Room: c.room(r, shares)})
 			}
 		}
--- a/placement/placement.go
+++ b/placement/placement.go
@@ -21,6 +21,8 @@
 	UsedCPU int64
 	// Serving are the tasks with a latency target.
 	Serving []Serving
+	// Harmed is set while a serving task is over its target; nothing more may fill there, whatever the model says.
+	Harmed bool
 	// Far is set for runners in another region than the cell's owner.
 	Far bool
 	// Slowdown is the learned factor of run times on this runner against others; 1 is normal.
@@ -105,7 +107,7 @@
 
 // disturbsLittle keeps tasks that fill from runners where they would have to be slowed down for a serving task.
 func disturbsLittle(r *Request, h *Host) bool {
-	return !r.Step.Fills || Allowance(r, h) >= minAllowance
+	return !r.Step.Fills || !h.Harmed && Allowance(r, h) >= minAllowance
 }
 
 // leavesTime keeps tasks that fill from runners whose processors are used.
