--- /dev/null
+++ b/interference/pressure_test.go
@@ -0,0 +1,62 @@
+package interference
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"testing"
+
+	"gotest.tools/v3/assert"
+)
+
+// Guards against a model that blames all images beside a harmed task: only some of them disturb it, they are never seen
+// alone, its own load swings, and the tail saturates.
+func TestPressureTellsImagesApart(t *testing.T) {
+	rng := rand.New(rand.NewPCG(1, 2))
+	const floor, images = 10.0, 9
+	truth := func(i int) float64 {
+		if i%2 == 0 {
+			return 2.5
+		}
+		return 0.1
+	}
+	model := NewPressure()
+	model.Observe("s", floor, nil, &Load{})
+	for range 40 {
+		var load Load
+		for range 30 {
+			u := 0.3 + 0.2*rng.Float64()
+			var shares []Share
+			for i := range images {
+				if rng.Float64() < 0.4 {
+					shares = append(shares, Share{Image: fmt.Sprint(i), Used: 0.02 + 0.1*rng.Float64()})
+				}
+			}
+			for _, s := range shares {
+				u += s.Used * truth(int(s.Image[0]-'0'))
+			}
+			tail := 500.0
+			if u < 0.98 {
+				tail = floor / (1 - u)
+			}
+			model.Observe("s", tail, shares, &load)
+		}
+	}
+	for i := range images {
+		c := model.Coefficient(Pair{"s", fmt.Sprint(i)})
+		if i%2 == 0 {
+			assert.Assert(t, c > 1.2, "image %d disturbs, learned %.2f", i, c)
+		} else {
+			assert.Assert(t, c < 0.8, "image %d does not disturb, learned %.2f", i, c)
+		}
+	}
+}
+
+// Guards against a limit above the target, and against one for an image that was never seen.
+func TestLimit(t *testing.T) {
+	model := NewPressure()
+	assert.Equal(t, model.Limit("s", 50), 0.0)
+	model.Observe("s", 10, nil, &Load{})
+	limit := model.Limit("s", 50)
+	assert.Assert(t, 10/(1-limit) <= 50, "limit %.2f", limit)
+	assert.Assert(t, limit > 0.7)
+}
--- /dev/null
+++ b/placement/placement_test.go
@@ -0,0 +1,136 @@
+package placement
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"github.com/currantthread/currantthread/workload"
+)
+
+// host returns an empty runner of 64 cores.
+func host(id string, labels ...string) *Host {
+	return &Host{ID: id, Domain: "chipre", Labels: labels, Available: true, Slowdown: 1,
+		Capacity: workload.Resources{CPU: 64000, MemoryMB: 256000}}
+}
+
+func request(step workload.Step) *Request {
+	return &Request{Step: &step, OnHost: func(string) int { return 0 }, Pressure: func(string) float64 { return 1 }}
+}
+
+func cpu(millis int64) workload.Resources { return workload.Resources{CPU: millis, MemoryMB: 1000} }
+
+// Guards against a task on a runner that must not take it: each case breaks one rule of placement.
+func TestFilters(t *testing.T) {
+	serving := []Serving{{Image: "s", Room: 0.05}}
+	for name, c := range map[string]struct {
+		step workload.Step
+		host func(h *Host)
+		on   int
+		rack string
+		want bool
+	}{
+		"fits":                     {step: workload.Step{Resources: cpu(4000)}, want: true},
+		"unavailable":              {step: workload.Step{Resources: cpu(4000)}, host: func(h *Host) { h.Available = false }},
+		"no processor left":        {step: workload.Step{Resources: cpu(4000)}, host: func(h *Host) { h.Committed.CPU = 61000 }},
+		"no memory left":           {step: workload.Step{Resources: cpu(4000)}, host: func(h *Host) { h.Committed.MemoryMB = 255500 }},
+		"fills a committed runner": {step: workload.Step{Resources: cpu(4000), Fills: true}, host: func(h *Host) { h.Committed.CPU = 64000 }, want: true},
+		"fills a used runner":      {step: workload.Step{Resources: cpu(4000), Fills: true}, host: func(h *Host) { h.UsedCPU = 61000 }},
+		"fills beside a serving task without room": {step: workload.Step{Resources: cpu(8000), Fills: true},
+			host: func(h *Host) { h.Serving = serving }},
+		"fills beside a serving task with room": {step: workload.Step{Resources: cpu(2000), Fills: true},
+			host: func(h *Host) { h.Serving = serving }, want: true},
+		"fills beside a harmed task": {step: workload.Step{Resources: cpu(100), Fills: true},
+			host: func(h *Host) { h.Harmed, h.Serving = true, serving }},
+		"label is missing": {step: workload.Step{Resources: cpu(4000), Label: "gpu"}},
+		"label is there":   {step: workload.Step{Resources: cpu(4000), Label: "a"}, want: true},
+		"at the spread limit": {step: workload.Step{Resources: cpu(4000), MaxPerRunner: 2},
+			on: 2},
+		"below the spread limit": {step: workload.Step{Resources: cpu(4000), MaxPerRunner: 2},
+			on: 1, want: true},
+		"other rack": {step: workload.Step{Resources: cpu(4000)}, rack: "r9"},
+	} {
+		t.Run(name, func(t *testing.T) {
+			h := host("h", "a", "r1")
+			if c.host != nil {
+				c.host(h)
+			}
+			r := request(c.step)
+			r.OnHost = func(string) int { return c.on }
+			r.Rack = c.rack
+			assert.Equal(t, Pick(r, []*Host{h}) == h, c.want)
+		})
+	}
+}
+
+// Guards against choices that cost time or disturb: each case has a better and a worse runner.
+func TestScores(t *testing.T) {
+	for name, c := range map[string]struct {
+		step  workload.Step
+		worse func(h *Host)
+		avoid bool
+	}{
+		"emptier runner":         {step: workload.Step{Resources: cpu(4000)}, worse: func(h *Host) { h.UsedCPU = 30000 }},
+		"near its data":          {step: workload.Step{Resources: cpu(4000), DataRack: "r1"}, worse: func(h *Host) { h.Labels = nil }},
+		"own region":             {step: workload.Step{Resources: cpu(4000)}, worse: func(h *Host) { h.Far = true }},
+		"normal speed":           {step: workload.Step{Resources: cpu(4000)}, worse: func(h *Host) { h.Slowdown = 2 }},
+		"trusted":                {step: workload.Step{Resources: cpu(4000)}, worse: func(h *Host) { h.Suspect = true }},
+		"where it did not fail":  {step: workload.Step{Resources: cpu(4000)}, avoid: true},
+		"fills beside nobody":    {step: workload.Step{Resources: cpu(4000), Fills: true}, worse: func(h *Host) { h.Serving = []Serving{{"s", 0.3}} }},
+		"serves beside its like": {step: workload.Step{Resources: cpu(4000), Image: "s", LatencyTarget: time.Second}, worse: func(h *Host) { h.Serving = []Serving{{"other", 0.3}} }},
+	} {
+		t.Run(name, func(t *testing.T) {
+			worse, better := host("a", "r1"), host("b", "r1")
+			if c.worse != nil {
+				c.worse(worse)
+			}
+			if c.step.LatencyTarget > 0 {
+				better.Serving = []Serving{{"s", 0.3}}
+			}
+			r := request(c.step)
+			if c.avoid {
+				r.Avoid = "a"
+			}
+			assert.Equal(t, Pick(r, []*Host{worse, better}).ID, "b")
+		})
+	}
+}
+
+// Answers the pattern "a full deployment of serving tasks with a crowd of jobs that fill": with five serving images, each
+// of which suffers from some of the images that fill, all tasks find a place where they disturb nobody.
+func TestCrowdOfFillersFindsHarmlessPlaces(t *testing.T) {
+	harmful := func(serving, filling int) bool { return (serving+filling)%5 < 3 }
+	var hosts []*Host
+	for i := range 66 {
+		h := host(fmt.Sprintf("h%02d", i))
+		h.Committed.CPU = 60000
+		for range 4 {
+			h.Serving = append(h.Serving, Serving{Image: fmt.Sprint(i % 5), Room: 0.3})
+		}
+		hosts = append(hosts, h)
+	}
+	placed := 0
+	for n := range 400 {
+		image := n % 9
+		r := request(workload.Step{Resources: cpu(5000), Fills: true})
+		r.Pressure = func(serving string) float64 {
+			if harmful(int(serving[0]-'0'), image) {
+				return 3
+			}
+			return 0.1
+		}
+		best := Pick(r, hosts)
+		if best == nil {
+			continue
+		}
+		placed++
+		best.UsedCPU += 5000
+		for i := range best.Serving {
+			best.Serving[i].Room -= r.Pressure(best.Serving[i].Image) * 5000 / 64000
+			assert.Assert(t, best.Serving[i].Room >= 0)
+		}
+	}
+	assert.Assert(t, placed >= 360, "%d of 400 tasks found a place", placed)
+}
