--- a/internal/emulator/runner.go
+++ b/internal/emulator/runner.go
@@ -364,3 +364,11 @@
 	})
 	return report
 }
+
+// Info returns what a runner says about itself, and whether it lives.
+func (f *Fleet) Info(id string) (runner.Info, bool) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	r := f.runners[id]
+	return r.info, r.alive
+}
--- /dev/null
+++ b/internal/soak/main.go
@@ -0,0 +1,38 @@
+// Command soak runs the real nodes as separate processes on loopback against the emulator, injects faults from outside
+// and checks the promises of the system from what clients and runners see. One seed gives one sequence of faults.
+//
+//	go run ./internal/soak --program target/currantthread --seed 7 --duration 20s
+package main
+
+import (
+	"context"
+	"flag"
+	"fmt"
+	"os"
+	"os/signal"
+	"syscall"
+	"time"
+)
+
+func main() {
+	var cfg config
+	flag.StringVar(&cfg.program, "program", "target/currantthread", "the daemon's program")
+	flag.Uint64Var(&cfg.seed, "seed", 1, "seed of jobs and faults")
+	flag.DurationVar(&cfg.duration, "duration", 20*time.Second, "time in which jobs are submitted and faults are injected")
+	flag.IntVar(&cfg.nodes, "nodes", 3, "number of nodes")
+	flag.IntVar(&cfg.runners, "runners", 12, "number of runners")
+	flag.StringVar(&cfg.dir, "dir", "", "directory for settings and logs; default is a temporary one")
+	flag.BoolVar(&cfg.killOnly, "kill-owner", false, "inject one fault only: the owner of the cell is killed")
+	flag.Parse()
+	ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt, syscall.SIGTERM)
+	defer stop()
+	report, err := run(ctx, cfg)
+	if err != nil {
+		fmt.Fprintf(os.Stderr, "soak: %v\n", err)
+		os.Exit(1)
+	}
+	fmt.Println(report)
+	if len(report.broken) > 0 {
+		os.Exit(1)
+	}
+}
