--- a/Makefile
+++ b/Makefile
@@ -10,7 +10,11 @@
 export RAPID_SEED ?= 1
 export RAPID_NOFAILFILE ?= true
 
-.PHONY: build test bench lint generate demo up down clean
+# Seed and time of a soak run.
+SEED ?= 1
+DURATION ?= 20s
+
+.PHONY: build test bench lint generate demo soak soak-build up down clean
 
 build:
 	@mkdir -p bin
@@ -27,9 +31,18 @@
 		--connect-go_out=. --connect-go_opt=module=github.com/currantthread/currantthread,simple \
 		innerproto/currantthread.proto
 
-demo: build
+# First a job handed in on the platform's path while the owner of its cell is killed, then the request path.
+demo: build soak-build
+	target/soak --seed 1 --kill-owner --duration 8s
 	bash scripts/demo.sh
 
+soak-build:
+	@mkdir -p target
+	$(GO) build -ldflags "-X main.version=$(VERSION)" -o target/ ./cmd/currantthread ./internal/soak
+
+soak: soak-build
+	target/soak --seed $(SEED) --duration $(DURATION)
+
 up: build
 	bash scripts/up.sh $(DEPLOYMENT)
 
