--- a/dispatch/cell.go
+++ b/dispatch/cell.go
@@ -8,6 +8,7 @@
 
 import (
 	"context"
+	"maps"
 	"sync"
 	"time"
 
@@ -84,6 +85,7 @@
 	catalog      *catalog.Config
 	evacuated    map[string]bool
 	pressure     *interference.Pressure
+	advice       map[shape]*advice
 	submissions  []*submission
 	dirty        map[*jobState]bool
 	// urgent asks for a commit without the usual delay.
@@ -91,11 +93,14 @@
 	// unresolved are runners that may run tasks of an earlier owner, with the time until which they may.
 	unresolved map[string]time.Time
 	pending    map[string]int // accepted jobs without a started task, by queue
-	planKick   chan struct{}
-	flushKick  chan struct{}
-	stop       context.CancelFunc
-	done       chan struct{}
-	work       sync.WaitGroup
+	// adviceTurn lets one call of the advice service go out at a time.
+	adviceTurn sync.Mutex
+
+	planKick  chan struct{}
+	flushKick chan struct{}
+	stop      context.CancelFunc
+	done      chan struct{}
+	work      sync.WaitGroup
 }
 
 func newCell(cfg Config, epoch int64) *Cell {
@@ -104,6 +109,7 @@
 		evacuated: map[string]bool{}, dirty: map[*jobState]bool{}, unresolved: map[string]time.Time{},
 		pending: map[string]int{}, planKick: make(chan struct{}, 1), flushKick: make(chan struct{}, 1),
 		done: make(chan struct{}), catalog: &catalog.Config{}, pressure: interference.NewPressure(),
+		advice: map[shape]*advice{},
 	}
 }
 
@@ -292,6 +298,9 @@
 	c.uncountPending(j)
 	j.state = state
 	j.finishedAt = now
+	if j.def.Policy.Advised {
+		maps.DeleteFunc(c.advice, func(key shape, _ *advice) bool { return key.job == j })
+	}
 	for _, occ := range j.occs {
 		for i := range occ.steps {
 			for _, u := range occ.steps[i].units {
--- a/dispatch/cell_test.go
+++ b/dispatch/cell_test.go
@@ -30,6 +30,8 @@
 	store *emulator.Store
 	fleet *emulator.Fleet
 	infos []runner.Info
+	// advisor is nil unless a test sets it.
+	advisor dispatch.Advisor
 }
 
 // newWorld returns a world with runners of 64 cores in one failure domain.
@@ -58,7 +60,8 @@
 	assert.NilError(w.t, err)
 	registry := prometheus.NewRegistry()
 	cfg := dispatch.Config{
-		Name: cellName, Part: cellName, IndexPart: func(string) string { return "i0" }, Node: node, Addr: node,
+		Advisor: w.advisor,
+		Name:    cellName, Part: cellName, IndexPart: func(string) string { return "i0" }, Node: node, Addr: node,
 		Incarnation: node, Region: "caldas-centro", Regions: map[string]string{"chipre": "caldas-centro", "cartago": "valle-norte"},
 		Lease: lease, StopTimeout: time.Second, GangTimeout: 3 * time.Second, Retention: 2 * time.Minute,
 		Store: w.store, Runners: w.fleet, Log: observe.NewLogger(io.Discard, "test", node),
@@ -408,3 +411,62 @@
 		<-c.Done()
 	})
 }
+
+// oneRunnerAdvisor permits one runner for every step.
+type oneRunnerAdvisor struct {
+	runner string
+	calls  int
+}
+
+func (a *oneRunnerAdvisor) Advise(_ context.Context, _ string, _, _ int, runners []string) (map[string]string, time.Duration, error) {
+	a.calls++
+	time.Sleep(100 * time.Millisecond)
+	for _, r := range runners {
+		if r == a.runner {
+			return map[string]string{r: "ticket"}, 3 * time.Second, nil
+		}
+	}
+	return nil, 3 * time.Second, nil
+}
+
+// Guards against starts without a ticket on queues with advice, and against a call for each task.
+func TestAdviceLimitsRunners(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		w := newWorld(t, 20, always(time.Second))
+		advisor := &oneRunnerAdvisor{runner: "r7"}
+		w.advisor = advisor
+		c, stop := w.own("a", true)
+		job := jobOf(1, tasks(8, 4000))
+		job.Policy.Advised = true
+		w.submit(c, job)
+		time.Sleep(3 * time.Second)
+		assert.Equal(t, state(c, job), workload.StateCompleted)
+		for _, s := range w.fleet.Starts() {
+			assert.Equal(t, s.Runner, "r7")
+		}
+		assert.Assert(t, advisor.calls <= 2, "%d calls", advisor.calls)
+		stop()
+		<-c.Done()
+	})
+}
+
+// Guards against occurrences that start before their time or are left out.
+func TestOccurrencesStartWhenDue(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		w := newWorld(t, 2, always(500*time.Millisecond))
+		c, stop := w.own("a", true)
+		job := jobOf(1, tasks(2, 4000))
+		job.Occurrences, job.StartAt, job.Interval = 3, time.Now().Add(2*time.Second), 3*time.Second
+		w.submit(c, job)
+		time.Sleep(12 * time.Second)
+		assert.Equal(t, state(c, job), workload.StateCompleted)
+		starts := w.fleet.Starts()
+		assert.Equal(t, len(starts), 6)
+		for _, s := range starts {
+			late := s.At.Sub(job.Due(s.Task.Occurrence))
+			assert.Assert(t, late >= 0 && late < 500*time.Millisecond, "%v started %v after its time", s.Task, late)
+		}
+		stop()
+		<-c.Done()
+	})
+}
--- a/dispatch/orders.go
+++ b/dispatch/orders.go
@@ -32,6 +32,9 @@
 		Task: r.id(), Run: number, Spec: u.job.def.Spec, Deadline: c.leaseDeadline(now, h), Token: c.epoch,
 		Checkpoint: u.checkpoint,
 	}
+	if u.job.def.Policy.Advised {
+		order.Ticket = c.adviceOf(u).tickets[h.info.ID]
+	}
 	c.work.Go(func() { c.sendStart(ctx, r, h.target(), order) })
 }
 
@@ -88,7 +91,9 @@
 		return
 	case runner.ReasonNoRoom:
 		h.roomUntil = now.Add(roomPause)
-	case runner.ReasonOldRun, runner.ReasonLate, runner.ReasonTicket:
+	case runner.ReasonTicket:
+		delete(c.adviceOf(u).until, h.info.ID)
+	case runner.ReasonOldRun, runner.ReasonLate:
 	default:
 		h.backoffUntil = now.Add(refusedPause)
 	}
--- a/dispatch/plan.go
+++ b/dispatch/plan.go
@@ -160,12 +160,18 @@
 func (c *Cell) place(ctx context.Context, now time.Time, u *unit, views []*hostView) bool {
 	service := c.serviceOf(u.job)
 	byID := map[string]*hostView{}
-	hosts := make([]*placement.Host, 0, len(views))
+	hosts := c.serviceHosts(service, views)
 	for _, v := range views {
-		if v.host.info.Service == service {
-			hosts = append(hosts, v.place)
-			byID[v.place.ID] = v
+		byID[v.place.ID] = v
+	}
+	advised := u.job.def.Policy.Advised
+	if advised {
+		permitted := c.adviceOf(u).permitted(now, hosts)
+		if len(permitted) == 0 {
+			c.askAdvice(ctx, now, u, hosts)
+			return false
 		}
+		hosts = permitted
 	}
 	def := u.def()
 	onRunner := u.stepState().onRunner
@@ -187,6 +193,9 @@
 	}
 	if len(chosen) < u.size {
 		// The views are rebuilt for the next plan; until then the runners look fuller than they are.
+		if advised {
+			c.askAdvice(ctx, now, u, c.serviceHosts(service, views))
+		}
 		return false
 	}
 	number := u.run + 1
@@ -197,6 +206,16 @@
 	return true
 }
 
+func (c *Cell) serviceHosts(service string, views []*hostView) []*placement.Host {
+	hosts := make([]*placement.Host, 0, len(views))
+	for _, v := range views {
+		if v.host.info.Service == service {
+			hosts = append(hosts, v.place)
+		}
+	}
+	return hosts
+}
+
 // reserve notes on a view that a task was placed there.
 func reserve(p *placement.Host, r *placement.Request) {
 	p.Committed = p.Committed.Add(r.Step.Committed())
--- a/node/node.go
+++ b/node/node.go
@@ -51,6 +51,7 @@
 	registry     *prometheus.Registry
 	store        store.Store
 	runners      runner.Client
+	advisor      dispatch.Advisor
 	directory    *ownership.Directory
 	incarnation  string
 	innerAddr    string
@@ -113,6 +114,9 @@
 		infos: map[string]runner.Info{}, homes: map[string]string{}, ownerless: map[string]time.Time{},
 		located: map[string]string{}, seenOwners: map[string]seenOwner{}, sentWork: map[string]sentWork{}, rosterKick: make(chan struct{}, 1),
 	}
+	if services.Advice != nil {
+		n.advisor = services.Advice
+	}
 	n.metrics = dispatch.NewMetrics(n.registry)
 	n.bounds.Store(&s.Bounds)
 	n.operator = store.NewFollower(n.store, platform.TableOperator, n.operatorChanged, n.dependency("operator's rows"))
@@ -304,7 +308,7 @@
 		Incarnation: n.incarnation, Metrics: n.metrics, Region: n.settings.Region, Regions: n.settings.Regions,
 		Lease:       time.Duration(float64(b.HoldMax) * leaseShare),
 		StopTimeout: b.StopTimeout, GangTimeout: b.GangTimeout, Early: b.Early, PaceDelay: b.PaceDelay, Harm: b.Harm,
-		Retention: b.StatusRetention, Store: n.store, Runners: n.runners, Log: n.log, PredecessorDead: predecessorDead,
+		Retention: b.StatusRetention, Store: n.store, Runners: n.runners, Advisor: n.advisor, Log: n.log, PredecessorDead: predecessorDead,
 	}
 }
 
