--- a/dispatch/cell_test.go
+++ b/dispatch/cell_test.go
@@ -95,7 +95,7 @@
 
 func (w *world) submit(c *dispatch.Cell, job *workload.Job) {
 	w.t.Helper()
-	outcome, _ := c.Submit(w.t.Context(), job)
+	outcome, _ := c.Submit(w.t.Context(), job, true)
 	assert.Equal(w.t, outcome, dispatch.OutcomeAccepted)
 }
 
@@ -325,7 +325,7 @@
 		w := newWorld(t, 1, always(time.Second))
 		c, stop := w.own("a", true)
 		w.store.SetFault(emulator.StoreRefuses)
-		outcome, _ := c.Submit(t.Context(), jobOf(1, tasks(1, 4000)))
+		outcome, _ := c.Submit(t.Context(), jobOf(1, tasks(1, 4000)), false)
 		assert.Equal(t, outcome, dispatch.OutcomeRefused)
 		w.store.SetFault(emulator.StoreWorks)
 		time.Sleep(5 * time.Second)
@@ -470,3 +470,27 @@
 		<-c.Done()
 	})
 }
+
+// Answers the pattern "many lasting jobs at once": a cell leaves those that it has no room for to other cells.
+func TestFullCellLeavesLastingJobsToOthers(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		w := newWorld(t, 4, always(time.Hour))
+		c, stop := w.own("a", true)
+		time.Sleep(100 * time.Millisecond)
+		accepted := 0
+		for i := range 40 {
+			step := tasks(1, 13000)
+			step.LongRunning = true
+			if outcome, _ := c.Submit(t.Context(), jobOf(i, step), false); outcome == dispatch.OutcomeAccepted {
+				accepted++
+			} else {
+				assert.Equal(t, outcome, dispatch.OutcomeFull)
+			}
+		}
+		time.Sleep(time.Second)
+		assert.Assert(t, accepted >= 14, "%d jobs of 13 cores were accepted for 256 cores", accepted)
+		assert.Assert(t, accepted <= 18, "%d jobs of 13 cores were accepted for 256 cores", accepted)
+		stop()
+		<-c.Done()
+	})
+}
--- a/dispatch/intake.go
+++ b/dispatch/intake.go
@@ -25,6 +25,8 @@
 	OutcomeElsewhere
 	// OutcomeRefused means that the job was not accepted and never runs by this submission.
 	OutcomeRefused
+	// OutcomeFull means that the cell has no room for the job now and did not accept it.
+	OutcomeFull
 	// OutcomeNotOwner means that this node does not own the cell; nothing was done.
 	OutcomeNotOwner
 )
@@ -47,9 +49,10 @@
 	close(s.done)
 }
 
-// Submit makes a job durable in the cell. A job that the cell has already is accepted again, without effect. For
-// OutcomeElsewhere it also returns the name of the other cell.
-func (c *Cell) Submit(ctx context.Context, job *workload.Job) (Outcome, string) {
+// Submit makes a job durable in the cell. A job that the cell has already is accepted again, without effect. Unless it
+// is forced, a cell without room for the job's first steps leaves it to another one. For OutcomeElsewhere it also
+// returns the name of the other cell.
+func (c *Cell) Submit(ctx context.Context, job *workload.Job, force bool) (Outcome, string) {
 	c.mu.Lock()
 	if c.lost {
 		c.mu.Unlock()
@@ -60,6 +63,10 @@
 		return OutcomeAccepted, ""
 	}
 	s := c.waitingSubmission(job.ID)
+	if s == nil && !force && !c.hasRoom(job) {
+		c.mu.Unlock()
+		return OutcomeFull, ""
+	}
 	if s == nil {
 		s = &submission{job: job, done: make(chan struct{})}
 		c.submissions = append(c.submissions, s)
@@ -160,10 +167,34 @@
 	Pending map[string]int `json:"pending,omitempty"`
 }
 
+// reservedShare is the part of a cell's capacity that is kept free of new lasting jobs, for tasks that start again and
+// for short jobs.
+const reservedShare = 0.06
+
+// hasRoom reports whether the cell has room for the first steps of a lasting job. Other jobs leave soon, so they may
+// wait. The caller holds mu.
+func (c *Cell) hasRoom(job *workload.Job) bool {
+	if !job.LongRunning() {
+		return true
+	}
+	load := c.currentLoad()
+	var demand Demand
+	demand.Add(job)
+	for _, s := range c.submissions {
+		demand.Add(s.job)
+	}
+	return float64(load.Free-demand.Committed) >= reservedShare*float64(load.Capacity)
+}
+
 // Load returns the cell's load.
 func (c *Cell) Load() Load {
 	c.mu.Lock()
 	defer c.mu.Unlock()
+	return c.currentLoad()
+}
+
+// currentLoad returns the cell's load. The caller holds mu.
+func (c *Cell) currentLoad() Load {
 	load := Load{Cell: c.cfg.Name, Epoch: c.epoch, Pending: map[string]int{}}
 	for queue, n := range c.pending {
 		if n > 0 {
--- a/node/clients.go
+++ b/node/clients.go
@@ -24,7 +24,7 @@
 const (
 	// peerTimeout bounds a call to the owner of a cell: a commit of the store and two paths between regions.
 	peerTimeout = 1500 * time.Millisecond
-	// submitTries is the number of cells that a job is offered to.
+	// submitTries is the number of cells that a job is offered to while the outcome is unknown.
 	submitTries = 2
 	// maxLocated bounds the memory of which cell has which job.
 	maxLocated = 20_000
@@ -65,13 +65,14 @@
 		return intake.Decision{Outcome: intake.Refused, Reason: err.Error()}
 	}
 	unknown := false
-	tried := map[string]bool{}
-	for _, target := range n.targets(job.ID) {
-		if len(tried) >= submitTries {
-			break
+	targets := n.targets(job.ID)
+	for i, target := range targets {
+		// The cells after the first two have the most room first; the last offer is taken whatever the room is.
+		outcome, elsewhere := n.submitTo(ctx, target, job, value, false)
+		if outcome == dispatch.OutcomeFull && i == len(targets)-1 {
+			outcome, elsewhere = n.submitTo(ctx, targets[0], job, value, true)
+			target = targets[0]
 		}
-		tried[target.Load.Cell] = true
-		outcome, elsewhere := n.submitTo(ctx, target, job, value)
 		switch outcome {
 		case dispatch.OutcomeAccepted:
 			n.locate(job.ID, target.Load.Cell)
@@ -82,6 +83,11 @@
 			return intake.Decision{Outcome: intake.Accepted, Cell: elsewhere}
 		case dispatch.OutcomeUnknown:
 			unknown = true
+		case dispatch.OutcomeRefused:
+			// The store does not take writes; other owners meet the same store.
+		}
+		if unknown && i >= submitTries-1 || ctx.Err() != nil {
+			break
 		}
 	}
 	switch {
@@ -132,16 +138,20 @@
 	if len(list) > 1 && list[0].Load.Cell != known && list[1].Load.Runners > 0 && list[1].Load.Pressure() < list[0].Load.Pressure() {
 		list[0], list[1] = list[1], list[0]
 	}
+	if len(list) > 2 {
+		rest := list[2:]
+		sort.Slice(rest, func(a, b int) bool { return rest[a].Load.Pressure() < rest[b].Load.Pressure() })
+	}
 	return list
 }
 
-func (n *Node) submitTo(ctx context.Context, target ownership.Owner, job *workload.Job, value []byte) (dispatch.Outcome, string) {
+func (n *Node) submitTo(ctx context.Context, target ownership.Owner, job *workload.Job, value []byte, force bool) (dispatch.Outcome, string) {
 	if c := n.ownCell(target.Load.Cell); c != nil {
-		return c.Submit(ctx, job)
+		return c.Submit(ctx, job, force)
 	}
 	ctx, cancel := context.WithTimeout(ctx, peerTimeout)
 	defer cancel()
-	res, err := n.peers.client(target.Addr).Submit(ctx, &innerproto.SubmitRequest{Cell: target.Load.Cell, Job: value})
+	res, err := n.peers.client(target.Addr).Submit(ctx, &innerproto.SubmitRequest{Cell: target.Load.Cell, Job: value, Force: force})
 	if err != nil {
 		n.log.WithField("request", job.ID).WithField("peer", target.Node).WithError(err).Warn("owner did not answer a submission")
 		return dispatch.OutcomeUnknown, ""
@@ -296,7 +306,7 @@
 	if c == nil {
 		return &innerproto.SubmitResponse{Outcome: uint32(dispatch.OutcomeNotOwner)}, nil
 	}
-	outcome, cell := c.Submit(ctx, &job)
+	outcome, cell := c.Submit(ctx, &job, req.Force)
 	return &innerproto.SubmitResponse{Outcome: uint32(outcome), Cell: cell}, nil
 }
 
