--- a/dispatch/intake.go
+++ b/dispatch/intake.go
@@ -169,21 +169,25 @@
 
 // reservedShare is the part of a cell's capacity that is kept free of new lasting jobs, for tasks that start again and
 // for short jobs.
-const reservedShare = 0.06
+const reservedShare = 0.1
 
-// hasRoom reports whether the cell has room for the first steps of a lasting job. Other jobs leave soon, so they may
-// wait. The caller holds mu.
+// hasRoom reports whether the cell has room for the first steps of a job. The caller holds mu.
 func (c *Cell) hasRoom(job *workload.Job) bool {
-	if !job.LongRunning() {
-		return true
-	}
 	load := c.currentLoad()
 	var demand Demand
 	demand.Add(job)
 	for _, s := range c.submissions {
 		demand.Add(s.job)
 	}
-	return float64(load.Free-demand.Committed) >= reservedShare*float64(load.Capacity)
+	if demand.Committed == 0 {
+		// Nothing but tasks that fill, which take no room.
+		return true
+	}
+	reserved := 0.0
+	if job.LongRunning() {
+		reserved = reservedShare * float64(load.Capacity)
+	}
+	return float64(load.Free-demand.Committed) >= reserved
 }
 
 // Load returns the cell's load.
--- a/dispatch/plan.go
+++ b/dispatch/plan.go
@@ -61,7 +61,8 @@
 			continue
 		}
 		if !c.place(ctx, now, u, hosts) {
-			blocked[key] = true
+			// Each lasting task reserves a runner of its own.
+			blocked[key] = !u.def().LongRunning
 			kept = append(kept, u)
 		}
 	}
@@ -133,7 +134,8 @@
 		p.Available = h.present && !h.info.Draining && !c.evacuated[h.info.Domain] && h.reachable(now) &&
 			!now.Before(h.roomUntil) && h.foreign == 0
 		p.Far = c.cfg.Regions[h.info.Domain] != c.cfg.Region
-		p.Committed, p.UsedCPU, p.Serving, p.Harmed = workload.Resources{}, 0, p.Serving[:0], false
+		p.Committed, p.UsedCPU, p.Serving = workload.Resources{}, 0, p.Serving[:0]
+		p.Harmed, p.Reserved = false, false
 		shares := h.shares()
 		for r := range h.runs {
 			def := r.unit.def()
@@ -196,6 +198,12 @@
 		if advised {
 			c.askAdvice(ctx, now, u, c.serviceHosts(service, views))
 		}
+		if def.LongRunning && u.size == 1 {
+			// Short tasks take each small piece of room as it comes, so a large lasting task would never find enough.
+			if reserved := placement.Reserve(request, hosts); reserved != nil {
+				reserved.Reserved = true
+			}
+		}
 		return false
 	}
 	number := u.run + 1
--- a/node/cells.go
+++ b/node/cells.go
@@ -22,12 +22,12 @@
 const (
 	// rowLayout of tableRoster holds the number of cells, which is fixed at the first start.
 	rowLayout = "layout/cells"
-	// runnersPerCell is the size that cells are laid out for. Its 150 starts a second cost the owner a tenth of a core,
+	// runnersPerCell is the size that cells are laid out for. Its 300 starts a second cost the owner a fifth of a core,
 	// and larger cells pack better and learn interference faster.
-	runnersPerCell = 66
+	runnersPerCell = 130
 	// nodesPerCell is how many nodes there are for one cell. Runners may show up seconds after the nodes, and jobs come
 	// before all have, so the nodes count as well.
-	nodesPerCell = 5
+	nodesPerCell = 10
 	// layoutDelay is how long no new node must have shown up at the first start before the cells are laid out.
 	layoutDelay = 1 * time.Second
 	// rankDelay is how much longer each next candidate waits before it takes a cell.
--- a/placement/placement.go
+++ b/placement/placement.go
@@ -23,6 +23,8 @@
 	Serving []Serving
 	// Harmed is set while a serving task is over its target; nothing more may fill there, whatever the model says.
 	Harmed bool
+	// Reserved is set for a runner that is kept for a lasting task; only tasks that fill may start there meanwhile.
+	Reserved bool
 	// Far is set for runners in another region than the cell's owner.
 	Far bool
 	// Slowdown is the learned factor of run times on this runner against others; 1 is normal.
@@ -83,7 +85,7 @@
 // Score says how well a runner suits a task; scores of several functions are added.
 type Score func(r *Request, h *Host) float64
 
-func isAvailable(_ *Request, h *Host) bool { return h.Available }
+func isAvailable(r *Request, h *Host) bool { return h.Available && (r.Step.Fills || !h.Reserved) }
 
 func hasRoom(r *Request, h *Host) bool { return r.Step.Committed().Fits(h.Free()) }
 
@@ -248,6 +250,22 @@
 	return true
 }
 
+// Reserve returns the runner that is likely to have room for a task first, among those that may take it: the one with
+// the most processor time that is not committed. It returns nil if none could ever take the task.
+func Reserve(r *Request, hosts []*Host) *Host {
+	var best *Host
+	for _, h := range hosts {
+		if !r.Step.Committed().Fits(h.Capacity) || !isAvailable(r, h) || !hasRequiredLabel(r, h) || !isOnRack(r, h) ||
+			!isBelowSpreadLimit(r, h) {
+			continue
+		}
+		if best == nil || h.Free().CPU > best.Free().CPU {
+			best = h
+		}
+	}
+	return best
+}
+
 // Possible reports whether any runner could take the task if it were empty.
 func Possible(step *workload.Step, hosts []*Host) bool {
 	for _, h := range hosts {
