--- a/cmd/currantthread/main.go
+++ b/cmd/currantthread/main.go
@@ -40,38 +40,63 @@
 
 func command() *cli.Command {
 	return &cli.Command{
-		Name:    "currantthread",
-		Usage:   "run jobs on the runners of the platform",
-		Version: version,
-		Commands: []*cli.Command{{
-			Name:  "node",
-			Usage: "run one node",
-			Flags: []cli.Flag{&cli.StringFlag{
-				Name: "config", Usage: "read the platform's settings from `FILE`",
-				Sources: cli.EnvVars(platform.SettingsEnv), Required: true,
-			}},
-			Action: func(ctx context.Context, c *cli.Command) error {
-				if c.Args().Present() {
-					return fmt.Errorf("unexpected argument %q", c.Args().First())
-				}
-				file := c.String("config")
-				boot, err := platform.LoadSettings(file)
-				if err != nil {
-					return err
-				}
-				reload := make(chan os.Signal, 1)
-				signal.Notify(reload, syscall.SIGHUP)
-				defer signal.Stop(reload)
-				if err := node.Run(ctx, file, boot, reload, os.Stdout); err != nil {
-					return runError{err}
-				}
-				return nil
-			},
-		}},
+		Name:           "currantthread",
+		Usage:          "run jobs on the runners of the platform",
+		Version:        version,
+		Commands:       []*cli.Command{nodeCommand(), checkCommand()},
 		ExitErrHandler: func(context.Context, *cli.Command, error) {},
 	}
 }
 
+func configFlag() cli.Flag {
+	return &cli.StringFlag{
+		Name: "config", Usage: "read the platform's settings from `FILE`",
+		Sources: cli.EnvVars(platform.SettingsEnv), Required: true,
+	}
+}
+
+func nodeCommand() *cli.Command {
+	return &cli.Command{
+		Name:  "node",
+		Usage: "run one node",
+		Flags: []cli.Flag{configFlag()},
+		Action: func(ctx context.Context, c *cli.Command) error {
+			if c.Args().Present() {
+				return fmt.Errorf("unexpected argument %q", c.Args().First())
+			}
+			file := c.String("config")
+			boot, err := platform.LoadSettings(file)
+			if err != nil {
+				return err
+			}
+			reload := make(chan os.Signal, 1)
+			signal.Notify(reload, syscall.SIGHUP)
+			defer signal.Stop(reload)
+			if err := node.Run(ctx, file, boot, reload, os.Stdout); err != nil {
+				return runError{err}
+			}
+			return nil
+		},
+	}
+}
+
+func checkCommand() *cli.Command {
+	return &cli.Command{
+		Name:  "check",
+		Usage: "check a settings file and print what a node would use of it",
+		Flags: []cli.Flag{configFlag()},
+		Action: func(_ context.Context, c *cli.Command) error {
+			s, err := platform.LoadSettings(c.String("config"))
+			if err != nil {
+				return err
+			}
+			_, err = fmt.Fprintf(c.Root().Writer, "node %s in %s (%s): clients %s, readiness %s, inner ports %d to %d, store %s, longest lease %v\n",
+				s.Node, s.Domain, s.Region, s.ClientAddr, s.ReadyAddr, s.InnerPorts[0], s.InnerPorts[1], s.StoreAddr, s.Bounds.HoldMax)
+			return err
+		},
+	}
+}
+
 func exitCode(err error) int {
 	var problems settings.Problems
 	var failed runError
--- /dev/null
+++ b/ctl/trace.go
@@ -0,0 +1,159 @@
+package ctl
+
+import (
+	"bufio"
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"os"
+	"sort"
+	"strings"
+	"time"
+
+	"github.com/urfave/cli/v3"
+)
+
+const (
+	// traceContext is how long before and after the lines of a request the lines about its runners and its cell are shown.
+	traceContext = 5 * time.Second
+	// maxLogLine bounds one line of a log.
+	maxLogLine = 1 << 20
+)
+
+func traceCommand() *cli.Command {
+	return &cli.Command{
+		Name: "trace", Usage: "join the log lines of one request from the logs of all nodes", ArgsUsage: "REQUEST-ID [FILE...]",
+		Description: "Reads JSON log lines from the files, or from standard input, and prints those of the request and those\n" +
+			"about the runners and the cell that it met, in order of time. It asks no node and costs a deployment nothing.",
+		OnUsageError: onUsageError, Action: trace,
+	}
+}
+
+// logLine is one structured line of a node's log.
+type logLine struct {
+	time   time.Time
+	fields map[string]any
+}
+
+func (l logLine) text(key string) string {
+	value, _ := l.fields[key].(string) // a missing field or another type is no text
+	return value
+}
+
+// request returns the ID of the request that the line is about, or "".
+func (l logLine) request() string {
+	if id := l.text("request"); id != "" {
+		return id
+	}
+	id, _, _ := strings.Cut(l.text("task"), ".")
+	return id
+}
+
+func trace(_ context.Context, cmd *cli.Command) error {
+	if cmd.Args().Len() < 1 {
+		return usagef("%s takes REQUEST-ID and files", cmd.FullName())
+	}
+	var lines []logLine
+	files := cmd.Args().Tail()
+	if len(files) == 0 {
+		lines = readLog(os.Stdin)
+	}
+	for _, name := range files {
+		file, err := os.Open(name)
+		if err != nil {
+			return err
+		}
+		lines = append(lines, readLog(file)...)
+		if err := file.Close(); err != nil {
+			return err
+		}
+	}
+	found := traceLines(lines, cmd.Args().First())
+	if len(found) == 0 {
+		return fmt.Errorf("no line is about request %s", cmd.Args().First())
+	}
+	for _, l := range found {
+		if err := l.print(cmd.Root().Writer); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+// readLog reads the lines that are JSON objects with a time. Others may stand between them and are passed over.
+func readLog(r io.Reader) []logLine {
+	var lines []logLine
+	scanner := bufio.NewScanner(r)
+	scanner.Buffer(nil, maxLogLine)
+	for scanner.Scan() {
+		text := scanner.Text()
+		start := strings.IndexByte(text, '{')
+		if start < 0 {
+			continue
+		}
+		var l logLine
+		if json.Unmarshal([]byte(text[start:]), &l.fields) != nil {
+			continue
+		}
+		var err error
+		if l.time, err = time.Parse(time.RFC3339Nano, l.text("time")); err != nil {
+			continue
+		}
+		lines = append(lines, l)
+	}
+	return lines
+}
+
+// traceLines returns the lines about a request, and those about what it met, in order of time.
+func traceLines(lines []logLine, id string) []logLine {
+	var first, last time.Time
+	runners, cells := map[string]bool{}, map[string]bool{}
+	for _, l := range lines {
+		if l.request() != id {
+			continue
+		}
+		if first.IsZero() || l.time.Before(first) {
+			first = l.time
+		}
+		if l.time.After(last) {
+			last = l.time
+		}
+		runners[l.text("runner")], cells[l.text("cell")] = true, true
+	}
+	if first.IsZero() {
+		return nil
+	}
+	delete(runners, "")
+	delete(cells, "")
+	from, to := first.Add(-traceContext), last.Add(traceContext)
+	var found []logLine
+	for _, l := range lines {
+		near := l.time.After(from) && l.time.Before(to)
+		context := l.request() == "" && (runners[l.text("runner")] || cells[l.text("cell")])
+		if l.request() == id || near && context {
+			found = append(found, l)
+		}
+	}
+	sort.SliceStable(found, func(a, b int) bool { return found[a].time.Before(found[b].time) })
+	return found
+}
+
+// print writes the line as time, node, message and the other fields in order of their names.
+func (l logLine) print(w io.Writer) error {
+	var names []string
+	for name := range l.fields {
+		switch name {
+		case "time", "vm", "msg", "level", "daemon":
+		default:
+			names = append(names, name)
+		}
+	}
+	sort.Strings(names)
+	parts := make([]string, len(names))
+	for i, name := range names {
+		parts[i] = fmt.Sprintf("%s=%v", name, l.fields[name])
+	}
+	_, err := fmt.Fprintf(w, "%s %s %s: %s\n", l.time.Format("15:04:05.000"), l.text("vm"), l.text("msg"), strings.Join(parts, " "))
+	return err
+}
--- /dev/null
+++ b/ctl/trace_test.go
@@ -0,0 +1,35 @@
+package ctl
+
+import (
+	"bytes"
+	"strings"
+	"testing"
+
+	"gotest.tools/v3/assert"
+)
+
+// Guards against a trace that leaves out what explains a request: the lines of other nodes, and those about the runner
+// and the cell that it met.
+func TestTraceJoinsNodesRunnersAndCells(t *testing.T) {
+	lines := readLog(strings.NewReader(`
+not JSON
+{"time":"2026-01-01T10:00:03Z","vm":"b","msg":"run ended early","request":"aa","task":"aa.0.0.1","runner":"r1","why":"lapsed"}
+{"time":"2026-01-01T10:00:01Z","vm":"a","msg":"job accepted","request":"aa","cell":"c0"}
+ 12.5 edge-1 {"time":"2026-01-01T10:00:02Z","vm":"b","msg":"runner does not answer","runner":"r1"}
+{"time":"2026-01-01T10:00:02Z","vm":"b","msg":"runner does not answer","runner":"r2"}
+{"time":"2026-01-01T10:00:02.5Z","vm":"b","msg":"acquired the cell","cell":"c0"}
+{"time":"2026-01-01T11:00:00Z","vm":"b","msg":"acquired the cell","cell":"c0"}
+{"time":"2026-01-01T10:00:02Z","vm":"b","msg":"job accepted","request":"bb","cell":"c0"}
+{"time":"2026-01-01T10:00:02.7Z","vm":"b","msg":"start has no answer","task":"aa.0.0.1"}
+`))
+	var out bytes.Buffer
+	for _, l := range traceLines(lines, "aa") {
+		assert.NilError(t, l.print(&out))
+	}
+	assert.Equal(t, out.String(), `10:00:01.000 a job accepted: cell=c0 request=aa
+10:00:02.000 b runner does not answer: runner=r1
+10:00:02.500 b acquired the cell: cell=c0
+10:00:02.700 b start has no answer: task=aa.0.0.1
+10:00:03.000 b run ended early: request=aa runner=r1 task=aa.0.0.1 why=lapsed
+`)
+}
--- a/node/node.go
+++ b/node/node.go
@@ -85,7 +85,9 @@
 // Run runs a node until ctx ends, then hands its cells over and shuts down. The settings were read from file, which is
 // read again on each signal of reload and when it changes. Logs go to out.
 func Run(ctx context.Context, file string, settings *platform.Settings, reload <-chan os.Signal, out io.Writer) error {
-	n := newNode(settings, out)
+	logs := observe.NewBoundedWriter(out)
+	defer func() { _ = logs.Close() }() // it never fails
+	n := newNode(settings, logs)
 	n.settingsFile, n.reload = file, reload
 	var listeners []net.Listener
 	for _, addr := range []string{settings.ClientAddr, settings.ReadyAddr, n.innerAddr, n.metricsAddr()} {
