--- a/internal/soak/main.go
+++ b/internal/soak/main.go
@@ -14,7 +14,10 @@
 	"time"
 )
 
-func main() {
+func main() { os.Exit(soakMain()) }
+
+// soakMain returns the exit code: 0 if all promises held.
+func soakMain() int {
 	var cfg config
 	flag.StringVar(&cfg.program, "program", "target/currantthread", "the daemon's program")
 	flag.Uint64Var(&cfg.seed, "seed", 1, "seed of jobs and faults")
@@ -29,10 +32,11 @@
 	report, err := run(ctx, cfg)
 	if err != nil {
 		fmt.Fprintf(os.Stderr, "soak: %v\n", err)
-		os.Exit(1)
+		return 1
 	}
 	fmt.Println(report)
 	if len(report.broken) > 0 {
-		os.Exit(1)
+		return 1
 	}
+	return 0
 }
