--- a/node/node.go
+++ b/node/node.go
@@ -34,8 +34,9 @@
 const (
 	// indexParts spreads the index of jobs over partitions, each of which applies a few hundred transactions a second.
 	indexParts = 16
-	// discoverySpacing groups the heartbeats of runners, each of which changes its row.
-	discoverySpacing = 1 * time.Second
+	// discoverySpacing is the pause between two readings of service discovery. Draining runners must get no tasks 2.5 s
+	// after they said so.
+	discoverySpacing = 1200 * time.Millisecond
 	// leaseShare is the share of the longest lease that is granted; see docs/design.md.
 	leaseShare = 0.6
 	// shutdownGrace is the share of the platform's grace that open requests get.
@@ -123,7 +124,7 @@
 	n.bounds.Store(&s.Bounds)
 	n.operator = store.NewFollower(n.store, platform.TableOperator, n.operatorChanged, n.dependency("operator's rows"))
 	n.servers = store.NewFollower(n.store, platform.TableServers, n.serversChanged, n.dependency("service discovery"))
-	n.servers.Spacing, n.servers.Active = discoverySpacing, n.needsRunners
+	n.servers.Poll, n.servers.Spacing, n.servers.Active = true, discoverySpacing, n.needsRunners
 	n.roster = store.NewFollower(n.store, tableRoster, n.rosterChanged, n.dependency("roster"))
 	return n
 }
--- a/store/follower.go
+++ b/store/follower.go
@@ -27,6 +27,9 @@
 	onError  func(err error)
 	// Spacing is the least time between two calls; it groups the changes of tables that change all the time.
 	Spacing time.Duration
+	// Poll reads the whole table each time instead of its feed. It is cheaper for tables of which most rows change from
+	// one call to the next: a feed repeats a row for each change, and one call of it holds 500 rows only.
+	Poll bool
 	// Active, if set, says whether the rows are needed at present.
 	Active func() bool
 
@@ -85,7 +88,7 @@
 }
 
 func (f *Follower) step(ctx context.Context) error {
-	if !f.synced {
+	if !f.synced || f.Poll {
 		return f.resync(ctx)
 	}
 	page, err := f.store.Feed(ctx, f.table, f.version, feedWait)
--- /dev/null
+++ b/store/follower_test.go
@@ -0,0 +1,79 @@
+package store_test
+
+import (
+	"fmt"
+	"sync/atomic"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"github.com/currantthread/currantthread/internal/emulator"
+	"github.com/currantthread/currantthread/store"
+)
+
+func key(name string) store.Key { return store.Key{Table: "t", Name: name} }
+
+// follow starts a follower and returns it with the number of failures that it reported.
+func follow(t *testing.T, s store.Store, configure func(f *store.Follower)) (*store.Follower, *atomic.Int64) {
+	t.Helper()
+	var failures atomic.Int64
+	f := store.NewFollower(s, "t", func([]store.Row) {}, func(err error) {
+		if err != nil {
+			failures.Add(1)
+		}
+	})
+	if configure != nil {
+		configure(f)
+	}
+	go f.Run(t.Context())
+	return f, &failures
+}
+
+// Guards against changes that are missed when the store forgets its history, and rows that stay although they were deleted
+// meanwhile.
+func TestFollowerAfterLostHistory(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		s := emulator.NewStore()
+		s.Put(key("a"), []byte("1"))
+		s.Put(key("b"), []byte("1"))
+		f, _ := follow(t, s, nil)
+		time.Sleep(time.Second)
+		s.SetFault(emulator.StoreRefuses)
+		time.Sleep(time.Second)
+		s.Put(key("a"), []byte("2"))
+		s.Drop(key("b"))
+		s.DropHistory()
+		s.SetFault(emulator.StoreWorks)
+		time.Sleep(5 * time.Second)
+		rows, synced := f.Rows()
+		assert.Assert(t, synced)
+		assert.Equal(t, string(rows["a"].Value), "2")
+		_, ok := rows["b"]
+		assert.Assert(t, !ok)
+	})
+}
+
+// Guards against a follower that falls behind a table whose rows all change every second: 17 s behind, an owner started
+// tasks on runners that had said that they leave.
+func TestFollowerKeepsUpWithHeartbeats(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		s := emulator.NewStore()
+		f, failures := follow(t, s, func(f *store.Follower) { f.Poll, f.Spacing = true, time.Second })
+		const runners = 1200
+		for beat := range 20 {
+			for i := range runners {
+				s.Put(key(fmt.Sprintf("%04d", i)), fmt.Append(nil, beat))
+			}
+			time.Sleep(time.Second)
+		}
+		time.Sleep(1500 * time.Millisecond)
+		rows, _ := f.Rows()
+		assert.Equal(t, len(rows), runners)
+		for name, row := range rows {
+			assert.Equal(t, string(row.Value), "19", name)
+		}
+		assert.Equal(t, failures.Load(), int64(0))
+	})
+}
