--- a/node/cells.go
+++ b/node/cells.go
@@ -27,7 +27,7 @@
 	runnersPerCell = 130
 	// nodesPerCell is how many nodes there are for one cell. Runners may show up seconds after the nodes, and jobs come
 	// before all have, so the nodes count as well.
-	nodesPerCell = 10
+	nodesPerCell = 12
 	// layoutDelay is how long no new node must have shown up at the first start before the cells are laid out.
 	layoutDelay = 1 * time.Second
 	// rankDelay is how much longer each next candidate waits before it takes a cell.
--- a/ownership/directory.go
+++ b/ownership/directory.go
@@ -225,15 +225,12 @@
 	return -1
 }
 
-// maxStrength bounds the strength that counts for a node's first cell, so that nodes that are strong enough are equal.
+// maxStrength bounds the strength that counts, so that cells go to different nodes as long as some are strong enough.
 const maxStrength = 2
 
 // loadWithOneMore returns the part of the node's strength that its cells and one more take.
 func (b *Beat) loadWithOneMore() float64 {
-	strength := b.strength()
-	if len(b.Cells) == 0 {
-		strength = min(strength, maxStrength)
-	}
+	strength := min(b.strength(), maxStrength)
 	return float64(len(b.Cells)+1) / float64(strength)
 }
 
--- /dev/null
+++ b/ownership/directory_test.go
@@ -0,0 +1,77 @@
+package ownership
+
+import (
+	"encoding/json"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"github.com/currantthread/currantthread/dispatch"
+	"github.com/currantthread/currantthread/store"
+)
+
+var start = time.Unix(1_000_000, 0)
+
+// row returns a node's row.
+func row(t *testing.T, version int64, beat Beat) store.Row {
+	t.Helper()
+	value, err := json.Marshal(beat)
+	assert.NilError(t, err)
+	return store.Row{Key: store.Key{Table: TableNodes, Name: beat.Node}, Value: value, Version: version}
+}
+
+func strong(node string, cells ...string) Beat {
+	beat := Beat{Node: node, Addr: node, Incarnation: node, CPUShare: 0.8, LinkMbps: 200, StoreMs: 4}
+	for i, c := range cells {
+		beat.Cells = append(beat.Cells, dispatch.Load{Cell: c, Epoch: int64(i + 1)})
+	}
+	return beat
+}
+
+// Guards against an owner that counts as alive although its row no longer changes.
+func TestOwnerIsGoneWhenItsRowStands(t *testing.T) {
+	d := NewDirectory("b")
+	d.Update(start, []store.Row{row(t, 1, strong("a", "c0")), row(t, 2, strong("b"))})
+	assert.Equal(t, d.Owners(start)["c0"].Node, "a")
+	for i := range 4 {
+		now := start.Add(time.Duration(i+1) * BeatInterval)
+		d.Update(now, []store.Row{row(t, 1, strong("a", "c0")), row(t, int64(10+i), strong("b"))})
+	}
+	_, ok := d.Owners(start.Add(4 * BeatInterval))["c0"]
+	assert.Assert(t, !ok)
+	assert.Equal(t, d.Rank(start.Add(4*BeatInterval), "c0"), 0)
+}
+
+// Guards against a takeover of all cells after an outage of the store, in which nobody's row could be read.
+func TestOutageMakesNobodyGone(t *testing.T) {
+	d := NewDirectory("b")
+	d.Update(start, []store.Row{row(t, 1, strong("a", "c0"))})
+	later := start.Add(30 * time.Second)
+	d.Update(later, []store.Row{row(t, 1, strong("a", "c0"))})
+	assert.Equal(t, d.Owners(later)["c0"].Node, "a")
+}
+
+// Guards against cells that go to weak nodes, all to one node, to leaving nodes, or far from the store.
+func TestRank(t *testing.T) {
+	weak, far, leaving, busy := strong("x"), strong("x"), strong("x"), strong("x", "c1")
+	weak.LinkMbps = 10
+	far.StoreMs = 44
+	leaving.Leaving = true
+	for name, other := range map[string]Beat{"weak": weak, "far": far, "leaving": leaving, "busy": busy} {
+		t.Run(name, func(t *testing.T) {
+			d := NewDirectory("self")
+			d.Update(start, []store.Row{row(t, 1, strong("self")), row(t, 2, other)})
+			assert.Equal(t, d.Rank(start, "c0"), 0)
+		})
+	}
+}
+
+// Guards against a node with a row of an earlier incarnation that counts as its living process.
+func TestLives(t *testing.T) {
+	d := NewDirectory("self")
+	d.Update(start, []store.Row{row(t, 1, strong("a"))})
+	assert.Assert(t, d.Lives(start, "a", "a"))
+	assert.Assert(t, !d.Lives(start, "a", "earlier"))
+	assert.Assert(t, !d.Lives(start.Add(time.Minute), "a", "a"))
+}
