Remove finished jobs after their states may no longer be asked for

Cause: rows of finished jobs were kept for ever, and each takeover read them. Also: a node whose row was never read no longer counts as a dead predecessor. Tests: TestFinishedJobsAreRemoved.

--- a/dispatch/cell.go
+++ b/dispatch/cell.go
@@ -78,6 +78,7 @@
 	// ownerVersion is the version of the ownership row as this owner last wrote it.
 	ownerVersion int64
 	lastCommit   time.Time // when the last successful commit was sent
+	expiredAt    time.Time // when finished jobs were last looked at
 	lost         bool
 	jobs         map[string]*jobState
 	ready        []*unit
--- a/dispatch/cell_test.go
+++ b/dispatch/cell_test.go
@@ -523,3 +523,30 @@
 		<-c.Done()
 	})
 }
+
+// Guards against a store that fills up with finished jobs, and against a job that is forgotten while clients may ask.
+func TestFinishedJobsAreRemoved(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		w := newWorld(t, 1, always(time.Second))
+		c, stop := w.own("a", true)
+		job := jobOf(1, tasks(2, 4000))
+		w.submit(c, job)
+		time.Sleep(2 * time.Minute)
+		assert.Equal(t, state(c, job), workload.StateCompleted)
+		time.Sleep(2 * time.Minute)
+		_, found := c.State(job.ID)
+		assert.Assert(t, !found)
+		_, found, err := dispatch.StoredState(t.Context(), w.store, cellName, job.ID)
+		assert.NilError(t, err)
+		assert.Assert(t, !found)
+		for _, table := range []string{dispatch.TableJobs, dispatch.TableProgress, dispatch.TableIndex} {
+			for _, part := range []string{cellName, "i0"} {
+				page, err := w.store.Range(t.Context(), table, part, "", "", 0)
+				assert.NilError(t, err)
+				assert.Equal(t, len(page.Rows), 0, table)
+			}
+		}
+		stop()
+		<-c.Done()
+	})
+}
--- a/dispatch/flush.go
+++ b/dispatch/flush.go
@@ -35,6 +35,8 @@
 	renewInterval = 1 * time.Second
 	// commitRetry is the pause after a commit that failed.
 	commitRetry = 150 * time.Millisecond
+	// expiryInterval is how often finished jobs are looked at for removal.
+	expiryInterval = 2 * time.Second
 	// submissionPatience is how long submissions wait for a store that refuses before they are refused.
 	submissionPatience = 600 * time.Millisecond
 )
@@ -70,6 +72,7 @@
 	submissions []*submission
 	jobs        []batchJob
 	processed   map[*host]int64
+	expired     []*jobState
 }
 
 // batchJob is a job whose progress a batch writes.
@@ -200,6 +203,13 @@
 		}
 		size += c.addProgress(b, j)
 	}
+	for _, j := range c.expired(now) {
+		if b.txn.Entries()+3 > store.MaxTxnEntries || more {
+			break
+		}
+		b.expired = append(b.expired, j)
+		b.txn.Deletes = append(b.txn.Deletes, c.indexKey(j.def.ID), c.key(TableJobs, j.def.ID), c.key(TableProgress, j.def.ID))
+	}
 	if !more {
 		// Ends are durable only if all jobs that they changed are part of this or an earlier commit.
 		for _, h := range c.runners {
@@ -209,6 +219,25 @@
 	return b, more || len(rest) > 0
 }
 
+// retentionFactor keeps the state of a finished job longer than clients may ask for it.
+const retentionFactor = 1.5
+
+// expired returns finished jobs whose state nobody may ask for any more. The caller holds mu.
+func (c *Cell) expired(now time.Time) []*jobState {
+	if now.Sub(c.expiredAt) < expiryInterval {
+		return nil
+	}
+	c.expiredAt = now
+	var expired []*jobState
+	retention := time.Duration(retentionFactor * float64(c.cfg.Retention))
+	for _, j := range c.jobs {
+		if j.shown.Terminal() && !j.dirty && now.Sub(j.finishedAt) > retention && !j.hasRuns() {
+			expired = append(expired, j)
+		}
+	}
+	return expired
+}
+
 func (c *Cell) addSubmission(b *batch, s *submission) int {
 	if s.finished {
 		return 0
@@ -327,6 +356,9 @@
 			close(w)
 		}
 	}
+	for _, j := range b.expired {
+		delete(c.jobs, j.def.ID)
+	}
 	for h, processed := range b.processed {
 		if h.processed >= processed {
 			h.acked = processed
--- a/dispatch/intake.go
+++ b/dispatch/intake.go
@@ -229,21 +229,23 @@
 	return load
 }
 
-// StoredState returns the state of a job as the store has it, for nodes that can't reach the cell's owner.
-func StoredState(ctx context.Context, s store.Store, part, id string) (workload.State, error) {
+// StoredState returns the state of a job as the store has it, for nodes that can't reach the cell's owner. found is
+// false if the job was removed some time after it ended.
+func StoredState(ctx context.Context, s store.Store, part, id string) (state workload.State, found bool, err error) {
 	page, err := s.Range(ctx, TableProgress, part, id, id+"\x00", 1)
 	if err != nil {
-		return "", err
+		return "", false, err
 	}
 	if len(page.Rows) == 0 {
-		return workload.StateQueued, nil
+		page, err = s.Range(ctx, TableJobs, part, id, id+"\x00", 1)
+		return workload.StateQueued, err == nil && len(page.Rows) > 0, err
 	}
 	var p progress
 	if err := json.Unmarshal(page.Rows[0].Value, &p); err != nil {
-		return "", fmt.Errorf("progress row of job %s: %w", id, err)
+		return "", false, fmt.Errorf("progress row of job %s: %w", id, err)
 	}
 	if p.State.Terminal() || !p.Started {
-		return p.State, nil
+		return p.State, true, nil
 	}
-	return workload.StateRunning, nil
+	return workload.StateRunning, true, nil
 }
--- a/dispatch/job.go
+++ b/dispatch/job.go
@@ -174,6 +174,20 @@
 
 func (u *unit) stepState() *stepState { return &u.job.occs[u.occ].steps[u.step] }
 
+// hasRuns reports whether a run of the job may still exist.
+func (j *jobState) hasRuns() bool {
+	for _, occ := range j.occs {
+		for i := range occ.steps {
+			for _, u := range occ.steps[i].units {
+				if len(u.runs) > 0 {
+					return true
+				}
+			}
+		}
+	}
+	return false
+}
+
 // release makes a finished job's memory small; only its state is asked for afterwards.
 func (j *jobState) release() {
 	j.occs = nil
--- a/node/cells.go
+++ b/node/cells.go
@@ -95,7 +95,8 @@
 	if version != 0 && !previous.Released && previous.Node != n.settings.Node && n.ownerAtWork(previous, cell, version) {
 		return
 	}
-	dead := previous.Node == n.settings.Node || previous.Incarnation != n.directory.Incarnation(previous.Node)
+	incarnation := n.directory.Incarnation(previous.Node)
+	dead := previous.Node == n.settings.Node || incarnation != "" && incarnation != previous.Incarnation
 	c, err := dispatch.Acquire(ctx, n.cellConfig(cell, dead), previous, version, n.runnersOf(cell))
 	if errors.Is(err, dispatch.ErrOwned) {
 		log.Info("another node took the cell")
--- a/node/clients.go
+++ b/node/clients.go
@@ -236,11 +236,11 @@
 			return workload.State(res.State), true, nil
 		}
 	}
-	state, err := dispatch.StoredState(ctx, n.store, n.cellPart(cell), jobID)
+	state, found, err := dispatch.StoredState(ctx, n.store, n.cellPart(cell), jobID)
 	if err != nil {
 		return "", false, errors.Join(errNoAnswer, err)
 	}
-	return state, true, nil
+	return state, found, nil
 }
 
 // Cancel implements intake.Service.
