--- a/dispatch/cell.go
+++ b/dispatch/cell.go
@@ -78,6 +78,7 @@
 	// ownerVersion is the version of the ownership row as this owner last wrote it.
 	ownerVersion int64
 	lastCommit   time.Time // when the last successful commit was sent
+	drainedAt    time.Time // when tasks on draining runners were last looked at
 	expiredAt    time.Time // when finished jobs were last looked at
 	lost         bool
 	jobs         map[string]*jobState
@@ -212,6 +213,7 @@
 	for _, h := range c.runners {
 		c.tickRunner(now, h)
 	}
+	c.leaveDraining(now)
 	c.createDueOccurrences(now)
 	for _, u := range c.ready {
 		if !u.notBefore.IsZero() && !now.Before(u.notBefore) {
--- a/dispatch/cell_test.go
+++ b/dispatch/cell_test.go
@@ -550,3 +550,32 @@
 		<-c.Done()
 	})
 }
+
+// Guards against lasting tasks that are stopped on a draining runner although there is no room for them elsewhere, and
+// against those that stay there although there is.
+func TestLastingTasksLeaveDrainingRunnerIfThereIsRoom(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		w := newWorld(t, 2, always(time.Hour))
+		c, stop := w.own("a", true)
+		time.Sleep(100 * time.Millisecond)
+		lasting := tasks(4, 24000)
+		lasting.LongRunning = true
+		w.submit(c, jobOf(1, lasting))
+		time.Sleep(time.Second)
+		assert.Equal(t, w.fleet.Running("r0"), 2)
+		draining := w.infos[0]
+		draining.Draining = true
+		c.SetRunner(t.Context(), draining, true)
+		time.Sleep(2 * time.Second)
+		assert.Equal(t, w.fleet.Running("r0"), 2, "the other runner has room for none of 24 cores")
+		extra := runner.Info{ID: "r9", Service: "kioscos", Addr: "r9", Domain: "chipre", Capacity: workload.Resources{CPU: 64000, MemoryMB: 256000}}
+		w.fleet.Add(extra)
+		c.SetRunner(t.Context(), extra, true)
+		time.Sleep(2 * time.Second)
+		assert.Equal(t, w.fleet.Running("r0"), 0)
+		assert.Equal(t, w.fleet.Running("r9"), 2)
+		w.noOverlap()
+		stop()
+		<-c.Done()
+	})
+}
--- a/dispatch/host.go
+++ b/dispatch/host.go
@@ -130,17 +130,36 @@
 		}
 		h.info = info
 	}
-	if h.info.Draining {
-		c.leaveDraining(time.Now(), h)
-	}
 	kick(c.planKick)
 }
 
-// leaveDraining stops tasks that would lose their work when the runner leaves. The caller holds mu.
-func (c *Cell) leaveDraining(_ time.Time, h *host) {
-	for r := range h.runs {
-		if r.unit.def().LongRunning {
-			c.stopRun(r, "runner is draining")
+// drainInterval is how often tasks on draining runners are looked at.
+const drainInterval = 300 * time.Millisecond
+
+// leaveDraining stops lasting tasks on draining runners that have room elsewhere, where they start again at once. Those
+// without room go on until the runner leaves. The caller holds mu.
+func (c *Cell) leaveDraining(now time.Time) {
+	if now.Sub(c.drainedAt) < drainInterval {
+		return
+	}
+	c.drainedAt = now
+	var views []*hostView
+	for _, h := range c.runners {
+		if !h.info.Draining {
+			continue
+		}
+		for r := range h.runs {
+			if !r.unit.def().LongRunning || r.stopping || r.unit.size > 1 {
+				continue
+			}
+			if views == nil {
+				views = c.hosts(now)
+			}
+			request := &placement.Request{Step: r.unit.def(), OnHost: func(id string) int { return r.unit.stepState().onRunner[id] }}
+			if best := placement.Pick(request, c.serviceHosts(c.serviceOf(r.unit.job), views)); best != nil {
+				reserve(best, request)
+				c.stopRun(r, "runner is draining")
+			}
 		}
 	}
 }
