--- a/dispatch/cell.go
+++ b/dispatch/cell.go
@@ -45,13 +45,7 @@
 	Region  string
 	Regions map[string]string
 	// Lease is how long a runner goes on without hearing from the owner.
-	Lease       time.Duration
-	StopTimeout time.Duration
-	GangTimeout time.Duration
-	// Early is how much before its time an occurrence may be started.
-	Early     time.Duration
-	PaceDelay time.Duration
-	Harm      time.Duration
+	Lease time.Duration
 	// Retention is how long the state of a finished job is kept.
 	Retention time.Duration
 	Store     store.Store
--- a/dispatch/cell_test.go
+++ b/dispatch/cell_test.go
@@ -63,7 +63,7 @@
 		Advisor: w.advisor,
 		Name:    cellName, Part: cellName, IndexPart: func(string) string { return "i0" }, Node: node, Addr: node,
 		Incarnation: node, Region: "caldas-centro", Regions: map[string]string{"chipre": "caldas-centro", "cartago": "valle-norte"},
-		Lease: lease, StopTimeout: time.Second, GangTimeout: 3 * time.Second, Retention: 2 * time.Minute,
+		Lease: lease, Retention: 2 * time.Minute,
 		Store: w.store, Runners: w.fleet, Log: observe.NewLogger(io.Discard, "test", node),
 		Metrics: dispatch.NewMetrics(registry), PredecessorDead: predecessorDead,
 	}
--- a/dispatch/flush.go
+++ b/dispatch/flush.go
@@ -289,9 +289,9 @@
 		}
 		if errors.Is(err, store.ErrUnavailable) && !unknown {
 			if time.Since(started) > submissionPatience {
+				// No try was applied, so the batch may be taken apart; the next one holds what came since.
 				c.refuseSubmissions(b)
-			}
-			if time.Since(started) > submissionPatience && c.lostCause(b) {
+				c.requeue(b)
 				return false
 			}
 		} else {
@@ -304,12 +304,6 @@
 	}
 }
 
-// lostCause gives a batch back after the store refused for a while, so that the next one holds what came since.
-func (c *Cell) lostCause(b *batch) bool {
-	c.requeue(b)
-	return true
-}
-
 // refuseSubmissions refuses the jobs of a batch that the store surely did not apply.
 func (c *Cell) refuseSubmissions(b *batch) {
 	c.mu.Lock()
--- a/dispatch/interference.go
+++ b/dispatch/interference.go
@@ -56,8 +56,8 @@
 	return shares
 }
 
-// room returns the pressure that a serving task bears beyond that of the shares. The caller holds mu.
-func (c *Cell) room(r *run, _ []interference.Share) float64 {
+// room returns the pressure that a serving task bears beyond that of the tasks beside it. The caller holds mu.
+func (c *Cell) room(r *run) float64 {
 	def := r.unit.def()
 	limit := c.pressure.Limit(def.Image, float64(def.LatencyTarget.Milliseconds()))
 	return limit - r.load.Value() - c.pressure.Sum(def.Image, r.host.granted())
--- a/dispatch/plan.go
+++ b/dispatch/plan.go
@@ -136,14 +136,13 @@
 		p.Far = c.cfg.Regions[h.info.Domain] != c.cfg.Region
 		p.Committed, p.UsedCPU, p.Serving = workload.Resources{}, 0, p.Serving[:0]
 		p.Harmed, p.Reserved = false, false
-		shares := h.shares()
 		for r := range h.runs {
 			def := r.unit.def()
 			p.Committed = p.Committed.Add(def.Committed())
 			p.UsedCPU += expectedCPU(def)
 			if def.LatencyTarget > 0 {
 				p.Harmed = p.Harmed || !r.overSince.IsZero()
-				p.Serving = append(p.Serving, placement.Serving{Image: def.Image, Room: c.room(r, shares)})
+				p.Serving = append(p.Serving, placement.Serving{Image: def.Image, Room: c.room(r)})
 			}
 		}
 		p.Slowdown, p.Suspect = h.health.slowdown(), h.health.suspect(now)
--- a/node/node.go
+++ b/node/node.go
@@ -309,8 +309,7 @@
 	return dispatch.Config{
 		Name: cell, Part: n.cellPart(cell), IndexPart: n.indexPart, Node: n.settings.Node, Addr: n.innerAddr,
 		Incarnation: n.incarnation, Metrics: n.metrics, Region: n.settings.Region, Regions: n.settings.Regions,
-		Lease:       time.Duration(float64(b.HoldMax) * leaseShare),
-		StopTimeout: b.StopTimeout, GangTimeout: b.GangTimeout, Early: b.Early, PaceDelay: b.PaceDelay, Harm: b.Harm,
+		Lease:     time.Duration(float64(b.HoldMax) * leaseShare),
 		Retention: b.StatusRetention, Store: n.store, Runners: n.runners, Advisor: n.advisor, Log: n.log, PredecessorDead: predecessorDead,
 	}
 }
--- a/placement/placement.go
+++ b/placement/placement.go
@@ -265,16 +265,3 @@
 	}
 	return best
 }
-
-// Possible reports whether any runner could take the task if it were empty.
-func Possible(step *workload.Step, hosts []*Host) bool {
-	for _, h := range hosts {
-		if !step.Committed().Fits(h.Capacity) || step.Fills && step.Resources.CPU > h.Capacity.CPU {
-			continue
-		}
-		if step.Label == "" || h.hasLabel(step.Label) {
-			return true
-		}
-	}
-	return false
-}
