--- a/dispatch/acquire.go
+++ b/dispatch/acquire.go
@@ -105,7 +105,6 @@
 	for _, row := range progressPage.Rows {
 		progressRows[row.Key.Name] = row.Value
 	}
-	now := time.Now()
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	for _, row := range defs.Rows {
@@ -115,7 +114,7 @@
 			continue
 		}
 		c.jobs[row.Key.Name] = j
-		c.resume(now, j)
+		c.resume(j)
 	}
 	return nil
 }
@@ -124,7 +123,7 @@
 const runGap = 8
 
 // resume makes the units of a restored job ready. The caller holds mu.
-func (c *Cell) resume(now time.Time, j *jobState) {
+func (c *Cell) resume(j *jobState) {
 	if j.state.Terminal() {
 		return
 	}
@@ -145,7 +144,7 @@
 				u.run += runGap
 			}
 		}
-		c.activate(now, occ)
+		c.activate(occ)
 	}
 }
 
--- a/dispatch/cell.go
+++ b/dispatch/cell.go
@@ -148,12 +148,6 @@
 	}
 }
 
-// Name returns the cell's name.
-func (c *Cell) Name() string { return c.cfg.Name }
-
-// Epoch returns the fencing token of the ownership.
-func (c *Cell) Epoch() int64 { return c.epoch }
-
 // Lost reports whether another owner has taken over.
 func (c *Cell) Lost() bool {
 	c.mu.Lock()
@@ -216,12 +210,6 @@
 	}
 	c.leaveDraining(now)
 	c.createDueOccurrences(now)
-	for _, u := range c.ready {
-		if !u.notBefore.IsZero() && !now.Before(u.notBefore) {
-			u.notBefore = time.Time{}
-			kick(c.planKick)
-		}
-	}
 }
 
 // createDueOccurrences creates the occurrences whose time has come. The caller holds mu.
@@ -231,22 +219,22 @@
 			continue
 		}
 		for j.nextOcc < j.def.Occurrences && !j.def.Due(j.nextOcc).After(now) {
-			c.addOccurrence(now, j)
+			c.addOccurrence(j)
 		}
 	}
 }
 
-func (c *Cell) addOccurrence(now time.Time, j *jobState) {
+func (c *Cell) addOccurrence(j *jobState) {
 	occ := j.newOccurrence(j.nextOcc)
 	j.nextOcc++
 	if j.nextOcc > 1 || !j.def.StartAt.IsZero() {
 		c.markDirty(j)
 	}
-	c.activate(now, occ)
+	c.activate(occ)
 }
 
 // activate computes what of an occurrence is done and makes units ready. The caller holds mu.
-func (c *Cell) activate(now time.Time, occ *occurrence) {
+func (c *Cell) activate(occ *occurrence) {
 	occ.left = 0
 	for i := range occ.steps {
 		if occ.steps[i].left > 0 {
@@ -267,7 +255,7 @@
 		if step.blocked == 0 {
 			for _, u := range step.units {
 				if u.phase == phaseBlocked {
-					c.makeReady(now, u)
+					c.makeReady(u)
 				}
 			}
 		}
@@ -275,9 +263,8 @@
 }
 
 // makeReady queues a unit for a start. The caller holds mu.
-func (c *Cell) makeReady(now time.Time, u *unit) {
+func (c *Cell) makeReady(u *unit) {
 	u.phase = phaseReady
-	u.readyAt = now
 	c.ready = append(c.ready, u)
 	kick(c.planKick)
 }
--- a/dispatch/host.go
+++ b/dispatch/host.go
@@ -451,7 +451,7 @@
 			"runner": h.info.ID, "why": why, "stop": r.stopReason}).Info("run ended early")
 	}
 	if len(u.runs) == 0 {
-		c.makeReady(now, u)
+		c.makeReady(u)
 	}
 }
 
@@ -484,7 +484,7 @@
 	}
 	occ.left--
 	if occ.left > 0 {
-		c.unblock(now, occ, u.step)
+		c.unblock(occ, u.step)
 		return
 	}
 	j.doneOccs[occ.number] = true
@@ -493,7 +493,7 @@
 	}
 }
 
-func (c *Cell) unblock(now time.Time, occ *occurrence, done int) {
+func (c *Cell) unblock(occ *occurrence, done int) {
 	for i := range occ.steps {
 		step := &occ.steps[i]
 		for _, before := range step.units[0].def().After {
@@ -507,7 +507,7 @@
 		}
 		for _, u := range step.units {
 			if u.phase == phaseBlocked {
-				c.makeReady(now, u)
+				c.makeReady(u)
 			}
 		}
 	}
--- a/dispatch/intake.go
+++ b/dispatch/intake.go
@@ -102,7 +102,7 @@
 	c.jobs[job.ID] = j
 	if job.StartAt.IsZero() {
 		c.pending[job.Policy.Queue]++
-		c.addOccurrence(now, j)
+		c.addOccurrence(j)
 	}
 	c.cfg.Log.WithFields(logrus.Fields{"request": job.ID, "queue": job.Policy.Queue, "cell": c.cfg.Name, "steps": len(job.Steps),
 		"accept_ms": now.Sub(job.AcceptedAt).Milliseconds()}).Info("job accepted")
--- a/dispatch/job.go
+++ b/dispatch/job.go
@@ -37,9 +37,6 @@
 	checkpoint string
 	// avoid is the runner of the last failed run.
 	avoid string
-	// notBefore delays the next start after refusals.
-	notBefore time.Time
-	readyAt   time.Time
 	// class is the lateness as of the last plan.
 	class int
 	runs  []*run
--- a/dispatch/orders.go
+++ b/dispatch/orders.go
@@ -99,7 +99,7 @@
 	}
 	c.detach(r)
 	if u.phase == phaseActive && len(u.runs) == 0 && !u.job.state.Terminal() {
-		c.makeReady(now, u)
+		c.makeReady(u)
 	}
 }
 
--- a/dispatch/plan.go
+++ b/dispatch/plan.go
@@ -56,7 +56,7 @@
 			continue
 		}
 		key := shape{u.job, u.occ, u.step}
-		if blocked[key] || now.Before(u.notBefore) || u.recovered && len(c.unresolved) > 0 {
+		if blocked[key] || u.recovered && len(c.unresolved) > 0 {
 			kept = append(kept, u)
 			continue
 		}
--- a/runner/runner.go
+++ b/runner/runner.go
@@ -31,16 +31,6 @@
 	Born int64
 }
 
-// HasLabel reports whether the runner has the label.
-func (i *Info) HasLabel(label string) bool {
-	for _, l := range i.Labels {
-		if l == label {
-			return true
-		}
-	}
-	return false
-}
-
 // Target addresses one incarnation of a runner.
 type Target struct {
 	Addr string
