Expect serving tasks to use the processor time of their learned load

Cause: placement took a serving task to use 0.6 of what it commits. Change: the learned load plus a margin; a task that is slowed down counts by its speed.

--- a/dispatch/plan.go
+++ b/dispatch/plan.go
@@ -139,7 +139,7 @@
 		for r := range h.runs {
 			def := r.unit.def()
 			p.Committed = p.Committed.Add(def.Committed())
-			p.UsedCPU += expectedCPU(def)
+			p.UsedCPU += usedCPU(r)
 			if def.LatencyTarget > 0 {
 				p.Harmed = p.Harmed || !r.overSince.IsZero()
 				p.Serving = append(p.Serving, placement.Serving{Image: def.Image, Room: c.room(r)})
@@ -241,8 +241,10 @@
 const (
 	// newServingRoom is assumed of a serving task that has just started.
 	newServingRoom = 0.2
-	// servingUse is the share of their processor time that serving tasks are expected to use.
+	// servingUse is the share of its processor time that a serving task is expected to use before its load is known.
 	servingUse = 0.6
+	// servingMargin is added to the learned load of a serving task, which moves between two reports.
+	servingMargin = 0.05
 )
 
 // expectedCPU returns the processor time that a task of a step is expected to use, in thousandths of a core.
@@ -253,6 +255,20 @@
 	return def.Resources.CPU
 }
 
+// usedCPU returns the processor time that a run is expected to use, in thousandths of a core. A serving task that
+// responds within its target uses the share of its processors that its load takes.
+func usedCPU(r *run) int64 {
+	def := r.unit.def()
+	switch {
+	case def.LatencyTarget > 0:
+		return int64(min(r.load.Value()+servingMargin, 1) * float64(def.Resources.CPU))
+	case def.Fills:
+		return def.Resources.CPU * int64(r.speed) / fullSpeed
+	default:
+		return def.Resources.CPU
+	}
+}
+
 // serviceOf returns the service that runs a job: the newest configuration that has the queue decides.
 func (c *Cell) serviceOf(j *jobState) string {
 	if q := c.catalog.Queue(j.def.Policy.Queue); q != nil {
