Refuse lasting jobs that would take the room of short tasks

Cause: lasting tasks hold their room for minutes and were accepted whatever the room was. Change: a cell keeps room for twice the average demand of short tasks, between 6% and 18% of its capacity, free of lasting jobs. A lasting job for which no cell has room is refused at once, after the index row has shown that no repeat of it was accepted, with a Retry-After from the rate at which lasting jobs give room back. TestFullCellLeavesLastingJobsToOthers waits 2 s first, because a new owner admits every job until its runners have shown up; TestGoneRunnersAreNotWaitedFor asks for 168 instead of 192 of 192 cores, which still needs the returned runner.

--- a/dispatch/acquire.go
+++ b/dispatch/acquire.go
@@ -55,6 +55,7 @@
 	}
 	c := newCell(cfg, epoch)
 	c.ownerVersion, c.lastCommit = epoch, sent
+	c.runnerAddedAt = time.Now()
 	if version != 0 {
 		if err := c.load(ctx); err != nil {
 			return nil, err
--- a/dispatch/cell.go
+++ b/dispatch/cell.go
@@ -83,7 +83,11 @@
 	pressure     *interference.Pressure
 	advice       map[shape]*advice
 	submissions  []*submission
-	dirty        map[*jobState]bool
+	admission    admission
+	// runnerAddedAt is when the last new runner showed up, and runnersKnown is set once none did for a while.
+	runnerAddedAt time.Time
+	runnersKnown  bool
+	dirty         map[*jobState]bool
 	// urgent asks for a commit without the usual delay.
 	urgent bool
 	// gone are runners that vanished and surely run nothing; the ownership row names them.
@@ -209,6 +213,7 @@
 		c.tickRunner(now, h)
 	}
 	c.leaveDraining(now)
+	c.sampleAdmission(now)
 	c.createDueOccurrences(now)
 }
 
@@ -289,6 +294,7 @@
 	c.uncountPending(j)
 	j.state = state
 	j.finishedAt = now
+	c.admission.freedSince += lastingDemand(j.def)
 	if j.def.Policy.Advised {
 		maps.DeleteFunc(c.advice, func(key shape, _ *advice) bool { return key.job == j })
 	}
--- a/dispatch/host.go
+++ b/dispatch/host.go
@@ -115,6 +115,7 @@
 		h = &host{runs: map[*run]bool{}, looks: make(chan struct{}, 1)}
 		h.place = placement.Host{ID: info.ID, Slowdown: 1}
 		c.runners[info.ID] = h
+		c.runnerAddedAt = time.Now()
 		var hostCtx context.Context
 		hostCtx, h.stop = context.WithCancel(ctx)
 		h.info = info
--- a/dispatch/intake.go
+++ b/dispatch/intake.go
@@ -49,8 +49,9 @@
 	close(s.done)
 }
 
-// Submit makes a job durable in the cell. A job that the cell has already is accepted again, without effect. Unless it
-// is forced, a cell without room for the job's first steps leaves it to another one. For OutcomeElsewhere it also
+// Submit makes a job durable in the cell. A job that the cell has already is accepted again, without effect. A cell
+// without room for a lasting job does not take it, and one without room for the first steps of another job leaves it to
+// other cells unless it is forced. For OutcomeElsewhere it also
 // returns the name of the other cell.
 func (c *Cell) Submit(ctx context.Context, job *workload.Job, force bool) (Outcome, string) {
 	c.mu.Lock()
@@ -63,7 +64,7 @@
 		return OutcomeAccepted, ""
 	}
 	s := c.waitingSubmission(job.ID)
-	if s == nil && !force && !c.hasRoom(job) {
+	if s == nil && (!force || job.LongRunning()) && !c.hasRoom(job) {
 		c.mu.Unlock()
 		return OutcomeFull, ""
 	}
@@ -163,16 +164,20 @@
 	// Capacity is that of all usable runners, and Free what of it is not committed, in thousandths of a core.
 	Capacity int64 `json:"cap"`
 	Free     int64 `json:"free"`
+	// LastingRoom is how much more lasting tasks may commit, and LastingFreed what they gave back lately per second, in
+	// thousandths of a core.
+	LastingRoom  int64 `json:"lroom,omitempty"`
+	LastingFreed int64 `json:"lfreed,omitempty"`
 	// Pending counts accepted jobs without a started task, by queue.
 	Pending map[string]int `json:"pending,omitempty"`
 }
 
-// reservedShare is the part of a cell's capacity that is kept free of new lasting jobs, for tasks that start again and
-// for short jobs.
-const reservedShare = 0.1
-
 // hasRoom reports whether the cell has room for the first steps of a job. The caller holds mu.
 func (c *Cell) hasRoom(job *workload.Job) bool {
+	if lasting := lastingDemand(job); lasting > 0 {
+		// Until the capacity is known, a refusal might not be true.
+		return !c.runnersKnown || lasting <= c.lastingRoom()
+	}
 	load := c.currentLoad()
 	var demand Demand
 	demand.Add(job)
@@ -183,11 +188,7 @@
 		// Nothing but tasks that fill, which take no room.
 		return true
 	}
-	reserved := 0.0
-	if job.LongRunning() {
-		reserved = reservedShare * float64(load.Capacity)
-	}
-	return float64(load.Free-demand.Committed) >= reserved
+	return load.Free >= demand.Committed
 }
 
 // Load returns the cell's load.
@@ -199,7 +200,8 @@
 
 // currentLoad returns the cell's load. The caller holds mu.
 func (c *Cell) currentLoad() Load {
-	load := Load{Cell: c.cfg.Name, Epoch: c.epoch, Pending: map[string]int{}}
+	load := Load{Cell: c.cfg.Name, Epoch: c.epoch, Pending: map[string]int{}, LastingRoom: c.lastingRoom(),
+		LastingFreed: int64(c.admission.freed)}
 	for queue, n := range c.pending {
 		if n > 0 {
 			load.Pending[queue] = n
--- a/node/clients.go
+++ b/node/clients.go
@@ -64,10 +64,11 @@
 	if err != nil {
 		return intake.Decision{Outcome: intake.Refused, Reason: err.Error()}
 	}
-	unknown := false
+	unknown, full := false, 0
 	targets := n.targets(job.ID)
 	for i, target := range targets {
-		// The cells after the first two have the most room first; the last offer is taken whatever the room is.
+		// The cells after the first two have the most room first. The last offer is taken whatever the room is, but for
+		// lasting jobs: those wait for room that may not come for minutes.
 		outcome, elsewhere := n.submitTo(ctx, target, job, value, false)
 		if outcome == dispatch.OutcomeFull && i == len(targets)-1 {
 			outcome, elsewhere = n.submitTo(ctx, targets[0], job, value, true)
@@ -81,6 +82,8 @@
 		case dispatch.OutcomeElsewhere:
 			n.locate(job.ID, elsewhere)
 			return intake.Decision{Outcome: intake.Accepted, Cell: elsewhere}
+		case dispatch.OutcomeFull:
+			full++
 		case dispatch.OutcomeUnknown:
 			unknown = true
 		case dispatch.OutcomeRefused:
@@ -93,6 +96,8 @@
 	switch {
 	case unknown:
 		return intake.Decision{Outcome: intake.Unknown, Reason: "no owner of a cell answered in time"}
+	case full > 0:
+		return n.refuseFull(ctx, job, targets)
 	default:
 		return intake.Decision{Outcome: intake.Refused, Reason: "no cell takes jobs", RetryAfter: refusedRetryAfter}
 	}
@@ -101,6 +106,24 @@
 // refusedRetryAfter is when a client may return after no cell took its job: a new owner is found within three beats.
 const refusedRetryAfter = 1 * time.Second
 
+// refuseFull refuses a job for which no cell has room, unless a repeat of its submission was accepted before.
+func (n *Node) refuseFull(ctx context.Context, job *workload.Job, targets []ownership.Owner) intake.Decision {
+	cell, err := n.find(ctx, job.ID)
+	switch {
+	case err != nil:
+		return intake.Decision{Outcome: intake.Unknown, Reason: err.Error()}
+	case cell != "":
+		return intake.Decision{Outcome: intake.Accepted, Cell: cell}
+	}
+	var demand dispatch.Demand
+	demand.Add(job)
+	retryAfter := targets[0].Load.RoomWait(demand.Committed)
+	for _, target := range targets[1:] {
+		retryAfter = min(retryAfter, target.Load.RoomWait(demand.Committed))
+	}
+	return intake.Decision{Outcome: intake.Refused, Reason: "no cell has room for the job's lasting tasks", RetryAfter: retryAfter}
+}
+
 // targets returns the owners of cells in the order in which a job is offered to them.
 func (n *Node) targets(jobID string) []ownership.Owner {
 	owners := n.directory.Owners(time.Now())
