--- a/dispatch/plan.go
+++ b/dispatch/plan.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"math"
 	"sort"
 	"time"
 
@@ -261,7 +262,7 @@
 	def := r.unit.def()
 	switch {
 	case def.LatencyTarget > 0:
-		return int64(min(r.load.Value()+servingMargin, 1) * float64(def.Resources.CPU))
+		return int64(math.Round(min(r.load.Value()+servingMargin, 1) * float64(def.Resources.CPU)))
 	case def.Fills:
 		return def.Resources.CPU * int64(r.speed) / fullSpeed
 	default:
