Spread heartbeats over partitions and keep the last view of owners

Cause: all nodes wrote their rows in one partition, which applies transactions one after another. Change: 16 partitions, read through the table's feed; a view that can't be refreshed counts for 15 s; reads that are older than the node's own last row are not believed. The emulator's store can keep partitions busy.

--- a/internal/emulator/store.go
+++ b/internal/emulator/store.go
@@ -39,6 +39,8 @@
 type Store struct {
 	// Latency is the time of each call.
 	Latency time.Duration
+	// TxnTime is how long a transaction keeps its partitions busy; twice that if it has several.
+	TxnTime time.Duration
 
 	mu      sync.Mutex // owned by the methods of Store
 	rows    map[store.Key]store.Row
@@ -49,11 +51,13 @@
 	fault   StoreFault
 	changed chan struct{}
 	commits int
+	// busy is when the transactions that wait for a partition will be applied.
+	busy map[string]time.Time
 }
 
 // NewStore returns an empty store.
 func NewStore() *Store {
-	return &Store{rows: map[store.Key]store.Row{}, changed: make(chan struct{}), Latency: 4 * time.Millisecond}
+	return &Store{rows: map[store.Key]store.Row{}, changed: make(chan struct{}), busy: map[string]time.Time{}, Latency: 4 * time.Millisecond}
 }
 
 // SetFault changes how the store misbehaves from now on.
@@ -108,6 +112,48 @@
 	return fault, nil
 }
 
+// maxQueue is how much work may wait for a partition before further transactions are refused.
+const maxQueue = time.Second
+
+// queue waits for the partitions of a transaction and reports whether they take it.
+func (s *Store) queue(txn store.Txn) bool {
+	if s.TxnTime == 0 {
+		return true
+	}
+	parts := map[string]bool{}
+	for _, c := range txn.Conditions {
+		parts[c.Key.Part] = true
+	}
+	for _, w := range txn.Writes {
+		parts[w.Key.Part] = true
+	}
+	for _, k := range txn.Deletes {
+		parts[k.Part] = true
+	}
+	now := time.Now()
+	begin := now
+	s.mu.Lock()
+	for part := range parts {
+		if s.busy[part].Sub(now) > maxQueue {
+			s.mu.Unlock()
+			return false
+		}
+		if s.busy[part].After(begin) {
+			begin = s.busy[part]
+		}
+	}
+	end := begin.Add(s.TxnTime)
+	if len(parts) > 1 {
+		end = end.Add(s.TxnTime)
+	}
+	for part := range parts {
+		s.busy[part] = end
+	}
+	s.mu.Unlock()
+	time.Sleep(end.Sub(now))
+	return true
+}
+
 // callTimeout is the time after which a call without an answer fails.
 const callTimeout = 1500 * time.Millisecond
 
@@ -133,6 +179,9 @@
 		<-ctx.Done()
 		return 0, &store.UnknownOutcomeError{Err: errNoAnswer}
 	}
+	if !s.queue(txn) {
+		return 0, store.ErrUnavailable
+	}
 	s.mu.Lock()
 	conflict := s.conflict(txn)
 	var version int64
--- a/node/node.go
+++ b/node/node.go
@@ -62,6 +62,8 @@
 	catalog      atomic.Pointer[catalog.Config]
 	bounds       atomic.Pointer[platform.Bounds]
 	storeMs      atomic.Int64
+	beats        *ownership.Reader // owned by the goroutine of beatLoop
+	beatVersion  atomic.Int64      // version of this node's row as last written
 	leaving      atomic.Bool
 
 	operator *store.Follower
@@ -120,6 +122,7 @@
 	if services.Advice != nil {
 		n.advisor = services.Advice
 	}
+	n.beats = ownership.NewReader(n.store)
 	n.metrics = dispatch.NewMetrics(n.registry)
 	n.bounds.Store(&s.Bounds)
 	n.operator = store.NewFollower(n.store, platform.TableOperator, n.operatorChanged, n.dependency("operator's rows"))
@@ -332,11 +335,11 @@
 
 func (n *Node) beatOnce(ctx, working context.Context) error {
 	beatErr := n.beat(ctx)
-	page, err := store.ReadAll(ctx, n.store, ownership.TableNodes, "")
+	rows, err := n.beats.Read(ctx, n.beatVersion.Load())
 	if err != nil {
 		return errors.Join(beatErr, err)
 	}
-	for _, problem := range n.directory.Update(time.Now(), page.Rows) {
+	for _, problem := range n.directory.Update(time.Now(), rows) {
 		n.log.WithError(problem).Warn("row of a node can't be read")
 	}
 	n.checkPredecessors()
@@ -364,9 +367,9 @@
 		return err
 	}
 	sent := time.Now()
-	_, err = n.store.Commit(ctx, store.Txn{Writes: []store.Write{
-		{Key: store.Key{Table: ownership.TableNodes, Name: n.settings.Node}, Value: value}}})
+	version, err := n.store.Commit(ctx, store.Txn{Writes: []store.Write{{Key: ownership.BeatKey(n.settings.Node), Value: value}}})
 	if err == nil {
+		n.beatVersion.Store(version)
 		took := time.Since(sent).Milliseconds()
 		if old := n.storeMs.Load(); old == 0 || took < old {
 			n.storeMs.Store(max(took, 1))
--- a/ownership/directory.go
+++ b/ownership/directory.go
@@ -22,6 +22,9 @@
 	BeatInterval = 800 * time.Millisecond
 	// deadAfter is how long a row may stay the same until its node counts as gone: three intervals.
 	deadAfter = 3 * BeatInterval
+	// keepView is how long the nodes count as they were read last while the store can't be read. It outlasts the time for
+	// which an owner goes on without the store.
+	keepView = 15 * time.Second
 )
 
 // Beat is the value of a node's row.
@@ -94,13 +97,14 @@
 	return problems
 }
 
-// alive reports whether a member counts as alive. The caller holds mu.
+// alive reports whether a member counts as alive. What was read last counts for a while in which nothing can be read: an
+// owner of a cell may well be at work, and says so itself if it is not. The caller holds mu.
 func (d *Directory) alive(now time.Time, m *member) bool {
 	since := m.changedAt
 	if d.gapEnd.After(since) {
 		since = d.gapEnd
 	}
-	return now.Sub(since) < deadAfter
+	return d.readAt.Sub(since) < deadAfter && now.Sub(d.readAt) < keepView
 }
 
 // Fresh reports whether the directory was read a short time ago.
