Keep the index row of a job in the partition of its home cell

Cause: while the store is slow, commits of the three cells waited for each other: each spanned its own partition and up to 16 shared ones of the index. Change: the index row of a job lies in the partition of its home cell, by hash of the ID, and the job goes there unless another cell has clearly less load.

--- a/node/cells.go
+++ b/node/cells.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"hash/fnv"
 	"sort"
 	"strconv"
 	"time"
@@ -39,15 +40,22 @@
 )
 
 func (n *Node) cellNames() []string {
-	n.mu.Lock()
-	defer n.mu.Unlock()
-	names := make([]string, n.cellCount)
+	names := make([]string, n.cellCount.Load())
 	for i := range names {
-		names[i] = "c" + strconv.Itoa(i)
+		names[i] = cellName(i)
 	}
 	return names
 }
 
+func cellName(i int) string { return "c" + strconv.Itoa(i) }
+
+// homeCell returns the cell that a job goes to unless another one has clearly less load.
+func homeCell(jobID string, cells int) string {
+	h := fnv.New32a()
+	_, _ = h.Write([]byte(jobID)) // a hash never fails
+	return cellName(int(h.Sum32() % uint32(max(cells, 1))))
+}
+
 // takeCells acquires cells without an owner, if this node is the best candidate or the better ones did not act.
 func (n *Node) takeCells(ctx context.Context) {
 	now := time.Now()
@@ -207,7 +215,7 @@
 				n.log.WithField("value", string(row.Value)).Error("number of cells can't be read")
 				continue
 			}
-			n.cellCount = count
+			n.cellCount.Store(int32(count))
 			continue
 		}
 		if row.Deleted {
@@ -245,7 +253,7 @@
 	quietSince, seen := time.Now(), 0
 	for {
 		n.mu.Lock()
-		known, runners := n.cellCount > 0, len(n.infos)
+		known, runners := n.cellCount.Load() > 0, len(n.infos)
 		n.mu.Unlock()
 		if known {
 			return true
@@ -336,7 +344,7 @@
 		}
 		return x.ID < y.ID
 	})
-	share := total / int64(n.cellCount)
+	share := total / int64(n.cellCount.Load())
 	chosen := make([]assignment, 0, len(fresh))
 	for _, id := range fresh {
 		info := n.infos[id]
@@ -349,7 +357,7 @@
 		chosen = append(chosen, assignment{id, cell})
 	}
 	if len(chosen) > 0 {
-		n.log.WithFields(logrus.Fields{"new": len(chosen), "cells": n.cellCount}).Debug("chose cells for runners")
+		n.log.WithFields(logrus.Fields{"new": len(chosen), "cells": n.cellCount.Load()}).Debug("chose cells for runners")
 	}
 	return chosen
 }
@@ -359,8 +367,7 @@
 
 func (n *Node) smallestCell(capacity map[string]int64) string {
 	best := ""
-	for i := range n.cellCount {
-		name := "c" + strconv.Itoa(i)
+	for _, name := range n.cellNames() {
 		if best == "" || capacity[name] < capacity[best] {
 			best = name
 		}
--- a/node/clients.go
+++ b/node/clients.go
@@ -142,6 +142,17 @@
 		}
 	}
 	n.mu.Unlock()
+	return orderTargets(jobID, known, homeCell(jobID, int(n.cellCount.Load())), owners)
+}
+
+// homeMargin is how much more load a job's home cell may have than another one before that gets the job. Another cell
+// needs a transaction over two partitions, which takes twice as long.
+const homeMargin = 0.05
+
+// orderTargets orders the owners of cells for a job: the cell that is known to have it, then of its home and another
+// random cell the one with less load, then the others. The loads are up to a second old, so that all nodes would choose
+// the same cell if each took the one with the least.
+func orderTargets(jobID, known, home string, owners map[string]ownership.Owner) []ownership.Owner {
 	list := make([]ownership.Owner, 0, len(owners))
 	for _, o := range owners {
 		list = append(list, o)
@@ -154,12 +165,19 @@
 		if bx, by := x.Load.Runners > 0, y.Load.Runners > 0; bx != by {
 			return bx
 		}
+		if hx, hy := x.Load.Cell == home, y.Load.Cell == home; hx != hy {
+			return hx
+		}
 		return spread(jobID, x.Load.Cell) < spread(jobID, y.Load.Cell)
 	})
-	// Of two random cells the one with less load takes the job: the loads are up to a second old, so that all nodes
-	// would choose the same cell if each took the one with the least.
-	if len(list) > 1 && list[0].Load.Cell != known && list[1].Load.Runners > 0 && list[1].Load.Pressure() < list[0].Load.Pressure() {
-		list[0], list[1] = list[1], list[0]
+	if len(list) > 1 && list[0].Load.Cell != known && list[1].Load.Runners > 0 {
+		margin := 0.0
+		if list[0].Load.Cell == home {
+			margin = homeMargin
+		}
+		if list[1].Load.Pressure()+margin < list[0].Load.Pressure() {
+			list[0], list[1] = list[1], list[0]
+		}
 	}
 	if len(list) > 2 {
 		rest := list[2:]
@@ -229,6 +247,10 @@
 	if cell != "" {
 		return cell, nil
 	}
+	if n.cellCount.Load() == 0 {
+		// The partition of the index row is not known yet.
+		return "", errNoAnswer
+	}
 	page, err := n.store.Range(ctx, dispatch.TableIndex, n.indexPart(jobID), jobID, jobID+"\x00", 1)
 	if err != nil {
 		return "", errors.Join(errNoAnswer, err)
--- /dev/null
+++ b/node/clients_test.go
@@ -0,0 +1,65 @@
+package node
+
+import (
+	"fmt"
+	"testing"
+
+	"gotest.tools/v3/assert"
+
+	"github.com/currantthread/currantthread/dispatch"
+	"github.com/currantthread/currantthread/ownership"
+)
+
+// ownerWith returns an owner of a cell of 100 cores.
+func ownerWith(cell string, free int64) ownership.Owner {
+	return ownership.Owner{Node: cell, Load: dispatch.Load{Cell: cell, Runners: 10, Capacity: 100_000, Free: free}}
+}
+
+// Guards against a hand-in that leaves its home cell without need, which costs a transaction over two partitions and, with
+// a slow store, waits for the commits of other cells; and against one that stays in a cell with far more load.
+func TestTargets(t *testing.T) {
+	for name, test := range map[string]struct {
+		known string
+		free  [3]int64
+		lost  bool // c1 has no runners
+		want  string
+	}{
+		"home at equal load":        {free: [3]int64{50_000, 50_000, 50_000}, want: "c1"},
+		"home at slightly more":     {free: [3]int64{52_000, 50_000, 52_000}, want: "c1"},
+		"another at far less":       {free: [3]int64{90_000, 50_000, 90_000}, want: "not c1"},
+		"the cell that has the job": {known: "c0", free: [3]int64{10_000, 50_000, 50_000}, want: "c0"},
+		"home without runners":      {free: [3]int64{10_000, 100_000, 10_000}, lost: true, want: "not c1"},
+	} {
+		t.Run(name, func(t *testing.T) {
+			for i := range 20 {
+				owners := map[string]ownership.Owner{}
+				for k, free := range test.free {
+					o := ownerWith(cellName(k), free)
+					if test.lost && k == 1 {
+						o.Load.Runners = 0
+					}
+					owners[o.Load.Cell] = o
+				}
+				list := orderTargets(fmt.Sprintf("%016x", i), test.known, "c1", owners)
+				assert.Equal(t, len(list), 3)
+				if test.want == "not c1" {
+					assert.Assert(t, list[0].Load.Cell != "c1")
+					continue
+				}
+				assert.Equal(t, list[0].Load.Cell, test.want)
+			}
+		})
+	}
+}
+
+// Guards against home cells that get far more jobs than others.
+func TestHomeCellsGetEqualShares(t *testing.T) {
+	counts := map[string]int{}
+	for i := range 3000 {
+		counts[homeCell(fmt.Sprintf("%016x", i*7919), 3)]++
+	}
+	for i := range 3 {
+		share := counts[cellName(i)]
+		assert.Assert(t, share > 800 && share < 1200, "%v", counts)
+	}
+}
--- a/node/node.go
+++ b/node/node.go
@@ -7,7 +7,6 @@
 	"encoding/json"
 	"errors"
 	"fmt"
-	"hash/fnv"
 	"io"
 	"net"
 	"net/http"
@@ -32,8 +31,6 @@
 )
 
 const (
-	// indexParts spreads the index of jobs over partitions, each of which applies a few hundred transactions a second.
-	indexParts = 16
 	// discoverySpacing is the pause between two readings of service discovery. Draining runners must get no tasks 2.5 s
 	// after they said so.
 	discoverySpacing = 1200 * time.Millisecond
@@ -62,6 +59,7 @@
 	catalog      atomic.Pointer[catalog.Config]
 	bounds       atomic.Pointer[platform.Bounds]
 	storeMs      atomic.Int64
+	cellCount    atomic.Int32      // number of cells, 0 until it is known
 	beats        *ownership.Reader // owned by the goroutine of beatLoop
 	beatVersion  atomic.Int64      // version of this node's row as last written
 	leaving      atomic.Bool
@@ -78,7 +76,6 @@
 	homes     map[string]string // cell of each runner, from the roster
 	ownerless map[string]time.Time
 	located   map[string]string // cell of jobs that this node has seen
-	cellCount int
 	// seenOwners are the ownership rows of cells that seem to have no owner.
 	seenOwners map[string]seenOwner
 	sentWork   map[string]sentWork
@@ -136,7 +133,7 @@
 func (n *Node) needsRunners() bool {
 	n.mu.Lock()
 	defer n.mu.Unlock()
-	return n.cellCount == 0 || len(n.cells) > 0 || len(n.acquiring) > 0
+	return n.cellCount.Load() == 0 || len(n.cells) > 0 || len(n.acquiring) > 0
 }
 
 func (n *Node) metricsAddr() string {
@@ -290,14 +287,10 @@
 	}
 }
 
-// indexPart returns the partition of the index row of a job.
+// indexPart returns the partition of the index row of a job: that of the job's home cell. A hand-in to the home cell then
+// needs one partition, and the commits of cells don't wait for each other.
 func (n *Node) indexPart(jobID string) string {
-	if !n.settings.Across {
-		return ""
-	}
-	h := fnv.New32a()
-	_, _ = h.Write([]byte(jobID)) // a hash never fails
-	return "i" + strconv.Itoa(int(h.Sum32()%indexParts))
+	return n.cellPart(homeCell(jobID, int(n.cellCount.Load())))
 }
 
 func (n *Node) cellPart(cell string) string {
