Refuse hand-ins at once while the store takes no commits

Cause: while the store was silent or refused, jobs waited behind the commit in flight until their clients' deadlines and were answered 504, or for 0.6 s each. Change: a commit without an answer for 1.6 s, or one that was refused for 0.6 s, marks the store as down until a commit is applied. Jobs that are not part of the commit in flight are refused at once; a repeat of one that is waits for its outcome. While the store is slow, home cells take jobs whatever their room is, because a second cell needs a longer transaction. Test: TestJobsAreRefusedAtOnceWhileTheStoreIsSilent.

--- a/dispatch/cell.go
+++ b/dispatch/cell.go
@@ -83,7 +83,12 @@
 	pressure     *interference.Pressure
 	advice       map[shape]*advice
 	submissions  []*submission
-	admission    admission
+	// committing are the submissions of the commit in flight, which was first sent at sentAt.
+	committing []*submission
+	sentAt     time.Time
+	// storeDown is set while the store is known not to take commits.
+	storeDown bool
+	admission admission
 	// runnerAddedAt is when the last new runner showed up, and runnersKnown is set once none did for a while.
 	runnerAddedAt time.Time
 	runnersKnown  bool
@@ -214,6 +219,7 @@
 	}
 	c.leaveDraining(now)
 	c.sampleAdmission(now)
+	c.checkStore(now)
 	c.createDueOccurrences(now)
 }
 
--- a/dispatch/cell_test.go
+++ b/dispatch/cell_test.go
@@ -765,3 +765,46 @@
 		assert.Assert(t, owner.Released)
 	})
 }
+
+// Answers the pattern "the store goes silent while clients hand in": only the jobs of the commit in flight are in doubt.
+// The others were held until their clients' deadlines and then told that they may have been accepted, so that clients
+// could not come back in time (wpm-belownia-grown trouble-3: 157 answers 504).
+func TestJobsAreRefusedAtOnceWhileTheStoreIsSilent(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		w := newWorld(t, 2, always(time.Second))
+		c, stop := w.own("a", true)
+		time.Sleep(2 * time.Second)
+		w.store.SetFault(emulator.StoreSilent)
+		type answer struct {
+			outcome dispatch.Outcome
+			took    time.Duration
+		}
+		hand := func(id int) answer {
+			ctx, cancel := context.WithTimeout(t.Context(), 2900*time.Millisecond)
+			defer cancel()
+			sent := time.Now()
+			outcome, _ := c.Submit(ctx, jobOf(id, tasks(1, 1000)), true)
+			return answer{outcome, time.Since(sent)}
+		}
+		inFlight := make(chan answer, 1)
+		go func() { inFlight <- hand(1) }()
+		time.Sleep(500 * time.Millisecond)
+		assert.Equal(t, hand(2).outcome, dispatch.OutcomeRefused)
+		for id := 3; id < 6; id++ {
+			a := hand(id)
+			assert.Equal(t, a.outcome, dispatch.OutcomeRefused)
+			assert.Equal(t, a.took, time.Duration(0))
+		}
+		// A repeat of the job in doubt is in doubt as well.
+		assert.Equal(t, hand(1).outcome, dispatch.OutcomeUnknown)
+		assert.Equal(t, (<-inFlight).outcome, dispatch.OutcomeUnknown)
+		w.store.SetFault(emulator.StoreWorks)
+		time.Sleep(3 * time.Second)
+		assert.Equal(t, hand(6).outcome, dispatch.OutcomeAccepted)
+		assert.Equal(t, hand(1).outcome, dispatch.OutcomeAccepted)
+		_, found := c.State(jobOf(2).ID)
+		assert.Assert(t, !found)
+		stop()
+		<-c.Done()
+	})
+}
--- a/dispatch/flush.go
+++ b/dispatch/flush.go
@@ -40,6 +40,9 @@
 	expiryInterval = 2 * time.Second
 	// submissionPatience is how long submissions wait for a store that refuses before they are refused.
 	submissionPatience = 600 * time.Millisecond
+	// silencePatience is how long a commit may be without an answer before the store counts as down. A store that is 90
+	// times slower than usual answers after 0.6 to 1.4 s.
+	silencePatience = 1600 * time.Millisecond
 )
 
 // Ownership is the value of a cell's ownership row.
@@ -300,6 +303,7 @@
 // condition on the ownership row holds for at most one of the repeats, and the row's nonce tells whether one did.
 func (c *Cell) commit(ctx context.Context, b *batch) bool {
 	started := time.Now()
+	c.noteSent(started, b)
 	unknown := false
 	for {
 		sent := time.Now()
@@ -317,6 +321,7 @@
 			if time.Since(started) > submissionPatience {
 				// No try was applied, so the batch may be taken apart; the next one holds what came since.
 				c.refuseSubmissions(b)
+				c.noteDown("the store refuses commits")
 				c.requeue(b)
 				return false
 			}
@@ -330,6 +335,42 @@
 	}
 }
 
+func (c *Cell) noteSent(now time.Time, b *batch) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.sentAt, c.committing = now, b.submissions
+}
+
+func (c *Cell) noteDown(why string) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.setStoreDown(true, why)
+}
+
+// setStoreDown notes whether the store takes commits. While it does not, jobs are refused at once, but for those of a
+// commit whose outcome is unknown. The caller holds mu.
+func (c *Cell) setStoreDown(down bool, why string) {
+	if down != c.storeDown {
+		c.storeDown = down
+		c.cfg.Log.WithFields(logrus.Fields{"cell": c.cfg.Name, "down": down, "why": why, "waiting": len(c.submissions)}).
+			Warn("store changed for hand-ins")
+	}
+	if !down {
+		return
+	}
+	for _, s := range c.submissions {
+		s.finish(OutcomeRefused, "")
+	}
+	c.submissions = nil
+}
+
+// checkStore notices a commit without an answer. The caller holds mu.
+func (c *Cell) checkStore(now time.Time) {
+	if !c.sentAt.IsZero() && now.Sub(c.sentAt) > silencePatience {
+		c.setStoreDown(true, "a commit has no answer")
+	}
+}
+
 // refuseSubmissions refuses the jobs of a batch that the store surely did not apply.
 func (c *Cell) refuseSubmissions(b *batch) {
 	c.mu.Lock()
@@ -363,6 +404,8 @@
 	defer c.mu.Unlock()
 	c.ownerVersion = version
 	c.lastCommit = sent
+	c.sentAt, c.committing = time.Time{}, nil
+	c.setStoreDown(false, "a commit was applied")
 	now := time.Now()
 	for _, s := range b.submissions {
 		c.accept(now, s.job)
@@ -404,6 +447,7 @@
 		return true
 	}
 	c.mu.Lock()
+	c.sentAt, c.committing = time.Time{}, nil
 	ours := row.Version == c.ownerVersion
 	if !ours {
 		for _, s := range b.submissions {
--- a/dispatch/intake.go
+++ b/dispatch/intake.go
@@ -64,6 +64,10 @@
 		return OutcomeAccepted, ""
 	}
 	s := c.waitingSubmission(job.ID)
+	if s == nil && c.storeDown {
+		c.mu.Unlock()
+		return OutcomeRefused, ""
+	}
 	if s == nil && (!force || job.LongRunning()) && !c.hasRoom(job) {
 		c.mu.Unlock()
 		return OutcomeFull, ""
@@ -87,9 +91,11 @@
 
 // waitingSubmission returns the submission of a job that is not decided yet, which a repeat joins. The caller holds mu.
 func (c *Cell) waitingSubmission(id string) *submission {
-	for _, s := range c.submissions {
-		if s.job.ID == id && !s.finished {
-			return s
+	for _, list := range [][]*submission{c.submissions, c.committing} {
+		for _, s := range list {
+			if s.job.ID == id && !s.finished {
+				return s
+			}
 		}
 	}
 	return nil
--- a/node/clients.go
+++ b/node/clients.go
@@ -74,7 +74,7 @@
 	for i, target := range targets {
 		// The cells after the first two have the most room first. The last offer is taken whatever the room is, but for
 		// lasting jobs: those wait for room that may not come for minutes.
-		outcome, elsewhere := n.submitTo(ctx, target, job, value, false)
+		outcome, elsewhere := n.submitTo(ctx, target, job, value, n.storeIsSlow())
 		if outcome == dispatch.OutcomeFull && i == len(targets)-1 {
 			outcome, elsewhere = n.submitTo(ctx, targets[0], job, value, true)
 			target = targets[0]
@@ -148,7 +148,7 @@
 	}
 	n.mu.Unlock()
 	margin := homeMargin
-	if time.Duration(n.storeLately.Load()) > slowStore {
+	if n.storeIsSlow() {
 		margin = math.Inf(1)
 	}
 	return orderTargets(jobID, known, homeCell(jobID, int(n.cellCount.Load())), margin, owners)
@@ -158,6 +158,8 @@
 // jobs stay in their home cells: commits over several partitions would wait for each other.
 const slowStore = 200 * time.Millisecond
 
+func (n *Node) storeIsSlow() bool { return time.Duration(n.storeLately.Load()) > slowStore }
+
 // homeMargin is how much more load a job's home cell may have than another one before that gets the job. Another cell
 // needs a transaction over two partitions, which takes twice as long.
 const homeMargin = 0.05
