Learn one load for all serving tasks of a step

Cause: each serving task's own load was learned from its own reports, one in two seconds, with a rising report taken at once. Change: the load belongs to the step and is tracked by a Kalman filter of level and slope; what is left of a report is learned with the variance of that load instead of a constant.

--- a/dispatch/host.go
+++ b/dispatch/host.go
@@ -7,7 +7,6 @@
 
 	"github.com/sirupsen/logrus"
 
-	"github.com/currantthread/currantthread/interference"
 	"github.com/currantthread/currantthread/internal/wait"
 	"github.com/currantthread/currantthread/placement"
 	"github.com/currantthread/currantthread/runner"
@@ -66,8 +65,6 @@
 	overSince time.Time
 	// pausedSince is when the speed was set to 0; zero while it is not.
 	pausedSince time.Time
-	// load is the learned load of a serving task.
-	load interference.Load
 }
 
 func (r *run) id() workload.TaskID { return r.unit.task(r.member) }
--- a/dispatch/interference.go
+++ b/dispatch/interference.go
@@ -56,11 +56,17 @@
 	return shares
 }
 
-// room returns the pressure that a serving task bears beyond that of the tasks beside it. The caller holds mu.
-func (c *Cell) room(r *run) float64 {
+// bearable returns the pressure that a serving task bears now. Speeds are set again with each report, so how the load
+// goes on is not taken into account. The caller holds mu.
+func (c *Cell) bearable(now time.Time, r *run) float64 {
 	def := r.unit.def()
 	limit := c.pressure.Limit(def.Image, float64(def.LatencyTarget.Milliseconds()))
-	return limit - r.load.Value() - c.pressure.Sum(def.Image, r.host.granted())
+	return limit - r.unit.stepState().load.At(now)
+}
+
+// room returns the pressure that a serving task bears beyond that of the tasks beside it. The caller holds mu.
+func (c *Cell) room(now time.Time, r *run) float64 {
+	return c.bearable(now, r) - c.pressure.Sum(r.unit.def().Image, r.host.granted())
 }
 
 // judgeInterference learns from what a runner reports and sets the speeds of tasks that fill. The caller holds mu.
@@ -83,7 +89,7 @@
 	shares := h.shares()
 	for _, r := range serving {
 		if r.hasFigure && r.percent == 100 {
-			c.pressure.Observe(r.unit.def().Image, r.figure, shares, &r.load)
+			c.pressure.Observe(now, r.unit.def().Image, r.figure, shares, &r.unit.stepState().load)
 		}
 	}
 	over := overTarget(now, serving)
@@ -97,8 +103,7 @@
 func (c *Cell) shareOut(now time.Time, h *host, serving, filling []*run, over bool) {
 	room := make([]float64, len(serving))
 	for i, r := range serving {
-		def := r.unit.def()
-		room[i] = c.pressure.Limit(def.Image, float64(def.LatencyTarget.Milliseconds())) - r.load.Value()
+		room[i] = c.bearable(now, r)
 	}
 	if over {
 		for _, r := range filling {
--- a/dispatch/job.go
+++ b/dispatch/job.go
@@ -4,6 +4,7 @@
 	"slices"
 	"time"
 
+	"github.com/currantthread/currantthread/interference"
 	"github.com/currantthread/currantthread/workload"
 )
 
@@ -67,6 +68,8 @@
 	blocked int // earlier steps that are not done
 	// onRunner counts active runs of the step for each runner.
 	onRunner map[string]int
+	// load is the learned load of serving tasks.
+	load interference.Load
 }
 
 // jobState is what the owner knows of a job.
--- a/dispatch/plan.go
+++ b/dispatch/plan.go
@@ -140,10 +140,10 @@
 		for r := range h.runs {
 			def := r.unit.def()
 			p.Committed = p.Committed.Add(def.Committed())
-			p.UsedCPU += usedCPU(r)
+			p.UsedCPU += usedCPU(now, r)
 			if def.LatencyTarget > 0 {
 				p.Harmed = p.Harmed || !r.overSince.IsZero()
-				p.Serving = append(p.Serving, placement.Serving{Image: def.Image, Room: c.room(r)})
+				p.Serving = append(p.Serving, placement.Serving{Image: def.Image, Room: c.room(now, r)})
 			}
 		}
 		p.Slowdown, p.Suspect = h.health.slowdown(), h.health.suspect(now)
@@ -258,11 +258,11 @@
 
 // usedCPU returns the processor time that a run is expected to use, in thousandths of a core. A serving task that
 // responds within its target uses the share of its processors that its load takes.
-func usedCPU(r *run) int64 {
+func usedCPU(now time.Time, r *run) int64 {
 	def := r.unit.def()
 	switch {
 	case def.LatencyTarget > 0:
-		return int64(math.Round(min(r.load.Value()+servingMargin, 1) * float64(def.Resources.CPU)))
+		return int64(math.Round(min(r.unit.stepState().load.At(now)+servingMargin, 1) * float64(def.Resources.CPU)))
 	case def.Fills:
 		return def.Resources.CPU * int64(r.speed) / fullSpeed
 	default:
--- a/interference/pressure.go
+++ b/interference/pressure.go
@@ -1,5 +1,7 @@
 package interference
 
+import "time"
+
 // Pair is a serving image and an image of tasks that fill beside it.
 type Pair struct{ Serving, Filling string }
 
@@ -12,15 +14,8 @@
 const (
 	// priorPressure is assumed of pairs that were not seen together.
 	priorPressure = 1.0
-	// priorLoad is assumed of a serving task's own load until it was seen.
-	priorLoad = 0.45
 	// priorDeviation is the standard deviation of coefficients among pairs.
 	priorDeviation = 1.5
-	// loadDeviation is the standard deviation of a serving task's own load around its estimate, which is the noise of
-	// an observation.
-	loadDeviation = 0.15
-	// loadGain weights a new observation of a falling load.
-	loadGain = 0.35
 	// minVariance keeps coefficients open to what changes.
 	minVariance = 0.01
 	// maxPressure bounds a coefficient.
@@ -35,7 +30,7 @@
 
 // Pressure learns, for each pair of images, how much of a serving task's capacity the tasks that fill take. The tail
 // latency of a serving task follows floor / (1 - u), where the utilization u is its own load and the sum of shares times
-// coefficients; observations of it lag by half a second and its own load moves meanwhile. The zero value is not usable.
+// coefficients; observations of it lag by half a second and its own load moves meanwhile (see Load). The zero value is not usable.
 type Pressure struct {
 	images map[string]*sensitivity
 	// floors holds the lowest tail latency seen of each serving image.
@@ -79,22 +74,8 @@
 	return 1 - floor/(targetShare*target)
 }
 
-// Load is what is known of a serving task's own load. The zero value means nothing.
-type Load struct {
-	value float64
-	known bool
-}
-
-// Value returns the estimated utilization by the task's own load.
-func (l Load) Value() float64 {
-	if !l.known {
-		return priorLoad
-	}
-	return l.value
-}
-
-// Observe takes a tail latency of a serving task and the shares of what filled beside it.
-func (p *Pressure) Observe(image string, tail float64, shares []Share, load *Load) {
+// Observe takes a tail latency of a serving task, the shares of what filled beside it and the load of its step.
+func (p *Pressure) Observe(now time.Time, image string, tail float64, shares []Share, load *Load) {
 	if tail <= 0 {
 		return
 	}
@@ -102,35 +83,24 @@
 		p.floors[image] = tail
 	}
 	u := 1 - p.floors[image]/tail
-	pressure := p.Sum(image, shares)
+	const noise = reportDeviation * reportDeviation
 	if total(shares) < quietShare {
 		if u < saturation {
-			load.move(u, 1)
+			load.observe(now, u, noise)
 		}
 		return
 	}
-	residual := u - load.Value() - pressure
+	pressure, pressureVar := p.estimate(image, shares)
+	residual := u - load.At(now) - pressure
 	if u >= saturation && residual < 0 {
 		// The tail is saturated and the model says so too.
 		return
 	}
-	p.learn(image, residual, shares)
+	loadVar := load.variance(now)
 	if u < saturation {
-		load.move(u-p.Sum(image, shares), loadGain)
-	}
-}
-
-func (l *Load) move(value, gain float64) {
-	value = min(max(value, 0), 1)
-	if !l.known {
-		l.value, l.known = value, true
-		return
-	}
-	if value > l.value {
-		// A rising load harms before the next observation; a falling one only wastes a little.
-		gain = 1
+		load.observe(now, u-pressure, noise+pressureVar)
 	}
-	l.value += gain * (value - l.value)
+	p.learn(image, residual, noise+loadVar, shares)
 }
 
 func total(shares []Share) float64 {
@@ -141,14 +111,31 @@
 	return sum
 }
 
-// learn moves the coefficients of the images beside a serving task.
-func (p *Pressure) learn(image string, residual float64, shares []Share) {
+// estimate returns the pressure of shares on a serving image and its variance.
+func (p *Pressure) estimate(image string, shares []Share) (sum, variance float64) {
+	s := p.images[image]
+	for _, a := range shares {
+		sum += a.Used * p.Coefficient(Pair{image, a.Image})
+		if s == nil {
+			variance += a.Used * a.Used * priorDeviation * priorDeviation
+			continue
+		}
+		for _, b := range shares {
+			variance += a.Used * b.Used * s.covariance(a.Image, b.Image)
+		}
+	}
+	return sum, variance
+}
+
+// learn moves the coefficients of the images beside a serving task; noise is the variance of the residual beyond that of
+// the coefficients.
+func (p *Pressure) learn(image string, residual, noise float64, shares []Share) {
 	s := p.images[image]
 	if s == nil {
 		s = &sensitivity{index: map[string]int{}}
 		p.images[image] = s
 	}
-	s.update(residual, shares)
+	s.update(residual, noise, shares)
 }
 
 // sensitivity holds the coefficients of one serving image as a Gaussian estimate. Several images fill beside a task at
@@ -160,6 +147,20 @@
 	cov   [][]float64
 }
 
+// covariance returns the covariance of the coefficients of two images.
+func (s *sensitivity) covariance(a, b string) float64 {
+	i, seen := s.index[a]
+	k, also := s.index[b]
+	switch {
+	case seen && also:
+		return s.cov[i][k]
+	case a == b:
+		return priorDeviation * priorDeviation
+	default:
+		return 0
+	}
+}
+
 // grow adds an image with the prior.
 func (s *sensitivity) grow(image string) int {
 	i := len(s.mean)
@@ -175,7 +176,7 @@
 }
 
 // update is one step of recursive least squares: residual is the observed pressure less the predicted one.
-func (s *sensitivity) update(residual float64, shares []Share) {
+func (s *sensitivity) update(residual, noise float64, shares []Share) {
 	at := make([]int, len(shares))
 	for k, share := range shares {
 		i, ok := s.index[share.Image]
@@ -185,7 +186,7 @@
 		at[k] = i
 	}
 	gain := make([]float64, len(s.mean))
-	variance := loadDeviation * loadDeviation
+	variance := noise
 	for i := range gain {
 		for k, share := range shares {
 			gain[i] += s.cov[i][at[k]] * share.Used
--- a/interference/pressure_test.go
+++ b/interference/pressure_test.go
@@ -4,6 +4,7 @@
 	"fmt"
 	"math/rand/v2"
 	"testing"
+	"time"
 
 	"gotest.tools/v3/assert"
 )
@@ -20,7 +21,8 @@
 		return 0.1
 	}
 	model := NewPressure()
-	model.Observe("s", floor, nil, &Load{})
+	now := epoch
+	model.Observe(now, "s", floor, nil, &Load{})
 	for range 40 {
 		var load Load
 		for range 30 {
@@ -38,7 +40,8 @@
 			if u < 0.98 {
 				tail = floor / (1 - u)
 			}
-			model.Observe("s", tail, shares, &load)
+			model.Observe(now, "s", tail, shares, &load)
+			now = now.Add(500 * time.Millisecond)
 		}
 	}
 	for i := range images {
@@ -55,7 +58,7 @@
 func TestLimit(t *testing.T) {
 	model := NewPressure()
 	assert.Equal(t, model.Limit("s", 50), 0.0)
-	model.Observe("s", 10, nil, &Load{})
+	model.Observe(epoch, "s", 10, nil, &Load{})
 	limit := model.Limit("s", 50)
 	assert.Assert(t, 10/(1-limit) <= 50, "limit %.2f", limit)
 	assert.Assert(t, limit > 0.7)
