Suspect runners by their rate of failed runs, and move tasks at a standstill

Cause: a runner that fails everything cost three runs in a row, and as many again 8 s later; failures of hopeless jobs counted as well. A task on a runner where tasks stand still waited until the runner recovered, and the last task of a step decides. Change: an average of failed runs suspects a runner after two failures in a row and again after one, for twice as long; tasks and jobs that fail elsewhere too don't count. A task at full speed without progress for 2.5 s is stopped and started elsewhere, at most twice. The emulator reports progress and has a fault for runners that hang.

--- a/dispatch/cell_test.go
+++ b/dispatch/cell_test.go
@@ -716,7 +716,7 @@
 		w := newWorld(t, 4, always(time.Second))
 		c, stop := w.own("a", true)
 		time.Sleep(2 * time.Second)
-		w.store.TxnTime = 500 * time.Millisecond
+		w.store.SetTxnTime(500 * time.Millisecond)
 		began := time.Now()
 		type answer struct {
 			outcome dispatch.Outcome
@@ -755,7 +755,7 @@
 		w := newWorld(t, 1, always(time.Second))
 		c, stop := w.own("a", true)
 		time.Sleep(2 * time.Second)
-		w.store.TxnTime = 500 * time.Millisecond
+		w.store.SetTxnTime(500 * time.Millisecond)
 		go c.Submit(t.Context(), jobOf(1, tasks(1, 1000)), true)
 		time.Sleep(300 * time.Millisecond)
 		stop()
@@ -808,3 +808,37 @@
 		<-c.Done()
 	})
 }
+
+// Answers the pattern "tasks on some workers stand still": a step ends with its last task, so one task that hangs until
+// its runner recovers makes its job late.
+func TestTasksAtAStandstillMove(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		w := newWorld(t, 3, always(2*time.Second))
+		c, stop := w.own("a", true)
+		time.Sleep(2 * time.Second)
+		w.fleet.SetFault("r0", emulator.RunnerHangs)
+		job := jobOf(1, tasks(12, 8000))
+		w.submit(c, job)
+		time.Sleep(9 * time.Second)
+		assert.Equal(t, state(c, job), workload.StateCompleted)
+		w.noOverlap()
+		assert.Equal(t, w.fleet.Running("r0"), 0)
+		stop()
+		<-c.Done()
+	})
+}
+
+// Guards against slow tasks that are stopped although they make progress.
+func TestSlowTasksAreNotStopped(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		w := newWorld(t, 2, always(40*time.Second))
+		c, stop := w.own("a", true)
+		job := jobOf(1, tasks(6, 8000))
+		w.submit(c, job)
+		time.Sleep(42 * time.Second)
+		assert.Equal(t, state(c, job), workload.StateCompleted)
+		assert.Equal(t, len(w.fleet.Starts()), 6)
+		stop()
+		<-c.Done()
+	})
+}
--- a/dispatch/host.go
+++ b/dispatch/host.go
@@ -55,6 +55,7 @@
 	confirmedAt time.Time
 	startedAt   time.Time
 	percent     int
+	progressAt  time.Time // when the progress last changed
 	figure      float64
 	hasFigure   bool
 	stopping    bool // a goroutine sends stop orders
@@ -609,6 +610,7 @@
 	if listed.Checkpoint != "" {
 		r.unit.checkpoint = listed.Checkpoint
 	}
+	c.noteProgress(now, r, listed.Percent)
 	r.percent, r.figure, r.hasFigure = listed.Percent, listed.Figure, listed.HasFigure
 }
 
--- a/dispatch/job.go
+++ b/dispatch/job.go
@@ -38,6 +38,8 @@
 	checkpoint string
 	// avoid is the runner of the last failed run.
 	avoid string
+	// stalls counts runs that were stopped for want of progress.
+	stalls int
 	// class is the lateness as of the last plan.
 	class int
 	runs  []*run
@@ -86,6 +88,8 @@
 	doneOccs map[int]bool
 	// finishedAt is when the job became terminal here.
 	finishedAt time.Time
+	// failedOn are runners on which tasks of the job failed.
+	failedOn map[string]bool
 	// objective is when the job should be completed.
 	objective time.Time
 	dirty     bool
--- a/internal/emulator/runner.go
+++ b/internal/emulator/runner.go
@@ -26,6 +26,8 @@
 	RunnerAppliesLate
 	// RunnerFails fails every task that it starts.
 	RunnerFails
+	// RunnerHangs starts tasks that make no progress and don't end.
+	RunnerHangs
 )
 
 // errLost is the error of an order without an answer.
@@ -83,6 +85,9 @@
 
 type simRun struct {
 	timer    *time.Timer
+	started  time.Time
+	duration time.Duration
+	hangs    bool
 	stopping bool
 }
 
@@ -230,10 +235,13 @@
 	}
 	duration, fails := f.Work(order.Task, order.Run)
 	fails = fails || r.fault == RunnerFails
-	run := &simRun{}
+	run := &simRun{started: time.Now(), duration: duration, hangs: r.fault == RunnerHangs}
 	run.timer = time.AfterFunc(duration, func() {
 		f.mu.Lock()
 		defer f.mu.Unlock()
+		if run.hangs {
+			return
+		}
 		how := runner.EndDone
 		if fails {
 			how = runner.EndFailed
@@ -356,8 +364,8 @@
 // report lists what runs and what ended. The caller holds the fleet's mu.
 func (r *simRunner) report() runner.Report {
 	report := runner.Report{Clock: r.clock(), Born: r.info.Born, Ended: append([]runner.Ended(nil), r.ends...)}
-	for key := range r.running {
-		report.Running = append(report.Running, runner.Running{Task: key.task, Run: key.run, Percent: 100})
+	for key, run := range r.running {
+		report.Running = append(report.Running, runner.Running{Task: key.task, Run: key.run, Percent: run.percent()})
 	}
 	sort.Slice(report.Running, func(a, b int) bool {
 		return report.Running[a].Task.String() < report.Running[b].Task.String()
@@ -365,6 +373,18 @@
 	return report
 }
 
+// percent returns the progress of a run.
+func (r *simRun) percent() int {
+	switch {
+	case r.hangs:
+		return 0
+	case r.duration <= 0:
+		return 100
+	default:
+		return min(int(100*time.Since(r.started)/r.duration), 100)
+	}
+}
+
 // Info returns what a runner says about itself, and whether it lives.
 func (f *Fleet) Info(id string) (runner.Info, bool) {
 	f.mu.Lock()
--- a/internal/emulator/store.go
+++ b/internal/emulator/store.go
@@ -39,8 +39,6 @@
 type Store struct {
 	// Latency is the time of each call.
 	Latency time.Duration
-	// TxnTime is how long a transaction keeps its partitions busy; twice that if it has several.
-	TxnTime time.Duration
 
 	mu      sync.Mutex // owned by the methods of Store
 	rows    map[store.Key]store.Row
@@ -51,6 +49,8 @@
 	fault   StoreFault
 	changed chan struct{}
 	commits int
+	// txnTime is how long a transaction keeps its partitions busy; twice that if it has several.
+	txnTime time.Duration
 	// busy is when the transactions that wait for a partition will be applied.
 	busy map[string]time.Time
 }
@@ -67,6 +67,14 @@
 	s.fault = fault
 }
 
+// SetTxnTime makes each transaction keep its partitions busy for a time, twice that if it has several. A partition refuses
+// transactions while more than a second of them waits.
+func (s *Store) SetTxnTime(d time.Duration) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.txnTime = d
+}
+
 // DropHistory makes feeds from earlier versions fail.
 func (s *Store) DropHistory() {
 	s.mu.Lock()
@@ -117,9 +125,6 @@
 
 // queue returns when the partitions of a transaction have applied it, and whether they take it.
 func (s *Store) queue(txn store.Txn) (turn time.Time, ok bool) {
-	if s.TxnTime == 0 {
-		return time.Now(), true
-	}
 	parts := map[string]bool{}
 	for _, c := range txn.Conditions {
 		parts[c.Key.Part] = true
@@ -133,23 +138,22 @@
 	now := time.Now()
 	begin := now
 	s.mu.Lock()
+	defer s.mu.Unlock()
 	for part := range parts {
 		if s.busy[part].Sub(now) > maxQueue {
-			s.mu.Unlock()
 			return time.Time{}, false
 		}
 		if s.busy[part].After(begin) {
 			begin = s.busy[part]
 		}
 	}
-	end := begin.Add(s.TxnTime)
+	end := begin.Add(s.txnTime)
 	if len(parts) > 1 {
-		end = end.Add(s.TxnTime)
+		end = end.Add(s.txnTime)
 	}
 	for part := range parts {
 		s.busy[part] = end
 	}
-	s.mu.Unlock()
 	return end, true
 }
 
--- a/ownership/heartbeat_test.go
+++ b/ownership/heartbeat_test.go
@@ -48,7 +48,7 @@
 func TestHeartbeatsPassASlowStore(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		s := emulator.NewStore()
-		s.TxnTime = 270 * time.Millisecond
+		s.SetTxnTime(270 * time.Millisecond)
 		ctx, cancel := context.WithCancel(t.Context())
 		var nodes []*beating
 		var all sync.WaitGroup
