Send lasting jobs to the cell with the most room for them

Change: for lasting jobs the cells are ordered by the share of their room for lasting tasks. Test: TestLastingJobsGoWhereTheMostRoomIs.

--- a/node/clients.go
+++ b/node/clients.go
@@ -70,7 +70,7 @@
 		return intake.Decision{Outcome: intake.Refused, Reason: err.Error()}
 	}
 	unknown, full := false, 0
-	targets := n.targets(job.ID)
+	targets := n.targets(job)
 	for i, target := range targets {
 		// The cells after the first two have the most room first. The last offer is taken whatever the room is, but for
 		// lasting jobs: those wait for room that may not come for minutes.
@@ -130,10 +130,10 @@
 }
 
 // targets returns the owners of cells in the order in which a job is offered to them.
-func (n *Node) targets(jobID string) []ownership.Owner {
+func (n *Node) targets(job *workload.Job) []ownership.Owner {
 	owners := n.directory.Owners(time.Now())
 	n.mu.Lock()
-	known := n.located[jobID]
+	known := n.located[job.ID]
 	for name, c := range n.cells {
 		if o, ok := owners[name]; ok && !c.Lost() {
 			o.Load = c.Load()
@@ -151,7 +151,23 @@
 	if n.storeIsSlow() {
 		margin = math.Inf(1)
 	}
-	return orderTargets(jobID, known, homeCell(jobID, int(n.cellCount.Load())), margin, owners)
+	list := orderTargets(job.ID, known, homeCell(job.ID, int(n.cellCount.Load())), margin, owners)
+	if job.LongRunning() && !n.storeIsSlow() {
+		orderByLastingRoom(list, known)
+	}
+	return list
+}
+
+// orderByLastingRoom orders the owners of cells for a lasting job: the cell that is known to have it, then those with the
+// most room for lasting tasks. Such jobs are few, so a second of them changes little, and they stay where they start.
+func orderByLastingRoom(list []ownership.Owner, known string) {
+	sort.SliceStable(list, func(a, b int) bool {
+		x, y := list[a].Load, list[b].Load
+		if kx, ky := x.Cell == known, y.Cell == known; kx != ky {
+			return kx
+		}
+		return float64(x.LastingRoom)/float64(max(x.Capacity, 1)) > float64(y.LastingRoom)/float64(max(y.Capacity, 1))
+	})
 }
 
 // slowStore is the time of a commit from which the store counts as slow; it takes up to 50 ms from another region. Then
--- a/node/clients_test.go
+++ b/node/clients_test.go
@@ -94,3 +94,17 @@
 	err = submit()
 	assert.Assert(t, neverSent(err), "%v", err)
 }
+
+// Answers the pattern "owners change while lasting jobs come": the cell that kept its owner gets them all and is committed
+// to 96%, while others have room (wpm-belownia-grown trouble-1).
+func TestLastingJobsGoWhereTheMostRoomIs(t *testing.T) {
+	list := []ownership.Owner{ownerWith("c0", 50_000), ownerWith("c1", 50_000), ownerWith("c2", 50_000)}
+	for i, room := range []int64{2_000, 9_000, -1_000} {
+		list[i].Load.LastingRoom = room
+	}
+	orderByLastingRoom(list, "")
+	assert.Equal(t, list[0].Load.Cell, "c1")
+	assert.Equal(t, list[2].Load.Cell, "c2")
+	orderByLastingRoom(list, "c2")
+	assert.Equal(t, list[0].Load.Cell, "c2")
+}
