Relay operators' rows within a region far from the store

Cause: with a big configuration every node read each version across the link between regions. Change: in a region far from the store, with six nodes or more, the node with the fastest link relays the rows; it answers with the present rows, so versions that follow each other are passed on once. A relay that does not answer, has an old reading or is behind is not used for 5 s.

--- a/innerproto/innerprotoconnect/currantthread.connect.go
+++ b/innerproto/innerprotoconnect/currantthread.connect.go
@@ -27,6 +27,8 @@
 	CellServiceName = "currantthread.inner.v1.CellService"
 	// JobServiceName is the fully-qualified name of the JobService service.
 	JobServiceName = "currantthread.inner.v1.JobService"
+	// RelayServiceName is the fully-qualified name of the RelayService service.
+	RelayServiceName = "currantthread.inner.v1.RelayService"
 )
 
 // These constants are the fully-qualified names of the RPCs defined in this package. They're
@@ -55,6 +57,8 @@
 	JobServiceJobStateProcedure = "/currantthread.inner.v1.JobService/JobState"
 	// JobServiceCancelJobProcedure is the fully-qualified name of the JobService's CancelJob RPC.
 	JobServiceCancelJobProcedure = "/currantthread.inner.v1.JobService/CancelJob"
+	// RelayServiceChangesProcedure is the fully-qualified name of the RelayService's Changes RPC.
+	RelayServiceChangesProcedure = "/currantthread.inner.v1.RelayService/Changes"
 )
 
 // PeerServiceClient is a client for the currantthread.inner.v1.PeerService service.
@@ -440,3 +444,77 @@
 func (UnimplementedJobServiceHandler) CancelJob(context.Context, *innerproto.CancelJobRequest) (*innerproto.CancelJobResponse, error) {
 	return nil, connect.NewError(connect.CodeUnimplemented, errors.New("currantthread.inner.v1.JobService.CancelJob is not implemented"))
 }
+
+// RelayServiceClient is a client for the currantthread.inner.v1.RelayService service.
+type RelayServiceClient interface {
+	Changes(context.Context, *innerproto.ChangesRequest) (*innerproto.ChangesResponse, error)
+}
+
+// NewRelayServiceClient constructs a client for the currantthread.inner.v1.RelayService service. By
+// default, it uses the Connect protocol with the binary Protobuf Codec, asks for gzipped responses,
+// and sends uncompressed requests. To use the gRPC or gRPC-Web protocols, supply the
+// connect.WithGRPC() or connect.WithGRPCWeb() options.
+//
+// The URL supplied here should be the base URL for the Connect or gRPC server (for example,
+// http://api.acme.com or https://acme.com/grpc).
+func NewRelayServiceClient(httpClient connect.HTTPClient, baseURL string, opts ...connect.ClientOption) RelayServiceClient {
+	baseURL = strings.TrimRight(baseURL, "/")
+	relayServiceMethods := innerproto.File_currantthread_proto.Services().ByName("RelayService").Methods()
+	return &relayServiceClient{
+		changes: connect.NewClient[innerproto.ChangesRequest, innerproto.ChangesResponse](
+			httpClient,
+			baseURL+RelayServiceChangesProcedure,
+			connect.WithSchema(relayServiceMethods.ByName("Changes")),
+			connect.WithClientOptions(opts...),
+		),
+	}
+}
+
+// relayServiceClient implements RelayServiceClient.
+type relayServiceClient struct {
+	changes *connect.Client[innerproto.ChangesRequest, innerproto.ChangesResponse]
+}
+
+// Changes calls currantthread.inner.v1.RelayService.Changes.
+func (c *relayServiceClient) Changes(ctx context.Context, req *innerproto.ChangesRequest) (*innerproto.ChangesResponse, error) {
+	response, err := c.changes.CallUnary(ctx, connect.NewRequest(req))
+	if response != nil {
+		return response.Msg, err
+	}
+	return nil, err
+}
+
+// RelayServiceHandler is an implementation of the currantthread.inner.v1.RelayService service.
+type RelayServiceHandler interface {
+	Changes(context.Context, *innerproto.ChangesRequest) (*innerproto.ChangesResponse, error)
+}
+
+// NewRelayServiceHandler builds an HTTP handler from the service implementation. It returns the
+// path on which to mount the handler and the handler itself.
+//
+// By default, handlers support the Connect, gRPC, and gRPC-Web protocols with the binary Protobuf
+// and JSON codecs. They also support gzip compression.
+func NewRelayServiceHandler(svc RelayServiceHandler, opts ...connect.HandlerOption) (string, http.Handler) {
+	relayServiceMethods := innerproto.File_currantthread_proto.Services().ByName("RelayService").Methods()
+	relayServiceChangesHandler := connect.NewUnaryHandlerSimple(
+		RelayServiceChangesProcedure,
+		svc.Changes,
+		connect.WithSchema(relayServiceMethods.ByName("Changes")),
+		connect.WithHandlerOptions(opts...),
+	)
+	return "/currantthread.inner.v1.RelayService/", http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		switch r.URL.Path {
+		case RelayServiceChangesProcedure:
+			relayServiceChangesHandler.ServeHTTP(w, r)
+		default:
+			http.NotFound(w, r)
+		}
+	})
+}
+
+// UnimplementedRelayServiceHandler returns CodeUnimplemented from all methods.
+type UnimplementedRelayServiceHandler struct{}
+
+func (UnimplementedRelayServiceHandler) Changes(context.Context, *innerproto.ChangesRequest) (*innerproto.ChangesResponse, error) {
+	return nil, connect.NewError(connect.CodeUnimplemented, errors.New("currantthread.inner.v1.RelayService.Changes is not implemented"))
+}
--- a/node/clients.go
+++ b/node/clients.go
@@ -375,6 +375,7 @@
 func (n *Node) innerHandler() http.Handler {
 	mux := http.NewServeMux()
 	mux.Handle(innerprotoconnect.NewJobServiceHandler(&jobService{node: n}))
+	mux.Handle(innerprotoconnect.NewRelayServiceHandler(&relayService{node: n}))
 	return mux
 }
 
--- a/node/node.go
+++ b/node/node.go
@@ -123,7 +123,8 @@
 	n.beats = ownership.NewReader(n.store)
 	n.metrics = dispatch.NewMetrics(n.registry)
 	n.bounds.Store(&s.Bounds)
-	n.operator = store.NewFollower(n.store, platform.TableOperator, n.operatorChanged, n.dependency("operator's rows"))
+	relayed := &relayedStore{Store: n.store, relay: n.relayAddr, call: n.callRelay, log: n.log}
+	n.operator = store.NewFollower(relayed, platform.TableOperator, n.operatorChanged, n.dependency("operator's rows"))
 	n.servers = store.NewFollower(n.store, platform.TableServers, n.serversChanged, n.dependency("service discovery"))
 	n.servers.Poll, n.servers.Spacing, n.servers.Active = true, discoverySpacing, n.needsRunners
 	n.roster = store.NewFollower(n.store, tableRoster, n.rosterChanged, n.dependency("roster"))
--- /dev/null
+++ b/node/relay.go
@@ -0,0 +1,97 @@
+package node
+
+import (
+	"context"
+	"time"
+
+	"connectrpc.com/connect"
+	"github.com/sirupsen/logrus"
+
+	"github.com/currantthread/currantthread/innerproto"
+	"github.com/currantthread/currantthread/innerproto/innerprotoconnect"
+	"github.com/currantthread/currantthread/store"
+)
+
+const (
+	// relaySlack is added to the time that a relay may wait for a change: a path within a region and a large row.
+	relaySlack = 600 * time.Millisecond
+	// relayMaxAge is the oldest reading of the table that is taken from a relay, and relayWait bounds a call of it. A relay
+	// that reaches the store reads it every 1.5 s at least. Both together leave time for a direct read when the relay is
+	// cut off: a configuration must be in force 2.5 s after its acknowledgement.
+	relayMaxAge = 1800 * time.Millisecond
+	relayWait   = 500 * time.Millisecond
+	// relayPause is how long a node reads the store itself after a relay failed it.
+	relayPause = 5 * time.Second
+)
+
+// relayedStore is the platform's store, but reads the feed of operators' rows from a node of the own region where there is
+// one that relays it: a configuration of 250 KB that each of 20 nodes reads for itself fills the link between regions for
+// most of a second. It is used by one goroutine.
+type relayedStore struct {
+	store.Store
+	// relay returns the address of the relay, or "" if the store is to be read directly.
+	relay func() string
+	call  func(ctx context.Context, addr string, req *innerproto.ChangesRequest) (*innerproto.ChangesResponse, error)
+	log   *logrus.Entry
+	// directUntil is when a relay is tried again.
+	directUntil time.Time
+}
+
+// Feed implements store.Store. From a relay come the present rows instead of each change.
+func (r *relayedStore) Feed(ctx context.Context, table string, after int64, wait time.Duration) (store.Page, error) {
+	addr := ""
+	if !time.Now().Before(r.directUntil) {
+		addr = r.relay()
+	}
+	if addr == "" {
+		return r.Store.Feed(ctx, table, after, wait)
+	}
+	callCtx, cancel := context.WithTimeout(ctx, relayWait+relaySlack)
+	defer cancel()
+	res, err := r.call(callCtx, addr, &innerproto.ChangesRequest{After: after, WaitMs: relayWait.Milliseconds()})
+	if err == nil && res.Version >= after && time.Duration(res.AgeMs)*time.Millisecond <= relayMaxAge {
+		return relayedPage(table, res), nil
+	}
+	r.directUntil = time.Now().Add(relayPause)
+	entry := r.log.WithField("relay", addr)
+	if err != nil {
+		entry = entry.WithError(err)
+	} else {
+		entry = entry.WithFields(logrus.Fields{"age_ms": res.AgeMs, "version": res.Version, "known": after})
+	}
+	entry.Warn("relay of operators' rows is not used")
+	return r.Store.Feed(ctx, table, after, wait)
+}
+
+func relayedPage(table string, res *innerproto.ChangesResponse) store.Page {
+	page := store.Page{Version: res.Version}
+	for _, row := range res.Rows {
+		page.Rows = append(page.Rows, store.Row{Key: store.Key{Table: table, Name: row.Key}, Value: row.Value,
+			Version: row.Version, Deleted: row.Deleted})
+	}
+	return page
+}
+
+// relayAddr returns the address of the node that relays operators' rows to this one, or "".
+func (n *Node) relayAddr() string { return n.directory.Relay(time.Now()) }
+
+func (n *Node) callRelay(ctx context.Context, addr string, req *innerproto.ChangesRequest) (*innerproto.ChangesResponse, error) {
+	return innerprotoconnect.NewRelayServiceClient(n.peers.http, "http://"+addr).Changes(ctx, req)
+}
+
+// relayService serves the other nodes of the region.
+type relayService struct{ node *Node }
+
+// Changes implements innerprotoconnect.RelayServiceHandler.
+func (s *relayService) Changes(ctx context.Context, req *innerproto.ChangesRequest) (*innerproto.ChangesResponse, error) {
+	patience := min(time.Duration(req.WaitMs)*time.Millisecond, relayWait)
+	page, age, known := s.node.operator.Changes(ctx, req.After, patience)
+	if !known {
+		return nil, connect.NewError(connect.CodeUnavailable, errNoAnswer)
+	}
+	res := &innerproto.ChangesResponse{Version: page.Version, AgeMs: age.Milliseconds()}
+	for _, row := range page.Rows {
+		res.Rows = append(res.Rows, &innerproto.RelayedRow{Key: row.Key.Name, Value: row.Value, Version: row.Version, Deleted: row.Deleted})
+	}
+	return res, nil
+}
--- /dev/null
+++ b/node/relay_test.go
@@ -0,0 +1,148 @@
+package node
+
+import (
+	"context"
+	"errors"
+	"io"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"github.com/currantthread/currantthread/innerproto"
+	"github.com/currantthread/currantthread/internal/emulator"
+	"github.com/currantthread/currantthread/observe"
+	"github.com/currantthread/currantthread/platform"
+	"github.com/currantthread/currantthread/store"
+)
+
+// relayWorld is a store with a relay in front of it.
+type relayWorld struct {
+	store *emulator.Store
+	// relay follows the store, and node the relay.
+	relay, node *store.Follower
+	relayed     *relayedStore
+	calls       int
+	down        bool
+	seen        []string // values of the configuration, as the node put them in force
+}
+
+func newRelayWorld() *relayWorld {
+	w := &relayWorld{store: emulator.NewStore()}
+	ignore := func(error) {}
+	w.relay = store.NewFollower(w.store, platform.TableOperator, func([]store.Row) {}, ignore)
+	w.relayed = &relayedStore{Store: w.store, log: observe.NewLogger(io.Discard, "test", "node"),
+		relay: func() string { return "relay" }, call: w.call}
+	w.node = store.NewFollower(w.relayed, platform.TableOperator, func(rows []store.Row) {
+		for _, row := range rows {
+			w.seen = append(w.seen, string(row.Value))
+		}
+	}, ignore)
+	return w
+}
+
+func (w *relayWorld) call(ctx context.Context, _ string, req *innerproto.ChangesRequest) (*innerproto.ChangesResponse, error) {
+	w.calls++
+	if w.down {
+		return nil, errors.New("connection refused")
+	}
+	return (&relayService{node: &Node{operator: w.relay}}).Changes(ctx, req)
+}
+
+func (w *relayWorld) put(value string) {
+	w.store.Put(store.Key{Table: platform.TableOperator, Name: platform.RowConfig}, []byte(value))
+}
+
+// run plays a scenario with both followers at work.
+func (w *relayWorld) run(t *testing.T, play func()) {
+	ctx, cancel := context.WithCancel(t.Context())
+	done := make(chan struct{}, 2)
+	for _, f := range []*store.Follower{w.relay, w.node} {
+		go func() {
+			f.Run(ctx)
+			done <- struct{}{}
+		}()
+	}
+	time.Sleep(time.Second)
+	play()
+	cancel()
+	<-done
+	<-done
+}
+
+func (w *relayWorld) last() string { return w.seen[len(w.seen)-1] }
+
+// Guards against a configuration that is late behind a relay, or a deletion that does not pass it.
+func TestRelayPassesChangesOn(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		w := newRelayWorld()
+		w.put("v1")
+		w.run(t, func() {
+			for _, v := range []string{"v2", "v3"} {
+				w.put(v)
+				time.Sleep(100 * time.Millisecond)
+				assert.Equal(t, w.last(), v)
+			}
+			w.store.Drop(store.Key{Table: platform.TableOperator, Name: platform.RowConfig})
+			time.Sleep(100 * time.Millisecond)
+			assert.Equal(t, w.last(), "")
+			assert.Assert(t, w.calls > 3)
+			assert.Assert(t, w.relayed.directUntil.IsZero())
+		})
+	})
+}
+
+// Guards against a node that stays with an old configuration because its relay is down.
+func TestNodeReadsTheStoreWhenItsRelayIsDown(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		w := newRelayWorld()
+		w.put("v1")
+		w.run(t, func() {
+			w.down = true
+			time.Sleep(2 * time.Second)
+			w.put("v2")
+			time.Sleep(100 * time.Millisecond)
+			assert.Equal(t, w.last(), "v2")
+			w.down = false
+			time.Sleep(relayPause + feedTime)
+			calls := w.calls
+			time.Sleep(2 * feedTime)
+			assert.Assert(t, w.calls > calls, "the relay is not tried again")
+		})
+	})
+}
+
+// feedTime is longer than one call of the feed.
+const feedTime = 2 * time.Second
+
+// cutStore is a store that one node can't reach.
+type cutStore struct {
+	store.Store
+	cut bool
+}
+
+func (s *cutStore) Feed(ctx context.Context, table string, after int64, wait time.Duration) (store.Page, error) {
+	if s.cut {
+		time.Sleep(wait)
+		return store.Page{}, store.ErrUnavailable
+	}
+	return s.Store.Feed(ctx, table, after, wait)
+}
+
+// Guards against a node that follows a relay which can't read the store: configurations must be in force within 2.5 s.
+func TestRelayThatIsCutOffIsNotFollowed(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		w := newRelayWorld()
+		cut := &cutStore{Store: w.store}
+		w.relay = store.NewFollower(cut, platform.TableOperator, func([]store.Row) {}, func(error) {})
+		w.put("v1")
+		w.run(t, func() {
+			cut.cut = true
+			time.Sleep(time.Second)
+			w.put("v2")
+			time.Sleep(2500 * time.Millisecond)
+			assert.Equal(t, w.last(), "v2")
+		})
+	})
+}
--- a/ownership/directory.go
+++ b/ownership/directory.go
@@ -194,6 +194,37 @@
 // milliseconds, and 40 more from another one.
 const farStoreMs = 25
 
+// relayNodes is the number of nodes in a region far from the store from which one of them reads operators' rows for all.
+const relayNodes = 6
+
+// Relay returns the address of the node that relays operators' rows to the node self, or "" if self reads them from the
+// store: it is near the store, has few neighbours, or is the relay. The relay is the node with the fastest link, then
+// the first by name.
+func (d *Directory) Relay(now time.Time) string {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	self := d.members[d.self]
+	if self == nil || self.beat.StoreMs <= farStoreMs {
+		return ""
+	}
+	var relay *Beat
+	count := 0
+	for _, m := range d.members {
+		beat := &m.beat
+		if !d.alive(now, m) || beat.Leaving || beat.Region != self.beat.Region || beat.StoreMs <= farStoreMs {
+			continue
+		}
+		count++
+		if relay == nil || beat.LinkMbps > relay.LinkMbps || beat.LinkMbps == relay.LinkMbps && beat.Node < relay.Node {
+			relay = beat
+		}
+	}
+	if count < relayNodes || relay.Node == d.self {
+		return ""
+	}
+	return relay.Addr
+}
+
 // What a node needs to own a cell of the usual size without waiting for its processor or its link.
 const (
 	cpuPerCell  = 0.3
--- a/ownership/directory_test.go
+++ b/ownership/directory_test.go
@@ -85,3 +85,33 @@
 	assert.Equal(t, len(d.Owners(start.Add(time.Minute))), 0)
 	assert.Equal(t, d.LastLoads()["c0"].Pending["q"], 7)
 }
+
+// Guards against nodes of a far region that all read operators' rows across the link between regions, against a relay
+// that relays to itself, and against a relay that is gone or leaves.
+func TestRelay(t *testing.T) {
+	far := func(node string, mbps float64) Beat {
+		beat := strong(node)
+		beat.StoreMs, beat.Region, beat.LinkMbps = 44, "r2", mbps
+		return beat
+	}
+	directory := func(self string, beats ...Beat) *Directory {
+		d := NewDirectory(self)
+		var rows []store.Row
+		for i, beat := range beats {
+			rows = append(rows, row(t, int64(i+1), beat))
+		}
+		d.Update(start, rows)
+		return d
+	}
+	beats := []Beat{far("a", 10), far("b", 200), far("c", 200), far("d", 10), far("e", 10), far("f", 10), strong("near")}
+	assert.Equal(t, directory("a", beats...).Relay(start), "b")
+	assert.Equal(t, directory("c", beats...).Relay(start), "b")
+	assert.Equal(t, directory("b", beats...).Relay(start), "")
+	assert.Equal(t, directory("near", beats...).Relay(start), "")
+	assert.Equal(t, directory("a", beats[1:]...).Relay(start), "", "the node's own row is not known")
+	assert.Equal(t, directory("a", beats[:5]...).Relay(start), "", "few nodes")
+	leaving := append([]Beat{far("g", 10)}, beats...)
+	leaving[2].Leaving = true
+	assert.Equal(t, directory("a", leaving...).Relay(start), "c")
+	assert.Equal(t, directory("a", beats...).Relay(start.Add(keepView)), "", "nothing is known any more")
+}
--- a/store/follower.go
+++ b/store/follower.go
@@ -37,13 +37,16 @@
 	rows    map[string]Row
 	version int64
 	synced  bool
+	// readAt is when the table was last read, and advanced is closed when version grows.
+	readAt   time.Time
+	advanced chan struct{}
 }
 
 // NewFollower returns a follower of a table. onChange is called with changed rows, from one goroutine; onError is
 // called for failed reads, and with nil when reads work again.
 func NewFollower(s Store, table string, onChange func(rows []Row), onError func(err error)) *Follower {
 	return &Follower{store: s, table: table, onChange: onChange, onError: onError,
-		rows: map[string]Row{}}
+		rows: map[string]Row{}, advanced: make(chan struct{})}
 }
 
 // Rows returns a copy of the rows that exist, by name, and whether the table was read at least once.
@@ -102,10 +105,42 @@
 		return err
 	}
 	f.apply(page.Rows)
+	f.advance(page.Version)
+	return nil
+}
+
+// advance notes that the table was read up to a version.
+func (f *Follower) advance(version int64) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.readAt = time.Now()
+	if version <= f.version {
+		return
+	}
+	f.version = version
+	close(f.advanced)
+	f.advanced = make(chan struct{})
+}
+
+// Changes returns the present state of the rows that changed after a version, deleted ones included, and how long ago the
+// table was read. It waits up to a time until the table was read beyond the version. known is false before the first
+// read.
+func (f *Follower) Changes(ctx context.Context, after int64, patience time.Duration) (page Page, age time.Duration, known bool) {
 	f.mu.Lock()
-	f.version = max(f.version, page.Version)
+	behind, advanced := f.version <= after, f.advanced
 	f.mu.Unlock()
-	return nil
+	if behind {
+		wait.ForSignal(ctx, patience, advanced)
+	}
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	page.Version = f.version
+	for _, row := range f.rows {
+		if row.Version > after {
+			page.Rows = append(page.Rows, row)
+		}
+	}
+	return page, time.Since(f.readAt), f.synced
 }
 
 // resync reads the whole table. Rows that are missing are taken as deleted only if the read is at least as new as
@@ -130,9 +165,9 @@
 			rows = append(rows, Row{Key: row.Key, Version: page.Version, Deleted: true})
 		}
 	}
-	f.version = page.Version
 	f.mu.Unlock()
 	f.apply(rows)
+	f.advance(page.Version)
 	f.mu.Lock()
 	f.synced = true
 	f.mu.Unlock()
