Keep runners for lasting tasks only where room will come, and not from each other

A runner kept for a large task was refused to a small one that fits there, and 182 short tasks waited beside 198 free cores for 14 s, although nothing on the kept runners was going to end. Change: lasting tasks may start on kept runners, and a runner is kept only if its short tasks give back enough room when they end. Test: TestReservedRunnerTakesLastingTasksThatFit.

--- a/dispatch/plan.go
+++ b/dispatch/plan.go
@@ -135,11 +135,14 @@
 		p.Available = h.present && !h.info.Draining && !c.evacuated[h.info.Domain] && h.reachable(now) && !h.namedGone &&
 			!now.Before(h.roomUntil) && h.foreign == 0
 		p.Far = c.cfg.Regions[h.info.Domain] != c.cfg.Region
-		p.Committed, p.UsedCPU, p.Serving = workload.Resources{}, 0, p.Serving[:0]
+		p.Committed, p.Transient, p.UsedCPU, p.Serving = workload.Resources{}, workload.Resources{}, 0, p.Serving[:0]
 		p.Harmed, p.Reserved = false, false
 		for r := range h.runs {
 			def := r.unit.def()
 			p.Committed = p.Committed.Add(def.Committed())
+			if !def.LongRunning {
+				p.Transient = p.Transient.Add(def.Committed())
+			}
 			p.UsedCPU += usedCPU(now, r)
 			if def.LatencyTarget > 0 {
 				p.Harmed = p.Harmed || !r.overSince.IsZero()
--- a/placement/placement.go
+++ b/placement/placement.go
@@ -16,6 +16,8 @@
 	Capacity  workload.Resources
 	// Committed is what runs, may run or is being stopped there, without the processor time of tasks that fill.
 	Committed workload.Resources
+	// Transient is the part of Committed that ends by itself within seconds: that of tasks that don't last.
+	Transient workload.Resources
 	// UsedCPU is the processor time that tasks are expected to use, in thousandths of a core; serving tasks use less
 	// than they commit.
 	UsedCPU int64
@@ -23,7 +25,8 @@
 	Serving []Serving
 	// Harmed is set while a serving task is over its target; nothing more may fill there, whatever the model says.
 	Harmed bool
-	// Reserved is set for a runner that is kept for a lasting task; only tasks that fill may start there meanwhile.
+	// Reserved is set for a runner that is kept for a lasting task that does not fit yet. Tasks that fill may start there
+	// meanwhile, and other lasting tasks that fit.
 	Reserved bool
 	// Far is set for runners in another region than the cell's owner.
 	Far bool
@@ -85,7 +88,9 @@
 // Score says how well a runner suits a task; scores of several functions are added.
 type Score func(r *Request, h *Host) float64
 
-func isAvailable(r *Request, h *Host) bool { return h.Available && (r.Step.Fills || !h.Reserved) }
+func isAvailable(r *Request, h *Host) bool {
+	return h.Available && (!h.Reserved || r.Step.Fills || r.Step.LongRunning)
+}
 
 func hasRoom(r *Request, h *Host) bool { return r.Step.Committed().Fits(h.Free()) }
 
@@ -250,12 +255,12 @@
 	return true
 }
 
-// Reserve returns the runner that is likely to have room for a task first, among those that may take it: the one with
-// the most processor time that is not committed. It returns nil if none could ever take the task.
+// Reserve returns the runner that is likely to have room for a task first, among those that have it once their short tasks
+// have ended: the one with the most processor time that is not committed. It returns nil if none would have room.
 func Reserve(r *Request, hosts []*Host) *Host {
 	var best *Host
 	for _, h := range hosts {
-		if !r.Step.Committed().Fits(h.Capacity) || !isAvailable(r, h) || !hasRequiredLabel(r, h) || !isOnRack(r, h) ||
+		if h.Reserved || !r.Step.Committed().Fits(h.Free().Add(h.Transient)) || !isAvailable(r, h) || !hasRequiredLabel(r, h) || !isOnRack(r, h) ||
 			!isBelowSpreadLimit(r, h) {
 			continue
 		}
--- a/placement/placement_test.go
+++ b/placement/placement_test.go
@@ -134,3 +134,27 @@
 	}
 	assert.Assert(t, placed >= 360, "%d of 400 tasks found a place", placed)
 }
+
+// Answers the pattern "many lasting tasks wait after runners are lost": a runner that is kept for a large one was refused to
+// a small one that fits there (LOST 5, kioscos-reserva mix, seed 605755346713).
+func TestReservedRunnerTakesLastingTasksThatFit(t *testing.T) {
+	host := &Host{ID: "r", Available: true, Capacity: workload.Resources{CPU: 64_000, MemoryMB: 256_000}}
+	host.Committed.CPU, host.Transient.CPU = 50_000, 10_000
+	request := func(step workload.Step) *Request {
+		return &Request{Step: &step, OnHost: func(string) int { return 0 }, Pressure: func(string) float64 { return 0 }}
+	}
+	large := request(workload.Step{Resources: workload.Resources{CPU: 20_000}, LongRunning: true})
+	small := request(workload.Step{Resources: workload.Resources{CPU: 9_000}, LongRunning: true})
+	short := request(workload.Step{Resources: workload.Resources{CPU: 9_000}})
+	hosts := []*Host{host}
+	assert.Assert(t, Pick(large, hosts) == nil)
+	reserved := Reserve(large, hosts)
+	assert.Equal(t, reserved, host)
+	reserved.Reserved = true
+	assert.Equal(t, Pick(small, hosts), host)
+	assert.Assert(t, Pick(short, hosts) == nil, "short tasks take the room that is kept")
+	assert.Assert(t, Reserve(large, hosts) == nil, "one runner is kept for two tasks")
+	// Nothing there ends soon: keeping it only keeps short tasks away (182 waited beside 198 free cores on that day).
+	host.Reserved, host.Transient.CPU = false, 5_000
+	assert.Assert(t, Reserve(large, hosts) == nil)
+}
