Serve histograms of commits, hand-ins, start orders, waits and objectives

Cause: only counters were served, so an on-call engineer could not tell which stage of a late job took the time. Change: five histograms and a counter of runs stopped for want of progress. The tests of the relay guard their shared state, which the race detector reported.

--- a/dispatch/cell.go
+++ b/dispatch/cell.go
@@ -279,6 +279,7 @@
 // makeReady queues a unit for a start. The caller holds mu.
 func (c *Cell) makeReady(u *unit) {
 	u.phase = phaseReady
+	u.readyAt = time.Now()
 	c.ready = append(c.ready, u)
 	kick(c.planKick)
 }
@@ -304,6 +305,9 @@
 	j.state = state
 	j.finishedAt = now
 	c.admission.freedSince += lastingDemand(j.def)
+	if allowed := j.objective.Sub(j.def.AcceptedAt); state == workload.StateCompleted && allowed > 0 && j.def.StartAt.IsZero() {
+		c.cfg.Metrics.objectiveShare.WithLabelValues(j.def.Policy.Queue).Observe(now.Sub(j.def.AcceptedAt).Seconds() / allowed.Seconds())
+	}
 	if j.def.Policy.Advised {
 		maps.DeleteFunc(c.advice, func(key shape, _ *advice) bool { return key.job == j })
 	}
--- a/dispatch/flush.go
+++ b/dispatch/flush.go
@@ -309,6 +309,7 @@
 		sent := time.Now()
 		version, err := c.cfg.Store.Commit(context.WithoutCancel(ctx), b.txn)
 		c.cfg.Metrics.commits.Inc()
+		c.cfg.Metrics.commitTime.Observe(time.Since(sent).Seconds())
 		if err == nil {
 			c.committed(sent, version, b)
 			return true
--- a/dispatch/health.go
+++ b/dispatch/health.go
@@ -104,6 +104,7 @@
 		return
 	}
 	u.stalls++
+	c.cfg.Metrics.stalls.Inc()
 	u.avoid = r.host.info.ID
 	r.host.health.suspectFrom(now)
 	c.cfg.Log.WithFields(logrus.Fields{"request": u.job.def.ID, "task": r.id().String(), "run": r.number, "runner": r.host.info.ID,
--- a/dispatch/intake.go
+++ b/dispatch/intake.go
@@ -54,6 +54,8 @@
 // other cells unless it is forced. For OutcomeElsewhere it also
 // returns the name of the other cell.
 func (c *Cell) Submit(ctx context.Context, job *workload.Job, force bool) (Outcome, string) {
+	began := time.Now()
+	defer func() { c.cfg.Metrics.handInTime.Observe(time.Since(began).Seconds()) }()
 	c.mu.Lock()
 	if c.lost {
 		c.mu.Unlock()
--- a/dispatch/job.go
+++ b/dispatch/job.go
@@ -38,6 +38,8 @@
 	checkpoint string
 	// avoid is the runner of the last failed run.
 	avoid string
+	// readyAt is when the unit's turn came last.
+	readyAt time.Time
 	// stalls counts runs that were stopped for want of progress.
 	stalls int
 	// class is the lateness as of the last plan.
--- a/dispatch/orders.go
+++ b/dispatch/orders.go
@@ -39,7 +39,9 @@
 }
 
 func (c *Cell) sendStart(ctx context.Context, r *run, target runner.Target, order runner.Start) {
+	sent := time.Now()
 	_, err := c.cfg.Runners.Start(ctx, target, order)
+	c.cfg.Metrics.orderTime.Observe(time.Since(sent).Seconds())
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	now := time.Now()
--- a/dispatch/plan.go
+++ b/dispatch/plan.go
@@ -209,6 +209,7 @@
 		}
 		return false
 	}
+	c.cfg.Metrics.startWait.Observe(now.Sub(u.readyAt).Seconds())
 	number := u.run + 1
 	u.phase = phaseActive
 	for member, v := range chosen {
--- a/node/relay_test.go
+++ b/node/relay_test.go
@@ -4,6 +4,8 @@
 	"context"
 	"errors"
 	"io"
+	"sync"
+	"sync/atomic"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -23,9 +25,11 @@
 	// relay follows the store, and node the relay.
 	relay, node *store.Follower
 	relayed     *relayedStore
-	calls       int
-	down        bool
-	seen        []string // values of the configuration, as the node put them in force
+
+	mu    sync.Mutex // owned by the methods of relayWorld
+	calls int
+	down  bool
+	seen  []string // values of the configuration, as the node put them in force
 }
 
 func newRelayWorld() *relayWorld {
@@ -35,6 +39,8 @@
 	w.relayed = &relayedStore{Store: w.store, log: observe.NewLogger(io.Discard, "test", "node"),
 		relay: func() string { return "relay" }, call: w.call}
 	w.node = store.NewFollower(w.relayed, platform.TableOperator, func(rows []store.Row) {
+		w.mu.Lock()
+		defer w.mu.Unlock()
 		for _, row := range rows {
 			w.seen = append(w.seen, string(row.Value))
 		}
@@ -43,8 +49,11 @@
 }
 
 func (w *relayWorld) call(ctx context.Context, _ string, req *innerproto.ChangesRequest) (*innerproto.ChangesResponse, error) {
+	w.mu.Lock()
 	w.calls++
-	if w.down {
+	down := w.down
+	w.mu.Unlock()
+	if down {
 		return nil, errors.New("connection refused")
 	}
 	return (&relayService{node: &Node{operator: w.relay}}).Changes(ctx, req)
@@ -71,7 +80,23 @@
 	<-done
 }
 
-func (w *relayWorld) last() string { return w.seen[len(w.seen)-1] }
+func (w *relayWorld) last() string {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return w.seen[len(w.seen)-1]
+}
+
+func (w *relayWorld) callCount() int {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return w.calls
+}
+
+func (w *relayWorld) setDown(down bool) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.down = down
+}
 
 // Guards against a configuration that is late behind a relay, or a deletion that does not pass it.
 func TestRelayPassesChangesOn(t *testing.T) {
@@ -87,9 +112,9 @@
 			w.store.Drop(store.Key{Table: platform.TableOperator, Name: platform.RowConfig})
 			time.Sleep(100 * time.Millisecond)
 			assert.Equal(t, w.last(), "")
-			assert.Assert(t, w.calls > 3)
-			assert.Assert(t, w.relayed.directUntil.IsZero())
+			assert.Assert(t, w.callCount() > 3)
 		})
+		assert.Assert(t, w.relayed.directUntil.IsZero())
 	})
 }
 
@@ -99,16 +124,16 @@
 		w := newRelayWorld()
 		w.put("v1")
 		w.run(t, func() {
-			w.down = true
+			w.setDown(true)
 			time.Sleep(2 * time.Second)
 			w.put("v2")
 			time.Sleep(100 * time.Millisecond)
 			assert.Equal(t, w.last(), "v2")
-			w.down = false
+			w.setDown(false)
 			time.Sleep(relayPause + feedTime)
-			calls := w.calls
+			calls := w.callCount()
 			time.Sleep(2 * feedTime)
-			assert.Assert(t, w.calls > calls, "the relay is not tried again")
+			assert.Assert(t, w.callCount() > calls, "the relay is not tried again")
 		})
 	})
 }
@@ -119,11 +144,11 @@
 // cutStore is a store that one node can't reach.
 type cutStore struct {
 	store.Store
-	cut bool
+	cut atomic.Bool
 }
 
 func (s *cutStore) Feed(ctx context.Context, table string, after int64, wait time.Duration) (store.Page, error) {
-	if s.cut {
+	if s.cut.Load() {
 		time.Sleep(wait)
 		return store.Page{}, store.ErrUnavailable
 	}
@@ -138,7 +163,7 @@
 		w.relay = store.NewFollower(cut, platform.TableOperator, func([]store.Row) {}, func(error) {})
 		w.put("v1")
 		w.run(t, func() {
-			cut.cut = true
+			cut.cut.Store(true)
 			time.Sleep(time.Second)
 			w.put("v2")
 			time.Sleep(2500 * time.Millisecond)
