--- a/node/clients_test.go
+++ b/node/clients_test.go
@@ -5,12 +5,18 @@
 	"math"
 	"net"
 	"testing"
+	"time"
 
 	"gotest.tools/v3/assert"
 
 	"github.com/currantthread/currantthread/dispatch"
 	"github.com/currantthread/currantthread/innerproto"
+	"github.com/currantthread/currantthread/intake"
+	"github.com/currantthread/currantthread/internal/emulator"
 	"github.com/currantthread/currantthread/ownership"
+	"github.com/currantthread/currantthread/platform"
+	"github.com/currantthread/currantthread/store"
+	"github.com/currantthread/currantthread/workload"
 )
 
 // ownerWith returns an owner of a cell of 100 cores.
@@ -123,3 +129,27 @@
 	_, known = countPending("q", nil, loads)
 	assert.Assert(t, !known, "the number of cells is not known")
 }
+
+// Guards against a refusal that is not true: a repeat of a hand-in that was accepted meets full cells. And against one
+// without the time after which room is expected.
+func TestRefusalOfAFullSystem(t *testing.T) {
+	s := emulator.NewStore()
+	n := &Node{store: s, settings: &platform.Settings{Across: true}, located: map[string]string{}}
+	job := &workload.Job{ID: "00000000000000aa", Steps: []workload.Step{{Count: 2, Resources: workload.Resources{CPU: 5000}, LongRunning: true}}}
+	targets := []ownership.Owner{ownerWith("c0", 0), ownerWith("c1", 0)}
+	targets[0].Load.LastingRoom, targets[0].Load.LastingFreed = -10_000, 1_000
+	targets[1].Load.LastingRoom, targets[1].Load.LastingFreed = 4_000, 2_000
+
+	decision := n.refuseFull(t.Context(), job, targets)
+	assert.Equal(t, decision.Outcome, intake.Unknown, "where the index is can't be known yet")
+
+	n.cellCount.Store(1)
+	decision = n.refuseFull(t.Context(), job, targets)
+	assert.Equal(t, decision.Outcome, intake.Refused)
+	assert.Equal(t, decision.RetryAfter, 3*time.Second)
+
+	s.Put(store.Key{Table: dispatch.TableIndex, Part: n.indexPart(job.ID), Name: job.ID}, []byte("c1"))
+	decision = n.refuseFull(t.Context(), job, targets)
+	assert.Equal(t, decision.Outcome, intake.Accepted)
+	assert.Equal(t, decision.Cell, "c1")
+}
