--- a/dispatch/admission.go
+++ b/dispatch/admission.go
@@ -18,8 +18,9 @@
 	// shortHeadroom is the multiple of the average demand of short tasks that is kept free of lasting tasks. Demand is
 	// bursty, and what it needs beyond the average would wait for a lasting job to end.
 	shortHeadroom = 2.0
-	// The kept room is bounded, as a share of the capacity: the lower bound leaves room for lasting tasks whose runner
-	// was lost (scale-ins take up to a tenth of a cell) and for what stays unused because tasks don't fit exactly, the upper one keeps a backlog of short tasks from turning every lasting job away.
+	// The kept room is bounded, as a share of the capacity. The lower bound leaves room for lasting tasks whose runner was
+	// lost (scale-ins take up to a tenth of a cell) and for what stays unused because tasks don't fit exactly; the upper
+	// one keeps a backlog of short tasks from turning every lasting job away.
 	minReserve = 0.12
 	maxReserve = 0.18
 	// The time after which a refused lasting job may come again, for rates that were not seen or are near 0.
