Leave jobs in doubt undecided when a cell stops

Cause, found on reading: a batch whose commit had no answer was taken up again when the cell stopped, and if the store then refused commits its jobs were refused, although the first commit might still be applied. The new test failed with 'refused' before. Change: such jobs end as 'may have been accepted'.

--- a/dispatch/cell_test.go
+++ b/dispatch/cell_test.go
@@ -842,3 +842,25 @@
 		<-c.Done()
 	})
 }
+
+// Guards against a refusal that may not be true: a commit without an answer is still in doubt when the cell stops, also if
+// the store refuses the repeats of it.
+func TestJobInDoubtIsNotRefusedWhenTheCellStops(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		w := newWorld(t, 1, always(time.Second))
+		c, stop := w.own("a", true)
+		time.Sleep(2 * time.Second)
+		w.store.SetFault(emulator.StoreSilent)
+		outcome := make(chan dispatch.Outcome, 1)
+		go func() {
+			o, _ := c.Submit(t.Context(), jobOf(1, tasks(1, 1000)), true)
+			outcome <- o
+		}()
+		time.Sleep(300 * time.Millisecond)
+		stop()
+		time.Sleep(500 * time.Millisecond)
+		w.store.SetFault(emulator.StoreRefuses)
+		assert.Equal(t, <-outcome, dispatch.OutcomeUnknown)
+		<-c.Done()
+	})
+}
--- a/dispatch/flush.go
+++ b/dispatch/flush.go
@@ -321,7 +321,7 @@
 		if errors.Is(err, store.ErrUnavailable) && !unknown {
 			if time.Since(started) > submissionPatience {
 				// No try was applied, so the batch may be taken apart; the next one holds what came since.
-				c.refuseSubmissions(b)
+				c.decideSubmissions(b, OutcomeRefused)
 				c.noteDown("the store refuses commits")
 				c.requeue(b)
 				return false
@@ -330,12 +330,17 @@
 			unknown = true
 		}
 		if !wait.For(ctx, commitRetry) {
+			if unknown {
+				// The next commit may be refused, which says nothing about this one.
+				c.decideSubmissions(b, OutcomeUnknown)
+			}
 			c.requeue(b)
 			return false
 		}
 	}
 }
 
+// noteSent notes the commit in flight.
 func (c *Cell) noteSent(now time.Time, b *batch) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
@@ -372,12 +377,12 @@
 	}
 }
 
-// refuseSubmissions refuses the jobs of a batch that the store surely did not apply.
-func (c *Cell) refuseSubmissions(b *batch) {
+// decideSubmissions ends the wait of the jobs of a batch that is given up.
+func (c *Cell) decideSubmissions(b *batch, outcome Outcome) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	for _, s := range b.submissions {
-		s.finish(OutcomeRefused, "")
+		s.finish(outcome, "")
 	}
 	b.submissions = nil
 }
