Call refusals of short jobs by their cause

A short job that full cells passed on and that no cell took at last was refused as if its lasting tasks had no room, after a read of the index. The method that notes a runner on which a job failed is named for what it does.

--- a/dispatch/health.go
+++ b/dispatch/health.go
@@ -53,7 +53,7 @@
 // failed counts a failed run. A task that failed on another runner before, or a job with tasks that fail on several
 // runners, is as likely the cause, so it says nothing about this one.
 func (h *health) failed(now time.Time, r *run) {
-	if r.unit.fails > 0 || r.unit.job.failsEverywhere(r.host.info.ID) {
+	if r.unit.fails > 0 || r.unit.job.noteFailedOn(r.host.info.ID) {
 		return
 	}
 	h.failures += failureGain * (1 - h.failures)
@@ -79,8 +79,8 @@
 // the job to be taken as the cause.
 const suspectJobRunners = 2
 
-// failsEverywhere notes a runner on which a task of the job failed and reports whether others failed elsewhere before.
-func (j *jobState) failsEverywhere(runnerID string) bool {
+// noteFailedOn notes a runner on which a task of the job failed and reports whether others failed elsewhere before.
+func (j *jobState) noteFailedOn(runnerID string) bool {
 	others := len(j.failedOn)
 	if j.failedOn[runnerID] {
 		others--
--- a/node/clients.go
+++ b/node/clients.go
@@ -101,7 +101,7 @@
 	switch {
 	case unknown:
 		return intake.Decision{Outcome: intake.Unknown, Reason: "no owner of a cell answered in time"}
-	case full > 0:
+	case full > 0 && job.LongRunning():
 		return n.refuseFull(ctx, job, targets)
 	default:
 		return intake.Decision{Outcome: intake.Refused, Reason: "no cell takes jobs", RetryAfter: refusedRetryAfter}
