Use one measure of lasting demand, and don't offer a full cell a lasting job twice

Found on reading the change: after every cell had refused a lasting job, the first one was asked again with force, which lasting jobs ignore, at the cost of a call between nodes; and Retry-After was worked out from the first steps' demand while cells admit by that of lasting tasks. Both use LastingDemand now.

--- a/dispatch/admission.go
+++ b/dispatch/admission.go
@@ -76,8 +76,8 @@
 	return min(max(wait, minRoomWait), maxRoomWait)
 }
 
-// lastingDemand returns the processor time that the lasting tasks of a job commit.
-func lastingDemand(job *workload.Job) int64 {
+// LastingDemand returns the processor time that the lasting tasks of a job commit, in thousandths of a core.
+func LastingDemand(job *workload.Job) int64 {
 	demand := int64(0)
 	for i := range job.Steps {
 		if step := &job.Steps[i]; step.LongRunning {
@@ -99,11 +99,11 @@
 	room := capacity - c.admission.reserve(capacity)
 	for _, j := range c.jobs {
 		if !j.state.Terminal() {
-			room -= lastingDemand(j.def)
+			room -= LastingDemand(j.def)
 		}
 	}
 	for _, s := range c.submissions {
-		room -= lastingDemand(s.job)
+		room -= LastingDemand(s.job)
 	}
 	return room
 }
--- a/dispatch/intake.go
+++ b/dispatch/intake.go
@@ -183,7 +183,7 @@
 
 // hasRoom reports whether the cell has room for the first steps of a job. The caller holds mu.
 func (c *Cell) hasRoom(job *workload.Job) bool {
-	if lasting := lastingDemand(job); lasting > 0 {
+	if lasting := LastingDemand(job); lasting > 0 {
 		// Until the capacity is known, a refusal might not be true.
 		return !c.runnersKnown || lasting <= c.lastingRoom()
 	}
--- a/interference/pressure.go
+++ b/interference/pressure.go
@@ -30,7 +30,8 @@
 
 // Pressure learns, for each pair of images, how much of a serving task's capacity the tasks that fill take. The tail
 // latency of a serving task follows floor / (1 - u), where the utilization u is its own load and the sum of shares times
-// coefficients; observations of it lag by half a second and its own load moves meanwhile (see Load). The zero value is not usable.
+// coefficients; observations of it lag by half a second and its own load moves meanwhile (see Load). The zero value is not
+// usable.
 type Pressure struct {
 	images map[string]*sensitivity
 	// floors holds the lowest tail latency seen of each serving image.
--- a/node/clients.go
+++ b/node/clients.go
@@ -75,7 +75,7 @@
 		// The cells after the first two have the most room first. The last offer is taken whatever the room is, but for
 		// lasting jobs: those wait for room that may not come for minutes.
 		outcome, elsewhere := n.submitTo(ctx, target, job, value, n.storeIsSlow())
-		if outcome == dispatch.OutcomeFull && i == len(targets)-1 {
+		if outcome == dispatch.OutcomeFull && i == len(targets)-1 && !job.LongRunning() {
 			outcome, elsewhere = n.submitTo(ctx, targets[0], job, value, true)
 			target = targets[0]
 		}
@@ -120,11 +120,10 @@
 	case cell != "":
 		return intake.Decision{Outcome: intake.Accepted, Cell: cell}
 	}
-	var demand dispatch.Demand
-	demand.Add(job)
-	retryAfter := targets[0].Load.RoomWait(demand.Committed)
+	demand := dispatch.LastingDemand(job)
+	retryAfter := targets[0].Load.RoomWait(demand)
 	for _, target := range targets[1:] {
-		retryAfter = min(retryAfter, target.Load.RoomWait(demand.Committed))
+		retryAfter = min(retryAfter, target.Load.RoomWait(demand))
 	}
 	return intake.Decision{Outcome: intake.Refused, Reason: "no cell has room for the job's lasting tasks", RetryAfter: retryAfter}
 }
