Add a failing test of a stop that is answered before its start times out

What callers saw: a long-running task of an accepted job never ran again, beside an idle runner of 64 cores. Its runner began to drain while the start command had no response. Evidence: the runner answers the stop while the run is still runStarting, which changes nothing; the start then times out, and stopRun returns because a stop was sent. Polls succeed, so the lease does not end the run.

The test fails with "0 (int) != 1 (int): the idle runner has no run" for a start that never arrives and for one that arrives 2 s later. It passes for a start whose response alone is lost, because the runner then lists the end.

The emulated runners get faults by kind of command (lost request, lost response, late execution) and refusals of starts, and can restart with a given birth time. A test that fails now stops its owners before its bubble ends; until now it ended the whole test binary with a deadlock report.

--- a/dispatch/cell_test.go
+++ b/dispatch/cell_test.go
@@ -73,6 +73,11 @@
 		c.SetRunner(ctx, info, true)
 	}
 	go c.Run(ctx)
+	cl.t.Cleanup(func() {
+		// A failed test must not leave goroutines in its bubble, or the whole test binary panics.
+		cancel()
+		<-c.Done()
+	})
 	return c, cancel
 }
 
--- /dev/null
+++ b/dispatch/waiting_test.go
@@ -0,0 +1,56 @@
+package dispatch_test
+
+import (
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"github.com/currantthread/currantthread/dispatch"
+	"github.com/currantthread/currantthread/internal/emulator"
+	"github.com/currantthread/currantthread/workload"
+)
+
+// settleTime is enough for a task to start again once the outcome of its last run can be determined: a command without
+// a response (0.7 s), the longest back-off of a runner (8 s) and a poll (2 s), with a margin.
+const settleTime = 12 * time.Second
+
+// longRunning returns a step of identical long-running tasks.
+func longRunning(count int, cpu int64) workload.Step {
+	step := tasks(count, cpu)
+	step.LongRunning = true
+	return step
+}
+
+// setDraining reports a runner as draining.
+func (cl *cluster) setDraining(c *dispatch.Cell, index int) {
+	cl.infos[index].Draining = true
+	c.SetRunner(cl.t.Context(), cl.infos[index], true)
+}
+
+// A long-running task was never started again if its runner began to drain while the start command had no response:
+// the stop was answered before the start timed out.
+func TestTaskStartsElsewhereIfRunnerDrainsBeforeStartTimesOut(t *testing.T) {
+	for name, fault := range map[string]emulator.CommandFault{"lost": emulator.CommandRequestLost,
+		"response lost": emulator.CommandResponseLost, "late": emulator.CommandAppliedLate} {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				cl := newCluster(t, 2, fixedDuration(time.Hour))
+				c, stop := cl.startOwner("a", true)
+				time.Sleep(100 * time.Millisecond)
+				cl.fleet.SetCommandFaults("r0", emulator.CommandFaults{Start: fault})
+				job := jobOf(1, longRunning(1, 13000))
+				cl.submit(c, job)
+				time.Sleep(100 * time.Millisecond)
+				cl.setDraining(c, 0)
+				time.Sleep(settleTime)
+				assert.Equal(t, cl.fleet.Running("r1"), 1, "the idle runner has no run")
+				assert.Equal(t, cl.fleet.Running("r0"), 0)
+				cl.assertNoOverlap()
+				stop()
+				<-c.Done()
+			})
+		})
+	}
+}
--- a/internal/emulator/runner.go
+++ b/internal/emulator/runner.go
@@ -30,6 +30,29 @@
 	RunnerHangs
 )
 
+// CommandFault is what happens to the commands of one kind that are sent to a runner.
+type CommandFault uint8
+
+// Faults of commands.
+const (
+	// CommandWorks is no fault.
+	CommandWorks CommandFault = iota
+	// CommandRequestLost means that the runner never receives the command.
+	CommandRequestLost
+	// CommandResponseLost means that the runner executes the command and the sender receives no response.
+	CommandResponseLost
+	// CommandAppliedLate means that the runner executes the command after LateDelay and the sender receives no response.
+	// Polls have no such fault.
+	CommandAppliedLate
+)
+
+// CommandFaults are the faults of a runner's commands by kind. They apply in addition to a RunnerFault.
+type CommandFaults struct {
+	Start, Stop, Hold CommandFault
+	// RefuseStarts is the reason with which starts are refused; empty if they are not.
+	RefuseStarts runner.Reason
+}
+
 // errNoRunnerResponse is returned for a command that got no response.
 var errNoRunnerResponse = errors.New("order has no answer")
 
@@ -66,6 +89,7 @@
 type simRunner struct {
 	info    runner.Info
 	fault   RunnerFault
+	faults  CommandFaults
 	alive   bool
 	booted  time.Time
 	token   int64
@@ -111,6 +135,13 @@
 	f.runners[id].fault = fault
 }
 
+// SetCommandFaults changes what happens to a runner's commands from now on. The faults remain after a restart.
+func (f *Fleet) SetCommandFaults(id string, faults CommandFaults) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.runners[id].faults = faults
+}
+
 // Crash ends a runner and everything on it. Restart starts it again under the same ID.
 func (f *Fleet) Crash(id string) {
 	f.mu.Lock()
@@ -124,12 +155,17 @@
 }
 
 // Restart starts a crashed runner again under its ID, without any of its earlier state.
-func (f *Fleet) Restart(id string) {
+func (f *Fleet) Restart(id string) { f.RestartAt(id, time.Now().UnixMilli()) }
+
+// RestartAt is Restart on a VM whose time of day is born, in milliseconds of Unix time.
+func (f *Fleet) RestartAt(id string, born int64) {
 	f.mu.Lock()
-	info := f.runners[id].info
+	previous := f.runners[id]
 	f.mu.Unlock()
-	info.Born = time.Now().UnixMilli()
+	info := previous.info
+	info.Born = born
 	f.Add(info)
+	f.SetCommandFaults(id, previous.faults)
 }
 
 // Starts returns the executed starts in order.
@@ -162,19 +198,38 @@
 
 func (r *simRunner) clock() time.Duration { return time.Since(r.booted) }
 
-// lockRunner locks f.mu and returns the target's runner. If the runner can't be reached, it waits for the command timeout and
-// returns an error with f.mu unlocked.
-func (f *Fleet) lockRunner(ctx context.Context, target runner.Target) (*simRunner, RunnerFault, error) {
+// lockRunner locks f.mu and returns the target's runner and the fault of commands of one kind. If the command does not
+// reach the runner, it waits for the command timeout and returns an error with f.mu unlocked.
+func (f *Fleet) lockRunner(ctx context.Context, target runner.Target, kind func(CommandFaults) CommandFault) (*simRunner, CommandFault, error) {
 	f.mu.Lock()
 	r := f.runners[target.ID]
 	if r != nil && r.alive && r.fault != RunnerUnreachable {
-		return r, r.fault, nil
+		if fault := kind(r.commandFaults()); fault != CommandRequestLost {
+			return r, fault, nil
+		}
 	}
 	f.mu.Unlock()
 	awaitTimeout(ctx)
-	return nil, RunnerWorks, errNoRunnerResponse
+	return nil, CommandWorks, errNoRunnerResponse
 }
 
+// commandFaults returns the faults of the runner's commands, including those that its RunnerFault implies. The caller
+// holds the fleet's mu.
+func (r *simRunner) commandFaults() CommandFaults {
+	faults := r.faults
+	switch r.fault {
+	case RunnerLosesResponses:
+		faults.Start = CommandResponseLost
+	case RunnerAppliesLate:
+		faults.Start = CommandAppliedLate
+	}
+	return faults
+}
+
+func startFault(faults CommandFaults) CommandFault { return faults.Start }
+func stopFault(faults CommandFaults) CommandFault  { return faults.Stop }
+func holdFault(faults CommandFaults) CommandFault  { return faults.Hold }
+
 // awaitTimeout waits until ctx ends or the command timeout has passed.
 func awaitTimeout(ctx context.Context) {
 	select {
@@ -183,37 +238,47 @@
 	}
 }
 
-// Start implements runner.Client.
-func (f *Fleet) Start(ctx context.Context, target runner.Target, command runner.Start) (time.Duration, error) {
-	r, fault, err := f.lockRunner(ctx, target)
-	if err != nil {
-		return 0, err
-	}
-	if fault == RunnerAppliesLate {
+// execute executes a command as the fault requires, and returns its error or that of a command without a response. It
+// is called with f.mu locked and unlocks it.
+func (f *Fleet) execute(ctx context.Context, r *simRunner, fault CommandFault, command func() error) error {
+	if fault == CommandAppliedLate {
 		f.mu.Unlock()
 		time.AfterFunc(LateDelay, func() {
 			f.mu.Lock()
 			defer f.mu.Unlock()
-			if f.runners[target.ID] == r && r.alive {
-				_ = f.start(r, command) // the response is never sent
+			if f.runners[r.info.ID] == r && r.alive {
+				_ = command() // the response is never sent
 			}
 		})
 		awaitTimeout(ctx)
-		return 0, errNoRunnerResponse
+		return errNoRunnerResponse
 	}
-	err = f.start(r, command)
-	clock := r.clock()
+	err := command()
 	f.mu.Unlock()
-	if fault == RunnerLosesResponses {
+	if fault == CommandResponseLost {
 		awaitTimeout(ctx)
-		return 0, errNoRunnerResponse
+		return errNoRunnerResponse
+	}
+	return err
+}
+
+// Start implements runner.Client.
+func (f *Fleet) Start(ctx context.Context, target runner.Target, command runner.Start) (time.Duration, error) {
+	r, fault, err := f.lockRunner(ctx, target, startFault)
+	if err != nil {
+		return 0, err
 	}
-	return clock, err
+	clock := r.clock()
+	return clock, f.execute(ctx, r, fault, func() error { return f.start(r, command) })
 }
 
 // start executes a start command. The caller holds mu.
 func (f *Fleet) start(r *simRunner, command runner.Start) error {
 	refuse := func(reason runner.Reason) error { return &runner.RefusedError{Reason: reason, Clock: r.clock()} }
+	if r.faults.RefuseStarts == runner.ReasonUnhealthy {
+		// An unhealthy runner does nothing at all.
+		return refuse(runner.ReasonUnhealthy)
+	}
 	if command.Token < r.token {
 		return refuse(runner.ReasonFenced)
 	}
@@ -223,6 +288,8 @@
 	switch {
 	case r.running[key] != nil:
 		return nil
+	case r.faults.RefuseStarts != "":
+		return refuse(r.faults.RefuseStarts)
 	case command.Run <= r.highestRun[command.Task]:
 		return refuse(runner.ReasonOldRun)
 	case command.Deadline <= r.clock():
@@ -294,11 +361,15 @@
 
 // Stop implements runner.Client.
 func (f *Fleet) Stop(ctx context.Context, target runner.Target, task workload.TaskID, number int, token int64) error {
-	r, _, err := f.lockRunner(ctx, target)
+	r, fault, err := f.lockRunner(ctx, target, stopFault)
 	if err != nil {
 		return err
 	}
-	defer f.mu.Unlock()
+	return f.execute(ctx, r, fault, func() error { return f.stop(r, task, number, token) })
+}
+
+// stop executes a stop command. The caller holds mu.
+func (f *Fleet) stop(r *simRunner, task workload.TaskID, number int, token int64) error {
 	if token < r.token {
 		return &runner.RefusedError{Reason: runner.ReasonFenced, Clock: r.clock()}
 	}
@@ -322,7 +393,7 @@
 
 // Pace implements runner.Client. Speeds have no effect here.
 func (f *Fleet) Pace(ctx context.Context, target runner.Target, _ workload.TaskID, _, _ int, _ int64) error {
-	_, _, err := f.lockRunner(ctx, target)
+	_, _, err := f.lockRunner(ctx, target, func(CommandFaults) CommandFault { return CommandWorks })
 	if err == nil {
 		f.mu.Unlock()
 	}
@@ -333,7 +404,7 @@
 func (f *Fleet) Hold(ctx context.Context, target runner.Target, command runner.Hold) (runner.Report, error) {
 	deadline := time.After(command.Wait)
 	for {
-		r, _, err := f.lockRunner(ctx, target)
+		r, fault, err := f.lockRunner(ctx, target, holdFault)
 		if err != nil {
 			return runner.Report{}, err
 		}
@@ -349,6 +420,10 @@
 		if len(r.ends) > 0 || command.Wait == 0 {
 			report := r.report()
 			f.mu.Unlock()
+			if fault == CommandResponseLost {
+				awaitTimeout(ctx)
+				return runner.Report{}, errNoRunnerResponse
+			}
 			return report, nil
 		}
 		changed := r.changed
