Add a failing test of a cancel while a start has no response

What callers saw: an ordinary job that fits on an idle runner stays queued. A job of 60 of the 64 cores had been cancelled while its start command had no response.

--- a/dispatch/waiting_test.go
+++ b/dispatch/waiting_test.go
@@ -54,3 +54,32 @@
 		})
 	}
 }
+
+// A job that was cancelled while a start command had no response kept the capacity of its runner, and later jobs waited
+// beside an idle runner.
+func TestCancelBeforeStartTimesOutFreesCapacity(t *testing.T) {
+	for name, fault := range map[string]emulator.CommandFault{"lost": emulator.CommandRequestLost,
+		"response lost": emulator.CommandResponseLost, "late": emulator.CommandAppliedLate} {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				cl := newCluster(t, 1, fixedDuration(time.Second))
+				c, stop := cl.startOwner("a", true)
+				time.Sleep(100 * time.Millisecond)
+				cl.fleet.SetCommandFaults("r0", emulator.CommandFaults{Start: fault})
+				cancelled := jobOf(1, tasks(1, 60000))
+				cl.submit(c, cancelled)
+				time.Sleep(100 * time.Millisecond)
+				_, err := c.Cancel(t.Context(), cancelled.ID)
+				assert.NilError(t, err)
+				cl.fleet.SetCommandFaults("r0", emulator.CommandFaults{})
+				time.Sleep(settleTime)
+				job := jobOf(2, tasks(1, 8000))
+				cl.submit(c, job)
+				time.Sleep(3 * time.Second)
+				assert.Equal(t, state(c, job), workload.StateCompleted)
+				stop()
+				<-c.Done()
+			})
+		})
+	}
+}
