Add a failing test of stops without a response for one lease

What callers saw: a task whose start had no response never runs again, although its runner answers polls all the time and answers stops again after ten seconds. Evidence: sendStops gives up after one lease, and nothing sends a stop again.

The test fails with "queued != completed" for an ordinary task, and with "0 != 1" runs for a long-running one, 12 s after stops are answered again.

--- a/dispatch/waiting_test.go
+++ b/dispatch/waiting_test.go
@@ -23,6 +23,26 @@
 	return step
 }
 
+// startsOf returns the number of executed starts of a job's tasks.
+func (cl *cluster) startsOf(job *workload.Job) int {
+	count := 0
+	for _, s := range cl.fleet.Starts() {
+		if s.Task.Job == job.ID {
+			count++
+		}
+	}
+	return count
+}
+
+// running returns the number of runs on all runners.
+func (cl *cluster) running() int {
+	count := 0
+	for _, info := range cl.infos {
+		count += cl.fleet.Running(info.ID)
+	}
+	return count
+}
+
 // setDraining reports a runner as draining.
 func (cl *cluster) setDraining(c *dispatch.Cell, index int) {
 	cl.infos[index].Draining = true
@@ -83,3 +103,37 @@
 		})
 	}
 }
+
+// A task whose start had no response was never started again if stop commands had no response for one lease either,
+// while polls succeeded.
+func TestTaskStartsAgainAfterStopsHadNoResponseForOneLease(t *testing.T) {
+	for name, step := range map[string]workload.Step{"ordinary": tasks(1, 4000), "long-running": longRunning(1, 4000)} {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				cl := newCluster(t, 2, func(workload.TaskID, int) (time.Duration, bool) {
+					if step.LongRunning {
+						return time.Hour, false
+					}
+					return time.Second, false
+				})
+				c, stop := cl.startOwner("a", true)
+				time.Sleep(100 * time.Millisecond)
+				cl.fleet.SetCommandFaults("r0", emulator.CommandFaults{Start: emulator.CommandRequestLost, Stop: emulator.CommandRequestLost})
+				job := jobOf(1, step)
+				cl.submit(c, job)
+				time.Sleep(lease + 4*time.Second)
+				cl.fleet.SetCommandFaults("r0", emulator.CommandFaults{})
+				time.Sleep(settleTime)
+				if step.LongRunning {
+					assert.Equal(t, cl.running(), 1)
+				} else {
+					assert.Equal(t, state(c, job), workload.StateCompleted)
+				}
+				assert.Equal(t, cl.startsOf(job), 1)
+				cl.assertNoOverlap()
+				stop()
+				<-c.Done()
+			})
+		})
+	}
+}
