Add a failing test of a takeover beside a runner that was unreachable before

What callers saw: after a takeover no task of the cell starts for seconds although most runners are idle. Evidence: every unfinished task is marked as recovered, and starts only once no runner is unresolved. A runner that has been unreachable for 30 s, so that the last owner had counted its runs as lost, is awaited for one more lease (6.4 s) if the last owner is known to have ended, else for 18.4 s. Tasks of jobs that never had a run there wait as well. Runs that other runners report go on.

The test fails with "completed after 8.6s" and "completed after 20.6s"; without the wait the job takes 3 s. The allowance is 6 s.

--- a/dispatch/waiting_test.go
+++ b/dispatch/waiting_test.go
@@ -1,6 +1,7 @@
 package dispatch_test
 
 import (
+	"context"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -49,6 +50,14 @@
 	c.SetRunner(cl.t.Context(), cl.infos[index], true)
 }
 
+// killOwner ends an owner that writes nothing more.
+func (cl *cluster) killOwner(c *dispatch.Cell, kill context.CancelFunc) {
+	cl.store.SetFault(emulator.StoreSilent)
+	kill()
+	<-c.Done()
+	cl.store.SetFault(emulator.StoreWorks)
+}
+
 // A long-running task was never started again if its runner began to drain while the start command had no response:
 // the stop was answered before the start timed out.
 func TestTaskStartsElsewhereIfRunnerDrainsBeforeStartTimesOut(t *testing.T) {
@@ -137,3 +146,35 @@
 		})
 	}
 }
+
+// takeoverTime is enough for a successor to poll its runners and to start the tasks that can start.
+const takeoverTime = 3 * time.Second
+
+// After a takeover, all unfinished tasks of the cell waited for a runner that had been unreachable since long before,
+// so that the predecessor had already counted its tasks as lost.
+func TestTakeoverDoesNotWaitForRunnerWhoseLeaseHadExpired(t *testing.T) {
+	for name, predecessorDead := range map[string]bool{"ended predecessor": true, "killed predecessor": false} {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				cl := newCluster(t, 3, fixedDuration(2*time.Second))
+				first, kill := cl.startOwner("a", true)
+				cl.fleet.SetFault("r1", emulator.RunnerUnreachable)
+				time.Sleep(30 * time.Second)
+				job := jobOf(1, tasks(4, 8000), tasks(4, 8000))
+				cl.submit(first, job)
+				time.Sleep(time.Second)
+				cl.killOwner(first, kill)
+				next, stop := cl.startOwner("b", predecessorDead)
+				began := time.Now()
+				for state(next, job) != workload.StateCompleted && time.Since(began) < time.Minute {
+					time.Sleep(100 * time.Millisecond)
+				}
+				// One second of the first step and two of the second one are left.
+				assert.Assert(t, time.Since(began) <= 3*time.Second+takeoverTime, "completed after %v", time.Since(began))
+				cl.assertNoOverlap()
+				stop()
+				<-next.Done()
+			})
+		})
+	}
+}
