Add a failing test of a takeover beside an unreachable runner of another service

What callers saw: after a takeover, tasks of one service wait for a runner of another service, where they can't run. Evidence: the wait for unresolved runners ignores services, labels and capacity.

The test fails with "running != completed" 6 s after the takeover; without the wait the job takes 3 s.

--- a/dispatch/waiting_test.go
+++ b/dispatch/waiting_test.go
@@ -10,6 +10,7 @@
 
 	"github.com/currantthread/currantthread/dispatch"
 	"github.com/currantthread/currantthread/internal/emulator"
+	"github.com/currantthread/currantthread/runner"
 	"github.com/currantthread/currantthread/workload"
 )
 
@@ -178,3 +179,24 @@
 		})
 	}
 }
+
+// After a takeover, tasks of one service waited for an unreachable runner of another service.
+func TestTakeoverDoesNotWaitForRunnerOfAnotherService(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		cl := newCluster(t, 3, fixedDuration(2*time.Second))
+		other := runner.Info{ID: "other", Service: "planchas", Addr: "other", Domain: "chipre", Born: 1, Capacity: cl.infos[0].Capacity}
+		cl.infos = append(cl.infos, other)
+		cl.fleet.Add(other)
+		first, kill := cl.startOwner("a", true)
+		job := jobOf(1, tasks(4, 8000), tasks(4, 8000))
+		cl.submit(first, job)
+		time.Sleep(time.Second)
+		cl.killOwner(first, kill)
+		cl.fleet.SetFault(other.ID, emulator.RunnerUnreachable)
+		next, stop := cl.startOwner("b", true)
+		time.Sleep(3*time.Second + takeoverTime)
+		assert.Equal(t, state(next, job), workload.StateCompleted)
+		stop()
+		<-next.Done()
+	})
+}
