Add a failing test of a runner that restarts with a lower birth time

What callers saw: tasks that ran on a runner whose VM's time of day stepped back between two starts of its process never run again, and the runner takes no other tasks. Evidence: applyReport drops every report with a lower birth time as a late response of an earlier process. Polls succeed, so the lease does not end the runs, and after 3 s without an accepted report the runner counts as unreachable. SetRunner ignores a lower birth time as well.

--- a/dispatch/waiting_test.go
+++ b/dispatch/waiting_test.go
@@ -200,3 +200,44 @@
 		<-next.Done()
 	})
 }
+
+// The reports of a runner were ignored for ever if it restarted under its ID after the time of day of its VM had stepped
+// back. Its tasks counted as running, and it took no new ones.
+func TestRunnerThatRestartsWithLowerBirthTimeIsUsedAgain(t *testing.T) {
+	for name, discovered := range map[string]bool{"seen by poll": false, "seen by service discovery": true} {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				const born = 1_700_000_000_000
+				cl := newCluster(t, 0, func(task workload.TaskID, _ int) (time.Duration, bool) {
+					if task.Job == jobOf(1).ID {
+						return time.Hour, false
+					}
+					return time.Second, false
+				})
+				info := runner.Info{ID: "r0", Service: "kioscos", Addr: "r0", Domain: "chipre", Born: born,
+					Capacity: workload.Resources{CPU: 64000, MemoryMB: 256000}}
+				cl.infos = append(cl.infos, info)
+				cl.fleet.Add(info)
+				c, stop := cl.startOwner("a", true)
+				time.Sleep(100 * time.Millisecond)
+				cl.submit(c, jobOf(1, longRunning(2, 13000)))
+				time.Sleep(time.Second)
+				cl.fleet.Crash("r0")
+				cl.fleet.RestartAt("r0", born-3_600_000)
+				if discovered {
+					reborn, _ := cl.fleet.Info("r0")
+					c.SetRunner(t.Context(), reborn, true)
+				}
+				time.Sleep(lease + settleTime)
+				assert.Equal(t, cl.fleet.Running("r0"), 2, "long-running tasks")
+				job := jobOf(2, tasks(4, 4000))
+				cl.submit(c, job)
+				time.Sleep(3 * time.Second)
+				assert.Equal(t, state(c, job), workload.StateCompleted)
+				cl.assertNoOverlap()
+				stop()
+				<-c.Done()
+			})
+		})
+	}
+}
