Add a failing test of a step that lists an earlier step twice

What callers saw: a step of an accepted job never starts although all earlier steps are done. Evidence: newOccurrence and activate count each entry of the step's list, unblock counts a finished step once.

The test fails with "running != completed" for [0,0] and [0,1,0,1].

--- a/dispatch/waiting_test.go
+++ b/dispatch/waiting_test.go
@@ -241,3 +241,22 @@
 		})
 	}
 }
+
+// A step that lists an earlier step twice stayed blocked when that step was done.
+func TestStepThatListsAnEarlierStepTwiceRuns(t *testing.T) {
+	for name, after := range map[string][]int{"one": {0, 0}, "two": {0, 1, 0, 1}} {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				cl := newCluster(t, 2, fixedDuration(time.Second))
+				c, stop := cl.startOwner("a", true)
+				job := jobOf(1, tasks(2, 4000), tasks(2, 4000), tasks(2, 4000))
+				job.Steps[2].After = after
+				cl.submit(c, job)
+				time.Sleep(6 * time.Second)
+				assert.Equal(t, state(c, job), workload.StateCompleted)
+				stop()
+				<-c.Done()
+			})
+		})
+	}
+}
