Add a failing test of a task that waits for the end of a back-off

What callers saw: a task whose start was refused once, for lack of capacity or by an unhealthy runner, never starts on that runner, the only one and idle. Evidence: plans follow events, and the end of a back-off is none.

--- a/dispatch/waiting_test.go
+++ b/dispatch/waiting_test.go
@@ -260,3 +260,26 @@
 		})
 	}
 }
+
+// A task whose start was refused was never planned again when the back-off of the only runner had ended, because no
+// other event occurred.
+func TestTaskStartsWhenBackoffOfItsRunnerEnds(t *testing.T) {
+	for _, reason := range []runner.Reason{runner.ReasonUnhealthy, runner.ReasonNoCapacity} {
+		t.Run(string(reason), func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				cl := newCluster(t, 1, fixedDuration(time.Second))
+				c, stop := cl.startOwner("a", true)
+				time.Sleep(100 * time.Millisecond)
+				cl.fleet.SetCommandFaults("r0", emulator.CommandFaults{RefuseStarts: reason})
+				job := jobOf(1, tasks(1, 4000))
+				cl.submit(c, job)
+				time.Sleep(100 * time.Millisecond)
+				cl.fleet.SetCommandFaults("r0", emulator.CommandFaults{})
+				time.Sleep(settleTime)
+				assert.Equal(t, state(c, job), workload.StateCompleted)
+				stop()
+				<-c.Done()
+			})
+		})
+	}
+}
