Add a failing test of a task that waits for the end of a cut

What callers saw: a task submitted while its only runner could not be reached never starts there after the cut. Evidence: a report after failed polls triggers no plan unless it contains new ends or is the first of its process.

--- a/dispatch/waiting_test.go
+++ b/dispatch/waiting_test.go
@@ -283,3 +283,22 @@
 		})
 	}
 }
+
+// Tasks did not start on a runner that could be reached again after a cut, because no other event occurred.
+func TestTaskStartsWhenItsRunnerIsReachableAgain(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		cl := newCluster(t, 1, fixedDuration(time.Second))
+		c, stop := cl.startOwner("a", true)
+		time.Sleep(100 * time.Millisecond)
+		cl.fleet.SetFault("r0", emulator.RunnerUnreachable)
+		time.Sleep(4 * time.Second)
+		job := jobOf(1, tasks(1, 4000))
+		cl.submit(c, job)
+		time.Sleep(4 * time.Second)
+		cl.fleet.SetFault("r0", emulator.RunnerWorks)
+		time.Sleep(settleTime)
+		assert.Equal(t, state(c, job), workload.StateCompleted)
+		stop()
+		<-c.Done()
+	})
+}
