Add a failing test of a task that waits after a failed advice request

What callers saw: a task on a queue with advice never starts after one failed advice request. Evidence: the plan that follows the failure is within the pause of 0.3 s, and the end of the pause triggers none.

The test fails with "queued != completed" 12 s after the request failed.

--- a/dispatch/waiting_test.go
+++ b/dispatch/waiting_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -302,3 +303,36 @@
 		<-c.Done()
 	})
 }
+
+// failingAdvisor fails its first call and then permits all runners.
+type failingAdvisor struct{ failures int }
+
+func (a *failingAdvisor) Advise(_ context.Context, _ string, _, _ int, runners []string) (map[string]string, time.Duration, error) {
+	time.Sleep(100 * time.Millisecond)
+	if a.failures > 0 {
+		a.failures--
+		return nil, 0, errors.New("advice service is busy")
+	}
+	tickets := map[string]string{}
+	for _, r := range runners {
+		tickets[r] = "ticket"
+	}
+	return tickets, 3 * time.Second, nil
+}
+
+// A task on a queue with advice was never planned again after a failed advice request, because no other event occurred.
+func TestTaskStartsAfterFailedAdviceRequest(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		cl := newCluster(t, 2, fixedDuration(time.Second))
+		cl.advisor = &failingAdvisor{failures: 1}
+		c, stop := cl.startOwner("a", true)
+		time.Sleep(100 * time.Millisecond)
+		job := jobOf(1, tasks(1, 4000))
+		job.Policy.Advised = true
+		cl.submit(c, job)
+		time.Sleep(settleTime)
+		assert.Equal(t, state(c, job), workload.StateCompleted)
+		stop()
+		<-c.Done()
+	})
+}
