Add a failing test of capacity that becomes free during a long silence of the store

What callers saw: a task that waited for capacity never starts although its runner is idle. Evidence: planLoop consumes the trigger of the detached run, and a successful commit triggers no plan.

The test fails with "queued != completed" if the capacity becomes free 11.5 s after the store fell silent, and passes for the six other times from 11 to 14 s: then the end is reported after the store is back, or while the owner may still start tasks.

--- a/dispatch/waiting_test.go
+++ b/dispatch/waiting_test.go
@@ -336,3 +336,37 @@
 		<-c.Done()
 	})
 }
+
+// A waiting task was never planned again if the capacity that it needed became free while the store had been silent for
+// longer than the owner may start tasks.
+func TestTaskStartsWhenStoreIsBackAfterLongSilence(t *testing.T) {
+	const silentFrom = 2 * time.Second
+	for _, blockerEnds := range []time.Duration{11 * time.Second, 11500 * time.Millisecond, 12 * time.Second, 12500 * time.Millisecond,
+		13 * time.Second, 13500 * time.Millisecond, 14 * time.Second} {
+		t.Run(blockerEnds.String(), func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				blocker := jobOf(1, tasks(1, 60000))
+				cl := newCluster(t, 1, func(task workload.TaskID, _ int) (time.Duration, bool) {
+					if task.Job == blocker.ID {
+						return silentFrom + blockerEnds, false
+					}
+					return time.Second, false
+				})
+				c, stop := cl.startOwner("a", true)
+				time.Sleep(100 * time.Millisecond)
+				cl.submit(c, blocker)
+				job := jobOf(2, tasks(1, 60000))
+				cl.submit(c, job)
+				time.Sleep(silentFrom)
+				cl.store.SetFault(emulator.StoreSilent)
+				time.Sleep(16 * time.Second)
+				cl.store.SetFault(emulator.StoreWorks)
+				time.Sleep(settleTime)
+				assert.Equal(t, state(c, job), workload.StateCompleted)
+				cl.assertNoOverlap()
+				stop()
+				<-c.Done()
+			})
+		})
+	}
+}
