Test the bounds of two waits that end today

After a takeover beside a runner that became unreachable with its owner, tasks start neither before the lease has expired nor much later. A task whose start command was lost starts when the back-off of its only runner ends; the late poll that resolves the start is the event which triggers the plan.

--- a/dispatch/waiting_test.go
+++ b/dispatch/waiting_test.go
@@ -202,6 +202,25 @@
 	})
 }
 
+// After a takeover, tasks must not start before the lease of a runner that became unreachable with its owner has
+// expired, and must start soon after it has.
+func TestTakeoverWaitsOneLeaseForRunnerThatBecameUnreachable(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		cl := newCluster(t, 3, fixedDuration(time.Hour))
+		first, kill := cl.startOwner("a", true)
+		cl.submit(first, jobOf(1, longRunning(6, 8000)))
+		time.Sleep(time.Second)
+		cl.killOwner(first, kill)
+		cl.fleet.SetFault("r1", emulator.RunnerUnreachable)
+		next, stop := cl.startOwner("b", true)
+		time.Sleep(lease + takeoverTime)
+		assert.Equal(t, cl.fleet.Running("r0")+cl.fleet.Running("r2"), 6)
+		cl.assertNoOverlap()
+		stop()
+		<-next.Done()
+	})
+}
+
 // The reports of a runner were ignored for ever if it restarted under its ID after the time of day of its VM had stepped
 // back. Its tasks counted as running, and it took no new ones.
 func TestRunnerThatRestartsWithLowerBirthTimeIsUsedAgain(t *testing.T) {
@@ -285,6 +304,24 @@
 	}
 }
 
+// A task whose start had no response was never planned again when the back-off of the only runner had ended.
+func TestTaskStartsWhenBackoffAfterLostStartEnds(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		cl := newCluster(t, 1, fixedDuration(time.Second))
+		c, stop := cl.startOwner("a", true)
+		time.Sleep(100 * time.Millisecond)
+		cl.fleet.SetCommandFaults("r0", emulator.CommandFaults{Start: emulator.CommandRequestLost})
+		job := jobOf(1, tasks(1, 4000))
+		cl.submit(c, job)
+		time.Sleep(500 * time.Millisecond)
+		cl.fleet.SetCommandFaults("r0", emulator.CommandFaults{})
+		time.Sleep(settleTime)
+		assert.Equal(t, state(c, job), workload.StateCompleted)
+		stop()
+		<-c.Done()
+	})
+}
+
 // Tasks did not start on a runner that could be reached again after a cut, because no other event occurred.
 func TestTaskStartsWhenItsRunnerIsReachableAgain(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
