Add a failing test of a back-off that ends after several lost starts

What callers saw: a task whose start commands had no response for some seconds never starts on its only runner, which is idle and answers again. Evidence: each start without a response doubles the back-off of the runner, up to 8 s. Once the back-off is longer than the time until a poll ends the run, no event follows its end, and no plan is triggered.

The emulated runners get a latency, because responses without any hide such orders of events.

--- a/dispatch/waiting_test.go
+++ b/dispatch/waiting_test.go
@@ -304,16 +304,18 @@
 	}
 }
 
-// A task whose start had no response was never planned again when the back-off of the only runner had ended.
-func TestTaskStartsWhenBackoffAfterLostStartEnds(t *testing.T) {
+// A task was never planned again if several starts in a row had no response: the back-off of the only runner then ends
+// after the outcome of the last start is known, and no other event occurred.
+func TestTaskStartsWhenBackoffAfterLostStartsEnds(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		cl := newCluster(t, 1, fixedDuration(time.Second))
+		cl.fleet.Latency = 3 * time.Millisecond
 		c, stop := cl.startOwner("a", true)
 		time.Sleep(100 * time.Millisecond)
 		cl.fleet.SetCommandFaults("r0", emulator.CommandFaults{Start: emulator.CommandRequestLost})
 		job := jobOf(1, tasks(1, 4000))
 		cl.submit(c, job)
-		time.Sleep(500 * time.Millisecond)
+		time.Sleep(20 * time.Second)
 		cl.fleet.SetCommandFaults("r0", emulator.CommandFaults{})
 		time.Sleep(settleTime)
 		assert.Equal(t, state(c, job), workload.StateCompleted)
--- a/internal/emulator/runner.go
+++ b/internal/emulator/runner.go
@@ -7,6 +7,7 @@
 	"sync"
 	"time"
 
+	"github.com/currantthread/currantthread/internal/wait"
 	"github.com/currantthread/currantthread/runner"
 	"github.com/currantthread/currantthread/workload"
 )
@@ -77,6 +78,8 @@
 	Work Work
 	// StopTime is how long a stop takes.
 	StopTime time.Duration
+	// Latency is the time that a command takes to a runner, and its response back. It is 0 unless a test sets it.
+	Latency time.Duration
 
 	mu      sync.Mutex // guards the fields below and the state of all runners
 	runners map[string]*simRunner
@@ -259,11 +262,17 @@
 		awaitTimeout(ctx)
 		return errNoRunnerResponse
 	}
+	if !wait.For(ctx, f.Latency) {
+		return ctx.Err()
+	}
 	return err
 }
 
 // Start implements runner.Client.
 func (f *Fleet) Start(ctx context.Context, target runner.Target, command runner.Start) (time.Duration, error) {
+	if !wait.For(ctx, f.Latency) {
+		return 0, ctx.Err()
+	}
 	r, fault, err := f.lockRunner(ctx, target, startFault)
 	if err != nil {
 		return 0, err
@@ -361,6 +370,9 @@
 
 // Stop implements runner.Client.
 func (f *Fleet) Stop(ctx context.Context, target runner.Target, task workload.TaskID, number int, token int64) error {
+	if !wait.For(ctx, f.Latency) {
+		return ctx.Err()
+	}
 	r, fault, err := f.lockRunner(ctx, target, stopFault)
 	if err != nil {
 		return err
@@ -402,6 +414,9 @@
 
 // Hold implements runner.Client.
 func (f *Fleet) Hold(ctx context.Context, target runner.Target, command runner.Hold) (runner.Report, error) {
+	if !wait.For(ctx, f.Latency) {
+		return runner.Report{}, ctx.Err()
+	}
 	deadline := time.After(command.Wait)
 	for {
 		r, fault, err := f.lockRunner(ctx, target, holdFault)
@@ -424,6 +439,9 @@
 				awaitTimeout(ctx)
 				return runner.Report{}, errNoRunnerResponse
 			}
+			if !wait.For(ctx, f.Latency) {
+				return runner.Report{}, ctx.Err()
+			}
 			return report, nil
 		}
 		changed := r.changed
