Let emulated runners run gangs and limit their leases

Tests of faults with gangs need runners that behave as the platform's: members wait for each other for at most 3 s, begin their work together and end together, and the end of one that is not done ends the others. A lease is shortened to 10 s as on the platform, so that a start with the deadline of an earlier process does not keep a task for minutes. Fleet.Runs lists the runs of all runners.

--- a/internal/emulator/runner.go
+++ b/internal/emulator/runner.go
@@ -78,11 +78,14 @@
 	Work Work
 	// StopTime is how long a stop takes.
 	StopTime time.Duration
+	// Gang returns the number of tasks that must run together with a task; 0 or 1 if it runs alone. It may be nil.
+	Gang func(task workload.TaskID) int
 	// Latency is the time that a command takes to a runner, and its response back. It is 0 unless a test sets it.
 	Latency time.Duration
 
 	mu      sync.Mutex // guards the fields below and the state of all runners
 	runners map[string]*simRunner
+	gangs   map[gangKey]map[runKey]*simRunner // members that run, by gang
 	starts  []StartRecord
 	done    map[workload.TaskID]int
 	// overlaps are tasks that ran in two places at once.
@@ -110,17 +113,28 @@
 	run  int
 }
 
+// gangKey identifies one run of a gang.
+type gangKey struct {
+	job              string
+	occurrence, step int
+	run              int
+}
+
+func (k runKey) gang() gangKey { return gangKey{k.task.Job, k.task.Occurrence, k.task.Step, k.run} }
+
 type simRun struct {
 	timer    *time.Timer
 	started  time.Time
 	duration time.Duration
 	hangs    bool
+	waits    bool // for the other members of its gang
 	stopping bool
 }
 
 // NewFleet returns a fleet without runners.
 func NewFleet(work Work) *Fleet {
-	return &Fleet{Work: work, StopTime: 50 * time.Millisecond, runners: map[string]*simRunner{}, done: map[workload.TaskID]int{}}
+	return &Fleet{Work: work, StopTime: 50 * time.Millisecond, runners: map[string]*simRunner{},
+		gangs: map[gangKey]map[runKey]*simRunner{}, done: map[workload.TaskID]int{}}
 }
 
 // Add starts a runner.
@@ -154,6 +168,7 @@
 	for key, run := range r.running {
 		run.timer.Stop()
 		delete(r.running, key)
+		f.endGang(key, runner.EndBroken)
 	}
 }
 
@@ -192,6 +207,19 @@
 	return len(f.runners[id].running)
 }
 
+// Runs returns the runners on which each task runs.
+func (f *Fleet) Runs() map[workload.TaskID][]string {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	runs := map[workload.TaskID][]string{}
+	for id, r := range f.runners {
+		for key := range r.running {
+			runs[key.task] = append(runs[key.task], id)
+		}
+	}
+	return runs
+}
+
 // Done returns how often runs of a task ended as done.
 func (f *Fleet) Done(task workload.TaskID) int {
 	f.mu.Lock()
@@ -314,23 +342,71 @@
 	duration, fails := f.Work(command.Task, command.Run)
 	fails = fails || r.fault == RunnerFails
 	run := &simRun{started: time.Now(), duration: duration, hangs: r.fault == RunnerHangs}
+	r.running[key] = run
+	f.starts = append(f.starts, StartRecord{time.Now(), r.info.ID, command.Task, command.Run, command.Token})
+	reason := runner.EndDone
+	if fails {
+		reason = runner.EndFailed
+	}
+	if f.Gang != nil && f.Gang(command.Task) > 1 {
+		f.joinGang(r, key, run, reason)
+		return nil
+	}
 	run.timer = time.AfterFunc(duration, func() {
 		f.mu.Lock()
 		defer f.mu.Unlock()
-		if run.hangs {
-			return
-		}
-		reason := runner.EndDone
-		if fails {
-			reason = runner.EndFailed
+		if !run.hangs {
+			r.endRun(f, key, reason)
 		}
-		r.endRun(f, key, reason)
 	})
-	r.running[key] = run
-	f.starts = append(f.starts, StartRecord{time.Now(), r.info.ID, command.Task, command.Run, command.Token})
 	return nil
 }
 
+// gangTimeout is how long a member of a gang waits for the others.
+const gangTimeout = 3 * time.Second
+
+// joinGang adds a run to its gang, whose work begins when all members are present. The caller holds mu.
+func (f *Fleet) joinGang(r *simRunner, key runKey, run *simRun, reason runner.EndReason) {
+	members := f.gangs[key.gang()]
+	if members == nil {
+		members = map[runKey]*simRunner{}
+		f.gangs[key.gang()] = members
+	}
+	members[key] = r
+	run.waits = true
+	run.timer = time.AfterFunc(gangTimeout, func() {
+		f.mu.Lock()
+		defer f.mu.Unlock()
+		r.endRun(f, key, runner.EndAlone)
+	})
+	if len(members) < f.Gang(key.task) {
+		return
+	}
+	for other, on := range members {
+		member := on.running[other]
+		member.timer.Stop()
+		member.waits, member.started = false, time.Now()
+	}
+	run.timer = time.AfterFunc(run.duration, func() {
+		f.mu.Lock()
+		defer f.mu.Unlock()
+		if !run.hangs {
+			r.endRun(f, key, reason)
+		}
+	})
+}
+
+// endGang removes a run from its gang and ends the other members. The caller holds mu.
+func (f *Fleet) endGang(ended runKey, reason runner.EndReason) {
+	members := f.gangs[ended.gang()]
+	delete(f.gangs, ended.gang())
+	for key, r := range members {
+		if key != ended {
+			r.endRun(f, key, reason)
+		}
+	}
+}
+
 // endRun ends a run and queues the report of its end. The caller holds mu.
 func (r *simRunner) endRun(f *Fleet, key runKey, reason runner.EndReason) {
 	run := r.running[key]
@@ -347,11 +423,19 @@
 	}
 	close(r.changed)
 	r.changed = make(chan struct{})
+	if reason == runner.EndDone {
+		f.endGang(key, runner.EndDone)
+	} else {
+		f.endGang(key, runner.EndBroken)
+	}
 }
 
+// holdMax is the longest lease that a runner grants.
+const holdMax = 10 * time.Second
+
 // extendLease moves the end of the lease and ends all runs if the lease expires. The caller holds mu.
 func (r *simRunner) extendLease(f *Fleet, deadline time.Duration) {
-	end := r.booted.Add(deadline)
+	end := r.booted.Add(min(deadline, r.clock()+holdMax))
 	if deadline <= 0 || !end.After(r.lease) {
 		return
 	}
@@ -471,7 +555,7 @@
 // percent returns the progress of a run.
 func (r *simRun) percent() int {
 	switch {
-	case r.hangs:
+	case r.hangs, r.waits:
 		return 0
 	case r.duration <= 0:
 		return 100
