Test pairs of faults at random times against running and waiting tasks

Cause: a fault that is handled alone may meet, as the second one, the state that handling the first has left. The property test draws two faults, their runners and their times in series, and any mix of the four kinds of jobs, and checks the invariant of the table test.

--- a/dispatch/faults_test.go
+++ b/dispatch/faults_test.go
@@ -15,6 +15,7 @@
 	"time"
 
 	"github.com/prometheus/client_golang/prometheus"
+	"pgregory.net/rapid"
 
 	"github.com/currantthread/currantthread/dispatch"
 	"github.com/currantthread/currantthread/internal/emulator"
@@ -632,3 +633,32 @@
 		}
 	}
 }
+
+// drawSeries draws a series of faults with random times and runners.
+func drawSeries(rt *rapid.T, count int) []timedFault {
+	series := make([]timedFault, count)
+	for i := range series {
+		series[i] = timedFault{
+			fault:  faults[rapid.IntRange(0, len(faults)-1).Draw(rt, "fault")],
+			after:  time.Duration(rapid.IntRange(0, 400).Draw(rt, "after")) * 10 * time.Millisecond,
+			runner: fmt.Sprintf("r%d", rapid.IntRange(0, rigRunners-1).Draw(rt, "runner")),
+		}
+	}
+	return series
+}
+
+// Two faults in a row must not leave a task without a run, keep its capacity, or start it twice. Each fault alone may be
+// handled, and the second one meets the state that handling the first has left.
+func TestEveryTaskRunsAfterTwoFaults(t *testing.T) {
+	rapid.Check(t, func(rt *rapid.T) {
+		s := scenario{series: drawSeries(rt, 2)}
+		for kind := range kinds {
+			if rapid.Bool().Draw(rt, kindNames[kind]) {
+				s.kinds = append(s.kinds, kind)
+			}
+		}
+		if broken, trace := playScenario(t, s); len(broken) > 0 {
+			rt.Fatalf("%s\n%s", strings.Join(broken, "\n"), trace)
+		}
+	})
+}
