--- a/internal/emulator/runner.go
+++ b/internal/emulator/runner.go
@@ -7,6 +7,7 @@
 	"sync"
 	"time"
 
+	"github.com/currantthread/currantthread/internal/wait"
 	"github.com/currantthread/currantthread/runner"
 	"github.com/currantthread/currantthread/workload"
 )
@@ -30,6 +31,29 @@
 	RunnerHangs
 )
 
+// CommandFault is what happens to the commands of one kind that are sent to a runner.
+type CommandFault uint8
+
+// Faults of commands.
+const (
+	// CommandWorks is no fault.
+	CommandWorks CommandFault = iota
+	// CommandRequestLost means that the runner never receives the command.
+	CommandRequestLost
+	// CommandResponseLost means that the runner executes the command and the sender receives no response.
+	CommandResponseLost
+	// CommandAppliedLate means that the runner executes the command after LateDelay and the sender receives no response.
+	// Polls have no such fault.
+	CommandAppliedLate
+)
+
+// CommandFaults are the faults of a runner's commands by kind. They apply in addition to a RunnerFault.
+type CommandFaults struct {
+	Start, Stop, Hold CommandFault
+	// RefuseStarts is the reason with which starts are refused; empty if they are not.
+	RefuseStarts runner.Reason
+}
+
 // errNoRunnerResponse is returned for a command that got no response.
 var errNoRunnerResponse = errors.New("order has no answer")
 
@@ -54,9 +78,14 @@
 	Work Work
 	// StopTime is how long a stop takes.
 	StopTime time.Duration
+	// Gang returns the number of tasks that must run together with a task; 0 or 1 if it runs alone. It may be nil.
+	Gang func(task workload.TaskID) int
+	// Latency is the time that a command takes to a runner, and its response back. It is 0 unless a test sets it.
+	Latency time.Duration
 
 	mu      sync.Mutex // guards the fields below and the state of all runners
 	runners map[string]*simRunner
+	gangs   map[gangKey]map[runKey]*simRunner // members that run, by gang
 	starts  []StartRecord
 	done    map[workload.TaskID]int
 	// overlaps are tasks that ran in two places at once.
@@ -66,6 +95,7 @@
 type simRunner struct {
 	info    runner.Info
 	fault   RunnerFault
+	faults  CommandFaults
 	alive   bool
 	booted  time.Time
 	token   int64
@@ -83,17 +113,28 @@
 	run  int
 }
 
+// gangKey identifies one run of a gang.
+type gangKey struct {
+	job              string
+	occurrence, step int
+	run              int
+}
+
+func (k runKey) gang() gangKey { return gangKey{k.task.Job, k.task.Occurrence, k.task.Step, k.run} }
+
 type simRun struct {
 	timer    *time.Timer
 	started  time.Time
 	duration time.Duration
 	hangs    bool
+	waits    bool // for the other members of its gang
 	stopping bool
 }
 
 // NewFleet returns a fleet without runners.
 func NewFleet(work Work) *Fleet {
-	return &Fleet{Work: work, StopTime: 50 * time.Millisecond, runners: map[string]*simRunner{}, done: map[workload.TaskID]int{}}
+	return &Fleet{Work: work, StopTime: 50 * time.Millisecond, runners: map[string]*simRunner{},
+		gangs: map[gangKey]map[runKey]*simRunner{}, done: map[workload.TaskID]int{}}
 }
 
 // Add starts a runner.
@@ -111,6 +152,13 @@
 	f.runners[id].fault = fault
 }
 
+// SetCommandFaults changes what happens to a runner's commands from now on. The faults remain after a restart.
+func (f *Fleet) SetCommandFaults(id string, faults CommandFaults) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.runners[id].faults = faults
+}
+
 // Crash ends a runner and everything on it. Restart starts it again under the same ID.
 func (f *Fleet) Crash(id string) {
 	f.mu.Lock()
@@ -120,16 +168,22 @@
 	for key, run := range r.running {
 		run.timer.Stop()
 		delete(r.running, key)
+		f.endGang(key, runner.EndBroken)
 	}
 }
 
 // Restart starts a crashed runner again under its ID, without any of its earlier state.
-func (f *Fleet) Restart(id string) {
+func (f *Fleet) Restart(id string) { f.RestartAt(id, time.Now().UnixMilli()) }
+
+// RestartAt is Restart on a VM whose time of day is born, in milliseconds of Unix time.
+func (f *Fleet) RestartAt(id string, born int64) {
 	f.mu.Lock()
-	info := f.runners[id].info
+	previous := f.runners[id]
 	f.mu.Unlock()
-	info.Born = time.Now().UnixMilli()
+	info := previous.info
+	info.Born = born
 	f.Add(info)
+	f.SetCommandFaults(id, previous.faults)
 }
 
 // Starts returns the executed starts in order.
@@ -153,6 +207,19 @@
 	return len(f.runners[id].running)
 }
 
+// Runs returns the runners on which each task runs.
+func (f *Fleet) Runs() map[workload.TaskID][]string {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	runs := map[workload.TaskID][]string{}
+	for id, r := range f.runners {
+		for key := range r.running {
+			runs[key.task] = append(runs[key.task], id)
+		}
+	}
+	return runs
+}
+
 // Done returns how often runs of a task ended as done.
 func (f *Fleet) Done(task workload.TaskID) int {
 	f.mu.Lock()
@@ -162,19 +229,38 @@
 
 func (r *simRunner) clock() time.Duration { return time.Since(r.booted) }
 
-// lockRunner locks f.mu and returns the target's runner. If the runner can't be reached, it waits for the command timeout and
-// returns an error with f.mu unlocked.
-func (f *Fleet) lockRunner(ctx context.Context, target runner.Target) (*simRunner, RunnerFault, error) {
+// lockRunner locks f.mu and returns the target's runner and the fault of commands of one kind. If the command does not
+// reach the runner, it waits for the command timeout and returns an error with f.mu unlocked.
+func (f *Fleet) lockRunner(ctx context.Context, target runner.Target, kind func(CommandFaults) CommandFault) (*simRunner, CommandFault, error) {
 	f.mu.Lock()
 	r := f.runners[target.ID]
 	if r != nil && r.alive && r.fault != RunnerUnreachable {
-		return r, r.fault, nil
+		if fault := kind(r.commandFaults()); fault != CommandRequestLost {
+			return r, fault, nil
+		}
 	}
 	f.mu.Unlock()
 	awaitTimeout(ctx)
-	return nil, RunnerWorks, errNoRunnerResponse
+	return nil, CommandWorks, errNoRunnerResponse
 }
 
+// commandFaults returns the faults of the runner's commands, including those that its RunnerFault implies. The caller
+// holds the fleet's mu.
+func (r *simRunner) commandFaults() CommandFaults {
+	faults := r.faults
+	switch r.fault {
+	case RunnerLosesResponses:
+		faults.Start = CommandResponseLost
+	case RunnerAppliesLate:
+		faults.Start = CommandAppliedLate
+	}
+	return faults
+}
+
+func startFault(faults CommandFaults) CommandFault { return faults.Start }
+func stopFault(faults CommandFaults) CommandFault  { return faults.Stop }
+func holdFault(faults CommandFaults) CommandFault  { return faults.Hold }
+
 // awaitTimeout waits until ctx ends or the command timeout has passed.
 func awaitTimeout(ctx context.Context) {
 	select {
@@ -183,37 +269,53 @@
 	}
 }
 
-// Start implements runner.Client.
-func (f *Fleet) Start(ctx context.Context, target runner.Target, command runner.Start) (time.Duration, error) {
-	r, fault, err := f.lockRunner(ctx, target)
-	if err != nil {
-		return 0, err
-	}
-	if fault == RunnerAppliesLate {
+// execute executes a command as the fault requires, and returns its error or that of a command without a response. It
+// is called with f.mu locked and unlocks it.
+func (f *Fleet) execute(ctx context.Context, r *simRunner, fault CommandFault, command func() error) error {
+	if fault == CommandAppliedLate {
 		f.mu.Unlock()
 		time.AfterFunc(LateDelay, func() {
 			f.mu.Lock()
 			defer f.mu.Unlock()
-			if f.runners[target.ID] == r && r.alive {
-				_ = f.start(r, command) // the response is never sent
+			if f.runners[r.info.ID] == r && r.alive {
+				_ = command() // the response is never sent
 			}
 		})
 		awaitTimeout(ctx)
-		return 0, errNoRunnerResponse
+		return errNoRunnerResponse
 	}
-	err = f.start(r, command)
-	clock := r.clock()
+	err := command()
 	f.mu.Unlock()
-	if fault == RunnerLosesResponses {
+	if fault == CommandResponseLost {
 		awaitTimeout(ctx)
-		return 0, errNoRunnerResponse
+		return errNoRunnerResponse
+	}
+	if !wait.For(ctx, f.Latency) {
+		return ctx.Err()
 	}
-	return clock, err
+	return err
+}
+
+// Start implements runner.Client.
+func (f *Fleet) Start(ctx context.Context, target runner.Target, command runner.Start) (time.Duration, error) {
+	if !wait.For(ctx, f.Latency) {
+		return 0, ctx.Err()
+	}
+	r, fault, err := f.lockRunner(ctx, target, startFault)
+	if err != nil {
+		return 0, err
+	}
+	clock := r.clock()
+	return clock, f.execute(ctx, r, fault, func() error { return f.start(r, command) })
 }
 
 // start executes a start command. The caller holds mu.
 func (f *Fleet) start(r *simRunner, command runner.Start) error {
 	refuse := func(reason runner.Reason) error { return &runner.RefusedError{Reason: reason, Clock: r.clock()} }
+	if r.faults.RefuseStarts == runner.ReasonUnhealthy {
+		// An unhealthy runner does nothing at all.
+		return refuse(runner.ReasonUnhealthy)
+	}
 	if command.Token < r.token {
 		return refuse(runner.ReasonFenced)
 	}
@@ -223,6 +325,8 @@
 	switch {
 	case r.running[key] != nil:
 		return nil
+	case r.faults.RefuseStarts != "":
+		return refuse(r.faults.RefuseStarts)
 	case command.Run <= r.highestRun[command.Task]:
 		return refuse(runner.ReasonOldRun)
 	case command.Deadline <= r.clock():
@@ -238,23 +342,71 @@
 	duration, fails := f.Work(command.Task, command.Run)
 	fails = fails || r.fault == RunnerFails
 	run := &simRun{started: time.Now(), duration: duration, hangs: r.fault == RunnerHangs}
+	r.running[key] = run
+	f.starts = append(f.starts, StartRecord{time.Now(), r.info.ID, command.Task, command.Run, command.Token})
+	reason := runner.EndDone
+	if fails {
+		reason = runner.EndFailed
+	}
+	if f.Gang != nil && f.Gang(command.Task) > 1 {
+		f.joinGang(r, key, run, reason)
+		return nil
+	}
 	run.timer = time.AfterFunc(duration, func() {
 		f.mu.Lock()
 		defer f.mu.Unlock()
-		if run.hangs {
-			return
-		}
-		reason := runner.EndDone
-		if fails {
-			reason = runner.EndFailed
+		if !run.hangs {
+			r.endRun(f, key, reason)
 		}
-		r.endRun(f, key, reason)
 	})
-	r.running[key] = run
-	f.starts = append(f.starts, StartRecord{time.Now(), r.info.ID, command.Task, command.Run, command.Token})
 	return nil
 }
 
+// gangTimeout is how long a member of a gang waits for the others.
+const gangTimeout = 3 * time.Second
+
+// joinGang adds a run to its gang, whose work begins when all members are present. The caller holds mu.
+func (f *Fleet) joinGang(r *simRunner, key runKey, run *simRun, reason runner.EndReason) {
+	members := f.gangs[key.gang()]
+	if members == nil {
+		members = map[runKey]*simRunner{}
+		f.gangs[key.gang()] = members
+	}
+	members[key] = r
+	run.waits = true
+	run.timer = time.AfterFunc(gangTimeout, func() {
+		f.mu.Lock()
+		defer f.mu.Unlock()
+		r.endRun(f, key, runner.EndAlone)
+	})
+	if len(members) < f.Gang(key.task) {
+		return
+	}
+	for other, on := range members {
+		member := on.running[other]
+		member.timer.Stop()
+		member.waits, member.started = false, time.Now()
+	}
+	run.timer = time.AfterFunc(run.duration, func() {
+		f.mu.Lock()
+		defer f.mu.Unlock()
+		if !run.hangs {
+			r.endRun(f, key, reason)
+		}
+	})
+}
+
+// endGang removes a run from its gang and ends the other members. The caller holds mu.
+func (f *Fleet) endGang(ended runKey, reason runner.EndReason) {
+	members := f.gangs[ended.gang()]
+	delete(f.gangs, ended.gang())
+	for key, r := range members {
+		if key != ended {
+			r.endRun(f, key, reason)
+		}
+	}
+}
+
 // endRun ends a run and queues the report of its end. The caller holds mu.
 func (r *simRunner) endRun(f *Fleet, key runKey, reason runner.EndReason) {
 	run := r.running[key]
@@ -271,11 +423,19 @@
 	}
 	close(r.changed)
 	r.changed = make(chan struct{})
+	if reason == runner.EndDone {
+		f.endGang(key, runner.EndDone)
+	} else {
+		f.endGang(key, runner.EndBroken)
+	}
 }
 
+// holdMax is the longest lease that a runner grants.
+const holdMax = 10 * time.Second
+
 // extendLease moves the end of the lease and ends all runs if the lease expires. The caller holds mu.
 func (r *simRunner) extendLease(f *Fleet, deadline time.Duration) {
-	end := r.booted.Add(deadline)
+	end := r.booted.Add(min(deadline, r.clock()+holdMax))
 	if deadline <= 0 || !end.After(r.lease) {
 		return
 	}
@@ -294,11 +454,18 @@
 
 // Stop implements runner.Client.
 func (f *Fleet) Stop(ctx context.Context, target runner.Target, task workload.TaskID, number int, token int64) error {
-	r, _, err := f.lockRunner(ctx, target)
+	if !wait.For(ctx, f.Latency) {
+		return ctx.Err()
+	}
+	r, fault, err := f.lockRunner(ctx, target, stopFault)
 	if err != nil {
 		return err
 	}
-	defer f.mu.Unlock()
+	return f.execute(ctx, r, fault, func() error { return f.stop(r, task, number, token) })
+}
+
+// stop executes a stop command. The caller holds mu.
+func (f *Fleet) stop(r *simRunner, task workload.TaskID, number int, token int64) error {
 	if token < r.token {
 		return &runner.RefusedError{Reason: runner.ReasonFenced, Clock: r.clock()}
 	}
@@ -322,7 +489,7 @@
 
 // Pace implements runner.Client. Speeds have no effect here.
 func (f *Fleet) Pace(ctx context.Context, target runner.Target, _ workload.TaskID, _, _ int, _ int64) error {
-	_, _, err := f.lockRunner(ctx, target)
+	_, _, err := f.lockRunner(ctx, target, func(CommandFaults) CommandFault { return CommandWorks })
 	if err == nil {
 		f.mu.Unlock()
 	}
@@ -331,9 +498,12 @@
 
 // Hold implements runner.Client.
 func (f *Fleet) Hold(ctx context.Context, target runner.Target, command runner.Hold) (runner.Report, error) {
+	if !wait.For(ctx, f.Latency) {
+		return runner.Report{}, ctx.Err()
+	}
 	deadline := time.After(command.Wait)
 	for {
-		r, _, err := f.lockRunner(ctx, target)
+		r, fault, err := f.lockRunner(ctx, target, holdFault)
 		if err != nil {
 			return runner.Report{}, err
 		}
@@ -349,6 +519,13 @@
 		if len(r.ends) > 0 || command.Wait == 0 {
 			report := r.report()
 			f.mu.Unlock()
+			if fault == CommandResponseLost {
+				awaitTimeout(ctx)
+				return runner.Report{}, errNoRunnerResponse
+			}
+			if !wait.For(ctx, f.Latency) {
+				return runner.Report{}, ctx.Err()
+			}
 			return report, nil
 		}
 		changed := r.changed
@@ -378,7 +555,7 @@
 // percent returns the progress of a run.
 func (r *simRun) percent() int {
 	switch {
-	case r.hangs:
+	case r.hangs, r.waits:
 		return 0
 	case r.duration <= 0:
 		return 100
