Reconcile the state of runs on each tick

Cause: the state of a run was driven by one background sequence after each command, and nothing drove it on when that sequence ended. Two ways led there. A start without a response found its run already marked as stopping, by a stop that had been answered while the start was in flight, and sent no further stop. And a stop was given up after one lease without a response. In both cases the run stayed in the state for ever: polls succeeded, so the lease did not end it, and no report lists a run that never began. Its task was never ready again and its runner's capacity stayed committed.

A run now has a desired state. Each tick compares it with what responses and reports have shown and sends the command that is missing, with increasing pauses. A stop that the runner's present process has confirmed ends the run at the next report that does not list it, whatever happened to the start.

--- a/dispatch/runnerstate.go
+++ b/dispatch/runnerstate.go
@@ -32,45 +32,6 @@
 	leaseSlack = 250 * time.Millisecond
 )
 
-type runPhase uint8
-
-const (
-	// runStarting waits for the response to the start command.
-	runStarting runPhase = iota
-	runRunning
-	// runStartUnknown has a start command without a response.
-	runStartUnknown
-	// runStopping has received a stop command.
-	runStopping
-)
-
-// run is one start of a task of a unit. It exists until it is confirmed to have ended or can no longer start.
-type run struct {
-	unit   *unit
-	member int
-	number int
-	runner *runnerState
-	phase  runPhase
-	// confirmedAt is when the runner confirmed the run or, later, its stop. Polls sent later report the run or its end.
-	confirmedAt    time.Time
-	startedAt      time.Time
-	percent        int
-	progressAt     time.Time // when the progress last changed
-	measurement    float64
-	hasMeasurement bool
-	stopping       bool // a stop is being sent or was confirmed
-	stopReason     string
-	// speed is the commanded speed limit of a best-effort task, in percent.
-	speed int
-	// overTargetSince is when a serving task was first reported over its latency target; zero if the last report did not
-	// show it over the target.
-	overTargetSince time.Time
-	// pausedSince is when the speed last became 0; zero if the run is not paused.
-	pausedSince time.Time
-}
-
-func (r *run) id() workload.TaskID { return r.unit.task(r.member) }
-
 // runnerState is the cell owner's state of a runner.
 type runnerState struct {
 	info      runner.Info
@@ -160,7 +121,7 @@
 			continue
 		}
 		for r := range rs.runs {
-			if !r.unit.def().LongRunning || r.stopping || r.unit.size > 1 {
+			if !r.unit.def().LongRunning || r.stop.wanted || r.unit.size > 1 {
 				continue
 			}
 			if views == nil {
@@ -408,7 +369,7 @@
 
 // detach removes a run that is confirmed not to exist any more. The caller holds mu.
 func (c *Cell) detach(r *run) {
-	if !r.runner.runs[r] {
+	if !r.exists() {
 		return
 	}
 	delete(r.runner.runs, r)
@@ -454,7 +415,7 @@
 			why = string(endReason)
 		}
 		c.cfg.Log.WithFields(logrus.Fields{"request": u.job.def.ID, "task": r.id().String(), "run": r.number,
-			"runner": rs.info.ID, "why": why, "stop": r.stopReason}).Info("run ended early")
+			"runner": rs.info.ID, "why": why, "stop": r.stop.reason}).Info("run ended early")
 	}
 	if len(u.runs) == 0 {
 		c.makeReady(u)
@@ -549,7 +510,7 @@
 		}
 	}
 	for r := range rs.runs {
-		if !listed[r] && (r.phase == runRunning || r.phase == runStopping) && r.confirmedAt.Before(sent) {
+		if !listed[r] && r.hasEndedIfUnlisted(sent) {
 			c.endRun(now, r, runner.EndExpired, "", "runner does not list it")
 		}
 	}
@@ -621,11 +582,14 @@
 	r.percent, r.measurement, r.hasMeasurement = listed.Percent, listed.Measurement, listed.HasMeasurement
 }
 
-// tickRunner moves paused tasks and, once the lease of an unreachable runner has expired, ends its runs. The caller
-// holds mu.
+// tickRunner moves paused tasks, reconciles the runs and, once the lease of an unreachable runner has expired, ends its
+// runs. The caller holds mu.
 func (c *Cell) tickRunner(now time.Time, rs *runnerState) {
 	c.movePaused(now, rs)
-	if len(rs.runs) == 0 || now.Before(rs.leaseEnd) || !rs.pollFailing {
+	for r := range rs.runs {
+		c.reconcileRun(now, r)
+	}
+	if now.Before(rs.leaseEnd) || !rs.pollFailing {
 		return
 	}
 	for r := range rs.runs {
