Recognise the restart of a runner whose clock was set back

Callers saw tasks that were never started again, and a runner that took no more tasks. Cause: a report with a lower birth time than the last one counted as the late response of an earlier process. If the time of day of a runner's VM steps back between two starts of the runner, the birth time of the new process is lower, and all its reports were dropped. Its polls succeeded, so its runs never ended.

A different birth time now means a restart, unless the poll was sent before the present birth time was learned. After a restart, stops that the old process had confirmed are sent again. Runs on an address where another incarnation answers all end, since it refuses their start commands too.

--- a/dispatch/runnerstate.go
+++ b/dispatch/runnerstate.go
@@ -41,7 +41,8 @@
 
 	clock             time.Duration // the runner's clock at clockAt
 	clockAt           time.Time
-	born              int64
+	born              int64     // birth time of the process that responded last; 0 if unknown
+	bornSeenAt        time.Time // when born was learned
 	leaseEnd          time.Time // by our clock, when every run on it has ended if it receives no further command
 	lastResponseAt    time.Time // last response to a poll
 	appliedPollSentAt time.Time // send time of the newest poll whose report was applied
@@ -99,6 +100,7 @@
 	if present {
 		if rs.info.Born != 0 && info.Born > rs.info.Born && rs.born != 0 && info.Born > rs.born {
 			c.handleRestart(rs, info.Born)
+			rs.born, rs.bornSeenAt = info.Born, time.Now()
 		}
 		rs.info = info
 	}
@@ -227,8 +229,7 @@
 	if err != nil {
 		return c.pollFailed(now, rs, err)
 	}
-	if report.Born != 0 && report.Born < rs.born {
-		// This is a late response of an earlier process.
+	if rs.isFromEarlierProcess(sent, report.Born) {
 		return 0
 	}
 	if rs.pollFailing {
@@ -241,11 +242,11 @@
 		return 0
 	}
 	rs.appliedPollSentAt = sent
-	if report.Born != 0 && rs.born != 0 && report.Born != rs.born {
-		c.handleRestart(rs, report.Born)
-	}
-	if report.Born != 0 {
-		rs.born = report.Born
+	if report.Born != 0 && report.Born != rs.born {
+		if rs.born != 0 {
+			c.handleRestart(rs, report.Born)
+		}
+		rs.born, rs.bornSeenAt = report.Born, now
 	}
 	firstReport := !rs.synced
 	rs.synced = true
@@ -288,18 +289,24 @@
 // next report shows which runs are lost, because starts may already have reached the new process. The caller holds mu.
 func (c *Cell) handleRestart(rs *runnerState, born int64) {
 	c.cfg.Log.WithFields(logrus.Fields{"runner": rs.info.ID, "born": born, "runs": len(rs.runs)}).Warn("runner restarted")
-	rs.born = born
 	rs.processed, rs.acked = 0, 0
 	rs.synced = false
+	for r := range rs.runs {
+		// The new process does not know of stops that the old one confirmed.
+		r.stop.confirmedAt, r.stop.nextAt = time.Time{}, time.Time{}
+	}
 }
 
-// loseRuns ends the runs that a terminated incarnation of a runner had. The caller holds mu.
+// isFromEarlierProcess reports whether a poll sent at the given time was answered by a process that has ended since. A
+// different birth time alone does not tell: a new process has a lower one if the time of day of its VM was set back.
+func (rs *runnerState) isFromEarlierProcess(sent time.Time, born int64) bool {
+	return born != 0 && rs.born != 0 && born != rs.born && sent.Before(rs.bornSeenAt)
+}
+
+// loseRuns ends all runs of a terminated incarnation of a runner. Start commands in flight are included, because another
+// incarnation refuses them. The caller holds mu.
 func (c *Cell) loseRuns(now time.Time, rs *runnerState, why string) {
 	for r := range rs.runs {
-		if r.phase == runStarting || r.phase == runStartUnknown {
-			// The start command may still reach the new incarnation. A stop command resolves the run.
-			continue
-		}
 		c.endRun(now, r, runner.EndExpired, "", why)
 	}
 }
