Unblock steps by the state of the steps they wait for

Callers would see a job that never completes if one of its steps lists an earlier step twice in after. Cause: the number of steps to wait for counted each entry, and a step that was done was subtracted once. The number is gone: a step is unblocked if all steps that it lists are done.

--- a/dispatch/cell.go
+++ b/dispatch/cell.go
@@ -257,22 +257,19 @@
 			occ.left++
 		}
 	}
+	c.readyUnblocked(occ)
+}
+
+// readyUnblocked makes the blocked units of all steps ready whose earlier steps are done. The caller holds mu.
+func (c *Cell) readyUnblocked(occ *occurrence) {
 	for i := range occ.steps {
 		step := &occ.steps[i]
-		step.blocked = 0
-		if len(step.units) == 0 {
+		if step.left == 0 || !occ.isUnblocked(i) {
 			continue
 		}
-		for _, before := range step.units[0].def().After {
-			if occ.steps[before].left > 0 {
-				step.blocked++
-			}
-		}
-		if step.blocked == 0 {
-			for _, u := range step.units {
-				if u.phase == phaseBlocked {
-					c.makeReady(u)
-				}
+		for _, u := range step.units {
+			if u.phase == phaseBlocked {
+				c.makeReady(u)
 			}
 		}
 	}
--- a/dispatch/job.go
+++ b/dispatch/job.go
@@ -65,11 +65,24 @@
 	left int
 }
 
+// isUnblocked reports whether all steps that a step waits for are done.
+func (o *occurrence) isUnblocked(step int) bool {
+	units := o.steps[step].units
+	if len(units) == 0 {
+		return false
+	}
+	for _, before := range units[0].def().After {
+		if o.steps[before].left > 0 {
+			return false
+		}
+	}
+	return true
+}
+
 type stepState struct {
 	units []*unit
 	// left is the number of units that are not done.
-	left    int
-	blocked int // earlier steps that are not done
+	left int
 	// onRunner counts active runs of the step by runner.
 	onRunner map[string]int
 	// load is the learned load of serving tasks.
@@ -128,7 +141,6 @@
 	for i := range j.def.Steps {
 		def := &j.def.Steps[i]
 		step := &occ.steps[i]
-		step.blocked = len(def.After)
 		step.onRunner = map[string]int{}
 		size, count := 1, def.Count
 		if def.Gang {
--- a/dispatch/runnerstate.go
+++ b/dispatch/runnerstate.go
@@ -458,7 +458,7 @@
 	}
 	occ.left--
 	if occ.left > 0 {
-		c.unblock(occ, u.step)
+		c.readyUnblocked(occ)
 		return
 	}
 	j.doneOccs[occ.number] = true
@@ -467,26 +467,6 @@
 	}
 }
 
-func (c *Cell) unblock(occ *occurrence, done int) {
-	for i := range occ.steps {
-		step := &occ.steps[i]
-		for _, before := range step.units[0].def().After {
-			if before == done {
-				step.blocked--
-				break
-			}
-		}
-		if step.blocked > 0 {
-			continue
-		}
-		for _, u := range step.units {
-			if u.phase == phaseBlocked {
-				c.makeReady(u)
-			}
-		}
-	}
-}
-
 // unitFailed counts a failed run and reports whether the job failed because of it. The caller holds mu.
 func (c *Cell) unitFailed(now time.Time, u *unit, rs *runnerState) bool {
 	u.fails++
