Plan at intervals while tasks are ready

Callers would see tasks that wait although a runner is free. Cause: a plan was made after an event only, but back-offs of runners, the pause after a failed advice request, the end of a cut and the end of a long silence of the store come without one. On the platform, each read of service discovery happened to be such an event; it does not happen while the store is away.

A plan is now made at least every 0.5 s while a unit is ready.

--- a/dispatch/cell.go
+++ b/dispatch/cell.go
@@ -24,6 +24,9 @@
 const (
 	// tickInterval is how often the cell's timers are checked.
 	tickInterval = 100 * time.Millisecond
+	// replanInterval is the longest time between two plans while units are ready. Some reasons to wait, such as the back-off
+	// of a runner, end without an event.
+	replanInterval = 500 * time.Millisecond
 	// storeOutageTolerance is how long an owner continues to start tasks and extend leases without a successful write.
 	// It covers store outages of about ten seconds. A successor waits for this time plus one lease before it restarts a
 	// task that may be running on an unreachable runner.
@@ -72,6 +75,7 @@
 	// ownerVersion is the version of the ownership row that this owner last wrote.
 	ownerVersion    int64
 	lastCommit      time.Time // send time of the last successful commit
+	plannedAt       time.Time // when the last plan was made
 	drainCheckedAt  time.Time // when draining runners were last checked
 	expiryCheckedAt time.Time // when finished jobs were last checked for removal
 	lost            bool
@@ -222,6 +226,9 @@
 	for _, rs := range c.runners {
 		c.tickRunner(now, rs)
 	}
+	if len(c.ready) > 0 && now.Sub(c.plannedAt) >= replanInterval {
+		wake(c.planWake)
+	}
 	c.evictFromDraining(now)
 	c.sampleAdmission(now)
 	c.checkStore(now)
--- a/dispatch/plan.go
+++ b/dispatch/plan.go
@@ -43,6 +43,7 @@
 
 // plan starts all ready units that can be placed. The caller holds mu.
 func (c *Cell) plan(ctx context.Context, now time.Time) {
+	c.plannedAt = now
 	if len(c.ready) == 0 {
 		return
 	}
