List runners whose leases have expired as terminated

Callers saw tasks that waited for up to 18 s after a change of owner. Cause: a new owner waits for each runner that may run tasks of the previous one. A runner that had not responded for long counted among them as long as service discovery listed it, although the previous owner had already counted its tasks as lost.

The ownership row now lists a runner as terminated once its polls fail and its lease has expired. It gets tasks again once it responds and a durable row no longer lists it.

--- a/dispatch/cell.go
+++ b/dispatch/cell.go
@@ -100,7 +100,8 @@
 	dirty         map[*jobState]bool
 	// urgent requests a commit without the usual delay.
 	urgent bool
-	// terminated holds runners that disappeared and are confirmed to run nothing. The ownership row lists them.
+	// terminated holds runners that are confirmed to run nothing: they do not respond, and their leases have expired. The
+	// ownership row lists them.
 	terminated map[string]bool
 	// previous is the last owner.
 	previous Ownership
--- a/dispatch/flush.go
+++ b/dispatch/flush.go
@@ -54,7 +54,8 @@
 	Incarnation string `json:"inc,omitempty"`
 	// Nonce identifies the commit that wrote the row, so that a commit without a response can be recognised later.
 	Nonce string `json:"nonce"`
-	// Terminated lists runners of the cell that are confirmed to run nothing. The next owner need not wait for them.
+	// Terminated lists runners of the cell that are confirmed to run nothing: they do not respond, and their leases have
+	// expired. The next owner need not wait for them.
 	Terminated []string `json:"gone,omitempty"`
 	// Released means that the owner released the cell and sends no more commands.
 	Released bool `json:"released,omitempty"`
@@ -208,7 +209,7 @@
 	b.txn.Conditions = append(b.txn.Conditions, store.Condition{Key: OwnerKey(c.cfg.Part), Version: c.ownerVersion})
 	b.txn.Writes = append(b.txn.Writes, store.Write{Key: OwnerKey(c.cfg.Part), Value: owner})
 	for _, rs := range c.runners {
-		if rs.listedTerminated {
+		if rs.listedTerminated && !c.terminated[rs.info.ID] {
 			b.reappeared = append(b.reappeared, rs)
 		}
 	}
@@ -429,7 +430,7 @@
 		}
 	}
 	for _, rs := range b.reappeared {
-		rs.listedTerminated = false
+		rs.listedTerminated = c.terminated[rs.info.ID]
 		wake(c.planWake)
 	}
 	for _, j := range b.expired {
--- a/dispatch/runnerstate.go
+++ b/dispatch/runnerstate.go
@@ -47,7 +47,7 @@
 	lastResponseAt    time.Time // last response to a poll
 	appliedPollSentAt time.Time // send time of the newest poll whose report was applied
 	synced            bool      // a poll has succeeded since this owner took over or the runner restarted
-	listedTerminated  bool      // the durable ownership row lists it as terminated
+	listedTerminated  bool      // the durable ownership row may list it as terminated, so it gets no tasks
 	pollFailing       bool      // the last poll failed
 	processed         int64     // number of the last end that was applied to the jobs' state
 	acked             int64     // number of the last end whose effect is durable
@@ -84,12 +84,7 @@
 		var pollCtx context.Context
 		pollCtx, rs.stop = context.WithCancel(ctx)
 		rs.info = info
-		if c.terminated[info.ID] {
-			// Starts on this runner wait until a durable ownership row no longer lists it as terminated.
-			delete(c.terminated, info.ID)
-			rs.listedTerminated, c.urgent = true, true
-			wake(c.flushWake)
-		}
+		rs.listedTerminated = c.terminated[info.ID]
 		c.background.Go(func() { c.pollLoop(pollCtx, rs) })
 	}
 	if rs.present != present || rs.info.Draining != info.Draining {
@@ -238,6 +233,12 @@
 	}
 	rs.lastResponseAt = now
 	rs.clock, rs.clockAt = report.Clock, now
+	if c.terminated[rs.info.ID] {
+		// It gets tasks again once a durable ownership row no longer lists it.
+		delete(c.terminated, rs.info.ID)
+		c.urgent = true
+		wake(c.flushWake)
+	}
 	if sent.Before(rs.appliedPollSentAt) {
 		return 0
 	}
@@ -584,6 +585,11 @@
 			c.endRun(now, r, runner.EndExpired, "", "lease ended on an unreachable runner")
 		}
 	}
+	_, unresolved := c.unresolved[rs.info.ID]
+	if len(rs.runs) == 0 && !unresolved {
+		// A new owner need not wait for it.
+		rs.listedTerminated, c.terminated[rs.info.ID] = true, true
+	}
 }
 
 // reachable reports whether the runner responds and may get new tasks. The caller holds mu.
