Wait only for unreachable runners that may run the task

After a change of owner, each recovered task waited for each runner that had not responded, also for those that cannot run it. A task now waits only for runners of a service that its job uses or has used, with the label and the capacity that it needs. A job that ran on another service than that of its submission keeps this in its progress row.

Runners that service discovery no longer lists are polled as well if their address is known, because they may be cut off from service discovery only. And an unlisted runner that fails its first poll no longer counts as terminated before the last lease of the previous owner has expired; its tasks could have been started twice.

--- a/dispatch/cell.go
+++ b/dispatch/cell.go
@@ -105,8 +105,8 @@
 	terminated map[string]bool
 	// previous is the last owner.
 	previous Ownership
-	// unresolved maps runners that may run tasks of an earlier owner to the time until which they may.
-	unresolved map[string]time.Time
+	// unresolved holds, by ID, the runners that may run tasks of an earlier owner.
+	unresolved map[string]*unresolvedRunner
 	pending    map[string]int // accepted jobs without a started task, by queue
 	// adviceMu serializes calls to the advice service.
 	adviceMu sync.Mutex
@@ -121,7 +121,7 @@
 func newCell(cfg Config, epoch int64) *Cell {
 	return &Cell{
 		cfg: cfg, epoch: epoch, jobs: map[string]*jobState{}, runners: map[string]*runnerState{},
-		evacuated: map[string]bool{}, dirty: map[*jobState]bool{}, unresolved: map[string]time.Time{},
+		evacuated: map[string]bool{}, dirty: map[*jobState]bool{}, unresolved: map[string]*unresolvedRunner{},
 		pending: map[string]int{}, planWake: make(chan struct{}, 1), flushWake: make(chan struct{}, 1),
 		done: make(chan struct{}), catalog: &catalog.Config{}, pressure: interference.NewPressure(),
 		advice: map[equivClass]*advice{}, terminated: map[string]bool{},
@@ -214,16 +214,7 @@
 func (c *Cell) tick(now time.Time) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	for id, until := range c.unresolved {
-		if now.After(until) {
-			delete(c.unresolved, id)
-			if c.runners[id] == nil {
-				c.terminated[id] = true
-			}
-			c.cfg.Log.WithFields(logrus.Fields{"cell": c.cfg.Name, "runner": id}).Info("lease of an unreachable runner has expired")
-			wake(c.planWake)
-		}
-	}
+	c.expireUnresolved(now)
 	for _, rs := range c.runners {
 		c.tickRunner(now, rs)
 	}
--- a/dispatch/job.go
+++ b/dispatch/job.go
@@ -105,6 +105,8 @@
 	finishedAt time.Time
 	// failedOn holds the runners on which tasks of the job failed.
 	failedOn map[string]bool
+	// formerServices holds the services, other than that of the submission, on whose runners tasks of the job started.
+	formerServices map[string]bool
 	// objective is when the job should be completed.
 	objective time.Time
 	dirty     bool
--- a/dispatch/plan.go
+++ b/dispatch/plan.go
@@ -58,7 +58,7 @@
 			continue
 		}
 		key := equivClass{u.job, u.occ, u.step}
-		if blocked[key] || u.recovered && len(c.unresolved) > 0 {
+		if blocked[key] || c.awaitsUnresolved(u) {
 			kept = append(kept, u)
 			continue
 		}
@@ -213,6 +213,7 @@
 		return false
 	}
 	c.cfg.Metrics.startWait.Observe(now.Sub(u.readyAt).Seconds())
+	c.recordService(u.job, service)
 	number := u.run + 1
 	u.phase = phaseActive
 	for member, v := range chosen {
@@ -285,3 +286,17 @@
 	}
 	return j.def.Policy.Service
 }
+
+// recordService records that tasks of a job start on runners of a service. If that is not the service of the job's
+// submission, it becomes part of the job's durable state, so that a new owner also awaits unreachable runners of that
+// service. The caller holds mu.
+func (c *Cell) recordService(j *jobState, service string) {
+	if service == j.def.Policy.Service || j.formerServices[service] {
+		return
+	}
+	if j.formerServices == nil {
+		j.formerServices = map[string]bool{}
+	}
+	j.formerServices[service] = true
+	c.markDirty(j)
+}
--- a/dispatch/progress.go
+++ b/dispatch/progress.go
@@ -3,6 +3,8 @@
 import (
 	"encoding/json"
 	"fmt"
+	"maps"
+	"slices"
 	"sort"
 
 	"github.com/currantthread/currantthread/workload"
@@ -16,6 +18,8 @@
 	// Done lists the finished occurrences.
 	Done []int         `json:"d,omitempty"`
 	Occs []occProgress `json:"o,omitempty"`
+	// Services lists the services, other than that of the submission, on whose runners tasks started.
+	Services []string `json:"v,omitempty"`
 	// FinishedMs is the Unix time in milliseconds at which the job ended; 0 while it has not.
 	FinishedMs int64 `json:"f,omitempty"`
 }
@@ -50,6 +54,7 @@
 		p.Done = append(p.Done, number)
 	}
 	sort.Ints(p.Done)
+	p.Services = slices.Sorted(maps.Keys(j.formerServices))
 	for number, occ := range j.occs {
 		if j.doneOccs[number] {
 			continue
@@ -106,6 +111,12 @@
 		j.compact()
 		return j, nil
 	}
+	for _, service := range p.Services {
+		if j.formerServices == nil {
+			j.formerServices = map[string]bool{}
+		}
+		j.formerServices[service] = true
+	}
 	for _, number := range p.Done {
 		j.doneOccs[number] = true
 	}
--- a/dispatch/runnerstate.go
+++ b/dispatch/runnerstate.go
@@ -68,13 +68,15 @@
 	return runner.Target{Addr: rs.info.Addr, ID: rs.info.ID}
 }
 
-// SetRunner updates a runner of the cell from service discovery. present is false once the runner is no longer listed.
+// SetRunner updates a runner of the cell from service discovery. present is false once the runner is no longer listed. An
+// unlisted runner that may run tasks of an earlier owner is polled too if its address is known: it may be cut off from
+// service discovery only.
 func (c *Cell) SetRunner(ctx context.Context, info runner.Info, present bool) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	rs := c.runners[info.ID]
 	if rs == nil {
-		if !present {
+		if _, unresolved := c.unresolved[info.ID]; !present && (!unresolved || info.Addr == "") {
 			return
 		}
 		rs = &runnerState{runs: map[*run]bool{}, pollWake: make(chan struct{}, 1)}
@@ -163,6 +165,9 @@
 func (c *Cell) removeTerminated(rs *runnerState) bool {
 	c.mu.Lock()
 	defer c.mu.Unlock()
+	if _, unresolved := c.unresolved[rs.info.ID]; unresolved {
+		return false
+	}
 	if rs.present || len(rs.runs) > 0 || time.Now().Before(rs.leaseEnd) {
 		return false
 	}
@@ -171,7 +176,6 @@
 		return false
 	}
 	delete(c.runners, rs.info.ID)
-	delete(c.unresolved, rs.info.ID)
 	c.terminated[rs.info.ID] = true
 	return true
 }
--- /dev/null
+++ b/dispatch/unresolved.go
@@ -0,0 +1,100 @@
+package dispatch
+
+import (
+	"time"
+
+	"github.com/sirupsen/logrus"
+
+	"github.com/currantthread/currantthread/runner"
+)
+
+// unresolvedRunner is a runner that has not responded to this owner and may run tasks that an earlier owner started.
+type unresolvedRunner struct {
+	// info has only the ID and perhaps the address if service discovery does not list the runner.
+	info runner.Info
+	// until is when the last lease that an earlier owner can have granted has expired.
+	until time.Time
+}
+
+// initUnresolved records the runners that may still run tasks started by the predecessor. It is called before the cell
+// is shared with other goroutines.
+func (c *Cell) initUnresolved(previous Ownership, runners []runner.Info) {
+	c.previous = previous
+	until := c.leaseExpiry(time.Now())
+	if !previous.Released && !c.cfg.PredecessorDead {
+		until = until.Add(storeOutageTolerance)
+	}
+	for _, id := range previous.Terminated {
+		c.terminated[id] = true
+	}
+	for _, info := range runners {
+		if c.terminated[info.ID] {
+			continue
+		}
+		c.unresolved[info.ID] = &unresolvedRunner{info: info, until: until}
+	}
+}
+
+// Predecessor returns the last owner and whether it may still send commands.
+func (c *Cell) Predecessor() (previous Ownership, mayCommand bool) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.previous, !c.previous.Released && !c.cfg.PredecessorDead
+}
+
+// MarkPredecessorDead records that the process of the last owner is confirmed to have ended. Tasks on unreachable
+// runners then count as lost after one lease.
+func (c *Cell) MarkPredecessorDead() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.cfg.PredecessorDead = true
+	expiry := c.leaseExpiry(time.Now())
+	for _, x := range c.unresolved {
+		if expiry.Before(x.until) {
+			x.until = expiry
+		}
+	}
+}
+
+// expireUnresolved removes the runners whose last lease has expired. The caller holds mu.
+func (c *Cell) expireUnresolved(now time.Time) {
+	for id, x := range c.unresolved {
+		if !now.After(x.until) {
+			continue
+		}
+		delete(c.unresolved, id)
+		if c.runners[id] == nil {
+			c.terminated[id] = true
+		}
+		c.cfg.Log.WithFields(logrus.Fields{"cell": c.cfg.Name, "runner": id}).Info("lease of an unreachable runner has expired")
+		wake(c.planWake)
+	}
+}
+
+// awaitsUnresolved reports whether a unit must not start yet because an unresolved runner may run it. The caller holds mu.
+func (c *Cell) awaitsUnresolved(u *unit) bool {
+	if !u.recovered {
+		return false
+	}
+	for _, x := range c.unresolved {
+		if c.mayRunOn(u, &x.info) {
+			return true
+		}
+	}
+	return false
+}
+
+// mayRunOn reports whether an earlier owner may have started a unit on a runner, as far as the runner's properties tell.
+// The caller holds mu.
+func (c *Cell) mayRunOn(u *unit, info *runner.Info) bool {
+	if info.Service == "" {
+		return true
+	}
+	def := u.def()
+	return c.usesService(u.job, info.Service) && (def.Label == "" || info.HasLabel(def.Label)) && def.Committed().Fits(info.Capacity)
+}
+
+// usesService reports whether tasks of a job run, or may have run, on runners of a service. The caller holds mu.
+func (c *Cell) usesService(j *jobState, service string) bool {
+	return service == c.serviceOf(j) || service == j.def.Policy.Service || j.formerServices[service]
+}
--- a/runner/runner.go
+++ b/runner/runner.go
@@ -6,6 +6,7 @@
 import (
 	"context"
 	"errors"
+	"slices"
 	"time"
 
 	"github.com/currantthread/currantthread/workload"
@@ -32,6 +33,9 @@
 	Born int64
 }
 
+// HasLabel reports whether the runner has a label.
+func (i *Info) HasLabel(label string) bool { return slices.Contains(i.Labels, label) }
+
 // Target addresses one incarnation of a runner.
 type Target struct {
 	Addr string
