--- a/dispatch/cell_test.go
+++ b/dispatch/cell_test.go
@@ -30,6 +30,8 @@
 	store *emulator.Store
 	fleet *emulator.Fleet
 	infos []runner.Info
+	// unlisted are runners of the cell that service discovery does not list.
+	unlisted []runner.Info
 	// advisor is nil unless a test sets it.
 	advisor dispatch.Advisor
 }
@@ -67,11 +69,14 @@
 		Store: cl.store, Runners: cl.fleet, Log: observe.NewLogger(io.Discard, "test", node),
 		Metrics: dispatch.NewMetrics(registry), PredecessorDead: predecessorDead,
 	}
-	c, err := dispatch.Acquire(ctx, cfg, previous, version, cl.infos)
+	c, err := dispatch.Acquire(ctx, cfg, previous, version, append(cl.unlisted, cl.infos...))
 	assert.NilError(cl.t, err)
 	for _, info := range cl.infos {
 		c.SetRunner(ctx, info, true)
 	}
+	for _, info := range cl.unlisted {
+		c.SetRunner(ctx, info, false)
+	}
 	go c.Run(ctx)
 	cl.t.Cleanup(func() {
 		// A failed test must not leave goroutines in its bubble, or the whole test binary panics.
--- a/dispatch/waiting_test.go
+++ b/dispatch/waiting_test.go
@@ -409,3 +409,45 @@
 		})
 	}
 }
+
+// Tasks started a second time after a takeover if service discovery no longer listed their runner and the first poll of it
+// failed: the runner counted as terminated although its lease had not expired.
+func TestTakeoverAwaitsLeaseOfUnlistedRunner(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		cl := newCluster(t, 3, fixedDuration(time.Hour))
+		first, kill := cl.startOwner("a", true)
+		cl.submit(first, jobOf(1, longRunning(6, 8000)))
+		time.Sleep(time.Second)
+		cl.killOwner(first, kill)
+		cl.fleet.SetFault("r1", emulator.RunnerUnreachable)
+		next, stop := cl.startOwner("b", true)
+		next.SetRunner(t.Context(), cl.infos[1], false)
+		time.Sleep(lease + takeoverTime)
+		cl.assertNoOverlap()
+		assert.Equal(t, cl.fleet.Running("r0")+cl.fleet.Running("r2"), 6)
+		stop()
+		<-next.Done()
+	})
+}
+
+// The tasks of a runner that is cut off from service discovery only must go on after a takeover.
+func TestTakeoverAdoptsTasksOfUnlistedRunner(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		cl := newCluster(t, 3, fixedDuration(time.Hour))
+		first, kill := cl.startOwner("a", true)
+		cl.submit(first, jobOf(1, longRunning(6, 8000)))
+		time.Sleep(time.Second)
+		starts := len(cl.fleet.Starts())
+		unlisted := cl.infos[1]
+		assert.Assert(t, cl.fleet.Running(unlisted.ID) > 0)
+		cl.killOwner(first, kill)
+		cl.infos = append(cl.infos[:1:1], cl.infos[2])
+		cl.unlisted = []runner.Info{{ID: unlisted.ID, Addr: unlisted.Addr}}
+		next, stop := cl.startOwner("b", false)
+		time.Sleep(3 * lease)
+		assert.Equal(t, len(cl.fleet.Starts()), starts)
+		assert.Equal(t, cl.fleet.Running("r0")+cl.fleet.Running("r1")+cl.fleet.Running("r2"), 6)
+		stop()
+		<-next.Done()
+	})
+}
