End leases at most ten seconds after the last write

Cause: an owner without the store extended leases for 12 s, by 6 s each, and a successor that does not know whether its predecessor lives on has to wait for both on a runner that it cannot reach.

A lease now ends at most 10 s after the last successful write; it is shortened when that comes closer. A successor waits 10.6 s. An owner without the store goes on polling after that, without extending leases, so it learns of a successor from the runners.

What it costs: tasks end in store outages of more than about 8 s, where 18 s were survived before.

--- a/dispatch/acquire.go
+++ b/dispatch/acquire.go
@@ -152,7 +152,7 @@
 	}
 }
 
-// leaseExpiry returns the time by which a lease that is extended now is guaranteed to have ended.
-func (c *Cell) leaseExpiry(now time.Time) time.Time {
-	return now.Add(time.Duration(float64(c.cfg.Lease)*(1+clockDrift)) + leaseSlack)
+// leaseExpiry returns the time by which a lease that is granted now is guaranteed to have ended.
+func leaseExpiry(now time.Time, lease time.Duration) time.Time {
+	return now.Add(time.Duration(float64(lease)*(1+clockDrift)) + leaseSlack)
 }
--- a/dispatch/cell.go
+++ b/dispatch/cell.go
@@ -27,10 +27,12 @@
 	// replanInterval is the longest time between two plans while units are ready. Some reasons to wait, such as the back-off
 	// of a runner, end without an event.
 	replanInterval = 500 * time.Millisecond
-	// storeOutageTolerance is how long an owner continues to start tasks and extend leases without a successful write.
-	// It covers store outages of about ten seconds. A successor waits for this time plus one lease before it restarts a
-	// task that may be running on an unreachable runner.
-	storeOutageTolerance = 12 * time.Second
+	// storeOutageTolerance is how long after an owner's last successful write the leases that it grants end at the latest.
+	// It covers a store outage of seven seconds and a commit that was sent shortly before its end and gets no response. A
+	// successor waits for this time before it restarts a task that may be running on an unreachable runner.
+	storeOutageTolerance = 10 * time.Second
+	// minLease is the shortest lease with which a task is started.
+	minLease = 1 * time.Second
 )
 
 // Config configures a Cell.
@@ -195,7 +197,7 @@
 
 // mayCommand reports whether the owner may still start tasks and extend leases. The caller holds mu.
 func (c *Cell) mayCommand(now time.Time) bool {
-	return !c.lost && now.Sub(c.lastCommit) < storeOutageTolerance
+	return !c.lost && now.Sub(c.lastCommit) <= storeOutageTolerance-minLease
 }
 
 func (c *Cell) tickLoop(ctx context.Context) {
--- a/dispatch/runnerstate.go
+++ b/dispatch/runnerstate.go
@@ -184,13 +184,15 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	now := time.Now()
-	if !c.mayCommand(now) {
+	if c.lost {
 		return runner.Hold{}, false
 	}
 	request := runner.Hold{Token: c.epoch, AckedEnd: rs.acked}
 	if rs.synced && !rs.pollFailing {
 		// A poll without a response may still extend the lease, so polls of an unresponsive runner don't extend it.
-		request.Deadline = c.leaseDeadline(now, rs)
+		if c.mayCommand(now) {
+			request.Deadline = c.leaseDeadline(now, rs)
+		}
 		request.Wait = holdWait
 		if rs.needsFastPoll() {
 			request.Wait = overTargetHoldWait
@@ -211,13 +213,14 @@
 	return overTarget && bestEffort
 }
 
-// leaseDeadline returns the end of a lease on the runner's clock and records when it ends by ours. The caller holds mu.
+// leaseDeadline returns the end of a lease on the runner's clock and records when it ends by ours. The lease is shorter if
+// the last successful write was long ago. The caller holds mu and has checked mayCommand.
 func (c *Cell) leaseDeadline(now time.Time, rs *runnerState) time.Duration {
-	end := c.leaseExpiry(now)
-	if end.After(rs.leaseEnd) {
+	lease := min(c.cfg.Lease, c.lastCommit.Add(storeOutageTolerance).Sub(now))
+	if end := leaseExpiry(now, lease); end.After(rs.leaseEnd) {
 		rs.leaseEnd = end
 	}
-	return rs.clock + now.Sub(rs.clockAt) + c.cfg.Lease
+	return rs.clock + now.Sub(rs.clockAt) + lease
 }
 
 // applyReport applies the response to a poll and returns the pause before the next poll.
--- a/dispatch/unresolved.go
+++ b/dispatch/unresolved.go
@@ -20,10 +20,12 @@
 // is shared with other goroutines.
 func (c *Cell) initUnresolved(previous Ownership, runners []runner.Info) {
 	c.previous = previous
-	until := c.leaseExpiry(time.Now())
+	lease := c.cfg.Lease
 	if !previous.Released && !c.cfg.PredecessorDead {
-		until = until.Add(storeOutageTolerance)
+		// The predecessor may go on without the store.
+		lease = storeOutageTolerance
 	}
+	until := leaseExpiry(time.Now(), lease)
 	for _, id := range previous.Terminated {
 		c.terminated[id] = true
 	}
@@ -48,7 +50,7 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.cfg.PredecessorDead = true
-	expiry := c.leaseExpiry(time.Now())
+	expiry := leaseExpiry(time.Now(), c.cfg.Lease)
 	for _, x := range c.unresolved {
 		if expiry.Before(x.until) {
 			x.until = expiry
