Log and count tasks that wait, with the reason

Cause: users report accepted jobs with a step that could run and does not.

Once a second each cell looks for units that have had no confirmed run for two seconds: recovered while runners are unresolved, no runner (with the count of runners that each placement filter excludes), no ticket of the advice service, a run whose start or stop is open, a runner that does not report, an owner that may not command, and states that contradict the invariants. One line for each step and reason, at most eight lines a check and each repeated after five seconds at the earliest. The gauges waiting_tasks, runs and unresolved_runners have the same counts.

Placement filters have names. The condition for an available runner moves into one function that returns the reason, and runs record when a stop was answered; decisions do not change.

--- a/dispatch/cell.go
+++ b/dispatch/cell.go
@@ -103,6 +103,8 @@
 	// unresolved maps runners that may run tasks of an earlier owner to the time until which they may.
 	unresolved map[string]time.Time
 	pending    map[string]int // accepted jobs without a started task, by queue
+	plannedAt  time.Time      // when ready units were last planned
+	waits      waitCheck
 	// adviceMu serializes calls to the advice service.
 	adviceMu sync.Mutex
 
@@ -120,6 +122,7 @@
 		pending: map[string]int{}, planWake: make(chan struct{}, 1), flushWake: make(chan struct{}, 1),
 		done: make(chan struct{}), catalog: &catalog.Config{}, pressure: interference.NewPressure(),
 		advice: map[equivClass]*advice{}, terminated: map[string]bool{},
+		waits: waitCheck{loggedAt: map[waitKey]time.Time{}},
 	}
 }
 
@@ -143,6 +146,7 @@
 	}
 	c.mu.Unlock()
 	loops.Wait()
+	c.resetWaiting()
 	c.background.Wait()
 }
 
@@ -226,6 +230,7 @@
 	c.sampleAdmission(now)
 	c.checkStore(now)
 	c.createDueOccurrences(now)
+	c.checkWaiting(now)
 }
 
 // createDueOccurrences creates the occurrences that have become due. The caller holds mu.
--- a/dispatch/cell_test.go
+++ b/dispatch/cell_test.go
@@ -32,6 +32,10 @@
 	infos []runner.Info
 	// advisor is nil unless a test sets it.
 	advisor dispatch.Advisor
+	// logs receives the log lines of the owners; nil discards them.
+	logs io.Writer
+	// registry has the metrics of the last owner.
+	registry *prometheus.Registry
 }
 
 // newCluster returns a cluster with runners of 64 cores in one failure domain.
@@ -58,14 +62,18 @@
 	ctx, cancel := context.WithCancel(cl.t.Context())
 	previous, version, err := dispatch.ReadOwner(ctx, cl.store, cellName)
 	assert.NilError(cl.t, err)
-	registry := prometheus.NewRegistry()
+	logs := cl.logs
+	if logs == nil {
+		logs = io.Discard
+	}
+	cl.registry = prometheus.NewRegistry()
 	cfg := dispatch.Config{
 		Advisor: cl.advisor,
 		Name:    cellName, Part: cellName, IndexPart: func(string) string { return "i0" }, Node: node, Addr: node,
 		Incarnation: node, Region: "caldas-centro", Regions: map[string]string{"chipre": "caldas-centro", "cartago": "valle-norte"},
 		Lease: lease, Retention: 2 * time.Minute,
-		Store: cl.store, Runners: cl.fleet, Log: observe.NewLogger(io.Discard, "test", node),
-		Metrics: dispatch.NewMetrics(registry), PredecessorDead: predecessorDead,
+		Store: cl.store, Runners: cl.fleet, Log: observe.NewLogger(logs, "test", node),
+		Metrics: dispatch.NewMetrics(cl.registry), PredecessorDead: predecessorDead,
 	}
 	c, err := dispatch.Acquire(ctx, cfg, previous, version, cl.infos)
 	assert.NilError(cl.t, err)
--- a/dispatch/commands.go
+++ b/dispatch/commands.go
@@ -191,6 +191,7 @@
 		c.mu.Unlock()
 		return false
 	}
+	r.stopAnsweredAt = now
 	startUnknown := r.phase == runStartUnknown
 	if r.phase != runStarting {
 		r.phase = runStopping
--- a/dispatch/metrics.go
+++ b/dispatch/metrics.go
@@ -15,6 +15,9 @@
 	commitTime, submissionTime, startWait, startCallTime prometheus.Histogram
 	// objectiveShare is the time of a completed job as a share of its objective, by queue.
 	objectiveShare *prometheus.HistogramVec
+	// waiting counts tasks without a confirmed run by reason, and runs counts runs by phase.
+	waiting, runs *prometheus.GaugeVec
+	unresolved    prometheus.Gauge
 }
 
 // timeBuckets are in seconds. They range from the response time of a store in the same zone to the longest wait that a
@@ -40,7 +43,18 @@
 	share := prometheus.NewHistogramVec(prometheus.HistogramOpts{Namespace: observe.Namespace, Subsystem: "cell", Name: "job_objective_share",
 		Help: "Time of completed jobs as a share of their objectives.", Buckets: shareBuckets}, []string{"queue"})
 	registry.MustRegister(share)
-	return &Metrics{
+	gauges := func(name, help, label string) *prometheus.GaugeVec {
+		g := prometheus.NewGaugeVec(prometheus.GaugeOpts{Namespace: observe.Namespace, Subsystem: "cell", Name: name, Help: help}, []string{label})
+		registry.MustRegister(g)
+		return g
+	}
+	unresolved := prometheus.NewGauge(prometheus.GaugeOpts{Namespace: observe.Namespace, Subsystem: "cell", Name: "unresolved_runners",
+		Help: "Runners that may run tasks of an earlier owner and have not reported to this one."})
+	registry.MustRegister(unresolved)
+	m := &Metrics{
+		waiting:        gauges("waiting_tasks", "Tasks that have waited too long for a confirmed run, by reason.", "reason"),
+		runs:           gauges("runs", "Runs that are not confirmed to have ended, by phase.", "phase"),
+		unresolved:     unresolved,
 		commitTime:     histogram("commit_seconds", "Time of transactions of the store."),
 		submissionTime: histogram("hand_in_seconds", "Time from a submission to its decision."),
 		startWait:      histogram("start_wait_seconds", "Time from the turn of a task to its start order."),
@@ -53,4 +67,26 @@
 		commits:        counter("commits_total", "Transactions sent to the store."),
 		polls:          counter("looks_total", "Looks at runners."),
 	}
+	for reason := range waitLevels {
+		m.waiting.WithLabelValues(string(reason))
+	}
+	for phase := runStarting; phase <= runStopping; phase++ {
+		m.runs.WithLabelValues(phase.String())
+	}
+	return m
+}
+
+// replaceWaiting replaces the values that a cell has added to the gauges.
+func (m *Metrics) replaceWaiting(previous, current waitCounts) {
+	for reason := range waitLevels {
+		if change := current.tasks[reason] - previous.tasks[reason]; change != 0 {
+			m.waiting.WithLabelValues(string(reason)).Add(float64(change))
+		}
+	}
+	for phase := runStarting; phase <= runStopping; phase++ {
+		if change := current.runs[phase] - previous.runs[phase]; change != 0 {
+			m.runs.WithLabelValues(phase.String()).Add(float64(change))
+		}
+	}
+	m.unresolved.Add(float64(current.unresolved - previous.unresolved))
 }
--- a/dispatch/plan.go
+++ b/dispatch/plan.go
@@ -46,6 +46,7 @@
 	if len(c.ready) == 0 {
 		return
 	}
+	c.plannedAt = now
 	views := c.runnerViews(now)
 	c.sortReady(now)
 	blocked := map[equivClass]bool{}
@@ -133,8 +134,7 @@
 	for _, rs := range c.runners {
 		p := &rs.candidate
 		p.Domain, p.Labels, p.Capacity = rs.info.Domain, rs.info.Labels, rs.info.Capacity
-		p.Available = rs.present && !rs.info.Draining && !c.evacuated[rs.info.Domain] && rs.reachable(now) && !rs.listedTerminated &&
-			!now.Before(rs.noCapacityUntil) && rs.foreign == 0
+		p.Available = c.unavailable(now, rs) == ""
 		p.Remote = c.cfg.Regions[rs.info.Domain] != c.cfg.Region
 		p.Committed, p.Transient, p.UsedCPU, p.Serving = workload.Resources{}, workload.Resources{}, 0, p.Serving[:0]
 		p.OverTarget, p.Reserved = false, false
@@ -180,13 +180,8 @@
 		candidates = permitted
 	}
 	def := u.def()
-	onRunner := u.stepState().onRunner
 	placed := map[string]int{}
-	request := &placement.Request{Step: def, Avoid: u.avoid,
-		OnRunner: func(id string) int { return onRunner[id] + placed[id] },
-		Pressure: func(serving string) float64 {
-			return c.pressure.Coefficient(interference.Pair{Serving: serving, BestEffort: def.Image})
-		}}
+	request := c.placementRequest(u, placed)
 	chosen := make([]*runnerView, 0, u.size)
 	for range u.size {
 		best := placement.Pick(request, candidates)
@@ -220,6 +215,18 @@
 	return true
 }
 
+// placementRequest returns the placement request for the members of a unit. placed counts the members that this attempt
+// has placed, by runner. The caller holds mu.
+func (c *Cell) placementRequest(u *unit, placed map[string]int) *placement.Request {
+	def := u.def()
+	onRunner := u.stepState().onRunner
+	return &placement.Request{Step: def, Avoid: u.avoid,
+		OnRunner: func(id string) int { return onRunner[id] + placed[id] },
+		Pressure: func(serving string) float64 {
+			return c.pressure.Coefficient(interference.Pair{Serving: serving, BestEffort: def.Image})
+		}}
+}
+
 func (c *Cell) serviceCandidates(service string, views []*runnerView) []*placement.Candidate {
 	candidates := make([]*placement.Candidate, 0, len(views))
 	for _, v := range views {
--- a/dispatch/runnerstate.go
+++ b/dispatch/runnerstate.go
@@ -60,6 +60,8 @@
 	hasMeasurement bool
 	stopping       bool // a stop is being sent or was confirmed
 	stopReason     string
+	stopAnsweredAt time.Time // when the runner last responded to a stop
+	observed       runObservation
 	// speed is the commanded speed limit of a best-effort task, in percent.
 	speed int
 	// overTargetSince is when a serving task was first reported over its latency target; zero if the last report did not
--- /dev/null
+++ b/dispatch/waiting.go
@@ -0,0 +1,600 @@
+package dispatch
+
+import (
+	"cmp"
+	"fmt"
+	"maps"
+	"slices"
+	"strings"
+	"time"
+
+	"github.com/sirupsen/logrus"
+
+	"github.com/currantthread/currantthread/placement"
+)
+
+const (
+	// waitCheckInterval is how often the cell looks for tasks that wait.
+	waitCheckInterval = 1 * time.Second
+	// waitBound is how long a task may be without a runner before its wait is reported. Starts, stops and their repeats
+	// take less than a second in the usual case.
+	waitBound = 2 * time.Second
+	// waitLogRepeat is the minimum time between two lines about the same step with the same reason.
+	waitLogRepeat = 5 * time.Second
+	// maxWaitLines bounds the lines about waiting tasks that a cell writes in one check.
+	maxWaitLines = 8
+	// maxWaitRunners bounds the runners named in one line.
+	maxWaitRunners = 5
+)
+
+// waitReason is why a task has no confirmed run. It is the value of the log field why and of the label reason.
+type waitReason string
+
+const (
+	// waitOwnerSuspended: the owner had no successful commit for storeOutageTolerance, so it may not send commands.
+	waitOwnerSuspended waitReason = "owner_suspended"
+	// waitUnresolved: the task may still run on a runner that has not reported to this owner.
+	waitUnresolved waitReason = "runners_unresolved"
+	// waitNoTicket: the advice service has given no valid ticket for the step.
+	waitNoTicket waitReason = "no_ticket"
+	// waitNoRunner: each runner is excluded by a filter of placement.
+	waitNoRunner waitReason = "no_runner"
+	// waitNoIdleRunner: no runner has idle capacity for the best-effort task. It is counted but not logged.
+	waitNoIdleRunner waitReason = "no_idle_runner"
+	// waitNotPlanned: a runner would take the task, but no plan has started it.
+	waitNotPlanned waitReason = "not_planned"
+	// waitStarting: the start command has neither a response nor a timeout.
+	waitStarting waitReason = "starting"
+	// waitStartUnknown: the start command got no response, and the runner has not confirmed whether it has the run.
+	waitStartUnknown waitReason = "start_unknown"
+	// waitStopping: the run is being stopped and its end has not been reported.
+	waitStopping waitReason = "stopping"
+	// waitRunnerSilent: the runner has sent no report that lists the run for longer than a poll takes.
+	waitRunnerSilent waitReason = "runner_silent"
+	// The following reasons contradict the invariants of the cell's state.
+	//
+	// waitBlocked: the step is blocked although all steps before it are done.
+	waitBlocked waitReason = "blocked_by_done_steps"
+	// waitNoRun: the task counts as active but has no run.
+	waitNoRun waitReason = "active_without_run"
+	// waitNotQueued: the task is ready but missing in the queue.
+	waitNotQueued waitReason = "ready_not_queued"
+)
+
+// waitLevels holds the log levels of all reasons.
+var waitLevels = map[waitReason]logrus.Level{
+	waitOwnerSuspended: logrus.WarnLevel,
+	waitUnresolved:     logrus.WarnLevel,
+	waitNoTicket:       logrus.InfoLevel,
+	waitNoRunner:       logrus.InfoLevel,
+	waitNoIdleRunner:   logrus.DebugLevel,
+	waitNotPlanned:     logrus.WarnLevel,
+	waitStarting:       logrus.WarnLevel,
+	waitStartUnknown:   logrus.WarnLevel,
+	waitStopping:       logrus.WarnLevel,
+	waitRunnerSilent:   logrus.WarnLevel,
+	waitBlocked:        logrus.ErrorLevel,
+	waitNoRun:          logrus.ErrorLevel,
+	waitNotQueued:      logrus.ErrorLevel,
+}
+
+// String returns the name used in logs and metrics.
+func (p runPhase) String() string {
+	switch p {
+	case runStarting:
+		return "starting"
+	case runRunning:
+		return "running"
+	case runStartUnknown:
+		return "start_unknown"
+	case runStopping:
+		return "stopping"
+	default:
+		return fmt.Sprintf("phase_%d", uint8(p))
+	}
+}
+
+// waitCheck is the state of the periodic check for waiting tasks.
+type waitCheck struct {
+	checkedAt time.Time
+	loggedAt  map[waitKey]time.Time
+	// counted is what the cell has added to the gauges.
+	counted waitCounts
+}
+
+// waitKey identifies the waiting tasks of a step that share a reason.
+type waitKey struct {
+	equivClass
+	reason waitReason
+}
+
+// waitCounts are the values of one cell for the gauges.
+type waitCounts struct {
+	tasks      map[waitReason]int
+	runs       map[runPhase]int
+	unresolved int
+}
+
+// waitGroup is the waiting tasks of a step that share a reason.
+type waitGroup struct {
+	waitKey
+	tasks int
+	// unit is the one that has waited longest, since the time since.
+	unit  *unit
+	since time.Time
+	// run is the unit's run that is not confirmed; nil if the unit has none.
+	run     *run
+	details logrus.Fields
+}
+
+// runObservation is a run's phase as the check for waiting tasks sees it.
+type runObservation struct {
+	phase runPhase
+	since time.Time
+}
+
+// checkWaiting logs and counts the tasks that have had no confirmed run for longer than waitBound. It is called on each
+// tick. The caller holds mu.
+func (c *Cell) checkWaiting(now time.Time) {
+	if now.Sub(c.waits.checkedAt) < waitCheckInterval {
+		return
+	}
+	c.waits.checkedAt = now
+	counts := waitCounts{tasks: map[waitReason]int{}, runs: map[runPhase]int{}, unresolved: len(c.unresolved)}
+	for _, rs := range c.runners {
+		for r := range rs.runs {
+			r.observe(now)
+			counts.runs[r.phase]++
+		}
+	}
+	scan := &waitScan{cell: c, now: now, groups: map[waitKey]*waitGroup{}}
+	scan.units()
+	scan.queue()
+	for _, g := range scan.groups {
+		counts.tasks[g.reason] += g.tasks
+	}
+	c.cfg.Metrics.replaceWaiting(c.waits.counted, counts)
+	c.waits.counted = counts
+	c.logWaiting(now, scan.groups)
+}
+
+// resetWaiting removes the cell's values from the gauges.
+func (c *Cell) resetWaiting() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.cfg.Metrics.replaceWaiting(c.waits.counted, waitCounts{})
+	c.waits.counted = waitCounts{}
+}
+
+// observe records since when the run has been in its phase.
+func (r *run) observe(now time.Time) {
+	switch {
+	case r.observed.since.IsZero():
+		r.observed = runObservation{r.phase, r.startedAt}
+	case r.observed.phase != r.phase:
+		r.observed = runObservation{r.phase, now}
+	}
+}
+
+// waitScan is one check for waiting tasks.
+type waitScan struct {
+	cell   *Cell
+	now    time.Time
+	groups map[waitKey]*waitGroup
+	// ready is the number of ready units of jobs that have not ended.
+	ready int
+}
+
+func (s *waitScan) add(u *unit, reason waitReason, since time.Time, r *run, details logrus.Fields) {
+	key := waitKey{equivClass{u.job, u.occ, u.step}, reason}
+	g := s.groups[key]
+	if g == nil {
+		g = &waitGroup{waitKey: key, since: since, unit: u, run: r, details: details}
+		s.groups[key] = g
+	}
+	g.tasks += u.size
+	if since.Before(g.since) {
+		g.since, g.unit, g.run, g.details = since, u, r, details
+	}
+}
+
+// units looks for units that are not done and neither wait in the queue nor have a confirmed run.
+func (s *waitScan) units() {
+	for _, j := range s.cell.jobs {
+		if j.state.Terminal() {
+			continue
+		}
+		for _, occ := range j.occs {
+			for i := range occ.steps {
+				if occ.steps[i].left > 0 {
+					s.step(occ, &occ.steps[i])
+				}
+			}
+		}
+	}
+}
+
+func (s *waitScan) step(occ *occurrence, step *stepState) {
+	mayStart := occ.dependenciesDone(step)
+	for _, u := range step.units {
+		switch u.phase {
+		case phaseBlocked:
+			if mayStart {
+				s.add(u, waitBlocked, s.now, nil, logrus.Fields{"blocked": step.blocked, "after": fmt.Sprint(u.def().After)})
+			}
+		case phaseReady:
+			s.ready++
+		case phaseActive:
+			s.active(u)
+		case phaseDone:
+		}
+	}
+}
+
+// dependenciesDone reports whether all steps before a step are done.
+func (occ *occurrence) dependenciesDone(step *stepState) bool {
+	for _, before := range step.units[0].def().After {
+		if occ.steps[before].left > 0 {
+			return false
+		}
+	}
+	return true
+}
+
+// active reports an active unit without a confirmed run. Of a gang all runs must be confirmed.
+func (s *waitScan) active(u *unit) {
+	if len(u.runs) == 0 {
+		s.add(u, waitNoRun, s.now, nil, nil)
+		return
+	}
+	var oldest *run
+	var oldestReason waitReason
+	var oldestSince time.Time
+	for _, r := range u.runs {
+		reason, since := s.unconfirmed(r)
+		if reason == "" {
+			if u.size == 1 {
+				return
+			}
+			continue
+		}
+		if oldest == nil || since.Before(oldestSince) {
+			oldest, oldestReason, oldestSince = r, reason, since
+		}
+	}
+	if oldest == nil || s.now.Sub(oldestSince) < waitBound {
+		return
+	}
+	if !s.cell.mayCommand(s.now) {
+		oldestReason = waitOwnerSuspended
+	}
+	s.add(u, oldestReason, oldestSince, oldest, nil)
+}
+
+// unconfirmed returns why the last report of its runner does not confirm a run, and since when; "" if it does.
+func (s *waitScan) unconfirmed(r *run) (waitReason, time.Time) {
+	switch r.phase {
+	case runStarting:
+		return waitStarting, r.startedAt
+	case runStartUnknown:
+		return waitStartUnknown, r.observed.since
+	case runStopping:
+		return waitStopping, r.observed.since
+	}
+	if s.now.Sub(r.runner.lastResponseAt) > reachableTimeout {
+		return waitRunnerSilent, r.runner.lastResponseAt
+	}
+	return "", time.Time{}
+}
+
+// queue determines why ready units wait. It repeats what a plan does, without starting anything.
+func (s *waitScan) queue() {
+	c := s.cell
+	overdue, count := false, 0
+	for _, u := range c.ready {
+		if u.phase == phaseReady && !u.job.state.Terminal() {
+			count++
+			overdue = overdue || s.now.Sub(u.readyAt) >= waitBound
+		}
+	}
+	if overdue {
+		s.explainQueue()
+	}
+	if count >= s.ready {
+		return
+	}
+	queued := map[*unit]bool{}
+	for _, u := range c.ready {
+		queued[u] = true
+	}
+	for _, j := range c.jobs {
+		if j.state.Terminal() {
+			continue
+		}
+		for _, occ := range j.occs {
+			for i := range occ.steps {
+				for _, u := range occ.steps[i].units {
+					if u.phase == phaseReady && !queued[u] {
+						s.add(u, waitNotQueued, u.readyAt, nil, nil)
+					}
+				}
+			}
+		}
+	}
+}
+
+// verdict is the result of a placement attempt for the units of a step.
+type verdict struct {
+	reason  waitReason
+	details logrus.Fields
+}
+
+func (s *waitScan) explainQueue() {
+	views := s.cell.runnerViews(s.now)
+	verdicts := map[equivClass]verdict{}
+	for _, u := range s.cell.ready {
+		if u.phase != phaseReady || u.job.state.Terminal() {
+			continue
+		}
+		class := equivClass{u.job, u.occ, u.step}
+		v, known := verdicts[class]
+		// As in a plan, one unit without a runner stands for the others of its step, except for long-running tasks.
+		if !known || v.reason == waitNotPlanned || u.def().LongRunning {
+			v = s.explain(u, views)
+			verdicts[class] = v
+		}
+		if s.now.Sub(u.readyAt) >= waitBound {
+			s.add(u, v.reason, u.readyAt, nil, v.details)
+		}
+	}
+}
+
+// explain returns why a ready unit is not started.
+func (s *waitScan) explain(u *unit, views []*runnerView) verdict {
+	c := s.cell
+	if !c.mayCommand(s.now) {
+		return verdict{waitOwnerSuspended, nil}
+	}
+	if u.recovered && len(c.unresolved) > 0 {
+		return verdict{waitUnresolved, c.unresolvedDetails(s.now)}
+	}
+	all := c.serviceCandidates(c.serviceOf(u.job), views)
+	candidates := all
+	if u.job.def.Policy.Advised {
+		candidates = c.adviceOf(u).permitted(s.now, all)
+		if len(candidates) == 0 {
+			return verdict{waitNoTicket, c.adviceOf(u).details(s.now, all)}
+		}
+	}
+	placed := map[string]int{}
+	request := c.placementRequest(u, placed)
+	explanation := c.explainPlacement(s.now, request, candidates)
+	details := logrus.Fields{"runners": len(candidates), "passed": explanation.passed, "fitting": explanation.fitting,
+		"excluded": formatCounts(explanation.excluded), "cpu": u.def().Resources.CPU, "memory_mb": u.def().Resources.MemoryMB}
+	chosen := 0
+	for ; chosen < u.size; chosen++ {
+		best := placement.Pick(request, candidates)
+		if best == nil {
+			break
+		}
+		placed[best.ID]++
+		recordPlacement(best, request)
+	}
+	if u.size > 1 {
+		details["members"], details["members_placed"] = u.size, chosen
+	}
+	if chosen == u.size {
+		details["plan_ms"] = s.now.Sub(c.plannedAt).Milliseconds()
+		return verdict{waitNotPlanned, details}
+	}
+	if u.def().LongRunning && u.size == 1 {
+		if reserved := placement.Reserve(request, candidates); reserved != nil {
+			reserved.Reserved = true
+			details["reserved"] = reserved.ID
+		}
+	}
+	if u.def().BestEffort && explanation.fitting == 0 {
+		return verdict{waitNoIdleRunner, details}
+	}
+	return verdict{waitNoRunner, details}
+}
+
+// placementExplanation counts the runners that may take a task and those that may not.
+type placementExplanation struct {
+	passed int
+	// fitting is the number of runners in service with enough free capacity, whatever else excludes them.
+	fitting int
+	// excluded counts runners by the name of the first filter that excludes them.
+	excluded map[string]int
+}
+
+func (c *Cell) explainPlacement(now time.Time, request *placement.Request, candidates []*placement.Candidate) placementExplanation {
+	e := placementExplanation{excluded: map[string]int{}}
+	for _, candidate := range candidates {
+		filter := placement.ExcludedBy(request, candidate)
+		outOfService := false
+		if filter == placement.FilterAvailable {
+			reason := c.unavailable(now, c.runners[candidate.ID])
+			filter, outOfService = string(reason), reason.outOfService()
+		}
+		if filter == "" {
+			e.passed++
+		} else {
+			e.excluded[filter]++
+		}
+		if !outOfService && placement.HasCapacity(request, candidate) {
+			e.fitting++
+		}
+	}
+	return e
+}
+
+// unavailability is why a runner takes no new tasks; "" if it does.
+type unavailability string
+
+const (
+	notListed            unavailability = "not_listed"
+	draining             unavailability = "draining"
+	evacuated            unavailability = "evacuated"
+	listedTerminated     unavailability = "listed_terminated"
+	foreignRuns          unavailability = "foreign_runs"
+	notSynced            unavailability = "no_report_yet"
+	pollFailing          unavailability = "poll_failing"
+	responseOverdue      unavailability = "silent"
+	startBackoff         unavailability = "start_back_off"
+	noCapacityUntilLater unavailability = "no_capacity_back_off"
+)
+
+// outOfService reports whether the runner is meant to take no tasks.
+func (u unavailability) outOfService() bool { return u == notListed || u == draining || u == evacuated }
+
+// unavailable returns why a runner takes no new tasks. The caller holds mu.
+func (c *Cell) unavailable(now time.Time, rs *runnerState) unavailability {
+	switch {
+	case !rs.present:
+		return notListed
+	case rs.info.Draining:
+		return draining
+	case c.evacuated[rs.info.Domain]:
+		return evacuated
+	case rs.listedTerminated:
+		return listedTerminated
+	case !rs.synced:
+		return notSynced
+	case rs.pollFailing:
+		return pollFailing
+	case now.Sub(rs.lastResponseAt) >= reachableTimeout:
+		return responseOverdue
+	case now.Before(rs.backoffUntil):
+		return startBackoff
+	case now.Before(rs.noCapacityUntil):
+		return noCapacityUntilLater
+	case rs.foreign > 0:
+		return foreignRuns
+	default:
+		return ""
+	}
+}
+
+// unresolvedDetails describes the runners that hold back recovered tasks. The caller holds mu.
+func (c *Cell) unresolvedDetails(now time.Time) logrus.Fields {
+	var until time.Time
+	for _, end := range c.unresolved {
+		if end.After(until) {
+			until = end
+		}
+	}
+	ids := slices.Sorted(maps.Keys(c.unresolved))
+	return logrus.Fields{"unresolved": len(ids), "unresolved_runners": strings.Join(ids[:min(len(ids), maxWaitRunners)], " "),
+		"left_ms": until.Sub(now).Milliseconds()}
+}
+
+// details describes the state of a step's advice.
+func (a *advice) details(now time.Time, candidates []*placement.Candidate) logrus.Fields {
+	refused, expired, notAsked := 0, 0, 0
+	for _, candidate := range candidates {
+		switch {
+		case !a.asked[candidate.ID]:
+			notAsked++
+		case a.tickets[candidate.ID] == "":
+			refused++
+		default:
+			expired++
+		}
+	}
+	return logrus.Fields{"runners": len(candidates), "not_asked": notAsked, "refused": refused, "expired": expired,
+		"pending": a.pending, "retry_ms": max(a.retryAt.Sub(now), 0).Milliseconds()}
+}
+
+// details describes a run that is not confirmed. The caller holds the cell's mu.
+func (r *run) details(now time.Time) logrus.Fields {
+	rs := r.runner
+	fields := logrus.Fields{"run": r.number, "runner": rs.info.ID, "phase": r.phase.String(), "stop": r.stopProgress(),
+		"started_ms": now.Sub(r.startedAt).Milliseconds(), "poll_failing": rs.pollFailing, "listed": rs.present,
+		"lease_left_ms": max(rs.leaseEnd.Sub(now), 0).Milliseconds()}
+	if r.stopReason != "" {
+		fields["stop_reason"] = r.stopReason
+	}
+	if !rs.lastResponseAt.IsZero() {
+		fields["response_ms"] = now.Sub(rs.lastResponseAt).Milliseconds()
+	}
+	return fields
+}
+
+// stopProgress describes whether the run was to be stopped and whether the runner responded.
+func (r *run) stopProgress() string {
+	switch {
+	case !r.stopAnsweredAt.IsZero():
+		return "answered"
+	case r.stopping:
+		return "sent"
+	case r.stopReason != "":
+		return "given_up"
+	default:
+		return "none"
+	}
+}
+
+// formatCounts lists counts by name, the largest first.
+func formatCounts(counts map[string]int) string {
+	names := slices.SortedFunc(maps.Keys(counts), func(a, b string) int {
+		return cmp.Or(cmp.Compare(counts[b], counts[a]), cmp.Compare(a, b))
+	})
+	parts := make([]string, len(names))
+	for i, name := range names {
+		parts[i] = fmt.Sprintf("%s=%d", name, counts[name])
+	}
+	return strings.Join(parts, " ")
+}
+
+// logWaiting writes a line for each group that is due, within the bound on lines. The caller holds mu.
+func (c *Cell) logWaiting(now time.Time, groups map[waitKey]*waitGroup) {
+	maps.DeleteFunc(c.waits.loggedAt, func(_ waitKey, at time.Time) bool { return now.Sub(at) >= waitLogRepeat })
+	var due []*waitGroup
+	for key, g := range groups {
+		if _, recent := c.waits.loggedAt[key]; !recent && waitLevels[key.reason] < logrus.DebugLevel {
+			due = append(due, g)
+		}
+	}
+	slices.SortFunc(due, func(a, b *waitGroup) int {
+		if x, y := waitLevels[a.reason] == logrus.ErrorLevel, waitLevels[b.reason] == logrus.ErrorLevel; x != y {
+			if x {
+				return -1
+			}
+			return 1
+		}
+		return cmp.Or(a.since.Compare(b.since), strings.Compare(a.unit.task(0).String(), b.unit.task(0).String()))
+	})
+	lines := due
+	if len(due) > maxWaitLines {
+		lines = due[:maxWaitLines-1]
+	}
+	for _, g := range lines {
+		c.waits.loggedAt[g.waitKey] = now
+		c.logGroup(now, g)
+	}
+	if left := due[len(lines):]; len(left) > 0 {
+		tasks := 0
+		for _, g := range left {
+			tasks += g.tasks
+		}
+		c.cfg.Log.WithFields(logrus.Fields{"cell": c.cfg.Name, "steps": len(left), "tasks": tasks}).Info("lines about waiting tasks were left out")
+	}
+}
+
+func (c *Cell) logGroup(now time.Time, g *waitGroup) {
+	member := 0
+	fields := logrus.Fields{}
+	maps.Copy(fields, g.details)
+	if g.run != nil {
+		member = g.run.member
+		maps.Copy(fields, g.run.details(now))
+	}
+	if g.reason == waitOwnerSuspended {
+		fields["commit_ms"] = now.Sub(c.lastCommit).Milliseconds()
+	}
+	maps.Copy(fields, logrus.Fields{"cell": c.cfg.Name, "request": g.unit.job.def.ID, "task": g.unit.task(member).String(),
+		"why": string(g.reason), "tasks": g.tasks, "waited_ms": now.Sub(g.since).Milliseconds(), "queue": g.unit.job.def.Policy.Queue,
+		"long_running": g.unit.def().LongRunning})
+	c.cfg.Log.WithFields(fields).Log(waitLevels[g.reason], "tasks wait")
+}
--- a/placement/placement.go
+++ b/placement/placement.go
@@ -91,8 +91,10 @@
 // Score rates how well a runner suits a task; the scores of all functions are added.
 type Score func(r *Request, c *Candidate) float64
 
-func isAvailable(r *Request, c *Candidate) bool {
-	return c.Available && (!c.Reserved || r.Step.BestEffort || r.Step.LongRunning)
+func isAvailable(_ *Request, c *Candidate) bool { return c.Available }
+
+func isUnreserved(r *Request, c *Candidate) bool {
+	return !c.Reserved || r.Step.BestEffort || r.Step.LongRunning
 }
 
 func hasCapacity(r *Request, c *Candidate) bool { return r.Step.Committed().Fits(c.Free()) }
@@ -125,9 +127,24 @@
 	return !r.Step.BestEffort || c.UsedCPU+r.Step.Resources.CPU <= c.Capacity.CPU
 }
 
+// FilterAvailable is the name of the filter that excludes runners by Candidate.Available.
+const FilterAvailable = "available"
+
 // filters are applied in this order, the cheapest and most selective first.
-var filters = []Filter{isAvailable, hasCapacity, fitsBestEffort, hasRequiredLabel, isOnRack, isBelowSpreadLimit,
-	hasIdleCPU, withinHeadroom}
+var filters = []struct {
+	name   string
+	allows Filter
+}{
+	{FilterAvailable, isAvailable},
+	{"reserved", isUnreserved},
+	{"capacity", hasCapacity},
+	{"runner_size", fitsBestEffort},
+	{"label", hasRequiredLabel},
+	{"rack", isOnRack},
+	{"spread_limit", isBelowSpreadLimit},
+	{"idle_cpu", hasIdleCPU},
+	{"headroom", withinHeadroom},
+}
 
 // Weights of the scores. A score of 1 is worth the whole processor of a runner.
 const (
@@ -237,7 +254,7 @@
 	var best *Candidate
 	bestScore := 0.0
 	for _, c := range candidates {
-		if !passes(r, c) {
+		if ExcludedBy(r, c) != "" {
 			continue
 		}
 		score := 0.0
@@ -251,13 +268,19 @@
 	return best
 }
 
-func passes(r *Request, c *Candidate) bool {
-	for _, f := range filters {
-		if !f(r, c) {
-			return false
+// ExcludedBy returns the name of the first filter that excludes a runner, or "" if the runner may take the task.
+func ExcludedBy(r *Request, c *Candidate) string {
+	for i := range filters {
+		if !filters[i].allows(r, c) {
+			return filters[i].name
 		}
 	}
-	return true
+	return ""
+}
+
+// HasCapacity reports whether the free capacity of a runner suffices for the task, whatever other filters say.
+func HasCapacity(r *Request, c *Candidate) bool {
+	return hasCapacity(r, c) && fitsBestEffort(r, c) && hasIdleCPU(r, c)
 }
 
 // Reserve returns the runner that is likely to have capacity for a task first: among those that have it once their
