Tell stuck runs, ended runs and filters apart in the lines about waiting tasks

A run that remains after its task or job has ended holds capacity without any line; it is now logged as ended_run_remains. Lines about a wait for a runner also have the committed and the total capacity of the service and the job's running tasks, which are what users judge a lost task by. The filter headroom is split: over_target excludes runners with a serving task over its target. currantctl trace shows the lines, and those of the runners that recovered tasks wait for.

Each filter of placement is checked to give its name.

--- a/ctl/trace.go
+++ b/ctl/trace.go
@@ -123,6 +123,9 @@
 			last = l.time
 		}
 		runners[l.text("runner")], cells[l.text("cell")] = true, true
+		for _, id := range strings.Fields(l.text("unresolved_runners")) {
+			runners[id] = true
+		}
 	}
 	if first.IsZero() {
 		return nil
--- a/dispatch/waiting.go
+++ b/dispatch/waiting.go
@@ -27,7 +27,7 @@
 	maxWaitRunners = 5
 )
 
-// waitReason is why a task has no confirmed run. It is the value of the log field why and of the label reason.
+// waitReason is why a task has no confirmed run, or still has a run after its end. It is the value of the log field why and of the label reason.
 type waitReason string
 
 const (
@@ -51,6 +51,8 @@
 	waitStopping waitReason = "stopping"
 	// waitRunnerSilent: the runner has sent no report that lists the run for longer than a poll takes.
 	waitRunnerSilent waitReason = "runner_silent"
+	// waitEndedRun: the task or its job has ended, but its run has not, and holds capacity.
+	waitEndedRun waitReason = "ended_run_remains"
 	// The following reasons contradict the invariants of the cell's state.
 	//
 	// waitBlocked: the step is blocked although all steps before it are done.
@@ -73,6 +75,7 @@
 	waitStartUnknown:   logrus.WarnLevel,
 	waitStopping:       logrus.WarnLevel,
 	waitRunnerSilent:   logrus.WarnLevel,
+	waitEndedRun:       logrus.WarnLevel,
 	waitBlocked:        logrus.ErrorLevel,
 	waitNoRun:          logrus.ErrorLevel,
 	waitNotQueued:      logrus.ErrorLevel,
@@ -127,10 +130,11 @@
 	details logrus.Fields
 }
 
-// runObservation is a run's phase as the check for waiting tasks sees it.
+// runObservation is what the check for waiting tasks has seen of a run.
 type runObservation struct {
-	phase runPhase
-	since time.Time
+	phase   runPhase
+	since   time.Time // when the run was first seen in this phase
+	endedAt time.Time // when the run was first seen after the end of its task or job
 }
 
 // checkWaiting logs and counts the tasks that have had no confirmed run for longer than waitBound. It is called on each
@@ -141,13 +145,16 @@
 	}
 	c.waits.checkedAt = now
 	counts := waitCounts{tasks: map[waitReason]int{}, runs: map[runPhase]int{}, unresolved: len(c.unresolved)}
+	scan := &waitScan{cell: c, now: now, groups: map[waitKey]*waitGroup{}}
 	for _, rs := range c.runners {
 		for r := range rs.runs {
 			r.observe(now)
 			counts.runs[r.phase]++
+			if ended := r.observed.endedAt; !ended.IsZero() && now.Sub(ended) >= waitBound {
+				scan.add(r.unit, waitEndedRun, ended, r, nil)
+			}
 		}
 	}
-	scan := &waitScan{cell: c, now: now, groups: map[waitKey]*waitGroup{}}
 	scan.units()
 	scan.queue()
 	for _, g := range scan.groups {
@@ -166,13 +173,16 @@
 	c.waits.counted = waitCounts{}
 }
 
-// observe records since when the run has been in its phase.
+// observe records since when the run has been in its phase and since when its task has ended.
 func (r *run) observe(now time.Time) {
 	switch {
 	case r.observed.since.IsZero():
-		r.observed = runObservation{r.phase, r.startedAt}
+		r.observed.phase, r.observed.since = r.phase, r.startedAt
 	case r.observed.phase != r.phase:
-		r.observed = runObservation{r.phase, now}
+		r.observed.phase, r.observed.since = r.phase, now
+	}
+	if r.observed.endedAt.IsZero() && (r.unit.phase == phaseDone || r.unit.job.state.Terminal()) {
+		r.observed.endedAt = now
 	}
 }
 
@@ -185,6 +195,7 @@
 	ready int
 }
 
+// add counts a unit, or for waitEndedRun one of its runs.
 func (s *waitScan) add(u *unit, reason waitReason, since time.Time, r *run, details logrus.Fields) {
 	key := waitKey{equivClass{u.job, u.occ, u.step}, reason}
 	g := s.groups[key]
@@ -192,7 +203,11 @@
 		g = &waitGroup{waitKey: key, since: since, unit: u, run: r, details: details}
 		s.groups[key] = g
 	}
-	g.tasks += u.size
+	if reason == waitEndedRun {
+		g.tasks++
+	} else {
+		g.tasks += u.size
+	}
 	if since.Before(g.since) {
 		g.since, g.unit, g.run, g.details = since, u, r, details
 	}
@@ -370,7 +385,8 @@
 	request := c.placementRequest(u, placed)
 	explanation := c.explainPlacement(s.now, request, candidates)
 	details := logrus.Fields{"runners": len(candidates), "passed": explanation.passed, "fitting": explanation.fitting,
-		"excluded": formatCounts(explanation.excluded), "cpu": u.def().Resources.CPU, "memory_mb": u.def().Resources.MemoryMB}
+		"excluded": formatCounts(explanation.excluded), "cpu": u.def().Resources.CPU, "memory_mb": u.def().Resources.MemoryMB,
+		"capacity_cpu": explanation.capacity, "committed_cpu": explanation.committed, "best_effort": u.def().BestEffort}
 	chosen := 0
 	for ; chosen < u.size; chosen++ {
 		best := placement.Pick(request, candidates)
@@ -406,6 +422,8 @@
 	fitting int
 	// excluded counts runners by the name of the first filter that excludes them.
 	excluded map[string]int
+	// capacity and committed are sums over the runners in service, in thousandths of a core.
+	capacity, committed int64
 }
 
 func (c *Cell) explainPlacement(now time.Time, request *placement.Request, candidates []*placement.Candidate) placementExplanation {
@@ -422,7 +440,12 @@
 		} else {
 			e.excluded[filter]++
 		}
-		if !outOfService && placement.HasCapacity(request, candidate) {
+		if outOfService {
+			continue
+		}
+		e.capacity += candidate.Capacity.CPU
+		e.committed += candidate.Committed.CPU
+		if placement.HasCapacity(request, candidate) {
 			e.fitting++
 		}
 	}
@@ -535,6 +558,23 @@
 	}
 }
 
+// runningRuns returns how many runs of the job are recorded as running. The caller holds the cell's mu.
+func (j *jobState) runningRuns() int {
+	count := 0
+	for _, occ := range j.occs {
+		for i := range occ.steps {
+			for _, u := range occ.steps[i].units {
+				for _, r := range u.runs {
+					if r.phase == runRunning {
+						count++
+					}
+				}
+			}
+		}
+	}
+	return count
+}
+
 // formatCounts lists counts by name, the largest first.
 func formatCounts(counts map[string]int) string {
 	names := slices.SortedFunc(maps.Keys(counts), func(a, b string) int {
@@ -595,6 +635,10 @@
 	}
 	maps.Copy(fields, logrus.Fields{"cell": c.cfg.Name, "request": g.unit.job.def.ID, "task": g.unit.task(member).String(),
 		"why": string(g.reason), "tasks": g.tasks, "waited_ms": now.Sub(g.since).Milliseconds(), "queue": g.unit.job.def.Policy.Queue,
-		"long_running": g.unit.def().LongRunning})
-	c.cfg.Log.WithFields(fields).Log(waitLevels[g.reason], "tasks wait")
+		"long_running": g.unit.def().LongRunning, "job_running": g.unit.job.runningRuns()})
+	message := "tasks wait"
+	if g.reason == waitEndedRun {
+		message = "runs of ended tasks remain"
+	}
+	c.cfg.Log.WithFields(fields).Log(waitLevels[g.reason], message)
 }
--- a/placement/placement.go
+++ b/placement/placement.go
@@ -117,9 +117,12 @@
 // minAllowedSpeed is the speed below which a best-effort task is not placed on a runner.
 const minAllowedSpeed = 1.0
 
+// isWithinTargets excludes runners with a serving task over its target for best-effort tasks.
+func isWithinTargets(r *Request, c *Candidate) bool { return !r.Step.BestEffort || !c.OverTarget }
+
 // withinHeadroom excludes runners where a best-effort task would have to be slowed down for a serving task.
 func withinHeadroom(r *Request, c *Candidate) bool {
-	return !r.Step.BestEffort || !c.OverTarget && AllowedSpeed(r, c) >= minAllowedSpeed
+	return !r.Step.BestEffort || AllowedSpeed(r, c) >= minAllowedSpeed
 }
 
 // hasIdleCPU excludes runners whose processors are too busy for a best-effort task.
@@ -143,6 +146,7 @@
 	{"rack", isOnRack},
 	{"spread_limit", isBelowSpreadLimit},
 	{"idle_cpu", hasIdleCPU},
+	{"over_target", isWithinTargets},
 	{"headroom", withinHeadroom},
 }
 
--- a/placement/placement_test.go
+++ b/placement/placement_test.go
@@ -31,26 +31,32 @@
 		on     int
 		rack   string
 		want   bool
+		// by is the filter that excludes the runner.
+		by string
 	}{
 		"fits":                              {step: workload.Step{Resources: cpu(4000)}, want: true},
-		"unavailable":                       {step: workload.Step{Resources: cpu(4000)}, change: func(c *Candidate) { c.Available = false }},
-		"no processor left":                 {step: workload.Step{Resources: cpu(4000)}, change: func(c *Candidate) { c.Committed.CPU = 61000 }},
-		"no memory left":                    {step: workload.Step{Resources: cpu(4000)}, change: func(c *Candidate) { c.Committed.MemoryMB = 255500 }},
+		"unavailable":                       {step: workload.Step{Resources: cpu(4000)}, change: func(c *Candidate) { c.Available = false }, by: "available"},
+		"no processor left":                 {step: workload.Step{Resources: cpu(4000)}, change: func(c *Candidate) { c.Committed.CPU = 61000 }, by: "capacity"},
+		"no memory left":                    {step: workload.Step{Resources: cpu(4000)}, change: func(c *Candidate) { c.Committed.MemoryMB = 255500 }, by: "capacity"},
 		"best-effort on a committed runner": {step: workload.Step{Resources: cpu(4000), BestEffort: true}, change: func(c *Candidate) { c.Committed.CPU = 64000 }, want: true},
-		"best-effort on a busy runner":      {step: workload.Step{Resources: cpu(4000), BestEffort: true}, change: func(c *Candidate) { c.UsedCPU = 61000 }},
+		"best-effort on a busy runner":      {step: workload.Step{Resources: cpu(4000), BestEffort: true}, change: func(c *Candidate) { c.UsedCPU = 61000 }, by: "idle_cpu"},
 		"best-effort beside a serving task without headroom": {step: workload.Step{Resources: cpu(8000), BestEffort: true},
-			change: func(c *Candidate) { c.Serving = serving }},
+			change: func(c *Candidate) { c.Serving = serving }, by: "headroom"},
 		"best-effort beside a serving task with headroom": {step: workload.Step{Resources: cpu(2000), BestEffort: true},
 			change: func(c *Candidate) { c.Serving = serving }, want: true},
 		"best-effort beside a task over its target": {step: workload.Step{Resources: cpu(100), BestEffort: true},
-			change: func(c *Candidate) { c.OverTarget, c.Serving = true, serving }},
-		"label is missing": {step: workload.Step{Resources: cpu(4000), Label: "gpu"}},
+			change: func(c *Candidate) { c.OverTarget, c.Serving = true, serving }, by: "over_target"},
+		"label is missing": {step: workload.Step{Resources: cpu(4000), Label: "gpu"}, by: "label"},
 		"label is there":   {step: workload.Step{Resources: cpu(4000), Label: "a"}, want: true},
 		"at the spread limit": {step: workload.Step{Resources: cpu(4000), MaxPerRunner: 2},
-			on: 2},
+			on: 2, by: "spread_limit"},
 		"below the spread limit": {step: workload.Step{Resources: cpu(4000), MaxPerRunner: 2},
 			on: 1, want: true},
-		"other rack": {step: workload.Step{Resources: cpu(4000)}, rack: "r9"},
+		"reserved for a long-running task": {step: workload.Step{Resources: cpu(4000)}, change: func(c *Candidate) { c.Reserved = true }, by: "reserved"},
+		"best-effort on a reserved runner": {step: workload.Step{Resources: cpu(4000), BestEffort: true}, change: func(c *Candidate) { c.Reserved = true },
+			want: true},
+		"best-effort on a small runner": {step: workload.Step{Resources: cpu(65000), BestEffort: true}, by: "runner_size"},
+		"other rack": {step: workload.Step{Resources: cpu(4000)}, rack: "r9", by: "rack"},
 	} {
 		t.Run(name, func(t *testing.T) {
 			c := newCandidate("h", "a", "r1")
@@ -61,6 +67,7 @@
 			r.OnRunner = func(string) int { return test.on }
 			r.Rack = test.rack
 			assert.Equal(t, Pick(r, []*Candidate{c}) == c, test.want)
+			assert.Equal(t, ExcludedBy(r, c), test.by)
 		})
 	}
 }
