--- a/dispatch/metrics_test.go
+++ b/dispatch/metrics_test.go
@@ -8,7 +8,7 @@
 	"gotest.tools/v3/assert"
 )
 
-// Every histogram must be registered, or operators can't see it.
+// Every metric must be registered, or operators can't see it.
 func TestMetricsAreServed(t *testing.T) {
 	registry := prometheus.NewRegistry()
 	m := NewMetrics(registry)
@@ -20,7 +20,8 @@
 		names = append(names, f.GetName())
 	}
 	served := strings.Join(names, " ")
-	for _, name := range []string{"commit_seconds", "hand_in_seconds", "start_wait_seconds", "start_order_seconds", "job_objective_share", "stalls_total"} {
+	for _, name := range []string{"commit_seconds", "hand_in_seconds", "start_wait_seconds", "start_order_seconds", "job_objective_share", "stalls_total",
+		"waiting_tasks", "runs", "unresolved_runners"} {
 		assert.Assert(t, strings.Contains(served, "currantthread_cell_"+name), served)
 	}
 }
--- a/dispatch/waiting.go
+++ b/dispatch/waiting.go
@@ -126,8 +126,9 @@
 	unit  *unit
 	since time.Time
 	// run is the unit's run that is not confirmed; nil if the unit has none.
-	run     *run
-	details logrus.Fields
+	run *run
+	// details returns further fields of the line; nil if there are none.
+	details func() logrus.Fields
 }
 
 // runObservation is what the check for waiting tasks has seen of a run.
@@ -196,7 +197,7 @@
 }
 
 // add counts a unit, or for waitEndedRun one of its runs.
-func (s *waitScan) add(u *unit, reason waitReason, since time.Time, r *run, details logrus.Fields) {
+func (s *waitScan) add(u *unit, reason waitReason, since time.Time, r *run, details func() logrus.Fields) {
 	key := waitKey{equivClass{u.job, u.occ, u.step}, reason}
 	g := s.groups[key]
 	if g == nil {
@@ -235,7 +236,9 @@
 		switch u.phase {
 		case phaseBlocked:
 			if mayStart {
-				s.add(u, waitBlocked, s.now, nil, logrus.Fields{"blocked": step.blocked, "after": fmt.Sprint(u.def().After)})
+				s.add(u, waitBlocked, s.now, nil, func() logrus.Fields {
+					return logrus.Fields{"blocked": step.blocked, "after": fmt.Sprint(u.def().After)}
+				})
 			}
 		case phaseReady:
 			s.ready++
@@ -341,7 +344,7 @@
 // verdict is the result of a placement attempt for the units of a step.
 type verdict struct {
 	reason  waitReason
-	details logrus.Fields
+	details func() logrus.Fields
 }
 
 func (s *waitScan) explainQueue() {
@@ -371,24 +374,20 @@
 		return verdict{waitOwnerSuspended, nil}
 	}
 	if u.recovered && len(c.unresolved) > 0 {
-		return verdict{waitUnresolved, c.unresolvedDetails(s.now)}
+		return verdict{waitUnresolved, func() logrus.Fields { return c.unresolvedDetails(s.now) }}
 	}
 	all := c.serviceCandidates(c.serviceOf(u.job), views)
 	candidates := all
 	if u.job.def.Policy.Advised {
 		candidates = c.adviceOf(u).permitted(s.now, all)
 		if len(candidates) == 0 {
-			return verdict{waitNoTicket, c.adviceOf(u).details(s.now, all)}
+			return verdict{waitNoTicket, func() logrus.Fields { return c.adviceOf(u).details(s.now, all) }}
 		}
 	}
 	placed := map[string]int{}
 	request := c.placementRequest(u, placed)
-	explanation := c.explainPlacement(s.now, request, candidates)
-	details := logrus.Fields{"runners": len(candidates), "passed": explanation.passed, "fitting": explanation.fitting,
-		"excluded": formatCounts(explanation.excluded), "cpu": u.def().Resources.CPU, "memory_mb": u.def().Resources.MemoryMB,
-		"capacity_cpu": explanation.capacity, "committed_cpu": explanation.committed, "best_effort": u.def().BestEffort}
-	chosen := 0
-	for ; chosen < u.size; chosen++ {
+	e := c.explainPlacement(s.now, request, candidates)
+	for ; e.passed > 0 && e.placed < u.size; e.placed++ {
 		best := placement.Pick(request, candidates)
 		if best == nil {
 			break
@@ -396,38 +395,57 @@
 		placed[best.ID]++
 		recordPlacement(best, request)
 	}
-	if u.size > 1 {
-		details["members"], details["members_placed"] = u.size, chosen
-	}
-	if chosen == u.size {
-		details["plan_ms"] = s.now.Sub(c.plannedAt).Milliseconds()
-		return verdict{waitNotPlanned, details}
-	}
-	if u.def().LongRunning && u.size == 1 {
+	v := verdict{waitNoRunner, func() logrus.Fields { return e.details(u) }}
+	switch {
+	case e.placed == u.size:
+		return verdict{waitNotPlanned, func() logrus.Fields {
+			fields := e.details(u)
+			fields["plan_ms"] = s.now.Sub(c.plannedAt).Milliseconds()
+			return fields
+		}}
+	case u.def().LongRunning && u.size == 1:
 		if reserved := placement.Reserve(request, candidates); reserved != nil {
-			reserved.Reserved = true
-			details["reserved"] = reserved.ID
+			reserved.Reserved, e.reserved = true, reserved.ID
 		}
+	case u.def().BestEffort && e.fitting == 0:
+		v.reason = waitNoIdleRunner
 	}
-	if u.def().BestEffort && explanation.fitting == 0 {
-		return verdict{waitNoIdleRunner, details}
-	}
-	return verdict{waitNoRunner, details}
+	return v
 }
 
 // placementExplanation counts the runners that may take a task and those that may not.
 type placementExplanation struct {
-	passed int
+	runners int
+	passed  int
 	// fitting is the number of runners in service with enough free capacity, whatever else excludes them.
 	fitting int
 	// excluded counts runners by the name of the first filter that excludes them.
 	excluded map[string]int
 	// capacity and committed are sums over the runners in service, in thousandths of a core.
 	capacity, committed int64
+	// placed is the number of the unit's members for which there is a runner.
+	placed int
+	// reserved is the runner that is kept for the task, if any.
+	reserved string
+}
+
+// details returns the fields for the log line of a unit.
+func (e *placementExplanation) details(u *unit) logrus.Fields {
+	def := u.def()
+	fields := logrus.Fields{"runners": e.runners, "passed": e.passed, "fitting": e.fitting, "excluded": formatCounts(e.excluded),
+		"cpu": def.Resources.CPU, "memory_mb": def.Resources.MemoryMB, "best_effort": def.BestEffort,
+		"capacity_cpu": e.capacity, "committed_cpu": e.committed}
+	if u.size > 1 {
+		fields["members"], fields["members_placed"] = u.size, e.placed
+	}
+	if e.reserved != "" {
+		fields["reserved"] = e.reserved
+	}
+	return fields
 }
 
-func (c *Cell) explainPlacement(now time.Time, request *placement.Request, candidates []*placement.Candidate) placementExplanation {
-	e := placementExplanation{excluded: map[string]int{}}
+func (c *Cell) explainPlacement(now time.Time, request *placement.Request, candidates []*placement.Candidate) *placementExplanation {
+	e := &placementExplanation{runners: len(candidates), excluded: map[string]int{}}
 	for _, candidate := range candidates {
 		filter := placement.ExcludedBy(request, candidate)
 		outOfService := false
@@ -603,7 +621,7 @@
 			}
 			return 1
 		}
-		return cmp.Or(a.since.Compare(b.since), strings.Compare(a.unit.task(0).String(), b.unit.task(0).String()))
+		return cmp.Or(a.since.Compare(b.since), strings.Compare(a.job.def.ID, b.job.def.ID), cmp.Compare(a.step, b.step))
 	})
 	lines := due
 	if len(due) > maxWaitLines {
@@ -625,7 +643,9 @@
 func (c *Cell) logGroup(now time.Time, g *waitGroup) {
 	member := 0
 	fields := logrus.Fields{}
-	maps.Copy(fields, g.details)
+	if g.details != nil {
+		maps.Copy(fields, g.details())
+	}
 	if g.run != nil {
 		member = g.run.member
 		maps.Copy(fields, g.run.details(now))
--- a/dispatch/waitstate_test.go
+++ b/dispatch/waitstate_test.go
@@ -3,6 +3,9 @@
 import (
 	"bytes"
 	"encoding/json"
+	"fmt"
+	"io"
+	"slices"
 	"strings"
 	"testing"
 	"time"
@@ -45,12 +48,12 @@
 	return s
 }
 
-// unit returns the only unit of a step.
-func (s *stuckCell) unit(step int) *unit { return s.job.occs[0].steps[step].units[0] }
+// unit returns the only unit of the first step.
+func (s *stuckCell) unit() *unit { return s.job.occs[0].steps[0].units[0] }
 
 // startOn adds a run of the first step to the runner.
 func (s *stuckCell) startOn(phase runPhase) *run {
-	r := &run{unit: s.unit(0), number: 1, runner: s.rs, startedAt: s.now, phase: phase, speed: fullSpeed}
+	r := &run{unit: s.unit(), number: 1, runner: s.rs, startedAt: s.now, phase: phase, speed: fullSpeed}
 	s.attach(r)
 	return r
 }
@@ -73,8 +76,8 @@
 		},
 		"step blocked by steps that are done": {
 			prepare: func(s *stuckCell) {
-				s.unqueue(s.unit(0))
-				s.unit(0).phase = phaseDone
+				s.unqueue(s.unit())
+				s.unit().phase = phaseDone
 				s.job.occs[0].steps[0].left = 0
 			},
 			why: waitBlocked, level: "error",
@@ -82,8 +85,8 @@
 		},
 		"active without a run": {
 			prepare: func(s *stuckCell) {
-				s.unqueue(s.unit(0))
-				s.unit(0).phase = phaseActive
+				s.unqueue(s.unit())
+				s.unit().phase = phaseActive
 			},
 			why: waitNoRun, level: "error",
 		},
@@ -138,7 +141,7 @@
 			if !silent {
 				s.rs.lastResponseAt = later
 			}
-			s.unit(0).readyAt = s.now
+			s.unit().readyAt = s.now
 			s.checkWaiting(later)
 			text := strings.TrimSpace(s.logs.String())
 			assert.Assert(t, text != "" && !strings.Contains(text, "\n"), "lines: %q", text)
@@ -199,7 +202,7 @@
 		assert.Equal(t, s.unavailable(s.now, s.rs), want)
 		views := s.runnerViews(s.now)
 		assert.Equal(t, views[0].candidate.Available, want == "")
-		request := s.placementRequest(s.unit(0), map[string]int{})
+		request := s.placementRequest(s.unit(), map[string]int{})
 		e := s.explainPlacement(s.now, request, s.serviceCandidates("kioscos", views))
 		if want == "" {
 			assert.Equal(t, e.passed, 1)
@@ -208,3 +211,38 @@
 		}
 	}
 }
+
+// BenchmarkCheckWaiting measures one check of a cell with 66 runners and 600 runs while jobs of 20 tasks wait.
+func BenchmarkCheckWaiting(b *testing.B) {
+	for _, waiting := range []int{0, 30, 300} {
+		b.Run(fmt.Sprintf("%d waiting jobs", waiting), func(b *testing.B) {
+			now := time.Now()
+			c := newCell(Config{Name: "c0", Lease: 6 * time.Second, Log: observe.NewLogger(io.Discard, "test", "a"),
+				Metrics: NewMetrics(prometheus.NewRegistry())}, 1)
+			c.lastCommit = now
+			var states []*runnerState
+			for i := range 66 {
+				id := fmt.Sprintf("r%d", i)
+				rs := &runnerState{info: runner.Info{ID: id, Service: "kioscos", Capacity: workload.Resources{CPU: 64_000, MemoryMB: 256_000}},
+					present: true, synced: true, runs: map[*run]bool{}, candidate: placement.Candidate{ID: id, Slowdown: 1}}
+				c.runners[id], states = rs, append(states, rs)
+			}
+			for i := range 30 + waiting {
+				c.accept(now, &workload.Job{ID: fmt.Sprintf("%016x", i), Occurrences: 1, AcceptedAt: now,
+					Steps:  []workload.Step{{Count: 20, Resources: workload.Resources{CPU: 7000, MemoryMB: 1000}, Estimated: time.Second}},
+					Policy: workload.Policy{Queue: "q", Service: "kioscos", MaxAttempts: 3, Stretch: 2}})
+			}
+			for i, u := range slices.Clone(c.ready[:600]) {
+				c.attach(&run{unit: u, number: 1, runner: states[i%len(states)], startedAt: now, phase: runRunning, speed: fullSpeed})
+			}
+			for b.Loop() {
+				now = now.Add(waitCheckInterval)
+				c.lastCommit = now
+				for _, rs := range states {
+					rs.lastResponseAt = now
+				}
+				c.checkWaiting(now)
+			}
+		})
+	}
+}
--- a/placement/placement_test.go
+++ b/placement/placement_test.go
@@ -56,7 +56,7 @@
 		"best-effort on a reserved runner": {step: workload.Step{Resources: cpu(4000), BestEffort: true}, change: func(c *Candidate) { c.Reserved = true },
 			want: true},
 		"best-effort on a small runner": {step: workload.Step{Resources: cpu(65000), BestEffort: true}, by: "runner_size"},
-		"other rack": {step: workload.Step{Resources: cpu(4000)}, rack: "r9", by: "rack"},
+		"other rack":                    {step: workload.Step{Resources: cpu(4000)}, rack: "r9", by: "rack"},
 	} {
 		t.Run(name, func(t *testing.T) {
 			c := newCandidate("h", "a", "r1")
