--- a/dispatch/cell.go
+++ b/dispatch/cell.go
@@ -110,6 +110,7 @@
 	// unresolved holds, by ID, the runners that may run tasks of an earlier owner.
 	unresolved map[string]*unresolvedRunner
 	pending    map[string]int // accepted jobs without a started task, by queue
+	waits      waitCheck
 	// adviceMu serializes calls to the advice service.
 	adviceMu sync.Mutex
 
@@ -127,6 +128,7 @@
 		pending: map[string]int{}, planWake: make(chan struct{}, 1), flushWake: make(chan struct{}, 1),
 		done: make(chan struct{}), catalog: &catalog.Config{}, pressure: interference.NewPressure(),
 		advice: map[equivClass]*advice{}, terminated: map[string]bool{},
+		waits: waitCheck{loggedAt: map[waitKey]time.Time{}},
 	}
 }
 
@@ -150,6 +152,7 @@
 	}
 	c.mu.Unlock()
 	loops.Wait()
+	c.resetWaiting()
 	c.background.Wait()
 }
 
@@ -227,6 +230,7 @@
 	c.sampleAdmission(now)
 	c.checkStore(now)
 	c.createDueOccurrences(now)
+	c.checkWaiting(now)
 }
 
 // createDueOccurrences creates the occurrences that have become due. The caller holds mu.
--- a/dispatch/run.go
+++ b/dispatch/run.go
@@ -53,6 +53,7 @@
 	progressAt     time.Time // when the progress last changed
 	measurement    float64
 	hasMeasurement bool
+	observed       runObservation
 	// speed is the commanded speed limit of a best-effort task, in percent.
 	speed int
 	// overTargetSince is when a serving task was first reported over its latency target; zero if the last report did not
