Use only runners whose discovery rows are valid in all fields

What callers see: tasks that could run and don't. A row of another writer in service discovery became a runner of a cell: the owner polled it for ever, added its capacity to that of real runners (the sum of two largest integers is negative, so the cell's share and the free capacity were wrong), and a successor waited for its answer before it started recovered tasks. A row of a known runner that turned bad left the earlier row in force, so the runner went on getting tasks.

Cause: DecodeRunner checked that four fields are present and nothing more. It accepted the ports 99999, 0 and -5, addresses without a port or host, capacities from the smallest to the largest integer, times that overflow time.Duration, a start time in the far future (which makes a cell take each report of the runner for one of an earlier process), texts of any length, and an ID that can't be sent in a header. Numbers such as 1e400 and deep nesting were errors already.

An unusable row counts as a missing one: the runner gets no new tasks, its cell goes on polling it. Rows are logged when they become unusable, at most five a read, and counted by the gauge discovery_unusable_rows; errors don't contain the row. Runners get a cell only if the configuration names their service and their ID is not layout/cells, the roster's row for the number of cells, whose conflict refused the assignment of all new runners.

--- a/node/cells.go
+++ b/node/cells.go
@@ -4,12 +4,14 @@
 	"context"
 	"errors"
 	"hash/fnv"
+	"slices"
 	"sort"
 	"strconv"
 	"time"
 
 	"github.com/sirupsen/logrus"
 
+	"github.com/currantthread/currantthread/catalog"
 	"github.com/currantthread/currantthread/dispatch"
 	"github.com/currantthread/currantthread/internal/wait"
 	"github.com/currantthread/currantthread/runner"
@@ -331,8 +333,11 @@
 	var unassigned []string
 	total := int64(0)
 	for id, info := range n.runnerInfos {
-		total += info.Capacity.CPU
 		assigned, ok := n.runnerCells[id]
+		if !ok && !n.assignable(info) {
+			continue
+		}
+		total += info.Capacity.CPU
 		if !ok {
 			unassigned = append(unassigned, id)
 			continue
@@ -365,6 +370,19 @@
 	return chosen
 }
 
+// assignable reports whether a runner may get a cell: the configuration names its service, and its ID is not the name of
+// another row of the roster.
+func (n *Node) assignable(info runner.Info) bool {
+	config := n.catalog.Load()
+	if config == nil || info.ID == rowLayout {
+		return false
+	}
+	if _, ok := config.Services[info.Service]; ok {
+		return true
+	}
+	return slices.ContainsFunc(config.Queues, func(q catalog.Queue) bool { return q.Policy.Service == info.Service })
+}
+
 // rackTolerance lets a cell exceed its share by 1/rackTolerance, to keep a rack in one cell.
 const rackTolerance = 16
 
--- a/node/node.go
+++ b/node/node.go
@@ -57,6 +57,7 @@
 	innerAddr        string
 	peers            *peers
 	metrics          *dispatch.Metrics
+	unusableRows     prometheus.Gauge
 	health           observe.Health
 	catalog          atomic.Pointer[catalog.Config]
 	bounds           atomic.Pointer[platform.Bounds]
@@ -76,6 +77,7 @@
 	acquiring   map[string]bool
 	evacuated   map[string]bool
 	runnerInfos map[string]runner.Info
+	unusable    map[string]bool      // rows of service discovery that describe no usable runner, by key
 	runnerCells map[string]string    // cell of each runner, by runner ID
 	ownerless   map[string]time.Time // when this node first found that the cell has no owner, by cell
 	jobCells    map[string]string    // cache of the cells of jobs, by job ID
@@ -118,7 +120,7 @@
 		innerAddr:   net.JoinHostPort(s.IP, strconv.Itoa(s.InnerPorts[0])),
 		peers:       newPeers(),
 		cells:       map[string]*dispatch.Cell{}, acquiring: map[string]bool{}, evacuated: map[string]bool{},
-		runnerInfos: map[string]runner.Info{}, runnerCells: map[string]string{}, ownerless: map[string]time.Time{},
+		runnerInfos: map[string]runner.Info{}, unusable: map[string]bool{}, runnerCells: map[string]string{}, ownerless: map[string]time.Time{},
 		jobCells: map[string]string{}, endedEpochs: map[string]int64{}, seenOwners: map[string]seenOwner{}, submittedWork: map[string]submittedWork{}, assignWake: make(chan struct{}, 1),
 	}
 	if services.Advice != nil {
@@ -126,6 +128,9 @@
 	}
 	n.heartbeats = ownership.NewReader(n.store)
 	n.metrics = dispatch.NewMetrics(n.registry)
+	n.unusableRows = prometheus.NewGauge(prometheus.GaugeOpts{Namespace: observe.Namespace, Subsystem: "discovery",
+		Name: "unusable_rows", Help: "Rows of service discovery that describe no usable runner."})
+	n.registry.MustRegister(n.unusableRows)
 	n.bounds.Store(&s.Bounds)
 	relayed := &relayedStore{Store: n.store, relay: n.relayAddr, call: n.callRelay, log: n.log}
 	n.operator = store.NewFollower(relayed, platform.TableOperator, n.operatorChanged, n.dependencyLogger("operator's rows"))
@@ -244,6 +249,8 @@
 	for _, c := range n.cells {
 		c.SetCatalog(config)
 	}
+	// Runners of services that are new in the configuration have no cells yet.
+	n.wakeAssign()
 }
 
 func (n *Node) evacuationChanged(domain string, evacuated bool) {
@@ -268,26 +275,55 @@
 func (n *Node) discoveryChanged(rows []store.Row) {
 	n.mu.Lock()
 	defer n.mu.Unlock()
+	var problems []error
 	for _, row := range rows {
 		id := row.Key.Name
 		if row.Deleted {
-			if info, ok := n.runnerInfos[id]; ok {
-				delete(n.runnerInfos, id)
-				n.updateCellRunner(info, false)
-			}
+			delete(n.unusable, id)
+			n.removeRunner(id)
 			continue
 		}
 		info, err := platform.DecodeRunner(id, row.Value)
 		if err != nil {
-			n.log.WithError(err).Warn("service discovery row describes no usable runner")
+			// A row of another writer names no runner. Tasks on a runner that was usable before stay supervised by its cell.
+			if !n.unusable[id] {
+				n.unusable[id] = true
+				problems = append(problems, err)
+			}
+			n.removeRunner(id)
 			continue
 		}
+		delete(n.unusable, id)
 		n.runnerInfos[id] = info
 		n.updateCellRunner(info, true)
 	}
+	n.unusableRows.Set(float64(len(n.unusable)))
+	n.logUnusable(problems)
 	n.wakeAssign()
 }
 
+// removeRunner removes a runner that service discovery does not list, or lists with an unusable row. The caller holds mu.
+func (n *Node) removeRunner(id string) {
+	if info, ok := n.runnerInfos[id]; ok {
+		delete(n.runnerInfos, id)
+		n.updateCellRunner(info, false)
+	}
+}
+
+// maxUnusableLogged bounds the rows that are logged one by one after one read of service discovery.
+const maxUnusableLogged = 5
+
+// logUnusable logs rows that became unusable. A row that stays unusable is not logged again, however often it is rewritten.
+func (n *Node) logUnusable(problems []error) {
+	for i, problem := range problems {
+		if i == maxUnusableLogged {
+			n.log.WithField("rows", len(problems)-i).Warn("more service discovery rows describe no usable runner")
+			return
+		}
+		n.log.WithError(problem).Warn("service discovery row describes no usable runner")
+	}
+}
+
 // updateCellRunner passes a runner's state in service discovery to its cell, if this node owns it. The caller holds mu.
 func (n *Node) updateCellRunner(info runner.Info, present bool) {
 	if c := n.cells[n.runnerCells[info.ID]]; c != nil {
