Restore jobs from damaged rows without ending the process

What callers see: while such a row exists, no process can own the cell. The node that takes the cell ends by itself, and so does the next one that takes it; all jobs of the cell stay without an owner.

Cause: restore used numbers of the stored rows as they are. A progress row with a negative unit number, and a job row whose steps follow a step that does not exist, panicked with an index out of range during the takeover; a negative or huge number of tasks failed to allocate a moment later. Other numbers left a job that never ends: a next occurrence beyond the last one, a missing occurrence, or an open occurrence of which all tasks are done. Run numbers near the largest integer became negative. A job that ended without a stored end time was removed at once, so that its state was 410.

Change: a job row must pass workload.Job.CheckStructure, the part of Validate that every accepted job passed, whatever the limits were. Entries of a progress row that name no unit or occurrence are ignored, and the rest is used. The next occurrence follows from the listed ones, which are created in order, and one that is missing in between is created. The end time of a finished job is now if it is missing or lies in the future.

A progress row that is not JSON is still an error, and load leaves such a job out: to start it over would run tasks again that are done. Its state then comes from the store's rows, which is 503 and not 410.

--- a/dispatch/progress.go
+++ b/dispatch/progress.go
@@ -4,6 +4,7 @@
 	"encoding/json"
 	"fmt"
 	"sort"
+	"time"
 
 	"github.com/currantthread/currantthread/workload"
 )
@@ -83,12 +84,20 @@
 
 func encodeProgress(j *jobState) ([]byte, error) { return json.Marshal(j.progress()) }
 
-// restore builds a job's state from its rows. A job without a progress row has only been accepted.
+// maxRestoredRun bounds the run numbers and failure counts that are taken over from a stored row, so that later numbers
+// don't overflow.
+const maxRestoredRun = 1 << 30
+
+// restore builds a job's state from its rows. A job without a progress row has only been accepted. Of a damaged progress row,
+// the entries that name no occurrence or unit of the job are ignored.
 func restore(defRow, progressRow []byte) (*jobState, error) {
 	var def workload.Job
 	if err := json.Unmarshal(defRow, &def); err != nil {
 		return nil, fmt.Errorf("job row: %w", err)
 	}
+	if err := def.CheckStructure(); err != nil {
+		return nil, fmt.Errorf("job row: %w", err)
+	}
 	j := newJobState(&def)
 	var p progress
 	if len(progressRow) > 0 {
@@ -96,28 +105,77 @@
 			return nil, fmt.Errorf("progress row of job %s: %w", def.ID, err)
 		}
 	}
-	if p.State != "" {
-		j.state = p.State
-	}
-	j.started, j.nextOcc = p.Started, p.Next
-	if j.state.Terminal() {
-		j.durableState = j.state
-		j.finishedAt = timeFromMillis(p.FinishedMs)
-		j.compact()
+	j.started = p.Started
+	if p.State.Terminal() {
+		j.restoreEnded(p.State, p.FinishedMs)
 		return j, nil
 	}
+	if p.State == workload.StateRunning {
+		j.state = p.State
+	}
 	for _, number := range p.Done {
-		j.doneOccs[number] = true
+		if j.hasOccurrence(number) {
+			j.doneOccs[number] = true
+			j.nextOcc = max(j.nextOcc, number+1)
+		}
 	}
 	for _, o := range p.Occs {
+		if !j.hasOccurrence(o.Number) || j.doneOccs[o.Number] || j.occs[o.Number] != nil {
+			continue
+		}
+		j.nextOcc = max(j.nextOcc, o.Number+1)
 		occ := j.newOccurrence(o.Number)
-		for i := range o.Steps {
-			if i < len(occ.steps) {
+		left := 0
+		for i := range occ.steps {
+			if i < len(o.Steps) {
 				occ.steps[i].restore(o.Steps[i])
 			}
+			left += occ.steps[i].left
+		}
+		if left == 0 {
+			j.doneOccs[o.Number] = true
+		}
+	}
+	if len(j.doneOccs) == def.Occurrences {
+		j.restoreEnded(workload.StateCompleted, p.FinishedMs)
+		return j, nil
+	}
+	return j, j.addMissingOccurrences()
+}
+
+// maxMissingTasks bounds the tasks of occurrences that a damaged progress row does not list.
+const maxMissingTasks = 100_000
+
+// addMissingOccurrences creates the occurrences below nextOcc that are neither open nor done. Occurrences are created in
+// order, so one that is not listed would never run.
+func (j *jobState) addMissingOccurrences() error {
+	tasks := 0
+	for number := range j.nextOcc {
+		if j.doneOccs[number] || j.occs[number] != nil {
+			continue
 		}
+		for i := range j.def.Steps {
+			tasks += j.def.Steps[i].Count
+		}
+		if tasks > maxMissingTasks {
+			return fmt.Errorf("progress row of job %s does not list occurrence %d of %d", j.def.ID, number, j.nextOcc)
+		}
+		j.newOccurrence(number)
 	}
-	return j, nil
+	return nil
+}
+
+func (j *jobState) hasOccurrence(number int) bool { return number >= 0 && number < j.def.Occurrences }
+
+// restoreEnded restores a job that has ended. An end time that is missing or lies in the future counts as now, so that the
+// state is kept for its whole retention.
+func (j *jobState) restoreEnded(state workload.State, finishedMs int64) {
+	j.state, j.durableState = state, state
+	j.finishedAt = timeFromMillis(finishedMs)
+	if now := time.Now(); finishedMs <= 0 || j.finishedAt.After(now) {
+		j.finishedAt = now
+	}
+	j.compact()
 }
 
 func (s *stepState) restore(p stepProgress) {
@@ -128,9 +186,12 @@
 		}
 	}
 	for _, saved := range p.Units {
-		if saved.Unit < len(s.units) {
-			u := s.units[saved.Unit]
-			u.run, u.fails, u.failedRuns, u.checkpoint = saved.Run, saved.Fails, saved.FailedRuns, saved.Checkpoint
+		if saved.Unit < 0 || saved.Unit >= len(s.units) {
+			continue
 		}
+		u := s.units[saved.Unit]
+		u.run, u.fails = min(max(saved.Run, 0), maxRestoredRun), min(max(saved.Fails, 0), maxRestoredRun)
+		u.failedRuns = saved.FailedRuns[max(len(saved.FailedRuns)-maxTrackedFailures, 0):]
+		u.checkpoint = saved.Checkpoint
 	}
 }
--- a/workload/workload.go
+++ b/workload/workload.go
@@ -175,6 +175,13 @@
 	if len(j.Spec) > MaxSpecBytes {
 		return &InvalidError{"spec", fmt.Sprintf("has %d bytes, at most %d are allowed", len(j.Spec), MaxSpecBytes)}
 	}
+	return j.CheckStructure()
+}
+
+// CheckStructure returns an *InvalidError for a job that can't be scheduled, whoever encoded it: its steps, tasks or
+// occurrences are not within their bounds, or its steps don't follow each other. Every accepted job passes it, whatever the
+// limits at its submission were.
+func (j *Job) CheckStructure() error {
 	if len(j.Steps) == 0 || len(j.Steps) > MaxSteps {
 		return &InvalidError{"steps", fmt.Sprintf("has %d entries, 1 to %d are allowed", len(j.Steps), MaxSteps)}
 	}
