--- a/store/follower_test.go
+++ b/store/follower_test.go
@@ -1,6 +1,7 @@
 package store_test
 
 import (
+	"context"
 	"fmt"
 	"sync/atomic"
 	"testing"
@@ -76,3 +77,28 @@
 		assert.Equal(t, failures.Load(), int64(0))
 	})
 }
+
+// stuckStore returns the same page for each range.
+type stuckStore struct {
+	store.Store
+	page store.Page
+}
+
+func (s *stuckStore) Range(context.Context, string, string, string, string, int) (store.Page, error) {
+	return s.page, nil
+}
+
+// A table of which a page has no readable rows, or the same rows as the page before, is not taken for a shorter one: its
+// missing rows would count as deleted. Nor is it read for ever.
+func TestReadAllOfUnreadablePages(t *testing.T) {
+	for name, rows := range map[string][]store.Row{
+		"no rows":         nil,
+		"the same rows":   {{Key: key("b"), Version: 1}},
+		"rows of no name": {{Key: key(""), Version: 1}},
+	} {
+		t.Run(name, func(t *testing.T) {
+			_, err := store.ReadAll(t.Context(), &stuckStore{page: store.Page{Rows: rows, More: true, Version: 1}}, "t", "")
+			assert.ErrorIs(t, err, store.ErrUnavailable)
+		})
+	}
+}
--- a/store/store.go
+++ b/store/store.go
@@ -123,9 +123,17 @@
 			// Later pages are newer; a feed must continue from the first one.
 			all.Version = page.Version
 		}
-		if !page.More || len(page.Rows) == 0 {
+		if !page.More {
 			return all, nil
 		}
-		from = page.Rows[len(page.Rows)-1].Key.Name + "\x00"
+		// A page without readable rows, or with rows out of order, must not look like the end of the table or be read for ever.
+		next := from
+		if len(page.Rows) > 0 {
+			next = page.Rows[len(page.Rows)-1].Key.Name + "\x00"
+		}
+		if next <= from {
+			return Page{}, fmt.Errorf("%w: rows of table %s after %.50q can't be read", ErrUnavailable, table, from)
+		}
+		from = next
 	}
 }
