--- a/dispatch/progress.go
+++ b/dispatch/progress.go
@@ -98,6 +98,7 @@
 	if err := def.CheckStructure(); err != nil {
 		return nil, fmt.Errorf("job row: %w", err)
 	}
+	def.CompactDependencies()
 	j := newJobState(&def)
 	var p progress
 	if len(progressRow) > 0 {
--- a/node/clients.go
+++ b/node/clients.go
@@ -398,6 +398,10 @@
 	if err := json.Unmarshal(req.Job, &job); err != nil {
 		return nil, connect.NewError(connect.CodeInvalidArgument, err)
 	}
+	if err := job.Validate(); err != nil {
+		return nil, connect.NewError(connect.CodeInvalidArgument, err)
+	}
+	job.CompactDependencies()
 	c := s.node.localCell(req.Cell)
 	if c == nil {
 		return &innerproto.SubmitResponse{Outcome: uint32(dispatch.OutcomeNotOwner)}, nil
--- a/node/odd_rows_test.go
+++ b/node/odd_rows_test.go
@@ -6,9 +6,11 @@
 	"strings"
 	"testing"
 
+	"connectrpc.com/connect"
 	"gotest.tools/v3/assert"
 
 	"github.com/currantthread/currantthread/catalog"
+	"github.com/currantthread/currantthread/innerproto"
 	"github.com/currantthread/currantthread/platform"
 	"github.com/currantthread/currantthread/runner"
 	"github.com/currantthread/currantthread/store"
@@ -108,3 +110,26 @@
 	n.catalog.Store(&config)
 	assert.Equal(t, len(n.chooseCells()), 2, "the configuration names the service now")
 }
+
+// A job that a peer sends is checked like one that a client sends. A step that follows a step that does not exist ended the
+// process of the cell's owner, after the job had been stored.
+func TestOddJobOfAPeer(t *testing.T) {
+	n, _ := testNode(t, 1)
+	for name, job := range map[string]string{
+		"not JSON":      `{`,
+		"no steps":      `{"id":"5c0e7a21d94b36f8","occ":1}`,
+		"unknown step":  `{"id":"5c0e7a21d94b36f8","occ":1,"steps":[{"n":1,"after":[7]}]}`,
+		"negative step": `{"id":"5c0e7a21d94b36f8","occ":1,"steps":[{"n":1,"after":[-1]}]}`,
+		"negative size": `{"id":"5c0e7a21d94b36f8","occ":1,"steps":[{"n":-1}]}`,
+		"no ID":         `{"occ":1,"steps":[{"n":1}]}`,
+		"deeply nested": strings.Repeat(`{"steps":[`, 20_000),
+	} {
+		t.Run(name, func(t *testing.T) {
+			_, err := (&jobService{node: n}).Submit(t.Context(), &innerproto.SubmitRequest{Cell: "c0", Job: []byte(job)})
+			assert.Equal(t, connect.CodeOf(err), connect.CodeInvalidArgument)
+		})
+	}
+	_, err := (&jobService{node: n}).Submit(t.Context(), &innerproto.SubmitRequest{Cell: "c0",
+		Job: []byte(`{"id":"5c0e7a21d94b36f8","occ":1,"steps":[{"n":1}]}`)})
+	assert.NilError(t, err)
+}
--- a/store/store.go
+++ b/store/store.go
@@ -15,6 +15,8 @@
 	// MaxTxnBytes bounds the values of one transaction, below the platform's limit of 1 MB for a call because values
 	// grow by a third in transit.
 	MaxTxnBytes = 600_000
+	// MaxRowBytes bounds the value of a row. The store refuses a transaction with a larger one.
+	MaxRowBytes = 65_536
 )
 
 // Key names a row.
--- a/workload/workload.go
+++ b/workload/workload.go
@@ -4,6 +4,7 @@
 
 import (
 	"fmt"
+	"slices"
 	"strconv"
 	"strings"
 	"time"
@@ -18,6 +19,17 @@
 	MaxTasks = 10_000
 	// MaxOccurrences bounds the occurrences of a job.
 	MaxOccurrences = 100_000
+	// MaxResource bounds what one task requests on each axis: thousandths of a core, MB and accelerators.
+	MaxResource = 100_000_000
+	// MaxWork bounds the work of one occurrence in thousandths of a core times milliseconds, 31 years of one core, so that
+	// the work of thousands of jobs can be added up in an int64.
+	MaxWork = 1e15
+	// MaxDuration bounds the estimated time of all steps together and a latency target. Objectives are multiples of it.
+	MaxDuration = 366 * 24 * time.Hour
+	// MaxSpan bounds the time from the first to the last occurrence of a job.
+	MaxSpan = 100 * MaxDuration
+	// maxYear is the last year that the stored form of a time can hold.
+	maxYear = 9999
 )
 
 // Resources is an amount of a runner's resources.
@@ -175,7 +187,52 @@
 	if len(j.Spec) > MaxSpecBytes {
 		return &InvalidError{"spec", fmt.Sprintf("has %d bytes, at most %d are allowed", len(j.Spec), MaxSpecBytes)}
 	}
-	return j.CheckStructure()
+	if err := j.CheckStructure(); err != nil {
+		return err
+	}
+	var estimated time.Duration
+	work := 0.0
+	for i := range j.Steps {
+		step := &j.Steps[i]
+		if err := step.checkAmounts(i); err != nil {
+			return err
+		}
+		if estimated += step.Estimated; estimated > MaxDuration {
+			return &InvalidError{"steps", fmt.Sprintf("take more than %v", MaxDuration)}
+		}
+		work += float64(step.Resources.CPU) * float64(step.Count) * float64(step.Estimated.Milliseconds())
+	}
+	if work > MaxWork {
+		return &InvalidError{"steps", "have more work than any number of runners can do"}
+	}
+	if last := j.Occurrences - 1; last > 0 && j.Interval > MaxSpan/time.Duration(last) {
+		return &InvalidError{"interval", fmt.Sprintf("puts the last occurrence more than %v after the first", MaxSpan)}
+	}
+	if year := j.Due(j.Occurrences - 1).Year(); year > maxYear {
+		return &InvalidError{"start_at", fmt.Sprintf("the last occurrence must not be due after the year %d", maxYear)}
+	}
+	return nil
+}
+
+// checkAmounts returns an *InvalidError for amounts with which calculations could overflow.
+func (s *Step) checkAmounts(index int) error {
+	field := "steps[" + strconv.Itoa(index) + "]"
+	switch {
+	case s.Resources.CPU > MaxResource || s.Resources.MemoryMB > MaxResource || s.Resources.GPU > MaxResource:
+		return &InvalidError{field, fmt.Sprintf("sizes must be at most %d", MaxResource)}
+	case s.Estimated > MaxDuration || s.LatencyTarget > MaxDuration:
+		return &InvalidError{field, fmt.Sprintf("times must be at most %v", MaxDuration)}
+	}
+	return nil
+}
+
+// CompactDependencies removes repeated entries from each step's After. A step counts the steps that it waits for.
+func (j *Job) CompactDependencies() {
+	for i := range j.Steps {
+		after := slices.Clone(j.Steps[i].After)
+		slices.Sort(after)
+		j.Steps[i].After = slices.Compact(after)
+	}
 }
 
 // CheckStructure returns an *InvalidError for a job that can't be scheduled, whoever encoded it: its steps, tasks or
@@ -282,13 +339,13 @@
 func ParseTaskID(s string) (TaskID, error) {
 	parts := strings.Split(s, ".")
 	if len(parts) != 4 {
-		return TaskID{}, fmt.Errorf("task name %q does not have four parts", s)
+		return TaskID{}, fmt.Errorf("task name %.50q does not have four parts", s)
 	}
 	var numbers [3]int
 	for i, part := range parts[1:] {
 		n, err := strconv.Atoi(part)
 		if err != nil || n < 0 {
-			return TaskID{}, fmt.Errorf("task name %q: part %q is not a number", s, part)
+			return TaskID{}, fmt.Errorf("task name %.50q: part %.50q is not a number", s, part)
 		}
 		numbers[i] = n
 	}
