Keep runners in their cells and jobs known beside odd rows of the roster and index

What callers see, by the odd row: - number of cells: every process that reads the row ends ("makeslice: len out of range");: it needs 16 GB at once. Another number than before: accepted jobs are answered as unknown, because the partition of a job's index row depends on it. - a runner's row that names no cell: all new runners of its rack were put into that cell, and got no tasks. A row that this node had not read made the store refuse the transaction with the cells of all new runners, for ever. - a runner's row that was removed, or names another cell: another cell takes the runner while the first still commands it, and the two take its fencing token, and with it their ownership, from each other. - an index row that names no cell, or a job whose rows can't be decoded: 410 for an accepted job, also in answer to DELETE.

Change: the number of cells is 1 to 1,024 and never changes once it is read. A runner with a cell keeps it; removed rows are written again. After a conflict the existing rows are taken over, and the other runners are assigned. An index row that names no cell, and a cancellation of a stored job that its cell does not have, are errors (503).

Measured: without the change TestOddNumberOfCells, TestOddRosterRows, TestRosterRowOfAnotherWriter, TestOddIndexRows and TestJobThatCanNotBeDecoded fail; the two messages above are of runs of the old code.

--- a/node/cells.go
+++ b/node/cells.go
@@ -3,10 +3,12 @@
 import (
 	"context"
 	"errors"
+	"fmt"
 	"hash/fnv"
 	"slices"
 	"sort"
 	"strconv"
+	"strings"
 	"time"
 
 	"github.com/sirupsen/logrus"
@@ -51,6 +53,15 @@
 
 func cellName(i int) string { return "c" + strconv.Itoa(i) }
 
+// maxCells bounds the number of cells that a row may state.
+const maxCells = 1024
+
+// isCell reports whether name is the name of a cell. It is false while the number of cells is not known.
+func (n *Node) isCell(name string) bool {
+	i, err := strconv.Atoi(strings.TrimPrefix(name, "c"))
+	return err == nil && i >= 0 && i < int(n.cellCount.Load()) && name == cellName(i)
+}
+
 // homeCell returns the cell that a job is submitted to unless another cell has clearly less load.
 func homeCell(jobID string, cells int) string {
 	h := fnv.New32a()
@@ -211,24 +222,65 @@
 func (n *Node) assignmentsChanged(rows []store.Row) {
 	n.mu.Lock()
 	defer n.mu.Unlock()
+	n.applyAssignments(rows)
+}
+
+// applyAssignments applies rows of the roster. The caller holds mu.
+func (n *Node) applyAssignments(rows []store.Row) {
 	for _, row := range rows {
 		if row.Key.Name == rowLayout {
-			count, err := strconv.Atoi(string(row.Value))
-			if err != nil || count < 1 {
-				n.log.WithField("value", string(row.Value)).Error("invalid number of cells")
-				continue
-			}
-			n.cellCount.Store(int32(count))
-			continue
+			n.layoutChanged(row)
 		}
-		if row.Deleted {
-			delete(n.runnerCells, row.Key.Name)
-			continue
+	}
+	for _, row := range rows {
+		if row.Key.Name != rowLayout {
+			n.assignmentChanged(row)
 		}
-		n.runnerCells[row.Key.Name] = string(row.Value)
-		if info, ok := n.runnerInfos[row.Key.Name]; ok {
-			n.updateCellRunner(info, true)
+	}
+}
+
+// layoutChanged applies the row with the number of cells. The number never changes, because the partition of each job's index
+// row depends on it: once it is known, another value is an error, and a deleted row is written again. The caller holds mu.
+func (n *Node) layoutChanged(row store.Row) {
+	known := int(n.cellCount.Load())
+	count, err := strconv.Atoi(string(row.Value))
+	switch {
+	case row.Deleted && known > 0:
+		n.log.Error("row with the number of cells was deleted")
+		n.rewrite[rowLayout] = strconv.Itoa(known)
+		n.wakeAssign()
+	case row.Deleted:
+	case err != nil || count < 1 || count > maxCells || known > 0 && count != known:
+		n.log.WithFields(logrus.Fields{"value": fmt.Sprintf("%.50q", row.Value), "known": known}).Error("invalid number of cells")
+	default:
+		delete(n.rewrite, rowLayout)
+		n.cellCount.Store(int32(count))
+	}
+}
+
+// assignmentChanged applies the row of a runner. A runner stays in its cell if its row is deleted or names no cell, because the
+// cell's owner may still send it commands. The caller holds mu.
+func (n *Node) assignmentChanged(row store.Row) {
+	id, cell := row.Key.Name, string(row.Value)
+	old, known := n.runnerCells[id]
+	switch {
+	case row.Deleted:
+		if known && n.isCell(old) {
+			n.log.WithFields(logrus.Fields{"runner": fmt.Sprintf("%.50q", id), "cell": old}).Warn("row of a runner's cell was deleted")
+			n.rewrite[id] = old
+			n.wakeAssign()
 		}
+		return
+	case n.cellCount.Load() > 0 && !n.isCell(cell):
+		n.log.WithFields(logrus.Fields{"runner": fmt.Sprintf("%.50q", id), "value": fmt.Sprintf("%.50q", cell)}).Warn("row of a runner names no cell")
+		if known {
+			return
+		}
+	}
+	delete(n.rewrite, id)
+	n.runnerCells[id] = cell
+	if info, ok := n.runnerInfos[id]; ok {
+		n.updateCellRunner(info, true)
 	}
 }
 
@@ -309,11 +361,23 @@
 	}
 	if _, err := n.store.Commit(ctx, txn); err != nil {
 		n.log.WithError(err).Warn("could not write runner assignments")
+		var conflict *store.ConflictError
+		if errors.As(err, &conflict) {
+			// Rows that exist already must not hold back the other runners.
+			n.mu.Lock()
+			n.applyAssignments(conflict.Rows)
+			n.mu.Unlock()
+		}
 		return true
 	}
 	n.log.WithField("runners", len(txn.Writes)).Info("assigned runners to cells")
 	for _, w := range txn.Writes {
 		n.mu.Lock()
+		delete(n.rewrite, w.Key.Name)
+		if w.Key.Name == rowLayout {
+			n.mu.Unlock()
+			continue
+		}
 		n.runnerCells[w.Key.Name] = string(w.Value)
 		if info, ok := n.runnerInfos[w.Key.Name]; ok {
 			n.updateCellRunner(info, true)
@@ -325,7 +389,7 @@
 
 type assignment struct{ runner, cell string }
 
-// chooseCells chooses a cell for each runner without one: the cell of its rack unless that is more than 1/rackTolerance
+// chooseCells returns the rows to write again, and a cell for each runner without one: the cell of its rack unless that is more than 1/rackTolerance
 // above its share of the capacity, else the cell with the least capacity. The caller holds mu.
 func (n *Node) chooseCells() []assignment {
 	capacity := map[string]int64{}
@@ -334,7 +398,7 @@
 	total := int64(0)
 	for id, info := range n.runnerInfos {
 		assigned, ok := n.runnerCells[id]
-		if !ok && !n.assignable(info) {
+		if ok && !n.isCell(assigned) || !ok && !n.assignable(info) {
 			continue
 		}
 		total += info.Capacity.CPU
@@ -353,7 +417,10 @@
 		return x.ID < y.ID
 	})
 	share := total / int64(n.cellCount.Load())
-	chosen := make([]assignment, 0, len(unassigned))
+	chosen := make([]assignment, 0, len(unassigned)+len(n.rewrite))
+	for row, value := range n.rewrite {
+		chosen = append(chosen, assignment{row, value})
+	}
 	for _, id := range unassigned {
 		info := n.runnerInfos[id]
 		cell, ok := rackCell[rackOf(info)]
--- a/node/clients.go
+++ b/node/clients.go
@@ -4,6 +4,7 @@
 	"context"
 	"encoding/json"
 	"errors"
+	"fmt"
 	"hash/fnv"
 	"math"
 	"net"
@@ -86,7 +87,9 @@
 			n.recordSubmitted(target, job)
 			return intake.Decision{Outcome: intake.Accepted, Cell: target.Load.Cell}
 		case dispatch.OutcomeElsewhere:
-			n.cacheJobCell(job.ID, elsewhere)
+			if n.isCell(elsewhere) {
+				n.cacheJobCell(job.ID, elsewhere)
+			}
 			return intake.Decision{Outcome: intake.Accepted, Cell: elsewhere}
 		case dispatch.OutcomeFull:
 			full++
@@ -303,6 +306,10 @@
 		return "", nil
 	}
 	cell = string(page.Rows[0].Value)
+	if !n.isCell(cell) {
+		// The job was accepted, so it must not look like one that does not exist.
+		return "", fmt.Errorf("index row of job %s names the cell %.50q, which does not exist", jobID, cell)
+	}
 	n.cacheJobCell(jobID, cell)
 	return cell, nil
 }
@@ -339,7 +346,8 @@
 		return false, err
 	}
 	if c := n.localCell(cell); c != nil {
-		return c.Cancel(ctx, jobID)
+		found, err := c.Cancel(ctx, jobID)
+		return n.checkCancelled(ctx, cell, jobID, found, err)
 	}
 	owner, ok := n.directory.Owners(time.Now())[cell]
 	if !ok {
@@ -352,7 +360,23 @@
 	if !res.Done {
 		return true, errNoResponse
 	}
-	return res.Found, nil
+	return n.checkCancelled(ctx, cell, jobID, res.Found, nil)
+}
+
+// checkCancelled checks the result of a cancellation by the owner of the job's cell. A job that the owner does not have but the
+// store does is not known to be cancelled: its rows can't be decoded, or it is being removed after its end.
+func (n *Node) checkCancelled(ctx context.Context, cell, jobID string, found bool, err error) (bool, error) {
+	if found || err != nil {
+		return found, err
+	}
+	state, stored, err := dispatch.StoredState(ctx, n.store, n.cellPart(cell), jobID)
+	switch {
+	case err != nil:
+		return true, errors.Join(errNoResponse, err)
+	case stored && !state.Terminal():
+		return true, fmt.Errorf("cell %s can't cancel stored job %s", cell, jobID)
+	}
+	return stored, nil
 }
 
 // Pending implements intake.Service.
--- a/node/odd_rows_test.go
+++ b/node/odd_rows_test.go
@@ -2,15 +2,19 @@
 
 import (
 	"bytes"
+	"context"
 	"fmt"
 	"strings"
 	"testing"
+	"testing/synctest"
 
 	"connectrpc.com/connect"
 	"gotest.tools/v3/assert"
 
 	"github.com/currantthread/currantthread/catalog"
+	"github.com/currantthread/currantthread/dispatch"
 	"github.com/currantthread/currantthread/innerproto"
+	"github.com/currantthread/currantthread/internal/emulator"
 	"github.com/currantthread/currantthread/platform"
 	"github.com/currantthread/currantthread/runner"
 	"github.com/currantthread/currantthread/store"
@@ -133,3 +137,151 @@
 		Job: []byte(`{"id":"5c0e7a21d94b36f8","occ":1,"steps":[{"n":1}]}`)})
 	assert.NilError(t, err)
 }
+
+func rosterRow(version int64, name, value string) store.Row {
+	return store.Row{Key: store.Key{Table: tableAssignments, Name: name}, Value: []byte(value), Version: version}
+}
+
+// The number of cells can't become one that no first start has written. A huge number ended each process that read it, by
+// memory; any other number moved the index rows of jobs, so that accepted jobs were answered as unknown.
+func TestOddNumberOfCells(t *testing.T) {
+	for _, value := range []string{"", "0", "-3", "1000000000", "3000000000", "99999999999999999999", "4294967296", "2.0", "two", "\x00\xff",
+		strings.Repeat("9", 64<<10), strings.Repeat("[", 20_000)} {
+		n, log := testNode(t, 0)
+		n.assignmentsChanged([]store.Row{rosterRow(1, rowLayout, value)})
+		assert.Equal(t, len(n.cellNames()), 0, "%.20q", value)
+		n.assignmentsChanged([]store.Row{rosterRow(2, rowLayout, "3")})
+		assert.Equal(t, len(n.cellNames()), 3)
+		n.assignmentsChanged([]store.Row{rosterRow(3, rowLayout, value), rosterRow(4, rowLayout, "2")})
+		assert.Equal(t, len(n.cellNames()), 3)
+		assert.Assert(t, log.Len() < 2000, "%d bytes", log.Len())
+	}
+}
+
+// A runner stays in the cell that it is in if its row turns into something else. Its row and that of the number of cells are
+// written again after another writer deleted them.
+func TestOddRosterRows(t *testing.T) {
+	n, _ := testNode(t, 2)
+	n.assignmentsChanged([]store.Row{rosterRow(1, "i-1", "c1"), rosterRow(1, "i-2", "c0"), rosterRow(1, "i-3", "c7")})
+	n.assignmentsChanged([]store.Row{rosterRow(2, "i-1", "c2"), rosterRow(3, "i-2", strings.Repeat("c", 64<<10))})
+	assert.Equal(t, n.runnerCells["i-1"], "c1")
+	assert.Equal(t, n.runnerCells["i-2"], "c0")
+	deleted := []store.Row{rosterRow(4, "i-1", ""), rosterRow(4, "i-3", ""), rosterRow(4, rowLayout, "")}
+	for i := range deleted {
+		deleted[i].Deleted = true
+	}
+	n.assignmentsChanged(deleted)
+	assert.Equal(t, n.runnerCells["i-1"], "c1")
+	assert.Equal(t, len(n.cellNames()), 2)
+	written := map[string]string{}
+	for _, a := range n.chooseCells() {
+		written[a.runner] = a.cell
+	}
+	assert.DeepEqual(t, written, map[string]string{"i-1": "c1", rowLayout: "2"})
+	n.assignmentsChanged([]store.Row{rosterRow(5, "i-1", "c1"), rosterRow(5, rowLayout, "2")})
+	assert.Equal(t, len(n.chooseCells()), 0)
+}
+
+// ownFirstCell makes a node with an emulated store the owner of the first cell, and returns a function that releases it.
+func ownFirstCell(t *testing.T, n *Node, s *emulator.Store) (release func()) {
+	t.Helper()
+	n.store = s
+	c, err := dispatch.Acquire(t.Context(), n.cellConfig(firstCell, false), dispatch.Ownership{}, 0, nil)
+	assert.NilError(t, err)
+	n.cells[firstCell] = c
+	ctx, cancel := context.WithCancel(t.Context())
+	go c.Run(ctx)
+	return func() {
+		cancel()
+		<-c.Done()
+	}
+}
+
+// A row that another writer has put into the roster does not hold back the other runners. The transaction with the rows of all
+// new runners was refused for ever, and none of them got a task.
+func TestRosterRowOfAnotherWriter(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		s := emulator.NewStore()
+		n, _ := testNode(t, 1)
+		n.runners = emulator.NewFleet(nil)
+		release := ownFirstCell(t, n, s)
+		defer release()
+		s.Put(store.Key{Table: tableAssignments, Name: "i-2"}, []byte("nonsense"))
+		n.discoveryChanged([]store.Row{serverRow(t, 1, testRunner("i-1")), serverRow(t, 2, testRunner("i-2")), serverRow(t, 3, testRunner("i-3"))})
+		for range 3 {
+			n.assign(t.Context())
+		}
+		assert.Equal(t, n.runnerCells["i-1"], firstCell)
+		assert.Equal(t, n.runnerCells["i-3"], firstCell)
+		assert.Assert(t, !n.assign(t.Context()), "nothing is left to write")
+	})
+}
+
+// An index row that names no cell is an error, not a job that does not exist: the job was accepted.
+func TestOddIndexRows(t *testing.T) {
+	for _, value := range []string{"", "c9", "c-1", "c00", "c+0", "0", "\x00\xff", strings.Repeat("c", 64<<10)} {
+		s := emulator.NewStore()
+		n, _ := testNode(t, 2)
+		n.store = s
+		const id = "5c0e7a21d94b36f8"
+		s.Put(store.Key{Table: dispatch.TableIndex, Part: n.indexPart(id), Name: id}, []byte(value))
+		_, _, err := n.State(t.Context(), id)
+		assert.Assert(t, err != nil, "%.20q", value)
+		assert.Assert(t, len(err.Error()) < 500)
+		_, err = n.Cancel(t.Context(), id)
+		assert.Assert(t, err != nil, "%.20q", value)
+	}
+}
+
+// A job whose rows can't be decoded was accepted. It has a state, and a cancellation is not answered as if it did not exist.
+func TestJobThatCanNotBeDecoded(t *testing.T) {
+	const id = "5c0e7a21d94b36f8"
+	for name, c := range map[string]struct {
+		job, progress string
+		state         workload.State
+	}{
+		"job row":      {job: "{", state: workload.StateQueued},
+		"both rows":    {job: "\x00", progress: "{"},
+		"progress row": {job: `{"id":"5c0e7a21d94b36f8","occ":1,"steps":[{"n":1}]}`, progress: strings.Repeat("[", 20_000)},
+	} {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				s := emulator.NewStore()
+				n, _ := testNode(t, 1)
+				s.Put(store.Key{Table: dispatch.TableIndex, Part: n.indexPart(id), Name: id}, []byte(firstCell))
+				s.Put(store.Key{Table: dispatch.TableJobs, Part: n.cellPart(firstCell), Name: id}, []byte(c.job))
+				if c.progress != "" {
+					s.Put(store.Key{Table: dispatch.TableProgress, Part: n.cellPart(firstCell), Name: id}, []byte(c.progress))
+				}
+				release := ownFirstCell(t, n, s)
+				defer release()
+				state, found, err := n.State(t.Context(), id)
+				assert.Equal(t, state, c.state)
+				assert.Assert(t, found || err != nil)
+				_, err = n.Cancel(t.Context(), id)
+				assert.Assert(t, err != nil)
+			})
+		})
+	}
+}
+
+// A job that the cell has can be cancelled, and one whose rows are removed after its end no longer exists.
+func TestCancelOfKnownAndRemovedJobs(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		s := emulator.NewStore()
+		n, _ := testNode(t, 1)
+		release := ownFirstCell(t, n, s)
+		defer release()
+		const id, removed = "5c0e7a21d94b36f8", "5c0e7a21d94b36f9"
+		job := &workload.Job{ID: id, Occurrences: 1, Steps: []workload.Step{{Count: 1}}}
+		outcome, _ := n.cells[firstCell].Submit(t.Context(), job, true)
+		assert.Equal(t, outcome, dispatch.OutcomeAccepted)
+		found, err := n.Cancel(t.Context(), id)
+		assert.NilError(t, err)
+		assert.Assert(t, found)
+		s.Put(store.Key{Table: dispatch.TableIndex, Part: n.indexPart(removed), Name: removed}, []byte(firstCell))
+		found, err = n.Cancel(t.Context(), removed)
+		assert.NilError(t, err)
+		assert.Assert(t, !found)
+	})
+}
