Ignore node rows that are not heartbeats of their node

What callers see: a wrong number of waiting jobs, for as long as the process runs; jobs offered to an address that does not exist; cells that wait for a candidate that does not exist.

Cause: any value that decodes as JSON counted as a heartbeat, "null" and "{}" among them, and for the first 2.4 s of a process, or after a gap in its reads, also one that does not decode. The load of a row with a high epoch replaced that of the cell's owner for ever. Negative and huge amounts went into the choice of cells, and a node listed under another's key had two votes.

Change: a row must name the node of its key, have an address and an incarnation, and list each cell once with amounts in range; the epoch of a cell is the version of an earlier commit, so it is at most the row's version.

--- a/ownership/directory.go
+++ b/ownership/directory.go
@@ -5,6 +5,8 @@
 
 import (
 	"encoding/json"
+	"errors"
+	"fmt"
 	"hash/fnv"
 	"maps"
 	"sort"
@@ -85,18 +87,19 @@
 	d.readAt = now
 	for _, row := range rows {
 		m := d.members[row.Key.Name]
-		if m == nil {
-			m = &member{}
-			d.members[row.Key.Name] = m
-		}
-		if row.Version <= m.version {
+		if m != nil && row.Version <= m.version || row.Deleted {
 			continue
 		}
-		var heartbeat Heartbeat
-		if err := json.Unmarshal(row.Value, &heartbeat); err != nil {
-			problems = append(problems, err)
+		heartbeat, err := decodeHeartbeat(row)
+		if err != nil {
+			// The node counts as dead if no valid row follows in time.
+			problems = append(problems, fmt.Errorf("row %.50q: %.200s", row.Key.Name, err.Error()))
 			continue
 		}
+		if m == nil {
+			m = &member{}
+			d.members[row.Key.Name] = m
+		}
 		m.heartbeat, m.version, m.changedAt = heartbeat, row.Version, now
 		for _, load := range heartbeat.Cells {
 			// Loads are kept when a row no longer lists the cell: during a handover the old owner removes the cell from
@@ -109,6 +112,59 @@
 	return problems
 }
 
+// maxAmount bounds the amounts in a heartbeat, so that sums of them can't overflow.
+const maxAmount = 1 << 53
+
+// decodeHeartbeat decodes and checks a heartbeat row. A row of another writer names no node: its load would attract jobs, and
+// its epochs would hide those of the cells' owners.
+func decodeHeartbeat(row store.Row) (Heartbeat, error) {
+	var heartbeat Heartbeat
+	if err := json.Unmarshal(row.Value, &heartbeat); err != nil {
+		return heartbeat, err
+	}
+	switch {
+	case heartbeat.Node != row.Key.Name:
+		return heartbeat, fmt.Errorf("names node %.50q", heartbeat.Node)
+	case heartbeat.Addr == "" || heartbeat.Incarnation == "":
+		return heartbeat, errors.New("address or incarnation is missing")
+	case heartbeat.StoreMs < 0 || heartbeat.CPUShare < 0 || heartbeat.LinkMbps < 0 || heartbeat.CPUShare > maxAmount || heartbeat.LinkMbps > maxAmount:
+		return heartbeat, errors.New("time, processor share or bandwidth is out of range")
+	}
+	cells := make(map[string]bool, len(heartbeat.Cells))
+	for i := range heartbeat.Cells {
+		load := &heartbeat.Cells[i]
+		if load.Cell == "" || cells[load.Cell] {
+			return heartbeat, fmt.Errorf("cell %.50q has no name or is listed twice", load.Cell)
+		}
+		cells[load.Cell] = true
+		if err := checkLoad(load, row.Version); err != nil {
+			return heartbeat, fmt.Errorf("cell %.50q: %w", load.Cell, err)
+		}
+	}
+	return heartbeat, nil
+}
+
+func checkLoad(load *dispatch.Load, rowVersion int64) error {
+	// The epoch is the version of an earlier commit.
+	if load.Epoch < 1 || load.Epoch > rowVersion {
+		return fmt.Errorf("epoch %d is out of range", load.Epoch)
+	}
+	if load.Runners < 0 || load.Capacity < 0 || load.BacklogMs < 0 || load.LongRunningFreed < 0 {
+		return errors.New("load is negative")
+	}
+	for _, amount := range []int64{load.BacklogMs, load.Capacity, load.Free, load.LongRunningCapacity, load.LongRunningFreed} {
+		if amount > maxAmount || amount < -maxAmount {
+			return fmt.Errorf("amount %d is out of range", amount)
+		}
+	}
+	for queue, count := range load.Pending {
+		if count < 0 || count > maxAmount {
+			return fmt.Errorf("queue %.50q has %d waiting jobs", queue, count)
+		}
+	}
+	return nil
+}
+
 // alive reports whether a member is considered alive. While the store can't be read, the last state stays valid for
 // viewRetention, because owners continue to work for a while without the store and refuse requests themselves when they
 // stop. The caller holds mu.
