--- a/ctl/trace.go
+++ b/ctl/trace.go
@@ -8,6 +8,7 @@
 	"io"
 	"os"
 	"sort"
+	"strconv"
 	"strings"
 	"time"
 
@@ -158,7 +159,11 @@
 	sort.Strings(names)
 	parts := make([]string, len(names))
 	for i, name := range names {
-		parts[i] = fmt.Sprintf("%s=%v", name, l.fields[name])
+		value := l.fields[name]
+		if number, ok := value.(float64); ok {
+			value = strconv.FormatFloat(number, 'f', -1, 64)
+		}
+		parts[i] = fmt.Sprintf("%s=%v", name, value)
 	}
 	_, err := fmt.Fprintf(w, "%s %s %s: %s\n", l.time.Format("15:04:05.000"), l.text("vm"), l.text("msg"), strings.Join(parts, " "))
 	return err
--- a/ctl/trace_test.go
+++ b/ctl/trace_test.go
@@ -38,7 +38,7 @@
 func TestTraceShowsWhyTasksWait(t *testing.T) {
 	lines := readLog(strings.NewReader(`
 {"time":"2026-01-01T10:00:01Z","vm":"a","msg":"job accepted","request":"aa","cell":"c0"}
-{"time":"2026-01-01T10:00:04Z","vm":"b","level":"info","msg":"tasks wait","request":"aa","task":"aa.0.1.6","cell":"c0","why":"no_runner","tasks":4,"waited_ms":2799,"excluded":"headroom=47 idle_cpu=17 capacity=2"}
+{"time":"2026-01-01T10:00:04Z","vm":"b","level":"info","msg":"tasks wait","request":"aa","task":"aa.0.1.6","cell":"c0","why":"no_runner","tasks":4,"waited_ms":2799,"excluded":"headroom=47 idle_cpu=17 capacity=2","capacity_cpu":4928000}
 {"time":"2026-01-01T10:00:05Z","vm":"b","level":"info","msg":"tasks wait","request":"bb","task":"bb.0.1.6","cell":"c0","why":"no_runner"}
 {"time":"2026-01-01T10:00:06Z","vm":"b","level":"warning","msg":"poll of a runner failed","runner":"r1"}
 {"time":"2026-01-01T10:00:07Z","vm":"b","level":"warning","msg":"tasks wait","request":"aa","task":"aa.0.1.7","cell":"c0","why":"runners_unresolved","unresolved":2,"unresolved_runners":"r0 r1","left_ms":16330}
@@ -49,7 +49,7 @@
 		assert.NilError(t, l.print(&out))
 	}
 	assert.Equal(t, out.String(), `10:00:01.000 a job accepted: cell=c0 request=aa
-10:00:04.000 b tasks wait: cell=c0 excluded=headroom=47 idle_cpu=17 capacity=2 request=aa task=aa.0.1.6 tasks=4 waited_ms=2799 why=no_runner
+10:00:04.000 b tasks wait: capacity_cpu=4928000 cell=c0 excluded=headroom=47 idle_cpu=17 capacity=2 request=aa task=aa.0.1.6 tasks=4 waited_ms=2799 why=no_runner
 10:00:06.000 b poll of a runner failed: runner=r1
 10:00:07.000 b tasks wait: cell=c0 left_ms=16330 request=aa task=aa.0.1.7 unresolved=2 unresolved_runners=r0 r1 why=runners_unresolved
 10:00:08.000 b lines about waiting tasks were left out: cell=c0 steps=3 tasks=9
