Read a runner's address under the lock when it is polled

Cause: pollLoop read the runner's address without the cell's lock while SetRunner, on a change in service discovery, wrote it. The race detector showed it in 5 of 8 runs of TestFiltersThatExcludeRunnersAreLogged/draining_and_not_listed, which changes a runner while it is polled. A torn read gives a poll a wrong address.

nextPoll now returns the target together with the request, both read under the lock. After the change the tests that change runners pass in 8 of 8 runs under the race detector, and the whole package in 4 of 4.

--- a/dispatch/runnerstate.go
+++ b/dispatch/runnerstate.go
@@ -180,7 +180,7 @@
 // pollLoop polls a runner for its running and ended tasks, one call after another, and extends its lease.
 func (c *Cell) pollLoop(ctx context.Context, rs *runnerState) {
 	for ctx.Err() == nil {
-		request, ok := c.nextPoll(rs)
+		request, target, ok := c.nextPoll(rs)
 		if !ok {
 			if !wait.For(ctx, pollRetry) {
 				return
@@ -188,7 +188,7 @@
 			continue
 		}
 		sent := time.Now()
-		report, err := c.cfg.Runners.Hold(ctx, rs.target(), request)
+		report, err := c.cfg.Runners.Hold(ctx, target, request)
 		if ctx.Err() != nil {
 			return
 		}
@@ -220,12 +220,12 @@
 	return true
 }
 
-func (c *Cell) nextPoll(rs *runnerState) (runner.Hold, bool) {
+func (c *Cell) nextPoll(rs *runnerState) (runner.Hold, runner.Target, bool) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	now := time.Now()
 	if !c.mayCommand(now) {
-		return runner.Hold{}, false
+		return runner.Hold{}, runner.Target{}, false
 	}
 	request := runner.Hold{Token: c.epoch, AckedEnd: rs.acked}
 	if rs.synced && !rs.pollFailing {
@@ -237,7 +237,7 @@
 		}
 	}
 	c.cfg.Metrics.polls.Inc()
-	return request, true
+	return request, rs.target(), true
 }
 
 // needsFastPoll reports whether a serving task was over its target in the last report while best-effort tasks run. The
