Release the cell by its context in tests of faults

Cause: the property test did not end for one of 2,000 cases. A handover at the moment of an acquisition called Cell.Stop before Run had begun; such a call has no effect, and the test waited for ever for the release. The tests now cancel the context of Run. Cell.Stop is unchanged: a caller must not call it before Run.

--- a/dispatch/faults_test.go
+++ b/dispatch/faults_test.go
@@ -293,8 +293,10 @@
 
 // release makes the owner release the cell.
 func release(r *rig) {
-	c := r.owner()
-	c.Stop()
+	r.mu.Lock()
+	c, stop := r.cell, r.cancel
+	r.mu.Unlock()
+	stop()
 	<-c.Done()
 }
 
