Add failing tests of the removal of a runner after a takeover

What callers saw: after a takeover, tasks of accepted jobs stay queued although the remaining runners have room. Evidence: removeTerminated drops a runner that is no longer listed from the unresolved ones and triggers no plan, so recovered tasks wait for ever unless another event follows. The lease of such a runner counts as expired, because this owner never extended it.

The second test shows the other side: the predecessor's lease may still run. A runner that was cut off from owner and store, and is removed from service discovery 1 s after the takeover, keeps its task until its lease expires at 6 s; the successor starts the task elsewhere at 2 s. The test fails with "tasks ran in two places at once".

--- a/dispatch/waiting_test.go
+++ b/dispatch/waiting_test.go
@@ -409,3 +409,53 @@
 		})
 	}
 }
+
+// Recovered tasks were never planned if the runner that they waited for was removed from service discovery before its
+// lease had expired: the removal triggered no plan.
+func TestRecoveredTasksStartAfterUnresolvedRunnerIsRemoved(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		cl := newCluster(t, 3, fixedDuration(time.Hour))
+		first, stopFirst := cl.startOwner("a", true)
+		time.Sleep(100 * time.Millisecond)
+		cl.submit(first, jobOf(1, longRunning(3, 8000)))
+		time.Sleep(time.Second)
+		stopFirst()
+		<-first.Done()
+		cl.fleet.Crash("r2")
+		next, stop := cl.startOwner("b", true)
+		time.Sleep(3 * time.Second)
+		next.SetRunner(t.Context(), cl.infos[2], false)
+		time.Sleep(lease + settleTime)
+		assert.Equal(t, cl.fleet.Running("r0")+cl.fleet.Running("r1"), 3)
+		stop()
+		<-next.Done()
+	})
+}
+
+// After a takeover, tasks of a runner that neither the owner nor the store reaches ran in two places: its removal from
+// service discovery ended the wait for the lease that the predecessor had granted.
+func TestRemovedRunnerIsAwaitedUntilItsLeaseExpires(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		cl := newCluster(t, 3, fixedDuration(time.Hour))
+		first, stopFirst := cl.startOwner("a", true)
+		time.Sleep(100 * time.Millisecond)
+		cl.submit(first, jobOf(1, longRunning(3, 8000)))
+		time.Sleep(time.Second)
+		stopFirst()
+		<-first.Done()
+		cl.fleet.SetFault("r2", emulator.RunnerUnreachable)
+		next, stop := cl.startOwner("b", true)
+		time.Sleep(time.Second)
+		next.SetRunner(t.Context(), cl.infos[2], false)
+		time.Sleep(time.Second)
+		// A new job triggers a plan.
+		cl.submit(next, jobOf(2, longRunning(1, 8000)))
+		time.Sleep(time.Second)
+		cl.assertNoOverlap()
+		time.Sleep(lease + settleTime)
+		cl.assertNoOverlap()
+		assert.Equal(t, cl.fleet.Running("r0")+cl.fleet.Running("r1"), 4)
+		stop()
+		<-next.Done()
+	})
+}
