--- a/dispatch/cell.go
+++ b/dispatch/cell.go
@@ -24,10 +24,15 @@
 const (
 	// tickInterval is how often the cell's timers are checked.
 	tickInterval = 100 * time.Millisecond
-	// storeOutageTolerance is how long an owner continues to start tasks and extend leases without a successful write.
-	// It covers store outages of about ten seconds. A successor waits for this time plus one lease before it restarts a
-	// task that may be running on an unreachable runner.
-	storeOutageTolerance = 12 * time.Second
+	// replanInterval is the longest time between two plans while units are ready. Some reasons to wait, such as the back-off
+	// of a runner, end without an event.
+	replanInterval = 500 * time.Millisecond
+	// storeOutageTolerance is how long after an owner's last successful write the leases that it grants end at the latest.
+	// It covers a store outage of seven seconds and a commit that was sent shortly before its end and gets no response. A
+	// successor waits for this time before it restarts a task that may be running on an unreachable runner.
+	storeOutageTolerance = 10 * time.Second
+	// minLease is the shortest lease with which a task is started.
+	minLease = 1 * time.Second
 )
 
 // Config configures a Cell.
@@ -72,6 +77,7 @@
 	// ownerVersion is the version of the ownership row that this owner last wrote.
 	ownerVersion    int64
 	lastCommit      time.Time // send time of the last successful commit
+	plannedAt       time.Time // when the last plan was made
 	drainCheckedAt  time.Time // when draining runners were last checked
 	expiryCheckedAt time.Time // when finished jobs were last checked for removal
 	lost            bool
@@ -96,13 +102,15 @@
 	dirty         map[*jobState]bool
 	// urgent requests a commit without the usual delay.
 	urgent bool
-	// terminated holds runners that disappeared and are confirmed to run nothing. The ownership row lists them.
+	// terminated holds runners that are confirmed to run nothing: they do not respond, and their leases have expired. The
+	// ownership row lists them.
 	terminated map[string]bool
 	// previous is the last owner.
 	previous Ownership
-	// unresolved maps runners that may run tasks of an earlier owner to the time until which they may.
-	unresolved map[string]time.Time
+	// unresolved holds, by ID, the runners that may run tasks of an earlier owner.
+	unresolved map[string]*unresolvedRunner
 	pending    map[string]int // accepted jobs without a started task, by queue
+	waits      waitCheck
 	// adviceMu serializes calls to the advice service.
 	adviceMu sync.Mutex
 
@@ -116,10 +124,11 @@
 func newCell(cfg Config, epoch int64) *Cell {
 	return &Cell{
 		cfg: cfg, epoch: epoch, jobs: map[string]*jobState{}, runners: map[string]*runnerState{},
-		evacuated: map[string]bool{}, dirty: map[*jobState]bool{}, unresolved: map[string]time.Time{},
+		evacuated: map[string]bool{}, dirty: map[*jobState]bool{}, unresolved: map[string]*unresolvedRunner{},
 		pending: map[string]int{}, planWake: make(chan struct{}, 1), flushWake: make(chan struct{}, 1),
 		done: make(chan struct{}), catalog: &catalog.Config{}, pressure: interference.NewPressure(),
 		advice: map[equivClass]*advice{}, terminated: map[string]bool{},
+		waits: waitCheck{loggedAt: map[waitKey]time.Time{}},
 	}
 }
 
@@ -143,6 +152,7 @@
 	}
 	c.mu.Unlock()
 	loops.Wait()
+	c.resetWaiting()
 	c.background.Wait()
 }
 
@@ -190,7 +200,7 @@
 
 // mayCommand reports whether the owner may still start tasks and extend leases. The caller holds mu.
 func (c *Cell) mayCommand(now time.Time) bool {
-	return !c.lost && now.Sub(c.lastCommit) < storeOutageTolerance
+	return !c.lost && now.Sub(c.lastCommit) <= storeOutageTolerance-minLease
 }
 
 func (c *Cell) tickLoop(ctx context.Context) {
@@ -209,23 +219,18 @@
 func (c *Cell) tick(now time.Time) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	for id, until := range c.unresolved {
-		if now.After(until) {
-			delete(c.unresolved, id)
-			if c.runners[id] == nil {
-				c.terminated[id] = true
-			}
-			c.cfg.Log.WithFields(logrus.Fields{"cell": c.cfg.Name, "runner": id}).Info("lease of an unreachable runner has expired")
-			wake(c.planWake)
-		}
-	}
+	c.expireUnresolved(now)
 	for _, rs := range c.runners {
 		c.tickRunner(now, rs)
 	}
+	if len(c.ready) > 0 && now.Sub(c.plannedAt) >= replanInterval {
+		wake(c.planWake)
+	}
 	c.evictFromDraining(now)
 	c.sampleAdmission(now)
 	c.checkStore(now)
 	c.createDueOccurrences(now)
+	c.checkWaiting(now)
 }
 
 // createDueOccurrences creates the occurrences that have become due. The caller holds mu.
@@ -257,22 +262,19 @@
 			occ.left++
 		}
 	}
+	c.readyUnblocked(occ)
+}
+
+// readyUnblocked makes the blocked units of all steps ready whose earlier steps are done. The caller holds mu.
+func (c *Cell) readyUnblocked(occ *occurrence) {
 	for i := range occ.steps {
 		step := &occ.steps[i]
-		step.blocked = 0
-		if len(step.units) == 0 {
+		if step.left == 0 || !occ.isUnblocked(i) {
 			continue
 		}
-		for _, before := range step.units[0].def().After {
-			if occ.steps[before].left > 0 {
-				step.blocked++
-			}
-		}
-		if step.blocked == 0 {
-			for _, u := range step.units {
-				if u.phase == phaseBlocked {
-					c.makeReady(u)
-				}
+		for _, u := range step.units {
+			if u.phase == phaseBlocked {
+				c.makeReady(u)
 			}
 		}
 	}
--- a/dispatch/plan.go
+++ b/dispatch/plan.go
@@ -43,6 +43,7 @@
 
 // plan starts all ready units that can be placed. The caller holds mu.
 func (c *Cell) plan(ctx context.Context, now time.Time) {
+	c.plannedAt = now
 	if len(c.ready) == 0 {
 		return
 	}
@@ -57,7 +58,7 @@
 			continue
 		}
 		key := equivClass{u.job, u.occ, u.step}
-		if blocked[key] || u.recovered && len(c.unresolved) > 0 {
+		if blocked[key] || c.awaitsUnresolved(u) {
 			kept = append(kept, u)
 			continue
 		}
@@ -133,8 +134,7 @@
 	for _, rs := range c.runners {
 		p := &rs.candidate
 		p.Domain, p.Labels, p.Capacity = rs.info.Domain, rs.info.Labels, rs.info.Capacity
-		p.Available = rs.present && !rs.info.Draining && !c.evacuated[rs.info.Domain] && rs.reachable(now) && !rs.listedTerminated &&
-			!now.Before(rs.noCapacityUntil) && rs.foreign == 0
+		p.Available = c.unavailable(now, rs) == ""
 		p.Remote = c.cfg.Regions[rs.info.Domain] != c.cfg.Region
 		p.Committed, p.Transient, p.UsedCPU, p.Serving = workload.Resources{}, workload.Resources{}, 0, p.Serving[:0]
 		p.OverTarget, p.Reserved = false, false
@@ -180,13 +180,8 @@
 		candidates = permitted
 	}
 	def := u.def()
-	onRunner := u.stepState().onRunner
 	placed := map[string]int{}
-	request := &placement.Request{Step: def, Avoid: u.avoid,
-		OnRunner: func(id string) int { return onRunner[id] + placed[id] },
-		Pressure: func(serving string) float64 {
-			return c.pressure.Coefficient(interference.Pair{Serving: serving, BestEffort: def.Image})
-		}}
+	request := c.placementRequest(u, placed)
 	chosen := make([]*runnerView, 0, u.size)
 	for range u.size {
 		best := placement.Pick(request, candidates)
@@ -212,6 +207,7 @@
 		return false
 	}
 	c.cfg.Metrics.startWait.Observe(now.Sub(u.readyAt).Seconds())
+	c.recordService(u.job, service)
 	number := u.run + 1
 	u.phase = phaseActive
 	for member, v := range chosen {
@@ -220,6 +216,18 @@
 	return true
 }
 
+// placementRequest returns the placement request for the members of a unit. placed counts the members that this attempt
+// has placed, by runner. The caller holds mu.
+func (c *Cell) placementRequest(u *unit, placed map[string]int) *placement.Request {
+	def := u.def()
+	onRunner := u.stepState().onRunner
+	return &placement.Request{Step: def, Avoid: u.avoid,
+		OnRunner: func(id string) int { return onRunner[id] + placed[id] },
+		Pressure: func(serving string) float64 {
+			return c.pressure.Coefficient(interference.Pair{Serving: serving, BestEffort: def.Image})
+		}}
+}
+
 func (c *Cell) serviceCandidates(service string, views []*runnerView) []*placement.Candidate {
 	candidates := make([]*placement.Candidate, 0, len(views))
 	for _, v := range views {
@@ -284,3 +292,17 @@
 	}
 	return j.def.Policy.Service
 }
+
+// recordService records that tasks of a job start on runners of a service. If that is not the service of the job's
+// submission, it becomes part of the job's durable state, so that a new owner also awaits unreachable runners of that
+// service. The caller holds mu.
+func (c *Cell) recordService(j *jobState, service string) {
+	if service == j.def.Policy.Service || j.formerServices[service] {
+		return
+	}
+	if j.formerServices == nil {
+		j.formerServices = map[string]bool{}
+	}
+	j.formerServices[service] = true
+	c.markDirty(j)
+}
--- a/dispatch/runnerstate.go
+++ b/dispatch/runnerstate.go
@@ -32,45 +32,6 @@
 	leaseSlack = 250 * time.Millisecond
 )
 
-type runPhase uint8
-
-const (
-	// runStarting waits for the response to the start command.
-	runStarting runPhase = iota
-	runRunning
-	// runStartUnknown has a start command without a response.
-	runStartUnknown
-	// runStopping has received a stop command.
-	runStopping
-)
-
-// run is one start of a task of a unit. It exists until it is confirmed to have ended or can no longer start.
-type run struct {
-	unit   *unit
-	member int
-	number int
-	runner *runnerState
-	phase  runPhase
-	// confirmedAt is when the runner confirmed the run or, later, its stop. Polls sent later report the run or its end.
-	confirmedAt    time.Time
-	startedAt      time.Time
-	percent        int
-	progressAt     time.Time // when the progress last changed
-	measurement    float64
-	hasMeasurement bool
-	stopping       bool // a stop is being sent or was confirmed
-	stopReason     string
-	// speed is the commanded speed limit of a best-effort task, in percent.
-	speed int
-	// overTargetSince is when a serving task was first reported over its latency target; zero if the last report did not
-	// show it over the target.
-	overTargetSince time.Time
-	// pausedSince is when the speed last became 0; zero if the run is not paused.
-	pausedSince time.Time
-}
-
-func (r *run) id() workload.TaskID { return r.unit.task(r.member) }
-
 // runnerState is the cell owner's state of a runner.
 type runnerState struct {
 	info      runner.Info
@@ -80,12 +41,13 @@
 
 	clock             time.Duration // the runner's clock at clockAt
 	clockAt           time.Time
-	born              int64
+	born              int64     // birth time of the process that responded last; 0 if unknown
+	bornSeenAt        time.Time // when born was learned
 	leaseEnd          time.Time // by our clock, when every run on it has ended if it receives no further command
 	lastResponseAt    time.Time // last response to a poll
 	appliedPollSentAt time.Time // send time of the newest poll whose report was applied
 	synced            bool      // a poll has succeeded since this owner took over or the runner restarted
-	listedTerminated  bool      // the durable ownership row lists it as terminated
+	listedTerminated  bool      // the durable ownership row may list it as terminated, so it gets no tasks
 	pollFailing       bool      // the last poll failed
 	processed         int64     // number of the last end that was applied to the jobs' state
 	acked             int64     // number of the last end whose effect is durable
@@ -106,13 +68,15 @@
 	return runner.Target{Addr: rs.info.Addr, ID: rs.info.ID}
 }
 
-// SetRunner updates a runner of the cell from service discovery. present is false once the runner is no longer listed.
+// SetRunner updates a runner of the cell from service discovery. present is false once the runner is no longer listed. An
+// unlisted runner that may run tasks of an earlier owner is polled too if its address is known: it may be cut off from
+// service discovery only.
 func (c *Cell) SetRunner(ctx context.Context, info runner.Info, present bool) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	rs := c.runners[info.ID]
 	if rs == nil {
-		if !present {
+		if _, unresolved := c.unresolved[info.ID]; !present && (!unresolved || info.Addr == "") {
 			return
 		}
 		rs = &runnerState{runs: map[*run]bool{}, pollWake: make(chan struct{}, 1)}
@@ -122,12 +86,7 @@
 		var pollCtx context.Context
 		pollCtx, rs.stop = context.WithCancel(ctx)
 		rs.info = info
-		if c.terminated[info.ID] {
-			// Starts on this runner wait until a durable ownership row no longer lists it as terminated.
-			delete(c.terminated, info.ID)
-			rs.listedTerminated, c.urgent = true, true
-			wake(c.flushWake)
-		}
+		rs.listedTerminated = c.terminated[info.ID]
 		c.background.Go(func() { c.pollLoop(pollCtx, rs) })
 	}
 	if rs.present != present || rs.info.Draining != info.Draining {
@@ -138,6 +97,7 @@
 	if present {
 		if rs.info.Born != 0 && info.Born > rs.info.Born && rs.born != 0 && info.Born > rs.born {
 			c.handleRestart(rs, info.Born)
+			rs.born, rs.bornSeenAt = info.Born, time.Now()
 		}
 		rs.info = info
 	}
@@ -160,7 +120,7 @@
 			continue
 		}
 		for r := range rs.runs {
-			if !r.unit.def().LongRunning || r.stopping || r.unit.size > 1 {
+			if !r.unit.def().LongRunning || r.stop.wanted || r.unit.size > 1 {
 				continue
 			}
 			if views == nil {
@@ -205,6 +165,9 @@
 func (c *Cell) removeTerminated(rs *runnerState) bool {
 	c.mu.Lock()
 	defer c.mu.Unlock()
+	if _, unresolved := c.unresolved[rs.info.ID]; unresolved {
+		return false
+	}
 	if rs.present || len(rs.runs) > 0 || time.Now().Before(rs.leaseEnd) {
 		return false
 	}
@@ -213,7 +176,6 @@
 		return false
 	}
 	delete(c.runners, rs.info.ID)
-	delete(c.unresolved, rs.info.ID)
 	c.terminated[rs.info.ID] = true
 	return true
 }
@@ -222,13 +184,15 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	now := time.Now()
-	if !c.mayCommand(now) {
+	if c.lost {
 		return runner.Hold{}, false
 	}
 	request := runner.Hold{Token: c.epoch, AckedEnd: rs.acked}
 	if rs.synced && !rs.pollFailing {
 		// A poll without a response may still extend the lease, so polls of an unresponsive runner don't extend it.
-		request.Deadline = c.leaseDeadline(now, rs)
+		if c.mayCommand(now) {
+			request.Deadline = c.leaseDeadline(now, rs)
+		}
 		request.Wait = holdWait
 		if rs.needsFastPoll() {
 			request.Wait = overTargetHoldWait
@@ -249,13 +213,14 @@
 	return overTarget && bestEffort
 }
 
-// leaseDeadline returns the end of a lease on the runner's clock and records when it ends by ours. The caller holds mu.
+// leaseDeadline returns the end of a lease on the runner's clock and records when it ends by ours. The lease is shorter if
+// the last successful write was long ago. The caller holds mu and has checked mayCommand.
 func (c *Cell) leaseDeadline(now time.Time, rs *runnerState) time.Duration {
-	end := c.leaseExpiry(now)
-	if end.After(rs.leaseEnd) {
+	lease := min(c.cfg.Lease, c.lastCommit.Add(storeOutageTolerance).Sub(now))
+	if end := leaseExpiry(now, lease); end.After(rs.leaseEnd) {
 		rs.leaseEnd = end
 	}
-	return rs.clock + now.Sub(rs.clockAt) + c.cfg.Lease
+	return rs.clock + now.Sub(rs.clockAt) + lease
 }
 
 // applyReport applies the response to a poll and returns the pause before the next poll.
@@ -266,8 +231,7 @@
 	if err != nil {
 		return c.pollFailed(now, rs, err)
 	}
-	if report.Born != 0 && report.Born < rs.born {
-		// This is a late response of an earlier process.
+	if rs.isFromEarlierProcess(sent, report.Born) {
 		return 0
 	}
 	if rs.pollFailing {
@@ -276,15 +240,21 @@
 	}
 	rs.lastResponseAt = now
 	rs.clock, rs.clockAt = report.Clock, now
+	if c.terminated[rs.info.ID] {
+		// It gets tasks again once a durable ownership row no longer lists it.
+		delete(c.terminated, rs.info.ID)
+		c.urgent = true
+		wake(c.flushWake)
+	}
 	if sent.Before(rs.appliedPollSentAt) {
 		return 0
 	}
 	rs.appliedPollSentAt = sent
-	if report.Born != 0 && rs.born != 0 && report.Born != rs.born {
-		c.handleRestart(rs, report.Born)
-	}
-	if report.Born != 0 {
-		rs.born = report.Born
+	if report.Born != 0 && report.Born != rs.born {
+		if rs.born != 0 {
+			c.handleRestart(rs, report.Born)
+		}
+		rs.born, rs.bornSeenAt = report.Born, now
 	}
 	firstReport := !rs.synced
 	rs.synced = true
@@ -327,18 +297,24 @@
 // next report shows which runs are lost, because starts may already have reached the new process. The caller holds mu.
 func (c *Cell) handleRestart(rs *runnerState, born int64) {
 	c.cfg.Log.WithFields(logrus.Fields{"runner": rs.info.ID, "born": born, "runs": len(rs.runs)}).Warn("runner restarted")
-	rs.born = born
 	rs.processed, rs.acked = 0, 0
 	rs.synced = false
+	for r := range rs.runs {
+		// The new process does not know of stops that the old one confirmed.
+		r.stop.confirmedAt, r.stop.nextAt = time.Time{}, time.Time{}
+	}
 }
 
-// loseRuns ends the runs that a terminated incarnation of a runner had. The caller holds mu.
+// isFromEarlierProcess reports whether a poll sent at the given time was answered by a process that has ended since. A
+// different birth time alone does not tell: a new process has a lower one if the time of day of its VM was set back.
+func (rs *runnerState) isFromEarlierProcess(sent time.Time, born int64) bool {
+	return born != 0 && rs.born != 0 && born != rs.born && sent.Before(rs.bornSeenAt)
+}
+
+// loseRuns ends all runs of a terminated incarnation of a runner. Start commands in flight are included, because another
+// incarnation refuses them. The caller holds mu.
 func (c *Cell) loseRuns(now time.Time, rs *runnerState, why string) {
 	for r := range rs.runs {
-		if r.phase == runStarting || r.phase == runStartUnknown {
-			// The start command may still reach the new incarnation. A stop command resolves the run.
-			continue
-		}
 		c.endRun(now, r, runner.EndExpired, "", why)
 	}
 }
@@ -408,7 +384,7 @@
 
 // detach removes a run that is confirmed not to exist any more. The caller holds mu.
 func (c *Cell) detach(r *run) {
-	if !r.runner.runs[r] {
+	if !r.exists() {
 		return
 	}
 	delete(r.runner.runs, r)
@@ -454,7 +430,7 @@
 			why = string(endReason)
 		}
 		c.cfg.Log.WithFields(logrus.Fields{"request": u.job.def.ID, "task": r.id().String(), "run": r.number,
-			"runner": rs.info.ID, "why": why, "stop": r.stopReason}).Info("run ended early")
+			"runner": rs.info.ID, "why": why, "stop": r.stop.reason}).Info("run ended early")
 	}
 	if len(u.runs) == 0 {
 		c.makeReady(u)
@@ -490,7 +466,7 @@
 	}
 	occ.left--
 	if occ.left > 0 {
-		c.unblock(occ, u.step)
+		c.readyUnblocked(occ)
 		return
 	}
 	j.doneOccs[occ.number] = true
@@ -499,26 +475,6 @@
 	}
 }
 
-func (c *Cell) unblock(occ *occurrence, done int) {
-	for i := range occ.steps {
-		step := &occ.steps[i]
-		for _, before := range step.units[0].def().After {
-			if before == done {
-				step.blocked--
-				break
-			}
-		}
-		if step.blocked > 0 {
-			continue
-		}
-		for _, u := range step.units {
-			if u.phase == phaseBlocked {
-				c.makeReady(u)
-			}
-		}
-	}
-}
-
 // unitFailed counts a failed run and reports whether the job failed because of it. The caller holds mu.
 func (c *Cell) unitFailed(now time.Time, u *unit, rs *runnerState) bool {
 	u.fails++
@@ -549,7 +505,7 @@
 		}
 	}
 	for r := range rs.runs {
-		if !listed[r] && (r.phase == runRunning || r.phase == runStopping) && r.confirmedAt.Before(sent) {
+		if !listed[r] && r.hasEndedIfUnlisted(sent) {
 			c.endRun(now, r, runner.EndExpired, "", "runner does not list it")
 		}
 	}
@@ -621,11 +577,14 @@
 	r.percent, r.measurement, r.hasMeasurement = listed.Percent, listed.Measurement, listed.HasMeasurement
 }
 
-// tickRunner moves paused tasks and, once the lease of an unreachable runner has expired, ends its runs. The caller
-// holds mu.
+// tickRunner moves paused tasks, reconciles the runs and, once the lease of an unreachable runner has expired, ends its
+// runs. The caller holds mu.
 func (c *Cell) tickRunner(now time.Time, rs *runnerState) {
 	c.movePaused(now, rs)
-	if len(rs.runs) == 0 || now.Before(rs.leaseEnd) || !rs.pollFailing {
+	for r := range rs.runs {
+		c.reconcileRun(now, r)
+	}
+	if now.Before(rs.leaseEnd) || !rs.pollFailing {
 		return
 	}
 	for r := range rs.runs {
@@ -633,6 +592,11 @@
 			c.endRun(now, r, runner.EndExpired, "", "lease ended on an unreachable runner")
 		}
 	}
+	_, unresolved := c.unresolved[rs.info.ID]
+	if len(rs.runs) == 0 && !unresolved {
+		// A new owner need not wait for it.
+		rs.listedTerminated, c.terminated[rs.info.ID] = true, true
+	}
 }
 
 // reachable reports whether the runner responds and may get new tasks. The caller holds mu.
