Let the two faults of the property test overlap, and submit jobs during them

Cause: in series, a takeover always began after a cut had ended, and no job was accepted during a fault. The second fault now begins in half of the cases while the first one lasts, and further jobs are submitted when it begins. A job whose submission had no known outcome counts as accepted if the cell has it.

Two jobs with advice at a time are left out: a mutex serializes their requests, and a goroutine that waits for it stops virtual time.

--- a/dispatch/faults_test.go
+++ b/dispatch/faults_test.go
@@ -90,10 +90,11 @@
 	store *emulator.Store
 	fleet *emulator.Fleet
 
-	preparations sync.WaitGroup // conditions of a phase that end by themselves
+	background sync.WaitGroup // faults in progress
 
-	ownerMu sync.Mutex // serializes takeovers
-	owners  int
+	// takeover holds a value during a takeover. It is a channel because waiting for a mutex stops virtual time.
+	takeover chan struct{}
+	owners   int
 
 	mu      sync.Mutex // guards the fields below
 	cell    *dispatch.Cell
@@ -102,6 +103,7 @@
 	listed  map[string]runner.Info // runners in service discovery
 	added   int
 	faults  map[string][]*emulator.CommandFaults // active faults by runner
+	ending  map[string]bool                      // runners whose process is being ended or restarted
 	trace   []string
 	logs    []*bytes.Buffer
 }
@@ -115,8 +117,8 @@
 )
 
 func newRig(t *testing.T, gang func(workload.TaskID) int, work emulator.Work) *rig {
-	r := &rig{t: t, began: time.Now(), store: emulator.NewStore(), fleet: emulator.NewFleet(work),
-		listed: map[string]runner.Info{}, faults: map[string][]*emulator.CommandFaults{}}
+	r := &rig{t: t, began: time.Now(), store: emulator.NewStore(), fleet: emulator.NewFleet(work), takeover: make(chan struct{}, 1),
+		listed: map[string]runner.Info{}, faults: map[string][]*emulator.CommandFaults{}, ending: map[string]bool{}}
 	r.fleet.Latency, r.fleet.Gang = 3*time.Millisecond, gang
 	for range rigRunners {
 		r.addRunner()
@@ -275,8 +277,8 @@
 
 func takeover(name string, predecessorDead bool, end func(r *rig)) fault {
 	return fault{name: name, takeover: true, play: func(r *rig, _ string) {
-		r.ownerMu.Lock()
-		defer r.ownerMu.Unlock()
+		r.takeover <- struct{}{}
+		defer func() { <-r.takeover }()
 		end(r)
 		r.own(predecessorDead)
 	}}
@@ -300,19 +302,37 @@
 	<-c.Done()
 }
 
-// restart crashes a runner and starts it again under its ID.
-func restart(name string, born func() int64) fault {
+// processFault is a fault that ends the process of a runner. It has no effect on a runner that another one is ending or
+// has ended.
+func processFault(name string, play func(r *rig, info runner.Info)) fault {
 	return fault{name: name, play: func(r *rig, id string) {
-		if _, ok := r.isListed(id); !ok {
+		r.mu.Lock()
+		info, ok := r.listed[id]
+		ok = ok && !r.ending[id]
+		if ok {
+			r.ending[id] = true
+		}
+		r.mu.Unlock()
+		if !ok {
 			return
 		}
-		r.fleet.Crash(id)
+		play(r, info)
+		r.mu.Lock()
+		r.ending[id] = false
+		r.mu.Unlock()
+	}}
+}
+
+// restart crashes a runner and starts it again under its ID.
+func restart(name string, born func() int64) fault {
+	return processFault(name, func(r *rig, info runner.Info) {
+		r.fleet.Crash(info.ID)
 		time.Sleep(500 * time.Millisecond)
-		r.fleet.RestartAt(id, born())
+		r.fleet.RestartAt(info.ID, born())
 		time.Sleep(discoveryDelay)
-		info, _ := r.fleet.Info(id)
+		info, _ = r.fleet.Info(info.ID)
 		r.announce(info, true)
-	}}
+	})
 }
 
 // leave ends a runner and replaces it by a new one.
@@ -341,21 +361,13 @@
 	storeFault("store late", emulator.StoreAppliesLate, 3*time.Second),
 	restart("restart", func() int64 { return time.Now().UnixMilli() }),
 	restart("restart with a lower birth time", func() int64 { return time.Now().Add(-time.Hour).UnixMilli() }),
-	{name: "drain", play: func(r *rig, id string) {
-		info, ok := r.isListed(id)
-		if !ok {
-			return
-		}
+	processFault("drain", func(r *rig, info runner.Info) {
 		info.Draining = true
 		r.announce(info, true)
 		time.Sleep(4 * time.Second)
 		leave(r, info)
-	}},
-	{name: "crash", play: func(r *rig, id string) {
-		if info, ok := r.isListed(id); ok {
-			leave(r, info)
-		}
-	}},
+	}),
+	processFault("crash", leave),
 	takeover("kill", false, kill),
 	takeover("kill confirmed", true, kill),
 	takeover("handover", true, release),
@@ -435,20 +447,19 @@
 	probeBound = 10 * time.Second
 )
 
-// timedFault is a fault that begins at a time after the submission, or after the previous fault ended.
+// timedFault is a fault that begins some time after the submission or after the previous fault.
 type timedFault struct {
 	fault  fault
 	after  time.Duration
 	runner string
-}
-
-func (f timedFault) String() string {
-	return fmt.Sprintf("%s on %s after %v", f.fault.name, f.runner, f.after)
+	// overlaps lets the next fault begin after this one has begun rather than after it has ended.
+	overlaps bool
 }
 
 // scenario is a play of faults.
 type scenario struct {
-	kinds []int
+	// kinds are the kinds of the jobs submitted at first, and lateKinds of those submitted when the last fault begins.
+	kinds, lateKinds []int
 	// prepare sets the condition of the runs before the jobs are submitted; it may be nil.
 	prepare func(r *rig)
 	series  []timedFault
@@ -467,34 +478,53 @@
 	if s.prepare != nil {
 		s.prepare(r)
 	}
-	var jobs []*workload.Job
+	var jobs, late []*workload.Job
+	accepted := map[*workload.Job]bool{}
 	for _, kind := range s.kinds {
-		job := rigJob(kind, 1)
-		jobs = append(jobs, job)
-		if outcome, _ := r.owner().Submit(r.t.Context(), job, true); outcome != dispatch.OutcomeAccepted {
+		jobs = append(jobs, rigJob(kind, 1))
+		if !r.submit(jobs[len(jobs)-1]) {
 			fail("job was not accepted")
 		}
 	}
-	r.note("submitted")
 	bound := leaseBound + unresolvedBound + workBound
-	for _, f := range s.series {
+	for i, f := range s.series {
 		time.Sleep(f.after)
-		r.note("begin: %v", f)
-		f.fault.play(r, f.runner)
-		r.note("end: %s", f.fault.name)
 		if f.fault.takeover {
 			bound += leaseBound + storeBound
 		}
-		r.replaceLostOwner()
+		play := func() {
+			r.note("begin: %s on %s", f.fault.name, f.runner)
+			f.fault.play(r, f.runner)
+			r.note("end: %s", f.fault.name)
+		}
+		if f.overlaps || i == len(s.series)-1 {
+			r.background.Go(play)
+		} else {
+			play()
+		}
 	}
-	r.preparations.Wait()
-	time.Sleep(bound)
+	for _, kind := range s.lateKinds {
+		job := rigJob(kind, 2)
+		accepted[job] = r.submit(job)
+		late = append(late, job)
+	}
+	r.background.Wait()
 	r.replaceLostOwner()
-	for i, job := range jobs {
-		if s.kinds[i] == kindLongRunning {
+	time.Sleep(bound)
+	for _, job := range late {
+		// A job whose submission had no known outcome may have been accepted.
+		if _, found := r.owner().State(job.ID); found {
+			jobs = append(jobs, job)
+		} else if accepted[job] {
+			fail("accepted job %s is not known", job.ID)
+		}
+	}
+	for _, job := range jobs {
+		kind := kindOf(workload.TaskID{Job: job.ID})
+		if kind == kindLongRunning {
 			r.checkLongRunning(job, fail)
 		} else if got := state(r.owner(), job); got != workload.StateCompleted {
-			fail("%s job is %s", kindNames[s.kinds[i]], got)
+			fail("%s job is %s", kindNames[kind], got)
 		}
 	}
 	for _, job := range jobs {
@@ -510,12 +540,21 @@
 	return broken
 }
 
+// submit submits a job and reports whether it was accepted. It may be refused, or have no known outcome, during a fault.
+func (r *rig) submit(job *workload.Job) bool {
+	ctx, cancel := context.WithTimeout(r.t.Context(), 3*time.Second)
+	defer cancel()
+	outcome, _ := r.owner().Submit(ctx, job, true)
+	r.note("job %s: outcome %d", job.ID, outcome)
+	return outcome == dispatch.OutcomeAccepted
+}
+
 // replaceLostOwner makes a new node the owner if the current one has lost the cell.
 func (r *rig) replaceLostOwner() {
 	if r.owner().HasLostOwnership() {
 		r.note("the owner has lost the cell")
-		r.ownerMu.Lock()
-		defer r.ownerMu.Unlock()
+		r.takeover <- struct{}{}
+		defer func() { <-r.takeover }()
 		<-r.owner().Done()
 		r.own(true)
 		time.Sleep(leaseBound)
@@ -590,14 +629,14 @@
 	{name: "stopping", prepare: func(r *rig) {
 		r.fleet.StopTime = 1500 * time.Millisecond
 		r.fleet.SetFault("r0", emulator.RunnerHangs)
-		r.preparations.Go(func() {
+		r.background.Go(func() {
 			time.Sleep(3200 * time.Millisecond)
 			r.fleet.SetFault("r0", emulator.RunnerWorks)
 		})
 	}, after: 5600 * time.Millisecond, kinds: []int{kindOrdinary, kindAdvised}},
 	{name: "stopping for a drain", prepare: func(r *rig) {
 		r.fleet.StopTime = 1500 * time.Millisecond
-		r.preparations.Go(func() {
+		r.background.Go(func() {
 			time.Sleep(time.Second)
 			info, _ := r.isListed("r0")
 			info.Draining = true
@@ -613,7 +652,7 @@
 // faultFor adds a fault of a runner's commands that ends by itself.
 func (r *rig) faultFor(id string, faults emulator.CommandFaults, duration time.Duration) {
 	remove := r.addFault(id, faults)
-	r.preparations.Go(func() {
+	r.background.Go(func() {
 		time.Sleep(duration)
 		remove()
 	})
@@ -641,15 +680,16 @@
 	series := make([]timedFault, count)
 	for i := range series {
 		series[i] = timedFault{
-			fault:  faults[rapid.IntRange(0, len(faults)-1).Draw(rt, "fault")],
-			after:  time.Duration(rapid.IntRange(0, 400).Draw(rt, "after")) * 10 * time.Millisecond,
-			runner: fmt.Sprintf("r%d", rapid.IntRange(0, rigRunners-1).Draw(rt, "runner")),
+			overlaps: rapid.Bool().Draw(rt, "overlaps"),
+			fault:    faults[rapid.IntRange(0, len(faults)-1).Draw(rt, "fault")],
+			after:    time.Duration(rapid.IntRange(0, 400).Draw(rt, "after")) * 10 * time.Millisecond,
+			runner:   fmt.Sprintf("r%d", rapid.IntRange(0, rigRunners-1).Draw(rt, "runner")),
 		}
 	}
 	return series
 }
 
-// Two faults in a row must not leave a task without a run, keep its capacity, or start it twice. Each fault alone may be
+// Two faults, one after the other or overlapping, must not leave a task without a run, keep its capacity, or start it twice. Each fault alone may be
 // handled, and the second one meets the state that handling the first has left.
 func TestEveryTaskRunsAfterTwoFaults(t *testing.T) {
 	rapid.Check(t, func(rt *rapid.T) {
@@ -658,6 +698,10 @@
 			if rapid.Bool().Draw(rt, kindNames[kind]) {
 				s.kinds = append(s.kinds, kind)
 			}
+			// A mutex serializes the advice requests of several jobs, and waiting for a mutex stops virtual time.
+			if rapid.Bool().Draw(rt, kindNames[kind]+" late") && kind != kindAdvised {
+				s.lateKinds = append(s.lateKinds, kind)
+			}
 		}
 		if broken, trace := playScenario(t, s); len(broken) > 0 {
 			rt.Fatalf("%s\n%s", strings.Join(broken, "\n"), trace)
--- a/internal/emulator/runner.go
+++ b/internal/emulator/runner.go
@@ -172,11 +172,12 @@
 	}
 }
 
-// Restart starts a crashed runner again under its ID, without any of its earlier state.
+// Restart starts a runner again under its ID, without any of its earlier state. It crashes a runner that is alive.
 func (f *Fleet) Restart(id string) { f.RestartAt(id, time.Now().UnixMilli()) }
 
 // RestartAt is Restart on a VM whose time of day is born, in milliseconds of Unix time.
 func (f *Fleet) RestartAt(id string, born int64) {
+	f.Crash(id)
 	f.mu.Lock()
 	previous := f.runners[id]
 	f.mu.Unlock()
