Test a job that is accepted when the store is back after a long silence

What callers saw: a job stays queued beside idle runners if the commit that accepted it had no response for more than 12 s. Evidence: the owner stops its polls during the silence, so no runner counts as reachable when the job is accepted, and the polls that follow trigger no plan.

A poll that waits on an emulated runner no longer continues on the process that restarted under the same ID, which had extended the lease of the new process by the deadline of a command to the earlier one.

--- a/dispatch/waiting_test.go
+++ b/dispatch/waiting_test.go
@@ -545,3 +545,22 @@
 		<-c.Done()
 	})
 }
+
+// A job that was accepted when the store was back after a long silence was never started, although all runners were idle:
+// the runners had not been polled for some time, and the polls that followed triggered no plan.
+func TestJobAcceptedAfterLongSilenceOfStoreStarts(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		cl := newCluster(t, 2, fixedDuration(time.Second))
+		c, stop := cl.startOwner("a", true)
+		time.Sleep(2 * time.Second)
+		cl.store.SetFault(emulator.StoreSilent)
+		job := jobOf(1, tasks(1, 4000))
+		go c.Submit(t.Context(), job, true)
+		time.Sleep(16 * time.Second)
+		cl.store.SetFault(emulator.StoreWorks)
+		time.Sleep(settleTime)
+		assert.Equal(t, state(c, job), workload.StateCompleted)
+		stop()
+		<-c.Done()
+	})
+}
--- a/internal/emulator/runner.go
+++ b/internal/emulator/runner.go
@@ -503,11 +503,18 @@
 		return runner.Report{}, ctx.Err()
 	}
 	deadline := time.After(command.Wait)
+	var first *simRunner
 	for {
 		r, fault, err := f.lockRunner(ctx, target, holdFault)
 		if err != nil {
 			return runner.Report{}, err
 		}
+		if first != nil && r != first {
+			// The process that received the command has ended.
+			f.mu.Unlock()
+			return runner.Report{}, errNoRunnerResponse
+		}
+		first = r
 		if command.Token < r.token {
 			f.mu.Unlock()
 			return runner.Report{}, &runner.RefusedError{Reason: runner.ReasonFenced, Clock: r.clock()}
