Add a failing test of a start that reaches a restarted runner too early

Cause: a start that is sent before the restart of its runner is known carries a deadline on the clock of the earlier process. The new process shortens such a lease to the platform's maximum, 10 s with leases of 6 s. If the runner is then cut off, the owner counts the run as ended after 6.4 s and starts the task elsewhere.

It needs a restart that no poll in flight notices, as after a reset of the VM, so the fault is rare; it does not lose tasks.

--- a/dispatch/waiting_test.go
+++ b/dispatch/waiting_test.go
@@ -564,3 +564,25 @@
 		<-c.Done()
 	})
 }
+
+// A task ran in two places if it started on a restarted runner before its owner knew of the restart, and the runner was
+// then cut off: the lease that the start granted on the clock of the earlier process ended later than the owner assumed.
+func TestStartBeforeRestartIsKnownGrantsNoLongerLease(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		cl := newCluster(t, 2, fixedDuration(time.Hour))
+		c, stop := cl.startOwner("a", true)
+		// The clock of the earlier process is far ahead of that of the next one.
+		time.Sleep(time.Minute)
+		cl.fleet.Crash("r0")
+		cl.fleet.Restart("r0")
+		cl.submit(c, jobOf(1, longRunning(2, 8000)))
+		time.Sleep(100 * time.Millisecond)
+		assert.Assert(t, cl.fleet.Running("r0") > 0, "the restart is known before the start")
+		cl.fleet.SetFault("r0", emulator.RunnerUnreachable)
+		time.Sleep(lease + settleTime)
+		cl.assertNoOverlap()
+		assert.Equal(t, cl.fleet.Running("r1"), 2)
+		stop()
+		<-c.Done()
+	})
+}
