Make a test of a restarted runner independent of the time of polls

TestStartBeforeRestartIsKnownGrantsNoLongerLease crashed the runner at the time at which a poll ends, so the restart was known before the start in about half of the runs.

--- a/dispatch/waiting_test.go
+++ b/dispatch/waiting_test.go
@@ -503,6 +503,9 @@
 	})
 }
 
+// holdWait is how long a poll of a runner waits for a run to end.
+const holdWait = 2 * time.Second
+
 // outageBound is when the leases of an owner that can't write have surely ended: 10 s after its last write, on a clock that is
 // 3% slow, with the owner's margin.
 const outageBound = 10*time.Second*103/100 + 250*time.Millisecond
@@ -571,8 +574,8 @@
 	synctest.Test(t, func(t *testing.T) {
 		cl := newCluster(t, 2, fixedDuration(time.Hour))
 		c, stop := cl.startOwner("a", true)
-		// The clock of the earlier process is far ahead of that of the next one.
-		time.Sleep(time.Minute)
+		// The clock of the earlier process is far ahead of that of the next one, and no poll ends at the time of the crash.
+		time.Sleep(time.Minute + holdWait/4)
 		cl.fleet.Crash("r0")
 		cl.fleet.Restart("r0")
 		cl.submit(c, jobOf(1, longRunning(2, 8000)))
