Let a cell be stopped before its loops begin

A node that left just after it had taken a cell over waited for ever for the cell to end: Cell.Stop had no effect before Run had set its cancel function. Stop is now remembered.

Evidence: TestStopBeforeRunReleasesTheCell fails without the change.

--- a/dispatch/cell.go
+++ b/dispatch/cell.go
@@ -114,11 +114,13 @@
 	// adviceMu serializes calls to the advice service.
 	adviceMu sync.Mutex
 
-	planWake   chan struct{}
-	flushWake  chan struct{}
-	stop       context.CancelFunc
-	done       chan struct{}
-	background sync.WaitGroup
+	planWake  chan struct{}
+	flushWake chan struct{}
+	stop      context.CancelFunc // set by Run
+	// stopRequested is set by Stop.
+	stopRequested bool
+	done          chan struct{}
+	background    sync.WaitGroup
 }
 
 func newCell(cfg Config, epoch int64) *Cell {
@@ -140,6 +142,9 @@
 	defer stop()
 	c.mu.Lock()
 	c.stop = stop
+	if c.stopRequested || c.lost {
+		stop()
+	}
 	c.mu.Unlock()
 	var loops sync.WaitGroup
 	loops.Go(func() { c.planLoop(ctx) })
@@ -162,13 +167,13 @@
 // Done is closed once Run has returned.
 func (c *Cell) Done() <-chan struct{} { return c.done }
 
-// Stop makes Run write unsaved state, release the cell and return.
+// Stop makes Run write unsaved state, release the cell and return, also if Run is called later.
 func (c *Cell) Stop() {
 	c.mu.Lock()
-	stop := c.stop
-	c.mu.Unlock()
-	if stop != nil {
-		stop()
+	defer c.mu.Unlock()
+	c.stopRequested = true
+	if c.stop != nil {
+		c.stop()
 	}
 }
 
--- a/dispatch/cell_test.go
+++ b/dispatch/cell_test.go
@@ -62,6 +62,19 @@
 func (cl *cluster) startOwner(node string, predecessorDead bool) (*dispatch.Cell, context.CancelFunc) {
 	cl.t.Helper()
 	ctx, cancel := context.WithCancel(cl.t.Context())
+	c := cl.acquire(ctx, node, predecessorDead)
+	go c.Run(ctx)
+	cl.t.Cleanup(func() {
+		// A failed test must not leave goroutines in its bubble, or the whole test binary panics.
+		cancel()
+		<-c.Done()
+	})
+	return c, cancel
+}
+
+// acquire makes a node the owner of the cell without running it.
+func (cl *cluster) acquire(ctx context.Context, node string, predecessorDead bool) *dispatch.Cell {
+	cl.t.Helper()
 	previous, version, err := dispatch.ReadOwner(ctx, cl.store, cellName)
 	assert.NilError(cl.t, err)
 	logs := cl.logs
@@ -85,13 +98,7 @@
 	for _, info := range cl.unlisted {
 		c.SetRunner(ctx, info, false)
 	}
-	go c.Run(ctx)
-	cl.t.Cleanup(func() {
-		// A failed test must not leave goroutines in its bubble, or the whole test binary panics.
-		cancel()
-		<-c.Done()
-	})
-	return c, cancel
+	return c
 }
 
 // jobOf returns a job whose steps run one after another.
@@ -880,3 +887,22 @@
 		<-c.Done()
 	})
 }
+
+// A node that left while it took a cell over waited for ever: the stop of the cell was lost if its loops had not begun.
+func TestStopBeforeRunReleasesTheCell(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		cl := newCluster(t, 1, fixedDuration(time.Second))
+		c := cl.acquire(t.Context(), "a", true)
+		c.Stop()
+		go c.Run(t.Context())
+		time.Sleep(time.Second)
+		select {
+		case <-c.Done():
+		default:
+			t.Fatal("the cell is still running")
+		}
+		previous, _, err := dispatch.ReadOwner(t.Context(), cl.store, cellName)
+		assert.NilError(t, err)
+		assert.Assert(t, previous.Released)
+	})
+}
