Keep the addresses of runners in the roster

Cause: a new owner learns the addresses of its cell's runners from service discovery only. Runners that it does not list were unreachable for the new owner, so their leases expired and recovered tasks waited for them.

The roster row of a runner now holds its address beside its cell; a new owner polls unlisted runners at that address, adopts their tasks and starts no new ones there. Rows without an address are read as before.

--- a/node/cells.go
+++ b/node/cells.go
@@ -178,9 +178,14 @@
 	}
 	c.SetEvacuated(n.evacuated)
 	for id, assigned := range n.runnerCells {
-		if info, ok := n.runnerInfos[id]; ok && assigned == cell {
-			c.SetRunner(context.Background(), info, true)
+		if assigned != cell {
+			continue
+		}
+		info, listed := n.runnerInfos[id]
+		if !listed {
+			info = runner.Info{ID: id, Addr: n.runnerAddrs[id]}
 		}
+		c.SetRunner(context.Background(), info, listed)
 	}
 	n.mu.Unlock()
 	n.wakeAssign()
@@ -205,7 +210,7 @@
 		}
 		info, ok := n.runnerInfos[id]
 		if !ok {
-			info = runner.Info{ID: id}
+			info = runner.Info{ID: id, Addr: n.runnerAddrs[id]}
 		}
 		infos = append(infos, info)
 	}
@@ -261,13 +266,14 @@
 // assignmentChanged applies the row of a runner. A runner stays in its cell if its row is deleted or names no cell, because the
 // cell's owner may still send it commands. The caller holds mu.
 func (n *Node) assignmentChanged(row store.Row) {
-	id, cell := row.Key.Name, string(row.Value)
+	id := row.Key.Name
+	cell, addr := decodeAssignment(string(row.Value))
 	old, known := n.runnerCells[id]
 	switch {
 	case row.Deleted:
 		if known && n.isCell(old) {
 			n.log.WithFields(logrus.Fields{"runner": fmt.Sprintf("%.50q", id), "cell": old}).Warn("row of a runner's cell was deleted")
-			n.rewrite[id] = old
+			n.rewrite[id] = encodeAssignment(old, n.runnerAddrs[id])
 			n.wakeAssign()
 		}
 		return
@@ -278,7 +284,7 @@
 		}
 	}
 	delete(n.rewrite, id)
-	n.runnerCells[id] = cell
+	n.runnerCells[id], n.runnerAddrs[id] = cell, addr
 	if info, ok := n.runnerInfos[id]; ok {
 		n.updateCellRunner(info, true)
 	}
@@ -351,9 +357,9 @@
 	}
 	var txn store.Txn
 	for _, a := range chosen {
-		key := store.Key{Table: tableAssignments, Name: a.runner}
+		key := store.Key{Table: tableAssignments, Name: a.name}
 		txn.Conditions = append(txn.Conditions, store.Condition{Key: key})
-		txn.Writes = append(txn.Writes, store.Write{Key: key, Value: []byte(a.cell)})
+		txn.Writes = append(txn.Writes, store.Write{Key: key, Value: []byte(a.value)})
 		if txn.Entries()+2 > store.MaxTxnEntries {
 			retry = true
 			break
@@ -378,7 +384,7 @@
 			n.mu.Unlock()
 			continue
 		}
-		n.runnerCells[w.Key.Name] = string(w.Value)
+		n.runnerCells[w.Key.Name], n.runnerAddrs[w.Key.Name] = decodeAssignment(string(w.Value))
 		if info, ok := n.runnerInfos[w.Key.Name]; ok {
 			n.updateCellRunner(info, true)
 		}
@@ -387,7 +393,18 @@
 	return retry
 }
 
-type assignment struct{ runner, cell string }
+// assignment is a row of the roster to write.
+type assignment struct{ name, value string }
+
+// encodeAssignment returns the value of a runner's row: its cell and its address. A new owner needs the address if service
+// discovery does not list the runner.
+func encodeAssignment(cell, addr string) string { return strings.TrimSuffix(cell+" "+addr, " ") }
+
+// decodeAssignment returns the cell and the address in the value of a runner's row. Rows of earlier builds have no address.
+func decodeAssignment(value string) (cell, addr string) {
+	cell, addr, _ = strings.Cut(value, " ")
+	return cell, addr
+}
 
 // chooseCells returns the rows to write again, and a cell for each runner without one: the cell of its rack unless that is more than 1/rackTolerance
 // above its share of the capacity, else the cell with the least capacity. The caller holds mu.
@@ -429,7 +446,7 @@
 			rackCell[rackOf(info)] = cell
 		}
 		capacity[cell] += info.Capacity.CPU
-		chosen = append(chosen, assignment{id, cell})
+		chosen = append(chosen, assignment{id, encodeAssignment(cell, info.Addr)})
 	}
 	if len(chosen) > 0 {
 		n.log.WithFields(logrus.Fields{"new": len(chosen), "cells": n.cellCount.Load()}).Debug("chose cells for runners")
--- a/node/odd_rows_test.go
+++ b/node/odd_rows_test.go
@@ -107,7 +107,7 @@
 	n.discoveryChanged([]store.Row{serverRow(t, 1, testRunner("i-1")), serverRow(t, 2, stranger), serverRow(t, 3, layout)})
 	chosen := n.chooseCells()
 	assert.Equal(t, len(chosen), 1)
-	assert.Equal(t, chosen[0].runner, "i-1")
+	assert.Equal(t, chosen[0].name, "i-1")
 	config := *n.catalog.Load()
 	config.Version++
 	config.Services = map[string]catalog.Service{"kioscos": {}, "other": {}}
@@ -175,7 +175,7 @@
 	assert.Equal(t, len(n.cellNames()), 2)
 	written := map[string]string{}
 	for _, a := range n.chooseCells() {
-		written[a.runner] = a.cell
+		written[a.name] = a.value
 	}
 	assert.DeepEqual(t, written, map[string]string{"i-1": "c1", rowLayout: "2"})
 	n.assignmentsChanged([]store.Row{rosterRow(5, "i-1", "c1"), rosterRow(5, rowLayout, "2")})
