--- a/node/relay.go
+++ b/node/relay.go
@@ -50,7 +50,7 @@
 	callCtx, cancel := context.WithTimeout(ctx, relayWait+relaySlack)
 	defer cancel()
 	res, err := r.call(callCtx, addr, &innerproto.ChangesRequest{After: after, WaitMs: relayWait.Milliseconds()})
-	if err == nil && res.Version >= after && time.Duration(res.AgeMs)*time.Millisecond <= relayMaxAge {
+	if err == nil && res.Version >= after && res.AgeMs >= 0 && res.AgeMs <= relayMaxAge.Milliseconds() {
 		return relayedPage(table, res), nil
 	}
 	r.directUntil = time.Now().Add(relayBackoff)
@@ -85,7 +85,7 @@
 
 // Changes implements innerprotoconnect.RelayServiceHandler.
 func (s *relayService) Changes(ctx context.Context, req *innerproto.ChangesRequest) (*innerproto.ChangesResponse, error) {
-	timeout := min(time.Duration(req.WaitMs)*time.Millisecond, relayWait)
+	timeout := time.Duration(min(max(req.WaitMs, 0), relayWait.Milliseconds())) * time.Millisecond
 	page, age, known := s.node.operator.Changes(ctx, req.After, timeout)
 	if !known {
 		return nil, connect.NewError(connect.CodeUnavailable, errNoResponse)
