--- a/node/cells.go
+++ b/node/cells.go
@@ -246,12 +246,12 @@
 	count, err := strconv.Atoi(string(row.Value))
 	switch {
 	case row.Deleted && known > 0:
-		n.log.Error("row with the number of cells was deleted")
+		n.rowLog.warn(nil, "row with the number of cells was deleted")
 		n.rewrite[rowLayout] = strconv.Itoa(known)
 		n.wakeAssign()
 	case row.Deleted:
 	case err != nil || count < 1 || count > maxCells || known > 0 && count != known:
-		n.log.WithFields(logrus.Fields{"value": fmt.Sprintf("%.50q", row.Value), "known": known}).Error("invalid number of cells")
+		n.rowLog.warn(logrus.Fields{"value": fmt.Sprintf("%.50q", row.Value), "known": known}, "invalid number of cells")
 	default:
 		delete(n.rewrite, rowLayout)
 		n.cellCount.Store(int32(count))
@@ -266,13 +266,13 @@
 	switch {
 	case row.Deleted:
 		if known && n.isCell(old) {
-			n.log.WithFields(logrus.Fields{"runner": fmt.Sprintf("%.50q", id), "cell": old}).Warn("row of a runner's cell was deleted")
+			n.rowLog.warn(logrus.Fields{"runner": fmt.Sprintf("%.50q", id), "cell": old}, "row of a runner's cell was deleted")
 			n.rewrite[id] = old
 			n.wakeAssign()
 		}
 		return
 	case n.cellCount.Load() > 0 && !n.isCell(cell):
-		n.log.WithFields(logrus.Fields{"runner": fmt.Sprintf("%.50q", id), "value": fmt.Sprintf("%.50q", cell)}).Warn("row of a runner names no cell")
+		n.rowLog.warn(logrus.Fields{"runner": fmt.Sprintf("%.50q", id), "value": fmt.Sprintf("%.50q", cell)}, "row of a runner names no cell")
 		if known {
 			return
 		}
--- a/node/clients.go
+++ b/node/clients.go
@@ -9,6 +9,7 @@
 	"math"
 	"net"
 	"net/http"
+	"slices"
 	"sort"
 	"sync"
 	"time"
@@ -21,6 +22,7 @@
 	"github.com/currantthread/currantthread/innerproto/innerprotoconnect"
 	"github.com/currantthread/currantthread/intake"
 	"github.com/currantthread/currantthread/ownership"
+	"github.com/currantthread/currantthread/store"
 	"github.com/currantthread/currantthread/workload"
 )
 
@@ -302,10 +304,11 @@
 	if err != nil {
 		return "", errors.Join(errNoResponse, err)
 	}
-	if len(page.Rows) == 0 {
+	i := slices.IndexFunc(page.Rows, func(row store.Row) bool { return row.Key.Name == jobID })
+	if i < 0 {
 		return "", nil
 	}
-	cell = string(page.Rows[0].Value)
+	cell = string(page.Rows[i].Value)
 	if !n.isCell(cell) {
 		// The job was accepted, so it must not look like one that does not exist.
 		return "", fmt.Errorf("index row of job %s names the cell %.50q, which does not exist", jobID, cell)
--- a/node/node.go
+++ b/node/node.go
@@ -58,6 +58,7 @@
 	peers            *peers
 	metrics          *dispatch.Metrics
 	unusableRows     prometheus.Gauge
+	rowLog           *rowLog
 	health           observe.Health
 	catalog          atomic.Pointer[catalog.Config]
 	bounds           atomic.Pointer[platform.Bounds]
@@ -127,6 +128,7 @@
 	if services.Advice != nil {
 		n.advisor = services.Advice
 	}
+	n.rowLog = newRowLog(n.log)
 	n.heartbeats = ownership.NewReader(n.store)
 	n.metrics = dispatch.NewMetrics(n.registry)
 	n.unusableRows = prometheus.NewGauge(prometheus.GaugeOpts{Namespace: observe.Namespace, Subsystem: "discovery",
@@ -236,7 +238,7 @@
 func (n *Node) configChanged(row store.Row) {
 	config, err := platform.DecodeConfig(row.Value)
 	if err != nil {
-		n.log.WithError(err).Error("configuration rejected; the previous one stays active")
+		n.rowLog.warn(logrus.Fields{"error": err.Error()}, "configuration rejected; the previous one stays active")
 		return
 	}
 	old := n.catalog.Load()
@@ -257,6 +259,10 @@
 func (n *Node) evacuationChanged(domain string, evacuated bool) {
 	n.mu.Lock()
 	defer n.mu.Unlock()
+	if n.evacuated[domain] == evacuated {
+		// The row was only rewritten.
+		return
+	}
 	domains := map[string]bool{}
 	for d := range n.evacuated {
 		domains[d] = true
@@ -378,7 +384,7 @@
 		return errors.Join(heartbeatErr, err)
 	}
 	for _, problem := range n.directory.Update(time.Now(), rows) {
-		n.log.WithError(problem).Warn("could not decode the heartbeat of a node")
+		n.rowLog.warn(logrus.Fields{"error": problem.Error()}, "could not decode the heartbeat of a node")
 	}
 	n.checkPredecessors()
 	if heartbeatErr == nil && running.Err() == nil {
--- a/node/odd_rows_test.go
+++ b/node/odd_rows_test.go
@@ -7,6 +7,7 @@
 	"strings"
 	"testing"
 	"testing/synctest"
+	"time"
 
 	"connectrpc.com/connect"
 	"gotest.tools/v3/assert"
@@ -285,3 +286,23 @@
 		assert.Assert(t, !found)
 	})
 }
+
+// Rows of other writers that are rewritten all the time fill neither the log nor the time of the node.
+func TestRewrittenOddRowsAreLoggedRarely(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		n, log := testNode(t, 2)
+		evacuation := store.Row{Key: store.Key{Table: platform.TableOperator, Name: platform.PrefixEvacuate + "chipre"}}
+		for i := range 600 {
+			n.assignmentsChanged([]store.Row{rosterRow(int64(i), "i-odd", "nonsense"), rosterRow(int64(i), rowLayout, "7")})
+			n.operatorChanged([]store.Row{evacuation, {Key: store.Key{Table: platform.TableOperator, Name: platform.RowConfig}, Value: []byte("{")}})
+			time.Sleep(300 * time.Millisecond)
+		}
+		// 180 s are three windows.
+		for _, message := range []string{"names no cell", "invalid number of cells", "configuration rejected"} {
+			lines := strings.Count(log.String(), message)
+			assert.Equal(t, lines, 3*rowLogLines, message)
+		}
+		assert.Assert(t, strings.Contains(log.String(), `"left_out":195`), log.String())
+		assert.Equal(t, strings.Count(log.String(), "evacuation"), 1)
+	})
+}
