Write the assignment of a long-running task before it starts

Cause: a new owner cannot know which tasks its predecessor started on a runner that does not respond, so each recovered task waited for each such runner, also tasks that had run on runners which have answered.

The assignment of a long-running task to a runner is now durable before the start command is sent. A new owner waits for the assigned runner only. Long-running tasks start seldom, so the commit costs little; short tasks start unwritten as before.

What it costs: no long-running task starts while the store is away, and a start waits for one commit.

Evidence: TestTakeoverRestartsLongRunningTasksBesideUnreachableRunner and TestLongRunningTaskStartsOnceItsAssignmentIsDurable fail without the change.

--- a/dispatch/cell.go
+++ b/dispatch/cell.go
@@ -9,6 +9,7 @@
 import (
 	"context"
 	"maps"
+	"slices"
 	"sync"
 	"time"
 
@@ -81,6 +82,7 @@
 	drainCheckedAt  time.Time // when draining runners were last checked
 	expiryCheckedAt time.Time // when finished jobs were last checked for removal
 	lost            bool
+	releasing       bool // Run is about to return; no more tasks are started
 	jobs            map[string]*jobState
 	ready           []*unit
 	runners         map[string]*runnerState
@@ -323,7 +325,8 @@
 	for _, occ := range j.occs {
 		for i := range occ.steps {
 			for _, u := range occ.steps[i].units {
-				for _, r := range u.runs {
+				// Stopping a run that has not started removes it.
+				for _, r := range slices.Clone(u.runs) {
 					c.stopRun(r, reason)
 				}
 			}
--- a/dispatch/commands.go
+++ b/dispatch/commands.go
@@ -24,15 +24,47 @@
 func (c *Cell) startRun(ctx context.Context, now time.Time, u *unit, member, number int, rs *runnerState) {
 	r := &run{unit: u, member: member, number: number, runner: rs, startedAt: now, percent: -1, speed: fullSpeed}
 	c.attach(r)
+	c.commandStart(ctx, now, r)
+}
+
+// planRun creates a run whose assignment to its runner is written before its start command is sent. After a takeover, such a
+// task waits for that runner only. The caller holds mu.
+func (c *Cell) planRun(now time.Time, u *unit, number int, rs *runnerState) {
+	c.attach(&run{unit: u, number: number, runner: rs, startedAt: now, percent: -1, speed: fullSpeed, phase: runPlanned})
+	u.assigned = rs.info.ID
+	c.markUrgent(u.job)
+}
+
+// startPlanned sends the start command of a run whose assignment has become durable, if its runner still takes tasks. The
+// caller holds mu.
+func (c *Cell) startPlanned(ctx context.Context, now time.Time, r *run) {
+	if !r.exists() || r.phase != runPlanned || r.stop.wanted || c.releasing {
+		return
+	}
+	if c.unavailable(now, r.runner) != "" || !c.mayCommand(now) {
+		c.detach(r)
+		if len(r.unit.runs) == 0 && !r.unit.job.state.Terminal() {
+			c.makeReady(r.unit)
+		}
+		return
+	}
+	r.phase, r.startedAt = runStarting, now
+	c.commandStart(ctx, now, r)
+}
+
+// commandStart sends the start command of a run. The caller holds mu.
+func (c *Cell) commandStart(ctx context.Context, now time.Time, r *run) {
+	u, rs := r.unit, r.runner
 	c.cfg.Metrics.starts.Inc()
 	command := runner.Start{
-		Task: r.id(), Run: number, Spec: u.job.def.Spec, Deadline: c.leaseDeadline(now, rs), Token: c.epoch,
+		Task: r.id(), Run: r.number, Spec: u.job.def.Spec, Deadline: c.leaseDeadline(now, rs), Token: c.epoch,
 		Checkpoint: u.checkpoint,
 	}
 	if u.job.def.Policy.Advised {
 		command.Ticket = c.adviceOf(u).tickets[rs.info.ID]
 	}
-	c.background.Go(func() { c.sendStart(ctx, r, rs.target(), command) })
+	target := rs.target()
+	c.background.Go(func() { c.sendStart(ctx, r, target, command) })
 }
 
 func (c *Cell) sendStart(ctx context.Context, r *run, target runner.Target, command runner.Start) {
--- a/dispatch/flush.go
+++ b/dispatch/flush.go
@@ -89,6 +89,8 @@
 	job     *jobState
 	state   workload.State
 	waiters []chan struct{}
+	// planned are runs of which the batch makes the assignment durable.
+	planned []*run
 }
 
 // flushLoop is the only writer of the cell's rows. It has one commit in flight and repeats a commit without a response
@@ -158,6 +160,7 @@
 func (c *Cell) flushLast() {
 	c.mu.Lock()
 	lost := c.lost
+	c.releasing = true
 	c.mu.Unlock()
 	if lost {
 		return
@@ -297,7 +300,7 @@
 		c.cfg.Log.WithField("request", j.def.ID).WithError(err).Error("progress can't be encoded")
 		return 0
 	}
-	b.jobs = append(b.jobs, batchJob{job: j, state: j.state, waiters: j.durableWaiters})
+	b.jobs = append(b.jobs, batchJob{job: j, state: j.state, waiters: j.durableWaiters, planned: j.plannedRuns()})
 	j.durableWaiters = nil
 	b.txn.Writes = append(b.txn.Writes, store.Write{Key: c.key(TableProgress, j.def.ID), Value: value})
 	return len(value)
@@ -315,12 +318,12 @@
 		c.cfg.Metrics.commits.Inc()
 		c.cfg.Metrics.commitTime.Observe(time.Since(sent).Seconds())
 		if err == nil {
-			c.applyCommit(sent, version, b)
+			c.applyCommit(ctx, sent, version, b)
 			return true
 		}
 		var conflict *store.ConflictError
 		if errors.As(err, &conflict) {
-			return c.handleConflict(sent, b, conflict)
+			return c.handleConflict(ctx, sent, b, conflict)
 		}
 		if errors.Is(err, store.ErrUnavailable) && !unknown {
 			if time.Since(started) > submissionTimeout {
@@ -409,7 +412,7 @@
 }
 
 // applyCommit applies the state changes that became durable with a batch.
-func (c *Cell) applyCommit(sent time.Time, version int64, b *batch) {
+func (c *Cell) applyCommit(ctx context.Context, sent time.Time, version int64, b *batch) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.ownerVersion = version
@@ -428,6 +431,9 @@
 		for _, w := range bj.waiters {
 			close(w)
 		}
+		for _, r := range bj.planned {
+			c.startPlanned(ctx, now, r)
+		}
 	}
 	for _, rs := range b.reappeared {
 		rs.listedTerminated = c.terminated[rs.info.ID]
@@ -446,7 +452,7 @@
 
 // handleConflict handles a commit whose condition did not hold. It returns true if an earlier attempt had been applied,
 // so that the batch is durable.
-func (c *Cell) handleConflict(sent time.Time, b *batch, conflict *store.ConflictError) bool {
+func (c *Cell) handleConflict(ctx context.Context, sent time.Time, b *batch, conflict *store.ConflictError) bool {
 	row := conflict.Row(OwnerKey(c.cfg.Part))
 	var owner Ownership
 	if row.Version != 0 {
@@ -455,7 +461,7 @@
 		}
 	}
 	if row.Version != 0 && owner.Nonce == b.nonce {
-		c.applyCommit(sent, row.Version, b)
+		c.applyCommit(ctx, sent, row.Version, b)
 		return true
 	}
 	c.mu.Lock()
--- a/dispatch/job.go
+++ b/dispatch/job.go
@@ -36,6 +36,8 @@
 	// from different runners arrive in any order.
 	failedRuns []int
 	checkpoint string
+	// assigned is the runner of the last run of a task that starts durably.
+	assigned string
 	// avoid is the runner of the last failed run.
 	avoid string
 	// readyAt is when the unit last became ready.
@@ -52,6 +54,10 @@
 // def returns the definition of the unit's step.
 func (u *unit) def() *workload.Step { return &u.job.def.Steps[u.step] }
 
+// startsDurably reports whether the assignment of the unit to a runner is written before each start. Long-running tasks start
+// seldom, so this costs them little, and they should not wait for unrelated runners after a takeover.
+func (u *unit) startsDurably() bool { return u.def().LongRunning && u.size == 1 }
+
 func (u *unit) task(member int) workload.TaskID {
 	return workload.TaskID{Job: u.job.def.ID, Occurrence: u.occ, Step: u.step, Index: u.first + member}
 }
@@ -194,6 +200,26 @@
 
 func (u *unit) stepState() *stepState { return &u.job.occs[u.occ].steps[u.step] }
 
+// plannedRuns returns the runs that wait for a durable assignment.
+func (j *jobState) plannedRuns() []*run {
+	var planned []*run
+	if !j.def.LongRunning() {
+		return nil
+	}
+	for _, occ := range j.occs {
+		for i := range occ.steps {
+			for _, u := range occ.steps[i].units {
+				for _, r := range u.runs {
+					if r.phase == runPlanned {
+						planned = append(planned, r)
+					}
+				}
+			}
+		}
+	}
+	return planned
+}
+
 // hasRuns reports whether a run of the job may still exist.
 func (j *jobState) hasRuns() bool {
 	for _, occ := range j.occs {
--- a/dispatch/plan.go
+++ b/dispatch/plan.go
@@ -210,6 +210,10 @@
 	c.recordService(u.job, service)
 	number := u.run + 1
 	u.phase = phaseActive
+	if u.startsDurably() {
+		c.planRun(now, u, number, chosen[0].state)
+		return true
+	}
 	for member, v := range chosen {
 		c.startRun(ctx, now, u, member, number, v.state)
 	}
--- a/dispatch/progress.go
+++ b/dispatch/progress.go
@@ -36,13 +36,15 @@
 	Units []unitProgress `json:"u,omitempty"`
 }
 
-// unitProgress is stored for units that are not done and have had more than one run, a failure or a checkpoint.
+// unitProgress is stored for units that are not done and have had more than one run, a failure, a checkpoint or an assignment.
 type unitProgress struct {
 	Unit       int    `json:"i"`
 	Run        int    `json:"r,omitempty"`
 	Fails      int    `json:"f,omitempty"`
 	FailedRuns []int  `json:"l,omitempty"`
 	Checkpoint string `json:"c,omitempty"`
+	// Assigned is the runner of the last run of a task that starts durably.
+	Assigned string `json:"a,omitempty"`
 }
 
 func (j *jobState) progress() progress {
@@ -80,8 +82,8 @@
 			p.Done[i/8] |= 1 << (i % 8)
 			continue
 		}
-		if u.run > 1 || u.fails > 0 || u.checkpoint != "" {
-			p.Units = append(p.Units, unitProgress{i, u.run, u.fails, u.failedRuns, u.checkpoint})
+		if u.run > 1 || u.fails > 0 || u.checkpoint != "" || u.assigned != "" {
+			p.Units = append(p.Units, unitProgress{i, u.run, u.fails, u.failedRuns, u.checkpoint, u.assigned})
 		}
 	}
 	return p
@@ -204,6 +206,6 @@
 		u := s.units[saved.Unit]
 		u.run, u.fails = min(max(saved.Run, 0), maxRestoredRun), min(max(saved.Fails, 0), maxRestoredRun)
 		u.failedRuns = saved.FailedRuns[max(len(saved.FailedRuns)-maxTrackedFailures, 0):]
-		u.checkpoint = saved.Checkpoint
+		u.checkpoint, u.assigned = saved.Checkpoint, saved.Assigned
 	}
 }
--- a/dispatch/run.go
+++ b/dispatch/run.go
@@ -31,6 +31,8 @@
 	runStartUnknown
 	// runRunning has been confirmed by the runner, by a response or in a report.
 	runRunning
+	// runPlanned waits until its assignment to the runner is durable. No command has been sent.
+	runPlanned
 )
 
 // run is one start of a task of a unit. It exists until it is confirmed to have ended or can no longer start.
@@ -101,6 +103,12 @@
 
 // reconcileRun sends the command that a run needs now, if any. The caller holds mu.
 func (c *Cell) reconcileRun(now time.Time, r *run) {
+	if r.phase == runPlanned {
+		if r.stop.wanted {
+			c.endRun(now, r, runner.EndStopped, "", r.stop.reason)
+		}
+		return
+	}
 	if r.phase == runStartUnknown && !r.resolving && !r.stop.wanted {
 		// The start may still be executed. After a stop the runner refuses it.
 		r.stop.wanted, r.stop.reason = true, "start has no answer"
--- a/dispatch/runnerstate.go
+++ b/dispatch/runnerstate.go
@@ -532,6 +532,10 @@
 	}
 	r := &run{unit: u, member: listed.Task.Index - u.first, number: listed.Run, runner: rs, startedAt: now, speed: fullSpeed}
 	c.attach(r)
+	if u.startsDurably() && u.assigned != rs.info.ID {
+		u.assigned = rs.info.ID
+		c.markDirty(j)
+	}
 	c.confirmRun(now, r, listed)
 	c.cfg.Log.WithFields(logrus.Fields{"request": j.def.ID, "task": listed.Task.String(), "run": listed.Run, "runner": rs.info.ID}).Info("adopted a run")
 	return r
--- a/dispatch/unresolved.go
+++ b/dispatch/unresolved.go
@@ -29,14 +29,35 @@
 	for _, id := range previous.Terminated {
 		c.terminated[id] = true
 	}
+	for id := range c.assignedRunners() {
+		// This node may not know yet of a runner that got its first tasks shortly before the takeover.
+		runners = append(runners, runner.Info{ID: id})
+	}
 	for _, info := range runners {
-		if c.terminated[info.ID] {
+		if c.terminated[info.ID] || c.unresolved[info.ID] != nil {
 			continue
 		}
 		c.unresolved[info.ID] = &unresolvedRunner{info: info, until: until}
 	}
 }
 
+// assignedRunners returns the runners to which tasks that start durably are assigned.
+func (c *Cell) assignedRunners() map[string]bool {
+	ids := map[string]bool{}
+	for _, j := range c.jobs {
+		for _, occ := range j.occs {
+			for i := range occ.steps {
+				for _, u := range occ.steps[i].units {
+					if u.assigned != "" {
+						ids[u.assigned] = true
+					}
+				}
+			}
+		}
+	}
+	return ids
+}
+
 // Predecessor returns the last owner and whether it may still send commands.
 func (c *Cell) Predecessor() (previous Ownership, mayCommand bool) {
 	c.mu.Lock()
@@ -78,6 +99,9 @@
 	if !u.recovered {
 		return false
 	}
+	if u.startsDurably() {
+		return c.unresolved[u.assigned] != nil
+	}
 	for _, x := range c.unresolved {
 		if c.mayRunOn(u, &x.info) {
 			return true
--- a/dispatch/waiting.go
+++ b/dispatch/waiting.go
@@ -43,6 +43,8 @@
 	waitNoIdleRunner waitReason = "no_idle_runner"
 	// waitNotPlanned: a runner would take the task, but no plan has started it.
 	waitNotPlanned waitReason = "not_planned"
+	// waitNotDurable: the assignment of the task to a runner is not durable yet.
+	waitNotDurable waitReason = "assignment_not_durable"
 	// waitStarting: the start command has neither a response nor a timeout.
 	waitStarting waitReason = "starting"
 	// waitStartUnknown: the start command got no response, and the runner has not confirmed whether it has the run.
@@ -71,6 +73,7 @@
 	waitNoRunner:       logrus.InfoLevel,
 	waitNoIdleRunner:   logrus.DebugLevel,
 	waitNotPlanned:     logrus.WarnLevel,
+	waitNotDurable:     logrus.WarnLevel,
 	waitStarting:       logrus.WarnLevel,
 	waitStartUnknown:   logrus.WarnLevel,
 	waitStopping:       logrus.WarnLevel,
@@ -85,6 +88,7 @@
 type runStatus string
 
 const (
+	statusPlanned      runStatus = "planned"
 	statusStarting     runStatus = "starting"
 	statusStartUnknown runStatus = "start_unknown"
 	statusRunning      runStatus = "running"
@@ -92,12 +96,14 @@
 	statusStopping runStatus = "stopping"
 )
 
-var runStatuses = []runStatus{statusStarting, statusStartUnknown, statusRunning, statusStopping}
+var runStatuses = []runStatus{statusPlanned, statusStarting, statusStartUnknown, statusRunning, statusStopping}
 
 func (r *run) status() runStatus {
 	switch {
 	case !r.stop.confirmedAt.IsZero():
 		return statusStopping
+	case r.phase == runPlanned:
+		return statusPlanned
 	case r.phase == runStarting:
 		return statusStarting
 	case r.phase == runStartUnknown:
@@ -293,6 +299,8 @@
 // unconfirmed returns why the last report of its runner does not confirm a run, and since when; "" if it does.
 func (s *waitScan) unconfirmed(r *run) (waitReason, time.Time) {
 	switch r.status() {
+	case statusPlanned:
+		return waitNotDurable, r.startedAt
 	case statusStarting:
 		return waitStarting, r.startedAt
 	case statusStartUnknown:
--- a/dispatch/waiting_test.go
+++ b/dispatch/waiting_test.go
@@ -589,3 +589,57 @@
 		<-c.Done()
 	})
 }
+
+// After a takeover, long-running tasks whose runners had restarted waited for an unrelated runner that did not respond.
+func TestTakeoverRestartsLongRunningTasksBesideUnreachableRunner(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		cl := newCluster(t, 3, fixedDuration(time.Hour))
+		first, kill := cl.startOwner("a", true)
+		cl.submit(first, jobOf(1, longRunning(6, 8000)))
+		time.Sleep(time.Second)
+		onUnreachable := cl.fleet.Running("r1")
+		assert.Assert(t, onUnreachable < 6)
+		cl.killOwner(first, kill)
+		cl.fleet.SetFault("r1", emulator.RunnerUnreachable)
+		cl.fleet.Restart("r0")
+		cl.fleet.Restart("r2")
+		next, stop := cl.startOwner("b", false)
+		time.Sleep(takeoverTime)
+		assert.Equal(t, cl.fleet.Running("r0")+cl.fleet.Running("r2"), 6-onUnreachable)
+		time.Sleep(outageBound)
+		assert.Equal(t, cl.fleet.Running("r0")+cl.fleet.Running("r2"), 6)
+		cl.assertNoOverlap()
+		stop()
+		<-next.Done()
+	})
+}
+
+// A long-running task must not start before its assignment is durable: a successor would start it a second time.
+func TestLongRunningTaskStartsOnceItsAssignmentIsDurable(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		cl := newCluster(t, 2, fixedDuration(time.Hour))
+		first, kill := cl.startOwner("a", true)
+		cl.submit(first, jobOf(1, longRunning(1, 8000)))
+		time.Sleep(time.Second)
+		used, idle := "r0", "r1"
+		if cl.fleet.Running("r1") == 1 {
+			used, idle = idle, used
+		}
+		cl.store.SetFault(emulator.StoreSilent)
+		cl.fleet.Restart(used)
+		time.Sleep(4 * time.Second)
+		assert.Equal(t, cl.running(), 0)
+		kill()
+		<-first.Done()
+		cl.store.SetFault(emulator.StoreWorks)
+		cl.fleet.SetFault(used, emulator.RunnerUnreachable)
+		next, stop := cl.startOwner("b", false)
+		time.Sleep(takeoverTime)
+		assert.Equal(t, cl.fleet.Running(idle), 0, "the task may run on the unreachable runner")
+		time.Sleep(outageBound)
+		assert.Equal(t, cl.fleet.Running(idle), 1)
+		cl.assertNoOverlap()
+		stop()
+		<-next.Done()
+	})
+}
