Keep progress rows below the store's limit

Callers saw accepted jobs that never ran: once the progress row of one job was above 65,536 bytes, the store refused each commit of its cell, and so did it for each later owner. Cause: after a change of owner the row had an entry for each unit, because all of their run numbers are above 1, and it listed all finished and open occurrences one by one.

A row with more than 1,000 entries or 32 KiB is now stored in a compact form, compressed with gzip: one highest run number in place of entries that have nothing but a run number, ranges of finished occurrences, and numbers as differences to the entry before. Run numbers only have to rise, so units that are not listed take the highest one. If checkpoints don't fit even so, they are left out and a log line says it; only work is lost. Smaller rows keep the form that earlier builds read. An earlier build can't decode a compact row, which is always one that it could not have stored, or above half of the limit, or with more than 1,000 entries.

--- a/dispatch/flush.go
+++ b/dispatch/flush.go
@@ -292,11 +292,15 @@
 func (c *Cell) addProgress(b *batch, j *jobState) int {
 	delete(c.dirty, j)
 	j.dirty = false
+	omittedBefore := j.checkpointsOmitted
 	value, err := encodeProgress(j)
 	if err != nil {
 		c.cfg.Log.WithField("request", j.def.ID).WithError(err).Error("progress can't be encoded")
 		return 0
 	}
+	if j.checkpointsOmitted && !omittedBefore {
+		c.cfg.Log.WithField("request", j.def.ID).Warn("progress is stored without checkpoints, with which it is too large for a row")
+	}
 	b.jobs = append(b.jobs, batchJob{job: j, state: j.state, waiters: j.durableWaiters})
 	j.durableWaiters = nil
 	b.txn.Writes = append(b.txn.Writes, store.Write{Key: c.key(TableProgress, j.def.ID), Value: value})
--- a/dispatch/intake.go
+++ b/dispatch/intake.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"encoding/json"
 	"fmt"
 	"time"
 
@@ -251,8 +250,8 @@
 		page, err = s.Range(ctx, TableJobs, part, id, id+"\x00", 1)
 		return workload.StateQueued, err == nil && len(page.Rows) > 0, err
 	}
-	var p progress
-	if err := json.Unmarshal(page.Rows[0].Value, &p); err != nil {
+	p, err := decodeProgress(page.Rows[0].Value)
+	if err != nil {
 		return "", false, fmt.Errorf("progress row of job %s: %w", id, err)
 	}
 	if p.State.Terminal() || !p.Started {
--- a/dispatch/job.go
+++ b/dispatch/job.go
@@ -110,6 +110,8 @@
 	// objective is when the job should be completed.
 	objective time.Time
 	dirty     bool
+	// checkpointsOmitted is set if the last progress row had to be encoded without checkpoints.
+	checkpointsOmitted bool
 	// durableWaiters are closed once the job's current state is durable.
 	durableWaiters []chan struct{}
 }
--- a/dispatch/progress.go
+++ b/dispatch/progress.go
@@ -23,6 +23,17 @@
 	Services []string `json:"v,omitempty"`
 	// FinishedMs is the Unix time in milliseconds at which the job ended; 0 while it has not.
 	FinishedMs int64 `json:"f,omitempty"`
+
+	// The remaining fields are set in the compact form only.
+
+	// Compact is set if the numbers in Occs and in Units are differences to the previous entry, and finished occurrences
+	// are listed by DoneRanges.
+	Compact bool `json:"x,omitempty"`
+	// DoneRanges lists the ranges of finished occurrences, in order: how many occurrences lie between the range and the one
+	// before it, and how many are in it.
+	DoneRanges [][2]int `json:"e,omitempty"`
+	// HighestRun is at least the highest run number of the open units that are not listed.
+	HighestRun int `json:"m,omitempty"`
 }
 
 type occProgress struct {
@@ -36,7 +47,8 @@
 	Units []unitProgress `json:"u,omitempty"`
 }
 
-// unitProgress is stored for units that are not done and have had more than one run, a failure or a checkpoint.
+// unitProgress is stored for units that are not done and have had more than one run, a failure or a checkpoint. The compact
+// form does not list units that have nothing but a run number.
 type unitProgress struct {
 	Unit       int    `json:"i"`
 	Run        int    `json:"r,omitempty"`
@@ -87,8 +99,6 @@
 	return p
 }
 
-func encodeProgress(j *jobState) ([]byte, error) { return json.Marshal(j.progress()) }
-
 // maxRestoredRun bounds the run numbers and failure counts that are taken over from a stored row, so that later numbers
 // don't overflow.
 const maxRestoredRun = 1 << 30
@@ -107,7 +117,8 @@
 	j := newJobState(&def)
 	var p progress
 	if len(progressRow) > 0 {
-		if err := json.Unmarshal(progressRow, &p); err != nil {
+		var err error
+		if p, err = decodeProgress(progressRow); err != nil {
 			return nil, fmt.Errorf("progress row of job %s: %w", def.ID, err)
 		}
 	}
@@ -126,11 +137,18 @@
 		j.state = p.State
 	}
 	for _, number := range p.Done {
-		if j.hasOccurrence(number) {
-			j.doneOccs[number] = true
-			j.nextOcc = max(j.nextOcc, number+1)
+		j.restoreDone(number, number)
+	}
+	first := 0
+	for _, r := range p.DoneRanges {
+		if !j.hasOccurrence(r[0]) || r[1] < 0 || r[1] > def.Occurrences {
+			break
 		}
+		first += r[0]
+		j.restoreDone(first, first+r[1]-1)
+		first += r[1]
 	}
+	highestRun := min(max(p.HighestRun, 0), maxRestoredRun)
 	for _, o := range p.Occs {
 		if !j.hasOccurrence(o.Number) || j.doneOccs[o.Number] || j.occs[o.Number] != nil {
 			continue
@@ -139,6 +157,9 @@
 		occ := j.newOccurrence(o.Number)
 		left := 0
 		for i := range occ.steps {
+			for _, u := range occ.steps[i].units {
+				u.run = highestRun
+			}
 			if i < len(o.Steps) {
 				occ.steps[i].restore(o.Steps[i])
 			}
@@ -177,6 +198,14 @@
 	return nil
 }
 
+// restoreDone marks the occurrences of the job from first to last as done.
+func (j *jobState) restoreDone(first, last int) {
+	for number := max(first, 0); number <= min(last, j.def.Occurrences-1); number++ {
+		j.doneOccs[number] = true
+		j.nextOcc = max(j.nextOcc, number+1)
+	}
+}
+
 func (j *jobState) hasOccurrence(number int) bool { return number >= 0 && number < j.def.Occurrences }
 
 // restoreEnded restores a job that has ended. An end time that is missing or lies in the future counts as now, so that the
--- a/dispatch/progress_fuzz_test.go
+++ b/dispatch/progress_fuzz_test.go
@@ -83,6 +83,11 @@
 	"missing occurrence":      `{"n":2,"o":[{"k":1,"s":[]}]}`,
 	"unknown state":           `{"s":"asleep","n":1,"o":[{"s":[]}]}`,
 	"null":                    `null`,
+	"negative range":          `{"n":1,"x":true,"e":[[-1,1]],"o":[{"s":[]}]}`,
+	"largest ranges":          `{"n":1,"x":true,"e":[[9223372036854775807,9223372036854775807],[1,9223372036854775807]],"o":[{"s":[]}]}`,
+	"largest differences":     `{"n":1,"x":true,"o":[{"k":9223372036854775807,"s":[{"u":[{"i":9223372036854775807},{"i":9223372036854775807}]}]},{"k":9223372036854775807}]}`,
+	"largest run of a job":    `{"n":1,"x":true,"m":9223372036854775807,"o":[{"s":[]}]}`,
+	"negative run of a job":   `{"n":1,"x":true,"m":-5,"o":[{"s":[]}]}`,
 	"all tasks done":          `{"n":1,"o":[{"s":[{"d":"/wM="},{"d":"AQ=="}]}]}`,
 }
 
--- a/dispatch/storedform_test.go
+++ b/dispatch/storedform_test.go
@@ -13,4 +13,5 @@
 	storedform.Check[Ownership](t, "ownership.json")
 	storedform.Check[workload.Job](t, "job.json")
 	storedform.Check[progress](t, "progress.json")
+	storedform.Check[progress](t, "progress_compact.json")
 }
