Bound the terminated runners in the ownership row

Callers saw a cell that accepted nothing any more after many runners had come and gone: the ownership row listed every runner that ever terminated (130,081 bytes for 10,000), and the store refused each commit of the cell, of which the row is a part.

The list is now bounded to 16 KiB as encoded. A runner that is left out only makes a successor wait for its lease. Runners that the owner still polls are left out first, because a successor may know their properties and reach them.

--- a/dispatch/flush.go
+++ b/dispatch/flush.go
@@ -6,6 +6,7 @@
 	"errors"
 	"slices"
 	"strconv"
+	"strings"
 	"time"
 
 	"github.com/sirupsen/logrus"
@@ -141,16 +142,48 @@
 	}
 }
 
-// terminatedRunners returns the sorted IDs of runners that are confirmed to run nothing. The caller holds mu.
+// maxTerminatedBytes bounds the IDs of terminated runners in the ownership row, which is part of each commit.
+const maxTerminatedBytes = 16 << 10
+
+// terminatedRunners returns the sorted IDs of runners that are confirmed to run nothing, up to maxTerminatedBytes. A runner
+// that is left out makes a successor wait for its lease. Runners that this owner still polls are left out first: the
+// successor may know their properties and reach them, so fewer tasks wait for them, and for less time. The caller holds mu.
 func (c *Cell) terminatedRunners() []string {
-	terminated := make([]string, 0, len(c.terminated))
+	var unlisted, polled []string
 	for id := range c.terminated {
+		if c.runners[id] == nil {
+			unlisted = append(unlisted, id)
+		} else {
+			polled = append(polled, id)
+		}
+	}
+	slices.Sort(unlisted)
+	slices.Sort(polled)
+	terminated := make([]string, 0, len(c.terminated))
+	size := 0
+	for _, id := range append(unlisted, polled...) {
+		if size += encodedSize(id); size > maxTerminatedBytes {
+			break
+		}
 		terminated = append(terminated, id)
 	}
 	slices.Sort(terminated)
 	return terminated
 }
 
+// encodedSize returns the largest number of bytes that a string and a comma can have in JSON.
+func encodedSize(s string) int {
+	size := len(`"",`)
+	for i := range len(s) {
+		if b := s[i]; b < ' ' || b > '~' || strings.IndexByte(`"\\<>&`, b) >= 0 {
+			size += len(`\u0000`)
+		} else {
+			size++
+		}
+	}
+	return size
+}
+
 // lastFlushTimeout bounds the final commits of a cell that is released.
 const lastFlushTimeout = 2500 * time.Millisecond
 
--- a/dispatch/stored_size_test.go
+++ b/dispatch/stored_size_test.go
@@ -2,8 +2,10 @@
 
 import (
 	"context"
+	"encoding/json"
 	"fmt"
 	"io"
+	"slices"
 	"sync/atomic"
 	"testing"
 	"testing/synctest"
@@ -116,6 +118,26 @@
 	assert.Assert(t, len(b.txn.Writes[0].Value) <= store.MaxRowBytes, "%d bytes", len(b.txn.Writes[0].Value))
 }
 
+// Of too many terminated runners, those that the cell still polls are left out of the ownership row first, whatever characters
+// the IDs have.
+func TestTerminatedRunnersThatAreLeftOut(t *testing.T) {
+	c := newCell(testConfig("n1", emulator.NewStore(), nil), 1)
+	for i := range 500 {
+		unlisted, polled := fmt.Sprintf("z-%08x", i), fmt.Sprintf("a-%08x\x01<>&\"\\\u2028", i)
+		c.terminated[unlisted], c.terminated[polled] = true, true
+		c.runners[polled] = &runnerState{}
+	}
+	b, _ := c.buildBatch(time.Now())
+	row := b.txn.Writes[0].Value
+	assert.Assert(t, len(row) <= maxTerminatedBytes+1000, "%d bytes", len(row))
+	var owner Ownership
+	assert.NilError(t, json.Unmarshal(row, &owner))
+	assert.Assert(t, len(owner.Terminated) > 500 && len(owner.Terminated) < 1000)
+	for i := range 500 {
+		assert.Assert(t, slices.Contains(owner.Terminated, fmt.Sprintf("z-%08x", i)))
+	}
+}
+
 // The occurrences of a job that are due at once are not all created at once. 100,000 occurrences of 10,000 tasks, which a client
 // may submit, are a thousand million units.
 func TestDueOccurrencesAreBounded(t *testing.T) {
