Pass on what earlier owners knew in the ownership row

Two faults of takeovers in a row. And a task could run in two places: an owner that lives on without the store may extend leases for 10 s, but the second owner after it only looked at the one before itself.

The first row of a new owner now lists the terminated runners of its predecessor, and each row says how long leases of earlier owners may last on runners that have not responded.

--- a/dispatch/acquire.go
+++ b/dispatch/acquire.go
@@ -41,11 +41,14 @@
 // run tasks of the cell. It returns ErrOwned if the row has changed in the meantime.
 func Acquire(ctx context.Context, cfg Config, previous Ownership, version int64, runners []runner.Info) (*Cell, error) {
 	nonce := cfg.Node + "/acquire/" + strconv.FormatInt(time.Now().UnixNano(), 36)
-	value, err := json.Marshal(Ownership{Node: cfg.Node, Addr: cfg.Addr, Incarnation: cfg.Incarnation, Nonce: nonce})
+	sent := time.Now()
+	inherited := inheritedLeaseEnd(&cfg, previous, sent)
+	// If this owner is lost before its first commit, the next one needs what the previous owner knew.
+	value, err := json.Marshal(Ownership{Node: cfg.Node, Addr: cfg.Addr, Incarnation: cfg.Incarnation, Nonce: nonce,
+		Terminated: previous.Terminated, InheritedLeaseMs: inherited.Sub(sent).Milliseconds() + 1})
 	if err != nil {
 		return nil, err
 	}
-	sent := time.Now()
 	epoch, err := commitOnce(ctx, cfg.Store, nonce, OwnerKey(cfg.Part), store.Txn{
 		Conditions: []store.Condition{{Key: OwnerKey(cfg.Part), Version: version}},
 		Writes:     []store.Write{{Key: OwnerKey(cfg.Part), Value: value}},
@@ -60,7 +63,7 @@
 		if err := c.load(ctx); err != nil {
 			return nil, err
 		}
-		c.initUnresolved(previous, runners)
+		c.initUnresolved(previous, runners, inherited)
 	}
 	cfg.Log.WithFields(logrus.Fields{"cell": cfg.Name, "epoch": epoch, "previous": previous.Node, "released": previous.Released,
 		"jobs": len(c.jobs), "took_ms": time.Since(sent).Milliseconds()}).Info("acquired the cell")
--- a/dispatch/cell.go
+++ b/dispatch/cell.go
@@ -61,6 +61,9 @@
 	Metrics   *Metrics
 	// PredecessorDead is set if the last owner is confirmed to have ended and can send nothing more.
 	PredecessorDead bool
+	// PredecessorLastWrite is a time after which the last owner has written nothing; zero if only the time of the takeover is
+	// known.
+	PredecessorLastWrite time.Time
 }
 
 // Advisor asks the advice service which runners may run a step.
@@ -107,8 +110,9 @@
 	// terminated holds runners that are confirmed to run nothing: they do not respond, and their leases have expired. The
 	// ownership row lists them.
 	terminated map[string]bool
-	// previous is the last owner.
-	previous Ownership
+	// previous is the last owner, and earlierLeases is when the leases of owners before it have expired.
+	previous      Ownership
+	earlierLeases time.Time
 	// unresolved holds, by ID, the runners that may run tasks of an earlier owner.
 	unresolved map[string]*unresolvedRunner
 	pending    map[string]int // accepted jobs without a started task, by queue
--- a/dispatch/cell_test.go
+++ b/dispatch/cell_test.go
@@ -32,6 +32,8 @@
 	infos []runner.Info
 	// unlisted are runners of the cell that service discovery does not list.
 	unlisted []runner.Info
+	// view replaces the store and the fleet for owners that are started after it is set.
+	view *partition
 	// advisor is nil unless a test sets it.
 	advisor dispatch.Advisor
 	// logs receives the log lines of the owners; nil discards them.
@@ -90,6 +92,9 @@
 		Store: cl.store, Runners: cl.fleet, Log: observe.NewLogger(logs, "test", node),
 		Metrics: dispatch.NewMetrics(cl.registry), PredecessorDead: predecessorDead,
 	}
+	if cl.view != nil {
+		cfg.Store, cfg.Runners = cl.view, cl.view
+	}
 	c, err := dispatch.Acquire(ctx, cfg, previous, version, append(cl.unlisted, cl.infos...))
 	assert.NilError(cl.t, err)
 	for _, info := range cl.infos {
--- a/dispatch/flush.go
+++ b/dispatch/flush.go
@@ -60,6 +60,19 @@
 	Terminated []string `json:"gone,omitempty"`
 	// Released means that the owner released the cell and sends no more commands.
 	Released bool `json:"released,omitempty"`
+	// InheritedLeaseMs is how long after the write leases that earlier owners granted may last on runners that have not
+	// responded to this owner, in milliseconds. The next owner waits at least as long for such runners.
+	InheritedLeaseMs int64 `json:"inherited_ms,omitempty"`
+}
+
+// ownership returns the value of the ownership row. The caller holds mu.
+func (c *Cell) ownership(now time.Time, nonce string) Ownership {
+	o := Ownership{Node: c.cfg.Node, Addr: c.cfg.Addr, Incarnation: c.cfg.Incarnation, Epoch: c.epoch,
+		Terminated: c.terminatedRunners(), Nonce: nonce}
+	for _, x := range c.unresolved {
+		o.InheritedLeaseMs = max(o.InheritedLeaseMs, x.until.Sub(now).Milliseconds()+1)
+	}
+	return o
 }
 
 // OwnerKey returns the key of a cell's ownership row.
@@ -202,7 +215,9 @@
 	defer cancel()
 	c.flush(ctx)
 	c.mu.Lock()
-	value, err := json.Marshal(Ownership{Node: c.cfg.Node, Addr: c.cfg.Addr, Incarnation: c.cfg.Incarnation, Epoch: c.epoch, Terminated: c.terminatedRunners(), Nonce: "released", Released: true})
+	released := c.ownership(time.Now(), "released")
+	released.Released = true
+	value, err := json.Marshal(released)
 	txn := store.Txn{
 		Conditions: []store.Condition{{Key: OwnerKey(c.cfg.Part), Version: c.ownerVersion}},
 		Writes:     []store.Write{{Key: OwnerKey(c.cfg.Part), Value: value}},
@@ -238,7 +253,7 @@
 func (c *Cell) buildBatch(now time.Time) (b *batch, more bool) {
 	c.urgent = false
 	b = &batch{nonce: c.cfg.Node + "/" + strconv.FormatInt(now.UnixNano(), 36), processed: map[*runnerState]int64{}}
-	owner, err := json.Marshal(Ownership{Node: c.cfg.Node, Addr: c.cfg.Addr, Incarnation: c.cfg.Incarnation, Epoch: c.epoch, Terminated: c.terminatedRunners(), Nonce: b.nonce})
+	owner, err := json.Marshal(c.ownership(now, b.nonce))
 	if err != nil {
 		c.cfg.Log.WithError(err).Error("ownership row can't be encoded")
 	}
--- a/dispatch/unresolved.go
+++ b/dispatch/unresolved.go
@@ -16,16 +16,34 @@
 	until time.Time
 }
 
-// initUnresolved records the runners that may still run tasks started by the predecessor. It is called before the cell
-// is shared with other goroutines.
-func (c *Cell) initUnresolved(previous Ownership, runners []runner.Info) {
-	c.previous = previous
-	lease := c.cfg.Lease
-	if !previous.Released && !c.cfg.PredecessorDead {
-		// The predecessor may go on without the store.
-		lease = storeOutageTolerance
+// inheritedLeaseEnd returns when the last lease that the previous owner, or one before it, can have granted has expired.
+func inheritedLeaseEnd(cfg *Config, previous Ownership, now time.Time) time.Time {
+	end := leaseExpiry(now, cfg.Lease)
+	if !previous.Released && !cfg.PredecessorDead {
+		// The previous owner may go on without the store.
+		lastWrite := now
+		if !cfg.PredecessorLastWrite.IsZero() {
+			lastWrite = cfg.PredecessorLastWrite
+		}
+		end = leaseExpiry(lastWrite, storeOutageTolerance)
+	}
+	if earlier := earlierLeaseEnd(cfg, previous, now); earlier.After(end) {
+		end = earlier
 	}
-	until := leaseExpiry(time.Now(), lease)
+	return end
+}
+
+// earlierLeaseEnd returns when the leases of owners before the previous one have expired.
+func earlierLeaseEnd(cfg *Config, previous Ownership, now time.Time) time.Time {
+	longest := leaseExpiry(now, max(cfg.Lease, storeOutageTolerance))
+	return now.Add(time.Duration(min(max(previous.InheritedLeaseMs, 0), longest.Sub(now).Milliseconds())) * time.Millisecond)
+}
+
+// initUnresolved records the runners that may still run tasks started by the predecessor, until the given time. It is called
+// before the cell is shared with other goroutines.
+func (c *Cell) initUnresolved(previous Ownership, runners []runner.Info, until time.Time) {
+	c.previous = previous
+	c.earlierLeases = earlierLeaseEnd(&c.cfg, previous, time.Now())
 	for _, id := range previous.Terminated {
 		c.terminated[id] = true
 	}
@@ -72,6 +90,9 @@
 	defer c.mu.Unlock()
 	c.cfg.PredecessorDead = true
 	expiry := leaseExpiry(time.Now(), c.cfg.Lease)
+	if c.earlierLeases.After(expiry) {
+		expiry = c.earlierLeases
+	}
 	for _, x := range c.unresolved {
 		if expiry.Before(x.until) {
 			x.until = expiry
