Read the ownership row when an owner becomes silent

A new owner waits 10.6 s for an unreachable runner from the last possible write of its predecessor on. It took the time of the takeover for that write, two to four seconds after the owner was lost.

The best candidates now read the ownership row when the owner's heartbeat is 1.2 s old. If the row has the same version at the takeover, the predecessor has written nothing since, and the wait counts from there. Cost: up to three reads of one row per silence of an owner.

--- a/node/cells.go
+++ b/node/cells.go
@@ -16,6 +16,7 @@
 	"github.com/currantthread/currantthread/catalog"
 	"github.com/currantthread/currantthread/dispatch"
 	"github.com/currantthread/currantthread/internal/wait"
+	"github.com/currantthread/currantthread/ownership"
 	"github.com/currantthread/currantthread/runner"
 	"github.com/currantthread/currantthread/store"
 )
@@ -74,6 +75,7 @@
 func (n *Node) acquireCells(ctx context.Context) {
 	now := time.Now()
 	owners := n.directory.Owners(now)
+	n.observeSuspects(ctx, now, owners)
 	for _, cell := range n.cellNames() {
 		n.mu.Lock()
 		_, local := n.cells[cell]
@@ -109,7 +111,7 @@
 		n.mu.Unlock()
 	}()
 	log := n.log.WithField("cell", cell)
-	previous, version, err := dispatch.ReadOwner(ctx, n.store, n.cellPart(cell))
+	previous, version, err := n.readOwner(ctx, cell)
 	if err != nil {
 		log.WithError(err).Warn("could not read the ownership row")
 		return
@@ -117,7 +119,9 @@
 	if version != 0 && !previous.Released && previous.Node != n.settings.Node && n.ownerActive(previous, cell, version) {
 		return
 	}
-	c, err := dispatch.Acquire(ctx, n.cellConfig(cell, n.hasEnded(previous, cell)), previous, version, n.runnersOf(cell))
+	config := n.cellConfig(cell, n.hasEnded(previous, cell))
+	config.PredecessorLastWrite = n.firstSeen(cell, version)
+	c, err := dispatch.Acquire(ctx, config, previous, version, n.runnersOf(cell))
 	if errors.Is(err, dispatch.ErrOwned) {
 		log.Info("another node acquired the cell")
 		return
@@ -152,6 +156,63 @@
 	at      time.Time
 }
 
+// readOwner reads the ownership row of a cell and records when this version was first read.
+func (n *Node) readOwner(ctx context.Context, cell string) (dispatch.Ownership, int64, error) {
+	previous, version, err := dispatch.ReadOwner(ctx, n.store, n.cellPart(cell))
+	if err != nil {
+		return previous, version, err
+	}
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	if n.seenOwners[cell].version != version {
+		n.seenOwners[cell] = seenOwner{version, time.Now()}
+	}
+	return previous, version, nil
+}
+
+// firstSeen returns when this node first read a version of a cell's ownership row. Its writer has written nothing after that
+// if the row still has this version.
+func (n *Node) firstSeen(cell string, version int64) time.Time {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	if seen := n.seenOwners[cell]; seen.version == version {
+		return seen.at
+	}
+	return time.Time{}
+}
+
+// suspectAfter is how long the heartbeat of a cell's owner is unchanged when the best candidates for the cell read its
+// ownership row. The earlier they know its version, the shorter a new owner waits for unreachable runners.
+const suspectAfter = 3 * ownership.HeartbeatInterval / 2
+
+// maxObservers is the number of candidates that read the ownership row of a suspected owner.
+const maxObservers = 3
+
+// observeSuspects reads the ownership rows of cells whose owners are silent or unknown, once for each silence.
+func (n *Node) observeSuspects(ctx context.Context, now time.Time, owners map[string]ownership.Owner) {
+	for _, cell := range n.cellNames() {
+		owner, owned := owners[cell]
+		suspected := !owned || n.directory.SilentFor(now, owner.Node) > suspectAfter
+		n.mu.Lock()
+		observe := suspected && !n.suspects[cell] && n.cells[cell] == nil
+		if !suspected {
+			delete(n.suspects, cell)
+		}
+		n.mu.Unlock()
+		if !observe || n.directory.Rank(now, cell) >= maxObservers {
+			continue
+		}
+		n.mu.Lock()
+		n.suspects[cell] = true
+		n.mu.Unlock()
+		go func() {
+			if _, _, err := n.readOwner(ctx, cell); err != nil {
+				n.log.WithField("cell", cell).WithError(err).Warn("could not read the ownership row")
+			}
+		}()
+	}
+}
+
 // acquireGrace is how long a new owner may take to read a cell's jobs before its heartbeat lists the cell.
 const acquireGrace = 3 * time.Second
 
@@ -161,13 +222,7 @@
 	if !n.directory.IsAlive(time.Now(), previous.Node, previous.Incarnation) {
 		return false
 	}
-	n.mu.Lock()
-	defer n.mu.Unlock()
-	if seen := n.seenOwners[cell]; seen.version != version {
-		n.seenOwners[cell] = seenOwner{version, time.Now()}
-		return true
-	}
-	return time.Since(n.seenOwners[cell].at) < acquireGrace
+	return time.Since(n.firstSeen(cell, version)) < acquireGrace
 }
 
 func (n *Node) runCell(ctx context.Context, cell string, c *dispatch.Cell) {
--- a/node/node.go
+++ b/node/node.go
@@ -86,6 +86,8 @@
 	jobCells    map[string]string    // cache of the cells of jobs, by job ID
 	// endedEpochs holds the last epoch of each cell for which this process, a former owner, sends no more commands.
 	endedEpochs map[string]int64
+	// suspects holds the cells of which this node has read the ownership row since their owners became silent.
+	suspects map[string]bool
 	// seenOwners holds the ownership rows of cells that appear to have no owner.
 	seenOwners    map[string]seenOwner
 	submittedWork map[string]submittedWork
@@ -124,7 +126,7 @@
 		peers:       newPeers(),
 		cells:       map[string]*dispatch.Cell{}, acquiring: map[string]bool{}, evacuated: map[string]bool{},
 		runnerInfos: map[string]runner.Info{}, unusable: map[string]bool{}, runnerCells: map[string]string{}, runnerAddrs: map[string]string{}, rewrite: map[string]string{}, ownerless: map[string]time.Time{},
-		jobCells: map[string]string{}, endedEpochs: map[string]int64{}, seenOwners: map[string]seenOwner{}, submittedWork: map[string]submittedWork{}, assignWake: make(chan struct{}, 1),
+		jobCells: map[string]string{}, endedEpochs: map[string]int64{}, seenOwners: map[string]seenOwner{}, suspects: map[string]bool{}, submittedWork: map[string]submittedWork{}, assignWake: make(chan struct{}, 1),
 	}
 	if services.Advice != nil {
 		n.advisor = services.Advice
--- a/ownership/directory.go
+++ b/ownership/directory.go
@@ -214,6 +214,17 @@
 	return owners
 }
 
+// SilentFor returns how long the heartbeat of a node has been unchanged.
+func (d *Directory) SilentFor(now time.Time, node string) time.Duration {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	m := d.members[node]
+	if m == nil {
+		return 0
+	}
+	return now.Sub(m.changedAt)
+}
+
 // AliveCount returns the number of nodes that are alive.
 func (d *Directory) AliveCount(now time.Time) int {
 	d.mu.Lock()
