Bound the occurrences that are open at once

Callers saw a cell without progress while the due occurrences of a scheduled job were created: all of them at once, 1,000,000 units for 1,000 occurrences of 1,000 tasks, and a client may submit a thousand times as many.

An occurrence is now created only while the open ones of its job and itself have at most 10,000 tasks, the bound of a job without a schedule, or if no other is open. The others follow in order, with their due times: each tick checks the number of open occurrences.

TestDueOccurrencesFollow and TestLargestOccurrencesFollow run all occurrences to the end. FuzzRestore expects all due occurrences to be created only if their tasks are within the bound, and that the job has ready tasks in any case, as before.

--- a/dispatch/cell.go
+++ b/dispatch/cell.go
@@ -238,13 +238,26 @@
 	c.checkWaiting(now)
 }
 
-// createDueOccurrences creates the occurrences that have become due. The caller holds mu.
+// maxOpenTasks bounds the tasks of a job's open occurrences when one more is created. It is the number of tasks that a job
+// without a schedule may have.
+const maxOpenTasks = workload.MaxTasks
+
+// createDueOccurrences creates the occurrences that have become due, in order. While a job has too many open tasks, the others
+// wait until earlier ones are done. The caller holds mu.
 func (c *Cell) createDueOccurrences(now time.Time) {
 	for _, j := range c.jobs {
-		if j.state.Terminal() || j.nextOcc >= j.def.Occurrences {
+		if j.state.Terminal() || j.nextOcc >= j.def.Occurrences || j.def.Due(j.nextOcc).After(now) {
 			continue
 		}
+		tasks := 0
+		for i := range j.def.Steps {
+			tasks += j.def.Steps[i].Count
+		}
 		for j.nextOcc < j.def.Occurrences && !j.def.Due(j.nextOcc).After(now) {
+			open := j.nextOcc - len(j.doneOccs)
+			if open > 0 && (open+1)*tasks > maxOpenTasks {
+				break
+			}
 			c.addOccurrence(j)
 		}
 	}
--- a/dispatch/progress_fuzz_test.go
+++ b/dispatch/progress_fuzz_test.go
@@ -133,7 +133,13 @@
 	if j.state.Terminal() {
 		return
 	}
-	assert.Equal(t, j.nextOcc, j.def.Occurrences)
+	tasks := 0
+	for i := range j.def.Steps {
+		tasks += j.def.Steps[i].Count
+	}
+	if j.def.Occurrences*tasks <= maxOpenTasks {
+		assert.Equal(t, j.nextOcc, j.def.Occurrences)
+	}
 	ready := 0
 	for _, occ := range j.occs {
 		for i := range occ.steps {
--- a/dispatch/stored_size_test.go
+++ b/dispatch/stored_size_test.go
@@ -149,6 +149,42 @@
 	assert.Assert(t, len(c.ready) <= 10*workload.MaxTasks, "%d units", len(c.ready))
 }
 
+// Occurrences that are due and have to wait are created in order, with their due times, as earlier ones end, until all are done.
+func TestDueOccurrencesFollow(t *testing.T) {
+	c := newCell(testConfig("n1", emulator.NewStore(), nil), 1)
+	j := newJobState(&workload.Job{ID: "00000000000000aa", Occurrences: 10, StartAt: time.Now().Add(-time.Hour), Interval: time.Second,
+		Steps: []workload.Step{{Count: 1}, {Count: maxOpenTasks/3 - 1, After: []int{0}}}})
+	c.jobs[j.def.ID] = j
+	for next := range j.def.Occurrences {
+		c.tick(time.Now())
+		assert.Equal(t, j.nextOcc, min(next+3, j.def.Occurrences))
+		occ := j.occs[next]
+		assert.Equal(t, occ.due, j.def.Due(next))
+		for i := range occ.steps {
+			for _, u := range occ.steps[i].units {
+				assert.Equal(t, u.phase, phaseReady)
+				c.unitDone(time.Now(), u)
+			}
+		}
+	}
+	assert.Equal(t, j.state, workload.StateCompleted)
+}
+
+// A job of which one occurrence alone has the largest number of tasks runs one occurrence after another.
+func TestLargestOccurrencesFollow(t *testing.T) {
+	c := newCell(testConfig("n1", emulator.NewStore(), nil), 1)
+	j := newJobState(&workload.Job{ID: "00000000000000aa", Occurrences: 3, StartAt: time.UnixMilli(1), Steps: []workload.Step{{Count: workload.MaxTasks}}})
+	c.jobs[j.def.ID] = j
+	for next := range j.def.Occurrences {
+		c.tick(time.Now())
+		assert.Equal(t, j.nextOcc, next+1)
+		for _, u := range j.occs[next].steps[0].units {
+			c.unitDone(time.Now(), u)
+		}
+	}
+	assert.Equal(t, j.state, workload.StateCompleted)
+}
+
 // A cell whose ownership row can't be decoded can be taken over: the row's version is enough for that. No node could ever own
 // the cell again.
 func TestOwnershipRowThatCanNotBeDecoded(t *testing.T) {
