Take over cells whose ownership row names no owner

Callers saw a cell that no node could ever own again once its ownership row did not decode: each attempt to acquire it ended with the error of the decoder. The version of the row is enough for a takeover.

Of such a row, and of one without a node, only the version is used. The previous owner is then unknown and counts as able to send commands, so recovered tasks wait for unreachable runners as long as after an owner that may be alive; no heartbeat shortens that. The node logs it.

--- a/dispatch/acquire.go
+++ b/dispatch/acquire.go
@@ -4,7 +4,6 @@
 	"context"
 	"encoding/json"
 	"errors"
-	"fmt"
 	"strconv"
 	"time"
 
@@ -18,7 +17,9 @@
 // ErrOwned means that the cell already has an active owner.
 var ErrOwned = errors.New("cell has an owner")
 
-// ReadOwner returns a cell's ownership row and its version, which is 0 if the cell never had an owner.
+// ReadOwner returns a cell's ownership row and its version, which is 0 if the cell never had an owner. Of a row that can't be
+// decoded or names no owner, only the version is used, which is enough to take the cell over: the Ownership is empty, so its
+// writer counts as able to send commands.
 func ReadOwner(ctx context.Context, s store.Store, part string) (Ownership, int64, error) {
 	page, err := s.Range(ctx, TableCells, part, "", "", 0)
 	if err != nil {
@@ -29,8 +30,8 @@
 			continue
 		}
 		var owner Ownership
-		if err := json.Unmarshal(row.Value, &owner); err != nil {
-			return Ownership{}, 0, fmt.Errorf("ownership row of partition %s: %w", part, err)
+		if err := json.Unmarshal(row.Value, &owner); err != nil || owner.IsUnknown() {
+			return Ownership{}, row.Version, nil
 		}
 		return owner, row.Version, nil
 	}
--- a/dispatch/flush.go
+++ b/dispatch/flush.go
@@ -62,6 +62,9 @@
 	Released bool `json:"released,omitempty"`
 }
 
+// IsUnknown reports whether o names no owner.
+func (o Ownership) IsUnknown() bool { return o.Node == "" }
+
 // OwnerKey returns the key of a cell's ownership row.
 func OwnerKey(part string) store.Key { return store.Key{Table: TableCells, Part: part, Name: rowOwner} }
 
--- a/node/cells.go
+++ b/node/cells.go
@@ -114,6 +114,9 @@
 		log.WithError(err).Warn("could not read the ownership row")
 		return
 	}
+	if version != 0 && previous.IsUnknown() {
+		log.WithField("version", version).Error("ownership row names no owner; its writer may still send commands")
+	}
 	if version != 0 && !previous.Released && previous.Node != n.settings.Node && n.ownerActive(previous, cell, version) {
 		return
 	}
@@ -131,6 +134,9 @@
 
 // hasEnded reports whether a former owner of a cell is confirmed to have stopped sending commands for it.
 func (n *Node) hasEnded(owner dispatch.Ownership, cell string) bool {
+	if owner.IsUnknown() {
+		return false
+	}
 	return owner.Node == n.settings.Node || n.directory.HasEnded(owner, cell)
 }
 
--- a/node/cells_test.go
+++ b/node/cells_test.go
@@ -1,10 +1,16 @@
 package node
 
 import (
+	"context"
+	"strings"
 	"testing"
+	"testing/synctest"
+	"time"
 
 	"gotest.tools/v3/assert"
 
+	"github.com/currantthread/currantthread/dispatch"
+	"github.com/currantthread/currantthread/internal/emulator"
 	"github.com/currantthread/currantthread/runner"
 	"github.com/currantthread/currantthread/store"
 )
@@ -29,3 +35,35 @@
 	assert.Equal(t, len(chosen), 1)
 	assert.Equal(t, chosen[0], assignment{info.ID, "c0 10.0.0.1:8000"})
 }
+
+// A cell whose ownership row names no owner is taken over. Its writer counts as able to send commands, whatever heartbeats the
+// node has read. No node could own the cell.
+func TestOwnershipRowThatNamesNoOwner(t *testing.T) {
+	for name, value := range map[string]string{"not JSON": "{", "null": "null", "empty": `{}`, "released": `{"released":true}`,
+		"number out of range": `{"node":"n1","inc":"i1","released":true,"epoch":1e400}`} {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				s := emulator.NewStore()
+				n, log := testNode(t, 1)
+				n.store, n.runners = s, emulator.NewFleet(nil)
+				n.directory.Update(time.Now(), []store.Row{
+					{Key: store.Key{Name: ""}, Version: 1, Value: []byte(`{"node":"","inc":"i0"}`)},
+					{Key: store.Key{Name: "n1"}, Version: 1, Value: []byte(`{"node":"n1","inc":"i2"}`)},
+				})
+				s.Put(dispatch.OwnerKey(n.cellPart(firstCell)), []byte(value))
+				ctx, stop := context.WithCancel(t.Context())
+				n.acquire(ctx, firstCell)
+				n.checkPredecessors()
+				c := n.cells[firstCell]
+				assert.Assert(t, c != nil, log.String())
+				defer func() {
+					stop()
+					<-c.Done()
+				}()
+				_, mayCommand := c.Predecessor()
+				assert.Assert(t, mayCommand)
+				assert.Assert(t, strings.Contains(log.String(), "names no owner"), log.String())
+			})
+		})
+	}
+}
