--- a/dispatch/flush.go
+++ b/dispatch/flush.go
@@ -75,6 +75,9 @@
 	return o
 }
 
+// IsUnknown reports whether o names no owner.
+func (o Ownership) IsUnknown() bool { return o.Node == "" }
+
 // OwnerKey returns the key of a cell's ownership row.
 func OwnerKey(part string) store.Key { return store.Key{Table: TableCells, Part: part, Name: rowOwner} }
 
