Add a failing test of a runner that appears while its cell stops

What operators would see: a node that lost or released a cell never acquires it again, and does not stop within its grace period. Evidence: SetRunner starts a poll loop even after Run has stopped those of the known runners. The loop of the new runner ends only with the context of its caller, which is context.Background() in package node, so Run waits for ever, and runCell neither removes the cell from the node's list nor publishes that the former owner has ended.

--- a/dispatch/waiting_test.go
+++ b/dispatch/waiting_test.go
@@ -586,3 +586,24 @@
 		<-c.Done()
 	})
 }
+
+// Run never returned if a new runner appeared while the cell stopped. The node then kept the stopped cell in its list of
+// cells and did not acquire it again.
+func TestRunReturnsIfRunnerAppearsWhileCellStops(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		cl := newCluster(t, 1, fixedDuration(time.Second))
+		c, stop := cl.startOwner("a", true)
+		time.Sleep(time.Second)
+		stop()
+		time.Sleep(time.Millisecond)
+		added := runner.Info{ID: "r9", Service: "kioscos", Addr: "r9", Domain: "chipre", Capacity: cl.infos[0].Capacity}
+		cl.fleet.Add(added)
+		c.SetRunner(t.Context(), added, true)
+		time.Sleep(lease + settleTime)
+		select {
+		case <-c.Done():
+		default:
+			t.Fatal("Run has not returned")
+		}
+	})
+}
