Bound the wait for a stopped cell in tests of faults

A play in which Run of a stopped cell does not return now fails and says so; it ran until the time limit of the test binary. The runners are listed in order, so that plays differ less between runs. The test of a start before a restart is known no longer depends on whether a poll ends at the moment of the restart.

--- a/dispatch/faults_test.go
+++ b/dispatch/faults_test.go
@@ -5,8 +5,9 @@
 	"context"
 	"errors"
 	"fmt"
+	"maps"
 	"os"
-	"sort"
+	"slices"
 	"strings"
 	"sync"
 	"sync/atomic"
@@ -104,8 +105,10 @@
 	added   int
 	faults  map[string][]*emulator.CommandFaults // active faults by runner
 	ending  map[string]bool                      // runners whose process is being ended or restarted
-	trace   []string
-	logs    []*bytes.Buffer
+	// runHangs is set if Run of a stopped cell has not returned.
+	runHangs bool
+	trace    []string
+	logs     []*bytes.Buffer
 }
 
 const (
@@ -182,18 +185,12 @@
 	for {
 		previous, version, err := dispatch.ReadOwner(ctx, r.store, cellName)
 		if err == nil {
-			r.mu.Lock()
-			runners := make([]runner.Info, 0, len(r.listed))
-			for _, info := range r.listed {
-				runners = append(runners, info)
-			}
-			r.mu.Unlock()
-			sort.Slice(runners, func(a, b int) bool { return runners[a].ID < runners[b].ID })
+			runners := r.listedRunners()
 			var c *dispatch.Cell
 			if c, err = dispatch.Acquire(ctx, cfg, previous, version, runners); err == nil {
 				r.mu.Lock()
 				r.cell, r.process, r.cancel, r.logs = c, p, cancel, append(r.logs, logs)
-				for _, info := range r.listed {
+				for _, info := range slices.SortedFunc(maps.Values(r.listed), byID) {
 					c.SetRunner(ctx, info, true)
 				}
 				r.mu.Unlock()
@@ -211,6 +208,14 @@
 	}
 }
 
+func byID(a, b runner.Info) int { return strings.Compare(a.ID, b.ID) }
+
+func (r *rig) listedRunners() []runner.Info {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return slices.SortedFunc(maps.Values(r.listed), byID)
+}
+
 func (r *rig) owner() *dispatch.Cell {
 	r.mu.Lock()
 	defer r.mu.Unlock()
@@ -299,7 +304,19 @@
 	c, stop := r.cell, r.cancel
 	r.mu.Unlock()
 	stop()
-	<-c.Done()
+	r.awaitEnd(c)
+}
+
+// awaitEnd waits until a stopped cell has ended.
+func (r *rig) awaitEnd(c *dispatch.Cell) {
+	select {
+	case <-c.Done():
+	case <-time.After(leaseBound + storeBound):
+		r.note("Run of a stopped cell has not returned")
+		r.mu.Lock()
+		r.runHangs = true
+		r.mu.Unlock()
+	}
 }
 
 // processFault is a fault that ends the process of a runner. It has no effect on a runner that another one is ending or
@@ -534,6 +551,9 @@
 	}
 	time.Sleep(time.Second)
 	r.probe(fail)
+	if r.runHangs {
+		fail("Run of a stopped cell has not returned")
+	}
 	if overlaps := r.fleet.Overlaps(); len(overlaps) > 0 {
 		fail("tasks ran in two places at once: %v", overlaps)
 	}
@@ -555,7 +575,7 @@
 		r.note("the owner has lost the cell")
 		r.takeover <- struct{}{}
 		defer func() { <-r.takeover }()
-		<-r.owner().Done()
+		r.awaitEnd(r.owner())
 		r.own(true)
 		time.Sleep(leaseBound)
 	}
--- a/dispatch/waiting_test.go
+++ b/dispatch/waiting_test.go
@@ -572,7 +572,7 @@
 		cl := newCluster(t, 2, fixedDuration(time.Hour))
 		c, stop := cl.startOwner("a", true)
 		// The clock of the earlier process is far ahead of that of the next one.
-		time.Sleep(time.Minute)
+		time.Sleep(time.Minute + 500*time.Millisecond)
 		cl.fleet.Crash("r0")
 		cl.fleet.Restart("r0")
 		cl.submit(c, jobOf(1, longRunning(2, 8000)))
