--- a/node/odd_rows_test.go
+++ b/node/odd_rows_test.go
@@ -7,6 +7,7 @@
 	"strings"
 	"testing"
 	"testing/synctest"
+	"time"
 
 	"connectrpc.com/connect"
 	"gotest.tools/v3/assert"
@@ -107,7 +108,7 @@
 	n.discoveryChanged([]store.Row{serverRow(t, 1, testRunner("i-1")), serverRow(t, 2, stranger), serverRow(t, 3, layout)})
 	chosen := n.chooseCells()
 	assert.Equal(t, len(chosen), 1)
-	assert.Equal(t, chosen[0].runner, "i-1")
+	assert.Equal(t, chosen[0].name, "i-1")
 	config := *n.catalog.Load()
 	config.Version++
 	config.Services = map[string]catalog.Service{"kioscos": {}, "other": {}}
@@ -175,7 +176,7 @@
 	assert.Equal(t, len(n.cellNames()), 2)
 	written := map[string]string{}
 	for _, a := range n.chooseCells() {
-		written[a.runner] = a.cell
+		written[a.name] = a.value
 	}
 	assert.DeepEqual(t, written, map[string]string{"i-1": "c1", rowLayout: "2"})
 	n.assignmentsChanged([]store.Row{rosterRow(5, "i-1", "c1"), rosterRow(5, rowLayout, "2")})
@@ -285,3 +286,23 @@
 		assert.Assert(t, !found)
 	})
 }
+
+// Rows of other writers that are rewritten all the time fill neither the log nor the time of the node.
+func TestRewrittenOddRowsAreLoggedRarely(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		n, log := testNode(t, 2)
+		evacuation := store.Row{Key: store.Key{Table: platform.TableOperator, Name: platform.PrefixEvacuate + "chipre"}}
+		for i := range 600 {
+			n.assignmentsChanged([]store.Row{rosterRow(int64(i), "i-odd", "nonsense"), rosterRow(int64(i), rowLayout, "7")})
+			n.operatorChanged([]store.Row{evacuation, {Key: store.Key{Table: platform.TableOperator, Name: platform.RowConfig}, Value: []byte("{")}})
+			time.Sleep(300 * time.Millisecond)
+		}
+		// 180 s are three windows.
+		for _, message := range []string{"names no cell", "invalid number of cells", "configuration rejected"} {
+			lines := strings.Count(log.String(), message)
+			assert.Equal(t, lines, 3*rowLogLines, message)
+		}
+		assert.Assert(t, strings.Contains(log.String(), `"left_out":195`), log.String())
+		assert.Equal(t, strings.Count(log.String(), "evacuation"), 1)
+	})
+}
