Add a failing test of pace commands without a response

What callers saw: a task of an accepted job is listed as running and never goes on, on a runner that has room. Evidence: setSpeed assumes that a pace command without a response was not executed, and sends it once. If a pause was executed, the runner keeps the task paused, while its owner takes it for running at full speed and sends nothing more. The owner stops a task without progress twice (maxStalls); a third pause of this kind lasts until the runner leaves. The same happens if a pause is executed after the command that ends it.

The test plays pauses of a best-effort task that is too far to be moved (from 40%), for 25 lengths of the load that causes them.

The emulated runners execute pace commands, report a measurement that the test gives, and report 100 percent for long-running tasks.

--- a/dispatch/faults_test.go
+++ b/dispatch/faults_test.go
@@ -446,7 +446,7 @@
 func rigWork(task workload.TaskID, _ int) (time.Duration, bool) {
 	switch kindOf(task) {
 	case kindLongRunning:
-		return 24 * time.Hour, false
+		return emulator.Endless, false
 	case kinds:
 		return 10 * probeBound, false
 	}
--- a/dispatch/waiting_test.go
+++ b/dispatch/waiting_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"sync/atomic"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -664,3 +665,59 @@
 		<-next.Done()
 	})
 }
+
+// A best-effort task stayed paused for ever beside an idle serving task if its owner did not learn that a pause had been
+// executed: the owner took it for running at full speed, and stops a task without progress only twice.
+func TestPausedTaskGoesOnAfterLostPaceCommands(t *testing.T) {
+	for name, fault := range map[string]emulator.CommandFault{"response lost": emulator.CommandResponseLost,
+		"late": emulator.CommandAppliedLate, "lost": emulator.CommandRequestLost} {
+		for busyTime := 2500 * time.Millisecond; busyTime < 5*time.Second; busyTime += 100 * time.Millisecond {
+			t.Run(name+"/"+busyTime.String(), func(t *testing.T) {
+				synctest.Test(t, func(t *testing.T) { playPauses(t, fault, busyTime) })
+			})
+		}
+	}
+}
+
+// playPauses loses pace commands while a serving task is over its target for some time, again and again, at a time when
+// the best-effort task beside it is too far to be moved. The best-effort task must then be completed.
+func playPauses(t *testing.T, fault emulator.CommandFault, busyTime time.Duration) {
+	const target, workTime = 100, 20 * time.Second
+	serving := jobOf(1, longRunning(1, 8000))
+	serving.Steps[0].Image, serving.Steps[0].LatencyTarget = "s", target*time.Millisecond
+	var busy atomic.Bool
+	cl := newCluster(t, 1, func(task workload.TaskID, _ int) (time.Duration, bool) {
+		if task.Job == serving.ID {
+			return emulator.Endless, false
+		}
+		return workTime, false
+	})
+	cl.fleet.Latency = 3 * time.Millisecond
+	cl.fleet.Measure = func(task workload.TaskID) (float64, bool) {
+		if busy.Load() && task.Job == serving.ID {
+			return 3 * target, true
+		}
+		return target / 5, true
+	}
+	c, stop := cl.startOwner("a", true)
+	time.Sleep(100 * time.Millisecond)
+	cl.submit(c, serving)
+	time.Sleep(2 * time.Second)
+	bestEffort := jobOf(2, tasks(1, 8000))
+	bestEffort.Steps[0].BestEffort, bestEffort.Steps[0].Image = true, "b"
+	cl.submit(c, bestEffort)
+	for range 4 {
+		time.Sleep(workTime * 6 / 10)
+		cl.fleet.SetCommandFaults("r0", emulator.CommandFaults{Pace: fault})
+		busy.Store(true)
+		time.Sleep(busyTime)
+		busy.Store(false)
+		time.Sleep(time.Second)
+		cl.fleet.SetCommandFaults("r0", emulator.CommandFaults{})
+		time.Sleep(6 * time.Second)
+	}
+	time.Sleep(settleTime + workTime)
+	assert.Equal(t, state(c, bestEffort), workload.StateCompleted)
+	stop()
+	<-c.Done()
+}
--- a/internal/emulator/runner.go
+++ b/internal/emulator/runner.go
@@ -49,7 +49,7 @@
 
 // CommandFaults are the faults of a runner's commands by kind. They apply in addition to a RunnerFault.
 type CommandFaults struct {
-	Start, Stop, Hold CommandFault
+	Start, Stop, Hold, Pace CommandFault
 	// RefuseStarts is the reason with which starts are refused; empty if they are not.
 	RefuseStarts runner.Reason
 }
@@ -60,6 +60,9 @@
 // commandTimeout is the time after which a command without a response fails.
 const commandTimeout = 700 * time.Millisecond
 
+// Endless is the run time from which a task counts as long-running: it reports 100 percent from its start.
+const Endless = 24 * time.Hour
+
 // Work returns the run time of a task and whether it fails at its end. Long-running tasks never end by themselves.
 type Work func(task workload.TaskID, run int) (duration time.Duration, fails bool)
 
@@ -80,6 +83,8 @@
 	StopTime time.Duration
 	// Gang returns the number of tasks that must run together with a task; 0 or 1 if it runs alone. It may be nil.
 	Gang func(task workload.TaskID) int
+	// Measure returns what a runner reports as the measurement of a task, and whether it reports one. It may be nil.
+	Measure func(task workload.TaskID) (measurement float64, ok bool)
 	// Latency is the time that a command takes to a runner, and its response back. It is 0 unless a test sets it.
 	Latency time.Duration
 
@@ -123,8 +128,12 @@
 func (k runKey) gang() gangKey { return gangKey{k.task.Job, k.task.Occurrence, k.task.Step, k.run} }
 
 type simRun struct {
-	timer    *time.Timer
-	started  time.Time
+	timer *time.Timer
+	end   func() // ends the run when its work is done
+	// worked is the work that was done before the share of its speed last changed, at pacedAt.
+	worked   time.Duration
+	pacedAt  time.Time
+	percent  int // share of its full speed
 	duration time.Duration
 	hangs    bool
 	waits    bool // for the other members of its gang
@@ -260,6 +269,7 @@
 
 func startFault(faults CommandFaults) CommandFault { return faults.Start }
 func stopFault(faults CommandFaults) CommandFault  { return faults.Stop }
+func paceFault(faults CommandFaults) CommandFault  { return faults.Pace }
 func holdFault(faults CommandFaults) CommandFault  { return faults.Hold }
 
 // awaitTimeout waits until ctx ends or the command timeout has passed.
@@ -342,7 +352,7 @@
 	}
 	duration, fails := f.Work(command.Task, command.Run)
 	fails = fails || r.fault == RunnerFails
-	run := &simRun{started: time.Now(), duration: duration, hangs: r.fault == RunnerHangs}
+	run := &simRun{pacedAt: time.Now(), percent: 100, duration: duration, hangs: r.fault == RunnerHangs}
 	r.running[key] = run
 	f.starts = append(f.starts, StartRecord{time.Now(), r.info.ID, command.Task, command.Run, command.Token})
 	reason := runner.EndDone
@@ -353,13 +363,14 @@
 		f.joinGang(r, key, run, reason)
 		return nil
 	}
-	run.timer = time.AfterFunc(duration, func() {
+	run.end = func() {
 		f.mu.Lock()
 		defer f.mu.Unlock()
 		if !run.hangs {
 			r.endRun(f, key, reason)
 		}
-	})
+	}
+	run.timer = time.AfterFunc(duration, run.end)
 	return nil
 }
 
@@ -386,7 +397,7 @@
 	for other, on := range members {
 		member := on.running[other]
 		member.timer.Stop()
-		member.waits, member.started = false, time.Now()
+		member.waits, member.pacedAt = false, time.Now()
 	}
 	run.timer = time.AfterFunc(run.duration, func() {
 		f.mu.Lock()
@@ -488,13 +499,39 @@
 	return nil
 }
 
-// Pace implements runner.Client. Speeds have no effect here.
-func (f *Fleet) Pace(ctx context.Context, target runner.Target, _ workload.TaskID, _, _ int, _ int64) error {
-	_, _, err := f.lockRunner(ctx, target, func(CommandFaults) CommandFault { return CommandWorks })
-	if err == nil {
-		f.mu.Unlock()
+// Pace implements runner.Client. It has no effect on gangs.
+func (f *Fleet) Pace(ctx context.Context, target runner.Target, task workload.TaskID, number, percent int, token int64) error {
+	if !wait.For(ctx, f.Latency) {
+		return ctx.Err()
 	}
-	return err
+	r, fault, err := f.lockRunner(ctx, target, paceFault)
+	if err != nil {
+		return err
+	}
+	return f.execute(ctx, r, fault, func() error { return f.pace(r, runKey{task, number}, percent, token) })
+}
+
+// pace executes a pace command. The caller holds mu.
+func (f *Fleet) pace(r *simRunner, key runKey, percent int, token int64) error {
+	if token < r.token {
+		return &runner.RefusedError{Reason: runner.ReasonFenced, Clock: r.clock()}
+	}
+	r.token = token
+	run := r.running[key]
+	if run == nil || run.end == nil {
+		return nil
+	}
+	run.worked, run.pacedAt, run.percent = run.progress(), time.Now(), percent
+	run.timer.Stop()
+	if left := run.duration - run.worked; percent > 0 {
+		run.timer = time.AfterFunc(max(left*100/time.Duration(percent), 1), run.end)
+	}
+	return nil
+}
+
+// progress returns the work that was done.
+func (r *simRun) progress() time.Duration {
+	return r.worked + time.Since(r.pacedAt)*time.Duration(r.percent)/100
 }
 
 // Hold implements runner.Client.
@@ -525,7 +562,7 @@
 			r.ends = r.ends[1:]
 		}
 		if len(r.ends) > 0 || command.Wait == 0 {
-			report := r.report()
+			report := r.report(f)
 			f.mu.Unlock()
 			if fault == CommandResponseLost {
 				awaitTimeout(ctx)
@@ -549,10 +586,14 @@
 }
 
 // report lists the current runs and the ends that are not acknowledged. The caller holds the fleet's mu.
-func (r *simRunner) report() runner.Report {
+func (r *simRunner) report(f *Fleet) runner.Report {
 	report := runner.Report{Clock: r.clock(), Born: r.info.Born, Ended: append([]runner.Ended(nil), r.ends...)}
 	for key, run := range r.running {
-		report.Running = append(report.Running, runner.Running{Task: key.task, Run: key.run, Percent: run.percent()})
+		listed := runner.Running{Task: key.task, Run: key.run, Percent: run.percentDone()}
+		if f.Measure != nil {
+			listed.Measurement, listed.HasMeasurement = f.Measure(key.task)
+		}
+		report.Running = append(report.Running, listed)
 	}
 	sort.Slice(report.Running, func(a, b int) bool {
 		return report.Running[a].Task.String() < report.Running[b].Task.String()
@@ -560,15 +601,15 @@
 	return report
 }
 
-// percent returns the progress of a run.
-func (r *simRun) percent() int {
+// percentDone returns the progress of a run.
+func (r *simRun) percentDone() int {
 	switch {
 	case r.hangs, r.waits:
 		return 0
-	case r.duration <= 0:
+	case r.duration <= 0, r.duration >= Endless:
 		return 100
 	default:
-		return min(int(100*time.Since(r.started)/r.duration), 100)
+		return min(int(100*r.progress()/r.duration), 100)
 	}
 }
 
