Add failing tests of gangs, second takeovers and cells that stop

TestTakeoverAdoptsAllMembersOfGang. Callers see: each change of a cell's owner ends every running gang, whose work starts over. Cause: resume adds runGap to the run number of each recovered unit. matchRunning adopts the first member that is reported; the others have the same number, which is now lower than that of the unit, so they count as replaced runs and are stopped. Suggested fix: compare with the highest number of the unit's existing runs instead of unit.run, and never count a member as replaced by another member of the same number.

TestSecondTakeoverWaitsForFirstOwner. Callers see: a task runs in two places. Cause: initUnresolved derives the wait from the last owner only. Owner A is cut off with a runner and extends its lease until 10 s after its last write. B takes over and waits for that runner; B releases the cell, or its process is known to have ended; C then waits one lease (6.4 s) for the same runner. Suggested fix: the ownership row lists the runners that its writer has not resolved. A successor waits one lease for the others and the long time for these, whatever is known of the last owner. MarkPredecessorDead must not shorten their wait either.

TestRunnerThatAppearsWhileCellStopsDoesNotKeepItRunning. Callers see: a node that lost or releases a cell while a runner joins never takes that cell again, never lists the epoch as ended, so that successors wait the long time, and does not exit on SIGTERM (leave waits for Done). Cause: Run cancels the poll loops that exist at that time; SetRunner then adds one with a context that does not end, and background.Wait never returns. Suggested fix: derive the contexts of polls from that of Run, or add no runner once the cell is lost or stopping.

TestCommitBeforeRestartAcknowledgesNoEndsOfNewProcess. Cause: applyCommit acknowledges the number of a batch if the runner's present number is not lower. After a restart the new process can have reached it with other ends. Suggested fix: the batch remembers the birth time or a counter of restarts with each number.

TestGangIsStoppedIfAMemberCanNotStart. Cause: endRun and startFailed wait until all runs have ended and stop none. Suggested fix: stop the other runs of a gang once one of them has ended or can't start.

--- /dev/null
+++ b/dispatch/takeover_test.go
@@ -0,0 +1,277 @@
+package dispatch_test
+
+import (
+	"context"
+	"errors"
+	"io"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/prometheus/client_golang/prometheus"
+	"gotest.tools/v3/assert"
+
+	"github.com/currantthread/currantthread/dispatch"
+	"github.com/currantthread/currantthread/internal/emulator"
+	"github.com/currantthread/currantthread/internal/wait"
+	"github.com/currantthread/currantthread/observe"
+	"github.com/currantthread/currantthread/runner"
+	"github.com/currantthread/currantthread/store"
+	"github.com/currantthread/currantthread/workload"
+)
+
+// startOwnerWith is startOwner for an owner with its own connections to the store and the runners.
+func (cl *cluster) startOwnerWith(node string, predecessorDead bool, s store.Store, runners runner.Client) (*dispatch.Cell, context.CancelFunc) {
+	cl.t.Helper()
+	previous, version, err := dispatch.ReadOwner(cl.t.Context(), cl.store, cellName)
+	assert.NilError(cl.t, err)
+	ctx, cancel := context.WithCancel(cl.t.Context())
+	c, err := dispatch.Acquire(ctx, dispatch.Config{
+		Name: cellName, Part: cellName, IndexPart: func(string) string { return "i0" }, Node: node, Addr: node,
+		Incarnation: node, Region: "caldas-centro", Regions: map[string]string{"chipre": "caldas-centro"},
+		Lease: lease, Retention: 2 * time.Minute, Store: s, Runners: runners, Log: observe.NewLogger(io.Discard, "test", node),
+		Metrics: dispatch.NewMetrics(prometheus.NewRegistry()), PredecessorDead: predecessorDead,
+	}, previous, version, cl.infos)
+	assert.NilError(cl.t, err)
+	for _, info := range cl.infos {
+		c.SetRunner(ctx, info, true)
+	}
+	go c.Run(ctx)
+	cl.t.Cleanup(func() {
+		cancel()
+		<-c.Done()
+	})
+	return c, cancel
+}
+
+// link is the connection of one owner to the store and to some of the runners, which can be cut.
+type link struct {
+	*emulator.Fleet
+	store.Store
+	cutStore atomic.Bool
+	// cut holds the runners that can't be reached.
+	cut sync.Map
+}
+
+var errCut = errors.New("no answer")
+
+func (l *link) Commit(ctx context.Context, txn store.Txn) (int64, error) {
+	if l.cutStore.Load() {
+		wait.For(ctx, callTimeout)
+		return 0, &store.UnknownOutcomeError{Err: errCut}
+	}
+	return l.Store.Commit(ctx, txn)
+}
+
+// reaches reports whether a command reaches its runner. Otherwise it waits for the timeout of a command.
+func (l *link) reaches(ctx context.Context, target runner.Target) bool {
+	if _, cut := l.cut.Load(target.ID); cut {
+		wait.For(ctx, time.Second)
+		return false
+	}
+	return true
+}
+
+func (l *link) Start(ctx context.Context, target runner.Target, command runner.Start) (time.Duration, error) {
+	if !l.reaches(ctx, target) {
+		return 0, errCut
+	}
+	return l.Fleet.Start(ctx, target, command)
+}
+
+func (l *link) Stop(ctx context.Context, target runner.Target, task workload.TaskID, run int, token int64) error {
+	if !l.reaches(ctx, target) {
+		return errCut
+	}
+	return l.Fleet.Stop(ctx, target, task, run, token)
+}
+
+func (l *link) Hold(ctx context.Context, target runner.Target, command runner.Hold) (runner.Report, error) {
+	if !l.reaches(ctx, target) {
+		return runner.Report{}, errCut
+	}
+	report, err := l.Fleet.Hold(ctx, target, command)
+	if !l.reaches(ctx, target) {
+		return runner.Report{}, errCut
+	}
+	return report, err
+}
+
+// The second of two successors must still wait for the owner before its predecessor. That owner, cut off from the store with
+// some runners, extends their leases until 10 s after its last write; the second successor waits 6.4 s because its own
+// predecessor has released the cell.
+func TestSecondTakeoverWaitsForFirstOwner(t *testing.T) {
+	for name, takeovers := range map[string]int{"one takeover": 1, "two takeovers": 2} {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				cl := newCluster(t, 2, fixedDuration(time.Hour))
+				// The small runner has no room for the tasks of the others, so the first owner starts none of them there.
+				small := cl.infos[0]
+				small.ID, small.Addr, small.Capacity.CPU = "r2", "r2", 40000
+				cl.infos = append(cl.infos, small)
+				cl.fleet.Add(small)
+				a := &link{Fleet: cl.fleet, Store: cl.store}
+				rest := &link{Fleet: cl.fleet, Store: cl.store}
+				first, _ := cl.startOwnerWith("a", true, a, a)
+				time.Sleep(100 * time.Millisecond)
+				cl.submit(first, jobOf(1, longRunning(3, 30000)))
+				time.Sleep(3 * time.Second)
+				assert.Equal(t, cl.fleet.Running("r2"), 1)
+				cl.submit(first, jobOf(2, tasks(1, 20000)))
+				// The first owner and r2 are cut off from everything else.
+				a.cutStore.Store(true)
+				a.cut.Store("r0", true)
+				a.cut.Store("r1", true)
+				rest.cut.Store("r2", true)
+				time.Sleep(2500 * time.Millisecond)
+				last, stop := cl.startOwnerWith("b", false, rest, rest)
+				if takeovers > 1 {
+					time.Sleep(300 * time.Millisecond)
+					stop()
+					<-last.Done()
+					last, stop = cl.startOwnerWith("c", true, rest, rest)
+				}
+				time.Sleep(outageBound + time.Second)
+				cl.assertNoOverlap()
+				assert.Equal(t, cl.fleet.Running("r0")+cl.fleet.Running("r1"), 4)
+				stop()
+				<-last.Done()
+			})
+		})
+	}
+}
+
+// lastCommitStore is a store that responds to no commit after the first one whose outcome is known once armed.
+type lastCommitStore struct {
+	store.Store
+	armed, silent atomic.Bool
+}
+
+func (s *lastCommitStore) Commit(ctx context.Context, txn store.Txn) (int64, error) {
+	if s.silent.Load() {
+		wait.For(ctx, callTimeout)
+		return 0, &store.UnknownOutcomeError{Err: errCut}
+	}
+	version, err := s.Store.Commit(ctx, txn)
+	var conflict *store.ConflictError
+	if s.armed.Load() && (err == nil || errors.As(err, &conflict)) {
+		s.silent.Store(true)
+	}
+	return version, err
+}
+
+// The numbers of ends begin again when a runner restarts. A commit that was in flight then acknowledges ends of the new
+// process that it does not contain. If the owner is lost before its next commit, such a task runs again although it is done.
+func TestCommitBeforeRestartAcknowledgesNoEndsOfNewProcess(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		before, after := jobOf(1, tasks(1, 60000)), jobOf(2, tasks(1, 60000))
+		cl := newCluster(t, 1, func(task workload.TaskID, _ int) (time.Duration, bool) {
+			if task.Job == after.ID {
+				return 400 * time.Millisecond, false
+			}
+			return time.Second, false
+		})
+		s := &lastCommitStore{Store: cl.store}
+		c, stop := cl.startOwnerWith("a", true, s, cl.fleet)
+		time.Sleep(100 * time.Millisecond)
+		cl.submit(c, before)
+		cl.submit(c, after)
+		time.Sleep(950 * time.Millisecond)
+		// The commit with the end of the first task gets no response until 4.35 s.
+		cl.store.SetFault(emulator.StoreLosesResponses)
+		time.Sleep(150 * time.Millisecond)
+		cl.fleet.Crash("r0")
+		cl.fleet.Restart("r0")
+		// A poll in flight notices the restart after 2 s.
+		time.Sleep(2900 * time.Millisecond)
+		assert.Equal(t, cl.fleet.Done(workload.TaskID{Job: after.ID}), 1)
+		cl.store.SetFault(emulator.StoreWorks)
+		s.armed.Store(true)
+		time.Sleep(time.Second)
+		assert.Assert(t, s.silent.Load(), "the commit has no response yet")
+		stop()
+		<-c.Done()
+		next, stopNext := cl.startOwner("b", true)
+		time.Sleep(5 * time.Second)
+		assert.Equal(t, state(next, after), workload.StateCompleted)
+		assert.Equal(t, cl.fleet.Done(workload.TaskID{Job: after.ID}), 1, "the task ran again")
+		stopNext()
+		<-next.Done()
+	})
+}
+
+// A runner that appears while a cell is being stopped is polled by a goroutine that nothing ends. Run never returns: the node
+// never takes the cell again, reports no end of its ownership, and does not exit when it is asked to.
+func TestRunnerThatAppearsWhileCellStopsDoesNotKeepItRunning(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		cl := newCluster(t, 2, fixedDuration(time.Second))
+		late := cl.infos[1]
+		cl.infos = cl.infos[:1]
+		c, stop := cl.startOwner("a", true)
+		time.Sleep(time.Second)
+		// The last commits of the cell take some time.
+		cl.store.SetFault(emulator.StoreSilent)
+		stop()
+		time.Sleep(time.Second)
+		// Nodes pass a context that does not end.
+		runnerCtx, stopRunner := context.WithCancel(context.Background())
+		c.SetRunner(runnerCtx, late, true)
+		time.Sleep(3 * lease)
+		ended := false
+		select {
+		case <-c.Done():
+			ended = true
+		default:
+		}
+		stopRunner()
+		assert.Assert(t, ended, "the cell still runs")
+	})
+}
+
+// A gang of which one member could not be started waits for its timeout, after which the other members end as alone. Its
+// capacity does no work meanwhile.
+func TestGangIsStoppedIfAMemberCanNotStart(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		cl := newCluster(t, 3, fixedDuration(time.Second))
+		cl.fleet.Gang = func(workload.TaskID) int { return 3 }
+		c, stop := cl.startOwner("a", true)
+		time.Sleep(100 * time.Millisecond)
+		cl.fleet.SetCommandFaults("r1", emulator.CommandFaults{RefuseStarts: runner.ReasonNoCapacity})
+		gang := tasks(3, 40000)
+		gang.Gang = true
+		job := jobOf(1, gang)
+		cl.submit(c, job)
+		time.Sleep(100 * time.Millisecond)
+		cl.fleet.SetCommandFaults("r1", emulator.CommandFaults{})
+		time.Sleep(2500 * time.Millisecond)
+		assert.Equal(t, state(c, job), workload.StateCompleted)
+		stop()
+		<-c.Done()
+	})
+}
+
+// The members of a running gang must go on after a takeover. The new owner adopts the member that is reported first and stops
+// the others, because their common run number is lower than the one that it would use next.
+func TestTakeoverAdoptsAllMembersOfGang(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		cl := newCluster(t, 3, fixedDuration(10*time.Second))
+		cl.fleet.Gang = func(workload.TaskID) int { return 3 }
+		first, stopFirst := cl.startOwner("a", true)
+		time.Sleep(100 * time.Millisecond)
+		gang := tasks(3, 40000)
+		gang.Gang, gang.Estimated = true, 10*time.Second
+		job := jobOf(1, gang)
+		cl.submit(first, job)
+		time.Sleep(2 * time.Second)
+		stopFirst()
+		<-first.Done()
+		next, stop := cl.startOwner("b", true)
+		time.Sleep(11 * time.Second)
+		assert.Equal(t, len(cl.fleet.Starts()), 3)
+		assert.Equal(t, state(next, job), workload.StateCompleted)
+		stop()
+		<-next.Done()
+	})
+}
