--- a/ownership/directory_test.go
+++ b/ownership/directory_test.go
@@ -154,3 +154,17 @@
 	d.Update(start, []store.Row{row(t, 11, heartbeat)})
 	assert.Equal(t, d.LastLoads()["c0"].Epoch, int64(9))
 }
+
+// A heartbeat that is older than the ownership row does not show that the writer of the row has ended: it is that of the
+// process before it. A node that has not yet read the first heartbeat of a restarted node took its cell away at once, and
+// did not wait for the leases that the running owner extends.
+func TestHeartbeatBeforeOwnershipDoesNotShowItsEnd(t *testing.T) {
+	d := NewDirectory("b")
+	d.Update(start, []store.Row{row(t, 10, strongNode("a"))})
+	owner := dispatch.Ownership{Node: "a", Incarnation: "restarted", Epoch: 20}
+	assert.Assert(t, !d.HasEnded(owner, "c0"), "the heartbeat has version 10, the ownership began with version 20")
+	heartbeat := strongNode("a")
+	heartbeat.Incarnation = "restarted again"
+	d.Update(start, []store.Row{row(t, 30, heartbeat)})
+	assert.Assert(t, d.HasEnded(owner, "c0"))
+}
