Poll no new runners while a cell stops

A node that handed a cell over while service discovery listed a new runner never finished: the poll loop of that runner had a context of its own and nothing ended it, so Cell.Run did not return, the node did not report the end of its ownership and did not exit.

--- a/dispatch/cell.go
+++ b/dispatch/cell.go
@@ -85,6 +85,7 @@
 	drainCheckedAt  time.Time // when draining runners were last checked
 	expiryCheckedAt time.Time // when finished jobs were last checked for removal
 	lost            bool
+	stopping        bool // the context of Run has ended; no more runners are polled
 	releasing       bool // Run is about to return; no more tasks are started
 	jobs            map[string]*jobState
 	ready           []*unit
@@ -158,6 +159,7 @@
 	loops.Go(func() { c.tickLoop(ctx) })
 	<-ctx.Done()
 	c.mu.Lock()
+	c.stopping = true
 	for _, rs := range c.runners {
 		rs.stop()
 	}
--- a/dispatch/runnerstate.go
+++ b/dispatch/runnerstate.go
@@ -76,6 +76,9 @@
 	defer c.mu.Unlock()
 	rs := c.runners[info.ID]
 	if rs == nil {
+		if c.stopping {
+			return
+		}
 		if _, unresolved := c.unresolved[info.ID]; !present && (!unresolved || info.Addr == "") {
 			return
 		}
