Stop the other members of a gang if one cannot start

A gang of which one member was refused held its capacity without work until the runners gave up waiting for that member (3 to 4 s). The other members are stopped at once and the gang starts again.

--- a/dispatch/commands.go
+++ b/dispatch/commands.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"slices"
 	"time"
 
 	"github.com/sirupsen/logrus"
@@ -133,6 +134,11 @@
 	if u.phase == phaseActive && len(u.runs) == 0 && !u.job.state.Terminal() {
 		c.makeReady(u)
 	}
+	for _, other := range slices.Clone(u.runs) {
+		if other.number == r.number {
+			c.stopRun(other, "another member of the gang could not start")
+		}
+	}
 }
 
 // resolveStart checks with a poll whether a start command without a response was executed. Otherwise reconcileRun stops the
