Adopt all members of a running gang

After a takeover a running gang was stopped and started again, and its work was lost. Cause: the run number of a recovered unit is raised above all numbers that may be in use, and a reported run below it counted as outdated once the unit had another run. The first member was adopted, the others were stopped. A reported run is outdated only if the unit has a run with a higher number.

--- a/dispatch/job.go
+++ b/dispatch/job.go
@@ -62,6 +62,12 @@
 	return workload.TaskID{Job: u.job.def.ID, Occurrence: u.occ, Step: u.step, Index: u.first + member}
 }
 
+// hasNewerRun reports whether a run with a higher number is part of the state. The members of a gang share the number of
+// their runs.
+func (u *unit) hasNewerRun(number int) bool {
+	return slices.ContainsFunc(u.runs, func(r *run) bool { return r.number > number })
+}
+
 // occurrence is one execution of all steps of a job.
 type occurrence struct {
 	number int
--- a/dispatch/runnerstate.go
+++ b/dispatch/runnerstate.go
@@ -528,7 +528,7 @@
 			return r
 		}
 	}
-	if u == nil || u.phase == phaseDone || u.run > listed.Run && len(u.runs) > 0 {
+	if u == nil || u.phase == phaseDone || u.hasNewerRun(listed.Run) {
 		rs.foreign++
 		c.stopForeignRun(rs, listed.Task, listed.Run)
 		return nil
