Acknowledge ends only to the process that reported them

A task that was done could run again after a takeover. Cause: a commit records up to which number the ends of a runner are durable. If the runner restarted while the commit was in flight, its numbers started again, and ends of the new process that were not durable were acknowledged. The mark now includes the start time of the process.

--- a/dispatch/flush.go
+++ b/dispatch/flush.go
@@ -95,12 +95,18 @@
 	nonce       string
 	submissions []*submission
 	jobs        []batchJob
-	processed   map[*runnerState]int64
+	processed   map[*runnerState]endMark
 	expired     []*jobState
 	// reappeared are runners that the batch's ownership row no longer lists as terminated.
 	reappeared []*runnerState
 }
 
+// endMark is the number of the last end of a runner's process, started at born, that was applied to the jobs' state.
+type endMark struct {
+	born   int64
+	number int64
+}
+
 // batchJob is a job whose progress is written by a batch.
 type batchJob struct {
 	job     *jobState
@@ -255,7 +261,7 @@
 // deletions. The caller holds mu.
 func (c *Cell) buildBatch(now time.Time) (b *batch, more bool) {
 	c.urgent = false
-	b = &batch{nonce: c.cfg.Node + "/" + strconv.FormatInt(now.UnixNano(), 36), processed: map[*runnerState]int64{}}
+	b = &batch{nonce: c.cfg.Node + "/" + strconv.FormatInt(now.UnixNano(), 36), processed: map[*runnerState]endMark{}}
 	owner, err := json.Marshal(c.ownership(now, b.nonce))
 	if err != nil {
 		c.cfg.Log.WithError(err).Error("ownership row can't be encoded")
@@ -294,7 +300,7 @@
 	if !more {
 		// Ends are durable only if this or an earlier commit contains all jobs that they changed.
 		for _, rs := range c.runners {
-			b.processed[rs] = rs.processed
+			b.processed[rs] = endMark{rs.born, rs.processed}
 		}
 	}
 	return b, more || len(rest) > 0
@@ -497,10 +503,10 @@
 	for _, j := range b.expired {
 		delete(c.jobs, j.def.ID)
 	}
-	for rs, processed := range b.processed {
-		// A lower number means that the runner has restarted since: its end numbers start again.
-		if rs.processed >= processed {
-			rs.acked = processed
+	for rs, mark := range b.processed {
+		// The end numbers of a restarted runner start again.
+		if rs.born == mark.born {
+			rs.acked = mark.number
 		}
 	}
 }
