Draw no conclusions from a report that leaves ends out

Tasks that were done ran again on a runner with more than 500 unacknowledged ends: a report contains at most 500 of them, and runs whose ends it left out counted as lost because it did not list them as running either.

--- a/dispatch/runnerstate.go
+++ b/dispatch/runnerstate.go
@@ -262,7 +262,7 @@
 	firstReport := !rs.synced
 	rs.synced = true
 	ends := c.applyEnds(now, rs, report.Ended)
-	c.applyRunning(now, rs, sent, report.Running)
+	c.applyRunning(now, rs, sent, report)
 	if firstReport {
 		delete(c.unresolved, rs.info.ID)
 		wake(c.planWake)
@@ -499,16 +499,18 @@
 }
 
 // applyRunning compares the runs that a runner reports with those that the cell has recorded. The caller holds mu.
-func (c *Cell) applyRunning(now time.Time, rs *runnerState, sent time.Time, running []runner.Running) {
-	listed := make(map[*run]bool, len(running))
+func (c *Cell) applyRunning(now time.Time, rs *runnerState, sent time.Time, report runner.Report) {
+	listed := make(map[*run]bool, len(report.Running))
 	rs.foreign = 0
-	for i := range running {
-		if r := c.matchRunning(now, rs, &running[i]); r != nil {
+	for i := range report.Running {
+		if r := c.matchRunning(now, rs, &report.Running[i]); r != nil {
 			listed[r] = true
 		}
 	}
+	// The ends of unlisted runs may follow in a later report.
+	endsLeftOut := len(report.Ended) >= runner.MaxReportedEnds
 	for r := range rs.runs {
-		if !listed[r] && r.hasEndedIfUnlisted(sent) {
+		if !listed[r] && !endsLeftOut && r.hasEndedIfUnlisted(sent) {
 			c.endRun(now, r, runner.EndExpired, "", "runner does not list it")
 		}
 	}
--- a/runner/runner.go
+++ b/runner/runner.go
@@ -107,6 +107,9 @@
 	Checkpoint string
 }
 
+// MaxReportedEnds is the number of ends that a Report contains at most. The others follow once those are acknowledged.
+const MaxReportedEnds = 500
+
 // Report is the response to Hold.
 type Report struct {
 	Clock   time.Duration
