Space polls that report only known ends

While the store is away, each runner with an end that is not durable was polled 28 times a second: such ends are reported again at once. The pause between polls that report nothing new now doubles up to 240 ms.

--- a/dispatch/runnerstate.go
+++ b/dispatch/runnerstate.go
@@ -22,6 +22,9 @@
 	// ackDelay is the pause between two polls after runs have ended. It lets one poll report several ends, and gives the
 	// reported ends time to become durable.
 	ackDelay = 30 * time.Millisecond
+	// maxAckDelayDoublings bounds how often ackDelay is doubled while reports contain only ends that are known already. It
+	// keeps the polls of a runner below five a second while the store is away.
+	maxAckDelayDoublings = 3
 	// pollRetry is the pause after a failed poll.
 	pollRetry = 150 * time.Millisecond
 	// reachableTimeout is how long after its last response a runner still gets new tasks. It is longer than one poll.
@@ -56,6 +59,8 @@
 	// backoffUntil excludes the runner from placement after a start was refused, not sent or got no response.
 	backoffUntil  time.Time
 	unknownStarts int // consecutive starts with unknown outcome
+	// repeatedReports counts consecutive reports that contained only ends that were known already.
+	repeatedReports int
 	// foreign counts the reported runs that must not run: no such task, already done, or replaced by a newer run. While
 	// it is above 0, the runner gets no new tasks.
 	foreign  int
@@ -269,13 +274,17 @@
 		return 0
 	}
 	if ends > 0 {
+		rs.repeatedReports = 0
 		wake(c.planWake)
 		return ackDelay
 	}
 	if len(report.Ended) > 0 {
-		// Ends that are not yet durable would be reported again immediately.
-		return ackDelay
+		// Ends that are not yet durable are reported again immediately.
+		pause := ackDelay << min(rs.repeatedReports, maxAckDelayDoublings)
+		rs.repeatedReports++
+		return pause
 	}
+	rs.repeatedReports = 0
 	return 0
 }
 
