Add failing tests of what a new owner knows of its runners

TestNewOwnerStartsNothingOnRunnerThatDrains. Callers see: after a takeover, tasks start on runners that drain (DRAIN), and end with them. Cause: nodes without a cell do not read service discovery. runCell passes the last copy, however old, to the cell; the next read begins up to 0.1 s after the acquisition began and takes longer than the acquisition of a small cell. The addresses and properties by which recovered tasks wait for a runner come from that copy too. Suggested fix: runCell waits for a read of service discovery that began after the acquisition, or the cell starts nothing before it.

TestNewOwnerKnowsRunnersThatWereJustAdded. Callers see: a task runs in two places. Cause: acquire takes the runners of the cell from this node's copy of the roster. A feed whose connection delivers nothing is noticed after 2.2 s (feedWait and feedSlack), and a handover takes less. The test leaves out the row; that a feed is late by so much at a handover was read, not played. Suggested fix: read the roster after the commit of the ownership row, which is one more call for each acquisition.

TestRunnerStaysInItsCellIfItsRowNamesAnother. Suggested fix: ignore a row with another cell than the known one, and write the known one again.

--- a/node/acquire_test.go
+++ b/node/acquire_test.go
@@ -15,7 +15,10 @@
 	"github.com/currantthread/currantthread/internal/emulator"
 	"github.com/currantthread/currantthread/internal/wait"
 	"github.com/currantthread/currantthread/ownership"
+	"github.com/currantthread/currantthread/platform"
+	"github.com/currantthread/currantthread/runner"
 	"github.com/currantthread/currantthread/store"
+	"github.com/currantthread/currantthread/workload"
 )
 
 // slowStore delays each call.
@@ -90,3 +93,95 @@
 		assert.Assert(t, takeovers <= 1, "the owner changed %d times in 30 s", takeovers)
 	})
 }
+
+// A new owner of a cell must not start tasks by what service discovery said long before. Nodes without a cell don't read service
+// discovery; the new owner used its last copy until the next read, and started tasks on runners that had been draining for long.
+func TestNewOwnerStartsNothingOnRunnerThatDrains(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		s := emulator.NewStore()
+		fleet := emulator.NewFleet(func(workload.TaskID, int) (time.Duration, bool) { return time.Second, false })
+		n, _ := testNode(t, 0)
+		n.store, n.runners, n.incarnation = s, fleet, "a"
+		n.bounds.Store(&platform.Bounds{HoldMax: 10 * time.Second})
+		n.discovery = store.NewFollower(s, platform.TableServers, n.discoveryChanged, func(error) {})
+		n.discovery.Poll, n.discovery.Spacing, n.discovery.Active = true, discoverySpacing, n.needsRunners
+		ctx, cancel := context.WithCancel(t.Context())
+		var loops sync.WaitGroup
+		defer loops.Wait()
+		defer cancel()
+		info := testRunner("i-1")
+		fleet.Add(info)
+		put := func() {
+			row := serverRow(t, 0, info)
+			s.Put(row.Key, row.Value)
+		}
+		put()
+		// The node reads service discovery until the number of cells is known.
+		loops.Go(func() { n.discovery.Run(ctx) })
+		time.Sleep(time.Second)
+		n.assignmentsChanged([]store.Row{rosterRow(1, rowLayout, "1"), rosterRow(1, "i-1", firstCell)})
+		time.Sleep(5 * time.Second)
+		info.Draining = true
+		put()
+		part := n.cellPart(firstCell)
+		s.Put(store.Key{Table: dispatch.TableJobs, Part: part, Name: "0000000000000001"},
+			[]byte(`{"id":"0000000000000001","occ":1,"policy":{"service":"kioscos"},"steps":[{"n":1}]}`))
+		s.Put(dispatch.OwnerKey(part), []byte(`{"node":"gone","nonce":"x","released":true}`))
+		// Further than any bound on the time in which a drain must be known.
+		time.Sleep(30*time.Second + 30*time.Millisecond)
+		n.mu.Lock()
+		n.acquiring[firstCell] = true
+		n.mu.Unlock()
+		n.acquire(ctx, firstCell)
+		time.Sleep(5 * time.Second)
+		starts := len(fleet.Starts())
+		cancel()
+		time.Sleep(10 * time.Second)
+		assert.Equal(t, starts, 0, "starts on a runner that drains")
+	})
+}
+
+// A runner stays in its cell if another writer puts the name of another cell into its row: two owners would command it.
+func TestRunnerStaysInItsCellIfItsRowNamesAnother(t *testing.T) {
+	n, _ := testNode(t, 2)
+	n.assignmentsChanged([]store.Row{rosterRow(1, "i-1", "c1")})
+	n.assignmentsChanged([]store.Row{rosterRow(2, "i-1", "c0")})
+	assert.Equal(t, n.runnerCells["i-1"], "c1")
+}
+
+// A new owner must know all runners that have been given to the cell. It used its copy of the roster, which may be up to 2.2 s old if a
+// connection to the store delivers nothing; a task on a runner that was added since then ran a second time.
+func TestNewOwnerKnowsRunnersThatWereJustAdded(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		s := emulator.NewStore()
+		fleet := emulator.NewFleet(func(workload.TaskID, int) (time.Duration, bool) { return time.Hour, false })
+		n, _ := testNode(t, 1)
+		n.store, n.runners, n.incarnation = s, fleet, "a"
+		n.bounds.Store(&platform.Bounds{HoldMax: 10 * time.Second})
+		for _, id := range []string{"i-1", "i-2"} {
+			info := testRunner(id)
+			fleet.Add(info)
+			n.discoveryChanged([]store.Row{serverRow(t, 1, info)})
+		}
+		// The feed of the roster has delivered the row of i-1, and not yet that of i-2.
+		s.Put(store.Key{Table: tableAssignments, Name: "i-1"}, []byte(firstCell))
+		s.Put(store.Key{Table: tableAssignments, Name: "i-2"}, []byte(firstCell))
+		n.assignmentsChanged([]store.Row{rosterRow(1, "i-1", firstCell)})
+		part := n.cellPart(firstCell)
+		const id = "0000000000000001"
+		s.Put(store.Key{Table: dispatch.TableJobs, Part: part, Name: id},
+			[]byte(`{"id":"`+id+`","occ":1,"policy":{"service":"kioscos"},"steps":[{"n":1,"long":true,"max_unavail":-1}]}`))
+		s.Put(dispatch.OwnerKey(part), []byte(`{"node":"gone","nonce":"x","released":true}`))
+		_, err := fleet.Start(t.Context(), runner.Target{ID: "i-2"}, runner.Start{Task: workload.TaskID{Job: id}, Run: 1, Deadline: time.Minute, Token: 1})
+		assert.NilError(t, err)
+		ctx, cancel := context.WithCancel(t.Context())
+		n.acquire(ctx, firstCell)
+		time.Sleep(time.Second)
+		n.assignmentsChanged([]store.Row{rosterRow(2, "i-2", firstCell)})
+		time.Sleep(time.Second)
+		overlaps := len(fleet.Overlaps())
+		cancel()
+		time.Sleep(10 * time.Second)
+		assert.Equal(t, overlaps, 0, "the task runs on two runners")
+	})
+}
