Add failing tests of late starts and of polls of restarted runners

TestLateStartsAreNotRepeatedAtOnce. Callers see: one task takes the owner's processor and fills the log. Cause: startFailed sets no back-off for a start that is refused as late or old, so the next plan repeats it 2 ms later, until a report corrects the runner's clock (2 s). Suggested fix: exclude the runner until its next report, as for a refusal for lack of capacity.

TestPollBeforeRestartIsKnownGrantsNoLongerLease. Callers see: a task runs in two places. Cause: as in TestStartBeforeRestartIsKnownGrantsNoLongerLease, but the lease is extended by the poll that looks for a run whose start had no response. A fix of starts alone is not enough. Suggested fix: when a restart is recognised, leaseEnd is at least the platform's longest lease after the last command that may have reached the new process.

--- /dev/null
+++ b/dispatch/late_test.go
@@ -0,0 +1,58 @@
+package dispatch_test
+
+import (
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"github.com/currantthread/currantthread/internal/emulator"
+	"github.com/currantthread/currantthread/runner"
+)
+
+// A runner that refuses a start as late gets the next one at once, every two milliseconds, until its next report.
+func TestLateStartsAreNotRepeatedAtOnce(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		cl := newCluster(t, 1, fixedDuration(time.Second))
+		c, stop := cl.startOwner("a", true)
+		time.Sleep(100 * time.Millisecond)
+		cl.fleet.SetCommandFaults("r0", emulator.CommandFaults{RefuseStarts: runner.ReasonLate})
+		cl.submit(c, jobOf(1, tasks(1, 4000)))
+		time.Sleep(2 * time.Second)
+		cl.fleet.SetCommandFaults("r0", emulator.CommandFaults{})
+		time.Sleep(settleTime)
+		starts := cl.fleet.Starts()
+		assert.Assert(t, starts[0].Run <= 20, "started as run %d", starts[0].Run)
+		stop()
+		<-c.Done()
+	})
+}
+
+// A poll that reaches a restarted runner before the restart is known extends its lease by the clock of the earlier process, up to
+// the platform's maximum. A task that is then started there can run for longer than the owner assumes.
+func TestPollBeforeRestartIsKnownGrantsNoLongerLease(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		cl := newCluster(t, 2, fixedDuration(time.Hour))
+		c, stop := cl.startOwner("a", true)
+		// A poll is in flight when the runner restarts and gets no response until later.
+		time.Sleep(time.Minute + holdWait/4)
+		cl.fleet.SetCommandFaults("r0", emulator.CommandFaults{Start: emulator.CommandRequestLost})
+		cl.fleet.Crash("r0")
+		cl.fleet.RestartAt("r0", 2)
+		// The start gets no response, and another poll looks for its run.
+		cl.submit(c, jobOf(1, longRunning(1, 8000)))
+		time.Sleep(time.Second)
+		cl.fleet.SetCommandFaults("r0", emulator.CommandFaults{})
+		time.Sleep(800 * time.Millisecond)
+		cl.submit(c, jobOf(2, longRunning(1, 8000)))
+		time.Sleep(50 * time.Millisecond)
+		assert.Equal(t, cl.fleet.Running("r0"), 1)
+		cl.fleet.SetFault("r0", emulator.RunnerUnreachable)
+		time.Sleep(lease + settleTime)
+		cl.assertNoOverlap()
+		assert.Equal(t, cl.fleet.Running("r1"), 2)
+		stop()
+		<-c.Done()
+	})
+}
