Add a failing test of an owner with one silent connection to the store

Callers see: the cells of a node change their owner because one response of the store was lost. Each change ends gangs, and tasks wait for the runners that the new owner can't reach. Cause: a heartbeat is written every 0.8 s, a write without a response is repeated after 2.5 s (commitTimeout), and after 2.4 s without a new version the other nodes count the node as dead (deadAfter). DEPLOY.md says that open connections may go silent while new ones work. Suggested fix: repeat a heartbeat after about 0.8 s without waiting for the first response, as it has no condition; and let ownerActive look at the version of the ownership row, which a live owner writes each second.

--- a/node/acquire_test.go
+++ b/node/acquire_test.go
@@ -185,3 +185,54 @@
 		assert.Equal(t, overlaps, 0, "the task runs on two runners")
 	})
 }
+
+// silentStore is a store whose next commit of a heartbeat gets no response, as on a connection that has gone silent.
+type silentStore struct {
+	store.Store
+	silent atomic.Bool
+}
+
+// commitTimeout is how long the client of the platform's store waits for the response to a commit.
+const commitTimeout = 2500 * time.Millisecond
+
+func (s *silentStore) Commit(ctx context.Context, txn store.Txn) (int64, error) {
+	if len(txn.Writes) > 0 && txn.Writes[0].Key.Table == ownership.TableNodes && s.silent.CompareAndSwap(true, false) {
+		wait.For(ctx, commitTimeout)
+		return 0, &store.UnknownOutcomeError{Err: context.DeadlineExceeded}
+	}
+	return s.Store.Commit(ctx, txn)
+}
+
+// A node keeps its cells if one connection to the store goes silent. Its heartbeat is written again after 2.5 s, and after 2.4 s
+// the other nodes take it for dead.
+func TestOwnerWithOneSilentConnectionKeepsItsCell(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		rows := emulator.NewStore()
+		ctx, cancel := context.WithCancel(t.Context())
+		var loops sync.WaitGroup
+		defer loops.Wait()
+		defer cancel()
+		stores := map[string]*silentStore{}
+		for i := range 3 {
+			n, _ := testNode(t, 0)
+			settings := *n.settings
+			settings.Node = fmt.Sprintf("n%d", i)
+			s := &silentStore{Store: rows}
+			stores[settings.Node] = s
+			n.settings, n.store, n.runners, n.incarnation = &settings, s, emulator.NewFleet(nil), settings.Node
+			n.innerAddr, n.directory, n.heartbeats = settings.Node, ownership.NewDirectory(settings.Node), ownership.NewReader(s)
+			n.cellCount.Store(1)
+			loops.Go(func() { n.heartbeatLoop(ctx, ctx) })
+		}
+		time.Sleep(5 * time.Second)
+		before, _, err := dispatch.ReadOwner(t.Context(), rows, firstCell)
+		assert.NilError(t, err)
+		stores[before.Node].silent.Store(true)
+		time.Sleep(5 * time.Second)
+		after, _, err := dispatch.ReadOwner(t.Context(), rows, firstCell)
+		assert.NilError(t, err)
+		cancel()
+		time.Sleep(15 * time.Second)
+		assert.Equal(t, after.Node, before.Node)
+	})
+}
