Add a failing test of ends that a restarted runner forgets

Callers see: a task that is done runs again (TWICE). Cause: a poll acknowledges the ends of the runner's earlier process by number. If the restart is not known yet, which takes a poll in flight without a response, the new process forgets its own ends with these numbers before it has reported them, and their runs count as lost. Suggested fix: the first poll after a failed one acknowledges nothing, and the next one acknowledges only if the birth time is the same.

--- a/dispatch/late_test.go
+++ b/dispatch/late_test.go
@@ -9,6 +9,7 @@
 
 	"github.com/currantthread/currantthread/internal/emulator"
 	"github.com/currantthread/currantthread/runner"
+	"github.com/currantthread/currantthread/workload"
 )
 
 // A runner that refuses a start as late gets the next one at once, every two milliseconds, until its next report.
@@ -56,3 +57,25 @@
 		<-c.Done()
 	})
 }
+
+// A task that was done ran again if its runner had restarted unnoticed: the next poll acknowledged ends of the earlier process by
+// their numbers, and the new process forgot its own ends with these numbers before it had reported them.
+func TestPollBeforeRestartIsKnownAcknowledgesNothing(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		cl := newCluster(t, 1, fixedDuration(500*time.Millisecond))
+		c, stop := cl.startOwner("a", true)
+		time.Sleep(100 * time.Millisecond)
+		cl.submit(c, jobOf(1, tasks(3, 4000)))
+		time.Sleep(time.Minute + holdWait/2)
+		// A poll is in flight when the runner restarts and gets no response until later.
+		cl.fleet.Crash("r0")
+		cl.fleet.RestartAt("r0", 2)
+		job := jobOf(2, tasks(1, 4000))
+		cl.submit(c, job)
+		time.Sleep(settleTime)
+		assert.Equal(t, state(c, job), workload.StateCompleted)
+		assert.Equal(t, cl.fleet.Done(workload.TaskID{Job: job.ID}), 1, "the task ran again")
+		stop()
+		<-c.Done()
+	})
+}
