Pause after starts that are refused as late or outdated

A start that a runner refused as late or outdated was repeated every 2 ms until the runner's next report, with a log line each. The runner is now left out for 300 ms, and after an outdated start the run number rises by a larger step.

--- a/dispatch/commands.go
+++ b/dispatch/commands.go
@@ -12,13 +12,14 @@
 )
 
 const (
-	// refusalBackoff excludes a runner from placement after a start was refused or not sent, or got no response. Refusals
-	// for lack of capacity, because of a ticket, or of an outdated or late command don't count.
+	// refusalBackoff excludes a runner from placement after a start was refused or not sent, or got no response, except for the
+	// refusals of shortBackoff and those because of a ticket.
 	refusalBackoff = 1 * time.Second
 	// maxBackoffDoublings bounds how often refusalBackoff is doubled after consecutive starts with unknown outcome.
 	maxBackoffDoublings = 3
-	// noCapacityBackoff excludes a runner from placement after it had less free capacity than the cell had recorded.
-	noCapacityBackoff = 300 * time.Millisecond
+	// shortBackoff excludes a runner from placement after it had less free capacity than the cell had recorded, or refused an
+	// outdated or late command.
+	shortBackoff = 300 * time.Millisecond
 )
 
 // startRun creates a run and sends its start command. The caller holds mu.
@@ -123,10 +124,15 @@
 		c.loseOwnership("a runner has seen a higher token")
 		return
 	case runner.ReasonNoCapacity:
-		rs.noCapacityUntil = now.Add(noCapacityBackoff)
+		rs.noCapacityUntil = now.Add(shortBackoff)
 	case runner.ReasonTicket:
 		delete(c.adviceOf(u).validUntil, rs.info.ID)
-	case runner.ReasonOldRun, runner.ReasonLate:
+	case runner.ReasonLate:
+		rs.backoffUntil = now.Add(shortBackoff)
+	case runner.ReasonOldRun:
+		// The runner knows of a higher run.
+		rs.backoffUntil = now.Add(shortBackoff)
+		u.run += runGap
 	default:
 		rs.backoffUntil = now.Add(refusalBackoff)
 	}
