Grant and acknowledge nothing while a runner may have restarted

After a restart that is not known yet, a poll acknowledged ends by the numbers of the old process, so that the new one forgot ends before it had reported them, and granted a lease on the clock of the old process, up to the platform's maximum. A task that was done ran again, and a task could run for longer than its owner assumes.

The first poll after a failed one now acknowledges nothing, and the poll that looks for a start without a response neither acknowledges nor extends the lease.

--- a/dispatch/commands.go
+++ b/dispatch/commands.go
@@ -166,10 +166,9 @@
 		c.mu.Unlock()
 		return
 	}
-	request := runner.Hold{Token: c.epoch, AckedEnd: rs.acked}
-	if !rs.pollFailing {
-		request.Deadline = c.leaseDeadline(time.Now(), rs)
-	}
+	// A start without a response may mean that the runner has restarted. Its new process must not take a lease on the clock of
+	// the old one, or forget its own ends by the old numbers.
+	request := runner.Hold{Token: c.epoch}
 	c.cfg.Metrics.polls.Inc()
 	target := rs.target()
 	c.mu.Unlock()
--- a/dispatch/runnerstate.go
+++ b/dispatch/runnerstate.go
@@ -195,9 +195,11 @@
 	if c.lost {
 		return runner.Hold{}, runner.Target{}, false
 	}
-	request := runner.Hold{Token: c.epoch, AckedEnd: rs.acked}
+	request := runner.Hold{Token: c.epoch}
 	if rs.synced && !rs.pollFailing {
-		// A poll without a response may still extend the lease, so polls of an unresponsive runner don't extend it.
+		request.AckedEnd = rs.acked
+		// A poll without a response may still extend the lease, so polls of an unresponsive runner don't extend it. Nor do they
+		// acknowledge ends, because the runner may have restarted and count its ends anew.
 		if c.mayCommand(now) {
 			request.Deadline = c.leaseDeadline(now, rs)
 		}
