Leave rows out that the store refuses at each attempt

Callers saw a cell that accepted nothing and whose ends were never acknowledged, as soon as the store refused one of its rows for good: the cell's only writer repeated the commit, and each later owner inherited the row. Cause: a refusal with status 400 or 413 was treated like a store that is unavailable, and rows were sent without a check of their size.

Such a refusal is now store.ErrInvalidTxn. The batch is then committed in halves down to the row at fault, which is left out: a submission is refused, or gets an unknown outcome if an earlier attempt had no response; the progress of a job is withheld and tried again every 10 s, or at once when the state of the job changes. Before a row is left out, the ownership row is committed alone: if the store refuses that too, it counts as away and nothing is left out. Ends are acknowledged to a runner only up to the first that changed a withheld job. Values above 65,536 bytes are left out without a call.

Evidence: withhold_test.go. Without the split TestProgressRowThatTheStoreRefuses ends with refused submissions; without the bound of acknowledgements it ends with a task that is done twice.

--- a/dispatch/cell.go
+++ b/dispatch/cell.go
@@ -102,6 +102,8 @@
 	runnerAddedAt time.Time
 	runnersKnown  bool
 	dirty         map[*jobState]bool
+	// withheld holds the dirty jobs whose progress row the store does not take.
+	withheld map[*jobState]withheldRow
 	// urgent requests a commit without the usual delay.
 	urgent bool
 	// terminated holds runners that are confirmed to run nothing: they do not respond, and their leases have expired. The
@@ -128,7 +130,7 @@
 func newCell(cfg Config, epoch int64) *Cell {
 	return &Cell{
 		cfg: cfg, epoch: epoch, jobs: map[string]*jobState{}, runners: map[string]*runnerState{},
-		evacuated: map[string]bool{}, dirty: map[*jobState]bool{}, unresolved: map[string]*unresolvedRunner{},
+		evacuated: map[string]bool{}, dirty: map[*jobState]bool{}, withheld: map[*jobState]withheldRow{}, unresolved: map[string]*unresolvedRunner{},
 		pending: map[string]int{}, planWake: make(chan struct{}, 1), flushWake: make(chan struct{}, 1),
 		done: make(chan struct{}), catalog: &catalog.Config{}, pressure: interference.NewPressure(),
 		advice: map[equivClass]*advice{}, terminated: map[string]bool{},
--- a/dispatch/flush.go
+++ b/dispatch/flush.go
@@ -235,12 +235,9 @@
 	}
 }
 
-// buildBatch takes pending changes, up to about the size of a transaction: the bytes are checked before each addition. A
-// submission adds up to 3 entries (a condition, the index row and the job row), a progress row 1, and an expired job 3
-// deletions. The caller holds mu.
-func (c *Cell) buildBatch(now time.Time) (b *batch, more bool) {
-	c.urgent = false
-	b = &batch{nonce: c.cfg.Node + "/" + strconv.FormatInt(now.UnixNano(), 36), processed: map[*runnerState]int64{}}
+// newBatch returns a batch that writes the ownership row only. The caller holds mu.
+func (c *Cell) newBatch(now time.Time) *batch {
+	b := &batch{nonce: c.cfg.Node + "/" + strconv.FormatInt(now.UnixNano(), 36), processed: map[*runnerState]int64{}}
 	owner, err := json.Marshal(Ownership{Node: c.cfg.Node, Addr: c.cfg.Addr, Incarnation: c.cfg.Incarnation, Epoch: c.epoch, Terminated: c.terminatedRunners(), Nonce: b.nonce})
 	if err != nil {
 		c.cfg.Log.WithError(err).Error("ownership row can't be encoded")
@@ -252,6 +249,15 @@
 			b.reappeared = append(b.reappeared, rs)
 		}
 	}
+	return b
+}
+
+// buildBatch takes pending changes, up to about the size of a transaction: the bytes are checked before each addition. A
+// submission adds up to 3 entries (a condition, the index row and the job row), a progress row 1, and an expired job 3
+// deletions. The caller holds mu.
+func (c *Cell) buildBatch(now time.Time) (b *batch, more bool) {
+	c.urgent = false
+	b = c.newBatch(now)
 	size := 0
 	rest := c.submissions[:0:0]
 	for _, s := range c.submissions {
@@ -263,23 +269,25 @@
 	}
 	c.submissions = rest
 	for j := range c.dirty {
+		if c.isWithheld(now, j) {
+			continue
+		}
 		if b.txn.Entries()+1 > store.MaxTxnEntries || size > store.MaxTxnBytes {
 			more = true
 			break
 		}
-		size += c.addProgress(b, j)
+		size += c.addProgress(now, b, j)
 	}
 	for _, j := range c.expired(now) {
 		if b.txn.Entries()+3 > store.MaxTxnEntries || more {
 			break
 		}
-		b.expired = append(b.expired, j)
-		b.txn.Deletes = append(b.txn.Deletes, c.indexKey(j.def.ID), c.key(TableJobs, j.def.ID), c.key(TableProgress, j.def.ID))
+		c.addExpired(b, j)
 	}
 	if !more {
 		// Ends are durable only if this or an earlier commit contains all jobs that they changed.
 		for _, rs := range c.runners {
-			b.processed[rs] = rs.processed
+			b.processed[rs] = c.durableEnds(rs)
 		}
 	}
 	return b, more || len(rest) > 0
@@ -315,28 +323,44 @@
 		return 0
 	}
 	value, err := json.Marshal(s.job)
+	if err == nil {
+		err = checkRowSize(value)
+	}
 	if err != nil {
-		c.cfg.Log.WithField("request", s.job.ID).WithError(err).Error("job can't be encoded")
+		c.cfg.Log.WithField("request", s.job.ID).WithError(err).Error("job can't be stored")
 		s.finish(OutcomeRefused, "")
 		return 0
 	}
+	c.addSubmissionRows(b, s, value)
+	return len(value)
+}
+
+func (c *Cell) addSubmissionRows(b *batch, s *submission, value []byte) {
 	b.submissions = append(b.submissions, s)
 	b.txn.Conditions = append(b.txn.Conditions, store.Condition{Key: c.indexKey(s.job.ID)})
 	b.txn.Writes = append(b.txn.Writes,
 		store.Write{Key: c.indexKey(s.job.ID), Value: []byte(c.cfg.Name)},
 		store.Write{Key: c.key(TableJobs, s.job.ID), Value: value})
-	return len(value)
 }
 
-func (c *Cell) addProgress(b *batch, j *jobState) int {
-	delete(c.dirty, j)
-	j.dirty = false
+func (c *Cell) addExpired(b *batch, j *jobState) {
+	b.expired = append(b.expired, j)
+	b.txn.Deletes = append(b.txn.Deletes, c.indexKey(j.def.ID), c.key(TableJobs, j.def.ID), c.key(TableProgress, j.def.ID))
+}
+
+func (c *Cell) addProgress(now time.Time, b *batch, j *jobState) int {
 	omittedBefore := j.checkpointsOmitted
 	value, err := encodeProgress(j)
+	if err == nil {
+		err = checkRowSize(value)
+	}
 	if err != nil {
-		c.cfg.Log.WithField("request", j.def.ID).WithError(err).Error("progress can't be encoded")
+		c.withhold(now, j, err)
 		return 0
 	}
+	delete(c.withheld, j)
+	delete(c.dirty, j)
+	j.dirty = false
 	if j.checkpointsOmitted && !omittedBefore {
 		c.cfg.Log.WithField("request", j.def.ID).Warn("progress is stored without checkpoints, with which it is too large for a row")
 	}
@@ -347,7 +371,8 @@
 }
 
 // commit applies a batch and reports whether it succeeded. A commit with unknown outcome is repeated unchanged: its
-// condition on the ownership row lets at most one attempt succeed, and the row's nonce shows whether one did.
+// condition on the ownership row lets at most one attempt succeed, and the row's nonce shows whether one did. What the store
+// refuses at each attempt is left out.
 func (c *Cell) commit(ctx context.Context, b *batch) bool {
 	started := time.Now()
 	c.recordCommitSent(started, b)
@@ -365,6 +390,14 @@
 		if errors.As(err, &conflict) {
 			return c.handleConflict(ctx, sent, b, conflict)
 		}
+		if errors.Is(err, store.ErrInvalidTxn) {
+			if unknown && len(b.submissions) > 0 {
+				// An earlier attempt may still be applied.
+				c.finishSubmissions(b, OutcomeUnknown)
+				return c.commit(ctx, c.takePart(b, b.items()))
+			}
+			return c.commitParts(ctx, b, err)
+		}
 		if errors.Is(err, store.ErrUnavailable) && !unknown {
 			if time.Since(started) > submissionTimeout {
 				// No attempt was applied, so the batch can be split up. The next batch also includes newer changes.
@@ -439,7 +472,12 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	for _, s := range b.submissions {
-		if !s.finished {
+		switch other := c.waitingSubmission(s.job.ID); {
+		case s.finished:
+		case other != nil && other != s:
+			// The job was submitted again while a batch was split up. A transaction must not hold it twice.
+			s.finish(OutcomeUnknown, "")
+		default:
 			c.submissions = append(c.submissions, s)
 		}
 	}
--- a/dispatch/runnerstate.go
+++ b/dispatch/runnerstate.go
@@ -51,6 +51,7 @@
 	pollFailing       bool      // the last poll failed
 	processed         int64     // number of the last end that was applied to the jobs' state
 	acked             int64     // number of the last end whose effect is durable
+	unackedEnds       []endOfJob
 	// noCapacityUntil excludes the runner from placement after it refused a task for lack of capacity.
 	noCapacityUntil time.Time
 	// backoffUntil excludes the runner from placement after a start was refused, not sent or got no response.
@@ -329,6 +330,7 @@
 		rs.processed = e.Number
 		count++
 		c.cfg.Metrics.ends.Inc()
+		rs.recordEnd(e)
 		c.applyEnd(now, rs, e)
 	}
 	if count > 0 {
--- a/store/store.go
+++ b/store/store.go
@@ -66,7 +66,8 @@
 	Version int64
 }
 
-// Store is the platform's metadata store. Errors of Commit are ErrUnavailable, *ConflictError or *UnknownOutcomeError.
+// Store is the platform's metadata store. Errors of Commit are ErrUnavailable, ErrInvalidTxn, *ConflictError or
+// *UnknownOutcomeError.
 type Store interface {
 	// Commit applies txn and returns its version, which is the version of each row that it wrote.
 	Commit(ctx context.Context, txn Txn) (int64, error)
@@ -79,6 +80,9 @@
 var (
 	// ErrUnavailable means that the store did not execute the call.
 	ErrUnavailable = errors.New("store is unavailable")
+	// ErrInvalidTxn means that the store did not execute a transaction and refuses it at each attempt, for example because of
+	// its size. It is an ErrUnavailable for callers that don't tell the two apart.
+	ErrInvalidTxn = fmt.Errorf("%w: invalid transaction", ErrUnavailable)
 	// ErrHistoryDropped means that a feed can't continue from the requested version because the store has dropped that
 	// part of its history.
 	ErrHistoryDropped = errors.New("store no longer has this history")
