Bound what a new owner copies from the ownership row

A new owner copies the terminated runners of its predecessor's ownership row. If that row was near the store's limit, the copy was above it, so the store refused each acquisition and no node could own the cell. The list is now bounded as in later rows.

An ownership row that names no owner says nothing about leases of still earlier owners either; a new owner assumes the longest.

Evidence: TestLargeOwnershipRowOfAnEarlierBuild, and the checks added to TestOwnershipRowThatCanNotBeDecoded, fail before.

--- a/dispatch/acquire.go
+++ b/dispatch/acquire.go
@@ -4,6 +4,7 @@
 	"context"
 	"encoding/json"
 	"errors"
+	"math"
 	"strconv"
 	"time"
 
@@ -18,8 +19,8 @@
 var ErrOwned = errors.New("cell has an owner")
 
 // ReadOwner returns a cell's ownership row and its version, which is 0 if the cell never had an owner. Of a row that can't be
-// decoded or names no owner, only the version is used, which is enough to take the cell over: the Ownership is empty, so its
-// writer counts as able to send commands.
+// decoded or names no owner, only the version is used, which is enough to take the cell over: the Ownership names no
+// owner, so its writer counts as able to send commands, and earlier owners may have granted the longest leases.
 func ReadOwner(ctx context.Context, s store.Store, part string) (Ownership, int64, error) {
 	page, err := s.Range(ctx, TableCells, part, "", "", 0)
 	if err != nil {
@@ -31,7 +32,7 @@
 		}
 		var owner Ownership
 		if err := json.Unmarshal(row.Value, &owner); err != nil || owner.IsUnknown() {
-			return Ownership{}, row.Version, nil
+			return Ownership{InheritedLeaseMs: math.MaxInt32}, row.Version, nil
 		}
 		return owner, row.Version, nil
 	}
@@ -46,7 +47,7 @@
 	inherited := inheritedLeaseEnd(&cfg, previous, sent)
 	// If this owner is lost before its first commit, the next one needs what the previous owner knew.
 	value, err := json.Marshal(Ownership{Node: cfg.Node, Addr: cfg.Addr, Incarnation: cfg.Incarnation, Nonce: nonce,
-		Terminated: previous.Terminated, InheritedLeaseMs: inherited.Sub(sent).Milliseconds() + 1})
+		Terminated: boundTerminated(previous.Terminated), InheritedLeaseMs: inherited.Sub(sent).Milliseconds() + 1})
 	if err != nil {
 		return nil, err
 	}
--- a/dispatch/flush.go
+++ b/dispatch/flush.go
@@ -177,16 +177,20 @@
 	}
 	slices.Sort(unlisted)
 	slices.Sort(polled)
-	terminated := make([]string, 0, len(c.terminated))
+	terminated := boundTerminated(append(unlisted, polled...))
+	slices.Sort(terminated)
+	return terminated
+}
+
+// boundTerminated returns the first IDs of a list, up to maxTerminatedBytes.
+func boundTerminated(ids []string) []string {
 	size := 0
-	for _, id := range append(unlisted, polled...) {
+	for i, id := range ids {
 		if size += encodedSize(id); size > maxTerminatedBytes {
-			break
+			return ids[:i]
 		}
-		terminated = append(terminated, id)
 	}
-	slices.Sort(terminated)
-	return terminated
+	return ids
 }
 
 // encodedSize returns the largest number of bytes that a string and a comma can have in JSON.
--- a/dispatch/stored_size_test.go
+++ b/dispatch/stored_size_test.go
@@ -138,6 +138,25 @@
 	}
 }
 
+// A cell whose ownership row is as large as the store takes can be taken over, although the next owner's row holds more.
+func TestLargeOwnershipRowOfAnEarlierBuild(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		s := &boundedStore{emulator.NewStore()}
+		row := Ownership{Node: "n", Nonce: "x"}
+		for i := range 5036 {
+			row.Terminated = append(row.Terminated, fmt.Sprintf("i-%08x", i))
+		}
+		value, err := json.Marshal(row)
+		assert.NilError(t, err)
+		assert.Assert(t, len(value) <= store.MaxRowBytes && len(value) > store.MaxRowBytes-30, "%d bytes", len(value))
+		s.Put(OwnerKey("c0"), value)
+		previous, version, err := ReadOwner(t.Context(), s, "c0")
+		assert.NilError(t, err)
+		_, err = Acquire(t.Context(), testConfig("node-with-a-longer-name", s, nil), previous, version, nil)
+		assert.NilError(t, err)
+	})
+}
+
 // The occurrences of a job that are due at once are not all created at once. 100,000 occurrences of 10,000 tasks, which a client
 // may submit, are a thousand million units.
 func TestDueOccurrencesAreBounded(t *testing.T) {
@@ -196,8 +215,11 @@
 				previous, version, err := ReadOwner(t.Context(), s, "c0")
 				assert.NilError(t, err)
 				assert.Assert(t, version != 0 && !previous.Released)
-				_, err = Acquire(t.Context(), testConfig("n1", s, nil), previous, version, nil)
+				c, err := Acquire(t.Context(), testConfig("n1", s, nil), previous, version, []runner.Info{largeRunner})
 				assert.NilError(t, err)
+				// Leases of earlier owners may be as long as those of an owner that is cut off from the store.
+				assert.Assert(t, time.Until(c.unresolved[largeRunner.ID].until) >= storeOutageTolerance)
+				assert.Assert(t, time.Until(c.earlierLeases) >= storeOutageTolerance)
 			})
 		})
 	}
