--- a/dispatch/acquire.go
+++ b/dispatch/acquire.go
@@ -4,7 +4,6 @@
 	"context"
 	"encoding/json"
 	"errors"
-	"fmt"
 	"strconv"
 	"time"
 
@@ -18,7 +17,9 @@
 // ErrOwned means that the cell already has an active owner.
 var ErrOwned = errors.New("cell has an owner")
 
-// ReadOwner returns a cell's ownership row and its version, which is 0 if the cell never had an owner.
+// ReadOwner returns a cell's ownership row and its version, which is 0 if the cell never had an owner. Of a row that can't be
+// decoded or names no owner, only the version is used, which is enough to take the cell over: the Ownership is empty, so its
+// writer counts as able to send commands.
 func ReadOwner(ctx context.Context, s store.Store, part string) (Ownership, int64, error) {
 	page, err := s.Range(ctx, TableCells, part, "", "", 0)
 	if err != nil {
@@ -29,8 +30,8 @@
 			continue
 		}
 		var owner Ownership
-		if err := json.Unmarshal(row.Value, &owner); err != nil {
-			return Ownership{}, 0, fmt.Errorf("ownership row of partition %s: %w", part, err)
+		if err := json.Unmarshal(row.Value, &owner); err != nil || owner.IsUnknown() {
+			return Ownership{}, row.Version, nil
 		}
 		return owner, row.Version, nil
 	}
@@ -41,11 +42,14 @@
 // run tasks of the cell. It returns ErrOwned if the row has changed in the meantime.
 func Acquire(ctx context.Context, cfg Config, previous Ownership, version int64, runners []runner.Info) (*Cell, error) {
 	nonce := cfg.Node + "/acquire/" + strconv.FormatInt(time.Now().UnixNano(), 36)
-	value, err := json.Marshal(Ownership{Node: cfg.Node, Addr: cfg.Addr, Incarnation: cfg.Incarnation, Nonce: nonce})
+	sent := time.Now()
+	inherited := inheritedLeaseEnd(&cfg, previous, sent)
+	// If this owner is lost before its first commit, the next one needs what the previous owner knew.
+	value, err := json.Marshal(Ownership{Node: cfg.Node, Addr: cfg.Addr, Incarnation: cfg.Incarnation, Nonce: nonce,
+		Terminated: previous.Terminated, InheritedLeaseMs: inherited.Sub(sent).Milliseconds() + 1})
 	if err != nil {
 		return nil, err
 	}
-	sent := time.Now()
 	epoch, err := commitOnce(ctx, cfg.Store, nonce, OwnerKey(cfg.Part), store.Txn{
 		Conditions: []store.Condition{{Key: OwnerKey(cfg.Part), Version: version}},
 		Writes:     []store.Write{{Key: OwnerKey(cfg.Part), Value: value}},
@@ -60,7 +64,7 @@
 		if err := c.load(ctx); err != nil {
 			return nil, err
 		}
-		c.initUnresolved(previous, runners)
+		c.initUnresolved(previous, runners, inherited)
 	}
 	cfg.Log.WithFields(logrus.Fields{"cell": cfg.Name, "epoch": epoch, "previous": previous.Node, "released": previous.Released,
 		"jobs": len(c.jobs), "took_ms": time.Since(sent).Milliseconds()}).Info("acquired the cell")
--- a/dispatch/cell.go
+++ b/dispatch/cell.go
@@ -61,6 +61,9 @@
 	Metrics   *Metrics
 	// PredecessorDead is set if the last owner is confirmed to have ended and can send nothing more.
 	PredecessorDead bool
+	// PredecessorLastWrite is a time after which the last owner has written nothing; zero if only the time of the takeover is
+	// known.
+	PredecessorLastWrite time.Time
 }
 
 // Advisor asks the advice service which runners may run a step.
@@ -107,8 +110,9 @@
 	// terminated holds runners that are confirmed to run nothing: they do not respond, and their leases have expired. The
 	// ownership row lists them.
 	terminated map[string]bool
-	// previous is the last owner.
-	previous Ownership
+	// previous is the last owner, and earlierLeases is when the leases of owners before it have expired.
+	previous      Ownership
+	earlierLeases time.Time
 	// unresolved holds, by ID, the runners that may run tasks of an earlier owner.
 	unresolved map[string]*unresolvedRunner
 	pending    map[string]int // accepted jobs without a started task, by queue
@@ -240,13 +244,26 @@
 	c.checkWaiting(now)
 }
 
-// createDueOccurrences creates the occurrences that have become due. The caller holds mu.
+// maxOpenTasks bounds the tasks of a job's open occurrences when one more is created. It is the number of tasks that a job
+// without a schedule may have.
+const maxOpenTasks = workload.MaxTasks
+
+// createDueOccurrences creates the occurrences that have become due, in order. While a job has too many open tasks, the others
+// wait until earlier ones are done. The caller holds mu.
 func (c *Cell) createDueOccurrences(now time.Time) {
 	for _, j := range c.jobs {
-		if j.state.Terminal() || j.nextOcc >= j.def.Occurrences {
+		if j.state.Terminal() || j.nextOcc >= j.def.Occurrences || j.def.Due(j.nextOcc).After(now) {
 			continue
 		}
+		tasks := 0
+		for i := range j.def.Steps {
+			tasks += j.def.Steps[i].Count
+		}
 		for j.nextOcc < j.def.Occurrences && !j.def.Due(j.nextOcc).After(now) {
+			open := j.nextOcc - len(j.doneOccs)
+			if open > 0 && (open+1)*tasks > maxOpenTasks {
+				break
+			}
 			c.addOccurrence(j)
 		}
 	}
