Repeat pace commands until the runner has the wanted speed

A pace command whose response was lost counted as not executed, an older command could replace a newer one, and an adopted run counted as running at full speed. A best-effort task then stayed paused beside an idle serving task.

The wanted speed is kept apart from what the runner has confirmed, and is reconciled on each tick. At most one command per run is in flight. Without faults, the number of commands is unchanged.

--- a/dispatch/commands.go
+++ b/dispatch/commands.go
@@ -22,7 +22,7 @@
 
 // startRun creates a run and sends its start command. The caller holds mu.
 func (c *Cell) startRun(ctx context.Context, now time.Time, u *unit, member, number int, rs *runnerState) {
-	r := &run{unit: u, member: member, number: number, runner: rs, startedAt: now, percent: -1, speed: fullSpeed}
+	r := &run{unit: u, member: member, number: number, runner: rs, startedAt: now, percent: -1, speed: fullSpeed, pace: startedPace()}
 	c.attach(r)
 	c.commandStart(ctx, now, r)
 }
@@ -30,7 +30,8 @@
 // planRun creates a run whose assignment to its runner is written before its start command is sent. After a takeover, such a
 // task waits for that runner only. The caller holds mu.
 func (c *Cell) planRun(now time.Time, u *unit, number int, rs *runnerState) {
-	c.attach(&run{unit: u, number: number, runner: rs, startedAt: now, percent: -1, speed: fullSpeed, phase: runPlanned})
+	c.attach(&run{unit: u, number: number, runner: rs, startedAt: now, percent: -1, speed: fullSpeed, pace: startedPace(),
+		phase: runPlanned})
 	u.assigned = rs.info.ID
 	c.markUrgent(u.job)
 }
--- a/dispatch/health.go
+++ b/dispatch/health.go
@@ -96,7 +96,7 @@
 // recordProgress records the progress that a runner reports for a run. It stops a stalled run so that the task starts
 // again on another runner. The caller holds mu.
 func (c *Cell) recordProgress(now time.Time, r *run, percent int) {
-	if percent != r.percent || r.progressAt.IsZero() || r.speed < fullSpeed {
+	if percent != r.percent || r.progressAt.IsZero() || r.mayBeSlowed(now) {
 		r.progressAt = now
 		return
 	}
--- a/dispatch/interference.go
+++ b/dispatch/interference.go
@@ -1,12 +1,9 @@
 package dispatch
 
 import (
-	"context"
 	"sort"
 	"time"
 
-	"github.com/sirupsen/logrus"
-
 	"github.com/currantthread/currantthread/interference"
 )
 
@@ -182,31 +179,3 @@
 		}
 	}
 }
-
-// setSpeed commands the speed of a best-effort task, in percent. The caller holds mu.
-func (c *Cell) setSpeed(now time.Time, r *run, percent int) {
-	if r.speed == percent {
-		return
-	}
-	previous := r.speed
-	r.speed = percent
-	r.pausedSince = time.Time{}
-	if percent == 0 {
-		r.pausedSince = now
-	}
-	target, id := r.runner.target(), r.id()
-	c.background.Go(func() {
-		ctx, cancel := context.WithTimeout(context.Background(), c.cfg.Lease)
-		defer cancel()
-		err := c.cfg.Runners.Pace(ctx, target, id, r.number, percent, c.epoch)
-		if err == nil {
-			return
-		}
-		c.cfg.Log.WithFields(logrus.Fields{"task": id.String(), "runner": target.ID, "error": err.Error()}).Warn("pace command failed")
-		c.mu.Lock()
-		defer c.mu.Unlock()
-		if r.speed == percent {
-			r.speed = previous
-		}
-	})
-}
--- a/dispatch/pace_test.go
+++ b/dispatch/pace_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 	"sync"
 	"testing"
 	"testing/synctest"
@@ -24,6 +25,8 @@
 	percents map[workload.TaskID]int
 	// losesPaces makes the fleet execute pace commands without a response.
 	losesPaces bool
+	// history holds the speeds of all pace commands.
+	history []int
 }
 
 func newPacedFleet(f *emulator.Fleet) *pacedFleet {
@@ -34,6 +37,7 @@
 	err := f.Fleet.Pace(ctx, target, task, run, percent, token)
 	f.mu.Lock()
 	lost := f.losesPaces
+	f.history = append(f.history, percent)
 	if err == nil {
 		f.speeds[task] = percent
 	}
@@ -86,6 +90,12 @@
 	f.losesPaces = loses
 }
 
+func (f *pacedFleet) commanded() []int {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return slices.Clone(f.history)
+}
+
 func (f *pacedFleet) speed(task workload.TaskID) int {
 	f.mu.Lock()
 	defer f.mu.Unlock()
@@ -167,3 +177,20 @@
 		<-c.Done()
 	})
 }
+
+// Without faults, each change of a speed is commanded once, because each call is priced.
+func TestEachSpeedIsCommandedOnce(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		cl := newCluster(t, 1, servingWork)
+		f := newPacedFleet(cl.fleet)
+		c, stop := cl.startOwnerWith("a", true, cl.store, f)
+		serving, filling := serveAndFill(t, f, cl, c)
+		time.Sleep(4 * time.Second)
+		f.setTail(serving, 10)
+		time.Sleep(16 * time.Second)
+		assert.Equal(t, f.speed(filling), 100)
+		assert.DeepEqual(t, f.commanded(), []int{0, 100})
+		stop()
+		<-c.Done()
+	})
+}
--- a/dispatch/run.go
+++ b/dispatch/run.go
@@ -56,12 +56,13 @@
 	measurement    float64
 	hasMeasurement bool
 	observed       runObservation
-	// speed is the commanded speed limit of a best-effort task, in percent.
+	// speed is the wanted speed limit of a best-effort task, in percent.
 	speed int
+	pace  paceState
 	// overTargetSince is when a serving task was first reported over its latency target; zero if the last report did not
 	// show it over the target.
 	overTargetSince time.Time
-	// pausedSince is when the speed last became 0; zero if the run is not paused.
+	// pausedSince is when the wanted speed last became 0; zero if it is not 0.
 	pausedSince time.Time
 }
 
@@ -113,7 +114,11 @@
 		// The start may still be executed. After a stop the runner refuses it.
 		r.stop.wanted, r.stop.reason = true, "start has no answer"
 	}
-	if !r.stop.wanted || r.stop.inFlight || now.Before(r.stop.nextAt) || c.lost {
+	if !r.stop.wanted {
+		c.reconcileSpeed(now, r)
+		return
+	}
+	if r.stop.inFlight || now.Before(r.stop.nextAt) || c.lost {
 		return
 	}
 	r.stop.inFlight = true
