Ignore heartbeats that are older than an owner when it is judged to have ended

The last heartbeat known of a restarted node names its earlier process. It showed the end of the present one, which had acquired a cell since, and the next owner did not wait for the leases that it may still extend.

Versions come from one counter, so a heartbeat below the owner's epoch was written before the acquisition. The row of an owner that has not committed since its acquisition has no epoch; the version of that row is the epoch.

TestFormerOwnerHasEnded used heartbeats of versions 1 to 3 for an owner of epoch 7, two of which name that epoch or an earlier process as ended. No store returns such rows. They now have versions 8 to 10; the conditions are the same.

--- a/dispatch/acquire.go
+++ b/dispatch/acquire.go
@@ -19,7 +19,8 @@
 
 // ReadOwner returns a cell's ownership row and its version, which is 0 if the cell never had an owner. Of a row that can't be
 // decoded or names no owner, only the version is used, which is enough to take the cell over: the Ownership is empty, so its
-// writer counts as able to send commands.
+// writer counts as able to send commands. The Epoch of an owner that has not committed since its acquisition is the version of
+// the row.
 func ReadOwner(ctx context.Context, s store.Store, part string) (Ownership, int64, error) {
 	page, err := s.Range(ctx, TableCells, part, "", "", 0)
 	if err != nil {
@@ -33,6 +34,9 @@
 		if err := json.Unmarshal(row.Value, &owner); err != nil || owner.IsUnknown() {
 			return Ownership{}, row.Version, nil
 		}
+		if owner.Epoch < 1 || owner.Epoch > row.Version {
+			owner.Epoch = row.Version
+		}
 		return owner, row.Version, nil
 	}
 	return Ownership{}, 0, nil
--- a/node/cells_test.go
+++ b/node/cells_test.go
@@ -67,3 +67,38 @@
 		})
 	}
 }
+
+// The row of an owner that has not committed since its acquisition names no epoch. Only a heartbeat that is newer than the row
+// shows that its writer runs no more.
+func TestOwnerWithoutCommitHasEndedIfItsNodeRestartsLater(t *testing.T) {
+	for name, newer := range map[string]bool{"older heartbeat": false, "newer heartbeat": true} {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				s := emulator.NewStore()
+				n, log := testNode(t, 1)
+				n.store, n.runners = s, emulator.NewFleet(nil)
+				s.Put(dispatch.OwnerKey(n.cellPart(firstCell)), []byte(`{"node":"n1","inc":"i1","nonce":"x"}`))
+				_, version, err := n.readOwner(t.Context(), firstCell)
+				assert.NilError(t, err)
+				if newer {
+					version++
+				} else {
+					version--
+				}
+				n.directory.Update(time.Now(), []store.Row{
+					{Key: store.Key{Name: "n1"}, Version: version, Value: []byte(`{"node":"n1","addr":"n1","inc":"i2"}`)}})
+				ctx, stop := context.WithCancel(t.Context())
+				n.acquire(ctx, firstCell)
+				n.checkPredecessors()
+				c := n.cells[firstCell]
+				assert.Assert(t, c != nil, log.String())
+				defer func() {
+					stop()
+					<-c.Done()
+				}()
+				_, mayCommand := c.Predecessor()
+				assert.Equal(t, mayCommand, !newer)
+			})
+		})
+	}
+}
--- a/ownership/directory.go
+++ b/ownership/directory.go
@@ -254,18 +254,16 @@
 }
 
 // HasEnded reports whether, according to the last heartbeat read from its node, a former owner of a cell sends no more
-// commands: the node runs another process, or the process has reported the epoch as ended.
+// commands: the node runs another process, or the process has reported the epoch as ended. Versions come from one counter, so
+// a heartbeat that is older than the epoch was written before the owner acquired the cell and shows neither.
 func (d *Directory) HasEnded(owner dispatch.Ownership, cell string) bool {
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	m := d.members[owner.Node]
-	if m == nil || m.heartbeat.Incarnation == "" {
+	if m == nil || owner.Epoch < 1 || m.version < owner.Epoch {
 		return false
 	}
-	if m.heartbeat.Incarnation != owner.Incarnation {
-		return true
-	}
-	return owner.Epoch != 0 && m.heartbeat.Ended[cell] >= owner.Epoch
+	return m.heartbeat.Incarnation != owner.Incarnation || m.heartbeat.Ended[cell] >= owner.Epoch
 }
 
 // farStoreMs is the response time above which a node is considered far from the store, in milliseconds. Within the region
--- a/ownership/directory_test.go
+++ b/ownership/directory_test.go
@@ -125,14 +125,14 @@
 	d := NewDirectory("b")
 	owner := dispatch.Ownership{Node: "a", Incarnation: "a", Epoch: 7}
 	assert.Assert(t, !d.HasEnded(owner, "c0"), "nothing is known of its node")
-	d.Update(start, []store.Row{row(t, 1, strongNode("a"))})
-	assert.Assert(t, !d.HasEnded(owner, "c0"), "its row may have been written before it took the cell")
+	d.Update(start, []store.Row{row(t, 8, strongNode("a"))})
+	assert.Assert(t, !d.HasEnded(owner, "c0"), "its row does not name the cell")
 	heartbeat := strongNode("a")
 	heartbeat.Ended = map[string]int64{"c0": 6, "c1": 9}
-	d.Update(start, []store.Row{row(t, 2, heartbeat)})
+	d.Update(start, []store.Row{row(t, 9, heartbeat)})
 	assert.Assert(t, !d.HasEnded(owner, "c0"), "an earlier epoch of the cell")
 	heartbeat.Ended["c0"] = 7
-	d.Update(start, []store.Row{row(t, 3, heartbeat)})
+	d.Update(start, []store.Row{row(t, 10, heartbeat)})
 	assert.Assert(t, d.HasEnded(owner, "c0"))
 	assert.Assert(t, !d.HasEnded(dispatch.Ownership{Node: "a", Incarnation: "a"}, "c0"), "the epoch is not known")
 	assert.Assert(t, d.HasEnded(dispatch.Ownership{Node: "a", Incarnation: "earlier", Epoch: 7}, "c2"), "another process")
