Repeat heartbeats that get no response

An owner lost its cells to another node if one connection to the store went silent: its next heartbeat followed after the timeout of a commit, 2.5 s, and nodes are considered dead after 2.4 s. A heartbeat, or a read of the heartbeats, without a response after one interval (or twice the time of the last call, if that is longer) is now repeated once, on another connection.

Heartbeats are conditional on the version of the row, so a late one replaces no newer one. A conflict is followed by a commit of the current state.

--- a/node/acquire_test.go
+++ b/node/acquire_test.go
@@ -236,3 +236,42 @@
 		assert.Equal(t, after.Node, before.Node)
 	})
 }
+
+// lateStore executes the first commit of a heartbeat late and sends no response to it.
+type lateStore struct {
+	store.Store
+	first atomic.Bool
+}
+
+// executionDelay is longer than the client waits for a response.
+const executionDelay = 2 * commitTimeout
+
+func (s *lateStore) Commit(ctx context.Context, txn store.Txn) (int64, error) {
+	if !s.first.CompareAndSwap(false, true) {
+		return s.Store.Commit(ctx, txn)
+	}
+	time.AfterFunc(executionDelay, func() { _, _ = s.Store.Commit(context.WithoutCancel(ctx), txn) }) // nobody gets the response
+	wait.For(ctx, commitTimeout)
+	return 0, &store.UnknownOutcomeError{Err: context.DeadlineExceeded}
+}
+
+// A heartbeat that is executed late does not replace a newer one, also if both were written by different processes of the node.
+func TestLateHeartbeatReplacesNoNewerOne(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		rows := emulator.NewStore()
+		n, _ := testNode(t, 0)
+		n.store, n.innerAddr, n.incarnation = &lateStore{Store: rows}, "n0", "a"
+		started := time.Now()
+		assert.NilError(t, n.writeHeartbeat(t.Context()))
+		assert.Assert(t, time.Since(started) < ownership.HeartbeatInterval+100*time.Millisecond, "it took %v", time.Since(started))
+		next, _ := testNode(t, 0)
+		next.store, next.innerAddr, next.incarnation = rows, "n0", "b"
+		assert.NilError(t, next.writeHeartbeat(t.Context()))
+		time.Sleep(2 * executionDelay)
+		page, err := store.ReadAll(t.Context(), rows, ownership.TableNodes, ownership.HeartbeatKey("n0").Part)
+		assert.NilError(t, err)
+		assert.Equal(t, len(page.Rows), 1)
+		assert.Equal(t, page.Rows[0].Version, next.heartbeatVersion.Load())
+		assert.NilError(t, n.writeHeartbeat(t.Context()), "the version of the row has changed")
+	})
+}
--- a/node/node.go
+++ b/node/node.go
@@ -67,7 +67,9 @@
 	cellCount        atomic.Int32      // number of cells, 0 until it is known
 	heartbeats       *ownership.Reader // used only by the goroutine of heartbeatLoop
 	heartbeatVersion atomic.Int64      // version of this node's row as last written
-	leaving          atomic.Bool
+	// heartbeatRepeater repeats writes of this node's row.
+	heartbeatRepeater store.Repeater
+	leaving           atomic.Bool
 
 	operator    *store.Follower
 	discovery   *store.Follower
@@ -133,6 +135,7 @@
 	}
 	n.rowLog = newRowLog(n.log)
 	n.heartbeats = ownership.NewReader(n.store)
+	n.heartbeatRepeater.Delay = ownership.HeartbeatInterval
 	n.metrics = dispatch.NewMetrics(n.registry)
 	n.unusableRows = prometheus.NewGauge(prometheus.GaugeOpts{Namespace: observe.Namespace, Subsystem: "discovery",
 		Name: "unusable_rows", Help: "Rows of service discovery that describe no usable runner."})
@@ -396,35 +399,64 @@
 	return heartbeatErr
 }
 
-// writeHeartbeat writes this node's heartbeat row.
+// writeHeartbeat writes this node's heartbeat row, and repeats the write if it gets no response.
 func (n *Node) writeHeartbeat(ctx context.Context) error {
+	sent := time.Now()
+	defer func() { n.commitLatency.Store(int64(time.Since(sent))) }()
+	version, err := store.Repeat(ctx, &n.heartbeatRepeater, 0, n.commitHeartbeat)
+	if err == nil {
+		n.heartbeatVersion.Store(version)
+	}
+	return err
+}
+
+// commitHeartbeat commits this node's current state if the row has the version that this node knows, or the one that a conflict
+// reports. The condition keeps a write that is executed late from replacing a newer one.
+func (n *Node) commitHeartbeat(ctx context.Context) (int64, error) {
+	key := ownership.HeartbeatKey(n.settings.Node)
+	known := n.heartbeatVersion.Load()
+	version, err := n.commitHeartbeatAfter(ctx, key, known)
+	var conflict *store.ConflictError
+	if errors.As(err, &conflict) {
+		return n.commitHeartbeatAfter(ctx, key, conflict.Row(key).Version)
+	}
+	return version, err
+}
+
+func (n *Node) commitHeartbeatAfter(ctx context.Context, key store.Key, known int64) (int64, error) {
+	value, err := json.Marshal(n.heartbeat())
+	if err != nil {
+		return 0, err
+	}
+	sent := time.Now()
+	version, err := n.store.Commit(ctx, store.Txn{
+		Conditions: []store.Condition{{Key: key, Version: known}},
+		Writes:     []store.Write{{Key: key, Value: value}},
+	})
+	if err == nil {
+		took := time.Since(sent).Milliseconds()
+		if old := n.minCommitMs.Load(); old == 0 || took < old {
+			n.minCommitMs.Store(max(took, 1))
+		}
+	}
+	return version, err
+}
+
+// heartbeat returns this node's current state.
+func (n *Node) heartbeat() ownership.Heartbeat {
 	heartbeat := ownership.Heartbeat{
 		Node: n.settings.Node, Addr: n.innerAddr, Incarnation: n.incarnation, Region: n.settings.Region,
 		Leaving: n.leaving.Load(), StoreMs: n.minCommitMs.Load(), CPUShare: n.settings.CPUShare, LinkMbps: n.settings.LinkMbps,
 	}
 	n.mu.Lock()
+	defer n.mu.Unlock()
 	for _, c := range n.cells {
 		if !c.HasLostOwnership() {
 			heartbeat.Cells = append(heartbeat.Cells, c.Load())
 		}
 	}
 	heartbeat.Ended = maps.Clone(n.endedEpochs)
-	n.mu.Unlock()
-	value, err := json.Marshal(heartbeat)
-	if err != nil {
-		return err
-	}
-	sent := time.Now()
-	defer func() { n.commitLatency.Store(int64(time.Since(sent))) }()
-	version, err := n.store.Commit(ctx, store.Txn{Writes: []store.Write{{Key: ownership.HeartbeatKey(n.settings.Node), Value: value}}})
-	if err == nil {
-		n.heartbeatVersion.Store(version)
-		took := time.Since(sent).Milliseconds()
-		if old := n.minCommitMs.Load(); old == 0 || took < old {
-			n.minCommitMs.Store(max(took, 1))
-		}
-	}
-	return err
+	return heartbeat
 }
 
 func (n *Node) updateReadiness() {
--- a/ownership/heartbeat.go
+++ b/ownership/heartbeat.go
@@ -33,8 +33,10 @@
 	synced  bool
 }
 
-// NewReader returns a reader that has read nothing.
-func NewReader(s store.Store) *Reader { return &Reader{store: s} }
+// NewReader returns a reader that has read nothing. It repeats reads that get no response.
+func NewReader(s store.Store) *Reader {
+	return &Reader{store: &store.RepeatedReads{Store: s, Repeater: &store.Repeater{Delay: HeartbeatInterval}}}
+}
 
 // Read returns the rows that changed since the last call. It returns all rows on the first call, and when the store has
 // dropped its history or too much has changed. written is the version of the caller's latest write; a read of an older
