Let the soak play more kinds of job and cuts between processes

Cause: the soak ran one kind of job and knew no faults of connections, so it could not show a task that is never started again.

Change: chains, diamonds, gangs, spread limits, labels, long-running, best-effort, scheduled and cancelled jobs; a loopback proxy for each link of a node to the store, to each runner and to each other node, which delays, resets, holds back one or both directions or silences open connections; drains, restarts, lapsed rows, runners that never return, long downtime of the owner beside a dark runner, a silent store at a takeover. The check covers what runs at the end, ends by themselves, the order of steps, labels, spread limits and starts after acknowledged ends.

--- a/Makefile
+++ b/Makefile
@@ -33,7 +33,7 @@
 
 # Runs jobs against the emulated platform while the owner of their cell is killed, then the demo of the request path.
 demo: build soak-build
-	target/soak --seed 1 --kill-owner --duration 8s
+	target/soak --seed 1 --plan kill-owner --duration 8s
 	bash scripts/demo.sh
 
 soak-build:
--- /dev/null
+++ b/internal/emulator/record.go
@@ -0,0 +1,70 @@
+package emulator
+
+import (
+	"time"
+
+	"github.com/currantthread/currantthread/runner"
+	"github.com/currantthread/currantthread/workload"
+)
+
+// EndCrashed is the reason of a run that ended with its runner's process. Runners never report it.
+const EndCrashed runner.EndReason = "crashed"
+
+// EndRecord is the end of a run.
+type EndRecord struct {
+	At     time.Time
+	Runner string
+	Task   workload.TaskID
+	Run    int
+	Reason runner.EndReason
+	// Acked is set once the end was acknowledged to the same process before the runner's lease lapsed.
+	Acked bool
+}
+
+// recordEnd records the end of a run; number is 0 if the runner does not report it. The caller holds mu.
+func (f *Fleet) recordEnd(r *simRunner, key runKey, number int64, reason runner.EndReason) {
+	record := &EndRecord{At: time.Now(), Runner: r.info.ID, Task: key.task, Run: key.run, Reason: reason}
+	f.ends = append(f.ends, record)
+	if number > 0 {
+		r.endRecords[number] = record
+	}
+}
+
+// acknowledge records that an end was acknowledged. The caller holds mu.
+func (r *simRunner) acknowledge(number int64) {
+	if record := r.endRecords[number]; record != nil {
+		record.Acked = record.At.After(r.lapsedAt)
+		delete(r.endRecords, number)
+	}
+}
+
+// Ends returns the ends of all runs in order.
+func (f *Fleet) Ends() []EndRecord {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	ends := make([]EndRecord, 0, len(f.ends))
+	for _, record := range f.ends {
+		ends = append(ends, *record)
+	}
+	return ends
+}
+
+// LiveRuns returns how often each task runs at present, by the runners' own state.
+func (f *Fleet) LiveRuns() map[workload.TaskID]int {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	runs := map[workload.TaskID]int{}
+	for _, r := range f.runners {
+		for key := range r.running {
+			runs[key.task]++
+		}
+	}
+	return runs
+}
+
+// SetDraining changes whether a runner asks for no new tasks.
+func (f *Fleet) SetDraining(id string, draining bool) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.runners[id].info.Draining = draining
+}
--- a/internal/emulator/runner.go
+++ b/internal/emulator/runner.go
@@ -61,6 +61,7 @@
 	done    map[workload.TaskID]int
 	// overlaps are tasks that ran in two places at once.
 	overlaps []workload.TaskID
+	ends     []*EndRecord
 }
 
 type simRunner struct {
@@ -75,7 +76,11 @@
 	highestRun map[workload.TaskID]int
 	ends       []runner.Ended
 	nextNumber int64
-	changed    chan struct{}
+	// endRecords are the records of the ends that are not acknowledged, by number.
+	endRecords map[int64]*EndRecord
+	// lapsedAt is when the lease last lapsed.
+	lapsedAt time.Time
+	changed  chan struct{}
 }
 
 type runKey struct {
@@ -101,7 +106,7 @@
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	f.runners[info.ID] = &simRunner{info: info, alive: true, booted: time.Now(), running: map[runKey]*simRun{},
-		highestRun: map[workload.TaskID]int{}, nextNumber: 1, changed: make(chan struct{})}
+		highestRun: map[workload.TaskID]int{}, nextNumber: 1, endRecords: map[int64]*EndRecord{}, changed: make(chan struct{})}
 }
 
 // SetFault changes how a runner misbehaves from now on.
@@ -120,6 +125,7 @@
 	for key, run := range r.running {
 		run.timer.Stop()
 		delete(r.running, key)
+		f.recordEnd(r, key, 0, EndCrashed)
 	}
 }
 
@@ -265,6 +271,7 @@
 	delete(r.running, key)
 	r.highestRun[key.task] = max(r.highestRun[key.task], key.run)
 	r.ends = append(r.ends, runner.Ended{Number: r.nextNumber, Task: key.task, Run: key.run, Reason: reason})
+	f.recordEnd(r, key, r.nextNumber, reason)
 	r.nextNumber++
 	if reason == runner.EndDone {
 		f.done[key.task]++
@@ -286,6 +293,7 @@
 		if time.Now().Before(r.lease) {
 			return
 		}
+		r.lapsedAt = time.Now()
 		for key := range r.running {
 			r.endRun(f, key, runner.EndExpired)
 		}
@@ -344,6 +352,7 @@
 		r.token = command.Token
 		r.extendLease(f, command.Deadline)
 		for len(r.ends) > 0 && r.ends[0].Number <= command.AckedEnd {
+			r.acknowledge(r.ends[0].Number)
 			r.ends = r.ends[1:]
 		}
 		if len(r.ends) > 0 || command.Wait == 0 {
--- a/internal/soak/faults.go
+++ b/internal/soak/faults.go
@@ -4,6 +4,8 @@
 	"context"
 	"fmt"
 	"os"
+	"strings"
+	"sync"
 	"syscall"
 	"time"
 
@@ -11,106 +13,372 @@
 	"github.com/currantthread/currantthread/internal/wait"
 )
 
-// inject injects faults one after another. Each lasts up to a few seconds, and the next may begin before it ends.
+const (
+	// maxGoneForGood bounds the runners that never come back, so that the remaining ones have room for all tasks.
+	maxGoneForGood = 2
+	// longOutage bounds the longest faults. It exceeds the tolerance of an owner without the store.
+	longOutage = 16 * time.Second
+	// closeShare is the share of faults that follow the previous one within maxClose; the others follow within maxPause.
+	closeShare = 0.6
+	maxClose   = 1500 * time.Millisecond
+	maxPause   = 4 * time.Second
+	// maxLinkDelay bounds the delay of each block of data on a slow link.
+	maxLinkDelay = 400 * time.Millisecond
+)
+
+// planAll is the default plan.
+const planAll = "all"
+
+// plan is a set of faults that a run draws from.
+type plan struct {
+	name string
+	// once injects each fault only once, in this order, with even pauses.
+	once   bool
+	faults []func(s *soak) string
+}
+
+var plans = []plan{
+	{planAll, false, []func(*soak) string{
+		(*soak).killNode, (*soak).killOwner, (*soak).pauseNode, (*soak).pauseOwner, (*soak).terminateNode, (*soak).hangUpNode,
+		(*soak).breakStore, (*soak).dropHistory, (*soak).breakRunner, (*soak).crashRunner, (*soak).restartRunner, (*soak).drainRunner, (*soak).drainBesideLostStarts,
+		(*soak).unlistRunner, (*soak).cutRunner, (*soak).slowLinks, (*soak).resetLinks, (*soak).silenceConnections, (*soak).cutStore,
+		(*soak).cutPeers, (*soak).killOwnerBesideDarkRunner, (*soak).killOwnerBesideLostRunner, (*soak).silenceStoreAtTakeover,
+	}},
+	{"kill-owner", true, []func(*soak) string{(*soak).killOwner}},
+}
+
+func planNames() []string {
+	names := make([]string, 0, len(plans))
+	for _, p := range plans {
+		names = append(names, p.name)
+	}
+	return names
+}
+
+// inject injects faults until ctx ends. Each lasts up to some seconds, and the next may begin before it ends.
 func (s *soak) inject(ctx context.Context) {
-	if s.cfg.killOwnerOnly {
-		if wait.For(ctx, s.cfg.duration/3) {
-			s.killOwner()
+	for _, p := range plans {
+		if p.name != s.cfg.plan {
+			continue
+		}
+		if p.once {
+			for i := range p.faults {
+				if wait.For(ctx, s.cfg.duration/time.Duration(2+len(p.faults))) {
+					s.record(p.faults[i])
+				}
+			}
+			return
+		}
+		for wait.For(ctx, s.pause()) {
+			s.record(p.faults[s.rng.IntN(len(p.faults))])
 		}
-		return
 	}
-	faults := []func(ctx context.Context) string{s.killNode, s.pauseNode, s.terminateNode, s.hangUpNode, s.breakStore, s.breakRunner,
-		s.crashRunner, s.dropHistory}
-	for wait.For(ctx, time.Duration(300+s.rng.IntN(1500))*time.Millisecond) {
-		s.recordFault(faults[s.rng.IntN(len(faults))](ctx))
+}
+
+func (s *soak) pause() time.Duration {
+	if s.rng.Float64() < closeShare {
+		return s.random(maxClose)
 	}
+	return s.random(maxPause)
 }
 
-func (s *soak) recordFault(fault string) {
-	if fault != "" {
-		s.summary.faults = append(s.summary.faults, fault)
+func (s *soak) record(fault func(*soak) string) {
+	at := time.Now()
+	if text := fault(s); text != "" {
+		s.summary.faults = append(s.summary.faults, fmt.Sprintf("%s (%.1fs) %s", at.Format("15:04:05.000"), at.Sub(s.began).Seconds(), text))
 	}
 }
 
-// afterRandomDelay runs f after a random time below limit, even if ctx has ended by then.
-func (s *soak) afterRandomDelay(limit time.Duration, f func()) {
-	time.AfterFunc(time.Duration(s.rng.Int64N(int64(limit))), f)
+// random returns a random time from a tenth of limit to limit.
+func (s *soak) random(limit time.Duration) time.Duration {
+	return limit/10 + time.Duration(s.rng.Int64N(int64(limit*9/10)))
 }
 
-func (s *soak) randomNode() *process { return s.nodes[s.rng.IntN(len(s.nodes))] }
+// undo ends a fault.
+type undo struct {
+	once sync.Once
+	f    func()
+}
 
-func (s *soak) restart(p *process, sig syscall.Signal) {
-	p.signal(syscall.SIGCONT)
-	p.signalAndWait(sig)
-	if err := p.start(s.cfg.program); err != nil {
-		fmt.Fprintf(os.Stderr, "soak: restart %s: %v\n", p.name, err)
+// undoAfter runs f after d, or when all faults are cleared if that is earlier.
+func (s *soak) undoAfter(d time.Duration, f func()) {
+	u := &undo{f: f}
+	s.undos = append(s.undos, u)
+	time.AfterFunc(d, func() { u.once.Do(u.f) })
+}
+
+// clearFaults ends all faults except the loss of runners that are gone for good.
+func (s *soak) clearFaults() {
+	for _, u := range s.undos {
+		u.once.Do(u.f)
+	}
+	s.platform.store.SetFault(emulator.StoreWorks)
+	for _, p := range s.nodes {
+		p.signal(syscall.SIGCONT)
+		s.start(p)
 	}
 }
 
-func (s *soak) killOwner() {
+func (s *soak) randomNode() *process { return s.nodes[s.rng.IntN(len(s.nodes))] }
+
+// owner returns the node that owns the cell, or nil.
+func (s *soak) owner() *process {
 	for _, p := range s.nodes {
 		if p.ownsCell() {
-			s.recordFault("kill " + p.name + ", the owner")
-			s.restart(p, syscall.SIGKILL)
-			return
+			return p
 		}
 	}
+	return nil
 }
 
-func (s *soak) killNode(context.Context) string {
-	p := s.randomNode()
-	s.restart(p, syscall.SIGKILL)
-	return "kill " + p.name
+// ownerOrRandom returns the node that owns the cell, or a random one if none does.
+func (s *soak) ownerOrRandom() *process {
+	if owner := s.owner(); owner != nil {
+		return owner
+	}
+	return s.randomNode()
 }
 
-func (s *soak) terminateNode(context.Context) string {
-	p := s.randomNode()
-	s.restart(p, syscall.SIGTERM)
-	return "terminate " + p.name
+// randomRunner returns the ID of a runner that is not gone for good.
+func (s *soak) randomRunner() string {
+	infos := s.platform.infos[len(s.gone):]
+	return infos[s.rng.IntN(len(infos))].ID
 }
 
-func (s *soak) pauseNode(context.Context) string {
-	p := s.randomNode()
-	p.signal(syscall.SIGSTOP)
-	s.afterRandomDelay(6*time.Second, func() { p.signal(syscall.SIGCONT) })
-	return "pause " + p.name
+func (s *soak) start(p *process) {
+	if err := p.start(s.cfg.program); err != nil {
+		fmt.Fprintf(os.Stderr, "soak: start %s: %v\n", p.name, err)
+	}
+}
+
+// endNode ends a node with a signal and starts it again after a time below limit.
+func (s *soak) endNode(p *process, sig syscall.Signal, limit time.Duration) string {
+	down := s.random(limit)
+	if sig == syscall.SIGKILL {
+		p.end(sig)
+	} else {
+		go p.end(sig)
+	}
+	s.undoAfter(down, func() { s.start(p) })
+	return fmt.Sprintf("signal %d to %s, started again after %v", sig, p.name, down.Round(time.Millisecond))
+}
+
+// downtime returns the limit of the time after which a killed node starts again: mostly short, sometimes long.
+func (s *soak) downtime() time.Duration {
+	if s.rng.IntN(3) == 0 {
+		return longOutage
+	}
+	return time.Second
 }
 
-func (s *soak) hangUpNode(context.Context) string {
+func (s *soak) killNode() string {
+	return s.endNode(s.randomNode(), syscall.SIGKILL, s.downtime())
+}
+
+func (s *soak) killOwner() string {
+	return "owner: " + s.endNode(s.ownerOrRandom(), syscall.SIGKILL, s.downtime())
+}
+
+func (s *soak) terminateNode() string {
+	return s.endNode(s.randomNode(), syscall.SIGTERM, grace+time.Second)
+}
+
+// during begins a fault and ends it after a random time up to limit.
+func (s *soak) during(limit time.Duration, text string, begin, end func()) string {
+	begin()
+	lasts := s.random(limit)
+	s.undoAfter(lasts, end)
+	return fmt.Sprintf("%s for %v", text, lasts.Round(time.Millisecond))
+}
+
+func (s *soak) pauseProcess(p *process) string {
+	return s.during(10*time.Second, "pause "+p.name, func() { p.signal(syscall.SIGSTOP) }, func() { p.signal(syscall.SIGCONT) })
+}
+
+func (s *soak) pauseNode() string  { return s.pauseProcess(s.randomNode()) }
+func (s *soak) pauseOwner() string { return "owner: " + s.pauseProcess(s.ownerOrRandom()) }
+
+func (s *soak) hangUpNode() string {
 	p := s.randomNode()
 	p.signal(syscall.SIGHUP)
 	return "SIGHUP " + p.name
 }
 
-func (s *soak) breakStore(context.Context) string {
-	faults := []emulator.StoreFault{emulator.StoreRefuses, emulator.StoreSilent, emulator.StoreLosesResponses, emulator.StoreAppliesLate}
-	fault := faults[s.rng.IntN(len(faults))]
-	s.platform.store.SetFault(fault)
-	s.afterRandomDelay(5*time.Second, func() { s.platform.store.SetFault(emulator.StoreWorks) })
-	return fmt.Sprintf("store fault %d", fault)
+func (s *soak) setStoreFault(fault emulator.StoreFault, limit time.Duration) string {
+	set := s.platform.store.SetFault
+	return s.during(limit, fmt.Sprintf("store fault %d", fault), func() { set(fault) }, func() { set(emulator.StoreWorks) })
 }
 
-func (s *soak) dropHistory(context.Context) string {
+func (s *soak) breakStore() string {
+	return s.setStoreFault(emulator.StoreRefuses+emulator.StoreFault(s.rng.IntN(4)), 5*time.Second)
+}
+
+func (s *soak) dropHistory() string {
 	s.platform.store.DropHistory()
 	return "store history dropped"
 }
 
-func (s *soak) breakRunner(context.Context) string {
-	faults := []emulator.RunnerFault{emulator.RunnerUnreachable, emulator.RunnerLosesResponses, emulator.RunnerAppliesLate}
-	fault := faults[s.rng.IntN(len(faults))]
-	id := s.platform.infos[s.rng.IntN(len(s.platform.infos))].ID
-	s.platform.fleet.SetFault(id, fault)
-	s.afterRandomDelay(8*time.Second, func() { s.platform.fleet.SetFault(id, emulator.RunnerWorks) })
-	return fmt.Sprintf("runner fault %d on %s", fault, id)
+func (s *soak) setRunnerFault(id string, limit time.Duration) string {
+	fault, set := emulator.RunnerUnreachable+emulator.RunnerFault(s.rng.IntN(3)), s.platform.fleet.SetFault
+	return s.during(limit, fmt.Sprintf("runner fault %d on %s", fault, id), func() { set(id, fault) }, func() { set(id, emulator.RunnerWorks) })
+}
+
+func (s *soak) breakRunner() string { return s.setRunnerFault(s.randomRunner(), 8*time.Second) }
+
+// restartIfDown starts a runner's process again unless it runs or is gone for good.
+func (s *soak) restartIfDown(id string) {
+	s.mu.Lock()
+	gone := s.gone[id]
+	s.mu.Unlock()
+	if _, alive := s.platform.fleet.Info(id); !alive && !gone {
+		s.platform.fleet.SetDraining(id, false)
+		s.platform.fleet.Restart(id)
+	}
+}
+
+func (s *soak) crashRunner() string {
+	id := s.randomRunner()
+	return s.during(8*time.Second, "crash "+id, func() { s.platform.fleet.Crash(id) }, func() { s.restartIfDown(id) })
 }
 
-func (s *soak) crashRunner(context.Context) string {
-	id := s.platform.infos[s.rng.IntN(len(s.platform.infos))].ID
+// restartRunner restarts a runner's process at once, so that its service discovery row never disappears.
+func (s *soak) restartRunner() string {
+	id := s.randomRunner()
 	s.platform.fleet.Crash(id)
-	s.afterRandomDelay(4*time.Second, func() {
-		if _, alive := s.platform.fleet.Info(id); !alive {
-			s.platform.fleet.Restart(id)
+	s.restartIfDown(id)
+	return "restart " + id
+}
+
+// drain lets a runner drain, leave and return under its ID.
+func (s *soak) drain(id string) string {
+	leaves := s.random(5 * time.Second)
+	away := leaves + s.random(5*time.Second)
+	s.platform.fleet.SetDraining(id, true)
+	s.undoAfter(leaves, func() { s.platform.fleet.Crash(id) })
+	s.undoAfter(away, func() { s.restartIfDown(id) })
+	return fmt.Sprintf("drain %s, down from %v to %v", id, leaves.Round(time.Millisecond), away.Round(time.Millisecond))
+}
+
+func (s *soak) drainRunner() string { return s.drain(s.randomRunner()) }
+
+// drainBesideLostStarts lets some runners drain while they respond to stops and polls, but not to starts.
+func (s *soak) drainBesideLostStarts() string {
+	var texts, ids []string
+	for range runnersPerRack / 2 {
+		id := s.randomRunner()
+		ids, texts = append(ids, id), append(texts, s.setRunnerFault(id, 4*time.Second))
+	}
+	time.Sleep(s.random(time.Second))
+	for _, id := range ids {
+		texts = append(texts, s.drain(id))
+	}
+	return strings.Join(texts, " and ")
+}
+
+// unlistRunner lets the service discovery row of a runner lapse while the runner works.
+func (s *soak) unlistRunner() string {
+	id := s.randomRunner()
+	return s.during(8*time.Second, "row lapses of "+id, func() { s.platform.setListed(id, false) }, func() { s.platform.setListed(id, true) })
+}
+
+// updateLinks changes the state of links during a time up to limit.
+func (s *soak) updateLinks(links []*link, limit time.Duration, text string, begin, end func(*link)) string {
+	each := func(change func(*link)) func() {
+		return func() {
+			for _, l := range links {
+				l.update(func() { change(l) })
+			}
+		}
+	}
+	return s.during(limit, text, each(begin), each(end))
+}
+
+// hold holds back the data on links in some directions. Afterwards it is delivered late, or the connections are reset.
+func (s *soak) hold(links []*link, name string, d direction, limit time.Duration) string {
+	lost := s.rng.IntN(2) == 0
+	return s.updateLinks(links, limit, fmt.Sprintf("%s: hold %v, lost %v", name, d, lost), func(l *link) { l.held = d }, func(l *link) {
+		l.held = 0
+		if lost {
+			l.abortConns()
 		}
 	})
-	return "crash " + id
+}
+
+func (s *soak) randomDirection() direction {
+	return []direction{towardsServer, towardsClient, bothDirections}[s.rng.IntN(3)]
+}
+
+func (s *soak) cutRunner() string {
+	id := s.randomRunner()
+	return s.hold(s.platform.network.between("", id), "links to "+id, s.randomDirection(), 10*time.Second)
+}
+
+func (s *soak) cutStore() string {
+	p := s.randomNode()
+	return s.hold(s.platform.network.between(p.name, storeName), "link of "+p.name+" to the store", s.randomDirection(), 6*time.Second)
+}
+
+func (s *soak) cutPeers() string {
+	from, to := s.randomNode(), s.randomNode()
+	return s.hold(s.platform.network.between(from.name, to.name), "link of "+from.name+" to "+to.name, s.randomDirection(), 8*time.Second)
+}
+
+// randomLinks returns all links of a node or to a runner.
+func (s *soak) randomLinks() ([]*link, string) {
+	if s.rng.IntN(2) == 0 {
+		p := s.randomNode()
+		return s.platform.network.between(p.name, ""), "links of " + p.name
+	}
+	id := s.randomRunner()
+	return s.platform.network.between("", id), "links to " + id
+}
+
+func (s *soak) slowLinks() string {
+	links, name := s.randomLinks()
+	delay := s.random(maxLinkDelay)
+	return s.updateLinks(links, 6*time.Second, fmt.Sprintf("%s: delay %v", name, delay.Round(time.Millisecond)),
+		func(l *link) { l.delay = delay }, func(l *link) { l.delay = 0 })
+}
+
+func (s *soak) resetLinks() string {
+	links, name := s.randomLinks()
+	return s.updateLinks(links, 2*time.Second, name+": reset", func(l *link) {
+		l.refusing = true
+		l.abortConns()
+	}, func(l *link) { l.refusing = false })
+}
+
+// silenceConnections silences the open connections of links; new ones work.
+func (s *soak) silenceConnections() string {
+	links, name := s.randomLinks()
+	return s.updateLinks(links, longOutage, name+": open connections are silent", (*link).silence, (*link).abortConns)
+}
+
+// killOwnerBesideDarkRunner kills the owner, which is away for long, while a runner cannot be reached.
+func (s *soak) killOwnerBesideDarkRunner() string {
+	id := s.randomRunner()
+	held := s.hold(s.platform.network.between("", id), "links to "+id, bothDirections, longOutage)
+	time.Sleep(s.random(time.Second))
+	return held + " and owner: " + s.endNode(s.ownerOrRandom(), syscall.SIGKILL, longOutage)
+}
+
+// killOwnerBesideLostRunner kills the owner at the time at which a runner is lost for good.
+func (s *soak) killOwnerBesideLostRunner() string {
+	if len(s.gone) == maxGoneForGood {
+		return s.killOwner()
+	}
+	id := s.platform.infos[len(s.gone)].ID
+	s.mu.Lock()
+	s.gone[id] = true
+	s.mu.Unlock()
+	s.platform.fleet.Crash(id)
+	time.Sleep(s.random(time.Second))
+	return id + " is gone for good and owner: " + s.endNode(s.ownerOrRandom(), syscall.SIGKILL, s.downtime())
+}
+
+// silenceStoreAtTakeover kills the owner and makes the store silent while another node takes over.
+func (s *soak) silenceStoreAtTakeover() string {
+	killed := s.endNode(s.ownerOrRandom(), syscall.SIGKILL, longOutage)
+	time.Sleep(s.random(4 * time.Second))
+	return "owner: " + killed + " and " + s.setStoreFault(emulator.StoreSilent, 4*time.Second)
 }
--- a/internal/soak/main.go
+++ b/internal/soak/main.go
@@ -11,6 +11,7 @@
 	"fmt"
 	"os"
 	"os/signal"
+	"strings"
 	"syscall"
 	"time"
 )
@@ -25,8 +26,8 @@
 	flag.DurationVar(&cfg.duration, "duration", 20*time.Second, "time in which jobs are submitted and faults are injected")
 	flag.IntVar(&cfg.nodes, "nodes", 3, "number of nodes")
 	flag.IntVar(&cfg.runners, "runners", 12, "number of runners")
-	flag.StringVar(&cfg.dir, "dir", "", "directory for settings and logs; default is a temporary one")
-	flag.BoolVar(&cfg.killOwnerOnly, "kill-owner", false, "inject one fault only: the owner of the cell is killed")
+	flag.StringVar(&cfg.dir, "dir", "", "directory for settings, logs and records; default is a temporary one, which is kept if a guarantee is broken")
+	flag.StringVar(&cfg.plan, "plan", planAll, "faults to inject: "+strings.Join(planNames(), ", "))
 	flag.Parse()
 	ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt, syscall.SIGTERM)
 	defer stop()
--- a/internal/soak/nodes.go
+++ b/internal/soak/nodes.go
@@ -8,6 +8,7 @@
 	"os"
 	"os/exec"
 	"path/filepath"
+	"strconv"
 	"strings"
 	"sync"
 	"syscall"
@@ -27,14 +28,31 @@
 	serviceName       = "kioscos"
 	queueHost         = "jobs.example"
 	jobPathPrefix     = "/jobs/"
+	// storeName names the store as the end of a link.
+	storeName = "store"
+	// runnersPerRack is the number of runners with the same rack label.
+	runnersPerRack = 8
+	// holdMax is the longest lease that runners grant, and grace the time between SIGTERM and SIGKILL.
+	holdMax = 10 * time.Second
+	grace   = 6 * time.Second
 )
 
 // process is the process of one node.
 type process struct {
-	name, clientAddr, file, log string
+	name, clientAddr, innerAddr, file, log string
 
-	mu  sync.Mutex // guards cmd
-	cmd *exec.Cmd
+	mu      sync.Mutex // guards the fields below
+	current *incarnation
+	// selfEnded describes each end that no signal of the soak had caused.
+	selfEnded []string
+}
+
+// incarnation is one start of a node's process.
+type incarnation struct {
+	cmd   *exec.Cmd
+	ended chan struct{}
+	// ending is set once the soak has told the process to end. The mu of process guards it.
+	ending bool
 }
 
 const (
@@ -46,15 +64,18 @@
 	portsPerNode = 4
 )
 
-// newProcess writes a node's settings file and returns the node, which is not started.
-func newProcess(dir string, seed uint64, index int, storeAddr string) (*process, error) {
-	var ports [portsPerNode]int
+// newProcess returns a node that has no settings file yet and is not started.
+func newProcess(dir string, seed uint64, index int) (p *process, ports [portsPerNode]int) {
 	for i := range ports {
 		ports[i] = firstPort + int(seed%seedRanges)*portsPerSeed + index*portsPerNode + i
 	}
 	name := fmt.Sprintf("node-%d", index)
-	p := &process{name: name, clientAddr: fmt.Sprintf("%s:%d", loopback, ports[0]),
-		file: filepath.Join(dir, name+".toml"), log: filepath.Join(dir, name+".log")}
+	return &process{name: name, clientAddr: fmt.Sprintf("%s:%d", loopback, ports[0]),
+		innerAddr: fmt.Sprintf("%s:%d", loopback, ports[2]),
+		file:      filepath.Join(dir, name+".toml"), log: filepath.Join(dir, name+".log")}, ports
+}
+
+func (p *process) writeSettings(ports [portsPerNode]int, storeAddr string) error {
 	settings := fmt.Sprintf(`node_name = %q
 ip = %q
 zone = "chipre"
@@ -70,8 +91,8 @@
 cpu_share = 0.4
 link_mbps = 1000.0
 [bounds]
-hold_max_ms = 10000
-grace_s = 6
+hold_max_ms = %d
+grace_s = %g
 stop_timeout_ms = 900
 gang_timeout_ms = 3000
 status_s = 120
@@ -79,14 +100,22 @@
 address = %q
 form = "table"
 across = true
-`, name, loopback, ports[2], ports[2]+1, p.clientAddr, loopback, ports[1], storeAddr)
-	return p, os.WriteFile(p.file, []byte(settings), 0o600)
+`, p.name, loopback, ports[2], ports[2]+1, p.clientAddr, loopback, ports[1], holdMax.Milliseconds(), grace.Seconds(), storeAddr)
+	return os.WriteFile(p.file, []byte(settings), 0o600)
 }
 
-// start starts the node and appends its output to the log file.
+// start starts the node unless it runs, and appends its output to the log file. It waits for a process that is ending.
 func (p *process) start(program string) error {
 	p.mu.Lock()
 	defer p.mu.Unlock()
+	if i := p.current; i != nil && i.ending {
+		p.mu.Unlock()
+		<-i.ended
+		p.mu.Lock()
+	}
+	if p.current != nil {
+		return nil
+	}
 	log, err := os.OpenFile(p.log, os.O_CREATE|os.O_WRONLY|os.O_APPEND, 0o600)
 	if err != nil {
 		return err
@@ -97,27 +126,49 @@
 	if err := cmd.Start(); err != nil {
 		return err
 	}
-	p.cmd = cmd
+	i := &incarnation{cmd: cmd, ended: make(chan struct{})}
+	p.current = i
+	go func() {
+		err := cmd.Wait()
+		p.mu.Lock()
+		defer p.mu.Unlock()
+		if !i.ending {
+			p.selfEnded = append(p.selfEnded, fmt.Sprintf("%s ended by itself: %v", p.name, err))
+		}
+		p.current = nil
+		close(i.ended)
+	}()
 	return nil
 }
 
-// signal sends a signal to the node if it is running.
+// signal sends a signal that does not end the node.
 func (p *process) signal(sig syscall.Signal) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	if p.cmd != nil {
-		_ = p.cmd.Process.Signal(sig) // the process may have ended by itself
+	if p.current != nil {
+		_ = p.current.cmd.Process.Signal(sig) // the process may have ended by itself
 	}
 }
 
-// signalAndWait sends a signal to the node and waits until it has ended.
-func (p *process) signalAndWait(sig syscall.Signal) {
-	p.signal(sig)
+// end ends the node with a signal and waits until it has ended. A node that takes longer than the grace period is killed,
+// as the platform does.
+func (p *process) end(sig syscall.Signal) {
 	p.mu.Lock()
-	defer p.mu.Unlock()
-	if p.cmd != nil {
-		_ = p.cmd.Wait() // the exit code after a signal is not of interest
-		p.cmd = nil
+	i := p.current
+	if i != nil {
+		i.ending = true
+		_ = i.cmd.Process.Signal(sig) // the process may have ended by itself
+		_ = i.cmd.Process.Signal(syscall.SIGCONT)
+	}
+	p.mu.Unlock()
+	if i == nil {
+		return
+	}
+	select {
+	case <-i.ended:
+	case <-time.After(grace):
+		_ = i.cmd.Process.Kill()
+		<-i.ended
 	}
 }
 
@@ -131,14 +182,18 @@
 	return strings.LastIndex(log, "acquired the cell") > max(strings.LastIndex(log, "lost ownership"), strings.LastIndex(log, "released the cell"), strings.LastIndex(log, "\"started\""))
 }
 
-// emulatedPlatform is the store and the runners that the nodes use, each behind an HTTP server.
+// emulatedPlatform is the store and the runners that the nodes use. Each node reaches them through its own links.
 type emulatedPlatform struct {
-	store     *emulator.Store
-	fleet     *emulator.Fleet
-	storeAddr string
-	infos     []runner.Info
-	servers   []*http.Server
-	stop      chan struct{}
+	store   *emulator.Store
+	fleet   *emulator.Fleet
+	network network
+	infos   []runner.Info
+	servers []*http.Server
+	stop    chan struct{}
+
+	mu sync.Mutex // guards unlisted
+	// unlisted are runners whose service discovery rows have lapsed although they run.
+	unlisted map[string]bool
 }
 
 func listen(handler http.Handler) (*http.Server, string, error) {
@@ -152,13 +207,7 @@
 }
 
 func newEmulatedPlatform(runners int, work emulator.Work) (*emulatedPlatform, error) {
-	e := &emulatedPlatform{store: emulator.NewStore(), fleet: emulator.NewFleet(work), stop: make(chan struct{})}
-	server, addr, err := listen(platform.NewStoreServer(e.store))
-	if err != nil {
-		return nil, err
-	}
-	e.storeAddr = addr
-	e.servers = append(e.servers, server)
+	e := &emulatedPlatform{store: emulator.NewStore(), fleet: emulator.NewFleet(work), stop: make(chan struct{}), unlisted: map[string]bool{}}
 	for i := range runners {
 		id := fmt.Sprintf("i-%02d", i)
 		server, addr, err := listen(platform.NewRunnerServer(id, e.fleet))
@@ -167,13 +216,49 @@
 		}
 		e.servers = append(e.servers, server)
 		info := runner.Info{ID: id, Service: serviceName, Addr: addr, Domain: "chipre", Born: time.Now().UnixMilli(),
-			Capacity: workload.Resources{CPU: 64000, MemoryMB: 256000}, Labels: []string{"a", fmt.Sprintf("r%d", i/8)}}
+			Capacity: workload.Resources{CPU: 64000, MemoryMB: 256000}, Labels: []string{"a", rackLabel(i)}}
 		e.infos = append(e.infos, info)
 		e.fleet.Add(info)
 	}
 	return e, e.configure()
 }
 
+// rackLabel returns the label of a runner's rack.
+func rackLabel(runner int) string { return fmt.Sprintf("r%d", runner/runnersPerRack) }
+
+// connect creates the links of a node and returns the address at which it reaches the store.
+func (e *emulatedPlatform) connect(p *process, nodes []*process) (storeAddr string, err error) {
+	var addrs []string
+	add := func(to, target string) (string, error) {
+		l, err := newLink(p.name, to, target)
+		if err != nil {
+			return "", err
+		}
+		e.network.links = append(e.network.links, l)
+		// Addresses are quoted in JSON, and one may be a prefix of another.
+		addrs = append(addrs, strconv.Quote(target), strconv.Quote(l.addr))
+		return l.addr, nil
+	}
+	for _, info := range e.infos {
+		if _, err := add(info.ID, info.Addr); err != nil {
+			return "", err
+		}
+	}
+	for _, peer := range nodes {
+		if peer != p {
+			if _, err := add(peer.name, peer.innerAddr); err != nil {
+				return "", err
+			}
+		}
+	}
+	server, addr, err := listen(platform.NewStoreServer(&storeView{Store: e.store, addrs: strings.NewReplacer(addrs...)}))
+	if err != nil {
+		return "", err
+	}
+	e.servers = append(e.servers, server)
+	return add(storeName, addr)
+}
+
 func (e *emulatedPlatform) configure() error {
 	config, err := json.Marshal(map[string]any{
 		"version":  1,
@@ -189,13 +274,22 @@
 	return nil
 }
 
+func (e *emulatedPlatform) setListed(id string, listed bool) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.unlisted[id] = !listed
+}
+
 // sendHeartbeats periodically rewrites the rows of live runners and deletes those of crashed ones.
 func (e *emulatedPlatform) sendHeartbeats() {
 	for {
 		for _, info := range e.infos {
 			key := store.Key{Table: platform.TableServers, Name: info.ID}
 			current, alive := e.fleet.Info(info.ID)
-			if !alive {
+			e.mu.Lock()
+			listed := alive && !e.unlisted[info.ID]
+			e.mu.Unlock()
+			if !listed {
 				e.store.Delete(key)
 				continue
 			}
@@ -214,6 +308,7 @@
 
 func (e *emulatedPlatform) close() {
 	close(e.stop)
+	e.network.close()
 	for _, s := range e.servers {
 		_ = s.Close()
 	}
--- a/internal/soak/run.go
+++ b/internal/soak/run.go
@@ -9,34 +9,38 @@
 	"math/rand/v2"
 	"net/http"
 	"os"
+	"path/filepath"
 	"strings"
 	"sync"
 	"syscall"
 	"time"
 
-	"github.com/currantthread/currantthread/internal/emulator"
+	"github.com/currantthread/currantthread/internal/wait"
 	"github.com/currantthread/currantthread/workload"
 )
 
 type config struct {
-	program       string
-	seed          uint64
-	duration      time.Duration
-	nodes         int
-	runners       int
-	dir           string
-	killOwnerOnly bool
+	program  string
+	seed     uint64
+	duration time.Duration
+	nodes    int
+	runners  int
+	dir      string
+	plan     string
 }
 
 const (
-	// completionTimeout is how long jobs may take after the last fault. It covers a takeover, a lease and the attempts.
-	completionTimeout = 40 * time.Second
 	// startTimeout is how long the nodes may take until one accepts jobs.
 	startTimeout = 20 * time.Second
 	// jobInterval is the pause between two submissions.
 	jobInterval = 120 * time.Millisecond
+	// queryInterval is the pause between two queries of a job's state while jobs are submitted.
+	queryInterval = 100 * time.Millisecond
 	// requestTimeout is how long a client waits for a response.
 	requestTimeout = 3 * time.Second
+	// attempts bounds how often a client sends a request, with retryPause between two attempts.
+	attempts   = 5
+	retryPause = 500 * time.Millisecond
 )
 
 // summary is the result of a run.
@@ -44,6 +48,7 @@
 	seed                         uint64
 	accepted, refused, completed int
 	starts                       int
+	settled                      time.Duration
 	faults                       []string
 	violations                   []string
 }
@@ -54,89 +59,94 @@
 	if len(s.violations) > 0 {
 		verdict = "BROKEN:\n  " + strings.Join(s.violations, "\n  ")
 	}
-	return fmt.Sprintf("seed %d: %d jobs accepted, %d refused, %d completed, %d starts, %d faults\nfaults: %s\n%s",
-		s.seed, s.accepted, s.refused, s.completed, s.starts, len(s.faults), strings.Join(s.faults, ", "), verdict)
-}
-
-// clientJob is the state of a job as observed by its client.
-type clientJob struct {
-	id       string
-	tasks    int
-	accepted bool
-	refused  bool // every attempt was refused
-	state    string
-	// completedAt is when the job was first reported as completed.
-	completedAt time.Time
+	return fmt.Sprintf("seed %d: %d jobs accepted, %d refused, %d completed, %d starts, %d faults, settled after %v\nfaults: %s\n%s",
+		s.seed, s.accepted, s.refused, s.completed, s.starts, len(s.faults), s.settled.Round(100*time.Millisecond),
+		strings.Join(s.faults, "; "), verdict)
 }
 
 // soak is one run.
 type soak struct {
 	cfg      config
-	rng      *rand.Rand
+	began    time.Time
+	rng      *rand.Rand // used only by the goroutine of inject
 	platform *emulatedPlatform
 	nodes    []*process
-	summary  *summary
 	client   *http.Client
+	undos    []*undo // used only by the goroutine of inject and after it has ended
 
-	mu   sync.Mutex // guards jobs and the fields of its elements while jobs are submitted
-	jobs []*clientJob
+	mu sync.Mutex // guards the fields below and the observed states of jobs
+	// gone holds the runners that do not come back: the first ones of the platform.
+	gone    map[string]bool
+	jobs    []*clientJob
+	byID    map[string]*clientJob
+	summary *summary
 }
 
 func run(ctx context.Context, cfg config) (*summary, error) {
-	if cfg.dir == "" {
+	temporary := cfg.dir == ""
+	if temporary {
 		dir, err := os.MkdirTemp("", "soak")
 		if err != nil {
 			return nil, err
 		}
-		defer func() { _ = os.RemoveAll(dir) }()
 		cfg.dir = dir
 	} else if err := os.MkdirAll(cfg.dir, 0o700); err != nil {
 		return nil, err
 	}
-	s := &soak{cfg: cfg, rng: rand.New(rand.NewPCG(cfg.seed, 1)), summary: &summary{seed: cfg.seed},
-		client: &http.Client{Timeout: requestTimeout}}
-	var err error
-	if s.platform, err = newEmulatedPlatform(cfg.runners, s.taskWork); err != nil {
+	s := &soak{cfg: cfg, began: time.Now(), rng: rand.New(rand.NewPCG(cfg.seed, 1)), summary: &summary{seed: cfg.seed},
+		client: &http.Client{Timeout: requestTimeout}, byID: map[string]*clientJob{}, gone: map[string]bool{}}
+	if err := s.play(ctx); err != nil {
+		return nil, err
+	}
+	if err := s.writeRecords(); err != nil {
 		return nil, err
 	}
+	if temporary && len(s.summary.violations) == 0 {
+		return s.summary, os.RemoveAll(cfg.dir)
+	}
+	fmt.Printf("logs and records: %s\n", cfg.dir)
+	return s.summary, nil
+}
+
+func (s *soak) play(ctx context.Context) error {
+	var err error
+	if s.platform, err = newEmulatedPlatform(s.cfg.runners, s.work); err != nil {
+		return err
+	}
 	defer s.platform.close()
-	for i := range cfg.nodes {
-		p, err := newProcess(cfg.dir, cfg.seed, i, s.platform.storeAddr)
+	var ports [][portsPerNode]int
+	for i := range s.cfg.nodes {
+		p, own := newProcess(s.cfg.dir, s.cfg.seed, i)
+		s.nodes, ports = append(s.nodes, p), append(ports, own)
+	}
+	for i, p := range s.nodes {
+		storeAddr, err := s.platform.connect(p, s.nodes)
 		if err != nil {
-			return nil, err
+			return err
 		}
-		if err := p.start(cfg.program); err != nil {
-			return nil, err
+		if err := p.writeSettings(ports[i], storeAddr); err != nil {
+			return err
+		}
+		if err := p.start(s.cfg.program); err != nil {
+			return err
 		}
-		defer p.signalAndWait(syscall.SIGKILL)
-		s.nodes = append(s.nodes, p)
+		defer p.end(syscall.SIGKILL)
 	}
 	if err := s.awaitReady(ctx); err != nil {
-		return nil, err
+		return err
 	}
 	s.submitAndInject(ctx)
 	s.clearFaults()
-	s.awaitJobs(ctx)
+	s.awaitSettled(ctx)
 	s.check()
-	return s.summary, nil
-}
-
-// taskWork returns a duration of 0.2 to 1.2 s and makes the first run of a few tasks fail. It depends only on its arguments.
-func (s *soak) taskWork(task workload.TaskID, run int) (time.Duration, bool) {
-	h := uint64(14695981039346656037)
-	for _, b := range []byte(task.String()) {
-		h = (h ^ uint64(b)) * 1099511628211
-	}
-	return 200*time.Millisecond + time.Duration(h%1000)*time.Millisecond, run == 1 && h%50 == 0
+	return nil
 }
 
 func (s *soak) awaitReady(ctx context.Context) error {
 	deadline := time.Now().Add(startTimeout)
 	for time.Now().Before(deadline) && ctx.Err() == nil {
-		for _, p := range s.nodes {
-			if p.ownsCell() {
-				return nil
-			}
+		if s.owner() != nil {
+			return nil
 		}
 		time.Sleep(100 * time.Millisecond)
 	}
@@ -149,48 +159,113 @@
 	defer cancel()
 	var group sync.WaitGroup
 	group.Go(func() { s.inject(ctx) })
-	for n := 0; ctx.Err() == nil; n++ {
-		job := &clientJob{id: fmt.Sprintf("%08x%08x", uint32(s.cfg.seed), n), tasks: 2 + n%6}
+	group.Go(func() { s.queryJobs(ctx) })
+	rng := rand.New(rand.NewPCG(s.cfg.seed, 2))
+	for n := 0; wait.For(ctx, jobInterval); n++ {
+		job := newJob(rng, s.cfg.seed, n)
 		s.mu.Lock()
-		s.jobs = append(s.jobs, job)
+		s.jobs, s.byID[job.id] = append(s.jobs, job), job
 		s.mu.Unlock()
 		first := n % len(s.nodes)
 		group.Go(func() { s.submit(job, first) })
-		time.Sleep(jobInterval)
 	}
 	group.Wait()
 }
 
-// submit submits a job to one node after another until one accepts it, five times at most.
+// job returns a submitted job, or nil.
+func (s *soak) job(id string) *clientJob {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.byID[id]
+}
+
+// submit submits a job to one node after another until one accepts it, and cancels it if it is one of those to cancel.
 func (s *soak) submit(job *clientJob, first int) {
-	body, err := json.Marshal(map[string]any{"spec": "x", "steps": []map[string]any{
-		{"count": job.tasks, "cpu": 4000, "mem_mb": 1000, "estimated_ms": 700},
-		{"count": 1, "cpu": 4000, "mem_mb": 1000, "estimated_ms": 700, "after": []int{0}},
-	}})
+	body, err := json.Marshal(&job.submittedJob)
 	if err != nil {
 		panic(err)
 	}
 	refusals, unknown := 0, false
-	for attempt := range 5 {
-		status, _ := s.call(http.MethodPost, s.nodes[(first+attempt)%len(s.nodes)], job.id, body)
+	for attempt := range attempts {
+		status, response := s.call(http.MethodPost, s.nodes[(first+attempt)%len(s.nodes)], job.id, body)
 		switch status {
 		case http.StatusOK:
 			s.mu.Lock()
 			job.accepted = true
 			s.mu.Unlock()
+			if job.cancelAfter > 0 {
+				time.Sleep(job.cancelAfter)
+				s.cancel(job, first)
+			}
 			return
 		case http.StatusServiceUnavailable, http.StatusTooManyRequests:
 			refusals++
+		case http.StatusBadRequest:
+			s.violate("valid job %s was rejected: %s", job.id, response)
 		default:
 			unknown = true
 		}
-		time.Sleep(500 * time.Millisecond)
+		time.Sleep(retryPause)
 	}
 	s.mu.Lock()
 	job.refused = refusals > 0 && !unknown
 	s.mu.Unlock()
 }
 
+func (s *soak) cancel(job *clientJob, first int) {
+	s.mu.Lock()
+	job.cancelSent = true
+	s.mu.Unlock()
+	for attempt := range attempts {
+		status, _ := s.call(http.MethodDelete, s.nodes[(first+attempt)%len(s.nodes)], job.id, nil)
+		if status == http.StatusOK {
+			s.mu.Lock()
+			job.cancelled = true
+			s.mu.Unlock()
+			return
+		}
+		time.Sleep(retryPause)
+	}
+}
+
+// queryJobs queries the states of accepted jobs until ctx ends.
+func (s *soak) queryJobs(ctx context.Context) {
+	for n := 0; wait.For(ctx, queryInterval); n++ {
+		s.mu.Lock()
+		var job *clientJob
+		if len(s.jobs) > 0 {
+			job = s.jobs[n*7%len(s.jobs)]
+		}
+		accepted := job != nil && job.accepted
+		s.mu.Unlock()
+		if accepted {
+			s.query(job, s.nodes[n%len(s.nodes)])
+		}
+	}
+}
+
+// query asks a node for the state of an accepted job.
+func (s *soak) query(job *clientJob, node *process) {
+	status, response := s.call(http.MethodGet, node, job.id, nil)
+	var answer struct{ State string }
+	switch {
+	case status == http.StatusGone:
+		s.violate("%s does not know the accepted job %s", node.name, job.id)
+	case status != http.StatusOK || json.Unmarshal(response, &answer) != nil:
+		return
+	}
+	s.mu.Lock()
+	previous := job.state
+	job.state = answer.State
+	if answer.State == string(workload.StateCompleted) && job.completedAt.IsZero() {
+		job.completedAt = time.Now()
+	}
+	s.mu.Unlock()
+	if workload.State(previous).Terminal() && answer.State != previous {
+		s.violate("job %s was %s and is now %q by %s", job.id, previous, answer.State, node.name)
+	}
+}
+
 // call sends a request and returns the status and body of the response, or 0 if there was no response.
 func (s *soak) call(method string, p *process, id string, body []byte) (int, []byte) {
 	req, err := http.NewRequest(method, "http://"+p.clientAddr+jobPathPrefix+id, bytes.NewReader(body))
@@ -210,81 +285,30 @@
 	return res.StatusCode, response
 }
 
-// awaitJobs polls the states of accepted jobs until all have completed or the timeout has passed.
-func (s *soak) awaitJobs(ctx context.Context) {
-	deadline := time.Now().Add(completionTimeout)
-	for time.Now().Before(deadline) && ctx.Err() == nil {
-		pending := 0
-		for i, job := range s.jobs {
-			if !job.accepted || job.state == "completed" {
-				continue
-			}
-			status, response := s.call(http.MethodGet, s.nodes[i%len(s.nodes)], job.id, nil)
-			var state struct{ State string }
-			if status == http.StatusOK && json.Unmarshal(response, &state) == nil {
-				job.state = state.State
-			} else {
-				job.state = fmt.Sprintf("status %d", status)
-			}
-			if job.state == "completed" {
-				job.completedAt = time.Now()
-			} else {
-				pending++
-			}
-		}
-		if pending == 0 {
+// violate records a broken guarantee once.
+func (s *soak) violate(format string, args ...any) {
+	text := fmt.Sprintf(format, args...)
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for _, known := range s.summary.violations {
+		if known == text {
 			return
 		}
-		time.Sleep(300 * time.Millisecond)
 	}
+	s.summary.violations = append(s.summary.violations, text)
 }
 
-// check compares what clients and runners observed with the guarantees.
-func (s *soak) check() {
-	violate := func(format string, args ...any) {
-		s.summary.violations = append(s.summary.violations, fmt.Sprintf(format, args...))
-	}
-	for _, task := range s.platform.fleet.Overlaps() {
-		violate("task %v ran in two places at once", task)
-	}
-	starts := s.platform.fleet.Starts()
-	s.summary.starts = len(starts)
-	byJob := map[string]int{}
-	for _, start := range starts {
-		byJob[start.Task.Job]++
-	}
-	for _, job := range s.jobs {
-		switch {
-		case job.accepted:
-			s.summary.accepted++
-			if job.state != "completed" {
-				violate("accepted job %s is %q", job.id, job.state)
-			} else {
-				s.summary.completed++
-			}
-		case job.refused:
-			s.summary.refused++
-			if byJob[job.id] > 0 {
-				violate("job %s was refused at each attempt and has run", job.id)
-			}
-		}
+// writeRecords writes the faults and all runs with their times next to the logs of the nodes.
+func (s *soak) writeRecords() error {
+	var out strings.Builder
+	for _, fault := range s.summary.faults {
+		fmt.Fprintln(&out, "fault", fault)
 	}
-	for _, start := range starts {
-		for _, job := range s.jobs {
-			if job.id == start.Task.Job && !job.completedAt.IsZero() && start.At.After(job.completedAt) {
-				violate("task %v started after its job was shown as completed", start.Task)
-			}
-		}
+	for _, start := range s.platform.fleet.Starts() {
+		fmt.Fprintln(&out, start.At.Format(time.RFC3339Nano), "start", start.Task, start.Run, start.Runner, start.Token)
 	}
-}
-
-// clearFaults ends all faults of the emulated platform.
-func (s *soak) clearFaults() {
-	s.platform.store.SetFault(emulator.StoreWorks)
-	for _, info := range s.platform.infos {
-		if _, alive := s.platform.fleet.Info(info.ID); !alive {
-			s.platform.fleet.Restart(info.ID)
-		}
-		s.platform.fleet.SetFault(info.ID, emulator.RunnerWorks)
+	for _, end := range s.platform.fleet.Ends() {
+		fmt.Fprintln(&out, end.At.Format(time.RFC3339Nano), "end", end.Task, end.Run, end.Runner, end.Reason, end.Acked)
 	}
+	return os.WriteFile(filepath.Join(s.cfg.dir, "records.log"), []byte(out.String()), 0o600)
 }
