Emulate gangs, and move the faults of connections to the emulator

Change: gang members start together and end together, broken or alone; a poll ends with the process that received it. emulator.Link is the TCP proxy. Rows of runners are only rewritten when they change, half of the runs let the faults end after the last job arrives, and a rack of runners can be cut, so that tasks that only another event would start show.

--- a/internal/emulator/runner.go
+++ b/internal/emulator/runner.go
@@ -54,6 +54,8 @@
 	Work Work
 	// StopTime is how long a stop takes.
 	StopTime time.Duration
+	// GangSize returns the number of members of a task's gang, or 0 if the task is not part of a gang. It may be nil.
+	GangSize func(task workload.TaskID) int
 
 	mu      sync.Mutex // guards the fields below and the state of all runners
 	runners map[string]*simRunner
@@ -62,6 +64,8 @@
 	// overlaps are tasks that ran in two places at once.
 	overlaps []workload.TaskID
 	ends     []*EndRecord
+	// gangs are the runners of the members of each gang's run.
+	gangs map[gangKey]map[workload.TaskID]*simRunner
 }
 
 type simRunner struct {
@@ -92,13 +96,16 @@
 	timer    *time.Timer
 	started  time.Time
 	duration time.Duration
+	// outcome is how the run ends by itself.
+	outcome  runner.EndReason
 	hangs    bool
 	stopping bool
 }
 
 // NewFleet returns a fleet without runners.
 func NewFleet(work Work) *Fleet {
-	return &Fleet{Work: work, StopTime: 50 * time.Millisecond, runners: map[string]*simRunner{}, done: map[workload.TaskID]int{}}
+	return &Fleet{Work: work, StopTime: 50 * time.Millisecond, runners: map[string]*simRunner{}, done: map[workload.TaskID]int{},
+		gangs: map[gangKey]map[workload.TaskID]*simRunner{}}
 }
 
 // Add starts a runner.
@@ -121,11 +128,16 @@
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	r := f.runners[id]
+	if !r.alive {
+		return
+	}
 	r.alive = false
+	close(r.changed)
 	for key, run := range r.running {
 		run.timer.Stop()
 		delete(r.running, key)
 		f.recordEnd(r, key, 0, EndCrashed)
+		f.endGang(key, EndCrashed)
 	}
 }
 
@@ -243,20 +255,20 @@
 	}
 	duration, fails := f.Work(command.Task, command.Run)
 	fails = fails || r.fault == RunnerFails
-	run := &simRun{started: time.Now(), duration: duration, hangs: r.fault == RunnerHangs}
+	run := &simRun{started: time.Now(), duration: duration, hangs: r.fault == RunnerHangs, outcome: runner.EndDone}
+	if fails {
+		run.outcome = runner.EndFailed
+	}
 	run.timer = time.AfterFunc(duration, func() {
 		f.mu.Lock()
 		defer f.mu.Unlock()
 		if run.hangs {
 			return
 		}
-		reason := runner.EndDone
-		if fails {
-			reason = runner.EndFailed
-		}
-		r.endRun(f, key, reason)
+		r.endRun(f, key, run.outcome)
 	})
 	r.running[key] = run
+	f.joinGang(r, key, run)
 	f.starts = append(f.starts, StartRecord{time.Now(), r.info.ID, command.Task, command.Run, command.Token})
 	return nil
 }
@@ -278,6 +290,7 @@
 	}
 	close(r.changed)
 	r.changed = make(chan struct{})
+	f.endGang(key, reason)
 }
 
 // extendLease moves the end of the lease and ends all runs if the lease expires. The caller holds mu.
@@ -340,11 +353,17 @@
 // Hold implements runner.Client.
 func (f *Fleet) Hold(ctx context.Context, target runner.Target, command runner.Hold) (runner.Report, error) {
 	deadline := time.After(command.Wait)
+	var first *simRunner
 	for {
 		r, _, err := f.lockRunner(ctx, target)
 		if err != nil {
 			return runner.Report{}, err
 		}
+		if first != nil && r != first {
+			f.mu.Unlock()
+			return runner.Report{}, errNoRunnerResponse // the process that got the command has ended
+		}
+		first = r
 		if command.Token < r.token {
 			f.mu.Unlock()
 			return runner.Report{}, &runner.RefusedError{Reason: runner.ReasonFenced, Clock: r.clock()}
--- a/internal/soak/check.go
+++ b/internal/soak/check.go
@@ -33,25 +33,21 @@
 // awaitSettled queries accepted jobs until nothing is missing or the timeout has passed. What is missing then is a violation.
 func (s *soak) awaitSettled(ctx context.Context) {
 	began := time.Now()
-	for n := 0; ; n++ {
+	missing := []string{"nothing was checked"}
+	for n := 0; len(missing) > 0 && time.Since(began) < settleTimeout && wait.For(ctx, settleInterval); n++ {
 		for i, job := range s.jobs {
-			if job.accepted && !job.ended() {
+			if job.accepted.Load() && !job.ended() {
 				s.query(job, s.nodes[(n+i)%len(s.nodes)])
 			}
 		}
-		missing := s.missing()
-		if len(missing) == 0 {
-			s.summary.settled = time.Since(began)
-			wait.For(ctx, steadyTime)
-			missing = s.missing()
-		}
-		settled := s.summary.settled > 0
-		if settled || time.Since(began) > settleTimeout || !wait.For(ctx, settleInterval) {
-			for _, text := range missing {
-				s.violate("%s", text)
-			}
-			return
-		}
+		missing = s.missing()
+	}
+	s.summary.settled = time.Since(began)
+	if len(missing) == 0 && wait.For(ctx, steadyTime) {
+		missing = s.missing()
+	}
+	for _, text := range missing {
+		s.violate("%s", text)
 	}
 }
 
@@ -63,13 +59,13 @@
 	live := s.platform.fleet.LiveRuns()
 	for _, job := range s.jobs {
 		switch {
-		case !job.accepted && !job.refused, job.cancelSent && !job.cancelled && job.longRunning():
+		case !job.accepted.Load() && !job.refused.Load(), job.cancelSent.Load() && !job.cancelled.Load() && job.longRunning():
 			// Whether the job was accepted, or cancelled, is not known, so its tasks may run.
 			for task := range live {
 				expected[task] = expected[task] || task.Job == job.id
 			}
-		case !job.accepted:
-		case job.longRunning() && !job.cancelled:
+		case !job.accepted.Load():
+		case job.longRunning() && !job.cancelled.Load():
 			for index := range job.Steps[0].Count {
 				task := workload.TaskID{Job: job.id, Index: index}
 				expected[task] = true
@@ -110,12 +106,12 @@
 	s.checkOrder(starts, s.platform.fleet.Ends())
 	for _, job := range s.jobs {
 		switch {
-		case job.accepted:
+		case job.accepted.Load():
 			s.summary.accepted++
 			if job.ended() {
 				s.summary.completed++
 			}
-		case job.refused:
+		case job.refused.Load():
 			s.summary.refused++
 			if ran[job.id] {
 				s.violate("job %s was refused at each attempt and has run", job.id)
@@ -180,12 +176,12 @@
 			s.violate("%d tasks of step %d of job %s run on %s", active[key], e.task.Step, e.task.Job, e.runner)
 		}
 		if acked[e.task] {
-			s.violate("task %v started after its end as done was acknowledged", e.task)
+			s.violate("a task of job %s (%s) started after its end as done was acknowledged", e.task.Job, s.byID[e.task.Job].kind)
 		}
 		for _, before := range step.After {
 			for index := range s.byID[e.task.Job].Steps[before].Count {
 				task := workload.TaskID{Job: e.task.Job, Occurrence: e.task.Occurrence, Step: before, Index: index}
-				if !done[task] && !s.byID[e.task.Job].Steps[before].Gang {
+				if !done[task] {
 					s.violate("task %v started before %v was done", e.task, task)
 				}
 			}
--- a/internal/soak/faults.go
+++ b/internal/soak/faults.go
@@ -4,6 +4,7 @@
 	"context"
 	"fmt"
 	"os"
+	"slices"
 	"strings"
 	"sync"
 	"syscall"
@@ -22,56 +23,34 @@
 	closeShare = 0.6
 	maxClose   = 1500 * time.Millisecond
 	maxPause   = 4 * time.Second
+	// quietTail bounds how long faults last after the last submission.
+	quietTail = 6 * time.Second
 	// maxLinkDelay bounds the delay of each block of data on a slow link.
 	maxLinkDelay = 400 * time.Millisecond
 )
 
-// planAll is the default plan.
-const planAll = "all"
-
-// plan is a set of faults that a run draws from.
-type plan struct {
-	name string
-	// once injects each fault only once, in this order, with even pauses.
-	once   bool
-	faults []func(s *soak) string
-}
-
-var plans = []plan{
-	{planAll, false, []func(*soak) string{
-		(*soak).killNode, (*soak).killOwner, (*soak).pauseNode, (*soak).pauseOwner, (*soak).terminateNode, (*soak).hangUpNode,
+// plans are the sets of faults that a run draws from.
+var plans = map[string][]func(*soak) string{
+	"all": {
+		(*soak).killNode, (*soak).killOwner, (*soak).pauseNode, (*soak).terminateNode, (*soak).hangUpNode,
 		(*soak).breakStore, (*soak).dropHistory, (*soak).breakRunner, (*soak).crashRunner, (*soak).restartRunner, (*soak).drainRunner, (*soak).drainBesideLostStarts,
-		(*soak).unlistRunner, (*soak).cutRunner, (*soak).slowLinks, (*soak).resetLinks, (*soak).silenceConnections, (*soak).cutStore,
+		(*soak).unlistRunner, (*soak).cutRunner, (*soak).cutRack, (*soak).slowLinks, (*soak).resetLinks, (*soak).silenceConnections, (*soak).cutStore,
 		(*soak).cutPeers, (*soak).killOwnerBesideDarkRunner, (*soak).killOwnerBesideLostRunner, (*soak).silenceStoreAtTakeover,
-	}},
-	{"kill-owner", true, []func(*soak) string{(*soak).killOwner}},
-}
-
-func planNames() []string {
-	names := make([]string, 0, len(plans))
-	for _, p := range plans {
-		names = append(names, p.name)
-	}
-	return names
+	},
+	"kill-owner": {(*soak).killOwner},
 }
 
 // inject injects faults until ctx ends. Each lasts up to some seconds, and the next may begin before it ends.
 func (s *soak) inject(ctx context.Context) {
-	for _, p := range plans {
-		if p.name != s.cfg.plan {
-			continue
-		}
-		if p.once {
-			for i := range p.faults {
-				if wait.For(ctx, s.cfg.duration/time.Duration(2+len(p.faults))) {
-					s.record(p.faults[i])
-				}
-			}
-			return
-		}
-		for wait.For(ctx, s.pause()) {
-			s.record(p.faults[s.rng.IntN(len(p.faults))])
-		}
+	faults := plans[s.cfg.plan]
+	for wait.For(ctx, s.pause()) {
+		at := time.Now()
+		text := faults[s.rng.IntN(len(faults))](s)
+		s.summary.faults = append(s.summary.faults, fmt.Sprintf("%s (%.1fs) %s", at.Format("15:04:05.000"), at.Sub(s.began).Seconds(), text))
+	}
+	if s.rng.IntN(2) == 0 {
+		// Faults that end while no more jobs arrive show tasks that only other events would start.
+		time.Sleep(s.random(quietTail))
 	}
 }
 
@@ -82,13 +61,6 @@
 	return s.random(maxPause)
 }
 
-func (s *soak) record(fault func(*soak) string) {
-	at := time.Now()
-	if text := fault(s); text != "" {
-		s.summary.faults = append(s.summary.faults, fmt.Sprintf("%s (%.1fs) %s", at.Format("15:04:05.000"), at.Sub(s.began).Seconds(), text))
-	}
-}
-
 // random returns a random time from a tenth of limit to limit.
 func (s *soak) random(limit time.Duration) time.Duration {
 	return limit/10 + time.Duration(s.rng.Int64N(int64(limit*9/10)))
@@ -171,14 +143,8 @@
 	return time.Second
 }
 
-func (s *soak) killNode() string {
-	return s.endNode(s.randomNode(), syscall.SIGKILL, s.downtime())
-}
-
-func (s *soak) killOwner() string {
-	return "owner: " + s.endNode(s.ownerOrRandom(), syscall.SIGKILL, s.downtime())
-}
-
+func (s *soak) killNode() string  { return s.endNode(s.randomNode(), syscall.SIGKILL, s.downtime()) }
+func (s *soak) killOwner() string { return s.endNode(s.ownerOrRandom(), syscall.SIGKILL, s.downtime()) }
 func (s *soak) terminateNode() string {
 	return s.endNode(s.randomNode(), syscall.SIGTERM, grace+time.Second)
 }
@@ -191,13 +157,14 @@
 	return fmt.Sprintf("%s for %v", text, lasts.Round(time.Millisecond))
 }
 
-func (s *soak) pauseProcess(p *process) string {
+func (s *soak) pauseNode() string {
+	p := s.ownerOrRandom()
+	if s.rng.IntN(2) == 0 {
+		p = s.randomNode()
+	}
 	return s.during(10*time.Second, "pause "+p.name, func() { p.signal(syscall.SIGSTOP) }, func() { p.signal(syscall.SIGCONT) })
 }
 
-func (s *soak) pauseNode() string  { return s.pauseProcess(s.randomNode()) }
-func (s *soak) pauseOwner() string { return "owner: " + s.pauseProcess(s.ownerOrRandom()) }
-
 func (s *soak) hangUpNode() string {
 	p := s.randomNode()
 	p.signal(syscall.SIGHUP)
@@ -281,50 +248,48 @@
 	return s.during(8*time.Second, "row lapses of "+id, func() { s.platform.setListed(id, false) }, func() { s.platform.setListed(id, true) })
 }
 
-// updateLinks changes the state of links during a time up to limit.
-func (s *soak) updateLinks(links []*link, limit time.Duration, text string, begin, end func(*link)) string {
-	each := func(change func(*link)) func() {
-		return func() {
-			for _, l := range links {
-				l.update(func() { change(l) })
+// hold holds back the data on links in a random direction or in both. Afterwards it is delivered late, or the connections are
+// reset.
+func (s *soak) hold(links network, name string, limit time.Duration) string {
+	d, lost := emulator.Direction(1+s.rng.IntN(int(emulator.BothDirections))), s.rng.IntN(2) == 0
+	return s.during(limit, fmt.Sprintf("%s: hold %d, lost %v", name, d, lost), links.each(func(l *emulator.Link) { l.Hold(d) }),
+		links.each(func(l *emulator.Link) {
+			if lost {
+				l.Abort()
 			}
-		}
-	}
-	return s.during(limit, text, each(begin), each(end))
-}
-
-// hold holds back the data on links in some directions. Afterwards it is delivered late, or the connections are reset.
-func (s *soak) hold(links []*link, name string, d direction, limit time.Duration) string {
-	lost := s.rng.IntN(2) == 0
-	return s.updateLinks(links, limit, fmt.Sprintf("%s: hold %v, lost %v", name, d, lost), func(l *link) { l.held = d }, func(l *link) {
-		l.held = 0
-		if lost {
-			l.abortConns()
-		}
-	})
-}
-
-func (s *soak) randomDirection() direction {
-	return []direction{towardsServer, towardsClient, bothDirections}[s.rng.IntN(3)]
+			l.Hold(0)
+		}))
 }
 
 func (s *soak) cutRunner() string {
 	id := s.randomRunner()
-	return s.hold(s.platform.network.between("", id), "links to "+id, s.randomDirection(), 10*time.Second)
+	return s.hold(s.platform.network.between("", id), "links to "+id, 10*time.Second)
+}
+
+// cutRack cuts all runners of a rack, so that tasks that need its label wait.
+func (s *soak) cutRack() string {
+	var links network
+	rack := rackLabel(s.rng.IntN(len(s.platform.infos)))
+	for _, info := range s.platform.infos {
+		if slices.Contains(info.Labels, rack) {
+			links = append(links, s.platform.network.between("", info.ID)...)
+		}
+	}
+	return s.hold(links, "links to rack "+rack, 8*time.Second)
 }
 
 func (s *soak) cutStore() string {
 	p := s.randomNode()
-	return s.hold(s.platform.network.between(p.name, storeName), "link of "+p.name+" to the store", s.randomDirection(), 6*time.Second)
+	return s.hold(s.platform.network.between(p.name, storeName), "link of "+p.name+" to the store", 6*time.Second)
 }
 
 func (s *soak) cutPeers() string {
 	from, to := s.randomNode(), s.randomNode()
-	return s.hold(s.platform.network.between(from.name, to.name), "link of "+from.name+" to "+to.name, s.randomDirection(), 8*time.Second)
+	return s.hold(s.platform.network.between(from.name, to.name), "link of "+from.name+" to "+to.name, 8*time.Second)
 }
 
 // randomLinks returns all links of a node or to a runner.
-func (s *soak) randomLinks() ([]*link, string) {
+func (s *soak) randomLinks() (network, string) {
 	if s.rng.IntN(2) == 0 {
 		p := s.randomNode()
 		return s.platform.network.between(p.name, ""), "links of " + p.name
@@ -336,30 +301,30 @@
 func (s *soak) slowLinks() string {
 	links, name := s.randomLinks()
 	delay := s.random(maxLinkDelay)
-	return s.updateLinks(links, 6*time.Second, fmt.Sprintf("%s: delay %v", name, delay.Round(time.Millisecond)),
-		func(l *link) { l.delay = delay }, func(l *link) { l.delay = 0 })
+	return s.during(6*time.Second, fmt.Sprintf("%s: delay %v", name, delay.Round(time.Millisecond)),
+		links.each(func(l *emulator.Link) { l.Delay(delay) }), links.each(func(l *emulator.Link) { l.Delay(0) }))
 }
 
 func (s *soak) resetLinks() string {
 	links, name := s.randomLinks()
-	return s.updateLinks(links, 2*time.Second, name+": reset", func(l *link) {
-		l.refusing = true
-		l.abortConns()
-	}, func(l *link) { l.refusing = false })
+	return s.during(2*time.Second, name+": reset", links.each(func(l *emulator.Link) {
+		l.Refuse(true)
+		l.Abort()
+	}), links.each(func(l *emulator.Link) { l.Refuse(false) }))
 }
 
 // silenceConnections silences the open connections of links; new ones work.
 func (s *soak) silenceConnections() string {
 	links, name := s.randomLinks()
-	return s.updateLinks(links, longOutage, name+": open connections are silent", (*link).silence, (*link).abortConns)
+	return s.during(longOutage, name+": open connections are silent", links.each((*emulator.Link).Silence), links.each((*emulator.Link).Abort))
 }
 
 // killOwnerBesideDarkRunner kills the owner, which is away for long, while a runner cannot be reached.
 func (s *soak) killOwnerBesideDarkRunner() string {
 	id := s.randomRunner()
-	held := s.hold(s.platform.network.between("", id), "links to "+id, bothDirections, longOutage)
+	held := s.hold(s.platform.network.between("", id), "links to "+id, longOutage)
 	time.Sleep(s.random(time.Second))
-	return held + " and owner: " + s.endNode(s.ownerOrRandom(), syscall.SIGKILL, longOutage)
+	return held + " and " + s.endNode(s.ownerOrRandom(), syscall.SIGKILL, longOutage)
 }
 
 // killOwnerBesideLostRunner kills the owner at the time at which a runner is lost for good.
@@ -373,12 +338,12 @@
 	s.mu.Unlock()
 	s.platform.fleet.Crash(id)
 	time.Sleep(s.random(time.Second))
-	return id + " is gone for good and owner: " + s.endNode(s.ownerOrRandom(), syscall.SIGKILL, s.downtime())
+	return id + " is gone for good and " + s.endNode(s.ownerOrRandom(), syscall.SIGKILL, s.downtime())
 }
 
 // silenceStoreAtTakeover kills the owner and makes the store silent while another node takes over.
 func (s *soak) silenceStoreAtTakeover() string {
 	killed := s.endNode(s.ownerOrRandom(), syscall.SIGKILL, longOutage)
 	time.Sleep(s.random(4 * time.Second))
-	return "owner: " + killed + " and " + s.setStoreFault(emulator.StoreSilent, 4*time.Second)
+	return killed + " and " + s.setStoreFault(emulator.StoreSilent, 4*time.Second)
 }
--- a/internal/soak/jobs.go
+++ b/internal/soak/jobs.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"math/rand/v2"
+	"sync/atomic"
 	"time"
 
 	"github.com/currantthread/currantthread/workload"
@@ -39,12 +40,13 @@
 	// cancelAfter is when the client cancels the job, counted from its acceptance; 0 for most jobs.
 	cancelAfter time.Duration
 
-	// The mu of soak guards the fields below.
-	accepted bool
-	refused  bool // every attempt was refused
+	accepted atomic.Bool
+	refused  atomic.Bool // every attempt was refused
 	// cancelSent is set before the first attempt to cancel the job, and cancelled once one was acknowledged.
-	cancelSent, cancelled bool
-	state                 string
+	cancelSent, cancelled atomic.Bool
+
+	// The fields below are used by queries, of which only one is made at a time.
+	state string
 	// completedAt is when the job was first reported as completed.
 	completedAt time.Time
 }
@@ -54,7 +56,7 @@
 
 // ended reports whether the job needs nothing more, by its last state.
 func (j *clientJob) ended() bool {
-	return j.state == string(workload.StateCompleted) || j.cancelSent && j.state == string(workload.StateCancelled)
+	return j.state == string(workload.StateCompleted) || j.cancelSent.Load() && j.state == string(workload.StateCancelled)
 }
 
 const (
@@ -135,15 +137,10 @@
 }
 
 // work returns a duration of 0.2 to 1.2 s, or one longer than any soak for long-running tasks, and makes the first run of a few
-// tasks fail. The members of a gang end together. The result depends only on the arguments.
+// tasks fail. The result depends only on the arguments.
 func (s *soak) work(task workload.TaskID, run int) (time.Duration, bool) {
-	if job := s.job(task.Job); job != nil {
-		switch def := job.Steps[task.Step]; {
-		case def.LongRunning:
-			return time.Hour, false
-		case def.Gang:
-			task.Index = 0
-		}
+	if s.job(task.Job).Steps[task.Step].LongRunning {
+		return time.Hour, false
 	}
 	h := uint64(14695981039346656037)
 	for _, b := range []byte(task.String()) {
@@ -151,3 +148,12 @@
 	}
 	return 200*time.Millisecond + time.Duration(h%1000)*time.Millisecond, run == 1 && h%50 == 0
 }
+
+// gangSize returns the number of members of a task's gang, or 0 if the task is not part of a gang.
+func (s *soak) gangSize(task workload.TaskID) int {
+	def := s.job(task.Job).Steps[task.Step]
+	if !def.Gang {
+		return 0
+	}
+	return def.Count
+}
--- a/internal/soak/main.go
+++ b/internal/soak/main.go
@@ -9,8 +9,10 @@
 	"context"
 	"flag"
 	"fmt"
+	"maps"
 	"os"
 	"os/signal"
+	"slices"
 	"strings"
 	"syscall"
 	"time"
@@ -24,11 +26,13 @@
 	flag.StringVar(&cfg.program, "program", "target/currantthread", "the daemon's program")
 	flag.Uint64Var(&cfg.seed, "seed", 1, "seed of jobs and faults")
 	flag.DurationVar(&cfg.duration, "duration", 20*time.Second, "time in which jobs are submitted and faults are injected")
-	flag.IntVar(&cfg.nodes, "nodes", 3, "number of nodes")
-	flag.IntVar(&cfg.runners, "runners", 12, "number of runners")
 	flag.StringVar(&cfg.dir, "dir", "", "directory for settings, logs and records; default is a temporary one, which is kept if a guarantee is broken")
-	flag.StringVar(&cfg.plan, "plan", planAll, "faults to inject: "+strings.Join(planNames(), ", "))
+	flag.StringVar(&cfg.plan, "plan", "all", "faults to inject: "+strings.Join(slices.Sorted(maps.Keys(plans)), ", "))
 	flag.Parse()
+	if plans[cfg.plan] == nil {
+		fmt.Fprintf(os.Stderr, "soak: unknown plan %q\n", cfg.plan)
+		return 2
+	}
 	ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt, syscall.SIGTERM)
 	defer stop()
 	report, err := run(ctx, cfg)
--- a/internal/soak/nodes.go
+++ b/internal/soak/nodes.go
@@ -22,7 +22,7 @@
 )
 
 const (
-	// heartbeatInterval is how often each runner rewrites its service discovery row.
+	// heartbeatInterval is how often each runner checks its service discovery row.
 	heartbeatInterval = time.Second
 	loopback          = "127.0.0.1"
 	serviceName       = "kioscos"
@@ -40,6 +40,8 @@
 // process is the process of one node.
 type process struct {
 	name, clientAddr, innerAddr, file, log string
+	// firstPort is the first of portsPerNode ports.
+	firstPort int
 
 	mu      sync.Mutex // guards the fields below
 	current *incarnation
@@ -65,17 +67,15 @@
 )
 
 // newProcess returns a node that has no settings file yet and is not started.
-func newProcess(dir string, seed uint64, index int) (p *process, ports [portsPerNode]int) {
-	for i := range ports {
-		ports[i] = firstPort + int(seed%seedRanges)*portsPerSeed + index*portsPerNode + i
-	}
+func newProcess(dir string, seed uint64, index int) *process {
+	port := firstPort + int(seed%seedRanges)*portsPerSeed + index*portsPerNode
 	name := fmt.Sprintf("node-%d", index)
-	return &process{name: name, clientAddr: fmt.Sprintf("%s:%d", loopback, ports[0]),
-		innerAddr: fmt.Sprintf("%s:%d", loopback, ports[2]),
-		file:      filepath.Join(dir, name+".toml"), log: filepath.Join(dir, name+".log")}, ports
+	return &process{name: name, firstPort: port, clientAddr: fmt.Sprintf("%s:%d", loopback, port+2),
+		innerAddr: fmt.Sprintf("%s:%d", loopback, port),
+		file:      filepath.Join(dir, name+".toml"), log: filepath.Join(dir, name+".log")}
 }
 
-func (p *process) writeSettings(ports [portsPerNode]int, storeAddr string) error {
+func (p *process) writeSettings(storeAddr string) error {
 	settings := fmt.Sprintf(`node_name = %q
 ip = %q
 zone = "chipre"
@@ -100,7 +100,7 @@
 address = %q
 form = "table"
 across = true
-`, p.name, loopback, ports[2], ports[2]+1, p.clientAddr, loopback, ports[1], holdMax.Milliseconds(), grace.Seconds(), storeAddr)
+`, p.name, loopback, p.firstPort, p.firstPort+1, p.clientAddr, loopback, p.firstPort+3, holdMax.Milliseconds(), grace.Seconds(), storeAddr)
 	return os.WriteFile(p.file, []byte(settings), 0o600)
 }
 
@@ -206,9 +206,10 @@
 	return server, listener.Addr().String(), nil
 }
 
-func newEmulatedPlatform(runners int, work emulator.Work) (*emulatedPlatform, error) {
+func newEmulatedPlatform(work emulator.Work, gangSize func(workload.TaskID) int) (*emulatedPlatform, error) {
 	e := &emulatedPlatform{store: emulator.NewStore(), fleet: emulator.NewFleet(work), stop: make(chan struct{}), unlisted: map[string]bool{}}
-	for i := range runners {
+	e.fleet.GangSize = gangSize
+	for i := range runnerCount {
 		id := fmt.Sprintf("i-%02d", i)
 		server, addr, err := listen(platform.NewRunnerServer(id, e.fleet))
 		if err != nil {
@@ -230,14 +231,14 @@
 func (e *emulatedPlatform) connect(p *process, nodes []*process) (storeAddr string, err error) {
 	var addrs []string
 	add := func(to, target string) (string, error) {
-		l, err := newLink(p.name, to, target)
+		l, err := emulator.NewLink(target)
 		if err != nil {
 			return "", err
 		}
-		e.network.links = append(e.network.links, l)
+		e.network = append(e.network, link{l, p.name, to})
 		// Addresses are quoted in JSON, and one may be a prefix of another.
-		addrs = append(addrs, strconv.Quote(target), strconv.Quote(l.addr))
-		return l.addr, nil
+		addrs = append(addrs, strconv.Quote(target), strconv.Quote(l.Addr))
+		return l.Addr, nil
 	}
 	for _, info := range e.infos {
 		if _, err := add(info.ID, info.Addr); err != nil {
@@ -280,8 +281,10 @@
 	e.unlisted[id] = !listed
 }
 
-// sendHeartbeats periodically rewrites the rows of live runners and deletes those of crashed ones.
+// sendHeartbeats periodically writes the rows of live runners and deletes those of others. A row that would not change is not
+// written, so that nodes get no notice while nothing happens.
 func (e *emulatedPlatform) sendHeartbeats() {
+	written := map[string]string{}
 	for {
 		for _, info := range e.infos {
 			key := store.Key{Table: platform.TableServers, Name: info.ID}
@@ -289,13 +292,15 @@
 			e.mu.Lock()
 			listed := alive && !e.unlisted[info.ID]
 			e.mu.Unlock()
-			if !listed {
-				e.store.Delete(key)
-				continue
-			}
 			row, err := platform.EncodeRunner(current)
-			if err == nil {
+			switch {
+			case err != nil || string(row) == written[info.ID] && listed:
+			case listed:
 				e.store.Put(key, row)
+				written[info.ID] = string(row)
+			case written[info.ID] != "":
+				e.store.Delete(key)
+				delete(written, info.ID)
 			}
 		}
 		select {
@@ -308,7 +313,7 @@
 
 func (e *emulatedPlatform) close() {
 	close(e.stop)
-	e.network.close()
+	e.network.each((*emulator.Link).Close)()
 	for _, s := range e.servers {
 		_ = s.Close()
 	}
--- a/internal/soak/run.go
+++ b/internal/soak/run.go
@@ -10,6 +10,7 @@
 	"net/http"
 	"os"
 	"path/filepath"
+	"slices"
 	"strings"
 	"sync"
 	"syscall"
@@ -23,13 +24,13 @@
 	program  string
 	seed     uint64
 	duration time.Duration
-	nodes    int
-	runners  int
 	dir      string
 	plan     string
 }
 
 const (
+	nodeCount   = 3
+	runnerCount = 12
 	// startTimeout is how long the nodes may take until one accepts jobs.
 	startTimeout = 20 * time.Second
 	// jobInterval is the pause between two submissions.
@@ -110,21 +111,19 @@
 
 func (s *soak) play(ctx context.Context) error {
 	var err error
-	if s.platform, err = newEmulatedPlatform(s.cfg.runners, s.work); err != nil {
+	if s.platform, err = newEmulatedPlatform(s.work, s.gangSize); err != nil {
 		return err
 	}
 	defer s.platform.close()
-	var ports [][portsPerNode]int
-	for i := range s.cfg.nodes {
-		p, own := newProcess(s.cfg.dir, s.cfg.seed, i)
-		s.nodes, ports = append(s.nodes, p), append(ports, own)
+	for i := range nodeCount {
+		s.nodes = append(s.nodes, newProcess(s.cfg.dir, s.cfg.seed, i))
 	}
-	for i, p := range s.nodes {
+	for _, p := range s.nodes {
 		storeAddr, err := s.platform.connect(p, s.nodes)
 		if err != nil {
 			return err
 		}
-		if err := p.writeSettings(ports[i], storeAddr); err != nil {
+		if err := p.writeSettings(storeAddr); err != nil {
 			return err
 		}
 		if err := p.start(s.cfg.program); err != nil {
@@ -179,66 +178,55 @@
 	return s.byID[id]
 }
 
-// submit submits a job to one node after another until one accepts it, and cancels it if it is one of those to cancel.
+// submit submits a job, and cancels it if it is one of those to cancel.
 func (s *soak) submit(job *clientJob, first int) {
 	body, err := json.Marshal(&job.submittedJob)
 	if err != nil {
 		panic(err)
 	}
-	refusals, unknown := 0, false
-	for attempt := range attempts {
-		status, response := s.call(http.MethodPost, s.nodes[(first+attempt)%len(s.nodes)], job.id, body)
-		switch status {
-		case http.StatusOK:
-			s.mu.Lock()
-			job.accepted = true
-			s.mu.Unlock()
-			if job.cancelAfter > 0 {
-				time.Sleep(job.cancelAfter)
-				s.cancel(job, first)
-			}
-			return
-		case http.StatusServiceUnavailable, http.StatusTooManyRequests:
-			refusals++
-		case http.StatusBadRequest:
-			s.violate("valid job %s was rejected: %s", job.id, response)
-		default:
-			unknown = true
+	refusedOnly := true
+	job.accepted.Store(s.send(http.MethodPost, job, first, body, func(status int) {
+		refusedOnly = refusedOnly && (status == http.StatusServiceUnavailable || status == http.StatusTooManyRequests)
+		if status == http.StatusBadRequest {
+			s.violate("valid job %s was rejected", job.id)
 		}
-		time.Sleep(retryPause)
+	}))
+	if !job.accepted.Load() {
+		job.refused.Store(refusedOnly)
+		return
+	}
+	if job.cancelAfter > 0 {
+		time.Sleep(job.cancelAfter)
+		job.cancelSent.Store(true)
+		job.cancelled.Store(s.send(http.MethodDelete, job, first, nil, func(int) {}))
 	}
-	s.mu.Lock()
-	job.refused = refusals > 0 && !unknown
-	s.mu.Unlock()
 }
 
-func (s *soak) cancel(job *clientJob, first int) {
-	s.mu.Lock()
-	job.cancelSent = true
-	s.mu.Unlock()
+// send sends a request to one node after another until one responds with 200, and reports whether one did. It calls failed for
+// each other response.
+func (s *soak) send(method string, job *clientJob, first int, body []byte, failed func(status int)) bool {
 	for attempt := range attempts {
-		status, _ := s.call(http.MethodDelete, s.nodes[(first+attempt)%len(s.nodes)], job.id, nil)
+		status, _ := s.call(method, s.nodes[(first+attempt)%len(s.nodes)], job.id, body)
 		if status == http.StatusOK {
-			s.mu.Lock()
-			job.cancelled = true
-			s.mu.Unlock()
-			return
+			return true
 		}
+		failed(status)
 		time.Sleep(retryPause)
 	}
+	return false
 }
 
 // queryJobs queries the states of accepted jobs until ctx ends.
 func (s *soak) queryJobs(ctx context.Context) {
 	for n := 0; wait.For(ctx, queryInterval); n++ {
 		s.mu.Lock()
-		var job *clientJob
-		if len(s.jobs) > 0 {
-			job = s.jobs[n*7%len(s.jobs)]
-		}
-		accepted := job != nil && job.accepted
+		jobs := s.jobs
 		s.mu.Unlock()
-		if accepted {
+		if len(jobs) == 0 {
+			continue
+		}
+		// The step visits old and new jobs in turn.
+		if job := jobs[n*7%len(jobs)]; job.accepted.Load() {
 			s.query(job, s.nodes[n%len(s.nodes)])
 		}
 	}
@@ -254,13 +242,11 @@
 	case status != http.StatusOK || json.Unmarshal(response, &answer) != nil:
 		return
 	}
-	s.mu.Lock()
 	previous := job.state
 	job.state = answer.State
 	if answer.State == string(workload.StateCompleted) && job.completedAt.IsZero() {
 		job.completedAt = time.Now()
 	}
-	s.mu.Unlock()
 	if workload.State(previous).Terminal() && answer.State != previous {
 		s.violate("job %s was %s and is now %q by %s", job.id, previous, answer.State, node.name)
 	}
@@ -290,12 +276,9 @@
 	text := fmt.Sprintf(format, args...)
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	for _, known := range s.summary.violations {
-		if known == text {
-			return
-		}
+	if !slices.Contains(s.summary.violations, text) {
+		s.summary.violations = append(s.summary.violations, text)
 	}
-	s.summary.violations = append(s.summary.violations, text)
 }
 
 // writeRecords writes the faults and all runs with their times next to the logs of the nodes.
