--- a/dispatch/acquire.go
+++ b/dispatch/acquire.go
@@ -152,47 +152,7 @@
 	}
 }
 
-// leaseExpiry returns the time by which a lease that is extended now is guaranteed to have ended.
-func (c *Cell) leaseExpiry(now time.Time) time.Time {
-	return now.Add(time.Duration(float64(c.cfg.Lease)*(1+clockDrift)) + leaseSlack)
-}
-
-// Predecessor returns the last owner and whether it may still send commands.
-func (c *Cell) Predecessor() (previous Ownership, mayCommand bool) {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	return c.previous, !c.previous.Released && !c.cfg.PredecessorDead
-}
-
-// MarkPredecessorDead records that the process of the last owner is confirmed to have ended. Tasks on unreachable
-// runners then count as lost after one lease.
-func (c *Cell) MarkPredecessorDead() {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	c.cfg.PredecessorDead = true
-	expiry := c.leaseExpiry(time.Now())
-	for id, until := range c.unresolved {
-		if expiry.Before(until) {
-			c.unresolved[id] = expiry
-		}
-	}
-}
-
-// initUnresolved records the runners that may still run tasks started by the predecessor. It is called before the cell
-// is shared with other goroutines.
-func (c *Cell) initUnresolved(previous Ownership, runners []runner.Info) {
-	c.previous = previous
-	until := c.leaseExpiry(time.Now())
-	if !previous.Released && !c.cfg.PredecessorDead {
-		until = until.Add(storeOutageTolerance)
-	}
-	for _, id := range previous.Terminated {
-		c.terminated[id] = true
-	}
-	for _, info := range runners {
-		if c.terminated[info.ID] {
-			continue
-		}
-		c.unresolved[info.ID] = until
-	}
+// leaseExpiry returns the time by which a lease that is granted now is guaranteed to have ended.
+func leaseExpiry(now time.Time, lease time.Duration) time.Time {
+	return now.Add(time.Duration(float64(lease)*(1+clockDrift)) + leaseSlack)
 }
--- a/dispatch/cell_test.go
+++ b/dispatch/cell_test.go
@@ -30,8 +30,14 @@
 	store *emulator.Store
 	fleet *emulator.Fleet
 	infos []runner.Info
+	// unlisted are runners of the cell that service discovery does not list.
+	unlisted []runner.Info
 	// advisor is nil unless a test sets it.
 	advisor dispatch.Advisor
+	// logs receives the log lines of the owners; nil discards them.
+	logs io.Writer
+	// registry has the metrics of the last owner.
+	registry *prometheus.Registry
 }
 
 // newCluster returns a cluster with runners of 64 cores in one failure domain.
@@ -58,21 +64,33 @@
 	ctx, cancel := context.WithCancel(cl.t.Context())
 	previous, version, err := dispatch.ReadOwner(ctx, cl.store, cellName)
 	assert.NilError(cl.t, err)
-	registry := prometheus.NewRegistry()
+	logs := cl.logs
+	if logs == nil {
+		logs = io.Discard
+	}
+	cl.registry = prometheus.NewRegistry()
 	cfg := dispatch.Config{
 		Advisor: cl.advisor,
 		Name:    cellName, Part: cellName, IndexPart: func(string) string { return "i0" }, Node: node, Addr: node,
 		Incarnation: node, Region: "caldas-centro", Regions: map[string]string{"chipre": "caldas-centro", "cartago": "valle-norte"},
 		Lease: lease, Retention: 2 * time.Minute,
-		Store: cl.store, Runners: cl.fleet, Log: observe.NewLogger(io.Discard, "test", node),
-		Metrics: dispatch.NewMetrics(registry), PredecessorDead: predecessorDead,
+		Store: cl.store, Runners: cl.fleet, Log: observe.NewLogger(logs, "test", node),
+		Metrics: dispatch.NewMetrics(cl.registry), PredecessorDead: predecessorDead,
 	}
-	c, err := dispatch.Acquire(ctx, cfg, previous, version, cl.infos)
+	c, err := dispatch.Acquire(ctx, cfg, previous, version, append(cl.unlisted, cl.infos...))
 	assert.NilError(cl.t, err)
 	for _, info := range cl.infos {
 		c.SetRunner(ctx, info, true)
 	}
+	for _, info := range cl.unlisted {
+		c.SetRunner(ctx, info, false)
+	}
 	go c.Run(ctx)
+	cl.t.Cleanup(func() {
+		// A failed test must not leave goroutines in its bubble, or the whole test binary panics.
+		cancel()
+		<-c.Done()
+	})
 	return c, cancel
 }
 
--- a/internal/emulator/record.go
+++ b/internal/emulator/record.go
@@ -49,19 +49,6 @@
 	return ends
 }
 
-// LiveRuns returns how often each task runs at present, by the runners' own state.
-func (f *Fleet) LiveRuns() map[workload.TaskID]int {
-	f.mu.Lock()
-	defer f.mu.Unlock()
-	runs := map[workload.TaskID]int{}
-	for _, r := range f.runners {
-		for key := range r.running {
-			runs[key.task]++
-		}
-	}
-	return runs
-}
-
 // SetDraining changes whether a runner asks for no new tasks.
 func (f *Fleet) SetDraining(id string, draining bool) {
 	f.mu.Lock()
--- a/internal/soak/check.go
+++ b/internal/soak/check.go
@@ -56,7 +56,7 @@
 func (s *soak) missing() []string {
 	var missing []string
 	expected := map[workload.TaskID]bool{}
-	live := s.platform.fleet.LiveRuns()
+	live := s.platform.fleet.Runs()
 	for _, job := range s.jobs {
 		switch {
 		case !job.accepted.Load() && !job.refused.Load(), job.cancelSent.Load() && !job.cancelled.Load() && job.longRunning():
@@ -69,17 +69,17 @@
 			for index := range job.Steps[0].Count {
 				task := workload.TaskID{Job: job.id, Index: index}
 				expected[task] = true
-				if live[task] != 1 {
-					missing = append(missing, fmt.Sprintf("long-running task %v runs %d times", task, live[task]))
+				if len(live[task]) != 1 {
+					missing = append(missing, fmt.Sprintf("long-running task %v runs on %v", task, live[task]))
 				}
 			}
 		case !job.ended():
 			missing = append(missing, fmt.Sprintf("accepted job %s (%s) is %q", job.id, job.kind, job.state))
 		}
 	}
-	for task, count := range live {
+	for task, runners := range live {
 		if !expected[task] && s.byID[task.Job].ended() {
-			missing = append(missing, fmt.Sprintf("task %v of an ended job runs %d times", task, count))
+			missing = append(missing, fmt.Sprintf("task %v of an ended job runs on %v", task, runners))
 		}
 	}
 	sort.Strings(missing)
--- a/internal/soak/faults.go
+++ b/internal/soak/faults.go
@@ -17,6 +17,10 @@
 const (
 	// maxGoneForGood bounds the runners that never come back, so that the remaining ones have room for all tasks.
 	maxGoneForGood = 2
+	// maxRunnersAtOnce bounds the runners that a fault hits at once.
+	maxRunnersAtOnce = 3
+	// maxClockStep bounds how far the time of day of a VM steps back.
+	maxClockStep = time.Minute
 	// longOutage bounds the longest faults. It exceeds the tolerance of an owner without the store.
 	longOutage = 16 * time.Second
 	// closeShare is the share of faults that follow the previous one within maxClose; the others follow within maxPause.
@@ -33,9 +37,9 @@
 var plans = map[string][]func(*soak) string{
 	"all": {
 		(*soak).killNode, (*soak).killOwner, (*soak).pauseNode, (*soak).terminateNode, (*soak).hangUpNode,
-		(*soak).breakStore, (*soak).dropHistory, (*soak).breakRunner, (*soak).crashRunner, (*soak).restartRunner, (*soak).drainRunner, (*soak).drainBesideLostStarts,
-		(*soak).unlistRunner, (*soak).cutRunner, (*soak).cutRack, (*soak).slowLinks, (*soak).resetLinks, (*soak).silenceConnections, (*soak).cutStore,
-		(*soak).cutPeers, (*soak).killOwnerBesideDarkRunner, (*soak).killOwnerBesideLostRunner, (*soak).silenceStoreAtTakeover,
+		(*soak).breakStore, (*soak).dropHistory, (*soak).breakRunners, (*soak).crashRunners, (*soak).drainRunners,
+		(*soak).drainBesideLostCommands, (*soak).unlistRunners, (*soak).cutRunners, (*soak).cutRack, (*soak).slowLinks,
+		(*soak).resetLinks, (*soak).silenceConnections, (*soak).cutStore, (*soak).cutPeers, (*soak).killOwnerBesideDarkRunner, (*soak).killOwnerBesideLostRunner, (*soak).silenceStoreAtTakeover,
 	},
 	"kill-owner": {(*soak).killOwner},
 }
@@ -84,9 +88,7 @@
 	for _, u := range s.undos {
 		u.once.Do(u.f)
 	}
-	s.platform.store.SetFault(emulator.StoreWorks)
 	for _, p := range s.nodes {
-		p.signal(syscall.SIGCONT)
 		s.start(p)
 	}
 }
@@ -185,67 +187,83 @@
 	return "store history dropped"
 }
 
-func (s *soak) setRunnerFault(id string, limit time.Duration) string {
-	fault, set := emulator.RunnerUnreachable+emulator.RunnerFault(s.rng.IntN(3)), s.platform.fleet.SetFault
-	return s.during(limit, fmt.Sprintf("runner fault %d on %s", fault, id), func() { set(id, fault) }, func() { set(id, emulator.RunnerWorks) })
+// onRunners injects a fault of one runner into some at once.
+func (s *soak) onRunners(fault func(id string) string) string {
+	var texts []string
+	for range 1 + s.rng.IntN(maxRunnersAtOnce) {
+		texts = append(texts, fault(s.randomRunner()))
+	}
+	return strings.Join(texts, " and ")
+}
+
+func (s *soak) randomCommandFault() emulator.CommandFault {
+	return emulator.CommandFault(s.rng.IntN(int(emulator.CommandAppliedLate + 1)))
+}
+
+// breakCommands lets some kinds of a runner's commands get no response.
+func (s *soak) breakCommands(id string) string {
+	faults, set := emulator.CommandFaults{Start: s.randomCommandFault(), Stop: s.randomCommandFault()}, s.platform.fleet.SetCommandFaults
+	if s.rng.IntN(4) == 0 {
+		faults.Hold = min(s.randomCommandFault(), emulator.CommandResponseLost)
+	}
+	return s.during(10*time.Second, fmt.Sprintf("command faults %v on %s", faults, id), func() { set(id, faults) }, func() { set(id, emulator.CommandFaults{}) })
 }
 
-func (s *soak) breakRunner() string { return s.setRunnerFault(s.randomRunner(), 8*time.Second) }
+func (s *soak) breakRunners() string { return s.onRunners(s.breakCommands) }
 
 // restartIfDown starts a runner's process again unless it runs or is gone for good.
-func (s *soak) restartIfDown(id string) {
+func (s *soak) restartIfDown(id string, clockStep time.Duration) {
 	s.mu.Lock()
 	gone := s.gone[id]
 	s.mu.Unlock()
 	if _, alive := s.platform.fleet.Info(id); !alive && !gone {
 		s.platform.fleet.SetDraining(id, false)
-		s.platform.fleet.Restart(id)
+		s.platform.fleet.RestartAt(id, time.Now().Add(clockStep).UnixMilli())
 	}
 }
 
-func (s *soak) crashRunner() string {
-	id := s.randomRunner()
-	return s.during(8*time.Second, "crash "+id, func() { s.platform.fleet.Crash(id) }, func() { s.restartIfDown(id) })
+// crash ends a runner's process and starts it again, sometimes at once, so that its service discovery row never disappears.
+// The time of day of its VM may step back in between.
+func (s *soak) crash(id string) string {
+	limit, step := 8*time.Second, time.Duration(0)
+	if s.rng.IntN(2) == 0 {
+		limit = 100 * time.Millisecond
+	}
+	if s.rng.IntN(4) == 0 {
+		step = -s.random(maxClockStep)
+	}
+	return s.during(limit, fmt.Sprintf("crash %s, clock steps by %v", id, step.Round(time.Second)),
+		func() { s.platform.fleet.Crash(id) }, func() { s.restartIfDown(id, step) })
 }
 
-// restartRunner restarts a runner's process at once, so that its service discovery row never disappears.
-func (s *soak) restartRunner() string {
-	id := s.randomRunner()
-	s.platform.fleet.Crash(id)
-	s.restartIfDown(id)
-	return "restart " + id
-}
+func (s *soak) crashRunners() string { return s.onRunners(s.crash) }
 
 // drain lets a runner drain, leave and return under its ID.
 func (s *soak) drain(id string) string {
 	leaves := s.random(5 * time.Second)
-	away := leaves + s.random(5*time.Second)
+	back := leaves + s.random(5*time.Second)
 	s.platform.fleet.SetDraining(id, true)
 	s.undoAfter(leaves, func() { s.platform.fleet.Crash(id) })
-	s.undoAfter(away, func() { s.restartIfDown(id) })
-	return fmt.Sprintf("drain %s, down from %v to %v", id, leaves.Round(time.Millisecond), away.Round(time.Millisecond))
+	s.undoAfter(back, func() { s.restartIfDown(id, 0) })
+	return fmt.Sprintf("drain %s, down from %v to %v", id, leaves.Round(time.Millisecond), back.Round(time.Millisecond))
 }
 
-func (s *soak) drainRunner() string { return s.drain(s.randomRunner()) }
+func (s *soak) drainRunners() string { return s.onRunners(s.drain) }
 
-// drainBesideLostStarts lets some runners drain while they respond to stops and polls, but not to starts.
-func (s *soak) drainBesideLostStarts() string {
-	var texts, ids []string
-	for range runnersPerRack / 2 {
-		id := s.randomRunner()
-		ids, texts = append(ids, id), append(texts, s.setRunnerFault(id, 4*time.Second))
-	}
-	time.Sleep(s.random(time.Second))
-	for _, id := range ids {
-		texts = append(texts, s.drain(id))
-	}
-	return strings.Join(texts, " and ")
+// drainBesideLostCommands lets some runners drain while their commands get no response.
+func (s *soak) drainBesideLostCommands() string {
+	return s.onRunners(func(id string) string {
+		broken := s.breakCommands(id)
+		time.Sleep(s.random(time.Second))
+		return broken + " and " + s.drain(id)
+	})
 }
 
-// unlistRunner lets the service discovery row of a runner lapse while the runner works.
-func (s *soak) unlistRunner() string {
-	id := s.randomRunner()
-	return s.during(8*time.Second, "row lapses of "+id, func() { s.platform.setListed(id, false) }, func() { s.platform.setListed(id, true) })
+// unlistRunners lets the service discovery rows of runners lapse while the runners work.
+func (s *soak) unlistRunners() string {
+	return s.onRunners(func(id string) string {
+		return s.during(8*time.Second, "row lapses of "+id, func() { s.platform.setListed(id, false) }, func() { s.platform.setListed(id, true) })
+	})
 }
 
 // hold holds back the data on links in a random direction or in both. Afterwards it is delivered late, or the connections are
@@ -261,9 +279,10 @@
 		}))
 }
 
-func (s *soak) cutRunner() string {
-	id := s.randomRunner()
-	return s.hold(s.platform.network.between("", id), "links to "+id, 10*time.Second)
+func (s *soak) cutRunners() string {
+	return s.onRunners(func(id string) string {
+		return s.hold(s.platform.network.between("", id), "links to "+id, 10*time.Second)
+	})
 }
 
 // cutRack cuts all runners of a rack, so that tasks that need its label wait.
--- a/internal/soak/nodes.go
+++ b/internal/soak/nodes.go
@@ -208,7 +208,7 @@
 
 func newEmulatedPlatform(work emulator.Work, gangSize func(workload.TaskID) int) (*emulatedPlatform, error) {
 	e := &emulatedPlatform{store: emulator.NewStore(), fleet: emulator.NewFleet(work), stop: make(chan struct{}), unlisted: map[string]bool{}}
-	e.fleet.GangSize = gangSize
+	e.fleet.Gang = gangSize
 	for i := range runnerCount {
 		id := fmt.Sprintf("i-%02d", i)
 		server, addr, err := listen(platform.NewRunnerServer(id, e.fleet))
