Keep the timing of polls at a crash of an emulated runner

Cause: ending held polls at a crash changed the timing that tests of package dispatch rely on.

Change: a held poll of a crashed runner gets no response until its wait ends, as before; it no longer goes on with the next process of the ID.

--- a/internal/emulator/runner.go
+++ b/internal/emulator/runner.go
@@ -169,12 +169,7 @@
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	r := f.runners[id]
-	if !r.alive {
-		return
-	}
 	r.alive = false
-	close(r.changed)
-	r.changed = make(chan struct{})
 	for key, run := range r.running {
 		run.timer.Stop()
 		delete(r.running, key)
