--- a/dispatch/waiting.go
+++ b/dispatch/waiting.go
@@ -500,14 +500,14 @@
 		return draining
 	case c.evacuated[rs.info.Domain]:
 		return evacuated
-	case rs.listedTerminated:
-		return listedTerminated
 	case !rs.synced:
 		return notSynced
 	case rs.pollFailing:
 		return pollFailing
 	case now.Sub(rs.lastResponseAt) >= reachableTimeout:
 		return responseOverdue
+	case rs.listedTerminated:
+		return listedTerminated
 	case now.Before(rs.backoffUntil):
 		return startBackoff
 	case now.Before(rs.noCapacityUntil):
