Acknowledge ends when a poll arrives, and add a plan for runners

Change: polls acknowledge on arrival; the plan runners plays faults of runners only; half of the runners drain one after another while their commands get no response.

--- a/Makefile
+++ b/Makefile
@@ -10,9 +10,10 @@
 export RAPID_SEED ?= 1
 export RAPID_NOFAILFILE ?= true
 
-# Seed and duration of a soak run.
+# Seed, duration and plan of faults of a soak run.
 SEED ?= 1
 DURATION ?= 20s
+PLAN ?= all
 
 .PHONY: build test bench lint generate demo soak soak-build up down clean
 
@@ -41,7 +42,7 @@
 	$(GO) build -ldflags "-X main.version=$(VERSION)" -o target/ ./cmd/currantthread ./internal/soak
 
 soak: soak-build
-	target/soak --seed $(SEED) --duration $(DURATION)
+	target/soak --seed $(SEED) --duration $(DURATION) --plan $(PLAN)
 
 up: build
 	bash scripts/up.sh $(DEPLOYMENT)
--- a/internal/emulator/record.go
+++ b/internal/emulator/record.go
@@ -30,11 +30,13 @@
 	}
 }
 
-// acknowledge records that an end was acknowledged. The caller holds mu.
-func (r *simRunner) acknowledge(number int64) {
-	if record := r.endRecords[number]; record != nil {
-		record.Acked = record.At.After(r.lapsedAt)
+// forgetEnds forgets the ends up to an acknowledged number. The caller holds mu.
+func (r *simRunner) forgetEnds(acked int64) {
+	for len(r.ends) > 0 && r.ends[0].Number <= acked {
+		number := r.ends[0].Number
+		r.endRecords[number].Acked = r.endRecords[number].At.After(r.lapsedAt)
 		delete(r.endRecords, number)
+		r.ends = r.ends[1:]
 	}
 }
 
--- a/internal/emulator/runner.go
+++ b/internal/emulator/runner.go
@@ -520,16 +520,16 @@
 			f.mu.Unlock()
 			return runner.Report{}, errNoRunnerResponse // the process that got the command has ended
 		}
-		first = r
 		if command.Token < r.token {
 			f.mu.Unlock()
 			return runner.Report{}, &runner.RefusedError{Reason: runner.ReasonFenced, Clock: r.clock()}
 		}
 		r.token = command.Token
 		r.extendLease(f, command.Deadline)
-		for len(r.ends) > 0 && r.ends[0].Number <= command.AckedEnd {
-			r.acknowledge(r.ends[0].Number)
-			r.ends = r.ends[1:]
+		if first == nil {
+			// A poll acknowledges ends when it arrives, not those that occur while it waits.
+			r.forgetEnds(command.AckedEnd)
+			first = r
 		}
 		if len(r.ends) > 0 || command.Wait == 0 {
 			report := r.report()
--- a/internal/soak/faults.go
+++ b/internal/soak/faults.go
@@ -42,6 +42,7 @@
 		(*soak).resetLinks, (*soak).silenceConnections, (*soak).cutStore, (*soak).cutPeers, (*soak).killOwnerBesideDarkRunner, (*soak).killOwnerBesideLostRunner, (*soak).silenceStoreAtTakeover,
 	},
 	"kill-owner": {(*soak).killOwner},
+	"runners":    {(*soak).breakRunners, (*soak).crashRunners, (*soak).drainRunners, (*soak).drainBesideLostCommands, (*soak).cutRunners},
 }
 
 // inject injects faults until ctx ends. Each lasts up to some seconds, and the next may begin before it ends.
@@ -250,13 +251,19 @@
 
 func (s *soak) drainRunners() string { return s.onRunners(s.drain) }
 
-// drainBesideLostCommands lets some runners drain while their commands get no response.
+// drainBesideLostCommands lets half of the runners drain one after another while their commands get no response, so that the
+// long-running tasks of one move to the next.
 func (s *soak) drainBesideLostCommands() string {
-	return s.onRunners(func(id string) string {
-		broken := s.breakCommands(id)
-		time.Sleep(s.random(time.Second))
-		return broken + " and " + s.drain(id)
-	})
+	var texts, ids []string
+	for range runnerCount / 2 {
+		id := s.randomRunner()
+		ids, texts = append(ids, id), append(texts, s.breakCommands(id))
+	}
+	for _, id := range ids {
+		time.Sleep(s.random(500 * time.Millisecond))
+		texts = append(texts, s.drain(id))
+	}
+	return strings.Join(texts, " and ")
 }
 
 // unlistRunners lets the service discovery rows of runners lapse while the runners work.
--- a/internal/soak/jobs.go
+++ b/internal/soak/jobs.go
@@ -99,7 +99,7 @@
 		labelled.Requirements = rackLabel(rng.IntN(2) * runnersPerRack)
 		return submittedJob{Steps: []step{newStep(1), labelled, newStep(1, 1)}}
 	}},
-	{"long-running", newLongRunning},
+	{"long-running", newLongRunning}, {"long-running", newLongRunning},
 	{"best-effort", func(rng *rand.Rand) submittedJob {
 		filler := newStep(1 + rng.IntN(3))
 		filler.BestEffort = true
