Break the connections of an emulated runner whose process ends

Change: the end of a runner's process resets its connections, the loss of its VM silences them. Runners change their rows at once, and half of the command faults let a kind of command work.

--- a/internal/emulator/link.go
+++ b/internal/emulator/link.go
@@ -54,6 +54,7 @@
 // Close closes the link and its connections.
 func (l *Link) Close() {
 	_ = l.listener.Close() // fails only if it is closed already
+	l.Hold(0)
 	l.Abort()
 }
 
@@ -75,13 +76,16 @@
 	})
 }
 
-// Abort aborts all open connections.
+// Abort aborts all open connections. While the link holds back data towards the clients, they see no reset but silence.
 func (l *Link) Abort() {
 	l.update(func() {
 		for c := range l.conns {
-			abort(c.client)
 			abort(c.server)
-			delete(l.conns, c)
+			c.silent = l.held&TowardsClient != 0
+			if !c.silent {
+				abort(c.client)
+				delete(l.conns, c)
+			}
 		}
 	})
 }
--- a/internal/soak/faults.go
+++ b/internal/soak/faults.go
@@ -197,16 +197,19 @@
 	return strings.Join(texts, " and ")
 }
 
+// randomCommandFault returns a fault of commands, or none in half of the cases.
 func (s *soak) randomCommandFault() emulator.CommandFault {
-	return emulator.CommandFault(s.rng.IntN(int(emulator.CommandAppliedLate + 1)))
+	if s.rng.IntN(2) == 0 {
+		return emulator.CommandWorks
+	}
+	return emulator.CommandRequestLost + emulator.CommandFault(s.rng.IntN(3))
 }
 
 // breakCommands lets some kinds of a runner's commands get no response.
 func (s *soak) breakCommands(id string) string {
-	faults, set := emulator.CommandFaults{Start: s.randomCommandFault(), Stop: s.randomCommandFault()}, s.platform.fleet.SetCommandFaults
-	if s.rng.IntN(4) == 0 {
-		faults.Hold = min(s.randomCommandFault(), emulator.CommandResponseLost)
-	}
+	set := s.platform.fleet.SetCommandFaults
+	faults := emulator.CommandFaults{Start: s.randomCommandFault(), Stop: s.randomCommandFault(),
+		Hold: min(s.randomCommandFault(), s.randomCommandFault(), emulator.CommandResponseLost)}
 	return s.during(10*time.Second, fmt.Sprintf("command faults %v on %s", faults, id), func() { set(id, faults) }, func() { set(id, emulator.CommandFaults{}) })
 }
 
@@ -223,18 +226,28 @@
 	}
 }
 
-// crash ends a runner's process and starts it again, sometimes at once, so that its service discovery row never disappears.
-// The time of day of its VM may step back in between.
+// endRunner ends a runner's process. Its connections are reset, or become silent if its VM is lost.
+func (s *soak) endRunner(id string, loseVM bool) {
+	s.platform.fleet.Crash(id)
+	change := (*emulator.Link).Abort
+	if loseVM {
+		change = (*emulator.Link).Silence
+	}
+	s.platform.network.between("", id).each(change)()
+}
+
+// crash ends a runner's process and starts it again. The process alone is back at once, so that its service discovery row never
+// disappears. If its VM is lost as well, its time of day may step back in between.
 func (s *soak) crash(id string) string {
-	limit, step := 8*time.Second, time.Duration(0)
 	if s.rng.IntN(2) == 0 {
-		limit = 100 * time.Millisecond
+		return s.during(100*time.Millisecond, "crash "+id, func() { s.endRunner(id, false) }, func() { s.restartIfDown(id, 0) })
 	}
-	if s.rng.IntN(4) == 0 {
+	step := time.Duration(0)
+	if s.rng.IntN(2) == 0 {
 		step = -s.random(maxClockStep)
 	}
-	return s.during(limit, fmt.Sprintf("crash %s, clock steps by %v", id, step.Round(time.Second)),
-		func() { s.platform.fleet.Crash(id) }, func() { s.restartIfDown(id, step) })
+	return s.during(8*time.Second, fmt.Sprintf("VM of %s lost, clock steps by %v", id, step.Round(time.Second)),
+		func() { s.endRunner(id, true) }, func() { s.restartIfDown(id, step) })
 }
 
 func (s *soak) crashRunners() string { return s.onRunners(s.crash) }
@@ -244,7 +257,7 @@
 	leaves := s.random(5 * time.Second)
 	back := leaves + s.random(5*time.Second)
 	s.platform.fleet.SetDraining(id, true)
-	s.undoAfter(leaves, func() { s.platform.fleet.Crash(id) })
+	s.undoAfter(leaves, func() { s.endRunner(id, false) })
 	s.undoAfter(back, func() { s.restartIfDown(id, 0) })
 	return fmt.Sprintf("drain %s, down from %v to %v", id, leaves.Round(time.Millisecond), back.Round(time.Millisecond))
 }
@@ -362,7 +375,7 @@
 	s.mu.Lock()
 	s.gone[id] = true
 	s.mu.Unlock()
-	s.platform.fleet.Crash(id)
+	s.endRunner(id, true)
 	time.Sleep(s.random(time.Second))
 	return id + " is gone for good and " + s.endNode(s.ownerOrRandom(), syscall.SIGKILL, s.downtime())
 }
--- a/internal/soak/nodes.go
+++ b/internal/soak/nodes.go
@@ -22,8 +22,9 @@
 )
 
 const (
-	// heartbeatInterval is how often each runner checks its service discovery row.
-	heartbeatInterval = time.Second
+	// heartbeatInterval is how often each runner checks its service discovery row. It is short, so that a runner can drain
+	// while a start is on its way to it.
+	heartbeatInterval = 100 * time.Millisecond
 	loopback          = "127.0.0.1"
 	serviceName       = "kioscos"
 	queueHost         = "jobs.example"
