--- a/dispatch/runnerstate.go
+++ b/dispatch/runnerstate.go
@@ -138,7 +138,7 @@
 // pollLoop polls a runner for its running and ended tasks, one call after another, and extends its lease.
 func (c *Cell) pollLoop(ctx context.Context, rs *runnerState) {
 	for ctx.Err() == nil {
-		request, ok := c.nextPoll(rs)
+		request, target, ok := c.nextPoll(rs)
 		if !ok {
 			if !wait.For(ctx, pollRetry) {
 				return
@@ -146,7 +146,7 @@
 			continue
 		}
 		sent := time.Now()
-		report, err := c.cfg.Runners.Hold(ctx, rs.target(), request)
+		report, err := c.cfg.Runners.Hold(ctx, target, request)
 		if ctx.Err() != nil {
 			return
 		}
@@ -180,12 +180,12 @@
 	return true
 }
 
-func (c *Cell) nextPoll(rs *runnerState) (runner.Hold, bool) {
+func (c *Cell) nextPoll(rs *runnerState) (runner.Hold, runner.Target, bool) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	now := time.Now()
 	if c.lost {
-		return runner.Hold{}, false
+		return runner.Hold{}, runner.Target{}, false
 	}
 	request := runner.Hold{Token: c.epoch, AckedEnd: rs.acked}
 	if rs.synced && !rs.pollFailing {
@@ -199,7 +199,7 @@
 		}
 	}
 	c.cfg.Metrics.polls.Inc()
-	return request, true
+	return request, rs.target(), true
 }
 
 // needsFastPoll reports whether a serving task was over its target in the last report while best-effort tasks run. The
@@ -532,6 +532,10 @@
 	}
 	r := &run{unit: u, member: listed.Task.Index - u.first, number: listed.Run, runner: rs, startedAt: now, speed: fullSpeed}
 	c.attach(r)
+	if u.startsDurably() && u.assigned != rs.info.ID {
+		u.assigned = rs.info.ID
+		c.markDirty(j)
+	}
 	c.confirmRun(now, r, listed)
 	c.cfg.Log.WithFields(logrus.Fields{"request": j.def.ID, "task": listed.Task.String(), "run": listed.Run, "runner": rs.info.ID}).Info("adopted a run")
 	return r
--- a/dispatch/waiting_test.go
+++ b/dispatch/waiting_test.go
@@ -411,6 +411,56 @@
 	}
 }
 
+// Recovered tasks were never planned if the runner that they waited for was removed from service discovery before its
+// lease had expired: the removal triggered no plan.
+func TestRecoveredTasksStartAfterUnresolvedRunnerIsRemoved(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		cl := newCluster(t, 3, fixedDuration(time.Hour))
+		first, stopFirst := cl.startOwner("a", true)
+		time.Sleep(100 * time.Millisecond)
+		cl.submit(first, jobOf(1, longRunning(3, 8000)))
+		time.Sleep(time.Second)
+		stopFirst()
+		<-first.Done()
+		cl.fleet.Crash("r2")
+		next, stop := cl.startOwner("b", true)
+		time.Sleep(3 * time.Second)
+		next.SetRunner(t.Context(), cl.infos[2], false)
+		time.Sleep(lease + settleTime)
+		assert.Equal(t, cl.fleet.Running("r0")+cl.fleet.Running("r1"), 3)
+		stop()
+		<-next.Done()
+	})
+}
+
+// After a takeover, tasks of a runner that neither the owner nor the store reaches ran in two places: its removal from
+// service discovery ended the wait for the lease that the predecessor had granted.
+func TestRemovedRunnerIsAwaitedUntilItsLeaseExpires(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		cl := newCluster(t, 3, fixedDuration(time.Hour))
+		first, stopFirst := cl.startOwner("a", true)
+		time.Sleep(100 * time.Millisecond)
+		cl.submit(first, jobOf(1, longRunning(3, 8000)))
+		time.Sleep(time.Second)
+		stopFirst()
+		<-first.Done()
+		cl.fleet.SetFault("r2", emulator.RunnerUnreachable)
+		next, stop := cl.startOwner("b", true)
+		time.Sleep(time.Second)
+		next.SetRunner(t.Context(), cl.infos[2], false)
+		time.Sleep(time.Second)
+		// A new job triggers a plan.
+		cl.submit(next, jobOf(2, longRunning(1, 8000)))
+		time.Sleep(time.Second)
+		cl.assertNoOverlap()
+		time.Sleep(lease + settleTime)
+		cl.assertNoOverlap()
+		assert.Equal(t, cl.fleet.Running("r0")+cl.fleet.Running("r1"), 4)
+		stop()
+		<-next.Done()
+	})
+}
+
 // Tasks started a second time after a takeover if service discovery no longer listed their runner and the first poll of it
 // failed: the runner counted as terminated although its lease had not expired.
 func TestTakeoverAwaitsLeaseOfUnlistedRunner(t *testing.T) {
@@ -453,6 +503,9 @@
 	})
 }
 
+// holdWait is how long a poll of a runner waits for a run to end.
+const holdWait = 2 * time.Second
+
 // outageBound is when the leases of an owner that can't write have surely ended: 10 s after its last write, on a clock that is
 // 3% slow, with the owner's margin.
 const outageBound = 10*time.Second*103/100 + 250*time.Millisecond
@@ -495,3 +548,98 @@
 		<-c.Done()
 	})
 }
+
+// A job that was accepted when the store was back after a long silence was never started, although all runners were idle:
+// the runners had not been polled for some time, and the polls that followed triggered no plan.
+func TestJobAcceptedAfterLongSilenceOfStoreStarts(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		cl := newCluster(t, 2, fixedDuration(time.Second))
+		c, stop := cl.startOwner("a", true)
+		time.Sleep(2 * time.Second)
+		cl.store.SetFault(emulator.StoreSilent)
+		job := jobOf(1, tasks(1, 4000))
+		go c.Submit(t.Context(), job, true)
+		time.Sleep(16 * time.Second)
+		cl.store.SetFault(emulator.StoreWorks)
+		time.Sleep(settleTime)
+		assert.Equal(t, state(c, job), workload.StateCompleted)
+		stop()
+		<-c.Done()
+	})
+}
+
+// A task ran in two places if it started on a restarted runner before its owner knew of the restart, and the runner was
+// then cut off: the lease that the start granted on the clock of the earlier process ended later than the owner assumed.
+func TestStartBeforeRestartIsKnownGrantsNoLongerLease(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		cl := newCluster(t, 2, fixedDuration(time.Hour))
+		c, stop := cl.startOwner("a", true)
+		// The clock of the earlier process is far ahead of that of the next one, and no poll ends at the time of the crash.
+		time.Sleep(time.Minute + holdWait/4)
+		cl.fleet.Crash("r0")
+		cl.fleet.Restart("r0")
+		cl.submit(c, jobOf(1, longRunning(2, 8000)))
+		time.Sleep(100 * time.Millisecond)
+		assert.Assert(t, cl.fleet.Running("r0") > 0, "the restart is known before the start")
+		cl.fleet.SetFault("r0", emulator.RunnerUnreachable)
+		time.Sleep(lease + settleTime)
+		cl.assertNoOverlap()
+		assert.Equal(t, cl.fleet.Running("r1"), 2)
+		stop()
+		<-c.Done()
+	})
+}
+
+// After a takeover, long-running tasks whose runners had restarted waited for an unrelated runner that did not respond.
+func TestTakeoverRestartsLongRunningTasksBesideUnreachableRunner(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		cl := newCluster(t, 3, fixedDuration(time.Hour))
+		first, kill := cl.startOwner("a", true)
+		cl.submit(first, jobOf(1, longRunning(6, 8000)))
+		time.Sleep(time.Second)
+		onUnreachable := cl.fleet.Running("r1")
+		assert.Assert(t, onUnreachable < 6)
+		cl.killOwner(first, kill)
+		cl.fleet.SetFault("r1", emulator.RunnerUnreachable)
+		cl.fleet.Restart("r0")
+		cl.fleet.Restart("r2")
+		next, stop := cl.startOwner("b", false)
+		time.Sleep(takeoverTime)
+		assert.Equal(t, cl.fleet.Running("r0")+cl.fleet.Running("r2"), 6-onUnreachable)
+		time.Sleep(outageBound)
+		assert.Equal(t, cl.fleet.Running("r0")+cl.fleet.Running("r2"), 6)
+		cl.assertNoOverlap()
+		stop()
+		<-next.Done()
+	})
+}
+
+// A long-running task must not start before its assignment is durable: a successor would start it a second time.
+func TestLongRunningTaskStartsOnceItsAssignmentIsDurable(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		cl := newCluster(t, 2, fixedDuration(time.Hour))
+		first, kill := cl.startOwner("a", true)
+		cl.submit(first, jobOf(1, longRunning(1, 8000)))
+		time.Sleep(time.Second)
+		used, idle := "r0", "r1"
+		if cl.fleet.Running("r1") == 1 {
+			used, idle = idle, used
+		}
+		cl.store.SetFault(emulator.StoreSilent)
+		cl.fleet.Restart(used)
+		time.Sleep(4 * time.Second)
+		assert.Equal(t, cl.running(), 0)
+		kill()
+		<-first.Done()
+		cl.store.SetFault(emulator.StoreWorks)
+		cl.fleet.SetFault(used, emulator.RunnerUnreachable)
+		next, stop := cl.startOwner("b", false)
+		time.Sleep(takeoverTime)
+		assert.Equal(t, cl.fleet.Running(idle), 0, "the task may run on the unreachable runner")
+		time.Sleep(outageBound)
+		assert.Equal(t, cl.fleet.Running(idle), 1)
+		cl.assertNoOverlap()
+		stop()
+		<-next.Done()
+	})
+}
--- a/node/node.go
+++ b/node/node.go
@@ -58,6 +58,7 @@
 	peers            *peers
 	metrics          *dispatch.Metrics
 	unusableRows     prometheus.Gauge
+	rowLog           *rowLog
 	health           observe.Health
 	catalog          atomic.Pointer[catalog.Config]
 	bounds           atomic.Pointer[platform.Bounds]
@@ -79,6 +80,7 @@
 	runnerInfos map[string]runner.Info
 	unusable    map[string]bool      // rows of service discovery that describe no usable runner, by key
 	runnerCells map[string]string    // cell of each runner, by runner ID
+	runnerAddrs map[string]string    // address of each runner when it was assigned to its cell, by runner ID
 	rewrite     map[string]string    // values of rows of the roster that were deleted and must be written again, by name
 	ownerless   map[string]time.Time // when this node first found that the cell has no owner, by cell
 	jobCells    map[string]string    // cache of the cells of jobs, by job ID
@@ -121,12 +123,13 @@
 		innerAddr:   net.JoinHostPort(s.IP, strconv.Itoa(s.InnerPorts[0])),
 		peers:       newPeers(),
 		cells:       map[string]*dispatch.Cell{}, acquiring: map[string]bool{}, evacuated: map[string]bool{},
-		runnerInfos: map[string]runner.Info{}, unusable: map[string]bool{}, runnerCells: map[string]string{}, rewrite: map[string]string{}, ownerless: map[string]time.Time{},
+		runnerInfos: map[string]runner.Info{}, unusable: map[string]bool{}, runnerCells: map[string]string{}, runnerAddrs: map[string]string{}, rewrite: map[string]string{}, ownerless: map[string]time.Time{},
 		jobCells: map[string]string{}, endedEpochs: map[string]int64{}, seenOwners: map[string]seenOwner{}, submittedWork: map[string]submittedWork{}, assignWake: make(chan struct{}, 1),
 	}
 	if services.Advice != nil {
 		n.advisor = services.Advice
 	}
+	n.rowLog = newRowLog(n.log)
 	n.heartbeats = ownership.NewReader(n.store)
 	n.metrics = dispatch.NewMetrics(n.registry)
 	n.unusableRows = prometheus.NewGauge(prometheus.GaugeOpts{Namespace: observe.Namespace, Subsystem: "discovery",
@@ -236,7 +239,7 @@
 func (n *Node) configChanged(row store.Row) {
 	config, err := platform.DecodeConfig(row.Value)
 	if err != nil {
-		n.log.WithError(err).Error("configuration rejected; the previous one stays active")
+		n.rowLog.warn(logrus.Fields{"error": err.Error()}, "configuration rejected; the previous one stays active")
 		return
 	}
 	old := n.catalog.Load()
@@ -257,6 +260,10 @@
 func (n *Node) evacuationChanged(domain string, evacuated bool) {
 	n.mu.Lock()
 	defer n.mu.Unlock()
+	if n.evacuated[domain] == evacuated {
+		// The row was only rewritten.
+		return
+	}
 	domains := map[string]bool{}
 	for d := range n.evacuated {
 		domains[d] = true
@@ -378,7 +385,7 @@
 		return errors.Join(heartbeatErr, err)
 	}
 	for _, problem := range n.directory.Update(time.Now(), rows) {
-		n.log.WithError(problem).Warn("could not decode the heartbeat of a node")
+		n.rowLog.warn(logrus.Fields{"error": problem.Error()}, "could not decode the heartbeat of a node")
 	}
 	n.checkPredecessors()
 	if heartbeatErr == nil && running.Err() == nil {
