--- a/dispatch/flush.go
+++ b/dispatch/flush.go
@@ -6,6 +6,7 @@
 	"errors"
 	"slices"
 	"strconv"
+	"strings"
 	"time"
 
 	"github.com/sirupsen/logrus"
@@ -59,6 +60,19 @@
 	Terminated []string `json:"gone,omitempty"`
 	// Released means that the owner released the cell and sends no more commands.
 	Released bool `json:"released,omitempty"`
+	// InheritedLeaseMs is how long after the write leases that earlier owners granted may last on runners that have not
+	// responded to this owner, in milliseconds. The next owner waits at least as long for such runners.
+	InheritedLeaseMs int64 `json:"inherited_ms,omitempty"`
+}
+
+// ownership returns the value of the ownership row. The caller holds mu.
+func (c *Cell) ownership(now time.Time, nonce string) Ownership {
+	o := Ownership{Node: c.cfg.Node, Addr: c.cfg.Addr, Incarnation: c.cfg.Incarnation, Epoch: c.epoch,
+		Terminated: c.terminatedRunners(), Nonce: nonce}
+	for _, x := range c.unresolved {
+		o.InheritedLeaseMs = max(o.InheritedLeaseMs, x.until.Sub(now).Milliseconds()+1)
+	}
+	return o
 }
 
 // OwnerKey returns the key of a cell's ownership row.
@@ -143,16 +157,48 @@
 	}
 }
 
-// terminatedRunners returns the sorted IDs of runners that are confirmed to run nothing. The caller holds mu.
+// maxTerminatedBytes bounds the IDs of terminated runners in the ownership row, which is part of each commit.
+const maxTerminatedBytes = 16 << 10
+
+// terminatedRunners returns the sorted IDs of runners that are confirmed to run nothing, up to maxTerminatedBytes. A runner
+// that is left out makes a successor wait for its lease. Runners that this owner still polls are left out first: the
+// successor may know their properties and reach them, so fewer tasks wait for them, and for less time. The caller holds mu.
 func (c *Cell) terminatedRunners() []string {
-	terminated := make([]string, 0, len(c.terminated))
+	var unlisted, polled []string
 	for id := range c.terminated {
+		if c.runners[id] == nil {
+			unlisted = append(unlisted, id)
+		} else {
+			polled = append(polled, id)
+		}
+	}
+	slices.Sort(unlisted)
+	slices.Sort(polled)
+	terminated := make([]string, 0, len(c.terminated))
+	size := 0
+	for _, id := range append(unlisted, polled...) {
+		if size += encodedSize(id); size > maxTerminatedBytes {
+			break
+		}
 		terminated = append(terminated, id)
 	}
 	slices.Sort(terminated)
 	return terminated
 }
 
+// encodedSize returns the largest number of bytes that a string and a comma can have in JSON.
+func encodedSize(s string) int {
+	size := len(`"",`)
+	for i := range len(s) {
+		if b := s[i]; b < ' ' || b > '~' || strings.IndexByte(`"\\<>&`, b) >= 0 {
+			size += len(`\u0000`)
+		} else {
+			size++
+		}
+	}
+	return size
+}
+
 // lastFlushTimeout bounds the final commits of a cell that is released.
 const lastFlushTimeout = 2500 * time.Millisecond
 
@@ -169,7 +215,9 @@
 	defer cancel()
 	c.flush(ctx)
 	c.mu.Lock()
-	value, err := json.Marshal(Ownership{Node: c.cfg.Node, Addr: c.cfg.Addr, Incarnation: c.cfg.Incarnation, Epoch: c.epoch, Terminated: c.terminatedRunners(), Nonce: "released", Released: true})
+	released := c.ownership(time.Now(), "released")
+	released.Released = true
+	value, err := json.Marshal(released)
 	txn := store.Txn{
 		Conditions: []store.Condition{{Key: OwnerKey(c.cfg.Part), Version: c.ownerVersion}},
 		Writes:     []store.Write{{Key: OwnerKey(c.cfg.Part), Value: value}},
@@ -205,7 +253,7 @@
 func (c *Cell) buildBatch(now time.Time) (b *batch, more bool) {
 	c.urgent = false
 	b = &batch{nonce: c.cfg.Node + "/" + strconv.FormatInt(now.UnixNano(), 36), processed: map[*runnerState]int64{}}
-	owner, err := json.Marshal(Ownership{Node: c.cfg.Node, Addr: c.cfg.Addr, Incarnation: c.cfg.Incarnation, Epoch: c.epoch, Terminated: c.terminatedRunners(), Nonce: b.nonce})
+	owner, err := json.Marshal(c.ownership(now, b.nonce))
 	if err != nil {
 		c.cfg.Log.WithError(err).Error("ownership row can't be encoded")
 	}
@@ -295,11 +343,15 @@
 func (c *Cell) addProgress(b *batch, j *jobState) int {
 	delete(c.dirty, j)
 	j.dirty = false
+	omittedBefore := j.checkpointsOmitted
 	value, err := encodeProgress(j)
 	if err != nil {
 		c.cfg.Log.WithField("request", j.def.ID).WithError(err).Error("progress can't be encoded")
 		return 0
 	}
+	if j.checkpointsOmitted && !omittedBefore {
+		c.cfg.Log.WithField("request", j.def.ID).Warn("progress is stored without checkpoints, with which it is too large for a row")
+	}
 	b.jobs = append(b.jobs, batchJob{job: j, state: j.state, waiters: j.durableWaiters, planned: j.plannedRuns()})
 	j.durableWaiters = nil
 	b.txn.Writes = append(b.txn.Writes, store.Write{Key: c.key(TableProgress, j.def.ID), Value: value})
