Add a plan that cuts a node from everything

Cause: the known fault of a former owner that is cut off has no plan.

Change: the plan cuts holds back all links of a node, mostly the owner. It is not part of the other plans. emulator.StoreView moves out of the soak.

--- a/internal/soak/faults.go
+++ b/internal/soak/faults.go
@@ -56,6 +56,7 @@
 // plans are what runs may play. SEEDS.md names the open failures that the plans stable and kill-owner leave out.
 var plans = map[string]plan{
 	"all":        {faults: slices.Concat(runnerFaults, otherFaults, crashes)},
+	"cuts":       {faults: []func(*soak) string{(*soak).cutNode}},
 	"runners":    {faults: slices.Concat(runnerFaults, crashes)},
 	"stable":     {faults: slices.Concat(runnerFaults, otherFaults), without: []string{"scheduled"}},
 	"kill-owner": {faults: []func(*soak) string{(*soak).killOwner}, without: []string{"scheduled"}},
@@ -338,6 +339,12 @@
 	return s.hold(s.platform.network.between(p.name, storeName), "link of "+p.name+" to the store", 6*time.Second)
 }
 
+// cutNode cuts a node, mostly the owner, from everything.
+func (s *soak) cutNode() string {
+	p := s.ownerOrRandom()
+	return s.hold(s.platform.network.between(p.name, ""), "all links of "+p.name, longOutage)
+}
+
 func (s *soak) cutPeers() string {
 	from, to := s.randomNode(), s.randomNode()
 	return s.hold(s.platform.network.between(from.name, to.name), "link of "+from.name+" to "+to.name, 8*time.Second)
--- a/internal/soak/network.go
+++ b/internal/soak/network.go
@@ -1,13 +1,6 @@
 package main
 
-import (
-	"context"
-	"strings"
-	"time"
-
-	"github.com/currantthread/currantthread/internal/emulator"
-	"github.com/currantthread/currantthread/store"
-)
+import "github.com/currantthread/currantthread/internal/emulator"
 
 // link is the link from one node to the store, a runner or another node.
 type link struct {
@@ -37,29 +30,3 @@
 		}
 	}
 }
-
-// storeView is the store as one node sees it: rows name the addresses of the node's links instead of the real ones.
-type storeView struct {
-	store.Store
-	addrs *strings.Replacer
-}
-
-func (v *storeView) rewrite(page store.Page, err error) (store.Page, error) {
-	rows := make([]store.Row, 0, len(page.Rows))
-	for _, row := range page.Rows {
-		row.Value = []byte(v.addrs.Replace(string(row.Value)))
-		rows = append(rows, row)
-	}
-	page.Rows = rows
-	return page, err
-}
-
-// Range implements store.Store.
-func (v *storeView) Range(ctx context.Context, table, part, from, to string, limit int) (store.Page, error) {
-	return v.rewrite(v.Store.Range(ctx, table, part, from, to, limit))
-}
-
-// Feed implements store.Store.
-func (v *storeView) Feed(ctx context.Context, table string, after int64, wait time.Duration) (store.Page, error) {
-	return v.rewrite(v.Store.Feed(ctx, table, after, wait))
-}
--- a/internal/soak/nodes.go
+++ b/internal/soak/nodes.go
@@ -253,7 +253,7 @@
 			}
 		}
 	}
-	server, addr, err := listen(platform.NewStoreServer(&storeView{Store: e.store, addrs: strings.NewReplacer(addrs...)}))
+	server, addr, err := listen(platform.NewStoreServer(&emulator.StoreView{Store: e.store, Addrs: strings.NewReplacer(addrs...)}))
 	if err != nil {
 		return "", err
 	}
