Know the occurrences that a previous owner created

Callers saw tasks of a scheduled job run twice after a takeover, or stopped in the middle of their work. Cause: an owner starts the tasks of an occurrence before the row that lists it is durable, for example while the store is away. Its successor did not know the occurrence: it dropped the ends of its tasks, acknowledged them and ran the tasks again, stopped those that ran, and started a second run at once of those on runners that did not respond.

A report of a task whose occurrence is due and not created yet now creates it, within bounds; the run is then adopted and the end counts. Occurrences that are created while a runner has not responded to the new owner count as recovered, so their tasks wait for it and get higher run numbers.

Evidence: TestOccurrenceOfThePreviousOwner and TestOccurrenceOfThePreviousOwnerOnAnUnreachableRunner fail before (6 starts of 3 tasks, 3 overlaps).

--- a/dispatch/acquire.go
+++ b/dispatch/acquire.go
@@ -147,16 +147,21 @@
 		j.newOccurrence(0)
 	}
 	for _, occ := range j.occs {
-		for i := range occ.steps {
-			for _, u := range occ.steps[i].units {
-				u.recovered = true
-				u.run += runGap
-			}
-		}
+		occ.markRecovered()
 		c.activate(occ)
 	}
 }
 
+// markRecovered marks the units of an occurrence as ones that an earlier owner may have started.
+func (o *occurrence) markRecovered() {
+	for i := range o.steps {
+		for _, u := range o.steps[i].units {
+			u.recovered = true
+			u.run += runGap
+		}
+	}
+}
+
 // leaseExpiry returns the time by which a lease that is granted now is guaranteed to have ended.
 func leaseExpiry(now time.Time, lease time.Duration) time.Time {
 	return now.Add(time.Duration(float64(lease)*(1+clockDrift)) + leaseSlack)
--- a/dispatch/cell.go
+++ b/dispatch/cell.go
@@ -259,13 +259,8 @@
 		if j.state.Terminal() || j.nextOcc >= j.def.Occurrences || j.def.Due(j.nextOcc).After(now) {
 			continue
 		}
-		tasks := 0
-		for i := range j.def.Steps {
-			tasks += j.def.Steps[i].Count
-		}
 		for j.nextOcc < j.def.Occurrences && !j.def.Due(j.nextOcc).After(now) {
-			open := j.nextOcc - len(j.doneOccs)
-			if open > 0 && (open+1)*tasks > maxOpenTasks {
+			if j.nextOcc > len(j.doneOccs) && j.openTasks(j.nextOcc) > maxOpenTasks {
 				break
 			}
 			c.addOccurrence(j)
@@ -273,8 +268,33 @@
 	}
 }
 
+const (
+	// maxClockLead is how far the clock of an earlier owner may have been ahead of this one when it created an occurrence.
+	maxClockLead = 5 * time.Second
+	// maxReportedTasks bounds the tasks of a job's open occurrences when one more is created because a runner reports it. The
+	// previous owner may have known of more done occurrences than its last row.
+	maxReportedTasks = 2 * maxOpenTasks
+)
+
+// reportedUnit returns the unit of a task that a runner reports, or nil if the job has no such task. If an earlier owner created
+// the task's occurrence and that did not become durable, it creates the occurrence. The caller holds mu.
+func (c *Cell) reportedUnit(now time.Time, j *jobState, id workload.TaskID) *unit {
+	if id.Occurrence >= j.nextOcc && j.hasOccurrence(id.Occurrence) && j.openTasks(id.Occurrence) <= maxReportedTasks &&
+		!j.def.Due(id.Occurrence).After(now.Add(maxClockLead)) {
+		for j.nextOcc <= id.Occurrence {
+			c.addOccurrence(j)
+		}
+	}
+	return j.unitOf(id)
+}
+
+// addOccurrence creates the next occurrence of a job. While a runner has not responded to this owner, an earlier one may have
+// created the occurrence and started its tasks there. The caller holds mu.
 func (c *Cell) addOccurrence(j *jobState) {
 	occ := j.newOccurrence(j.nextOcc)
+	if len(c.unresolved) > 0 && !j.def.StartAt.IsZero() {
+		occ.markRecovered()
+	}
 	j.nextOcc++
 	if j.nextOcc > 1 || !j.def.StartAt.IsZero() {
 		c.markDirty(j)
--- a/dispatch/job.go
+++ b/dispatch/job.go
@@ -183,6 +183,15 @@
 	return true
 }
 
+// openTasks returns the tasks of the open occurrences once those up to a number have been created.
+func (j *jobState) openTasks(number int) int {
+	tasks := 0
+	for i := range j.def.Steps {
+		tasks += j.def.Steps[i].Count
+	}
+	return (number + 1 - len(j.doneOccs)) * tasks
+}
+
 // unitOf returns the unit of a task, or nil if the task is not part of a current occurrence of the job.
 func (j *jobState) unitOf(id workload.TaskID) *unit {
 	occ := j.occs[id.Occurrence]
--- a/dispatch/runnerstate.go
+++ b/dispatch/runnerstate.go
@@ -348,7 +348,7 @@
 		c.dropRun(rs, e.Task, e.Run)
 		return
 	}
-	u := j.unitOf(e.Task)
+	u := c.reportedUnit(now, j, e.Task)
 	if u == nil {
 		return
 	}
@@ -522,7 +522,7 @@
 	j := c.jobs[listed.Task.Job]
 	var u *unit
 	if j != nil && !j.state.Terminal() {
-		u = j.unitOf(listed.Task)
+		u = c.reportedUnit(now, j, listed.Task)
 	}
 	for r := range rs.runs {
 		if r.number == listed.Run && r.id() == listed.Task {
