Remove the units of done occurrences

The owner kept the units of all occurrences of a scheduled job until the job ended, so its memory grew with each occurrence although few are open at once. Before due occurrences are created, those that are done and have no runs left are now removed; the list of done occurrences is enough for reports of their tasks.

Evidence: TestDoneOccurrencesAreRemoved fails before and also takes the job over to another owner.

--- a/dispatch/cell.go
+++ b/dispatch/cell.go
@@ -259,6 +259,7 @@
 		if j.state.Terminal() || j.nextOcc >= j.def.Occurrences || j.def.Due(j.nextOcc).After(now) {
 			continue
 		}
+		j.removeDoneOccurrences()
 		for j.nextOcc < j.def.Occurrences && !j.def.Due(j.nextOcc).After(now) {
 			if j.nextOcc > len(j.doneOccs) && j.openTasks(j.nextOcc) > maxOpenTasks {
 				break
--- a/dispatch/job.go
+++ b/dispatch/job.go
@@ -234,17 +234,34 @@
 // hasRuns reports whether a run of the job may still exist.
 func (j *jobState) hasRuns() bool {
 	for _, occ := range j.occs {
-		for i := range occ.steps {
-			for _, u := range occ.steps[i].units {
-				if len(u.runs) > 0 {
-					return true
-				}
+		if occ.hasRuns() {
+			return true
+		}
+	}
+	return false
+}
+
+// hasRuns reports whether a run of the occurrence may still exist.
+func (o *occurrence) hasRuns() bool {
+	for i := range o.steps {
+		for _, u := range o.steps[i].units {
+			if len(u.runs) > 0 {
+				return true
 			}
 		}
 	}
 	return false
 }
 
+// removeDoneOccurrences removes the units of occurrences that are done and have no runs left. Only doneOccs lists them then.
+func (j *jobState) removeDoneOccurrences() {
+	for number, occ := range j.occs {
+		if j.doneOccs[number] && !occ.hasRuns() {
+			delete(j.occs, number)
+		}
+	}
+}
+
 // compact drops the details of a finished job, of which only the state is needed.
 func (j *jobState) compact() {
 	j.occs = nil
--- a/dispatch/occurrence_test.go
+++ b/dispatch/occurrence_test.go
@@ -115,3 +115,38 @@
 	assert.Assert(t, c.reportedUnit(now.Add(time.Minute), j, id) != nil)
 	assert.Equal(t, j.nextOcc, 20)
 }
+
+// The units of done occurrences are removed when later ones are created. They were kept until the end of the job: 100,000
+// occurrences of 10,000 tasks need more memory than a VM has.
+func TestDoneOccurrencesAreRemoved(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		fleet := emulator.NewFleet(func(workload.TaskID, int) (time.Duration, bool) { return 300 * time.Millisecond, false })
+		fleet.Add(largeRunner)
+		s := emulator.NewStore()
+		ctx, stop := context.WithCancel(t.Context())
+		c := acquireNext(ctx, t, testConfig("n1", s, fleet), largeRunner)
+		time.Sleep(time.Second)
+		job := shortJob("00000000000000aa", 5)
+		job.Occurrences, job.StartAt, job.Interval = 60, time.Now(), time.Second
+		outcome, _ := c.Submit(ctx, job, true)
+		assert.Equal(t, outcome, OutcomeAccepted)
+		for range 40 {
+			time.Sleep(time.Second)
+			c.mu.Lock()
+			assert.Check(t, len(c.jobs[job.ID].occs) <= 3, "%d occurrences", len(c.jobs[job.ID].occs))
+			c.mu.Unlock()
+		}
+		stop()
+		<-c.Done()
+		ctx, stop = context.WithCancel(t.Context())
+		c = acquireNext(ctx, t, testConfig("n2", s, fleet), largeRunner)
+		defer func() {
+			stop()
+			<-c.Done()
+		}()
+		time.Sleep(30 * time.Second)
+		state, _ := c.State(job.ID)
+		assert.Equal(t, state, workload.StateCompleted)
+		assert.Equal(t, len(fleet.Starts()), 60*5)
+	})
+}
