--- a/dispatch/runnerstate.go
+++ b/dispatch/runnerstate.go
@@ -22,6 +22,9 @@
 	// ackDelay is the pause between two polls after runs have ended. It lets one poll report several ends, and gives the
 	// reported ends time to become durable.
 	ackDelay = 30 * time.Millisecond
+	// maxAckDelayDoublings bounds how often ackDelay is doubled while reports contain only ends that are known already. It
+	// keeps the polls of a runner below five a second while the store is away.
+	maxAckDelayDoublings = 3
 	// pollRetry is the pause after a failed poll.
 	pollRetry = 150 * time.Millisecond
 	// reachableTimeout is how long after its last response a runner still gets new tasks. It is longer than one poll.
@@ -57,6 +60,8 @@
 	// backoffUntil excludes the runner from placement after a start was refused, not sent or got no response.
 	backoffUntil  time.Time
 	unknownStarts int // consecutive starts with unknown outcome
+	// repeatedReports counts consecutive reports that contained only ends that were known already.
+	repeatedReports int
 	// foreign counts the reported runs that must not run: no such task, already done, or replaced by a newer run. While
 	// it is above 0, the runner gets no new tasks.
 	foreign  int
@@ -191,9 +196,11 @@
 	if c.lost {
 		return runner.Hold{}, runner.Target{}, false
 	}
-	request := runner.Hold{Token: c.epoch, AckedEnd: rs.acked}
+	request := runner.Hold{Token: c.epoch}
 	if rs.synced && !rs.pollFailing {
-		// A poll without a response may still extend the lease, so polls of an unresponsive runner don't extend it.
+		request.AckedEnd = rs.acked
+		// A poll without a response may still extend the lease, so polls of an unresponsive runner don't extend it. Nor do they
+		// acknowledge ends, because the runner may have restarted and count its ends anew.
 		if c.mayCommand(now) {
 			request.Deadline = c.leaseDeadline(now, rs)
 		}
@@ -263,20 +270,24 @@
 	firstReport := !rs.synced
 	rs.synced = true
 	ends := c.applyEnds(now, rs, report.Ended)
-	c.applyRunning(now, rs, sent, report.Running)
+	c.applyRunning(now, rs, sent, report)
 	if firstReport {
 		delete(c.unresolved, rs.info.ID)
 		wake(c.planWake)
 		return 0
 	}
 	if ends > 0 {
+		rs.repeatedReports = 0
 		wake(c.planWake)
 		return ackDelay
 	}
 	if len(report.Ended) > 0 {
-		// Ends that are not yet durable would be reported again immediately.
-		return ackDelay
+		// Ends that are not yet durable are reported again immediately.
+		pause := ackDelay << min(rs.repeatedReports, maxAckDelayDoublings)
+		rs.repeatedReports++
+		return pause
 	}
+	rs.repeatedReports = 0
 	return 0
 }
 
@@ -501,16 +512,18 @@
 }
 
 // applyRunning compares the runs that a runner reports with those that the cell has recorded. The caller holds mu.
-func (c *Cell) applyRunning(now time.Time, rs *runnerState, sent time.Time, running []runner.Running) {
-	listed := make(map[*run]bool, len(running))
+func (c *Cell) applyRunning(now time.Time, rs *runnerState, sent time.Time, report runner.Report) {
+	listed := make(map[*run]bool, len(report.Running))
 	rs.foreign = 0
-	for i := range running {
-		if r := c.matchRunning(now, rs, &running[i]); r != nil {
+	for i := range report.Running {
+		if r := c.matchRunning(now, rs, &report.Running[i]); r != nil {
 			listed[r] = true
 		}
 	}
+	// The ends of unlisted runs may follow in a later report.
+	endsLeftOut := len(report.Ended) >= runner.MaxReportedEnds
 	for r := range rs.runs {
-		if !listed[r] && r.hasEndedIfUnlisted(sent) {
+		if !listed[r] && !endsLeftOut && r.hasEndedIfUnlisted(sent) {
 			c.endRun(now, r, runner.EndExpired, "", "runner does not list it")
 		}
 	}
@@ -530,7 +543,7 @@
 			return r
 		}
 	}
-	if u == nil || u.phase == phaseDone || u.run > listed.Run && len(u.runs) > 0 {
+	if u == nil || u.phase == phaseDone || u.hasNewerRun(listed.Run) {
 		rs.foreign++
 		c.stopForeignRun(rs, listed.Task, listed.Run)
 		return nil
--- a/dispatch/withhold_test.go
+++ b/dispatch/withhold_test.go
@@ -279,13 +279,13 @@
 	assert.Assert(t, !more)
 	assert.Equal(t, len(b.jobs), 1)
 	assert.Equal(t, b.jobs[0].job.def.ID, "00000000000000bb")
-	assert.Equal(t, b.processed[c.runners["r0"]], int64(2))
-	assert.Equal(t, b.processed[c.runners["r1"]], int64(3))
+	assert.Equal(t, b.processed[c.runners["r0"]], endMark{number: 2})
+	assert.Equal(t, b.processed[c.runners["r1"]], endMark{number: 3})
 	assert.Assert(t, withheld.dirty)
 
 	withheld.formerServices = nil
 	b, _ = c.buildBatch(now.Add(withheldRetry))
 	assert.Equal(t, len(b.jobs), 1)
-	assert.Equal(t, b.processed[c.runners["r0"]], int64(5))
+	assert.Equal(t, b.processed[c.runners["r0"]], endMark{number: 5})
 	assert.Equal(t, len(c.withheld)+len(c.dirty), 0)
 }
