Forget the ends of a process that has ended

Ends of an earlier process of a runner that changed a withheld job held back acknowledgements to the next process if that one's first reported end had a higher number. Nothing is acknowledged to the earlier process any more, so its ends are forgotten at the restart.

Evidence: TestEndsOfAnEarlierProcessHoldNothingBack.

--- a/dispatch/runnerstate.go
+++ b/dispatch/runnerstate.go
@@ -312,7 +312,7 @@
 // next report shows which runs are lost, because starts may already have reached the new process. The caller holds mu.
 func (c *Cell) handleRestart(rs *runnerState, born int64) {
 	c.cfg.Log.WithFields(logrus.Fields{"runner": rs.info.ID, "born": born, "runs": len(rs.runs)}).Warn("runner restarted")
-	rs.processed, rs.acked = 0, 0
+	rs.processed, rs.acked, rs.unackedEnds = 0, 0, nil
 	rs.synced = false
 	for r := range rs.runs {
 		// The new process does not know of stops that the old one confirmed.
--- a/dispatch/withhold_test.go
+++ b/dispatch/withhold_test.go
@@ -289,3 +289,19 @@
 	assert.Equal(t, b.processed[c.runners["r0"]], endMark{number: 5})
 	assert.Equal(t, len(c.withheld)+len(c.dirty), 0)
 }
+
+// Ends of a process that has ended hold back no acknowledgement to the next one.
+func TestEndsOfAnEarlierProcessHoldNothingBack(t *testing.T) {
+	c := newCell(testConfig("n1", emulator.NewStore(), nil), 1)
+	job := shortJob("00000000000000aa", 1)
+	c.accept(time.Now(), job)
+	rs := &runnerState{processed: 4}
+	rs.recordEnd(runner.Ended{Number: 4, Task: workload.TaskID{Job: job.ID}})
+	c.withhold(time.Now(), c.jobs[job.ID], errors.New("refused"))
+	assert.Equal(t, c.durableEnds(rs), int64(3))
+	c.handleRestart(rs, 2)
+	assert.Equal(t, c.durableEnds(rs), int64(0))
+	rs.processed = 9
+	rs.recordEnd(runner.Ended{Number: 9, Task: workload.TaskID{Job: "00000000000000bb"}})
+	assert.Equal(t, c.durableEnds(rs), int64(9))
+}
