--- a/dispatch/runnerstate.go
+++ b/dispatch/runnerstate.go
@@ -312,7 +312,7 @@
 // next report shows which runs are lost, because starts may already have reached the new process. The caller holds mu.
 func (c *Cell) handleRestart(rs *runnerState, born int64) {
 	c.cfg.Log.WithFields(logrus.Fields{"runner": rs.info.ID, "born": born, "runs": len(rs.runs)}).Warn("runner restarted")
-	rs.processed, rs.acked = 0, 0
+	rs.processed, rs.acked, rs.unackedEnds = 0, 0, nil
 	rs.synced = false
 	for r := range rs.runs {
 		// The new process does not know of stops that the old one confirmed.
@@ -359,7 +359,7 @@
 		c.dropRun(rs, e.Task, e.Run)
 		return
 	}
-	u := j.unitOf(e.Task)
+	u := c.reportedUnit(now, j, e.Task)
 	if u == nil {
 		return
 	}
@@ -535,7 +535,7 @@
 	j := c.jobs[listed.Task.Job]
 	var u *unit
 	if j != nil && !j.state.Terminal() {
-		u = j.unitOf(listed.Task)
+		u = c.reportedUnit(now, j, listed.Task)
 	}
 	for r := range rs.runs {
 		if r.number == listed.Run && r.id() == listed.Task {
