Leave a cell to the node that is reading its jobs

While the store is slow, a new owner reads the jobs of a large cell for longer than the 3 s that the other nodes waited for its heartbeat. They took the cell from each other, and no node ran its tasks.

Heartbeats name the cells that a node is acquiring. Other nodes leave such a cell to its owner for at most a minute while the owner is alive; the grace for a heartbeat that names neither the cell nor its acquisition includes three of the store's response times. A node that is lost while reading is replaced once its heartbeats are late, as before.

A node that took a cell over and could not read its jobs pauses before it tries again. It tried again at each heartbeat, and the other nodes waited anew for each attempt.

--- a/dispatch/acquire.go
+++ b/dispatch/acquire.go
@@ -4,6 +4,7 @@
 	"context"
 	"encoding/json"
 	"errors"
+	"fmt"
 	"strconv"
 	"time"
 
@@ -17,6 +18,9 @@
 // ErrOwned means that the cell already has an active owner.
 var ErrOwned = errors.New("cell has an owner")
 
+// ErrNotLoaded means that the cell was taken over, but its jobs could not be read.
+var ErrNotLoaded = errors.New("jobs of the cell can't be read")
+
 // ReadOwner returns a cell's ownership row and its version, which is 0 if the cell never had an owner. Of a row that can't be
 // decoded or names no owner, only the version is used, which is enough to take the cell over: the Ownership is empty, so its
 // writer counts as able to send commands. The Epoch of an owner that has not committed since its acquisition is the version of
@@ -43,7 +47,8 @@
 }
 
 // Acquire takes over the cell whose ownership row has the given version and loads its jobs. runners are those that may
-// run tasks of the cell. It returns ErrOwned if the row has changed in the meantime.
+// run tasks of the cell. It returns ErrOwned if the row has changed in the meantime, and ErrNotLoaded if the cell was taken over
+// and sends no commands.
 func Acquire(ctx context.Context, cfg Config, previous Ownership, version int64, runners []runner.Info) (*Cell, error) {
 	nonce := cfg.Node + "/acquire/" + strconv.FormatInt(time.Now().UnixNano(), 36)
 	sent := time.Now()
@@ -66,7 +71,7 @@
 	c.runnerAddedAt = time.Now()
 	if version != 0 {
 		if err := c.load(ctx); err != nil {
-			return nil, err
+			return nil, fmt.Errorf("%w: %w", ErrNotLoaded, err)
 		}
 		c.initUnresolved(previous, runners, inherited)
 	}
--- a/node/cells.go
+++ b/node/cells.go
@@ -87,8 +87,9 @@
 			n.ownerless[cell] = now
 		}
 		since := n.ownerless[cell]
+		deferred := now.Before(n.acquireAfter[cell])
 		n.mu.Unlock()
-		if owned || busy {
+		if owned || busy || deferred {
 			continue
 		}
 		rank := n.directory.Rank(now, cell)
@@ -131,6 +132,11 @@
 	}
 	if err != nil {
 		log.WithError(err).Warn("could not acquire the cell")
+		if errors.Is(err, dispatch.ErrNotLoaded) {
+			n.mu.Lock()
+			n.acquireAfter[cell] = time.Now().Add(failedAcquirePause)
+			n.mu.Unlock()
+		}
 		return
 	}
 	n.runCell(ctx, cell, c)
@@ -219,16 +225,30 @@
 	}
 }
 
-// acquireGrace is how long a new owner may take to read a cell's jobs before its heartbeat lists the cell.
-const acquireGrace = 3 * time.Second
+const (
+	// acquireGrace is how long after its acquisition a new owner's heartbeat may list the cell neither as its own nor as one
+	// that it acquires. Three of the store's response times are added, in which the owner writes a heartbeat and this node
+	// reads it.
+	acquireGrace = 3 * time.Second
+	// maxAcquireTime is how long a new owner may take to read a cell's jobs while its heartbeat lists the cell as one that it
+	// acquires. 500 rows are read at a time, and a slow store needs a second or more for them.
+	maxAcquireTime = time.Minute
+	// failedAcquirePause is the pause after a node took a cell over and could not read its jobs. It lets other nodes acquire
+	// the cell, which may reach the store.
+	failedAcquirePause = acquireGrace + 2*ownership.HeartbeatInterval
+)
 
-// ownerActive reports whether an ownership row was first read by this node less than acquireGrace ago and its writer is
-// alive: an owner whose heartbeat is late, or one that is still reading the cell's jobs.
+// ownerActive reports whether the writer of an ownership row is alive and may still be acquiring the cell, or its heartbeat
+// may be late.
 func (n *Node) ownerActive(previous dispatch.Ownership, cell string, version int64) bool {
 	if !n.directory.IsAlive(time.Now(), previous.Node, previous.Incarnation) {
 		return false
 	}
-	return time.Since(n.firstSeen(cell, version)) < acquireGrace
+	limit := acquireGrace + 3*time.Duration(n.commitLatency.Load())
+	if n.directory.IsAcquiring(previous.Node, previous.Incarnation, cell) {
+		limit = maxAcquireTime
+	}
+	return time.Since(n.firstSeen(cell, version)) < limit
 }
 
 func (n *Node) runCell(ctx context.Context, cell string, c *dispatch.Cell) {
--- a/node/node.go
+++ b/node/node.go
@@ -13,6 +13,7 @@
 	"net"
 	"net/http"
 	"os"
+	"slices"
 	"strconv"
 	"strings"
 	"sync"
@@ -73,17 +74,19 @@
 	discovery   *store.Follower
 	assignments *store.Follower
 
-	mu          sync.Mutex // guards the fields below
-	cells       map[string]*dispatch.Cell
-	acquiring   map[string]bool
-	evacuated   map[string]bool
-	runnerInfos map[string]runner.Info
-	unusable    map[string]bool      // rows of service discovery that describe no usable runner, by key
-	runnerCells map[string]string    // cell of each runner, by runner ID
-	runnerAddrs map[string]string    // address of each runner when it was assigned to its cell, by runner ID
-	rewrite     map[string]string    // values of rows of the roster that were deleted and must be written again, by name
-	ownerless   map[string]time.Time // when this node first found that the cell has no owner, by cell
-	jobCells    map[string]string    // cache of the cells of jobs, by job ID
+	mu        sync.Mutex // guards the fields below
+	cells     map[string]*dispatch.Cell
+	acquiring map[string]bool
+	// acquireAfter is when this node may next acquire a cell whose jobs it could not read, by cell.
+	acquireAfter map[string]time.Time
+	evacuated    map[string]bool
+	runnerInfos  map[string]runner.Info
+	unusable     map[string]bool      // rows of service discovery that describe no usable runner, by key
+	runnerCells  map[string]string    // cell of each runner, by runner ID
+	runnerAddrs  map[string]string    // address of each runner when it was assigned to its cell, by runner ID
+	rewrite      map[string]string    // values of rows of the roster that were deleted and must be written again, by name
+	ownerless    map[string]time.Time // when this node first found that the cell has no owner, by cell
+	jobCells     map[string]string    // cache of the cells of jobs, by job ID
 	// endedEpochs holds the last epoch of each cell for which this process, a former owner, sends no more commands.
 	endedEpochs map[string]int64
 	// suspects holds the cells of which this node has read the ownership row since their owners became silent.
@@ -124,7 +127,7 @@
 		incarnation: strconv.FormatInt(time.Now().UnixNano(), 36),
 		innerAddr:   net.JoinHostPort(s.IP, strconv.Itoa(s.InnerPorts[0])),
 		peers:       newPeers(),
-		cells:       map[string]*dispatch.Cell{}, acquiring: map[string]bool{}, evacuated: map[string]bool{},
+		cells:       map[string]*dispatch.Cell{}, acquiring: map[string]bool{}, acquireAfter: map[string]time.Time{}, evacuated: map[string]bool{},
 		runnerInfos: map[string]runner.Info{}, unusable: map[string]bool{}, runnerCells: map[string]string{}, runnerAddrs: map[string]string{}, rewrite: map[string]string{}, ownerless: map[string]time.Time{},
 		jobCells: map[string]string{}, endedEpochs: map[string]int64{}, seenOwners: map[string]seenOwner{}, suspects: map[string]bool{}, submittedWork: map[string]submittedWork{}, assignWake: make(chan struct{}, 1),
 	}
@@ -408,6 +411,7 @@
 			heartbeat.Cells = append(heartbeat.Cells, c.Load())
 		}
 	}
+	heartbeat.Acquiring = slices.Sorted(maps.Keys(n.acquiring))
 	heartbeat.Ended = maps.Clone(n.endedEpochs)
 	n.mu.Unlock()
 	value, err := json.Marshal(heartbeat)
--- a/ownership/directory.go
+++ b/ownership/directory.go
@@ -9,6 +9,7 @@
 	"fmt"
 	"hash/fnv"
 	"maps"
+	"slices"
 	"sort"
 	"sync"
 	"time"
@@ -45,6 +46,8 @@
 	CPUShare float64         `json:"cpu"`
 	LinkMbps float64         `json:"mbps"`
 	Cells    []dispatch.Load `json:"cells,omitempty"`
+	// Acquiring holds the cells that the node is acquiring, whose jobs it may be reading.
+	Acquiring []string `json:"acquiring,omitempty"`
 	// Ended holds, by cell, the latest epoch that this process owned and for which it sends no more messages.
 	Ended map[string]int64 `json:"ended,omitempty"`
 }
@@ -253,6 +256,14 @@
 	return m != nil && d.alive(now, m) && m.heartbeat.Incarnation == incarnation && !m.heartbeat.Leaving
 }
 
+// IsAcquiring reports whether, according to the last heartbeat read from it, the incarnation of a node is acquiring a cell.
+func (d *Directory) IsAcquiring(node, incarnation, cell string) bool {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	m := d.members[node]
+	return m != nil && m.heartbeat.Incarnation == incarnation && slices.Contains(m.heartbeat.Acquiring, cell)
+}
+
 // HasEnded reports whether, according to the last heartbeat read from its node, a former owner of a cell sends no more
 // commands: the node runs another process, or the process has reported the epoch as ended. Versions come from one counter, so
 // a heartbeat that is older than the epoch was written before the owner acquired the cell and shows neither.
