Read the runners of a new cell before its first start

A node without a cell does not read service discovery, and its copy of the roster may be 2.2 s old. A new owner therefore started tasks on runners that had been draining for long, and started tasks again that ran on runners added shortly before. It now reads both after its ownership is committed, while the jobs are loaded. The cell polls the runners of the old copies at once and adopts their runs, but starts no tasks before both reads have succeeded. A read without a response is repeated after 0.8 s, one that fails after 0.2 s.

A takeover waits for runners that only the new read lists as for the others.

--- a/dispatch/acquire.go
+++ b/dispatch/acquire.go
@@ -58,6 +58,10 @@
 		return nil, err
 	}
 	c := newCell(cfg, epoch)
+	if cfg.Acquired != nil {
+		c.awaitsRunners = true
+		cfg.Acquired(epoch)
+	}
 	c.ownerVersion, c.lastCommit = epoch, sent
 	c.runnerAddedAt = time.Now()
 	if version != 0 {
--- a/dispatch/cell.go
+++ b/dispatch/cell.go
@@ -64,6 +64,8 @@
 	// PredecessorLastWrite is a time after which the last owner has written nothing; zero if only the time of the takeover is
 	// known.
 	PredecessorLastWrite time.Time
+	// Acquired, if set, is called once the ownership is committed. The cell then starts no tasks until ConfirmRunners is called.
+	Acquired func(epoch int64)
 }
 
 // Advisor asks the advice service which runners may run a step.
@@ -116,8 +118,14 @@
 	earlierLeases time.Time
 	// unresolved holds, by ID, the runners that may run tasks of an earlier owner.
 	unresolved map[string]*unresolvedRunner
-	pending    map[string]int // accepted jobs without a started task, by queue
-	waits      waitCheck
+	// inherited holds all runners that were recorded in unresolved, and inheritedEnd is when the last lease that an earlier
+	// owner can have granted has expired.
+	inherited    map[string]bool
+	inheritedEnd time.Time
+	// awaitsRunners is set until ConfirmRunners is called.
+	awaitsRunners bool
+	pending       map[string]int // accepted jobs without a started task, by queue
+	waits         waitCheck
 	// adviceMu serializes calls to the advice service.
 	adviceMu sync.Mutex
 
@@ -133,7 +141,7 @@
 func newCell(cfg Config, epoch int64) *Cell {
 	return &Cell{
 		cfg: cfg, epoch: epoch, jobs: map[string]*jobState{}, runners: map[string]*runnerState{},
-		evacuated: map[string]bool{}, dirty: map[*jobState]bool{}, unresolved: map[string]*unresolvedRunner{},
+		evacuated: map[string]bool{}, dirty: map[*jobState]bool{}, unresolved: map[string]*unresolvedRunner{}, inherited: map[string]bool{},
 		pending: map[string]int{}, planWake: make(chan struct{}, 1), flushWake: make(chan struct{}, 1),
 		done: make(chan struct{}), catalog: &catalog.Config{}, pressure: interference.NewPressure(),
 		advice: map[equivClass]*advice{}, terminated: map[string]bool{},
--- a/dispatch/unresolved.go
+++ b/dispatch/unresolved.go
@@ -51,12 +51,34 @@
 		// This node may not know yet of a runner that got its first tasks shortly before the takeover.
 		runners = append(runners, runner.Info{ID: id})
 	}
+	c.inheritedEnd = until
+	c.addUnresolved(runners)
+}
+
+// addUnresolved records runners that may run tasks of an earlier owner, once each. The caller holds mu.
+func (c *Cell) addUnresolved(runners []runner.Info) {
 	for _, info := range runners {
-		if c.terminated[info.ID] || c.unresolved[info.ID] != nil {
+		if c.terminated[info.ID] || c.inherited[info.ID] {
 			continue
 		}
-		c.unresolved[info.ID] = &unresolvedRunner{info: info, until: until}
+		c.inherited[info.ID] = true
+		if rs := c.runners[info.ID]; rs != nil && rs.synced {
+			continue
+		}
+		c.unresolved[info.ID] = &unresolvedRunner{info: info, until: c.inheritedEnd}
+	}
+}
+
+// ConfirmRunners states all runners that may run tasks of the cell, as read after this owner's ownership was committed, and lets
+// the cell start tasks. SetRunner must have been called with what that read says of the runners that the cell has.
+func (c *Cell) ConfirmRunners(runners []runner.Info) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if !c.inheritedEnd.IsZero() {
+		c.addUnresolved(runners)
 	}
+	c.awaitsRunners = false
+	wake(c.planWake)
 }
 
 // assignedRunners returns the runners to which tasks that start durably are assigned.
@@ -93,6 +115,9 @@
 	if c.earlierLeases.After(expiry) {
 		expiry = c.earlierLeases
 	}
+	if expiry.Before(c.inheritedEnd) {
+		c.inheritedEnd = expiry
+	}
 	for _, x := range c.unresolved {
 		if expiry.Before(x.until) {
 			x.until = expiry
--- a/dispatch/waiting.go
+++ b/dispatch/waiting.go
@@ -487,6 +487,7 @@
 	notListed            unavailability = "not_listed"
 	draining             unavailability = "draining"
 	evacuated            unavailability = "evacuated"
+	runnersNotRead       unavailability = "runners_not_read"
 	listedTerminated     unavailability = "listed_terminated"
 	foreignRuns          unavailability = "foreign_runs"
 	notSynced            unavailability = "no_report_yet"
@@ -508,6 +509,8 @@
 		return draining
 	case c.evacuated[rs.info.Domain]:
 		return evacuated
+	case c.awaitsRunners:
+		return runnersNotRead
 	case !rs.synced:
 		return notSynced
 	case rs.pollFailing:
--- a/dispatch/waitstate_test.go
+++ b/dispatch/waitstate_test.go
@@ -191,6 +191,7 @@
 		notListed:            func(s *stuckCell) { s.rs.present = false },
 		draining:             func(s *stuckCell) { s.rs.info.Draining = true },
 		evacuated:            func(s *stuckCell) { s.evacuated = map[string]bool{s.rs.info.Domain: true} },
+		runnersNotRead:       func(s *stuckCell) { s.awaitsRunners = true },
 		listedTerminated:     func(s *stuckCell) { s.rs.listedTerminated = true },
 		foreignRuns:          func(s *stuckCell) { s.rs.foreign = 1 },
 		notSynced:            func(s *stuckCell) { s.rs.synced = false },
--- a/node/cells.go
+++ b/node/cells.go
@@ -9,6 +9,7 @@
 	"sort"
 	"strconv"
 	"strings"
+	"sync"
 	"time"
 
 	"github.com/sirupsen/logrus"
@@ -17,6 +18,7 @@
 	"github.com/currantthread/currantthread/dispatch"
 	"github.com/currantthread/currantthread/internal/wait"
 	"github.com/currantthread/currantthread/ownership"
+	"github.com/currantthread/currantthread/platform"
 	"github.com/currantthread/currantthread/runner"
 	"github.com/currantthread/currantthread/store"
 )
@@ -124,6 +126,10 @@
 	}
 	config := n.cellConfig(cell, n.hasEnded(previous, cell))
 	config.PredecessorLastWrite = n.firstSeen(cell, version)
+	var runnersRead <-chan struct{}
+	reads, stopReads := context.WithCancel(ctx)
+	defer stopReads()
+	config.Acquired = func(epoch int64) { runnersRead = n.readRunners(reads, cell, epoch) }
 	c, err := dispatch.Acquire(ctx, config, previous, version, n.runnersOf(cell))
 	if errors.Is(err, dispatch.ErrOwned) {
 		log.Info("another node acquired the cell")
@@ -134,6 +140,53 @@
 		return
 	}
 	n.runCell(ctx, cell, c)
+	select {
+	case <-runnersRead:
+		n.confirmRunners(cell, c)
+	case <-c.Done():
+	}
+}
+
+// readRetry is the pause after a failed read of service discovery or of the roster.
+const readRetry = 200 * time.Millisecond
+
+// readRunners reads service discovery and the roster after this node became the owner of a cell. A node without a cell does not
+// read service discovery, and its copy of the roster may lag behind. The result is closed once both reads have succeeded.
+func (n *Node) readRunners(ctx context.Context, cell string, epoch int64) <-chan struct{} {
+	done := make(chan struct{})
+	repeated := &store.RepeatedReads{Store: n.store, Repeater: &store.Repeater{Delay: ownership.HeartbeatInterval}}
+	read := func(table string, f *store.Follower) {
+		for failures := 0; ctx.Err() == nil; failures++ {
+			page, err := store.ReadAll(ctx, repeated, table, "")
+			if err == nil && page.Version >= epoch {
+				// An older page than the copy is not needed: the copy was read after the ownership was committed.
+				f.Apply(page)
+				return
+			}
+			if failures == 0 {
+				n.log.WithFields(logrus.Fields{"cell": cell, "table": table, "error": err, "version": page.Version}).Warn("could not read the runners of a new cell")
+			}
+			wait.For(ctx, readRetry)
+		}
+	}
+	go func() {
+		var reads sync.WaitGroup
+		reads.Go(func() { read(platform.TableServers, n.discovery) })
+		reads.Go(func() { read(tableAssignments, n.assignments) })
+		reads.Wait()
+		if ctx.Err() == nil {
+			close(done)
+		}
+	}()
+	return done
+}
+
+// confirmRunners lets a cell of this node start tasks on the runners that readRunners has found.
+func (n *Node) confirmRunners(cell string, c *dispatch.Cell) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	c.ConfirmRunners(n.cellRunners(cell))
+	n.setRunners(cell, c)
 }
 
 // hasEnded reports whether a former owner of a cell is confirmed to have stopped sending commands for it.
@@ -238,16 +291,7 @@
 		c.SetCatalog(config)
 	}
 	c.SetEvacuated(n.evacuated)
-	for id, assigned := range n.runnerCells {
-		if assigned != cell {
-			continue
-		}
-		info, listed := n.runnerInfos[id]
-		if !listed {
-			info = runner.Info{ID: id, Addr: n.runnerAddrs[id]}
-		}
-		c.SetRunner(context.Background(), info, listed)
-	}
+	n.setRunners(cell, c)
 	n.mu.Unlock()
 	n.wakeAssign()
 	go func() {
@@ -261,9 +305,23 @@
 	}()
 }
 
+// setRunners passes the runners of a cell to it. The caller holds mu.
+func (n *Node) setRunners(cell string, c *dispatch.Cell) {
+	for _, info := range n.cellRunners(cell) {
+		_, listed := n.runnerInfos[info.ID]
+		c.SetRunner(context.Background(), info, listed)
+	}
+}
+
 func (n *Node) runnersOf(cell string) []runner.Info {
 	n.mu.Lock()
 	defer n.mu.Unlock()
+	return n.cellRunners(cell)
+}
+
+// cellRunners returns the runners of a cell. Of those that service discovery does not list, only the ID and perhaps the address
+// are known. The caller holds mu.
+func (n *Node) cellRunners(cell string) []runner.Info {
 	var infos []runner.Info
 	for id, assigned := range n.runnerCells {
 		if assigned != cell {
--- a/store/follower.go
+++ b/store/follower.go
@@ -34,7 +34,10 @@
 	// Active, if set, reports whether the rows are currently needed.
 	Active func() bool
 
-	mu      sync.Mutex // guards the fields below, which only Run changes
+	// applying serializes changes of the copy and the calls of onChange.
+	applying sync.Mutex
+
+	mu      sync.Mutex // guards the fields below
 	rows    map[string]Row
 	version int64
 	synced  bool
@@ -43,8 +46,8 @@
 	advanced chan struct{}
 }
 
-// NewFollower returns a follower of a table. onChange is called with changed rows, from one goroutine; onError is
-// called for failed reads, and with nil when reads work again.
+// NewFollower returns a follower of a table. onChange is called with changed rows, one call at a time; onError
+// is called for failed reads, and with nil when reads work again.
 func NewFollower(s Store, table string, onChange func(rows []Row), onError func(err error)) *Follower {
 	return &Follower{store: s, table: table, onChange: onChange, onError: onError,
 		rows: map[string]Row{}, advanced: make(chan struct{})}
@@ -92,10 +95,13 @@
 }
 
 func (f *Follower) readOnce(ctx context.Context) error {
-	if !f.synced || f.Poll {
+	f.mu.Lock()
+	synced, version := f.synced, f.version
+	f.mu.Unlock()
+	if !synced || f.Poll {
 		return f.resync(ctx)
 	}
-	page, err := f.store.Feed(ctx, f.table, f.version, feedWait)
+	page, err := f.store.Feed(ctx, f.table, version, feedWait)
 	if errors.Is(err, ErrHistoryDropped) {
 		f.mu.Lock()
 		f.synced = false
@@ -105,12 +111,14 @@
 	if err != nil {
 		return err
 	}
+	f.applying.Lock()
+	defer f.applying.Unlock()
 	f.apply(page.Rows)
 	f.advance(page.Version)
 	return nil
 }
 
-// advance records that the table was read up to a version.
+// advance records that the table was read up to a version. The caller holds applying.
 func (f *Follower) advance(version int64) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
@@ -144,17 +152,30 @@
 	return page, time.Since(f.readAt), f.synced
 }
 
-// resync reads the whole table. Missing rows are treated as deleted only if the read is at least as new as the local copy,
-// because a store that has dropped its history may serve reads that are seconds old.
+// resync reads the whole table.
 func (f *Follower) resync(ctx context.Context) error {
 	page, err := ReadAll(ctx, f.store, f.table, "")
 	if err != nil {
 		return err
 	}
-	if page.Version < f.version {
-		f.apply(page.Rows)
+	if !f.Apply(page) {
 		return errors.New("table read is older than the local copy")
 	}
+	return nil
+}
+
+// Apply applies a read of the whole table. Missing rows are treated as deleted only if the read is at least as new as the local
+// copy, because a store that has dropped its history may serve reads that are seconds old. Apply reports whether it is.
+func (f *Follower) Apply(page Page) bool {
+	f.applying.Lock()
+	defer f.applying.Unlock()
+	f.mu.Lock()
+	older := page.Version < f.version
+	f.mu.Unlock()
+	if older {
+		f.apply(page.Rows)
+		return false
+	}
 	present := make(map[string]bool, len(page.Rows))
 	for _, row := range page.Rows {
 		present[row.Key.Name] = true
@@ -172,9 +193,10 @@
 	f.mu.Lock()
 	f.synced = true
 	f.mu.Unlock()
-	return nil
+	return true
 }
 
+// apply replaces rows by newer ones. The caller holds applying.
 func (f *Follower) apply(rows []Row) {
 	var changed []Row
 	f.mu.Lock()
