Keep a runner in its cell if its row names another

Another writer that put the name of another cell into the row of a runner moved the runner, and two owners commanded it. The runner now stays in its cell, and the owner of the first cell restores the row on condition of its version. If the row was deleted or changed again meanwhile, the conflict says so, and the row is restored in its new state.

--- a/node/acquire_test.go
+++ b/node/acquire_test.go
@@ -149,6 +149,43 @@
 	assert.Equal(t, n.runnerCells["i-1"], "c1")
 }
 
+// The owner of the first cell restores rows that name another cell, also if they are changed or deleted again meanwhile.
+func TestRowThatNamesAnotherCellIsRestored(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		s := emulator.NewStore()
+		n, _ := testNode(t, 2)
+		n.runners = emulator.NewFleet(nil)
+		release := ownFirstCell(t, n, s)
+		defer release()
+		key := store.Key{Table: tableAssignments, Name: "i-1"}
+		read := func() []store.Row {
+			page, err := store.ReadAll(t.Context(), s, tableAssignments, "")
+			assert.NilError(t, err)
+			return page.Rows
+		}
+		s.Put(key, []byte("c1 10.0.0.1:8000"))
+		n.assignmentsChanged(read())
+		for name, change := range map[string]func(){
+			"changed":       func() {},
+			"changed again": func() { s.Put(key, []byte("c0")) },
+			"deleted":       func() { s.Delete(key) },
+			"restored":      func() { s.Put(key, []byte("c1 10.0.0.1:8000")) },
+		} {
+			s.Put(key, []byte("c0"))
+			n.assignmentsChanged(read())
+			change()
+			for range 3 {
+				n.assign(t.Context())
+			}
+			rows := read()
+			assert.Equal(t, len(rows), 1, name)
+			assert.Equal(t, string(rows[0].Value), "c1 10.0.0.1:8000", name)
+			assert.Equal(t, n.runnerCells["i-1"], "c1", name)
+			assert.Assert(t, !n.assign(t.Context()), name)
+		}
+	})
+}
+
 // A new owner must know all runners that have been given to the cell. It used its copy of the roster, which may be up to 2.2 s old if a
 // connection to the store delivers nothing; a task on a runner that was added since then ran a second time.
 func TestNewOwnerKnowsRunnersThatWereJustAdded(t *testing.T) {
--- a/node/cells.go
+++ b/node/cells.go
@@ -5,6 +5,7 @@
 	"errors"
 	"fmt"
 	"hash/fnv"
+	"maps"
 	"slices"
 	"sort"
 	"strconv"
@@ -382,8 +383,8 @@
 	}
 }
 
-// assignmentChanged applies the row of a runner. A runner stays in its cell if its row is deleted or names no cell, because the
-// cell's owner may still send it commands. The caller holds mu.
+// assignmentChanged applies the row of a runner. A runner stays in its cell if its row is deleted or names no cell or another one,
+// because the cell's owner may still send it commands. The caller holds mu.
 func (n *Node) assignmentChanged(row store.Row) {
 	id := row.Key.Name
 	cell, addr := decodeAssignment(string(row.Value))
@@ -392,8 +393,7 @@
 	case row.Deleted:
 		if known && n.isCell(old) {
 			n.rowLog.warn(logrus.Fields{"runner": fmt.Sprintf("%.50q", id), "cell": old}, "row of a runner's cell was deleted")
-			n.rewrite[id] = encodeAssignment(old, n.runnerAddrs[id])
-			n.wakeAssign()
+			n.rewriteAssignment(id, 0)
 		}
 		return
 	case n.cellCount.Load() > 0 && !n.isCell(cell):
@@ -401,14 +401,27 @@
 		if known {
 			return
 		}
+	case known && n.isCell(old) && cell != old:
+		n.rowLog.warn(logrus.Fields{"runner": fmt.Sprintf("%.50q", id), "cell": old, "value": cell}, "row of a runner names another cell")
+		n.rewriteAssignment(id, row.Version)
+		return
 	}
 	delete(n.rewrite, id)
+	delete(n.rewriteVersions, id)
 	n.runnerCells[id], n.runnerAddrs[id] = cell, addr
 	if info, ok := n.runnerInfos[id]; ok {
 		n.updateCellRunner(info, true)
 	}
 }
 
+// rewriteAssignment makes the owner of the first cell write the row of a runner again, in place of the given version or, if it is 0,
+// of a deleted row. The caller holds mu.
+func (n *Node) rewriteAssignment(id string, version int64) {
+	n.rewrite[id] = encodeAssignment(n.runnerCells[id], n.runnerAddrs[id])
+	n.rewriteVersions[id] = version
+	n.wakeAssign()
+}
+
 // assignLoop sets the number of cells at the first start, and assigns new runners to cells while this node owns the
 // first cell.
 func (n *Node) assignLoop(ctx context.Context) {
@@ -470,6 +483,7 @@
 		return false
 	}
 	chosen := n.chooseCells()
+	versions := maps.Clone(n.rewriteVersions)
 	n.mu.Unlock()
 	if len(chosen) == 0 {
 		return false
@@ -477,7 +491,9 @@
 	var txn store.Txn
 	for _, a := range chosen {
 		key := store.Key{Table: tableAssignments, Name: a.name}
-		txn.Conditions = append(txn.Conditions, store.Condition{Key: key})
+		txn.Conditions = append(txn.Conditions, store.Condition{Key: key, Version: versions[a.name]})
+		// Another writer may change the row again at once.
+		retry = retry || versions[a.name] != 0
 		txn.Writes = append(txn.Writes, store.Write{Key: key, Value: []byte(a.value)})
 		if txn.Entries()+2 > store.MaxTxnEntries {
 			retry = true
@@ -488,9 +504,17 @@
 		n.log.WithError(err).Warn("could not write runner assignments")
 		var conflict *store.ConflictError
 		if errors.As(err, &conflict) {
-			// Rows that exist already must not hold back the other runners.
+			// Rows that exist already, or no longer, must not hold back the other runners.
+			var changed []store.Row
+			for _, condition := range txn.Conditions {
+				row := conflict.Row(condition.Key)
+				if row.Version != condition.Version {
+					row.Deleted = row.Version == 0
+					changed = append(changed, row)
+				}
+			}
 			n.mu.Lock()
-			n.applyAssignments(conflict.Rows)
+			n.applyAssignments(changed)
 			n.mu.Unlock()
 		}
 		return true
@@ -499,6 +523,7 @@
 	for _, w := range txn.Writes {
 		n.mu.Lock()
 		delete(n.rewrite, w.Key.Name)
+		delete(n.rewriteVersions, w.Key.Name)
 		if w.Key.Name == rowLayout {
 			n.mu.Unlock()
 			continue
--- a/node/node.go
+++ b/node/node.go
@@ -83,9 +83,11 @@
 	unusable    map[string]bool      // rows of service discovery that describe no usable runner, by key
 	runnerCells map[string]string    // cell of each runner, by runner ID
 	runnerAddrs map[string]string    // address of each runner when it was assigned to its cell, by runner ID
-	rewrite     map[string]string    // values of rows of the roster that were deleted and must be written again, by name
+	rewrite     map[string]string    // values of rows of the roster that must be written again, by name
 	ownerless   map[string]time.Time // when this node first found that the cell has no owner, by cell
 	jobCells    map[string]string    // cache of the cells of jobs, by job ID
+	// rewriteVersions holds the versions of the rows that rewrite replaces, by name; 0 or none if a row was deleted.
+	rewriteVersions map[string]int64
 	// endedEpochs holds the last epoch of each cell for which this process, a former owner, sends no more commands.
 	endedEpochs map[string]int64
 	// suspects holds the cells of which this node has read the ownership row since their owners became silent.
@@ -127,7 +129,7 @@
 		innerAddr:   net.JoinHostPort(s.IP, strconv.Itoa(s.InnerPorts[0])),
 		peers:       newPeers(),
 		cells:       map[string]*dispatch.Cell{}, acquiring: map[string]bool{}, evacuated: map[string]bool{},
-		runnerInfos: map[string]runner.Info{}, unusable: map[string]bool{}, runnerCells: map[string]string{}, runnerAddrs: map[string]string{}, rewrite: map[string]string{}, ownerless: map[string]time.Time{},
+		runnerInfos: map[string]runner.Info{}, unusable: map[string]bool{}, runnerCells: map[string]string{}, runnerAddrs: map[string]string{}, rewrite: map[string]string{}, rewriteVersions: map[string]int64{}, ownerless: map[string]time.Time{},
 		jobCells: map[string]string{}, endedEpochs: map[string]int64{}, seenOwners: map[string]seenOwner{}, suspects: map[string]bool{}, submittedWork: map[string]submittedWork{}, assignWake: make(chan struct{}, 1),
 	}
 	if services.Advice != nil {
