--- a/node/cells.go
+++ b/node/cells.go
@@ -5,10 +5,12 @@
 	"errors"
 	"fmt"
 	"hash/fnv"
+	"maps"
 	"slices"
 	"sort"
 	"strconv"
 	"strings"
+	"sync"
 	"time"
 
 	"github.com/sirupsen/logrus"
@@ -17,6 +19,7 @@
 	"github.com/currantthread/currantthread/dispatch"
 	"github.com/currantthread/currantthread/internal/wait"
 	"github.com/currantthread/currantthread/ownership"
+	"github.com/currantthread/currantthread/platform"
 	"github.com/currantthread/currantthread/runner"
 	"github.com/currantthread/currantthread/store"
 )
@@ -125,6 +128,10 @@
 	}
 	config := n.cellConfig(cell, n.hasEnded(previous, cell))
 	config.PredecessorLastWrite = n.firstSeen(cell, version)
+	var runnersRead <-chan struct{}
+	reads, stopReads := context.WithCancel(ctx)
+	defer stopReads()
+	config.Acquired = func(epoch int64) { runnersRead = n.readRunners(reads, cell, epoch) }
 	c, err := dispatch.Acquire(ctx, config, previous, version, n.runnersOf(cell))
 	if errors.Is(err, dispatch.ErrOwned) {
 		log.Info("another node acquired the cell")
@@ -140,6 +147,53 @@
 		return
 	}
 	n.runCell(ctx, cell, c)
+	select {
+	case <-runnersRead:
+		n.confirmRunners(cell, c)
+	case <-c.Done():
+	}
+}
+
+// readRetry is the pause after a failed read of service discovery or of the roster.
+const readRetry = 200 * time.Millisecond
+
+// readRunners reads service discovery and the roster after this node became the owner of a cell. A node without a cell does not
+// read service discovery, and its copy of the roster may lag behind. The result is closed once both reads have succeeded.
+func (n *Node) readRunners(ctx context.Context, cell string, epoch int64) <-chan struct{} {
+	done := make(chan struct{})
+	repeated := &store.RepeatedReads{Store: n.store, Repeater: &store.Repeater{Delay: ownership.HeartbeatInterval}}
+	read := func(table string, f *store.Follower) {
+		for failures := 0; ctx.Err() == nil; failures++ {
+			page, err := store.ReadAll(ctx, repeated, table, "")
+			if err == nil && page.Version >= epoch {
+				// An older page than the copy is not needed: the copy was read after the ownership was committed.
+				f.Apply(page)
+				return
+			}
+			if failures == 0 {
+				n.log.WithFields(logrus.Fields{"cell": cell, "table": table, "error": err, "version": page.Version}).Warn("could not read the runners of a new cell")
+			}
+			wait.For(ctx, readRetry)
+		}
+	}
+	go func() {
+		var reads sync.WaitGroup
+		reads.Go(func() { read(platform.TableServers, n.discovery) })
+		reads.Go(func() { read(tableAssignments, n.assignments) })
+		reads.Wait()
+		if ctx.Err() == nil {
+			close(done)
+		}
+	}()
+	return done
+}
+
+// confirmRunners lets a cell of this node start tasks on the runners that readRunners has found.
+func (n *Node) confirmRunners(cell string, c *dispatch.Cell) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	c.ConfirmRunners(n.cellRunners(cell))
+	n.setRunners(cell, c)
 }
 
 // hasEnded reports whether a former owner of a cell is confirmed to have stopped sending commands for it.
@@ -258,16 +312,7 @@
 		c.SetCatalog(config)
 	}
 	c.SetEvacuated(n.evacuated)
-	for id, assigned := range n.runnerCells {
-		if assigned != cell {
-			continue
-		}
-		info, listed := n.runnerInfos[id]
-		if !listed {
-			info = runner.Info{ID: id, Addr: n.runnerAddrs[id]}
-		}
-		c.SetRunner(context.Background(), info, listed)
-	}
+	n.setRunners(cell, c)
 	n.mu.Unlock()
 	n.wakeAssign()
 	go func() {
@@ -281,9 +326,23 @@
 	}()
 }
 
+// setRunners passes the runners of a cell to it. The caller holds mu.
+func (n *Node) setRunners(cell string, c *dispatch.Cell) {
+	for _, info := range n.cellRunners(cell) {
+		_, listed := n.runnerInfos[info.ID]
+		c.SetRunner(context.Background(), info, listed)
+	}
+}
+
 func (n *Node) runnersOf(cell string) []runner.Info {
 	n.mu.Lock()
 	defer n.mu.Unlock()
+	return n.cellRunners(cell)
+}
+
+// cellRunners returns the runners of a cell. Of those that service discovery does not list, only the ID and perhaps the address
+// are known. The caller holds mu.
+func (n *Node) cellRunners(cell string) []runner.Info {
 	var infos []runner.Info
 	for id, assigned := range n.runnerCells {
 		if assigned != cell {
@@ -344,8 +403,8 @@
 	}
 }
 
-// assignmentChanged applies the row of a runner. A runner stays in its cell if its row is deleted or names no cell, because the
-// cell's owner may still send it commands. The caller holds mu.
+// assignmentChanged applies the row of a runner. A runner stays in its cell if its row is deleted or names no cell or another one,
+// because the cell's owner may still send it commands. The caller holds mu.
 func (n *Node) assignmentChanged(row store.Row) {
 	id := row.Key.Name
 	cell, addr := decodeAssignment(string(row.Value))
@@ -354,8 +413,7 @@
 	case row.Deleted:
 		if known && n.isCell(old) {
 			n.rowLog.warn(logrus.Fields{"runner": fmt.Sprintf("%.50q", id), "cell": old}, "row of a runner's cell was deleted")
-			n.rewrite[id] = encodeAssignment(old, n.runnerAddrs[id])
-			n.wakeAssign()
+			n.rewriteAssignment(id, 0)
 		}
 		return
 	case n.cellCount.Load() > 0 && !n.isCell(cell):
@@ -363,14 +421,27 @@
 		if known {
 			return
 		}
+	case known && n.isCell(old) && cell != old:
+		n.rowLog.warn(logrus.Fields{"runner": fmt.Sprintf("%.50q", id), "cell": old, "value": cell}, "row of a runner names another cell")
+		n.rewriteAssignment(id, row.Version)
+		return
 	}
 	delete(n.rewrite, id)
+	delete(n.rewriteVersions, id)
 	n.runnerCells[id], n.runnerAddrs[id] = cell, addr
 	if info, ok := n.runnerInfos[id]; ok {
 		n.updateCellRunner(info, true)
 	}
 }
 
+// rewriteAssignment makes the owner of the first cell write the row of a runner again, in place of the given version or, if it is 0,
+// of a deleted row. The caller holds mu.
+func (n *Node) rewriteAssignment(id string, version int64) {
+	n.rewrite[id] = encodeAssignment(n.runnerCells[id], n.runnerAddrs[id])
+	n.rewriteVersions[id] = version
+	n.wakeAssign()
+}
+
 // assignLoop sets the number of cells at the first start, and assigns new runners to cells while this node owns the
 // first cell.
 func (n *Node) assignLoop(ctx context.Context) {
@@ -432,6 +503,7 @@
 		return false
 	}
 	chosen := n.chooseCells()
+	versions := maps.Clone(n.rewriteVersions)
 	n.mu.Unlock()
 	if len(chosen) == 0 {
 		return false
@@ -439,7 +511,9 @@
 	var txn store.Txn
 	for _, a := range chosen {
 		key := store.Key{Table: tableAssignments, Name: a.name}
-		txn.Conditions = append(txn.Conditions, store.Condition{Key: key})
+		txn.Conditions = append(txn.Conditions, store.Condition{Key: key, Version: versions[a.name]})
+		// Another writer may change the row again at once.
+		retry = retry || versions[a.name] != 0
 		txn.Writes = append(txn.Writes, store.Write{Key: key, Value: []byte(a.value)})
 		if txn.Entries()+2 > store.MaxTxnEntries {
 			retry = true
@@ -450,9 +524,17 @@
 		n.log.WithError(err).Warn("could not write runner assignments")
 		var conflict *store.ConflictError
 		if errors.As(err, &conflict) {
-			// Rows that exist already must not hold back the other runners.
+			// Rows that exist already, or no longer, must not hold back the other runners.
+			var changed []store.Row
+			for _, condition := range txn.Conditions {
+				row := conflict.Row(condition.Key)
+				if row.Version != condition.Version {
+					row.Deleted = row.Version == 0
+					changed = append(changed, row)
+				}
+			}
 			n.mu.Lock()
-			n.applyAssignments(conflict.Rows)
+			n.applyAssignments(changed)
 			n.mu.Unlock()
 		}
 		return true
@@ -461,6 +543,7 @@
 	for _, w := range txn.Writes {
 		n.mu.Lock()
 		delete(n.rewrite, w.Key.Name)
+		delete(n.rewriteVersions, w.Key.Name)
 		if w.Key.Name == rowLayout {
 			n.mu.Unlock()
 			continue
