Pass the ends of leases on silent runners on when a cell is released

An owner that releases the cell now lists how long leases may last on runners that do not respond. It grants nothing after that, so the next owner can go by these times.

Evidence: TestHandoversDoNotRestartTheWaitForUnreachableRunner fails without the change.

--- a/dispatch/cell.go
+++ b/dispatch/cell.go
@@ -124,6 +124,8 @@
 	// owner can have granted has expired.
 	inherited    map[string]bool
 	inheritedEnd time.Time
+	// silentLeaseEnds holds the earlier ends of leases on runners that did not respond to the previous owner either.
+	silentLeaseEnds map[string]time.Time
 	// awaitsRunners is set until ConfirmRunners is called.
 	awaitsRunners bool
 	pending       map[string]int // accepted jobs without a started task, by queue
@@ -145,7 +147,8 @@
 		cfg: cfg, epoch: epoch, jobs: map[string]*jobState{}, runners: map[string]*runnerState{},
 		evacuated: map[string]bool{}, dirty: map[*jobState]bool{}, withheld: map[*jobState]withheldRow{},
 		unresolved: map[string]*unresolvedRunner{}, inherited: map[string]bool{},
-		pending: map[string]int{}, planWake: make(chan struct{}, 1), flushWake: make(chan struct{}, 1),
+		silentLeaseEnds: map[string]time.Time{},
+		pending:         map[string]int{}, planWake: make(chan struct{}, 1), flushWake: make(chan struct{}, 1),
 		done: make(chan struct{}), catalog: &catalog.Config{}, pressure: interference.NewPressure(),
 		advice: map[equivClass]*advice{}, terminated: map[string]bool{},
 		waits: waitCheck{loggedAt: map[waitKey]time.Time{}},
--- a/dispatch/flush.go
+++ b/dispatch/flush.go
@@ -63,6 +63,31 @@
 	// InheritedLeaseMs is how long after the write leases that earlier owners granted may last on runners that have not
 	// responded to this owner, in milliseconds. The next owner waits at least as long for such runners.
 	InheritedLeaseMs int64 `json:"inherited_ms,omitempty"`
+	// LeasesMs is how long after the write leases may last on runners that do not respond, in milliseconds by ID. It is set when
+	// the cell is released, so that the next owner need not wait for whole leases again.
+	LeasesMs map[string]int64 `json:"leases_ms,omitempty"`
+}
+
+// maxListedLeases bounds the entries of Ownership.LeasesMs. The next owner waits for whole leases of the others.
+const maxListedLeases = 1000
+
+// silentLeases returns the value of Ownership.LeasesMs. The caller holds mu.
+func (c *Cell) silentLeases(now time.Time) map[string]int64 {
+	leases := map[string]int64{}
+	add := func(id string, end time.Time) {
+		if len(leases) < maxListedLeases {
+			leases[id] = max(end.Sub(now).Milliseconds()+1, leases[id], 0)
+		}
+	}
+	for id, x := range c.unresolved {
+		add(id, x.until)
+	}
+	for id, rs := range c.runners {
+		if rs.pollFailing {
+			add(id, rs.leaseEnd)
+		}
+	}
+	return leases
 }
 
 // ownership returns the value of the ownership row. The caller holds mu.
@@ -229,7 +254,7 @@
 	c.flush(ctx)
 	c.mu.Lock()
 	released := c.ownership(time.Now(), "released")
-	released.Released = true
+	released.Released, released.LeasesMs = true, c.silentLeases(time.Now())
 	value, err := json.Marshal(released)
 	txn := store.Txn{
 		Conditions: []store.Condition{{Key: OwnerKey(c.cfg.Part), Version: c.ownerVersion}},
--- a/dispatch/takeover_test.go
+++ b/dispatch/takeover_test.go
@@ -297,3 +297,27 @@
 		<-next.Done()
 	})
 }
+
+// Owners that hand the cell over one after another made tasks wait for a whole lease of an unreachable runner again and again.
+func TestHandoversDoNotRestartTheWaitForUnreachableRunner(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		cl := newCluster(t, 3, fixedDuration(time.Hour))
+		c, stop := cl.startOwner("a", true)
+		cl.submit(c, jobOf(1, longRunning(6, 8000)))
+		time.Sleep(time.Second)
+		assert.Assert(t, cl.fleet.Running("r1") > 0)
+		cl.fleet.SetFault("r1", emulator.RunnerUnreachable)
+		silent := time.Now()
+		for _, node := range []string{"b", "c", "d"} {
+			time.Sleep(2500 * time.Millisecond)
+			stop()
+			<-c.Done()
+			c, stop = cl.startOwner(node, true)
+		}
+		time.Sleep(leaseBound + takeoverTime - time.Since(silent))
+		assert.Equal(t, cl.fleet.Running("r0")+cl.fleet.Running("r2"), 6)
+		cl.assertNoOverlap()
+		stop()
+		<-c.Done()
+	})
+}
--- a/dispatch/unresolved.go
+++ b/dispatch/unresolved.go
@@ -52,6 +52,14 @@
 		runners = append(runners, runner.Info{ID: id})
 	}
 	c.inheritedEnd = until
+	if previous.Released {
+		now := time.Now()
+		for id, ms := range previous.LeasesMs {
+			if lease := time.Duration(ms) * time.Millisecond; ms >= 0 && lease.Milliseconds() == ms {
+				c.silentLeaseEnds[id] = now.Add(lease)
+			}
+		}
+	}
 	c.addUnresolved(runners)
 }
 
@@ -65,7 +73,11 @@
 		if rs := c.runners[info.ID]; rs != nil && rs.synced {
 			continue
 		}
-		c.unresolved[info.ID] = &unresolvedRunner{info: info, until: c.inheritedEnd}
+		until := c.inheritedEnd
+		if end, ok := c.silentLeaseEnds[info.ID]; ok && end.Before(until) {
+			until = end
+		}
+		c.unresolved[info.ID] = &unresolvedRunner{info: info, until: until}
 	}
 }
 
