--- a/dispatch/pace.go
+++ b/dispatch/pace.go
@@ -128,7 +128,8 @@
 		c.reconcileRun(now, r)
 		return
 	}
-	c.cfg.Log.WithFields(logrus.Fields{"task": r.id().String(), "runner": r.runner.info.ID, "percent": percent, "error": err.Error()}).Warn("pace command failed")
+	c.cfg.Log.WithFields(logrus.Fields{"task": r.id().String(), "runner": r.runner.info.ID, "percent": percent, "error": err.Error()}).
+		Warn("pace command failed")
 	if runner.ReasonOf(err) == runner.ReasonFenced {
 		c.loseOwnership("a runner has seen a higher token")
 		return
--- a/dispatch/runnerstate.go
+++ b/dispatch/runnerstate.go
@@ -44,17 +44,17 @@
 
 	clock             time.Duration // the runner's clock at clockAt
 	clockAt           time.Time
-	born              int64     // birth time of the process that responded last; 0 if unknown
-	bornSeenAt        time.Time // when born was learned
-	leaseEnd          time.Time // by our clock, when every run on it has ended if it receives no further command
-	lastResponseAt    time.Time // last response to a poll
-	appliedPollSentAt time.Time // send time of the newest poll whose report was applied
-	synced            bool      // a poll has succeeded since this owner took over or the runner restarted
-	listedTerminated  bool      // the durable ownership row may list it as terminated, so it gets no tasks
-	pollFailing       bool      // the last poll failed
-	processed         int64     // number of the last end that was applied to the jobs' state
-	acked             int64     // number of the last end whose effect is durable
-	unackedEnds       []endOfJob
+	born              int64      // birth time of the process that responded last; 0 if unknown
+	bornSeenAt        time.Time  // when born was learned
+	leaseEnd          time.Time  // by our clock, when every run on it has ended if it receives no further command
+	lastResponseAt    time.Time  // last response to a poll
+	appliedPollSentAt time.Time  // send time of the newest poll whose report was applied
+	synced            bool       // a poll has succeeded since this owner took over or the runner restarted
+	listedTerminated  bool       // the durable ownership row may list it as terminated, so it gets no tasks
+	pollFailing       bool       // the last poll failed
+	processed         int64      // number of the last end that was applied to the jobs' state
+	acked             int64      // number of the last end whose effect is durable
+	unackedEnds       []endOfJob // ends that are not acknowledged, in order
 	// noCapacityUntil excludes the runner from placement after it refused a task for lack of capacity.
 	noCapacityUntil time.Time
 	// backoffUntil excludes the runner from placement after a start was refused, not sent or got no response.
@@ -64,10 +64,9 @@
 	repeatedReports int
 	// foreign counts the reported runs that must not run: no such task, already done, or replaced by a newer run. While
 	// it is above 0, the runner gets no new tasks.
-	foreign  int
-	health   health
-	stop     context.CancelFunc
-	pollWake chan struct{} // wakes the poll loop
+	foreign int
+	health  health
+	stop    context.CancelFunc // ends the poll loop
 }
 
 func (rs *runnerState) target() runner.Target {
@@ -88,7 +87,7 @@
 		if _, unresolved := c.unresolved[info.ID]; !present && (!unresolved || info.Addr == "") {
 			return
 		}
-		rs = &runnerState{runs: map[*run]bool{}, pollWake: make(chan struct{}, 1)}
+		rs = &runnerState{runs: map[*run]bool{}}
 		rs.candidate = placement.Candidate{ID: info.ID, Slowdown: 1}
 		c.runners[info.ID] = rs
 		c.runnerAddedAt = time.Now()
@@ -144,7 +143,8 @@
 	}
 }
 
-// pollLoop polls a runner for its running and ended tasks, one call after another, and extends its lease.
+// pollLoop polls a runner for its running and ended tasks, one call after another. The polls extend its lease as long as it
+// responds.
 func (c *Cell) pollLoop(ctx context.Context, rs *runnerState) {
 	for ctx.Err() == nil {
 		request, target, ok := c.nextPoll(rs)
@@ -197,10 +197,10 @@
 		return runner.Hold{}, runner.Target{}, false
 	}
 	request := runner.Hold{Token: c.epoch}
+	// A poll without a response may still extend the lease, so polls of an unresponsive runner don't extend it. Nor do they
+	// acknowledge ends, because the runner may have restarted and count its ends anew.
 	if rs.synced && !rs.pollFailing {
 		request.AckedEnd = rs.acked
-		// A poll without a response may still extend the lease, so polls of an unresponsive runner don't extend it. Nor do they
-		// acknowledge ends, because the runner may have restarted and count its ends anew.
 		if c.mayCommand(now) {
 			request.Deadline = c.leaseDeadline(now, rs)
 		}
--- a/node/cells.go
+++ b/node/cells.go
@@ -171,7 +171,8 @@
 				return
 			}
 			if failures == 0 {
-				n.log.WithFields(logrus.Fields{"cell": cell, "table": table, "error": err, "version": page.Version}).Warn("could not read the runners of a new cell")
+				n.log.WithFields(logrus.Fields{"cell": cell, "table": table, "error": err, "version": page.Version}).
+					Warn("could not read the runners of a new cell")
 			}
 			wait.For(ctx, readRetry)
 		}
--- a/node/node.go
+++ b/node/node.go
@@ -131,10 +131,14 @@
 		incarnation: strconv.FormatInt(time.Now().UnixNano(), 36),
 		innerAddr:   net.JoinHostPort(s.IP, strconv.Itoa(s.InnerPorts[0])),
 		peers:       newPeers(),
-		cells:       map[string]*dispatch.Cell{}, acquiring: map[string]bool{}, acquireAfter: map[string]time.Time{}, evacuated: map[string]bool{},
-		runnerInfos: map[string]runner.Info{}, unusable: map[string]bool{}, runnerCells: map[string]string{}, runnerAddrs: map[string]string{}, rewrite: map[string]string{}, rewriteVersions: map[string]int64{},
-		ownerless: map[string]time.Time{},
-		jobCells:  map[string]string{}, endedEpochs: map[string]int64{}, seenOwners: map[string]seenOwner{}, suspects: map[string]bool{}, submittedWork: map[string]submittedWork{}, assignWake: make(chan struct{}, 1),
+		cells:       map[string]*dispatch.Cell{}, acquiring: map[string]bool{}, acquireAfter: map[string]time.Time{},
+		evacuated:   map[string]bool{},
+		runnerInfos: map[string]runner.Info{}, unusable: map[string]bool{},
+		runnerCells: map[string]string{}, runnerAddrs: map[string]string{},
+		rewrite: map[string]string{}, rewriteVersions: map[string]int64{}, assignWake: make(chan struct{}, 1),
+		ownerless: map[string]time.Time{}, endedEpochs: map[string]int64{},
+		seenOwners: map[string]seenOwner{}, suspects: map[string]bool{},
+		jobCells: map[string]string{}, submittedWork: map[string]submittedWork{},
 	}
 	if services.Advice != nil {
 		n.advisor = services.Advice
