--- a/dispatch/faults_test.go
+++ b/dispatch/faults_test.go
@@ -771,6 +771,7 @@
 		for _, kind := range phase.kinds {
 			for _, f := range faults {
 				t.Run(strings.ReplaceAll(phase.name+"/"+f.name+"/"+kindNames[kind], " ", "_"), func(t *testing.T) {
+					t.Parallel()
 					broken, trace := playScenario(t, scenario{kinds: []int{kind}, prepare: phase.prepare,
 						series: []timedFault{{fault: f, after: phase.after, runner: "r0"}}})
 					if len(broken) > 0 {
