--- a/dispatch/acquire.go
+++ b/dispatch/acquire.go
@@ -4,6 +4,8 @@
 	"context"
 	"encoding/json"
 	"errors"
+	"fmt"
+	"math"
 	"strconv"
 	"time"
 
@@ -17,9 +19,13 @@
 // ErrOwned means that the cell already has an active owner.
 var ErrOwned = errors.New("cell has an owner")
 
+// ErrNotLoaded means that the cell was taken over, but its jobs could not be read.
+var ErrNotLoaded = errors.New("jobs of the cell can't be read")
+
 // ReadOwner returns a cell's ownership row and its version, which is 0 if the cell never had an owner. Of a row that can't be
-// decoded or names no owner, only the version is used, which is enough to take the cell over: the Ownership is empty, so its
-// writer counts as able to send commands.
+// decoded or names no owner, only the version is used, which is enough to take the cell over: the Ownership names no
+// owner, so its writer counts as able to send commands, and earlier owners may have granted the longest leases. The Epoch of an
+// owner that has not committed since its acquisition is the version of the row.
 func ReadOwner(ctx context.Context, s store.Store, part string) (Ownership, int64, error) {
 	page, err := s.Range(ctx, TableCells, part, "", "", 0)
 	if err != nil {
@@ -31,7 +37,10 @@
 		}
 		var owner Ownership
 		if err := json.Unmarshal(row.Value, &owner); err != nil || owner.IsUnknown() {
-			return Ownership{}, row.Version, nil
+			return Ownership{InheritedLeaseMs: math.MaxInt32}, row.Version, nil
+		}
+		if owner.Epoch < 1 || owner.Epoch > row.Version {
+			owner.Epoch = row.Version
 		}
 		return owner, row.Version, nil
 	}
@@ -39,14 +48,15 @@
 }
 
 // Acquire takes over the cell whose ownership row has the given version and loads its jobs. runners are those that may
-// run tasks of the cell. It returns ErrOwned if the row has changed in the meantime.
+// run tasks of the cell. It returns ErrOwned if the row has changed in the meantime, and ErrNotLoaded if the cell was taken over
+// and sends no commands.
 func Acquire(ctx context.Context, cfg Config, previous Ownership, version int64, runners []runner.Info) (*Cell, error) {
 	nonce := cfg.Node + "/acquire/" + strconv.FormatInt(time.Now().UnixNano(), 36)
 	sent := time.Now()
 	inherited := inheritedLeaseEnd(&cfg, previous, sent)
 	// If this owner is lost before its first commit, the next one needs what the previous owner knew.
 	value, err := json.Marshal(Ownership{Node: cfg.Node, Addr: cfg.Addr, Incarnation: cfg.Incarnation, Nonce: nonce,
-		Terminated: previous.Terminated, InheritedLeaseMs: inherited.Sub(sent).Milliseconds() + 1})
+		Terminated: boundTerminated(previous.Terminated), InheritedLeaseMs: inherited.Sub(sent).Milliseconds() + 1})
 	if err != nil {
 		return nil, err
 	}
@@ -58,11 +68,15 @@
 		return nil, err
 	}
 	c := newCell(cfg, epoch)
+	if cfg.Acquired != nil {
+		c.awaitsRunners = true
+		cfg.Acquired(epoch)
+	}
 	c.ownerVersion, c.lastCommit = epoch, sent
 	c.runnerAddedAt = time.Now()
 	if version != 0 {
 		if err := c.load(ctx); err != nil {
-			return nil, err
+			return nil, fmt.Errorf("%w: %w", ErrNotLoaded, err)
 		}
 		c.initUnresolved(previous, runners, inherited)
 	}
@@ -146,16 +160,21 @@
 		j.newOccurrence(0)
 	}
 	for _, occ := range j.occs {
-		for i := range occ.steps {
-			for _, u := range occ.steps[i].units {
-				u.recovered = true
-				u.run += runGap
-			}
-		}
+		occ.markRecovered()
 		c.activate(occ)
 	}
 }
 
+// markRecovered marks the units of an occurrence as ones that an earlier owner may have started.
+func (o *occurrence) markRecovered() {
+	for i := range o.steps {
+		for _, u := range o.steps[i].units {
+			u.recovered = true
+			u.run += runGap
+		}
+	}
+}
+
 // leaseExpiry returns the time by which a lease that is granted now is guaranteed to have ended.
 func leaseExpiry(now time.Time, lease time.Duration) time.Time {
 	return now.Add(time.Duration(float64(lease)*(1+clockDrift)) + leaseSlack)
--- a/dispatch/cell.go
+++ b/dispatch/cell.go
@@ -64,6 +64,8 @@
 	// PredecessorLastWrite is a time after which the last owner has written nothing; zero if only the time of the takeover is
 	// known.
 	PredecessorLastWrite time.Time
+	// Acquired, if set, is called once the ownership is committed. The cell then starts no tasks until ConfirmRunners is called.
+	Acquired func(epoch int64)
 }
 
 // Advisor asks the advice service which runners may run a step.
@@ -106,6 +108,8 @@
 	runnerAddedAt time.Time
 	runnersKnown  bool
 	dirty         map[*jobState]bool
+	// withheld holds the dirty jobs whose progress row the store does not take.
+	withheld map[*jobState]withheldRow
 	// urgent requests a commit without the usual delay.
 	urgent bool
 	// terminated holds runners that are confirmed to run nothing: they do not respond, and their leases have expired. The
@@ -116,8 +120,14 @@
 	earlierLeases time.Time
 	// unresolved holds, by ID, the runners that may run tasks of an earlier owner.
 	unresolved map[string]*unresolvedRunner
-	pending    map[string]int // accepted jobs without a started task, by queue
-	waits      waitCheck
+	// inherited holds all runners that were recorded in unresolved, and inheritedEnd is when the last lease that an earlier
+	// owner can have granted has expired.
+	inherited    map[string]bool
+	inheritedEnd time.Time
+	// awaitsRunners is set until ConfirmRunners is called.
+	awaitsRunners bool
+	pending       map[string]int // accepted jobs without a started task, by queue
+	waits         waitCheck
 	// adviceMu serializes calls to the advice service.
 	adviceMu sync.Mutex
 
@@ -133,7 +143,8 @@
 func newCell(cfg Config, epoch int64) *Cell {
 	return &Cell{
 		cfg: cfg, epoch: epoch, jobs: map[string]*jobState{}, runners: map[string]*runnerState{},
-		evacuated: map[string]bool{}, dirty: map[*jobState]bool{}, unresolved: map[string]*unresolvedRunner{},
+		evacuated: map[string]bool{}, dirty: map[*jobState]bool{}, withheld: map[*jobState]withheldRow{},
+		unresolved: map[string]*unresolvedRunner{}, inherited: map[string]bool{},
 		pending: map[string]int{}, planWake: make(chan struct{}, 1), flushWake: make(chan struct{}, 1),
 		done: make(chan struct{}), catalog: &catalog.Config{}, pressure: interference.NewPressure(),
 		advice: map[equivClass]*advice{}, terminated: map[string]bool{},
@@ -257,13 +268,9 @@
 		if j.state.Terminal() || j.nextOcc >= j.def.Occurrences || j.def.Due(j.nextOcc).After(now) {
 			continue
 		}
-		tasks := 0
-		for i := range j.def.Steps {
-			tasks += j.def.Steps[i].Count
-		}
+		j.removeDoneOccurrences()
 		for j.nextOcc < j.def.Occurrences && !j.def.Due(j.nextOcc).After(now) {
-			open := j.nextOcc - len(j.doneOccs)
-			if open > 0 && (open+1)*tasks > maxOpenTasks {
+			if j.nextOcc > len(j.doneOccs) && j.openTasks(j.nextOcc) > maxOpenTasks {
 				break
 			}
 			c.addOccurrence(j)
@@ -271,8 +278,33 @@
 	}
 }
 
+const (
+	// maxClockLead is how far the clock of an earlier owner may have been ahead of this one when it created an occurrence.
+	maxClockLead = 5 * time.Second
+	// maxReportedTasks bounds the tasks of a job's open occurrences when one more is created because a runner reports it. The
+	// previous owner may have known of more done occurrences than its last row.
+	maxReportedTasks = 2 * maxOpenTasks
+)
+
+// reportedUnit returns the unit of a task that a runner reports, or nil if the job has no such task. If an earlier owner created
+// the task's occurrence and that did not become durable, it creates the occurrence. The caller holds mu.
+func (c *Cell) reportedUnit(now time.Time, j *jobState, id workload.TaskID) *unit {
+	if id.Occurrence >= j.nextOcc && j.hasOccurrence(id.Occurrence) && j.openTasks(id.Occurrence) <= maxReportedTasks &&
+		!j.def.Due(id.Occurrence).After(now.Add(maxClockLead)) {
+		for j.nextOcc <= id.Occurrence {
+			c.addOccurrence(j)
+		}
+	}
+	return j.unitOf(id)
+}
+
+// addOccurrence creates the next occurrence of a job. While a runner has not responded to this owner, an earlier one may have
+// created the occurrence and started its tasks there. The caller holds mu.
 func (c *Cell) addOccurrence(j *jobState) {
 	occ := j.newOccurrence(j.nextOcc)
+	if len(c.unresolved) > 0 && !j.def.StartAt.IsZero() {
+		occ.markRecovered()
+	}
 	j.nextOcc++
 	if j.nextOcc > 1 || !j.def.StartAt.IsZero() {
 		c.markDirty(j)
--- a/dispatch/job.go
+++ b/dispatch/job.go
@@ -189,6 +189,15 @@
 	return true
 }
 
+// openTasks returns the tasks of the open occurrences once those up to a number have been created.
+func (j *jobState) openTasks(number int) int {
+	tasks := 0
+	for i := range j.def.Steps {
+		tasks += j.def.Steps[i].Count
+	}
+	return (number + 1 - len(j.doneOccs)) * tasks
+}
+
 // unitOf returns the unit of a task, or nil if the task is not part of a current occurrence of the job.
 func (j *jobState) unitOf(id workload.TaskID) *unit {
 	occ := j.occs[id.Occurrence]
@@ -231,17 +240,34 @@
 // hasRuns reports whether a run of the job may still exist.
 func (j *jobState) hasRuns() bool {
 	for _, occ := range j.occs {
-		for i := range occ.steps {
-			for _, u := range occ.steps[i].units {
-				if len(u.runs) > 0 {
-					return true
-				}
+		if occ.hasRuns() {
+			return true
+		}
+	}
+	return false
+}
+
+// hasRuns reports whether a run of the occurrence may still exist.
+func (o *occurrence) hasRuns() bool {
+	for i := range o.steps {
+		for _, u := range o.steps[i].units {
+			if len(u.runs) > 0 {
+				return true
 			}
 		}
 	}
 	return false
 }
 
+// removeDoneOccurrences removes the units of occurrences that are done and have no runs left. Only doneOccs lists them then.
+func (j *jobState) removeDoneOccurrences() {
+	for number, occ := range j.occs {
+		if j.doneOccs[number] && !occ.hasRuns() {
+			delete(j.occs, number)
+		}
+	}
+}
+
 // compact drops the details of a finished job, of which only the state is needed.
 func (j *jobState) compact() {
 	j.occs = nil
--- a/dispatch/runnerstate.go
+++ b/dispatch/runnerstate.go
@@ -54,6 +54,7 @@
 	pollFailing       bool      // the last poll failed
 	processed         int64     // number of the last end that was applied to the jobs' state
 	acked             int64     // number of the last end whose effect is durable
+	unackedEnds       []endOfJob
 	// noCapacityUntil excludes the runner from placement after it refused a task for lack of capacity.
 	noCapacityUntil time.Time
 	// backoffUntil excludes the runner from placement after a start was refused, not sent or got no response.
@@ -311,7 +312,7 @@
 // next report shows which runs are lost, because starts may already have reached the new process. The caller holds mu.
 func (c *Cell) handleRestart(rs *runnerState, born int64) {
 	c.cfg.Log.WithFields(logrus.Fields{"runner": rs.info.ID, "born": born, "runs": len(rs.runs)}).Warn("runner restarted")
-	rs.processed, rs.acked = 0, 0
+	rs.processed, rs.acked, rs.unackedEnds = 0, 0, nil
 	rs.synced = false
 	for r := range rs.runs {
 		// The new process does not know of stops that the old one confirmed.
@@ -343,6 +344,7 @@
 		rs.processed = e.Number
 		count++
 		c.cfg.Metrics.ends.Inc()
+		rs.recordEnd(e)
 		c.applyEnd(now, rs, e)
 	}
 	if count > 0 {
@@ -357,7 +359,7 @@
 		c.dropRun(rs, e.Task, e.Run)
 		return
 	}
-	u := j.unitOf(e.Task)
+	u := c.reportedUnit(now, j, e.Task)
 	if u == nil {
 		return
 	}
@@ -533,7 +535,7 @@
 	j := c.jobs[listed.Task.Job]
 	var u *unit
 	if j != nil && !j.state.Terminal() {
-		u = j.unitOf(listed.Task)
+		u = c.reportedUnit(now, j, listed.Task)
 	}
 	for r := range rs.runs {
 		if r.number == listed.Run && r.id() == listed.Task {
