--- a/dispatch/faults_test.go
+++ b/dispatch/faults_test.go
@@ -699,7 +699,8 @@
 	}
 }
 
-// playScenario plays a scenario in a bubble and returns what broke the invariant, and the trace.
+// playScenario plays a scenario in a bubble and returns what broke the invariant, and the trace. If DISPATCH_TRACE_LOGS is
+// set, the trace includes the log lines of all owners.
 func playScenario(t *testing.T, s scenario) (broken []string, trace string) {
 	synctest.Test(t, func(t *testing.T) {
 		r := newRig(t, rigGang, rigWork)
