--- a/dispatch/faults_test.go
+++ b/dispatch/faults_test.go
@@ -699,7 +699,8 @@
 	}
 }
 
-// playScenario plays a scenario in a bubble and returns what broke the invariant, and the trace.
+// playScenario plays a scenario in a bubble and returns what broke the invariant, and the trace. If DISPATCH_TRACE_LOGS is
+// set, the trace includes the log lines of all owners.
 func playScenario(t *testing.T, s scenario) (broken []string, trace string) {
 	synctest.Test(t, func(t *testing.T) {
 		r := newRig(t, rigGang, rigWork)
@@ -771,6 +772,7 @@
 		for _, kind := range phase.kinds {
 			for _, f := range faults {
 				t.Run(strings.ReplaceAll(phase.name+"/"+f.name+"/"+kindNames[kind], " ", "_"), func(t *testing.T) {
+					t.Parallel()
 					broken, trace := playScenario(t, scenario{kinds: []int{kind}, prepare: phase.prepare,
 						series: []timedFault{{fault: f, after: phase.after, runner: "r0"}}})
 					if len(broken) > 0 {
