Count the failed members of one gang run as one attempt

A gang job was shown as failed after one run if several of its members failed by themselves: each failed member counted as an attempt, although they share one run. The soak found it with its first emulated gangs.

Evidence: TestFailedMembersOfOneRunAreOneAttempt fails without the change, with 3 attempts after 2 runs.

--- a/dispatch/runnerstate.go
+++ b/dispatch/runnerstate.go
@@ -436,9 +436,9 @@
 		return
 	case runner.EndFailed:
 		rs.health.failed(now, r)
-		u.recordFailure(r.number)
 		c.cfg.Metrics.failures.Inc()
-		if c.unitFailed(now, u, rs) {
+		// The members of a gang share one run, which is one attempt.
+		if u.recordFailure(r.number) && c.unitFailed(now, u, rs) {
 			return
 		}
 	default:
