--- a/internal/soak/faults.go
+++ b/internal/soak/faults.go
@@ -51,12 +51,13 @@
 		(*soak).killOwnerBesideDarkRunner, (*soak).killOwnerBesideLostRunner, (*soak).silenceStoreAtTakeover,
 	}
 	crashes = []func(*soak) string{(*soak).crashRunners}
+	cuts    = []func(*soak) string{(*soak).cutNode}
 )
 
 // plans are what runs may play. SEEDS.md names the open failures that the plans stable and kill-owner leave out.
 var plans = map[string]plan{
-	"all":        {faults: slices.Concat(runnerFaults, otherFaults, crashes)},
-	"cuts":       {faults: []func(*soak) string{(*soak).cutNode}},
+	"all":        {faults: slices.Concat(runnerFaults, otherFaults, crashes, cuts)},
+	"cuts":       {faults: cuts},
 	"runners":    {faults: slices.Concat(runnerFaults, crashes)},
 	"stable":     {faults: slices.Concat(runnerFaults, otherFaults), without: []string{"scheduled"}},
 	"kill-owner": {faults: []func(*soak) string{(*soak).killOwner}, without: []string{"scheduled"}},
