Read the ownership row at the first missing heartbeat

The wait for unreachable runners counts from the time at which the ownership row was last seen unchanged, and that read came two to three seconds after the owner was lost. The best candidates now read the row after each read of the heartbeats that shows no new one of its owner.

Cost: one read by up to three nodes for each missing heartbeat.

--- a/node/cells.go
+++ b/node/cells.go
@@ -249,29 +249,27 @@
 }
 
 // suspectAfter is how long the heartbeat of a cell's owner is unchanged when the best candidates for the cell read its
-// ownership row. The earlier they know its version, the shorter a new owner waits for unreachable runners.
-const suspectAfter = 3 * ownership.HeartbeatInterval / 2
+// ownership row: the last read of the heartbeats has not shown a new one. The earlier they know the version of the row, the
+// shorter a new owner waits for unreachable runners.
+const suspectAfter = ownership.HeartbeatInterval / 2
 
 // maxObservers is the number of candidates that read the ownership row of a suspected owner.
 const maxObservers = 3
 
-// observeSuspects reads the ownership rows of cells whose owners are silent or unknown, once for each silence.
+// observeSuspects reads the ownership rows of cells whose owners are silent or unknown. It is called after each read of the
+// heartbeats.
 func (n *Node) observeSuspects(ctx context.Context, now time.Time, owners map[string]ownership.Owner) {
 	for _, cell := range n.cellNames() {
 		owner, owned := owners[cell]
-		suspected := !owned || n.directory.SilentFor(now, owner.Node) > suspectAfter
-		n.mu.Lock()
-		observe := suspected && !n.suspects[cell] && n.cells[cell] == nil
-		if !suspected {
-			delete(n.suspects, cell)
-		}
-		n.mu.Unlock()
-		if !observe || n.directory.Rank(now, cell) >= maxObservers {
+		if owned && n.directory.SilentFor(now, owner.Node) <= suspectAfter {
 			continue
 		}
 		n.mu.Lock()
-		n.suspects[cell] = true
+		busy := n.cells[cell] != nil || n.acquiring[cell]
 		n.mu.Unlock()
+		if rank := n.directory.Rank(now, cell); busy || rank < 0 || rank >= maxObservers {
+			continue
+		}
 		go func() {
 			if _, _, err := n.readOwner(ctx, cell); err != nil {
 				n.log.WithField("cell", cell).WithError(err).Warn("could not read the ownership row")
--- a/node/node.go
+++ b/node/node.go
@@ -93,8 +93,6 @@
 	rewriteVersions map[string]int64
 	// endedEpochs holds the last epoch of each cell for which this process, a former owner, sends no more commands.
 	endedEpochs map[string]int64
-	// suspects holds the cells of which this node has read the ownership row since their owners became silent.
-	suspects map[string]bool
 	// seenOwners holds the ownership rows of cells that appear to have no owner.
 	seenOwners    map[string]seenOwner
 	submittedWork map[string]submittedWork
@@ -137,7 +135,7 @@
 		runnerCells: map[string]string{}, runnerAddrs: map[string]string{},
 		rewrite: map[string]string{}, rewriteVersions: map[string]int64{}, assignWake: make(chan struct{}, 1),
 		ownerless: map[string]time.Time{}, endedEpochs: map[string]int64{},
-		seenOwners: map[string]seenOwner{}, suspects: map[string]bool{},
+		seenOwners: map[string]seenOwner{},
 		jobCells: map[string]string{}, submittedWork: map[string]submittedWork{},
 	}
 	if services.Advice != nil {
