--- a/node/node.go
+++ b/node/node.go
@@ -136,7 +136,7 @@
 		rewrite: map[string]string{}, rewriteVersions: map[string]int64{}, assignWake: make(chan struct{}, 1),
 		ownerless: map[string]time.Time{}, endedEpochs: map[string]int64{},
 		seenOwners: map[string]seenOwner{},
-		jobCells: map[string]string{}, submittedWork: map[string]submittedWork{},
+		jobCells:   map[string]string{}, submittedWork: map[string]submittedWork{},
 	}
 	if services.Advice != nil {
 		n.advisor = services.Advice
