--- a/dispatch/unresolved.go
+++ b/dispatch/unresolved.go
@@ -161,13 +161,21 @@
 		return c.unresolved[u.assigned] != nil
 	}
 	for _, x := range c.unresolved {
-		if c.mayRunOn(u, &x.info) {
+		if c.awaits(u, x) {
 			return true
 		}
 	}
 	return false
 }
 
+// awaits reports whether a recovered unit must not start before an unresolved runner has responded. The caller holds mu.
+func (c *Cell) awaits(u *unit, x *unresolvedRunner) bool {
+	if u.startsDurably() {
+		return x.info.ID == u.assigned
+	}
+	return c.mayRunOn(u, &x.info)
+}
+
 // mayRunOn reports whether an earlier owner may have started a unit on a runner, as far as the runner's properties tell.
 // The caller holds mu.
 func (c *Cell) mayRunOn(u *unit, info *runner.Info) bool {
--- a/dispatch/waiting.go
+++ b/dispatch/waiting.go
@@ -384,7 +384,7 @@
 		return verdict{waitOwnerSuspended, nil}
 	}
 	if c.awaitsUnresolved(u) {
-		return verdict{waitUnresolved, func() logrus.Fields { return c.unresolvedDetails(s.now) }}
+		return verdict{waitUnresolved, func() logrus.Fields { return c.unresolvedDetails(s.now, u) }}
 	}
 	all := c.serviceCandidates(c.serviceOf(u.job), views)
 	candidates := all
@@ -530,15 +530,20 @@
 	}
 }
 
-// unresolvedDetails describes the runners that hold back recovered tasks. The caller holds mu.
-func (c *Cell) unresolvedDetails(now time.Time) logrus.Fields {
+// unresolvedDetails describes the runners that hold back a recovered unit. The caller holds mu.
+func (c *Cell) unresolvedDetails(now time.Time, u *unit) logrus.Fields {
 	var until time.Time
-	for _, x := range c.unresolved {
+	var ids []string
+	for id, x := range c.unresolved {
+		if !c.awaits(u, x) {
+			continue
+		}
+		ids = append(ids, id)
 		if x.until.After(until) {
 			until = x.until
 		}
 	}
-	ids := slices.Sorted(maps.Keys(c.unresolved))
+	slices.Sort(ids)
 	return logrus.Fields{"unresolved": len(ids), "unresolved_runners": strings.Join(ids[:min(len(ids), maxWaitRunners)], " "),
 		"left_ms": until.Sub(now).Milliseconds()}
 }
