Give transfers, hosts and store probes files of their own

Cause: delegation.go held the origin's side, the host's side and the transfers between them, and flush.go the probes of the store. Change: moved without edits.

--- a/dispatch/delegation.go
+++ b/dispatch/delegation.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"encoding/json"
 	"fmt"
 	"slices"
 	"time"
@@ -10,7 +9,6 @@
 	"github.com/sirupsen/logrus"
 
 	"github.com/currantthread/currantthread/internal/wait"
-	"github.com/currantthread/currantthread/placement"
 	"github.com/currantthread/currantthread/store"
 	"github.com/currantthread/currantthread/workload"
 )
@@ -100,21 +98,6 @@
 	durable, offered bool
 }
 
-// transfer is a change of the cell that has units. It is part of the next commits of the job's row until it is applied or its
-// condition does not hold.
-type transfer struct {
-	units []*unit
-	// takesOver is set in the host. Otherwise the origin takes the units back from host.
-	takesOver bool
-	host      string
-	condition store.Condition
-	// jobRow is the job's definition if the host has not stored it yet.
-	jobRow []byte
-	// done is closed once the transfer is decided, and applied tells how.
-	done    chan struct{}
-	applied bool
-}
-
 func (j *jobState) addHost(cell string) {
 	if j.hosts == nil {
 		j.hosts = map[string]bool{}
@@ -497,211 +480,6 @@
 	return false
 }
 
-// applyTransfers applies the transfers that became durable with a job's row. The caller holds mu.
-func (c *Cell) applyTransfers(now time.Time, bj batchJob) {
-	j := bj.job
-	for _, t := range bj.transfers {
-		for _, u := range t.units {
-			// A unit that got a runner with the transfer is active.
-			if !j.state.Terminal() && u.phase == phaseRemote {
-				c.makeReady(u)
-			}
-		}
-		c.decide(j, t, true)
-		if t.takesOver {
-			c.cfg.Metrics.takenOver.Add(float64(len(t.units)))
-			c.cfg.Log.WithFields(logrus.Fields{"cell": c.cfg.Name, "request": j.def.ID, "origin": j.origin, "tasks": len(t.units)}).
-				Info("took tasks over from another cell")
-		}
-	}
-	if len(bj.transfers) > 0 {
-		c.plannedAt = now.Add(-replanInterval)
-		wake(c.planWake)
-	}
-}
-
-// abandonTransfer undoes a transfer whose condition does not hold: the other cell has changed its row. The caller holds mu.
-func (c *Cell) abandonTransfer(j *jobState, t *transfer) {
-	for _, u := range t.units {
-		if t.takesOver {
-			for _, r := range slices.Clone(u.runs) {
-				c.detach(r)
-			}
-			u.phase, u.held, u.assigned = phaseRemote, false, ""
-		} else {
-			u.host = t.host
-		}
-	}
-	c.decide(j, t, false)
-	if t.takesOver && j.rowVersion == 0 && len(j.transfers) == 0 {
-		delete(c.jobs, j.def.ID)
-		delete(c.delegating, j)
-	}
-}
-
-// decide ends a transfer. The caller holds mu.
-func (c *Cell) decide(j *jobState, t *transfer, applied bool) {
-	j.transfers = slices.DeleteFunc(j.transfers, func(other *transfer) bool { return other == t })
-	t.applied = applied
-	close(t.done)
-}
-
-// TakeOver takes over tasks that another cell delegates, and returns an outcome for each delegation once those that were taken are
-// durable: OutcomeFull if the cell has no capacity for the tasks, and OutcomeChanged if the origin's row has changed meanwhile.
-func (c *Cell) TakeOver(ctx context.Context, ds []*Delegation) []Outcome {
-	transfers, outcomes := c.beginTakeOvers(ds)
-	for i, t := range transfers {
-		if t != nil {
-			outcomes[i] = c.await(ctx, t)
-		}
-	}
-	return outcomes
-}
-
-// await returns the outcome of a transfer to this cell.
-func (c *Cell) await(ctx context.Context, t *transfer) Outcome {
-	select {
-	case <-t.done:
-	case <-ctx.Done():
-		return OutcomeUnknown
-	case <-c.done:
-		return OutcomeUnknown
-	}
-	if !t.applied {
-		return OutcomeChanged
-	}
-	return OutcomeAccepted
-}
-
-// beginTakeOvers adds a transfer for each delegation to the next rows, or determines its outcome.
-func (c *Cell) beginTakeOvers(ds []*Delegation) ([]*transfer, []Outcome) {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	transfers, outcomes := make([]*transfer, len(ds)), make([]Outcome, len(ds))
-	var begun []*transfer
-	for i, d := range ds {
-		transfers[i], outcomes[i] = c.beginTakeOver(d)
-		if transfers[i] != nil {
-			begun = append(begun, transfers[i])
-		}
-	}
-	if len(begun) > 0 {
-		c.assignTaken(time.Now(), begun)
-	}
-	return transfers, outcomes
-}
-
-// assignTaken chooses runners for units that are taken over, so that the commit that takes them over also makes their assignments
-// durable. The others wait for a plan. The caller holds mu.
-func (c *Cell) assignTaken(now time.Time, transfers []*transfer) {
-	views := c.runnerViews(now)
-	byID := make(map[string]*runnerView, len(views))
-	for _, v := range views {
-		byID[v.candidate.ID] = v
-	}
-	for _, t := range transfers {
-		for _, u := range t.units {
-			if u.job.def.Policy.Advised {
-				continue
-			}
-			service := c.serviceOf(u.job)
-			request := c.placementRequest(u, map[string]int{})
-			best := placement.Pick(request, c.serviceCandidates(service, views))
-			if best == nil {
-				continue
-			}
-			recordPlacement(best, request)
-			c.recordService(u.job, service)
-			c.planRun(now, u, u.run+1, byID[best.ID].state)
-		}
-	}
-}
-
-// beginTakeOver adds the transfer for a delegation to the job's next row, or returns the outcome. The caller holds mu.
-func (c *Cell) beginTakeOver(d *Delegation) (*transfer, Outcome) {
-	if c.lost {
-		return nil, OutcomeNotOwner
-	}
-	if c.cfg.Peers == nil || d.Origin == c.cfg.Name || d.Version < 1 || len(d.Tasks) == 0 {
-		return nil, OutcomeRefused
-	}
-	j := c.jobs[d.Job.ID]
-	switch {
-	case j == nil:
-		j = newHostedJob(d)
-	case j.origin != d.Origin || j.state.Terminal():
-		return nil, OutcomeRefused
-	case len(j.transfers) > 0:
-		// The request is repeated while the first one is committed, or more tasks follow.
-		return nil, OutcomeUnknown
-	}
-	units, ok := j.unitsToTake(d)
-	if !ok {
-		return nil, OutcomeRefused
-	}
-	if len(units) == 0 {
-		return nil, OutcomeAccepted
-	}
-	if c.storeDown || c.awaitsRunners || !c.runnersKnown || !c.mayCommand(time.Now()) {
-		return nil, OutcomeRefused
-	}
-	packing := c.newPacking()
-	packing.addUnits(c.serviceOf(j), units)
-	if !packing.fits() {
-		return nil, OutcomeFull
-	}
-	t := &transfer{units: units, takesOver: true, done: make(chan struct{}),
-		condition: store.Condition{Key: store.Key{Table: TableProgress, Part: c.cfg.Peers.Part(d.Origin), Name: d.Job.ID}, Version: d.Version}}
-	if j.rowVersion == 0 {
-		row, err := json.Marshal(j.def)
-		if err != nil || checkRowSize(row) != nil {
-			return nil, OutcomeRefused
-		}
-		t.jobRow = row
-	}
-	for _, u := range units {
-		u.held = true
-	}
-	c.jobs[d.Job.ID] = j
-	c.delegating[j] = true
-	j.transfers = append(j.transfers, t)
-	c.markUrgent(j)
-	return t, OutcomeUnknown
-}
-
-// newHostedJob returns the state of a job in a host cell that has none of its units yet.
-func newHostedJob(d *Delegation) *jobState {
-	j := newJobState(d.Job)
-	j.origin, j.started, j.nextOcc = d.Origin, true, 1
-	occ := j.newOccurrence(0)
-	for i := range occ.steps {
-		for _, u := range occ.steps[i].units {
-			u.phase = phaseRemote
-		}
-	}
-	return j
-}
-
-// unitsToTake returns the units of a delegation that the host does not have yet. It returns false if the delegation names a unit that
-// can't be delegated.
-func (j *jobState) unitsToTake(d *Delegation) (units []*unit, ok bool) {
-	for _, task := range d.Tasks {
-		if task.Step < 0 || task.Index < 0 || task.Run < 0 {
-			return nil, false
-		}
-		u := j.unitOf(workload.TaskID{Job: d.Job.ID, Step: task.Step, Index: task.Index})
-		if u == nil || !u.startsDurably() || slices.Contains(units, u) {
-			return nil, false
-		}
-		if u.held {
-			continue
-		}
-		u.run, u.checkpoint = min(max(u.run, task.Run), maxRestoredRun), task.Checkpoint
-		units = append(units, u)
-	}
-	return units, true
-}
-
 // endHosts ends the tasks of an ended job in the cells to which they were delegated, until it is confirmed.
 func (c *Cell) endHosts(ctx context.Context, j *jobState) {
 	for c.endHostsOnce(ctx, j) {
@@ -762,27 +540,3 @@
 	p, err := decodeProgress(row.Value)
 	return err == nil && p.State.Terminal(), err
 }
-
-// startHosted sends the start command of a planned run of another cell's job, unless that job has ended. The origin may have been lost
-// before it could tell this cell.
-func (c *Cell) startHosted(ctx context.Context, r *run, origin string) {
-	ended, err := c.hasEndedIn(ctx, origin, r.unit.job.def.ID)
-	now := time.Now()
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	if !r.exists() || r.phase != runPlanned || r.stop.wanted || c.releasing || c.lost {
-		return
-	}
-	switch {
-	case ended:
-		c.finish(now, r.unit.job, workload.StateCancelled, "the job has ended in cell "+origin)
-	case err != nil || !c.mayCommand(now) || c.unavailable(now, r.runner) != "":
-		c.detach(r)
-		if len(r.unit.runs) == 0 && !r.unit.job.state.Terminal() {
-			c.makeReady(r.unit)
-		}
-	default:
-		r.phase, r.startedAt = runStarting, now
-		c.commandStart(ctx, now, r)
-	}
-}
