Iterate over undecided submissions in one place

Cause: three loops over the waiting submissions and those of the commit in flight repeated the same condition. Change: Cell.undecided. Names that end in numbers are compared with cmp, and leastHashes is named after what it returns.

--- a/ctl/load.go
+++ b/ctl/load.go
@@ -1,8 +1,9 @@
 package ctl
 
 import (
+	"cmp"
 	"context"
-	"sort"
+	"slices"
 	"strconv"
 	"strings"
 	"time"
@@ -73,18 +74,13 @@
 	for _, owner := range directory.Owners(now) {
 		loads = append(loads, cellLoad{owner.Node, owner.Load})
 	}
-	sort.Slice(loads, func(a, b int) bool { return naturalLess(loads[a].Cell, loads[b].Cell) })
+	// Names end in numbers: c2 comes before c10.
+	slices.SortFunc(loads, func(a, b cellLoad) int {
+		return cmp.Or(cmp.Compare(len(a.Cell), len(b.Cell)), strings.Compare(a.Cell, b.Cell))
+	})
 	return loads, problems, nil
 }
 
-// naturalLess orders names that end in numbers: c2 comes before c10.
-func naturalLess(a, b string) bool {
-	if len(a) != len(b) {
-		return len(a) < len(b)
-	}
-	return a < b
-}
-
 // cores formats an amount of thousandths of a core.
 func cores(milli int64) string { return strconv.FormatFloat(float64(milli)/1000, 'f', 1, 64) }
 
--- a/dispatch/admission.go
+++ b/dispatch/admission.go
@@ -104,12 +104,8 @@
 			free -= j.longRunningDemand()
 		}
 	}
-	for _, list := range [][]*submission{c.submissions, c.committing} {
-		for _, s := range list {
-			if !s.finished {
-				free -= LongRunningDemand(s.job)
-			}
-		}
+	for s := range c.undecided() {
+		free -= LongRunningDemand(s.job)
 	}
 	return free
 }
--- a/dispatch/intake.go
+++ b/dispatch/intake.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"iter"
 	"time"
 
 	"github.com/sirupsen/logrus"
@@ -107,16 +108,27 @@
 
 // waitingSubmission returns the undecided submission of a job, which a repeated submission joins. The caller holds mu.
 func (c *Cell) waitingSubmission(id string) *submission {
-	for _, list := range [][]*submission{c.submissions, c.committing} {
-		for _, s := range list {
-			if s.job.ID == id && !s.finished {
-				return s
-			}
+	for s := range c.undecided() {
+		if s.job.ID == id {
+			return s
 		}
 	}
 	return nil
 }
 
+// undecided returns the submissions that wait and those of the commit in flight. The caller holds mu.
+func (c *Cell) undecided() iter.Seq[*submission] {
+	return func(yield func(*submission) bool) {
+		for _, list := range [][]*submission{c.submissions, c.committing} {
+			for _, s := range list {
+				if !s.finished && !yield(s) {
+					return
+				}
+			}
+		}
+	}
+}
+
 // accept adds a job that has become durable. The caller holds mu.
 func (c *Cell) accept(now time.Time, job *workload.Job) {
 	if _, ok := c.jobs[job.ID]; ok {
--- a/dispatch/places.go
+++ b/dispatch/places.go
@@ -58,12 +58,8 @@
 			p.wanted = append(p.wanted, wantedTasks{u.def(), c.serviceOf(u.job), u.size})
 		}
 	}
-	for _, list := range [][]*submission{c.submissions, c.committing} {
-		for _, s := range list {
-			if !s.finished {
-				p.add(s.job)
-			}
-		}
+	for s := range c.undecided() {
+		p.add(s.job)
 	}
 	for j := range c.delegating {
 		for _, t := range j.transfers {
--- a/node/clients.go
+++ b/node/clients.go
@@ -186,7 +186,7 @@
 		fitting++
 	}
 	// The list is sorted, so the first of the two in it is the emptier one.
-	chosen := leastHashes(job.ID, list[:fitting])
+	chosen := emptierOfTwo(job.ID, list[:fitting])
 	if chosen > 0 {
 		owner := list[chosen]
 		copy(list[1:chosen+1], list[:chosen])
@@ -194,8 +194,9 @@
 	}
 }
 
-// leastHashes returns the lower index of the two cells that a job's ID selects, or 0 if there are fewer than two.
-func leastHashes(jobID string, list []ownership.Owner) int {
+// emptierOfTwo returns the index of the emptier of the two cells that a job's ID selects in a list that begins with the emptiest one, or 0
+// if there are fewer than two.
+func emptierOfTwo(jobID string, list []ownership.Owner) int {
 	if len(list) < 2 {
 		return 0
 	}
