--- a/dispatch/delegation_test.go
+++ b/dispatch/delegation_test.go
@@ -252,6 +252,122 @@
 	})
 }
 
+// loseRunnerOf crashes a runner that runs a task of a job, and removes it from service discovery.
+func (d *deployment) loseRunnerOf(owner *dispatch.Cell, job *workload.Job) {
+	d.t.Helper()
+	for task, ids := range d.fleet.Runs() {
+		if task.Job == job.ID && len(ids) > 0 {
+			d.loseRunner(owner, ids[0])
+			return
+		}
+	}
+	d.t.Fatal("no task of the job runs")
+}
+
+// loseRunner crashes a runner and removes it from service discovery.
+func (d *deployment) loseRunner(owner *dispatch.Cell, id string) {
+	d.fleet.Crash(id)
+	for _, cell := range d.cells {
+		for _, info := range d.runners[cell] {
+			if info.ID == id {
+				owner.SetRunner(d.t.Context(), info, false)
+			}
+		}
+	}
+}
+
+// A cell in which one large task waited without a place refused all tasks of other cells, also those that fitted.
+func TestHostTakesTasksThatFitBesideItsWaitingTasks(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		d := newDeployment(t, fixedDuration(emulator.Endless), 2, 3)
+		go d.reportLoads()
+		first, _ := d.own("c0", "a", d.store, d.fleet)
+		second, _ := d.own("c1", "b", d.store, d.fleet)
+		time.Sleep(3 * time.Second)
+		job, large, small := jobOf(1, longRunning(4, 28000)), jobOf(2, longRunning(2, 60000)), jobOf(3, longRunning(1, 8000))
+		d.submit(first, job)
+		d.submit(second, large)
+		time.Sleep(time.Second)
+		d.submit(second, small)
+		time.Sleep(time.Second)
+		d.loseRunnerOf(second, large)
+		time.Sleep(lease + 500*time.Millisecond + taskResumeBound)
+		assert.Equal(t, d.runningIn("c1", large), 1)
+		d.loseRunner(first, "c0-r1")
+		time.Sleep(lease + 500*time.Millisecond + taskResumeBound)
+		assert.Equal(t, d.runningIn("c0", job), 2)
+		assert.Equal(t, d.runningIn("c1", job), 2, "two tasks fit beside the small one, whatever else waits there")
+		d.assertNoOverlap()
+	})
+}
+
+// Cells did not see places whose size lies between two of the reported sizes.
+func TestPlacesBetweenReportedSizesAreUsed(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		d := newDeployment(t, fixedDuration(emulator.Endless), 2, 1)
+		go d.reportLoads()
+		first, _ := d.own("c0", "a", d.store, d.fleet)
+		second, _ := d.own("c1", "b", d.store, d.fleet)
+		time.Sleep(3 * time.Second)
+		job, other := jobOf(1, longRunning(4, 28000)), jobOf(2, longRunning(1, 34000))
+		d.submit(first, job)
+		d.submit(second, other)
+		time.Sleep(time.Second)
+		d.loseRunner(first, "c0-r1")
+		time.Sleep(lease + 500*time.Millisecond + taskResumeBound)
+		assert.Equal(t, d.runningIn("c0", job), 2)
+		assert.Equal(t, d.runningIn("c1", job), 1, "30 cores are free there")
+		d.assertNoOverlap()
+	})
+}
+
+// A runner that did not respond but was still listed counted as a place, so that a cell took tasks over that it could not start.
+func TestTasksAreNotDelegatedToSilentRunners(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		d := newDeployment(t, fixedDuration(emulator.Endless), 2, 2, 1)
+		go d.reportLoads()
+		first, _ := d.own("c0", "a", d.store, d.fleet)
+		_, _ = d.own("c1", "b", d.store, d.fleet)
+		_, _ = d.own("c2", "c", d.store, d.fleet)
+		time.Sleep(3 * time.Second)
+		job := jobOf(1, longRunning(4, 28000))
+		d.submit(first, job)
+		time.Sleep(time.Second)
+		d.fleet.Crash("c1-r0")
+		d.fleet.Crash("c1-r1")
+		d.loseRunner(first, "c0-r1")
+		time.Sleep(lease + 500*time.Millisecond + taskResumeBound)
+		assert.Equal(t, d.runningIn("c0", job), 2)
+		assert.Equal(t, d.runningIn("c2", job), 2)
+		d.assertNoOverlap()
+	})
+}
+
+// A task that was offered to another cell could not use a place that became free at home until the offer had been taken back.
+func TestTaskStartsAtHomeWhileAnotherCellIsAsked(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		d := newDeployment(t, fixedDuration(emulator.Endless), 3, 2)
+		go d.reportLoads()
+		first, _ := d.own("c0", "a", d.store, d.fleet)
+		_, _ = d.own("c1", "b", d.store, d.fleet)
+		time.Sleep(3 * time.Second)
+		job, other := jobOf(1, longRunning(4, 28000)), jobOf(2, longRunning(1, 48000))
+		d.submit(first, other)
+		time.Sleep(time.Second)
+		d.submit(first, job)
+		time.Sleep(time.Second)
+		d.setFault(peerLosesRequests)
+		d.loseRunnerOf(first, job)
+		time.Sleep(lease + time.Second)
+		assert.Equal(t, d.runningIn("c0", job), 2)
+		found, err := first.Cancel(t.Context(), other.ID)
+		assert.Assert(t, found && err == nil)
+		time.Sleep(time.Second)
+		assert.Equal(t, d.runningIn("c0", job), 4, "the runner of the cancelled job is free")
+		d.assertNoOverlap()
+	})
+}
+
 // A repeated submission that reaches the host must name the cell that has the job, or its state would be asked there.
 func TestSubmissionOfADelegatedJobNamesItsCell(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
