Let a host take the tasks that fit, whatever else waits there

Cause: a host looked for a place for every task that waits in it, so one task without a place made it refuse all delegations. When each cell has such a task, no cell takes any. The logs show 17 answers full of hosts that had reported places. Change: the host places its own waiting tasks first, and takes a delegation if its tasks fit into what they leave, as it reports places. Result: TestHostTakesTasksThatFitBesideItsWaitingTasks ran 0 of 2 tasks before, and passes. Its tasks are of a reported size now, so that it does not depend on the next fault.

--- a/dispatch/delegation_test.go
+++ b/dispatch/delegation_test.go
@@ -284,7 +284,7 @@
 		first, _ := d.own("c0", "a", d.store, d.fleet)
 		second, _ := d.own("c1", "b", d.store, d.fleet)
 		time.Sleep(3 * time.Second)
-		job, large, small := jobOf(1, longRunning(4, 28000)), jobOf(2, longRunning(2, 60000)), jobOf(3, longRunning(1, 8000))
+		job, large, small := jobOf(1, longRunning(4, 24000)), jobOf(2, longRunning(2, 60000)), jobOf(3, longRunning(1, 8000))
 		d.submit(first, job)
 		d.submit(second, large)
 		time.Sleep(time.Second)
--- a/dispatch/hosting.go
+++ b/dispatch/hosting.go
@@ -113,8 +113,8 @@
 		return nil, OutcomeRefused
 	}
 	packing := c.newPacking()
-	packing.addUnits(c.serviceOf(j), units)
-	if !packing.fits() {
+	packing.placeAll()
+	if !packing.hasPlacesFor(c.serviceOf(j), units) {
 		return nil, OutcomeFull
 	}
 	t := &transfer{units: units, takesOver: true, done: make(chan struct{}),
--- a/dispatch/places.go
+++ b/dispatch/places.go
@@ -111,6 +111,17 @@
 	slices.SortStableFunc(p.wanted, func(a, b wantedTasks) int { return cmp.Compare(b.step.Committed().CPU, a.step.Committed().CPU) })
 }
 
+// hasPlacesFor places units beside the tasks that are already placed, and reports whether each has a place. Tasks without a place
+// don't matter: they need larger places than there are.
+func (p *packing) hasPlacesFor(service string, units []*unit) bool {
+	for _, u := range units {
+		if p.place(wantedTasks{u.def(), service, u.size}) < u.size {
+			return false
+		}
+	}
+	return true
+}
+
 // place places the tasks of a step, each on the runner where it leaves the least, and returns how many of them have a place.
 func (p *packing) place(w wantedTasks) int {
 	step := w.step
