Report the largest free pieces of capacity instead of rounded places

Cause: a cell reports places of ten sizes, and a task was rounded up to the next: a task of 13.15 cores needs a reported place of 16. Places of 13.2 to 15.9 cores existed for no other cell, and memory was left out. The wait lines show long_places_elsewhere=0 for 12 s. Change: heartbeats also carry the 16 largest pieces (processor time, memory, GPUs) for each service, now and once short tasks have ended; other cells count places from them. The counts stay for currantctl.

--- a/dispatch/intake.go
+++ b/dispatch/intake.go
@@ -210,6 +210,9 @@
 	// LongRunningPlaces counts those that fit once the short tasks have ended, beside the long-running tasks that wait.
 	Places            map[string][]int `json:"places,omitempty"`
 	LongRunningPlaces map[string][]int `json:"lplaces,omitempty"`
+	// Pieces and LongRunningPieces are the largest free pieces of capacity behind these counts, by service.
+	Pieces            map[string][]Piece `json:"pieces,omitempty"`
+	LongRunningPieces map[string][]Piece `json:"lpieces,omitempty"`
 	// Pending counts accepted jobs without a started task, by queue.
 	Pending map[string]int `json:"pending,omitempty"`
 }
@@ -244,7 +247,9 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	load := c.currentLoad()
-	load.Places, load.LongRunningPlaces = c.freePlaces(time.Now()), c.longRunningPlaces()
+	now, longRunning := c.freePlaces(time.Now()), c.longRunningPlaces()
+	load.Places, load.Pieces = now.Counts, now.Pieces
+	load.LongRunningPlaces, load.LongRunningPieces = longRunning.Counts, longRunning.Pieces
 	return load
 }
 
--- a/dispatch/places.go
+++ b/dispatch/places.go
@@ -169,54 +169,103 @@
 // placeSizes are the sizes of tasks, in thousandths of a core, for which a cell reports its places.
 var placeSizes = []int64{2000, 4000, 8000, 12000, 16000, 20000, 24000, 32000, 48000, 64000}
 
-// placeCounts counts places of each of placeSizes, by service.
-type placeCounts map[string][]int
+// maxReportedPieces bounds the pieces that a cell reports for each service. They matter when a cell is nearly full, and then few
+// pieces fit a long-running task.
+const maxReportedPieces = 16
 
-// add counts the places on a runner with free processor time.
-func (p placeCounts) add(service string, free int64) {
-	counts := p[service]
+// Piece is what a runner has free: thousandths of a core, megabytes of memory and GPUs.
+type Piece [3]int64
+
+func pieceOf(free workload.Resources) Piece { return Piece{free.CPU, free.MemoryMB, free.GPU} }
+
+// places returns how many tasks of a step fit into the piece.
+func (p Piece) places(step *workload.Step) int {
+	count := int64(0)
+	for i, need := range pieceOf(step.Committed()) {
+		if need <= 0 {
+			continue
+		}
+		fitting := max(p[i], 0) / need
+		if fitting == 0 {
+			return 0
+		}
+		if count == 0 || fitting < count {
+			count = fitting
+		}
+	}
+	if step.MaxPerRunner > 0 {
+		count = min(count, int64(step.MaxPerRunner))
+	}
+	return int(count)
+}
+
+// Places is the free capacity of a cell's runners.
+type Places struct {
+	// Counts holds, for each service and each size of placeSizes, the number of tasks of that size that fit.
+	Counts map[string][]int
+	// Pieces holds, for each service, the largest pieces, the one with the most processor time first.
+	Pieces map[string][]Piece
+}
+
+func newPlaces() Places { return Places{map[string][]int{}, map[string][]Piece{}} }
+
+// add adds what a runner has free.
+func (p Places) add(service string, free workload.Resources) {
+	counts := p.Counts[service]
 	if counts == nil {
 		counts = make([]int, len(placeSizes))
-		p[service] = counts
+		p.Counts[service] = counts
 	}
 	for i, size := range placeSizes {
-		counts[i] += int(max(free, 0) / size)
+		counts[i] += int(max(free.CPU, 0) / size)
 	}
+	pieces := p.Pieces[service]
+	piece := pieceOf(free)
+	i, _ := slices.BinarySearchFunc(pieces, piece, func(a, b Piece) int { return cmp.Compare(b[0], a[0]) })
+	if i == maxReportedPieces {
+		return
+	}
+	p.Pieces[service] = slices.Insert(pieces, i, piece)[:min(len(pieces)+1, maxReportedPieces)]
 }
 
-// freePlaces returns the value of Load.Places. The caller holds mu.
-func (c *Cell) freePlaces(now time.Time) map[string][]int {
-	places := placeCounts{}
+// freePlaces returns what is free on the cell's runners now. The caller holds mu.
+func (c *Cell) freePlaces(now time.Time) Places {
+	places := newPlaces()
 	for _, rs := range c.runners {
 		if !c.isUsable(now, rs) {
 			continue
 		}
-		free := rs.info.Capacity.CPU
+		free := rs.info.Capacity
 		for r := range rs.runs {
-			free -= r.unit.def().Committed().CPU
+			free = free.Sub(r.unit.def().Committed())
 		}
 		places.add(rs.info.Service, free)
 	}
 	return places
 }
 
-// longRunningPlaces returns the value of Load.LongRunningPlaces. The caller holds mu.
-func (c *Cell) longRunningPlaces() map[string][]int {
+// longRunningPlaces returns what is free once the short tasks have ended, beside the long-running tasks that wait. The caller holds mu.
+func (c *Cell) longRunningPlaces() Places {
 	packing := c.newPacking()
 	packing.placeAll()
-	places := placeCounts{}
+	places := newPlaces()
 	for i := range packing.bins {
 		b := &packing.bins[i]
-		places.add(b.state.info.Service, b.free.CPU)
+		places.add(b.state.info.Service, b.free)
 	}
 	return places
 }
 
 // PlacesFor returns how many tasks of a step fit on the cell's runners of a service now, and how many once its short tasks have
-// ended, as far as the reported sizes tell.
+// ended, as far as the reported pieces tell.
 func (l *Load) PlacesFor(step *workload.Step, service string) (now, longRunning int) {
-	i := slices.IndexFunc(placeSizes, func(size int64) bool { return step.Committed().CPU <= size })
-	return countAt(l.Places[service], i), countAt(l.LongRunningPlaces[service], i)
+	for _, piece := range l.Pieces[service] {
+		now += piece.places(step)
+	}
+	for _, piece := range l.LongRunningPieces[service] {
+		longRunning += piece.places(step)
+	}
+	return now, longRunning
 }
 
 // PlacesOfSize returns how many tasks of a size, in thousandths of a core, fit on the cell's runners of all services now, and how many
