Delegate no tasks to places on runners that have stopped responding

Callers would see a long-running task without a run for as long as the runners of another cell stay listed. Cause: the packing of a cell counts each listed runner. A runner that is dark loses its runs at the end of their leases and then looks like the emptiest one, until service discovery drops it. Other cells delegate tasks to such places, and a host does not pass tasks on. Change: reported places, the search for tasks to delegate and hosts leave out runners that have stopped responding. Admission still counts them.

--- a/dispatch/delegation.go
+++ b/dispatch/delegation.go
@@ -219,7 +219,7 @@
 	if !slices.ContainsFunc(c.ready, c.mayDelegate) {
 		return nil
 	}
-	packing := c.newPacking()
+	packing := c.newRespondingPacking(now)
 	packing.placeAll()
 	var found []*waitingUnits
 	groups := map[equivClass]map[bool]*waitingUnits{}
--- a/dispatch/hosting.go
+++ b/dispatch/hosting.go
@@ -109,10 +109,11 @@
 	if len(units) == 0 {
 		return nil, OutcomeAccepted
 	}
-	if c.storeDown || c.awaitsRunners || !c.runnersKnown || !c.mayCommand(time.Now()) {
+	now := time.Now()
+	if c.storeDown || c.awaitsRunners || !c.runnersKnown || !c.mayCommand(now) {
 		return nil, OutcomeRefused
 	}
-	packing := c.newPacking()
+	packing := c.newRespondingPacking(now)
 	packing.placeAll()
 	if !packing.hasPlacesFor(c.serviceOf(j), units) {
 		return nil, OutcomeFull
--- a/dispatch/intake.go
+++ b/dispatch/intake.go
@@ -247,8 +247,9 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	load := c.currentLoad()
-	now, longRunning := c.freePlaces(time.Now()), c.longRunningPlaces()
-	load.Places, load.Pieces = now.Counts, now.Pieces
+	now := time.Now()
+	free, longRunning := c.freePlaces(now), c.longRunningPlaces(now)
+	load.Places, load.Pieces = free.Counts, free.Pieces
 	load.LongRunningPlaces, load.LongRunningPieces = longRunning.Counts, longRunning.Pieces
 	return load
 }
--- a/dispatch/places.go
+++ b/dispatch/places.go
@@ -71,6 +71,14 @@
 	return p
 }
 
+// newRespondingPacking is newPacking without the runners that have stopped responding: until they are removed from service discovery, they
+// look like places to which tasks can be delegated. The caller holds mu.
+func (c *Cell) newRespondingPacking(now time.Time) *packing {
+	p := c.newPacking()
+	p.bins = slices.DeleteFunc(p.bins, func(b bin) bool { return b.state.isSilent(now) })
+	return p
+}
+
 // addUnits adds long-running tasks one by one.
 func (p *packing) addUnits(service string, units []*unit) {
 	for _, u := range units {
@@ -245,8 +253,8 @@
 }
 
 // longRunningPlaces returns what is free once the short tasks have ended, beside the long-running tasks that wait. The caller holds mu.
-func (c *Cell) longRunningPlaces() Places {
-	packing := c.newPacking()
+func (c *Cell) longRunningPlaces(now time.Time) Places {
+	packing := c.newRespondingPacking(now)
 	packing.placeAll()
 	places := newPlaces()
 	for i := range packing.bins {
--- a/dispatch/runnerstate.go
+++ b/dispatch/runnerstate.go
@@ -682,5 +682,11 @@
 	return rs.synced && !rs.pollFailing && now.Sub(rs.lastResponseAt) < reachableTimeout && !now.Before(rs.backoffUntil)
 }
 
+// isSilent reports whether the runner has stopped responding. Unlike reachable it allows for a runner that this owner has not heard of
+// yet. The caller holds mu.
+func (rs *runnerState) isSilent(now time.Time) bool {
+	return rs.pollFailing || rs.synced && now.Sub(rs.lastResponseAt) >= reachableTimeout
+}
+
 // errNotOwner means that another node owns the cell.
 var errNotOwner = errors.New("cell is owned by another node")
