Reserve places in another cell before tasks are named there

Cause: the origin named the host in its row first, and asked then. A round without success took two commits, a request and a read of the store (0.9 to 2.2 s in the logs), and the task could not start at home meanwhile. A refusal excluded a host for tasks of all sizes. Then the two rows change as before, so that nothing rests on a reservation: one that is lost leads to a refusal. A refusal excludes a host for tasks of that size and larger ones only. Ruled out: withdrawing an offer by the start at home (one commit for each, conditional on the host's row, which must be read first).

--- a/dispatch/cell.go
+++ b/dispatch/cell.go
@@ -151,8 +151,9 @@
 	pending       map[string]int // accepted jobs without a started task, by queue
 	// delegating holds the jobs with units in other cells.
 	delegating map[*jobState]bool
-	// refusedBy is when each other cell last refused to take tasks over.
-	refusedBy          map[string]time.Time
+	// refusedBy holds the last refusal of each other cell, and reservations the places that are kept for tasks of other cells.
+	refusedBy          map[string]refusal
+	reservations       []reservation
 	delegatedCheckedAt time.Time // when waiting tasks were last checked for a delegation
 	waits              waitCheck
 	// adviceMu serializes calls to the advice service.
@@ -176,7 +177,7 @@
 		pending:         map[string]int{}, planWake: make(chan struct{}, 1), flushWake: make(chan struct{}, 1),
 		done: make(chan struct{}), catalog: &catalog.Config{}, pressure: interference.NewPressure(),
 		advice: map[equivClass]*advice{}, terminated: map[string]bool{},
-		waits: waitCheck{loggedAt: map[waitKey]time.Time{}}, listedSilent: map[string]bool{}, delegating: map[*jobState]bool{}, refusedBy: map[string]time.Time{},
+		waits: waitCheck{loggedAt: map[waitKey]time.Time{}}, listedSilent: map[string]bool{}, delegating: map[*jobState]bool{}, refusedBy: map[string]refusal{},
 	}
 }
 
--- a/dispatch/delegation.go
+++ b/dispatch/delegation.go
@@ -17,7 +17,8 @@
 // that accepted the job, the origin, keeps the job and its index row; the other one, the host, has a record of the job with
 // only the delegated tasks, which it starts and restarts like its own.
 //
-// The two progress rows of a job decide which cell has a task, each written by the owner of its cell only:
+// The origin first asks the host to reserve a place (reservation.go). Then the two progress rows of a job decide which cell has a task, each
+// written by the owner of its cell only:
 //
 //  1. The origin names the host in its row. From then on it starts the task no more.
 //  2. The host records the task in its row, in a commit that is conditional on the version of the origin's row, and may then
@@ -55,9 +56,11 @@
 	Origin string `json:"origin"`
 	// Job must be a job that passes Validate.
 	Job *workload.Job `json:"job"`
-	// Version is the version of the origin's progress row that names the host.
+	// Version is the version of the origin's progress row that names the host; 0 in a request for reservations.
 	Version int64           `json:"version"`
 	Tasks   []DelegatedTask `json:"tasks"`
+	// Reserve asks to keep places for the tasks only. Owners of earlier builds refuse such a request.
+	Reserve bool `json:"reserve,omitempty"`
 }
 
 // DelegatedTask is a task that a host takes over.
@@ -83,7 +86,7 @@
 	offerCallTimeout = 2200 * time.Millisecond
 	// offerRetry is the pause between two requests.
 	offerRetry = 200 * time.Millisecond
-	// hostBackoff excludes a host after it had no capacity. Its reported load is up to a second old.
+	// hostBackoff excludes a host for tasks of a size that it had no place for. Its reported load is up to a second old.
 	hostBackoff = 1500 * time.Millisecond
 	// endHostsRetry is the pause between two attempts to end the tasks of an ended job in other cells.
 	endHostsRetry = 300 * time.Millisecond
@@ -146,6 +149,7 @@
 	if c.cfg.Peers == nil || c.lost || c.releasing {
 		return
 	}
+	c.expireReservations(now)
 	for j := range c.delegating {
 		if len(j.hosts) == 0 && len(j.transfers) == 0 {
 			delete(c.delegating, j)
@@ -157,12 +161,18 @@
 		}
 		c.startOffers(ctx, j.delegations)
 	}
-	if now.Sub(c.delegatedCheckedAt) >= delegateInterval && c.mayCommand(now) && !c.storeDown && c.runnersKnown && !c.awaitsRunners {
+	if now.Sub(c.delegatedCheckedAt) >= delegateInterval && c.mayStartDelegations(now) {
 		c.delegatedCheckedAt = now
-		c.delegateWaiting(now)
+		c.delegateWaiting(ctx, now)
 	}
 }
 
+// mayStartDelegations reports whether the owner knows the state of its runners and of the store well enough to pass tasks on. The caller
+// holds mu.
+func (c *Cell) mayStartDelegations(now time.Time) bool {
+	return !c.lost && !c.releasing && c.mayCommand(now) && !c.storeDown && c.runnersKnown && !c.awaitsRunners
+}
+
 // startOffers asks the hosts of durable delegations, once, with one request for each host. The caller holds mu.
 func (c *Cell) startOffers(ctx context.Context, delegations []*delegation) {
 	if c.releasing {
@@ -194,23 +204,22 @@
 	noPlace bool
 }
 
-// delegateWaiting delegates long-running tasks that have no place in the cell, or that short tasks have kept from it for
-// delegateAfter. The caller holds mu.
-func (c *Cell) delegateWaiting(now time.Time) {
-	taken := map[string]int{}
+// delegateWaiting requests places in other cells for long-running tasks that have no place in the cell, or that short tasks have kept
+// from it for delegateAfter. The caller holds mu.
+func (c *Cell) delegateWaiting(ctx context.Context, now time.Time) {
+	requested := map[string][]*unit{}
 	for _, w := range c.unitsToDelegate(now) {
-		j := w.units[0].job
-		if len(j.delegations) > 0 {
-			// Other units of the job have just been delegated.
-			continue
-		}
-		host, places := c.chooseHost(now, w, taken)
+		host, places := c.chooseHost(now, w, requested)
 		if host == "" {
 			continue
 		}
-		units := w.units[:min(len(w.units), places, maxDelegatedTasks)]
-		taken[host] += len(units)
-		c.markDelegated(j, host, units)
+		requested[host] = append(requested[host], w.units[:min(len(w.units), places, maxDelegatedTasks)]...)
+	}
+	for host, units := range requested {
+		for _, u := range units {
+			u.placeRequested = true
+		}
+		c.background.Go(func() { c.requestPlaces(ctx, host, units) })
 	}
 }
 
@@ -231,7 +240,8 @@
 		noPlace := packing.unplaced[u.def()] > 0
 		if noPlace {
 			packing.unplaced[u.def()]--
-		} else if now.Sub(u.readyAt) < delegateAfter {
+		}
+		if u.placeRequested || !noPlace && now.Sub(u.readyAt) < delegateAfter {
 			continue
 		}
 		if groups[class] == nil {
@@ -248,16 +258,16 @@
 	return found
 }
 
-// chooseHost returns the cell that reports the most places for units, and how many. taken counts the tasks that it has been chosen
-// for. The caller holds mu.
-func (c *Cell) chooseHost(now time.Time, w *waitingUnits, taken map[string]int) (host string, places int) {
+// chooseHost returns the cell that reports the most places for units, and how many. requested holds the units for which the cells have
+// been chosen. The caller holds mu.
+func (c *Cell) chooseHost(now time.Time, w *waitingUnits, requested map[string][]*unit) (host string, places int) {
 	first := w.units[0]
 	for _, h := range c.cfg.Peers.Hosts(first.def(), c.serviceOf(first.job)) {
 		free := h.Places
 		if w.noPlace {
 			free = h.LongRunningPlaces
 		}
-		if free -= taken[h.Cell]; free > places && now.Sub(c.refusedBy[h.Cell]) >= hostBackoff {
+		if free -= len(requested[h.Cell]); free > places && !c.refusedBy[h.Cell].excludes(now, first.def()) {
 			host, places = h.Cell, free
 		}
 	}
@@ -312,7 +322,7 @@
 	if len(asked) == 0 {
 		return
 	}
-	outcomes, err := c.ask(ctx, host, messages)
+	outcomes, err := c.ask(ctx, offerCallTimeout, host, messages)
 	for i, d := range asked {
 		if err == nil && outcomes[i] == OutcomeAccepted {
 			c.settle(d, d.units)
@@ -330,7 +340,7 @@
 		if !ok {
 			return
 		}
-		outcomes, err := c.ask(ctx, d.host, []*Delegation{message})
+		outcomes, err := c.ask(ctx, offerCallTimeout, d.host, []*Delegation{message})
 		outcome := OutcomeUnknown
 		if err == nil {
 			outcome = outcomes[0]
@@ -350,8 +360,8 @@
 }
 
 // ask sends a request to a host. Without an error it returns an outcome for each message.
-func (c *Cell) ask(ctx context.Context, host string, messages []*Delegation) ([]Outcome, error) {
-	ctx, cancel := context.WithTimeout(ctx, offerCallTimeout)
+func (c *Cell) ask(ctx context.Context, timeout time.Duration, host string, messages []*Delegation) ([]Outcome, error) {
+	ctx, cancel := context.WithTimeout(ctx, timeout)
 	defer cancel()
 	outcomes, err := c.cfg.Peers.Delegate(ctx, host, messages)
 	if err == nil && len(outcomes) != len(messages) {
@@ -427,7 +437,7 @@
 		c.mu.Unlock()
 		return true
 	}
-	c.refusedBy[d.host] = time.Now()
+	c.recordRefusal(time.Now(), d.host, 0)
 	for _, u := range left {
 		u.host = ""
 	}
--- a/dispatch/hosting.go
+++ b/dispatch/hosting.go
@@ -13,8 +13,8 @@
 
 // The host's side of a delegation; see delegation.go.
 
-// TakeOver takes over tasks that another cell delegates, and returns an outcome for each delegation once those that were taken are
-// durable: OutcomeFull if the cell has no capacity for the tasks, and OutcomeChanged if the origin's row has changed meanwhile.
+// TakeOver takes over tasks that another cell delegates, or reserves places for them, and returns an outcome for each delegation once those
+// that were taken are durable: OutcomeFull if the cell has no capacity for the tasks, and OutcomeChanged if the origin's row has changed meanwhile.
 func (c *Cell) TakeOver(ctx context.Context, ds []*Delegation) []Outcome {
 	transfers, outcomes := c.beginTakeOvers(ds)
 	for i, t := range transfers {
@@ -89,10 +89,17 @@
 	if c.lost {
 		return nil, OutcomeNotOwner
 	}
-	if c.cfg.Peers == nil || d.Origin == c.cfg.Name || d.Version < 1 || len(d.Tasks) == 0 {
+	if c.cfg.Peers == nil || d.Origin == c.cfg.Name || d.Version < 1 && !d.Reserve || len(d.Tasks) == 0 {
 		return nil, OutcomeRefused
 	}
+	now := time.Now()
 	j := c.jobs[d.Job.ID]
+	if d.Reserve {
+		if j != nil && (j.origin != d.Origin || j.state.Terminal()) || !c.mayStartDelegations(now) {
+			return nil, OutcomeRefused
+		}
+		return nil, c.reservePlaces(now, d)
+	}
 	switch {
 	case j == nil:
 		j = newHostedJob(d)
@@ -109,10 +116,10 @@
 	if len(units) == 0 {
 		return nil, OutcomeAccepted
 	}
-	now := time.Now()
-	if c.storeDown || c.awaitsRunners || !c.runnersKnown || !c.mayCommand(now) {
+	if !c.mayStartDelegations(now) {
 		return nil, OutcomeRefused
 	}
+	c.dropReservations(d)
 	packing := c.newRespondingPacking(now)
 	packing.placeAll()
 	if !packing.hasPlacesFor(c.serviceOf(j), units) {
--- a/dispatch/job.go
+++ b/dispatch/job.go
@@ -53,6 +53,8 @@
 	recovered bool
 	// host is the cell to which the unit is delegated; empty if it is not. Only the cell that accepted the job records it.
 	host string
+	// placeRequested is set while another cell is asked for a place. The unit may start at home meanwhile.
+	placeRequested bool
 	// held is set in a host cell for the units that are delegated to it.
 	held bool
 }
--- a/dispatch/places.go
+++ b/dispatch/places.go
@@ -33,8 +33,8 @@
 	onStep map[*workload.Step]int
 }
 
-// newPacking returns the capacity that the long-running tasks of the cell leave: those that run, those that wait and those of
-// submissions that are not decided yet. Short tasks release their capacity within seconds and don't count. The caller
+// newPacking returns the capacity that the long-running tasks of the cell leave: those that run, those that wait, those of submissions that
+// are not decided yet and those of other cells for which places are reserved. Short tasks release their capacity within seconds and don't count. The caller
 // holds mu.
 func (c *Cell) newPacking() *packing {
 	p := &packing{bins: make([]bin, 0, len(c.runners))}
@@ -68,6 +68,9 @@
 			}
 		}
 	}
+	for i := range c.reservations {
+		p.wanted = append(p.wanted, wantedTasks{c.reservations[i].step, c.reservations[i].service, 1})
+	}
 	return p
 }
 
--- a/dispatch/plan.go
+++ b/dispatch/plan.go
@@ -356,11 +356,14 @@
 }
 
 // serviceOf returns the service that runs a job. The active configuration takes precedence if it has the job's queue.
-func (c *Cell) serviceOf(j *jobState) string {
-	if q := c.catalog.Queue(j.def.Policy.Queue); q != nil {
+func (c *Cell) serviceOf(j *jobState) string { return c.serviceOfJob(j.def) }
+
+// serviceOfJob is serviceOf for a job that the cell does not have.
+func (c *Cell) serviceOfJob(job *workload.Job) string {
+	if q := c.catalog.Queue(job.Policy.Queue); q != nil {
 		return q.Policy.Service
 	}
-	return j.def.Policy.Service
+	return job.Policy.Service
 }
 
 // recordService records that tasks of a job start on runners of a service. If that is not the service of the job's
