Count tasks that are being taken over once

Cause: until a takeover is durable, a task that got a runner with it counted there and also as one that needs a place, so that a host refused further tasks for the time of a commit although they fit. Found on reading, looking for other causes of wrong refusals. Change: only tasks without a runner need places. Result: TestTasksThatAreTakenOverCountOnce failed before (full instead of accepted), and passes. It also covers the end of an unused reservation.

--- a/dispatch/delegation_test.go
+++ b/dispatch/delegation_test.go
@@ -343,6 +343,31 @@
 	})
 }
 
+// A task that is being taken over counted twice until it was durable: on its runner and as one that needs a place.
+func TestTasksThatAreTakenOverCountOnce(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		d := newDeployment(t, fixedDuration(emulator.Endless), 1, 1)
+		_, _ = d.own("c0", "a", d.store, d.fleet)
+		host, _ := d.own("c1", "b", d.store, d.fleet)
+		time.Sleep(3 * time.Second)
+		d.store.SetFault(emulator.StoreSilent)
+		ctx, cancel := context.WithTimeout(t.Context(), time.Second)
+		defer cancel()
+		go host.TakeOver(ctx, []*dispatch.Delegation{{Origin: "c0", Job: jobOf(1, longRunning(1, 28000)), Version: 1, Tasks: []dispatch.DelegatedTask{{}}}})
+		time.Sleep(10 * time.Millisecond)
+		request := &dispatch.Delegation{Origin: "c0", Job: jobOf(2, longRunning(1, 28000)), Reserve: true, Tasks: []dispatch.DelegatedTask{{}}}
+		assert.DeepEqual(t, host.TakeOver(ctx, []*dispatch.Delegation{request}), []dispatch.Outcome{dispatch.OutcomeAccepted})
+		// One runner holds two such tasks.
+		third := &dispatch.Delegation{Origin: "c0", Job: jobOf(3, longRunning(1, 28000)), Reserve: true, Tasks: []dispatch.DelegatedTask{{}}}
+		assert.DeepEqual(t, host.TakeOver(ctx, []*dispatch.Delegation{third}), []dispatch.Outcome{dispatch.OutcomeFull})
+		// A reservation that is not used ends.
+		time.Sleep(3 * time.Second)
+		d.store.SetFault(emulator.StoreWorks)
+		time.Sleep(3 * time.Second)
+		assert.DeepEqual(t, host.TakeOver(t.Context(), []*dispatch.Delegation{third}), []dispatch.Outcome{dispatch.OutcomeAccepted})
+	})
+}
+
 // A task that was offered to another cell could not use a place that became free at home until the offer had been taken back.
 func TestTaskStartsAtHomeWhileAnotherCellIsAsked(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
--- a/dispatch/places.go
+++ b/dispatch/places.go
@@ -64,7 +64,7 @@
 	for j := range c.delegating {
 		for _, t := range j.transfers {
 			if t.takesOver {
-				p.addUnits(c.serviceOf(j), t.units)
+				p.addWaitingUnits(c.serviceOf(j), t.units)
 			}
 		}
 	}
@@ -82,10 +82,12 @@
 	return p
 }
 
-// addUnits adds long-running tasks one by one.
-func (p *packing) addUnits(service string, units []*unit) {
+// addWaitingUnits adds the long-running tasks that have no runner.
+func (p *packing) addWaitingUnits(service string, units []*unit) {
 	for _, u := range units {
-		p.wanted = append(p.wanted, wantedTasks{u.def(), service, u.size})
+		if len(u.runs) == 0 {
+			p.wanted = append(p.wanted, wantedTasks{u.def(), service, u.size})
+		}
 	}
 }
 
