Count the whole wait of tasks that are offered to other cells

Cause: a task that is offered to another cell had no wait reason, and its wait began anew each time it was taken back. A task that was offered six times in ten seconds left no line, or one of two seconds. Change: a unit knows since when it has had no confirmed run and no other cell has had it. Lines and gauges about waiting tasks use that time; scheduling keeps the time at which the unit last became ready. New reason "offered" with the host.

--- a/dispatch/cell.go
+++ b/dispatch/cell.go
@@ -386,6 +386,7 @@
 func (c *Cell) makeReady(u *unit) {
 	u.phase = phaseReady
 	u.readyAt = time.Now()
+	u.beginWait(u.readyAt)
 	c.ready = append(c.ready, u)
 	wake(c.planWake)
 }
--- a/dispatch/commands.go
+++ b/dispatch/commands.go
@@ -87,6 +87,7 @@
 		if r.phase == runStarting {
 			r.phase = runRunning
 			r.confirmedAt = now
+			r.unit.runConfirmed()
 		}
 		if r.exists() {
 			c.markStarted(r.unit.job)
--- a/dispatch/delegation.go
+++ b/dispatch/delegation.go
@@ -381,6 +381,7 @@
 	c.cfg.Log.WithFields(logrus.Fields{"cell": c.cfg.Name, "request": d.job.def.ID, "host": d.host, "tasks": len(units)}).
 		Info("another cell has taken tasks over")
 	c.markStarted(d.job)
+	endWaits(units)
 	c.dropUnits(d, units)
 }
 
--- a/dispatch/delegation_test.go
+++ b/dispatch/delegation_test.go
@@ -79,9 +79,10 @@
 	if logs == nil {
 		logs = io.Discard
 	}
+	d.registry = prometheus.NewRegistry()
 	cfg := dispatch.Config{Name: cell, Part: cell, IndexPart: func(string) string { return "i0" }, Node: node, Addr: node, Incarnation: node,
 		Region: "caldas-centro", Regions: map[string]string{"chipre": "caldas-centro"}, Lease: lease, MaxLease: maxLease, Retention: 2 * time.Minute,
-		Store: s, Runners: runners, Log: observe.NewLogger(logs, "test", node), Metrics: dispatch.NewMetrics(prometheus.NewRegistry()),
+		Store: s, Runners: runners, Log: observe.NewLogger(logs, "test", node), Metrics: dispatch.NewMetrics(d.registry),
 		Peers: &cellPeers{d, cell}}
 	var c *dispatch.Cell
 	err := dispatch.ErrOwned
--- a/dispatch/job.go
+++ b/dispatch/job.go
@@ -44,6 +44,8 @@
 	avoid string
 	// readyAt is when the unit last became ready.
 	readyAt time.Time
+	// waitingSince is since when the unit has had no confirmed run and no other cell has had it; zero while that is not so.
+	waitingSince time.Time
 	// stalls counts runs that were stopped for no progress.
 	stalls int
 	// latenessClass is the lateness as of the last plan.
--- a/dispatch/runnerstate.go
+++ b/dispatch/runnerstate.go
@@ -645,6 +645,7 @@
 	if r.confirmedAt.IsZero() {
 		r.confirmedAt = now
 	}
+	r.unit.runConfirmed()
 	c.markStarted(r.unit.job)
 	if listed.Checkpoint != "" {
 		r.unit.checkpoint = listed.Checkpoint
--- a/dispatch/waiting.go
+++ b/dispatch/waiting.go
@@ -53,6 +53,8 @@
 	waitStopping waitReason = "stopping"
 	// waitRunnerSilent: the runner has sent no report that lists the run for longer than a poll takes.
 	waitRunnerSilent waitReason = "runner_silent"
+	// waitOffered: the task is offered to another cell, which has not taken it over.
+	waitOffered waitReason = "offered"
 	// waitEndedRun: the task or its job has ended, but its run has not, and holds capacity.
 	waitEndedRun waitReason = "ended_run_remains"
 	// The following reasons contradict the invariants of the cell's state.
@@ -78,6 +80,7 @@
 	waitStartUnknown:   logrus.WarnLevel,
 	waitStopping:       logrus.WarnLevel,
 	waitRunnerSilent:   logrus.WarnLevel,
+	waitOffered:        logrus.InfoLevel,
 	waitEndedRun:       logrus.WarnLevel,
 	waitBlocked:        logrus.ErrorLevel,
 	waitNoRun:          logrus.ErrorLevel,
@@ -173,6 +176,7 @@
 		}
 	}
 	scan.units()
+	scan.offered()
 	scan.queue()
 	for _, g := range scan.groups {
 		counts.tasks[g.reason] += g.tasks
@@ -293,6 +297,9 @@
 	if !s.cell.mayCommand(s.now) {
 		oldestReason = waitOwnerSuspended
 	}
+	if !u.waitingSince.IsZero() && u.waitingSince.Before(oldestSince) {
+		oldestSince = u.waitingSince
+	}
 	s.add(u, oldestReason, oldestSince, oldest, nil)
 }
 
@@ -315,6 +322,29 @@
 	return "", time.Time{}
 }
 
+// offered reports units that are offered to another cell.
+func (s *waitScan) offered() {
+	for j := range s.cell.delegating {
+		if j.state.Terminal() {
+			continue
+		}
+		for _, d := range j.delegations {
+			for _, u := range d.units {
+				if u.phase != phaseRemote {
+					continue
+				}
+				// A new owner does not know since when the unit has waited.
+				u.beginWait(s.now)
+				if s.now.Sub(u.waitingSince) >= waitBound {
+					s.add(u, waitOffered, u.waitingSince, nil, func() logrus.Fields {
+						return logrus.Fields{"host": d.host, "durable": d.durable, "withdrawing": u.host == ""}
+					})
+				}
+			}
+		}
+	}
+}
+
 // queue determines why ready units wait. It repeats what a plan does, without starting anything.
 func (s *waitScan) queue() {
 	c := s.cell
@@ -322,7 +352,7 @@
 	for _, u := range c.ready {
 		if u.phase == phaseReady && !u.job.state.Terminal() {
 			count++
-			overdue = overdue || s.now.Sub(u.readyAt) >= waitBound
+			overdue = overdue || s.now.Sub(u.waitsSince()) >= waitBound
 		}
 	}
 	if overdue {
@@ -343,7 +373,7 @@
 			for i := range occ.steps {
 				for _, u := range occ.steps[i].units {
 					if u.phase == phaseReady && !queued[u] {
-						s.add(u, waitNotQueued, u.readyAt, nil, nil)
+						s.add(u, waitNotQueued, u.waitsSince(), nil, nil)
 					}
 				}
 			}
@@ -371,8 +401,8 @@
 			v = s.explain(u, views)
 			verdicts[class] = v
 		}
-		if s.now.Sub(u.readyAt) >= waitBound {
-			s.add(u, v.reason, u.readyAt, nil, v.details)
+		if since := u.waitsSince(); s.now.Sub(since) >= waitBound {
+			s.add(u, v.reason, since, nil, v.details)
 		}
 	}
 }
--- a/dispatch/waitreason_test.go
+++ b/dispatch/waitreason_test.go
@@ -509,3 +509,84 @@
 		<-c.Done()
 	})
 }
+
+// newFullDeployment returns two cells of which the second reports places that it does not have, and a job with two tasks of the
+// first cell that have no runner since the returned time. The metrics are those of the first cell.
+func newFullDeployment(t *testing.T) (d *deployment, logs *logRecorder, job *workload.Job, waits time.Time) {
+	t.Helper()
+	d, logs = newDeployment(t, fixedDuration(emulator.Endless), 4, 4), &logRecorder{}
+	d.logs = logs
+	host, _ := d.own("c1", "b", d.store, d.fleet)
+	origin, _ := d.own("c0", "a", d.store, d.fleet)
+	time.Sleep(3 * time.Second)
+	d.mu.Lock()
+	d.loads["c1"] = host.LoadWithPlaces()
+	d.mu.Unlock()
+	d.submit(host, jobOf(2, longRunning(8, 28000)))
+	job = jobOf(1, longRunning(8, 28000))
+	d.submit(origin, job)
+	time.Sleep(time.Second)
+	d.fleet.Crash("c0-r1")
+	return d, logs, job, time.Now().Add(lease)
+}
+
+// A task that was offered to a full cell again and again left no line, and its wait began anew with each round, so that it looked
+// like one that had hardly waited.
+func TestOfferedTasksAreLoggedWithTheirWholeWait(t *testing.T) {
+	for name, fault := range map[string]peerFault{"full": peerWorks, "no response": peerLosesRequests} {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				d, logs, job, waits := newFullDeployment(t)
+				d.setFault(fault)
+				time.Sleep(time.Until(waits.Add(12 * time.Second)))
+				assert.Equal(t, d.runningIn("c0", job), 6)
+				assert.Equal(t, d.runningIn("c1", job), 0)
+				longest := map[any]float64{}
+				for _, line := range logs.waiting(job) {
+					if line["cell"] == "c0" {
+						longest[line["why"]] = max(longest[line["why"]], line["waited_ms"].(float64))
+						if line["why"] == "offered" {
+							assert.Equal(t, line["host"], "c1", "%v", line)
+							assert.Equal(t, line["level"], "info")
+						}
+					}
+				}
+				assert.Assert(t, longest["no_runner"] > 6_000, "%v", longest)
+				// A host that responds does so within milliseconds, so few checks find the task offered.
+				assert.Assert(t, longest["offered"] > 6_000 || fault == peerWorks, "%v", longest)
+				waiting := 0
+				for _, reason := range []string{"offered", "no_runner", "not_planned", "owner_suspended"} {
+					waiting += d.gauge("waiting_tasks", reason)
+				}
+				assert.Equal(t, waiting, 2)
+				// The wait ends with a run.
+				d.fleet.Restart("c0-r1")
+				time.Sleep(10 * time.Second)
+				assert.Equal(t, d.runningIn("c0", job)+d.runningIn("c1", job), 8)
+				assert.Equal(t, d.gauge("waiting_tasks", "offered")+d.gauge("waiting_tasks", "no_runner"), 0)
+			})
+		})
+	}
+}
+
+// The wait of a task that another cell has taken over ends at its origin.
+func TestTakenOverTasksDoNotWaitAtTheirOrigin(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		d, logs := newDeployment(t, fixedDuration(emulator.Endless), 4, 4), &logRecorder{}
+		d.logs = logs
+		go d.reportLoads()
+		_, _ = d.own("c1", "b", d.store, d.fleet)
+		first, _ := d.own("c0", "a", d.store, d.fleet)
+		time.Sleep(3 * time.Second)
+		job := jobOf(1, longRunning(8, 28000))
+		d.submit(first, job)
+		time.Sleep(time.Second)
+		d.fleet.Crash("c0-r1")
+		time.Sleep(lease + 500*time.Millisecond + taskResumeBound)
+		assert.Equal(t, d.runningIn("c1", job), 2)
+		before := len(logs.waiting(job))
+		time.Sleep(10 * time.Second)
+		assert.Equal(t, len(logs.waiting(job)), before)
+		assert.Equal(t, d.gauge("waiting_tasks", "offered"), 0)
+	})
+}
