Report accepted jobs and tasks that nothing in the owner's state has

Cause: an accepted job that a new owner had not read, or that the owner's state had lost, left neither a line nor a count. Lines about waiting tasks name only tasks that the owner knows. Change: each commit records in the ownership row how many jobs the cell stores then, at no cost in calls; the field is left out at 0, and rows of earlier builds are read as before. A new owner compares it with the rows that it reads. Once a second the owner compares the stored jobs with those in memory, and looks for tasks without a holder: remote without a host, run on a runner that is no longer looked after, queued twice in the place of another one, jobs with no task left to run. A difference is one line ("accepted jobs are missing in the owner's state") and a gauge (missing_jobs by gap); gauges count jobs by state and tasks by holder.

--- a/dispatch/acquire.go
+++ b/dispatch/acquire.go
@@ -56,7 +56,7 @@
 	inherited := inheritedLeaseEnd(&cfg, previous, sent)
 	// If this owner is lost before its first commit, the next one needs what the previous owner knew.
 	value, err := json.Marshal(Ownership{Node: cfg.Node, Addr: cfg.Addr, Incarnation: cfg.Incarnation, Nonce: nonce,
-		Terminated: boundTerminated(previous.Terminated), InheritedLeaseMs: inherited.Sub(sent).Milliseconds() + 1})
+		Terminated: boundTerminated(previous.Terminated), Jobs: previous.Jobs, InheritedLeaseMs: inherited.Sub(sent).Milliseconds() + 1})
 	if err != nil {
 		return nil, err
 	}
@@ -78,10 +78,11 @@
 		if err := c.load(ctx); err != nil {
 			return nil, fmt.Errorf("%w: %w", ErrNotLoaded, err)
 		}
+		c.census.recorded = previous.Jobs
 		c.initUnresolved(previous, runners, inherited)
 	}
 	cfg.Log.WithFields(logrus.Fields{"cell": cfg.Name, "epoch": epoch, "previous": previous.Node, "released": previous.Released,
-		"jobs": len(c.jobs), "took_ms": time.Since(sent).Milliseconds()}).Info("acquired the cell")
+		"jobs": len(c.jobs), "read": c.census.read, "recorded": c.census.recorded, "took_ms": time.Since(sent).Milliseconds()}).Info("acquired the cell")
 	return c, nil
 }
 
@@ -138,6 +139,7 @@
 		c.jobs[row.Key.Name] = j
 		c.resume(j)
 	}
+	c.countRead(defs.Rows, progressPage.Rows)
 	return nil
 }
 
--- a/dispatch/cell.go
+++ b/dispatch/cell.go
@@ -155,6 +155,7 @@
 	refusedBy          map[string]time.Time
 	delegatedCheckedAt time.Time // when waiting tasks were last checked for a delegation
 	waits              waitCheck
+	census             census
 	// adviceMu serializes calls to the advice service.
 	adviceMu sync.Mutex
 
@@ -176,7 +177,7 @@
 		pending:         map[string]int{}, planWake: make(chan struct{}, 1), flushWake: make(chan struct{}, 1),
 		done: make(chan struct{}), catalog: &catalog.Config{}, pressure: interference.NewPressure(),
 		advice: map[equivClass]*advice{}, terminated: map[string]bool{},
-		waits: waitCheck{loggedAt: map[waitKey]time.Time{}}, listedSilent: map[string]bool{}, delegating: map[*jobState]bool{}, refusedBy: map[string]time.Time{},
+		waits: waitCheck{loggedAt: map[waitKey]time.Time{}}, listedSilent: map[string]bool{}, census: census{indexed: map[string]bool{}}, delegating: map[*jobState]bool{}, refusedBy: map[string]time.Time{},
 	}
 }
 
--- a/dispatch/flush.go
+++ b/dispatch/flush.go
@@ -66,6 +66,8 @@
 	// LeasesMs is how long after the write leases may last on runners that do not respond, in milliseconds by ID. The next owner
 	// need not wait longer for them, because this one extends none of these leases while the row lists it.
 	LeasesMs map[string]int64 `json:"leases_ms,omitempty"`
+	// Jobs is the number of jobs that the cell stores as of the write; 0 if it is not known.
+	Jobs int `json:"jobs,omitempty"`
 }
 
 const (
@@ -99,7 +101,7 @@
 // ownership returns the value of the ownership row. The caller holds mu.
 func (c *Cell) ownership(now time.Time, nonce string) Ownership {
 	o := Ownership{Node: c.cfg.Node, Addr: c.cfg.Addr, Incarnation: c.cfg.Incarnation, Epoch: c.epoch,
-		Terminated: c.terminatedRunners(), Nonce: nonce}
+		Terminated: c.terminatedRunners(), Nonce: nonce, Jobs: c.census.rows}
 	for _, x := range c.unresolved {
 		o.InheritedLeaseMs = max(o.InheritedLeaseMs, x.until.Sub(now).Milliseconds()+1)
 	}
@@ -124,6 +126,7 @@
 type batch struct {
 	txn         store.Txn
 	nonce       string
+	owner       Ownership
 	submissions []*submission
 	jobs        []batchJob
 	processed   map[*runnerState]endMark
@@ -296,21 +299,25 @@
 	}
 }
 
+func (c *Cell) encodeOwner(owner *Ownership) []byte {
+	value, err := json.Marshal(owner)
+	if err != nil {
+		c.cfg.Log.WithError(err).Error("ownership row can't be encoded")
+	}
+	return value
+}
+
 // newBatch returns a batch that writes the ownership row only. The caller holds mu.
 func (c *Cell) newBatch(now time.Time) *batch {
 	b := &batch{nonce: c.cfg.Node + "/" + strconv.FormatInt(now.UnixNano(), 36), processed: map[*runnerState]endMark{}}
-	ownership := c.ownership(now, b.nonce)
-	ownership.LeasesMs = c.silentLeases(now, maxListedLeases)
-	b.silent = ownership.LeasesMs
+	b.owner = c.ownership(now, b.nonce)
+	b.owner.LeasesMs = c.silentLeases(now, maxListedLeases)
+	b.silent = b.owner.LeasesMs
 	for id := range b.silent {
 		c.listedSilent[id] = true
 	}
-	owner, err := json.Marshal(ownership)
-	if err != nil {
-		c.cfg.Log.WithError(err).Error("ownership row can't be encoded")
-	}
 	b.txn.Conditions = append(b.txn.Conditions, store.Condition{Key: OwnerKey(c.cfg.Part), Version: c.ownerVersion})
-	b.txn.Writes = append(b.txn.Writes, store.Write{Key: OwnerKey(c.cfg.Part), Value: owner})
+	b.txn.Writes = append(b.txn.Writes, store.Write{Key: OwnerKey(c.cfg.Part), Value: c.encodeOwner(&b.owner)})
 	for _, rs := range c.runners {
 		if rs.listedTerminated && !c.terminated[rs.info.ID] {
 			b.reappeared = append(b.reappeared, rs)
@@ -515,11 +522,15 @@
 	}
 }
 
-// recordCommitSent records the commit in flight.
+// recordCommitSent records the commit in flight, and in its ownership row the number of jobs that are stored then.
 func (c *Cell) recordCommitSent(now time.Time, b *batch) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.commitSentAt, c.committing = now, b.submissions
+	if jobs := c.storedJobs(b); jobs != b.owner.Jobs {
+		b.owner.Jobs = jobs
+		b.txn.Writes[0].Value = c.encodeOwner(&b.owner)
+	}
 }
 
 func (c *Cell) markStoreDown(why string) {
@@ -591,6 +602,7 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.ownerVersion = version
+	c.census.rows = b.owner.Jobs
 	c.lastCommit, c.suspendedAtCommit = sent, suspended
 	c.commitSentAt, c.committing = time.Time{}, nil
 	c.setStoreDown(false, "a commit was applied")
@@ -667,6 +679,7 @@
 		case index.Version == 0:
 			kept = append(kept, s)
 		case string(index.Value) == c.cfg.Name:
+			c.countIndexed(s.job.ID)
 			s.finish(OutcomeAccepted, "")
 		default:
 			s.finish(OutcomeElsewhere, string(index.Value))
--- a/dispatch/job.go
+++ b/dispatch/job.go
@@ -57,6 +57,8 @@
 	host string
 	// held is set in a host cell for the units that are delegated to it.
 	held bool
+	// queuedAtCheck is the number of the last check for waiting tasks that found the unit in the queue.
+	queuedAtCheck int
 }
 
 // def returns the definition of the unit's step.
--- a/dispatch/metrics.go
+++ b/dispatch/metrics.go
@@ -1,6 +1,10 @@
 package dispatch
 
 import (
+	"iter"
+	"maps"
+	"slices"
+
 	"github.com/prometheus/client_golang/prometheus"
 
 	"github.com/currantthread/currantthread/observe"
@@ -20,6 +24,9 @@
 	// waiting counts tasks without a confirmed run by reason, and runs counts runs by phase.
 	waiting, runs *prometheus.GaugeVec
 	unresolved    prometheus.Gauge
+	// jobs counts jobs by state, tasks those of jobs that have not ended by what has them, and missingJobs accepted jobs that the
+	// owner's state does not have.
+	jobs, tasks, missingJobs *prometheus.GaugeVec
 }
 
 // timeBuckets are in seconds. They range from the response time of a store in the same zone to the longest wait that a
@@ -57,6 +64,9 @@
 		waiting:        gauges("waiting_tasks", "Tasks that have waited too long for a confirmed run, by reason.", "reason"),
 		runs:           gauges("runs", "Runs that are not confirmed to have ended, by phase.", "phase"),
 		unresolved:     unresolved,
+		jobs:           gauges("jobs", "Jobs of the cells, by state.", "state"),
+		tasks:          gauges("tasks", "Tasks of jobs that have not ended, by what has them.", "holder"),
+		missingJobs:    gauges("missing_jobs", "Accepted jobs that the owner's state does not have, by gap.", "gap"),
 		commitTime:     histogram("commit_seconds", "Time of transactions of the store."),
 		submissionTime: histogram("hand_in_seconds", "Time from a submission to its decision."),
 		startWait:      histogram("start_wait_seconds", "Time from the turn of a task to its start order."),
@@ -72,26 +82,41 @@
 		withdrawn:      counter("withdrawn_tasks_total", "Offered tasks that were taken back."),
 		takenOver:      counter("taken_over_tasks_total", "Tasks taken over from other cells."),
 	}
-	for reason := range waitLevels {
-		m.waiting.WithLabelValues(string(reason))
-	}
-	for _, status := range runStatuses {
-		m.runs.WithLabelValues(string(status))
-	}
+	serve(m.waiting, maps.Keys(waitLevels))
+	serve(m.runs, slices.Values(runStatuses))
+	serve(m.jobs, slices.Values(jobStates))
+	serve(m.tasks, maps.Values(taskHolders))
+	serve(m.missingJobs, slices.Values(jobGaps))
 	return m
 }
 
+// serve makes the gauges of all labels exist.
+func serve[L ~string](gauges *prometheus.GaugeVec, labels iter.Seq[L]) {
+	for label := range labels {
+		gauges.WithLabelValues(string(label))
+	}
+}
+
 // replaceWaiting replaces the values that a cell has added to the gauges.
 func (m *Metrics) replaceWaiting(previous, current waitCounts) {
-	for reason := range waitLevels {
-		if change := current.tasks[reason] - previous.tasks[reason]; change != 0 {
-			m.waiting.WithLabelValues(string(reason)).Add(float64(change))
+	replace(m.waiting, previous.tasks, current.tasks)
+	replace(m.runs, previous.runs, current.runs)
+	replace(m.jobs, previous.jobs, current.jobs)
+	replace(m.tasks, previous.holders, current.holders)
+	replace(m.missingJobs, previous.gaps, current.gaps)
+	m.unresolved.Add(float64(current.unresolved - previous.unresolved))
+}
+
+// replace replaces the values that a cell has added to gauges.
+func replace[L ~string](gauges *prometheus.GaugeVec, previous, current map[L]int) {
+	for label, value := range current {
+		if change := value - previous[label]; change != 0 {
+			gauges.WithLabelValues(string(label)).Add(float64(change))
 		}
 	}
-	for _, status := range runStatuses {
-		if change := current.runs[status] - previous.runs[status]; change != 0 {
-			m.runs.WithLabelValues(string(status)).Add(float64(change))
+	for label, value := range previous {
+		if _, ok := current[label]; !ok && value != 0 {
+			gauges.WithLabelValues(string(label)).Sub(float64(value))
 		}
 	}
-	m.unresolved.Add(float64(current.unresolved - previous.unresolved))
 }
--- a/dispatch/waiting.go
+++ b/dispatch/waiting.go
@@ -65,6 +65,10 @@
 	waitNoRun waitReason = "active_without_run"
 	// waitNotQueued: the task is ready but missing in the queue.
 	waitNotQueued waitReason = "ready_not_queued"
+	// waitNoHost: the task belongs to another cell, but none is named.
+	waitNoHost waitReason = "remote_without_host"
+	// waitNoRunnerState: the run is on a runner that the cell no longer looks after.
+	waitNoRunnerState waitReason = "run_without_runner"
 )
 
 // waitLevels holds the log levels of all reasons.
@@ -85,6 +89,8 @@
 	waitBlocked:        logrus.ErrorLevel,
 	waitNoRun:          logrus.ErrorLevel,
 	waitNotQueued:      logrus.ErrorLevel,
+	waitNoHost:         logrus.ErrorLevel,
+	waitNoRunnerState:  logrus.ErrorLevel,
 }
 
 // runStatus is the state of a run as shown in logs and metrics.
@@ -119,6 +125,7 @@
 // waitCheck is the state of the periodic check for waiting tasks.
 type waitCheck struct {
 	checkedAt time.Time
+	checks    int // number of checks so far
 	loggedAt  map[waitKey]time.Time
 	// counted is what the cell has added to the gauges.
 	counted waitCounts
@@ -135,6 +142,9 @@
 	tasks      map[waitReason]int
 	runs       map[runStatus]int
 	unresolved int
+	jobs       map[string]int
+	holders    map[taskHolder]int
+	gaps       map[jobGap]int
 }
 
 // waitGroup is the waiting tasks of a step that share a reason.
@@ -164,8 +174,10 @@
 		return
 	}
 	c.waits.checkedAt = now
+	c.waits.checks++
 	counts := waitCounts{tasks: map[waitReason]int{}, runs: map[runStatus]int{}, unresolved: len(c.unresolved)}
-	scan := &waitScan{cell: c, now: now, groups: map[waitKey]*waitGroup{}}
+	scan := &waitScan{cell: c, now: now, groups: map[waitKey]*waitGroup{},
+		census: censusScan{jobs: map[string]int{}}}
 	for _, rs := range c.runners {
 		for r := range rs.runs {
 			r.observe(now)
@@ -181,8 +193,10 @@
 	for _, g := range scan.groups {
 		counts.tasks[g.reason] += g.tasks
 	}
+	counts.jobs, counts.holders, counts.gaps = scan.census.jobs, scan.census.holders(), c.gaps(len(scan.census.withoutTasks))
 	c.cfg.Metrics.replaceWaiting(c.waits.counted, counts)
 	c.waits.counted = counts
+	c.reportGaps(counts.gaps, scan.census.withoutTasks)
 	c.logWaiting(now, scan.groups)
 }
 
@@ -213,7 +227,8 @@
 	now    time.Time
 	groups map[waitKey]*waitGroup
 	// ready is the number of ready units of jobs that have not ended.
-	ready int
+	ready  int
+	census censusScan
 }
 
 // add counts a unit, or for waitEndedRun one of its runs.
@@ -237,23 +252,31 @@
 // units looks for units that are not done and neither wait in the queue nor have a confirmed run.
 func (s *waitScan) units() {
 	for _, j := range s.cell.jobs {
-		if j.state.Terminal() {
-			continue
-		}
-		for _, occ := range j.occs {
-			for i := range occ.steps {
-				if occ.steps[i].left > 0 {
-					s.step(occ, i)
+		open := false
+		if !j.state.Terminal() {
+			for _, occ := range j.occs {
+				for i := range occ.steps {
+					open = s.step(occ, i) || open
 				}
 			}
 		}
+		s.census.job(j, open)
 	}
 }
 
-func (s *waitScan) step(occ *occurrence, index int) {
+// step looks at the units of a step, and reports whether one of them is not done.
+func (s *waitScan) step(occ *occurrence, index int) (open bool) {
 	step := &occ.steps[index]
+	if step.left == 0 {
+		for _, u := range step.units {
+			s.census.tasks[phaseDone] += u.size
+		}
+		return false
+	}
 	mayStart := occ.isUnblocked(index)
 	for _, u := range step.units {
+		s.census.tasks[u.phase] += u.size
+		open = open || u.phase != phaseDone
 		switch u.phase {
 		case phaseBlocked:
 			if mayStart {
@@ -265,9 +288,14 @@
 			s.ready++
 		case phaseActive:
 			s.active(u)
-		case phaseDone, phaseRemote:
+		case phaseRemote:
+			if !u.hasHost() {
+				s.add(u, waitNoHost, u.waitsSince(), nil, func() logrus.Fields { return logrus.Fields{"host": u.host, "origin": u.job.origin} })
+			}
+		case phaseDone:
 		}
 	}
+	return open
 }
 
 // active reports an active unit without a confirmed run. Of a gang all runs must be confirmed.
@@ -280,6 +308,10 @@
 	var oldestReason waitReason
 	var oldestSince time.Time
 	for _, r := range u.runs {
+		if s.cell.runners[r.runner.info.ID] != r.runner || !r.exists() {
+			s.add(u, waitNoRunnerState, r.startedAt, r, nil)
+			return
+		}
 		reason, since := s.unconfirmed(r)
 		if reason == "" {
 			if u.size == 1 {
@@ -350,7 +382,9 @@
 	c := s.cell
 	overdue, count := false, 0
 	for _, u := range c.ready {
-		if u.phase == phaseReady && !u.job.state.Terminal() {
+		if u.phase == phaseReady && !u.job.state.Terminal() && u.queuedAtCheck != c.waits.checks {
+			// A unit that is queued twice must not stand for one that is missing.
+			u.queuedAtCheck = c.waits.checks
 			count++
 			overdue = overdue || s.now.Sub(u.waitsSince()) >= waitBound
 		}
