Count delegations by outcome, and say why a host is full

Cause: only the line "took delegated tasks back" told what a host had answered, and nothing told why it was full. Change: the origin counts each delegation by its outcome (delegations_total), and its lines about waiting tasks say how often the task was offered and how often the answer was full. A full host writes a line, at most one in five seconds, with the places for the offered tasks and its own long-running tasks that wait. Lines of a host name the origin. Result: TestAnswersToDelegationsAreCounted fails without the count of repeated requests. TestHostWithWaitingTasksSaysWhyItIsFull shows a host that answers "full" with a place for the task, because a larger one of its own has none.

--- a/dispatch/cell.go
+++ b/dispatch/cell.go
@@ -156,6 +156,7 @@
 	delegatedCheckedAt time.Time // when waiting tasks were last checked for a delegation
 	waits              waitCheck
 	census             census
+	fullAnswers        fullAnswers
 	// adviceMu serializes calls to the advice service.
 	adviceMu sync.Mutex
 
--- a/dispatch/delegation.go
+++ b/dispatch/delegation.go
@@ -314,6 +314,7 @@
 	}
 	outcomes, err := c.ask(ctx, host, messages)
 	for i, d := range asked {
+		c.recordAnswer(d, outcomes, i, err)
 		if err == nil && outcomes[i] == OutcomeAccepted {
 			c.settle(d, d.units)
 			continue
@@ -335,6 +336,7 @@
 		if err == nil {
 			outcome = outcomes[0]
 		}
+		c.recordAnswer(d, outcomes, 0, err)
 		refused := err == nil && (outcome == OutcomeFull || outcome == OutcomeRefused)
 		switch {
 		case err == nil && outcome == OutcomeAccepted:
--- a/dispatch/hosting.go
+++ b/dispatch/hosting.go
@@ -115,6 +115,7 @@
 	packing := c.newPacking()
 	packing.addUnits(c.serviceOf(j), units)
 	if !packing.fits() {
+		c.reportFull(time.Now(), j, units)
 		return nil, OutcomeFull
 	}
 	t := &transfer{units: units, takesOver: true, done: make(chan struct{}),
--- a/dispatch/job.go
+++ b/dispatch/job.go
@@ -46,6 +46,9 @@
 	readyAt time.Time
 	// waitingSince is since when the unit has had no confirmed run and no other cell has had it; zero while that is not so.
 	waitingSince time.Time
+	// offers counts the requests to other cells to take the unit over since waitingSince, and fullAnswers those that were answered
+	// with OutcomeFull.
+	offers, fullAnswers int
 	// stalls counts runs that were stopped for no progress.
 	stalls int
 	// latenessClass is the lateness as of the last plan.
--- a/dispatch/metrics.go
+++ b/dispatch/metrics.go
@@ -19,6 +19,8 @@
 	commitTime, submissionTime, startWait, startCallTime prometheus.Histogram
 	// delegated counts tasks offered to other cells, withdrawn those that were taken back, and takenOver those of other cells.
 	delegated, withdrawn, takenOver prometheus.Counter
+	// delegations counts requests to other cells to take tasks over, by their outcome.
+	delegations *prometheus.CounterVec
 	// objectiveShare is the time of a completed job as a share of its objective, by queue.
 	objectiveShare *prometheus.HistogramVec
 	// waiting counts tasks without a confirmed run by reason, and runs counts runs by phase.
@@ -57,6 +59,12 @@
 		registry.MustRegister(g)
 		return g
 	}
+	delegations := prometheus.NewCounterVec(prometheus.CounterOpts{Namespace: observe.Namespace, Subsystem: "cell", Name: "delegations_total",
+		Help: "Requests to other cells to take tasks over, by outcome."}, []string{"outcome"})
+	registry.MustRegister(delegations)
+	for _, outcome := range delegationOutcomes {
+		delegations.WithLabelValues(outcome.String())
+	}
 	unresolved := prometheus.NewGauge(prometheus.GaugeOpts{Namespace: observe.Namespace, Subsystem: "cell", Name: "unresolved_runners",
 		Help: "Runners that may run tasks of an earlier owner and have not reported to this one."})
 	registry.MustRegister(unresolved)
@@ -66,6 +74,7 @@
 		unresolved:     unresolved,
 		jobs:           gauges("jobs", "Jobs of the cells, by state.", "state"),
 		tasks:          gauges("tasks", "Tasks of jobs that have not ended, by what has them.", "holder"),
+		delegations:    delegations,
 		missingJobs:    gauges("missing_jobs", "Accepted jobs that the owner's state does not have, by gap.", "gap"),
 		commitTime:     histogram("commit_seconds", "Time of transactions of the store."),
 		submissionTime: histogram("hand_in_seconds", "Time from a submission to its decision."),
--- a/dispatch/metrics_test.go
+++ b/dispatch/metrics_test.go
@@ -21,7 +21,7 @@
 	}
 	served := strings.Join(names, " ")
 	for _, name := range []string{"commit_seconds", "hand_in_seconds", "start_wait_seconds", "start_order_seconds", "job_objective_share", "stalls_total",
-		"waiting_tasks", "runs", "unresolved_runners", "jobs", "tasks", "missing_jobs"} {
+		"waiting_tasks", "runs", "unresolved_runners", "jobs", "tasks", "missing_jobs", "delegations_total"} {
 		assert.Assert(t, strings.Contains(served, "currantthread_cell_"+name), served)
 	}
 }
--- a/dispatch/waiting.go
+++ b/dispatch/waiting.go
@@ -742,6 +742,12 @@
 		member = g.run.member
 		maps.Copy(fields, g.run.details(now))
 	}
+	if g.unit.offers > 0 {
+		fields["offers"], fields["full_answers"] = g.unit.offers, g.unit.fullAnswers
+	}
+	if origin := g.unit.job.origin; origin != "" {
+		fields["origin"] = origin
+	}
 	if g.reason == waitOwnerSuspended {
 		fields["commit_ms"] = c.sinceCommit(now).Milliseconds()
 	}
--- a/dispatch/waitreason_test.go
+++ b/dispatch/waitreason_test.go
@@ -590,3 +590,136 @@
 		assert.Equal(t, d.gauge("waiting_tasks", "offered"), 0)
 	})
 }
+
+// delegations returns how many delegations of the last owner had an outcome.
+func (cl *cluster) delegations(outcome string) int {
+	cl.t.Helper()
+	families, err := cl.registry.Gather()
+	assert.NilError(cl.t, err)
+	for _, family := range families {
+		if family.GetName() != "currantthread_cell_delegations_total" {
+			continue
+		}
+		for _, m := range family.GetMetric() {
+			if m.GetLabel()[0].GetValue() == outcome {
+				return int(m.GetCounter().GetValue())
+			}
+		}
+	}
+	cl.t.Fatalf("delegations with outcome %s are not counted", outcome)
+	return 0
+}
+
+// linesOf returns the lines with a message.
+func (l *logRecorder) linesOf(message string) []map[string]any {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	var found []map[string]any
+	for _, line := range l.lines {
+		if line["msg"] == message {
+			found = append(found, line)
+		}
+	}
+	return found
+}
+
+// A task that waits because the cells that it is offered to are full must be told from one whose offers get no response, at the origin
+// and at the host.
+func TestAnswersToDelegationsAreCounted(t *testing.T) {
+	for _, tc := range []struct {
+		name           string
+		fault          peerFault
+		answer, others []string
+		full           bool
+	}{
+		{"full", peerWorks, []string{"full"}, []string{"accepted", "refused", "changed", "not_owner", "unknown"}, true},
+		{"no response", peerLosesRequests, []string{"unknown"}, []string{"accepted", "full", "refused", "changed", "not_owner"}, false},
+	} {
+		t.Run(tc.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				d, logs, job, waits := newFullDeployment(t)
+				d.setFault(tc.fault)
+				time.Sleep(time.Until(waits.Add(14 * time.Second)))
+				lines := logs.waiting(job)
+				last := lines[len(lines)-1]
+				for _, outcome := range tc.answer {
+					assert.Assert(t, d.delegations(outcome) >= 3, "%s %d", outcome, d.delegations(outcome))
+				}
+				for _, outcome := range tc.others {
+					assert.Equal(t, d.delegations(outcome), 0, outcome)
+				}
+				assert.Assert(t, last["offers"].(float64) >= 2, "%v", last)
+				refusals := logs.linesOf("did not take tasks over, because the cell has no places")
+				if !tc.full {
+					assert.Equal(t, last["full_answers"], 0.0)
+					assert.Equal(t, len(refusals), 0)
+					return
+				}
+				assert.Equal(t, last["full_answers"], last["offers"])
+				// One line in five seconds, whatever the number of requests.
+				assert.Assert(t, len(refusals) >= 2 && len(refusals) <= 3, "%v", refusals)
+				answers := 0.0
+				for _, line := range refusals {
+					answers += line["answers"].(float64)
+					for field, want := range map[string]any{"cell": "c1", "origin": "c0", "request": job.ID, "tasks": 2.0, "cpu": 28000.0,
+						"places": 0.0, "waiting": 0.0, "waiting_without_place": 0.0} {
+						assert.Equal(t, line[field], want, "%s of %v", field, line)
+					}
+				}
+				assert.Assert(t, answers > float64(len(refusals)) && answers <= float64(d.delegations("full")))
+			})
+		})
+	}
+}
+
+// A host that has places for the tasks of another cell, but answers that it is full because of its own waiting tasks, must show it.
+func TestHostWithWaitingTasksSaysWhyItIsFull(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		d, logs := newDeployment(t, fixedDuration(emulator.Endless), 2, 3), &logRecorder{}
+		d.logs = logs
+		host, _ := d.own("c1", "b", d.store, d.fleet)
+		origin, _ := d.own("c0", "a", d.store, d.fleet)
+		time.Sleep(3 * time.Second)
+		d.mu.Lock()
+		d.loads["c1"] = host.LoadWithPlaces()
+		d.mu.Unlock()
+		// Two tasks take a whole runner each, and lose one.
+		large := jobOf(2, longRunning(2, 60000))
+		d.submit(host, large)
+		small := jobOf(1, longRunning(3, 30000))
+		d.submit(origin, small)
+		time.Sleep(time.Second)
+		d.submit(host, jobOf(3, longRunning(1, 30000)))
+		time.Sleep(time.Second)
+		for _, s := range d.fleet.Starts() {
+			if s.Task.Job == large.ID {
+				d.fleet.Crash(s.Runner)
+				info := d.infoOf(s.Runner)
+				host.SetRunner(t.Context(), info, false)
+				break
+			}
+		}
+		d.fleet.Crash("c0-r0")
+		origin.SetRunner(t.Context(), d.infoOf("c0-r0"), false)
+		time.Sleep(2 * lease)
+		refusals := logs.linesOf("did not take tasks over, because the cell has no places")
+		assert.Assert(t, len(refusals) > 0)
+		for field, want := range map[string]any{"cell": "c1", "origin": "c0", "request": small.ID, "places": 1.0, "waiting": 1.0,
+			"waiting_without_place": 1.0} {
+			assert.Equal(t, refusals[0][field], want, "%s of %v", field, refusals[0])
+		}
+	})
+}
+
+// infoOf returns the description of a runner.
+func (d *deployment) infoOf(id string) runner.Info {
+	for _, infos := range d.runners {
+		for _, info := range infos {
+			if info.ID == id {
+				return info
+			}
+		}
+	}
+	d.t.Fatalf("no runner %s", id)
+	return runner.Info{}
+}
--- a/dispatch/waitsince.go
+++ b/dispatch/waitsince.go
@@ -10,7 +10,7 @@
 }
 
 // endWait records that the unit waits no more. The caller holds the cell's mu.
-func (u *unit) endWait() { u.waitingSince = time.Time{} }
+func (u *unit) endWait() { u.waitingSince, u.offers, u.fullAnswers = time.Time{}, 0, 0 }
 
 // endWaits records that another cell has the units. The caller holds the cell's mu.
 func endWaits(units []*unit) {
