Log whether the home cell has a place for a waiting long-running task

Cause: a line about such a task told the places of other cells, but not whether its own cell has one once its short tasks end. The two call for different remedies, and the decision to delegate depends on it. Change: the line has long_places, as the decision to delegate counts them, and long_places_usable, on runners that take tasks now. The packing counts runners that are listed and don't respond, so the two differ while runners are lost. Computed for lines that are written only.

--- a/dispatch/waiting.go
+++ b/dispatch/waiting.go
@@ -742,6 +742,9 @@
 		member = g.run.member
 		maps.Copy(fields, g.run.details(now))
 	}
+	if u := g.unit; u.startsDurably() && (u.phase == phaseReady || u.phase == phaseRemote) {
+		maps.Copy(fields, c.homePlaces(now, u, g.tasks))
+	}
 	if g.unit.offers > 0 {
 		fields["offers"], fields["full_answers"] = g.unit.offers, g.unit.fullAnswers
 	}
