--- a/dispatch/cell.go
+++ b/dispatch/cell.go
@@ -156,6 +156,8 @@
 	reservations       []reservation
 	delegatedCheckedAt time.Time // when waiting tasks were last checked for a delegation
 	waits              waitCheck
+	census             census
+	fullAnswers        fullAnswers
 	// adviceMu serializes calls to the advice service.
 	adviceMu sync.Mutex
 
@@ -177,7 +179,7 @@
 		pending:         map[string]int{}, planWake: make(chan struct{}, 1), flushWake: make(chan struct{}, 1),
 		done: make(chan struct{}), catalog: &catalog.Config{}, pressure: interference.NewPressure(),
 		advice: map[equivClass]*advice{}, terminated: map[string]bool{},
-		waits: waitCheck{loggedAt: map[waitKey]time.Time{}}, listedSilent: map[string]bool{}, delegating: map[*jobState]bool{}, refusedBy: map[string]refusal{},
+		waits: waitCheck{loggedAt: map[waitKey]time.Time{}}, listedSilent: map[string]bool{}, census: census{indexed: map[string]bool{}}, delegating: map[*jobState]bool{}, refusedBy: map[string]refusal{},
 	}
 }
 
@@ -387,6 +389,7 @@
 func (c *Cell) makeReady(u *unit) {
 	u.phase = phaseReady
 	u.readyAt = time.Now()
+	u.beginWait(u.readyAt)
 	c.ready = append(c.ready, u)
 	wake(c.planWake)
 }
--- a/dispatch/delegation.go
+++ b/dispatch/delegation.go
@@ -322,9 +322,14 @@
 	if len(asked) == 0 {
 		return
 	}
-	outcomes, err := c.ask(ctx, offerCallTimeout, host, messages)
+	outcomes, _ := c.ask(ctx, offerCallTimeout, host, messages)
+	c.mu.Lock()
 	for i, d := range asked {
-		if err == nil && outcomes[i] == OutcomeAccepted {
+		c.recordAnswer(d.units, outcomes[i])
+	}
+	c.mu.Unlock()
+	for i, d := range asked {
+		if outcomes[i] == OutcomeAccepted {
 			c.settle(d, d.units)
 			continue
 		}
@@ -340,14 +345,14 @@
 		if !ok {
 			return
 		}
-		outcomes, err := c.ask(ctx, offerCallTimeout, d.host, []*Delegation{message})
-		outcome := OutcomeUnknown
-		if err == nil {
-			outcome = outcomes[0]
-		}
-		refused := err == nil && (outcome == OutcomeFull || outcome == OutcomeRefused)
+		outcomes, _ := c.ask(ctx, offerCallTimeout, d.host, []*Delegation{message})
+		outcome := outcomes[0]
+		c.mu.Lock()
+		c.recordAnswer(d.units, outcome)
+		c.mu.Unlock()
+		refused := outcome == OutcomeFull || outcome == OutcomeRefused
 		switch {
-		case err == nil && outcome == OutcomeAccepted:
+		case outcome == OutcomeAccepted:
 			c.settle(d, d.units)
 			return
 		case refused || time.Now().After(deadline):
@@ -359,7 +364,7 @@
 	}
 }
 
-// ask sends a request to a host. Without an error it returns an outcome for each message.
+// ask sends a request to a host and returns an outcome for each message, which is unknown after an error.
 func (c *Cell) ask(ctx context.Context, timeout time.Duration, host string, messages []*Delegation) ([]Outcome, error) {
 	ctx, cancel := context.WithTimeout(ctx, timeout)
 	defer cancel()
@@ -367,6 +372,9 @@
 	if err == nil && len(outcomes) != len(messages) {
 		err = fmt.Errorf("host %s returned %d outcomes for %d delegations", host, len(outcomes), len(messages))
 	}
+	if err != nil {
+		outcomes = slices.Repeat([]Outcome{OutcomeUnknown}, len(messages))
+	}
 	return outcomes, err
 }
 
@@ -391,6 +399,7 @@
 	c.cfg.Log.WithFields(logrus.Fields{"cell": c.cfg.Name, "request": d.job.def.ID, "host": d.host, "tasks": len(units)}).
 		Info("another cell has taken tasks over")
 	c.markStarted(d.job)
+	endWaits(units)
 	c.dropUnits(d, units)
 }
 
--- a/dispatch/hosting.go
+++ b/dispatch/hosting.go
@@ -123,6 +123,7 @@
 	packing := c.newRespondingPacking(now)
 	packing.placeAll()
 	if !packing.hasPlacesFor(c.serviceOf(j), units) {
+		c.reportFull(now, d, packing)
 		return nil, OutcomeFull
 	}
 	t := &transfer{units: units, takesOver: true, done: make(chan struct{}),
--- a/dispatch/job.go
+++ b/dispatch/job.go
@@ -44,6 +44,11 @@
 	avoid string
 	// readyAt is when the unit last became ready.
 	readyAt time.Time
+	// waitingSince is since when the unit has had no confirmed run and no other cell has had it; zero while that is not so.
+	waitingSince time.Time
+	// offers counts the requests to other cells to take the unit over since waitingSince, and fullAnswers those that were answered
+	// with OutcomeFull.
+	offers, fullAnswers int
 	// stalls counts runs that were stopped for no progress.
 	stalls int
 	// latenessClass is the lateness as of the last plan.
@@ -57,6 +62,8 @@
 	placeRequested bool
 	// held is set in a host cell for the units that are delegated to it.
 	held bool
+	// queuedAtCheck is the number of the last check for waiting tasks that found the unit in the queue.
+	queuedAtCheck int
 }
 
 // def returns the definition of the unit's step.
--- a/dispatch/reservation.go
+++ b/dispatch/reservation.go
@@ -64,6 +64,7 @@
 			return OutcomeRefused
 		}
 		if packing.place(wantedTasks{step, service, 1}) == 0 {
+			c.reportFull(now, d, packing)
 			return OutcomeFull
 		}
 		reserved = append(reserved, reservation{workload.TaskID{Job: d.Job.ID, Step: task.Step, Index: task.Index}, step, service, now.Add(reservationTime)})
@@ -97,8 +98,9 @@
 	now := time.Now()
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	for _, u := range units {
+	for i, u := range units {
 		u.placeRequested = false
+		c.recordAnswer([]*unit{u}, outcomes[i])
 	}
 	if err != nil {
 		c.recordRefusal(now, host, 0)
