Extend no lease with polls that are repeated because one was given up

Cause: while responses of runners are being lost, a poll that should have reported an end is given up after 0.4 s and repeated. The repeated poll extended the lease that the owner waits for, and could be given up itself, so a runner that was gone never counted as unresponsive: as long as three others lost responses and one of its tasks was overdue, none of its tasks started again, long-running ones included. Callers saw accepted tasks without a run beside free runners; wait lines show phase running, poll_failing false, a lease with 6 s left and response_ms that grows. Change: a repeated poll extends no lease and acknowledges no end, like the polls of an unresponsive runner. A given up poll counts as failed once the runner has not responded for as long as a poll takes to fail. Result: TestRepeatedPollsOfLostRunnerExtendNoLease: the tasks start again within one lease and a second.

--- a/dispatch/overdue.go
+++ b/dispatch/overdue.go
@@ -69,11 +69,12 @@
 	return ctx, cancel
 }
 
-// endPoll reports whether the poll of a runner was abandoned. The next one then returns at once.
+// endPoll reports whether the poll of a runner was abandoned and does not count as failed. The next one returns at once and extends no
+// lease. A runner that has not responded for as long as a poll takes to fail is unresponsive, also if its polls were abandoned.
 func (c *Cell) endPoll(rs *runnerState) (abandoned bool) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	rs.cancelPoll = nil
 	rs.pollAtOnce = rs.pollAbandoned
-	return rs.pollAbandoned
+	return rs.pollAbandoned && time.Since(rs.lastResponseAt) < reachableTimeout
 }
--- a/dispatch/runnerstate.go
+++ b/dispatch/runnerstate.go
@@ -70,7 +70,7 @@
 	// lossAt is when a call last got no response.
 	lossAt time.Time
 	// pollSentAt is when the poll in flight was sent, and cancelPoll ends it; nil if there is none. pollAbandoned is set once it has been
-	// ended so, and pollAtOnce makes the next poll return at once.
+	// ended so. pollAtOnce is then set until the next poll has ended.
 	pollSentAt                time.Time
 	cancelPoll                context.CancelFunc
 	pollAbandoned, pollAtOnce bool
@@ -212,8 +212,8 @@
 	}
 	request := runner.Hold{Token: c.epoch}
 	// A poll without a response may still extend the lease, so polls of an unresponsive runner don't extend it. Nor do they
-	// acknowledge ends, because the runner may have restarted and count its ends anew.
-	if rs.synced && !rs.pollFailing {
+	// acknowledge ends, because the runner may have restarted and count its ends anew. The same holds after a poll that was given up.
+	if rs.synced && !rs.pollFailing && !rs.pollAtOnce {
 		request.AckedEnd = rs.acked
 		request.Wait = holdWait
 		switch {
@@ -225,9 +225,6 @@
 		if rs.needsFastPoll() {
 			request.Wait = min(request.Wait, overTargetHoldWait)
 		}
-		if rs.pollAtOnce {
-			request.Wait, rs.pollAtOnce = 0, false
-		}
 	}
 	c.cfg.Metrics.polls.Inc()
 	return request, rs.target(), true
