Extend the lease of a runner with one start without a response at most

Cause: each start extends the lease of its runner, also the record of when the runs of a runner that is gone have ended. Starts go on until the first one has timed out, 1 s after the runner was lost, and again after the back-off until a poll fails, so the runner's long-running tasks started again up to three seconds later than one lease after its loss. Change: after a start has extended the lease, further starts carry the same end until the runner has responded to a poll or a start. A runner that responds gets the same leases as before.

--- a/dispatch/commands.go
+++ b/dispatch/commands.go
@@ -64,7 +64,7 @@
 	u, rs := r.unit, r.runner
 	c.cfg.Metrics.starts.Inc()
 	command := runner.Start{
-		Task: r.id(), Run: r.number, Spec: u.job.def.Spec, Deadline: c.leaseDeadline(now, rs), Token: c.epoch,
+		Task: r.id(), Run: r.number, Spec: u.job.def.Spec, Deadline: c.startDeadline(now, rs), Token: c.epoch,
 		Checkpoint: u.checkpoint,
 	}
 	if u.job.def.Policy.Advised {
@@ -84,6 +84,7 @@
 	if err == nil {
 		c.recordGranted(now, r.runner, command.Deadline, clock)
 		r.runner.unknownStarts = 0
+		r.runner.extendedByStart = false
 		if r.phase == runStarting {
 			r.phase = runRunning
 			r.confirmedAt = now
--- a/dispatch/runnerstate.go
+++ b/dispatch/runnerstate.go
@@ -46,17 +46,19 @@
 
 	clock             time.Duration // the runner's clock at clockAt
 	clockAt           time.Time
-	born              int64      // birth time of the process that responded last; 0 if unknown
-	bornSeenAt        time.Time  // when born was learned
-	leaseEnd          time.Time  // by our clock, when every run on it has ended if it receives no further command
-	lastResponseAt    time.Time  // last response to a poll
-	appliedPollSentAt time.Time  // send time of the newest poll whose report was applied
-	synced            bool       // a poll has succeeded since this owner took over or the runner restarted
-	listedTerminated  bool       // the durable ownership row may list it as terminated, so it gets no tasks
-	pollFailing       bool       // the last poll failed
-	processed         int64      // number of the last end that was applied to the jobs' state
-	acked             int64      // number of the last end whose effect is durable
-	unackedEnds       []endOfJob // ends that are not acknowledged, in order
+	born              int64         // birth time of the process that responded last; 0 if unknown
+	bornSeenAt        time.Time     // when born was learned
+	leaseEnd          time.Time     // by our clock, when every run on it has ended if it receives no further command
+	deadline          time.Duration // the latest end of a lease that a command to this process carried, on the runner's clock
+	extendedByStart   bool          // a start has extended the lease, and the runner has not responded since
+	lastResponseAt    time.Time     // last response to a poll
+	appliedPollSentAt time.Time     // send time of the newest poll whose report was applied
+	synced            bool          // a poll has succeeded since this owner took over or the runner restarted
+	listedTerminated  bool          // the durable ownership row may list it as terminated, so it gets no tasks
+	pollFailing       bool          // the last poll failed
+	processed         int64         // number of the last end that was applied to the jobs' state
+	acked             int64         // number of the last end whose effect is durable
+	unackedEnds       []endOfJob    // ends that are not acknowledged, in order
 	// noCapacityUntil excludes the runner from placement after it refused a task for lack of capacity.
 	noCapacityUntil time.Time
 	// backoffUntil excludes the runner from placement after a start was refused, not sent or got no response.
@@ -248,7 +250,20 @@
 	if end := leaseExpiry(now, lease); end.After(rs.leaseEnd) {
 		rs.leaseEnd = end
 	}
-	return rs.clock + now.Sub(rs.clockAt) + lease
+	deadline := rs.clock + now.Sub(rs.clockAt) + lease
+	rs.deadline = max(rs.deadline, deadline)
+	return deadline
+}
+
+// startDeadline returns the end of the lease for a start command. A further start does not extend the lease before the runner has
+// responded: the runs of a runner that is gone would wait longer for the end of its lease. The caller holds mu and has checked
+// mayCommand.
+func (c *Cell) startDeadline(now time.Time, rs *runnerState) time.Duration {
+	if left := rs.deadline - rs.clock - now.Sub(rs.clockAt); rs.extendedByStart && left >= minLease {
+		return rs.deadline
+	}
+	rs.extendedByStart = true
+	return c.leaseDeadline(now, rs)
 }
 
 // hasOpenStarts reports whether a start command to the runner has no confirmed outcome. It may reach another process, whose lease
@@ -292,6 +307,7 @@
 		c.cfg.Log.WithFields(logrus.Fields{"runner": rs.info.ID, "silent_ms": now.Sub(rs.lastResponseAt).Milliseconds()}).Info("polls of the runner succeed again")
 	}
 	rs.lastResponseAt = now
+	rs.extendedByStart = false
 	rs.clock, rs.clockAt = report.Clock, now
 	if c.terminated[rs.info.ID] || c.listedSilent[rs.info.ID] {
 		// It gets tasks and leases again once a durable ownership row no longer lists it.
@@ -359,6 +375,7 @@
 	c.cfg.Log.WithFields(logrus.Fields{"runner": rs.info.ID, "born": born, "runs": len(rs.runs)}).Warn("runner restarted")
 	rs.processed, rs.acked, rs.unackedEnds = 0, 0, nil
 	rs.synced = false
+	rs.deadline = 0
 	for r := range rs.runs {
 		// The new process does not know of stops that the old one confirmed.
 		r.stop.confirmedAt, r.stop.nextAt = time.Time{}, time.Time{}
--- a/dispatch/stuck_test.go
+++ b/dispatch/stuck_test.go
@@ -1,6 +1,9 @@
 package dispatch_test
 
 import (
+	"context"
+	"fmt"
+	"sync/atomic"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -9,6 +12,8 @@
 
 	"github.com/currantthread/currantthread/internal/emulator"
 	"github.com/currantthread/currantthread/internal/wait"
+	"github.com/currantthread/currantthread/runner"
+	"github.com/currantthread/currantthread/workload"
 )
 
 // awaitUntil waits until a condition holds, at most for the given time, and returns how long it took.
@@ -22,7 +27,7 @@
 }
 
 // restartsWithin is the longest time until the lease of a runner that is gone has expired and its tasks have started again.
-const restartsWithin = lease*103/100 + 250*time.Millisecond + time.Second
+const restartsWithin = lease*103/100 + 250*time.Millisecond + 500*time.Millisecond
 
 // While responses are lost, polls that should have reported an end are given up and repeated. The polls of a runner that was gone
 // went on extending the lease that its owner waits for as long as other runners lost responses, so its tasks never started again.
@@ -55,3 +60,72 @@
 		<-c.Done()
 	})
 }
+
+// darkRunner is a fleet with one runner that gets no commands once it is dark. Its commands take as long to fail as on the platform.
+type darkRunner struct {
+	*emulator.Fleet
+	id   string
+	dark atomic.Bool
+}
+
+// goDark ends what runs on the runner and keeps it from receiving commands.
+func (d *darkRunner) goDark() {
+	d.dark.Store(true)
+	d.Crash(d.id)
+}
+
+func (d *darkRunner) Start(ctx context.Context, target runner.Target, command runner.Start) (time.Duration, error) {
+	if target.ID == d.id && d.dark.Load() {
+		wait.For(ctx, time.Second)
+		return 0, errCut
+	}
+	return d.Fleet.Start(ctx, target, command)
+}
+
+func (d *darkRunner) Hold(ctx context.Context, target runner.Target, command runner.Hold) (runner.Report, error) {
+	began := time.Now()
+	report, err := d.Fleet.Hold(ctx, target, command)
+	if target.ID == d.id && d.dark.Load() {
+		wait.For(ctx, command.Wait+1500*time.Millisecond-time.Since(began))
+		return runner.Report{}, errCut
+	}
+	return report, err
+}
+
+// Starts extend the lease too. Those sent to a runner that was gone kept its long-running tasks waiting for up to three seconds more.
+func TestStartsWithoutResponseExtendNoLease(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		cl := newCluster(t, 2, func(task workload.TaskID, _ int) (time.Duration, bool) {
+			if task.Job == fmt.Sprintf("%016x", 1) {
+				return time.Hour, false
+			}
+			return 5 * time.Second, false
+		})
+		lost, other := cl.infos[0], cl.infos[1]
+		fleet := &darkRunner{Fleet: cl.fleet, id: lost.ID}
+		c, stop := cl.startOwnerWith("a", true, cl.store, fleet)
+		time.Sleep(100 * time.Millisecond)
+		other.Draining = true
+		c.SetRunner(t.Context(), other, true)
+		longRunning := tasks(1, 4000)
+		longRunning.LongRunning = true
+		cl.submit(c, jobOf(1, longRunning))
+		time.Sleep(200 * time.Millisecond)
+		task := workload.TaskID{Job: jobOf(1).ID}
+		assert.DeepEqual(t, cl.fleet.Runs()[task], []string{lost.ID})
+		other.Draining = false
+		c.SetRunner(t.Context(), other, true)
+		// The runner becomes dark at the start of a poll, and starts go on.
+		time.Sleep(2 * time.Second)
+		fleet.goDark()
+		for i := range 40 {
+			c.Submit(t.Context(), jobOf(2+i, tasks(1, 2000)), true)
+			time.Sleep(100 * time.Millisecond)
+		}
+		took := 4*time.Second + awaitUntil(t, time.Minute, func() bool { return len(cl.fleet.Runs()[task]) == 1 })
+		assert.Assert(t, took < restartsWithin, "the task started again after %v, want at most %v", took, restartsWithin)
+		cl.assertNoOverlap()
+		stop()
+		<-c.Done()
+	})
+}
