Keep the back-off of a runner short once it confirms stops

Cause: the back-off after a start without a response doubles up to 8 s, and only a start that is answered or shown by a report ends it. The runner gets no start during the back-off, so it stayed unused for up to 8 s after the end of a disturbance, also beside waiting tasks that fit nowhere else. Change: a confirmed stop shows that the runner responds to commands. It resets the count of unanswered starts and leaves at most 1 s of back-off. While stops get no response either, the back-off grows as before.

--- a/dispatch/commands.go
+++ b/dispatch/commands.go
@@ -155,6 +155,15 @@
 	}
 }
 
+// endLongBackoff shortens the back-off of a runner that responds to commands again. A confirmed stop shows that as well as a start, and the
+// runner gets no start that could while it is excluded.
+func (rs *runnerState) endLongBackoff(now time.Time) {
+	rs.unknownStarts = 0
+	if end := now.Add(refusalBackoff); end.Before(rs.backoffUntil) {
+		rs.backoffUntil = end
+	}
+}
+
 // resolveStart checks with a poll whether a start command without a response was executed. Otherwise reconcileRun stops the
 // run.
 func (c *Cell) resolveStart(ctx context.Context, r *run) {
--- a/dispatch/run.go
+++ b/dispatch/run.go
@@ -163,6 +163,7 @@
 		return false
 	case err == nil && born == r.runner.born, reason == runner.ReasonOldRun && born == r.runner.born:
 		r.stop.unanswered = 0
+		r.runner.endLongBackoff(now)
 		if r.stop.confirmedAt.IsZero() {
 			r.stop.confirmedAt = now
 		}
--- a/dispatch/stuck_test.go
+++ b/dispatch/stuck_test.go
@@ -129,3 +129,23 @@
 		<-c.Done()
 	})
 }
+
+// The back-off of a runner that left starts unanswered grew to 8 s although the runner confirmed the stops of these runs, and went on after
+// it took starts again, also if no other runner had capacity.
+func TestBackoffOfRunnerThatConfirmsStopsStaysShort(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		cl := newCluster(t, 1, fixedDuration(time.Second))
+		c, stop := cl.startOwner("a", true)
+		time.Sleep(100 * time.Millisecond)
+		cl.fleet.SetCommandFaults("r0", emulator.CommandFaults{Start: emulator.CommandRequestLost})
+		cl.submit(c, jobOf(1, tasks(1, 4000)))
+		time.Sleep(22500 * time.Millisecond)
+		cl.fleet.SetCommandFaults("r0", emulator.CommandFaults{})
+		took := awaitUntil(t, time.Minute, func() bool { return cl.fleet.Running("r0") == 1 })
+		// The stop of the last run is proved by the next report, and the back-off is 1 s.
+		assert.Assert(t, took < 5*time.Second, "the task started %v after the runner took starts again", took)
+		cl.assertNoOverlap()
+		stop()
+		<-c.Done()
+	})
+}
