--- a/dispatch/stuck_test.go
+++ b/dispatch/stuck_test.go
@@ -16,11 +16,11 @@
 	"github.com/currantthread/currantthread/workload"
 )
 
-// awaitUntil waits until a condition holds, at most for the given time, and returns how long it took.
-func awaitUntil(t *testing.T, atMost time.Duration, holds func() bool) time.Duration {
+// awaitWithinMinute waits until a condition holds, at most a minute, and returns how long it took.
+func awaitWithinMinute(t *testing.T, holds func() bool) time.Duration {
 	t.Helper()
 	began := time.Now()
-	for !holds() && time.Since(began) < atMost {
+	for !holds() && time.Since(began) < time.Minute {
 		wait.For(t.Context(), 20*time.Millisecond)
 	}
 	return time.Since(began)
@@ -53,7 +53,7 @@
 		}
 		time.Sleep(5 * time.Second)
 		cl.fleet.SetFault(lost.ID, emulator.RunnerUnreachable)
-		took := awaitUntil(t, time.Minute, func() bool { return cl.fleet.Running(rest[0].ID) == 2 })
+		took := awaitWithinMinute(t, func() bool { return cl.fleet.Running(rest[0].ID) == 2 })
 		assert.Assert(t, took < restartsWithin, "the tasks of the lost runner started again after %v, want at most %v", took, restartsWithin)
 		cl.assertNoOverlap()
 		stop()
@@ -122,7 +122,7 @@
 			c.Submit(t.Context(), jobOf(2+i, tasks(1, 2000)), true)
 			time.Sleep(100 * time.Millisecond)
 		}
-		took := 4*time.Second + awaitUntil(t, time.Minute, func() bool { return len(cl.fleet.Runs()[task]) == 1 })
+		took := 4*time.Second + awaitWithinMinute(t, func() bool { return len(cl.fleet.Runs()[task]) == 1 })
 		assert.Assert(t, took < restartsWithin, "the task started again after %v, want at most %v", took, restartsWithin)
 		cl.assertNoOverlap()
 		stop()
@@ -141,7 +141,7 @@
 		cl.submit(c, jobOf(1, tasks(1, 4000)))
 		time.Sleep(22500 * time.Millisecond)
 		cl.fleet.SetCommandFaults("r0", emulator.CommandFaults{})
-		took := awaitUntil(t, time.Minute, func() bool { return cl.fleet.Running("r0") == 1 })
+		took := awaitWithinMinute(t, func() bool { return cl.fleet.Running("r0") == 1 })
 		// The stop of the last run is proved by the next report, and the back-off is 1 s.
 		assert.Assert(t, took < 5*time.Second, "the task started %v after the runner took starts again", took)
 		cl.assertNoOverlap()
