Conclude once that a runner was replaced by another incarnation

Cause: each poll that another incarnation answered moved the end of the old one's lease to the present. The owner asks for a commit that was sent after that time, as proof that it still owned the cell, so it requested a commit on nearly each tick while service discovery listed the old one. Change: such an answer brings the end of the lease forward, and does not move it again.

--- a/dispatch/runnerstate.go
+++ b/dispatch/runnerstate.go
@@ -356,7 +356,9 @@
 		return pollRetry
 	case runner.ReasonIncarnation:
 		c.loseRuns(now, rs, "another incarnation answers")
-		rs.leaseEnd = now
+		if now.Before(rs.leaseEnd) {
+			rs.leaseEnd = now
+		}
 		c.resolve(now, rs.info.ID)
 	}
 	if runner.ReasonOf(err) == "" {
--- a/dispatch/stuck_test.go
+++ b/dispatch/stuck_test.go
@@ -149,3 +149,42 @@
 		<-c.Done()
 	})
 }
+
+// rebornRunner is a fleet in which another incarnation answers at the address of one runner from a time on.
+type rebornRunner struct {
+	*emulator.Fleet
+	id     string
+	reborn atomic.Bool
+}
+
+func (f *rebornRunner) Hold(ctx context.Context, target runner.Target, command runner.Hold) (runner.Report, error) {
+	if target.ID == f.id && f.reborn.Load() {
+		return runner.Report{}, &runner.RefusedError{Reason: runner.ReasonIncarnation}
+	}
+	report, err := f.Fleet.Hold(ctx, target, command)
+	if target.ID == f.id && f.reborn.Load() {
+		return runner.Report{}, errCut
+	}
+	return report, err
+}
+
+// Each poll that another incarnation answered moved the time at which the runner had ended, so the owner asked for a proof of its
+// ownership again and again: it wrote its row seven to ten times a second as long as service discovery listed the runner.
+func TestRebornRunnerIsConcludedOnce(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		cl := newCluster(t, 2, fixedDuration(time.Second))
+		fleet := &rebornRunner{Fleet: cl.fleet, id: "r0"}
+		c, stop := cl.startOwnerWith("a", true, cl.store, fleet)
+		time.Sleep(2 * time.Second)
+		cl.fleet.Crash("r0")
+		fleet.reborn.Store(true)
+		time.Sleep(3 * time.Second)
+		before := cl.store.Commits()
+		time.Sleep(10 * time.Second)
+		// An idle owner writes its row once a second.
+		commits := cl.store.Commits() - before
+		assert.Assert(t, commits <= 12, "the owner wrote its row %d times in ten seconds", commits)
+		stop()
+		<-c.Done()
+	})
+}
