Await a predecessor that has ended no longer than its last write allows

Cause: no lease ends later than 10 s after the last write of its owner, but a new owner used that bound only if the predecessor might still be alive. One that was known to have ended was awaited for a whole lease from the takeover. If the takeover came more than 4 s after the last write, tasks on runners that were gone with their owner waited longer than they would have waited for an owner that may be alive. Change: the new owner uses the earlier of the two times.

--- a/dispatch/stuck_test.go
+++ b/dispatch/stuck_test.go
@@ -188,3 +188,27 @@
 		<-c.Done()
 	})
 }
+
+// A predecessor that was known to have ended was awaited for a whole lease from the takeover, also if that ended later than 10 s after its
+// last write, after which it can have granted no lease: a late takeover waited longer than for an owner that may be alive.
+func TestLateTakeoverWaitsNoLongerThanLastWriteAllows(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		cl := newCluster(t, 3, fixedDuration(time.Hour))
+		go cl.watchOwner()
+		first, kill := cl.startOwner("a", true)
+		cl.submit(first, jobOf(1, longRunning(6, 8000)))
+		time.Sleep(3 * time.Second)
+		cl.killOwner(first, kill)
+		cl.fleet.Crash("r1")
+		began := time.Now()
+		time.Sleep(8 * time.Second)
+		_, stop := cl.startOwner("b", true)
+		awaitWithinMinute(t, func() bool { return cl.fleet.Running("r0")+cl.fleet.Running("r2") == 6 })
+		took := time.Since(began)
+		// The row is read every 0.4 s.
+		bound := outageBound + 400*time.Millisecond + 500*time.Millisecond
+		assert.Assert(t, took < bound, "the tasks started again %v after the loss, want at most %v", took, bound)
+		cl.assertNoOverlap()
+		stop()
+	})
+}
--- a/dispatch/unresolved.go
+++ b/dispatch/unresolved.go
@@ -21,13 +21,15 @@
 // inheritedLeaseEnd returns when the last lease that the previous owner, or one before it, can have granted has expired.
 func inheritedLeaseEnd(cfg *Config, previous Ownership, now time.Time) time.Time {
 	end := leaseExpiry(now, cfg.Lease)
-	if !previous.Released && !cfg.PredecessorDead {
-		// The previous owner may go on without the store.
+	if !previous.Released {
+		// No lease ends later than this after the last write. An owner that may still be alive may go on extending leases until then.
 		lastWrite := now
 		if !cfg.PredecessorLastWrite.IsZero() {
 			lastWrite = cfg.PredecessorLastWrite
 		}
-		end = leaseExpiry(lastWrite, storeOutageTolerance)
+		if unwritten := leaseExpiry(lastWrite, storeOutageTolerance); !cfg.PredecessorDead || unwritten.Before(end) {
+			end = unwritten
+		}
 	}
 	if earlier := earlierLeaseEnd(cfg, previous, now); earlier.After(end) {
 		end = earlier
