--- a/dispatch/commands.go
+++ b/dispatch/commands.go
@@ -64,7 +64,7 @@
 	u, rs := r.unit, r.runner
 	c.cfg.Metrics.starts.Inc()
 	command := runner.Start{
-		Task: r.id(), Run: r.number, Spec: u.job.def.Spec, Deadline: c.leaseDeadline(now, rs), Token: c.epoch,
+		Task: r.id(), Run: r.number, Spec: u.job.def.Spec, Deadline: c.startDeadline(now, rs), Token: c.epoch,
 		Checkpoint: u.checkpoint,
 	}
 	if u.job.def.Policy.Advised {
@@ -84,6 +84,7 @@
 	if err == nil {
 		c.recordGranted(now, r.runner, command.Deadline, clock)
 		r.runner.unknownStarts = 0
+		r.runner.extendedByStart = false
 		if r.phase == runStarting {
 			r.phase = runRunning
 			r.confirmedAt = now
@@ -155,6 +156,15 @@
 	}
 }
 
+// endLongBackoff shortens the back-off of a runner that responds to commands again. A confirmed stop shows that as well as a start, and the
+// runner gets no start that could while it is excluded.
+func (rs *runnerState) endLongBackoff(now time.Time) {
+	rs.unknownStarts = 0
+	if end := now.Add(refusalBackoff); end.Before(rs.backoffUntil) {
+		rs.backoffUntil = end
+	}
+}
+
 // resolveStart checks with a poll whether a start command without a response was executed. Otherwise reconcileRun stops the
 // run.
 func (c *Cell) resolveStart(ctx context.Context, r *run) {
