Refuse reads of the store that are older than the owner's own commits

A store that serves old reads, for example after it has dropped its history, hid jobs that were accepted and durable: the new owner never learned of them and nobody ran them. Owners use it from their acquisition on; an acquisition goes on reading for up to 10 s and logs it. The emulator's store has SetReadsBehind.

--- a/dispatch/acquire.go
+++ b/dispatch/acquire.go
@@ -67,6 +67,8 @@
 	if err != nil {
 		return nil, err
 	}
+	// An old read would hide jobs and progress that the cell has accepted, or show tasks of other cells as they were.
+	cfg.Store = store.NewFreshReads(cfg.Store, epoch)
 	c := newCell(cfg, epoch)
 	if cfg.Acquired != nil {
 		c.awaitsRunners = true
@@ -111,13 +113,32 @@
 	}
 }
 
+// maxOldReads bounds the time for which an acquisition repeats reads that are older than itself. A store that has dropped its
+// history may serve such reads for seconds.
+const maxOldReads = 10 * time.Second
+
+// readTable reads all rows of the cell in a table, as they are after the acquisition.
+func (c *Cell) readTable(ctx context.Context, table string) (store.Page, error) {
+	deadline := time.Now().Add(maxOldReads)
+	for {
+		page, err := store.ReadAll(ctx, c.cfg.Store, table, c.cfg.Part)
+		if !errors.Is(err, store.ErrOldRead) || time.Now().After(deadline) {
+			return page, err
+		}
+		c.cfg.Log.WithFields(logrus.Fields{"cell": c.cfg.Name, "table": table}).Warn("read of the cell's rows is older than its acquisition")
+		if !wait.For(ctx, commitRetry) {
+			return store.Page{}, err
+		}
+	}
+}
+
 // load reads the cell's jobs and their progress from the store.
 func (c *Cell) load(ctx context.Context) error {
-	defs, err := store.ReadAll(ctx, c.cfg.Store, TableJobs, c.cfg.Part)
+	defs, err := c.readTable(ctx, TableJobs)
 	if err != nil {
 		return err
 	}
-	progressPage, err := store.ReadAll(ctx, c.cfg.Store, TableProgress, c.cfg.Part)
+	progressPage, err := c.readTable(ctx, TableProgress)
 	if err != nil {
 		return err
 	}
--- a/dispatch/storeprobe.go
+++ b/dispatch/storeprobe.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -41,8 +42,9 @@
 			probeCtx, cancel := context.WithTimeout(ctx, probeTimeout)
 			defer cancel()
 			_, err := c.readRow(probeCtx, OwnerKey(c.cfg.Part))
+			responds := err == nil || errors.Is(err, store.ErrOldRead)
 			switch {
-			case err == nil && silent.Load():
+			case responds && silent.Load():
 				silenceEnded()
 			case probeCtx.Err() != nil && ctx.Err() == nil:
 				silent.Store(true)
--- a/internal/emulator/store.go
+++ b/internal/emulator/store.go
@@ -53,6 +53,15 @@
 	txnTime time.Duration
 	// busyUntil is when all transactions that wait for a partition will have been applied.
 	busyUntil map[string]time.Time
+	// changes are all changes of rows, in order, and readsBehind is how old the state is that Range returns.
+	changes     []change
+	readsBehind time.Duration
+}
+
+// change is a row as it was written or deleted at a time.
+type change struct {
+	row store.Row
+	at  time.Time
 }
 
 // NewStore returns an empty store.
@@ -75,6 +84,13 @@
 	s.txnTime = d
 }
 
+// SetReadsBehind sets how old the state is that range reads return. The protocol promises reads that are not old.
+func (s *Store) SetReadsBehind(d time.Duration) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.readsBehind = d
+}
+
 // DropHistory deletes the history, so that feeds from earlier versions fail.
 func (s *Store) DropHistory() {
 	s.mu.Lock()
@@ -241,12 +257,12 @@
 	for _, w := range txn.Writes {
 		row := store.Row{Key: w.Key, Value: append([]byte(nil), w.Value...), Version: s.version}
 		s.rows[w.Key] = row
-		s.history = append(s.history, row)
+		s.record(row)
 	}
 	for _, k := range txn.Deletes {
 		if _, ok := s.rows[k]; ok {
 			delete(s.rows, k)
-			s.history = append(s.history, store.Row{Key: k, Version: s.version, Deleted: true})
+			s.record(store.Row{Key: k, Version: s.version, Deleted: true})
 		}
 	}
 	close(s.changed)
@@ -254,6 +270,33 @@
 	return s.version
 }
 
+// record adds a changed row to the history. The caller holds mu.
+func (s *Store) record(row store.Row) {
+	s.history = append(s.history, row)
+	s.changes = append(s.changes, change{row, time.Now()})
+}
+
+// visible returns the rows and the version that range reads return. The caller holds mu.
+func (s *Store) visible() (map[store.Key]store.Row, int64) {
+	if s.readsBehind == 0 {
+		return s.rows, s.version
+	}
+	rows := map[store.Key]store.Row{}
+	version := int64(0)
+	for _, c := range s.changes {
+		if time.Since(c.at) < s.readsBehind {
+			break
+		}
+		version = c.row.Version
+		if c.row.Deleted {
+			delete(rows, c.row.Key)
+		} else {
+			rows[c.row.Key] = c.row
+		}
+	}
+	return rows, version
+}
+
 // Range implements store.Store.
 func (s *Store) Range(ctx context.Context, table, part, from, to string, limit int) (store.Page, error) {
 	ctx, cancel := context.WithTimeout(ctx, callTimeout)
@@ -263,8 +306,9 @@
 	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	page := store.Page{Version: s.version}
-	for key, row := range s.rows {
+	rows, version := s.visible()
+	page := store.Page{Version: version}
+	for key, row := range rows {
 		if key.Table == table && key.Part == part && key.Name >= from && (to == "" || key.Name < to) {
 			page.Rows = append(page.Rows, row)
 		}
