Repeat failed reads of an acquisition for three seconds

Cause: after its acquisition was committed, an owner gave up at the first read of the cell's rows that failed. It then keeps away from the cell for its pause after failed acquisitions, and the other nodes wait for its grace time, so one refused read cost the cell its owner for seconds. All nodes that start at the same moment read all of their tables at once, and calls beyond the rate of the store are refused. Change: failed reads are repeated with the pause of commits for up to 3 s after the acquisition, each with a log line. An old read is repeated for 10 s as before. Result: TestAcquisitionRepeatsFailedReads passes: with three failed reads the acquisition succeeds, and with a store that stays away it fails within 4 s. Before, the first failed read ended it with ErrNotLoaded.

--- a/dispatch/acquire.go
+++ b/dispatch/acquire.go
@@ -113,20 +113,35 @@
 	}
 }
 
-// maxOldReads bounds the time for which an acquisition repeats reads that are older than itself. A store that has dropped its
-// history may serve such reads for seconds.
-const maxOldReads = 10 * time.Second
+const (
+	// maxOldReads bounds the time for which an acquisition repeats reads that are older than itself. A store that has dropped its
+	// history may serve such reads for seconds.
+	maxOldReads = 10 * time.Second
+	// maxFailedReads bounds it for reads that fail. The acquisition has just been committed, so a failure will rather be a limit on the
+	// rate of calls or a lost connection than an outage, and another node would read all rows anew.
+	maxFailedReads = 3 * time.Second
+)
+
+// loadReads repeats reads for an acquisition.
+type loadReads struct {
+	store.Store
+	cell  *Cell
+	began time.Time
+}
 
-// readTable reads all rows of the cell in a table, as they are after the acquisition.
-func (c *Cell) readTable(ctx context.Context, table string) (store.Page, error) {
-	deadline := time.Now().Add(maxOldReads)
+// Range implements store.Store.
+func (s *loadReads) Range(ctx context.Context, table, part, from, to string, limit int) (store.Page, error) {
 	for {
-		page, err := store.ReadAll(ctx, c.cfg.Store, table, c.cfg.Part)
-		if !errors.Is(err, store.ErrOldRead) || time.Now().After(deadline) {
-			return page, err
+		page, err := s.Store.Range(ctx, table, part, from, to, limit)
+		if err == nil {
+			return page, nil
 		}
-		c.cfg.Log.WithFields(logrus.Fields{"cell": c.cfg.Name, "table": table}).Warn("read of the cell's rows is older than its acquisition")
-		if !wait.For(ctx, commitRetry) {
+		patience := maxFailedReads
+		if errors.Is(err, store.ErrOldRead) {
+			patience = maxOldReads
+		}
+		s.cell.cfg.Log.WithFields(logrus.Fields{"cell": s.cell.cfg.Name, "table": table, "error": err.Error()}).Warn("could not read rows of an acquired cell")
+		if time.Since(s.began) > patience || !wait.For(ctx, commitRetry) {
 			return store.Page{}, err
 		}
 	}
@@ -134,11 +149,12 @@
 
 // load reads the cell's jobs and their progress from the store.
 func (c *Cell) load(ctx context.Context) error {
-	defs, err := c.readTable(ctx, TableJobs)
+	reads := &loadReads{Store: c.cfg.Store, cell: c, began: time.Now()}
+	defs, err := store.ReadAll(ctx, reads, TableJobs, c.cfg.Part)
 	if err != nil {
 		return err
 	}
-	progressPage, err := c.readTable(ctx, TableProgress)
+	progressPage, err := store.ReadAll(ctx, reads, TableProgress, c.cfg.Part)
 	if err != nil {
 		return err
 	}
--- a/dispatch/recovery_test.go
+++ b/dispatch/recovery_test.go
@@ -3,12 +3,14 @@
 import (
 	"context"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"testing/synctest"
 	"time"
 
 	"gotest.tools/v3/assert"
 
+	"github.com/currantthread/currantthread/dispatch"
 	"github.com/currantthread/currantthread/internal/emulator"
 	"github.com/currantthread/currantthread/store"
 	"github.com/currantthread/currantthread/workload"
@@ -73,3 +75,45 @@
 		d.assertNoOverlap()
 	})
 }
+
+// failingReads is a connection to the store on which some reads of jobs fail.
+type failingReads struct {
+	*emulator.Store
+	left atomic.Int64
+}
+
+func (s *failingReads) Range(ctx context.Context, table, part, from, to string, limit int) (store.Page, error) {
+	if table == dispatch.TableJobs && s.left.Add(-1) >= 0 {
+		return store.Page{}, store.ErrUnavailable
+	}
+	return s.Store.Range(ctx, table, part, from, to, limit)
+}
+
+// A single read that failed after an acquisition, such as one of too many when all nodes start at the same moment, left the cell without an
+// owner for the pause after failed acquisitions.
+func TestAcquisitionRepeatsFailedReads(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		cl := newCluster(t, 2, fixedDuration(time.Second))
+		first, stop := cl.startOwner("a", false)
+		time.Sleep(2 * time.Second)
+		job := jobOf(1, tasks(2, 8000), tasks(2, 8000))
+		cl.submit(first, job)
+		stop()
+		<-first.Done()
+		s := &failingReads{Store: cl.store}
+		s.left.Store(3)
+		second, _ := cl.startOwnerWith("b", true, s, cl.fleet)
+		time.Sleep(5 * time.Second)
+		assert.Equal(t, state(second, job), workload.StateCompleted)
+		// A store that stays away must not hold the cell for long.
+		s.left.Store(1000)
+		began := time.Now()
+		cfg := cl.config("c", false)
+		cfg.Store = s
+		previous, version, err := dispatch.ReadOwner(t.Context(), s, cellName)
+		assert.NilError(t, err)
+		_, err = dispatch.Acquire(t.Context(), cfg, previous, version, cl.infos)
+		assert.ErrorIs(t, err, dispatch.ErrNotLoaded)
+		assert.Assert(t, time.Since(began) < 4*time.Second)
+	})
+}
