Test that accepted jobs run after all owners lose power

Cause: the property tests replaced one owner at a time and submitted their jobs before the first fault. None lost the power of all owners at one moment, right after a submission was acknowledged or while commits and delegations are in flight. Change: TestAcceptedJobsRunAfterPowerLoss draws steps of submissions (one step, chains, scheduled, failing and long-running jobs), losses of power of one or all owners up to 60 ms after them or once one was accepted, successors that know of it or not, owners that are taken for dead and go on, owners that the store refuses, each fault of the store, reads up to 3 s old, each fault of the messages between two cells, and runners that crash and return. At the end each job with an index row is completed or runs, accepted jobs have one, and nothing ran twice.

--- a/dispatch/recovery_test.go
+++ b/dispatch/recovery_test.go
@@ -2,6 +2,9 @@
 
 import (
 	"context"
+	"fmt"
+	"slices"
+	"strconv"
 	"sync"
 	"sync/atomic"
 	"testing"
@@ -9,9 +12,12 @@
 	"time"
 
 	"gotest.tools/v3/assert"
+	"pgregory.net/rapid"
 
 	"github.com/currantthread/currantthread/dispatch"
 	"github.com/currantthread/currantthread/internal/emulator"
+	"github.com/currantthread/currantthread/internal/wait"
+	"github.com/currantthread/currantthread/runner"
 	"github.com/currantthread/currantthread/store"
 	"github.com/currantthread/currantthread/workload"
 )
@@ -117,3 +123,365 @@
 		assert.Assert(t, time.Since(began) < 4*time.Second)
 	})
 }
+
+// powered is the owner of a cell on a VM that can lose power. The next owner of the cell is created once the power is back.
+type powered struct {
+	*dispatch.Cell
+	process *process
+	off     context.CancelFunc
+	// cut is closed, and replaced set, when another owner is to follow.
+	cut      chan struct{}
+	replaced bool
+}
+
+// poweredPeers is the connection of a powered owner to the other cells.
+type poweredPeers struct {
+	*cellPeers
+	process *process
+}
+
+func (p *poweredPeers) Delegate(ctx context.Context, cell string, ds []*dispatch.Delegation) ([]dispatch.Outcome, error) {
+	return call(ctx, p.process.killed.Load, func() ([]dispatch.Outcome, error) { return p.cellPeers.Delegate(ctx, cell, ds) })
+}
+
+func (p *poweredPeers) CancelDelegated(ctx context.Context, cell, jobID string) error {
+	_, err := call(ctx, p.process.killed.Load, func() (struct{}, error) {
+		return struct{}{}, p.cellPeers.CancelDelegated(ctx, cell, jobID)
+	})
+	return err
+}
+
+// powerGrid is a deployment whose owners lose power and are replaced.
+type powerGrid struct {
+	*deployment
+	nodes      atomic.Int64
+	background sync.WaitGroup
+
+	mu    sync.Mutex // guards the fields below
+	owner map[string]*powered
+	// upAt is when the VM of a cell's next owner has power, and dead is whether the previous owner is then known to have ended.
+	upAt map[string]time.Time
+	dead map[string]bool
+}
+
+// keepOwned makes a node the owner of a cell whenever the cell has none and there is power.
+func (g *powerGrid) keepOwned(cell string) {
+	for g.t.Context().Err() == nil {
+		g.mu.Lock()
+		upAt, dead := g.upAt[cell], g.dead[cell]
+		g.mu.Unlock()
+		if !wait.For(g.t.Context(), time.Until(upAt)) {
+			return
+		}
+		if p := g.acquire(cell, dead); p != nil {
+			select {
+			case <-p.Done():
+			case <-p.cut:
+			}
+		}
+		wait.For(g.t.Context(), 300*time.Millisecond)
+	}
+}
+
+// acquire makes a node the owner of a cell, or returns nil if that fails.
+func (g *powerGrid) acquire(cell string, predecessorDead bool) *powered {
+	ctx, off := context.WithCancel(g.t.Context())
+	p := &powered{process: &process{store: g.store, fleet: g.fleet}, off: off, cut: make(chan struct{})}
+	previous, version, err := dispatch.ReadOwner(ctx, p.process, cell)
+	if err == nil {
+		g.mu.Lock()
+		cfg := g.config(fmt.Sprintf("n%d", g.nodes.Add(1)), predecessorDead)
+		g.mu.Unlock()
+		cfg.Name, cfg.Part, cfg.Store, cfg.Runners = cell, cell, p.process, p.process
+		cfg.Peers = &poweredPeers{&cellPeers{g.deployment, cell}, p.process}
+		p.Cell, err = dispatch.Acquire(ctx, cfg, previous, version, g.runners[cell])
+	}
+	if err != nil {
+		off()
+		return nil
+	}
+	for _, info := range g.runners[cell] {
+		p.SetRunner(ctx, info, true)
+	}
+	g.mu.Lock()
+	g.owner[cell] = p
+	g.mu.Unlock()
+	g.deployment.mu.Lock()
+	g.owners[cell] = p.Cell
+	g.deployment.mu.Unlock()
+	g.background.Go(func() { p.Run(ctx) })
+	return p
+}
+
+// replace replaces the owners of some cells after a time. They lose power at once, or are alive and just taken for dead.
+func (g *powerGrid) replace(cells []string, down time.Duration, known, alive bool) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	for _, cell := range cells {
+		p := g.owner[cell]
+		if p == nil || p.replaced {
+			continue
+		}
+		p.replaced = true
+		g.upAt[cell], g.dead[cell] = time.Now().Add(down), known && !alive
+		if !alive {
+			p.process.killed.Store(true)
+			p.off()
+		}
+		close(p.cut)
+	}
+}
+
+// refuse cuts the present owners of some cells off from the store, and connects the others.
+func (g *powerGrid) refuse(cells []string) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	for cell, p := range g.owner {
+		p.process.cutOff.Store(slices.Contains(cells, cell))
+	}
+}
+
+// ownerOf returns the last owner of a cell; nil if it never had one.
+func (g *powerGrid) ownerOf(cell string) *powered {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return g.owner[cell]
+}
+
+// send submits a job like a client that tries again, and reports whether a cell has accepted it.
+func (g *powerGrid) send(job *workload.Job, first int) bool {
+	for attempt := range 4 {
+		p := g.ownerOf(g.cells[(first+attempt/2)%len(g.cells)])
+		if p != nil {
+			ctx, cancel := context.WithTimeout(g.t.Context(), 2200*time.Millisecond)
+			outcome, _ := p.Submit(ctx, job, true)
+			cancel()
+			// An answer after the loss of power reaches no client.
+			if !p.process.killed.Load() && (outcome == dispatch.OutcomeAccepted || outcome == dispatch.OutcomeElsewhere) {
+				return true
+			}
+		}
+		wait.For(g.t.Context(), 250*time.Millisecond)
+	}
+	return false
+}
+
+// Kinds of jobs that are submitted before power is lost.
+const (
+	powerShort = iota
+	powerChain
+	powerScheduled
+	powerFailing
+	powerLasting
+	powerKinds
+)
+
+// powerJob returns a job of a kind.
+func powerJob(id, kind int) *workload.Job {
+	id = id*powerKinds + kind
+	switch kind {
+	case powerChain:
+		return jobOf(id, tasks(3, 8000), tasks(1, 8000), tasks(2, 8000))
+	case powerScheduled:
+		job := jobOf(id, tasks(2, 4000))
+		job.Occurrences, job.StartAt, job.Interval = 3, time.Now().Add(500*time.Millisecond), time.Second
+		return job
+	case powerLasting:
+		return jobOf(id, longRunning(2, 28000))
+	default:
+		return jobOf(id, tasks(4, 8000))
+	}
+}
+
+// powerWork is the work of the tasks of powerJob.
+func powerWork(task workload.TaskID, run int) (time.Duration, bool) {
+	id, err := strconv.ParseInt(task.Job, 16, 64)
+	if err != nil {
+		panic(err)
+	}
+	switch id % powerKinds {
+	case powerLasting:
+		return emulator.Endless, false
+	case powerFailing:
+		return 300 * time.Millisecond, run == 1 && task.Index == 0
+	default:
+		return time.Duration(200+200*task.Index) * time.Millisecond, false
+	}
+}
+
+// powerStep is one change, after which jobs are submitted and power may be lost.
+type powerStep struct {
+	after  time.Duration
+	store  emulator.StoreFault
+	behind time.Duration
+	peers  peerFault
+	kinds  []int
+	// refused has the cells whose owners the store refuses.
+	refused []string
+	// cut has the cells whose owners are replaced, strike after the jobs were sent, or once one was accepted.
+	cut          []string
+	strike, down time.Duration
+	accepted     bool
+	// known is whether the loss of power is known to the successors; alive owners have not lost it.
+	known, alive bool
+	// crash and back are runners that lose power with the owners and that return; -1 for none.
+	crash, back int
+}
+
+func drawPowerStep(rt *rapid.T, cells []string, runners int) powerStep {
+	ms := func(name string, highest int) time.Duration {
+		return time.Duration(rapid.IntRange(0, highest).Draw(rt, name)) * time.Millisecond
+	}
+	s := powerStep{after: ms("after", 5000), strike: ms("strike", 60), down: ms("down", 2500), crash: -1, back: -1,
+		peers: peerFault(rapid.IntRange(0, int(peerFaults)-1).Draw(rt, "peers")), accepted: rapid.Bool().Draw(rt, "accepted"),
+		known: rapid.Bool().Draw(rt, "known"), alive: rapid.IntRange(0, 3).Draw(rt, "alive") == 0, kinds: rapid.SliceOfN(rapid.IntRange(0, powerKinds-1), 0, 3).Draw(rt, "kinds")}
+	if rapid.Bool().Draw(rt, "store") {
+		s.store = emulator.StoreFault(rapid.IntRange(0, int(emulator.StoreAppliesLate)).Draw(rt, "fault"))
+	}
+	if rapid.IntRange(0, 3).Draw(rt, "old reads") == 0 {
+		s.behind = ms("behind", 3000)
+	}
+	for _, cell := range cells {
+		if rapid.IntRange(0, 4).Draw(rt, "refused") == 0 {
+			s.refused = append(s.refused, cell)
+		}
+	}
+	switch rapid.IntRange(0, 4).Draw(rt, "cut") {
+	case 0:
+		s.cut = []string{cells[rapid.IntRange(0, len(cells)-1).Draw(rt, "cell")]}
+	case 1, 2:
+		s.cut = cells
+	}
+	switch rapid.IntRange(0, 4).Draw(rt, "runner") {
+	case 0, 1:
+		s.crash = rapid.IntRange(0, runners-1).Draw(rt, "crash")
+	case 2:
+		s.back = rapid.IntRange(0, runners-1).Draw(rt, "back")
+	}
+	return s
+}
+
+// Whenever the owners of one or all cells lose power or are taken for dead, also right after jobs were accepted or while commits and delegations
+// are in flight, and whatever the store and the other cells answer,
+// each job that was accepted is completed or runs at the end, and nothing runs twice.
+func TestAcceptedJobsRunAfterPowerLoss(t *testing.T) {
+	rapid.Check(t, func(rt *rapid.T) {
+		const runners = 3
+		cells := []string{"c0", "c1"}
+		var plan []powerStep
+		for range rapid.IntRange(2, 9).Draw(rt, "steps") {
+			plan = append(plan, drawPowerStep(rt, cells, runners*len(cells)))
+		}
+		synctest.Test(t, func(t *testing.T) {
+			if broken := playPowerLoss(t, plan, runners); broken != "" {
+				rt.Errorf("%s\nplan: %+v", broken, plan)
+			}
+		})
+	})
+}
+
+// playPowerLoss plays steps and returns what broke.
+func playPowerLoss(t *testing.T, plan []powerStep, runners int) (broken string) {
+	g := &powerGrid{deployment: newDeployment(t, powerWork, runners, runners), owner: map[string]*powered{}, upAt: map[string]time.Time{},
+		dead: map[string]bool{}}
+	t.Cleanup(g.background.Wait)
+	g.background.Go(g.reportLoads)
+	for _, cell := range g.cells {
+		g.background.Go(func() { g.keepOwned(cell) })
+	}
+	time.Sleep(3 * time.Second)
+	down := map[string]bool{}
+	var jobs []*workload.Job
+	var accepted sync.Map
+	// The first cell is so full that it delegates tasks once it loses a runner.
+	for i, count := range []int{2*runners - 1, runners} {
+		job := jobOf((i+1)*powerKinds+powerLasting, longRunning(count, 28000))
+		g.submit(g.ownerOf(g.cells[i]).Cell, job)
+		jobs = append(jobs, job)
+	}
+	time.Sleep(time.Second)
+	for _, s := range plan {
+		time.Sleep(s.after)
+		g.store.SetFault(s.store)
+		g.store.SetReadsBehind(s.behind)
+		g.setFault(s.peers)
+		g.refuse(s.refused)
+		anyAccepted := make(chan struct{}, len(s.kinds))
+		for i, kind := range s.kinds {
+			job := powerJob(len(jobs)+1, kind)
+			jobs = append(jobs, job)
+			g.background.Go(func() {
+				if g.send(job, i) {
+					accepted.Store(job, true)
+					anyAccepted <- struct{}{}
+				}
+			})
+		}
+		if s.accepted && len(s.kinds) > 0 {
+			wait.ForSignal(t.Context(), 3*time.Second, anyAccepted)
+		} else {
+			wait.For(t.Context(), s.strike)
+		}
+		g.replace(s.cut, s.down, s.known, s.alive)
+		all := slices.Concat(g.runners["c0"], g.runners["c1"])
+		if s.crash >= 0 {
+			g.fleet.Crash(all[s.crash].ID)
+			down[all[s.crash].ID] = true
+		}
+		if s.back >= 0 && down[all[s.back].ID] {
+			g.fleet.Restart(all[s.back].ID)
+			delete(down, all[s.back].ID)
+		}
+	}
+	g.store.SetFault(emulator.StoreWorks)
+	g.store.SetReadsBehind(0)
+	g.setFault(peerWorks)
+	g.refuse(nil)
+	for id := range down {
+		g.fleet.Restart(id)
+	}
+	time.Sleep(2*outageBound + 2*settleTime)
+	return g.check(jobs, &accepted)
+}
+
+// check returns what is broken at the end.
+func (g *powerGrid) check(jobs []*workload.Job, accepted *sync.Map) string {
+	if overlaps := g.fleet.Overlaps(); len(overlaps) > 0 {
+		return fmt.Sprintf("tasks ran in two places at once: %v", overlaps)
+	}
+	starts := g.fleet.Starts()
+	for _, end := range g.fleet.Ends() {
+		if end.Reason != runner.EndDone || !end.Acked {
+			continue
+		}
+		for _, start := range starts {
+			if start.Task == end.Task && start.At.After(end.At) {
+				return fmt.Sprintf("task %s started again after its end was acknowledged", start.Task)
+			}
+		}
+	}
+	for _, job := range jobs {
+		page, err := g.store.Range(g.t.Context(), dispatch.TableIndex, "i0", job.ID, job.ID+"\x00", 1)
+		if err != nil {
+			return err.Error()
+		}
+		_, isAccepted := accepted.Load(job)
+		if len(page.Rows) == 0 {
+			if isAccepted {
+				return fmt.Sprintf("accepted job %s has no index row", job.ID)
+			}
+			continue
+		}
+		owner := g.ownerOf(string(page.Rows[0].Value))
+		if !job.LongRunning() {
+			if got := state(owner.Cell, job); got != workload.StateCompleted {
+				return fmt.Sprintf("job %s is %q, accepted: %t", job.ID, got, isAccepted)
+			}
+			continue
+		}
+		if running := g.runningIn("c0", job) + g.runningIn("c1", job); running != job.Steps[0].Count {
+			return fmt.Sprintf("%d tasks of job %s run, want %d", running, job.ID, job.Steps[0].Count)
+		}
+	}
+	return ""
+}
