--- a/dispatch/acquire.go
+++ b/dispatch/acquire.go
@@ -67,6 +67,8 @@
 	if err != nil {
 		return nil, err
 	}
+	// An old read would hide jobs and progress that the cell has accepted, or show tasks of other cells as they were.
+	cfg.Store = store.NewFreshReads(cfg.Store, epoch)
 	c := newCell(cfg, epoch)
 	if cfg.Acquired != nil {
 		c.awaitsRunners = true
@@ -112,13 +114,48 @@
 	}
 }
 
+const (
+	// maxOldReads bounds the time for which an acquisition repeats reads that are older than itself. A store that has dropped its
+	// history may serve such reads for seconds.
+	maxOldReads = 10 * time.Second
+	// maxFailedReads bounds it for reads that fail. The acquisition has just been committed, so a failure will rather be a limit on the
+	// rate of calls or a lost connection than an outage, and another node would read all rows anew.
+	maxFailedReads = 3 * time.Second
+)
+
+// loadReads repeats reads for an acquisition.
+type loadReads struct {
+	store.Store
+	cell  *Cell
+	began time.Time
+}
+
+// Range implements store.Store.
+func (s *loadReads) Range(ctx context.Context, table, part, from, to string, limit int) (store.Page, error) {
+	for {
+		page, err := s.Store.Range(ctx, table, part, from, to, limit)
+		if err == nil {
+			return page, nil
+		}
+		patience := maxFailedReads
+		if errors.Is(err, store.ErrOldRead) {
+			patience = maxOldReads
+		}
+		s.cell.cfg.Log.WithFields(logrus.Fields{"cell": s.cell.cfg.Name, "table": table, "error": err.Error()}).Warn("could not read rows of an acquired cell")
+		if time.Since(s.began) > patience || !wait.For(ctx, commitRetry) {
+			return store.Page{}, err
+		}
+	}
+}
+
 // load reads the cell's jobs and their progress from the store.
 func (c *Cell) load(ctx context.Context) error {
-	defs, err := store.ReadAll(ctx, c.cfg.Store, TableJobs, c.cfg.Part)
+	reads := &loadReads{Store: c.cfg.Store, cell: c, began: time.Now()}
+	defs, err := store.ReadAll(ctx, reads, TableJobs, c.cfg.Part)
 	if err != nil {
 		return err
 	}
-	progressPage, err := store.ReadAll(ctx, c.cfg.Store, TableProgress, c.cfg.Part)
+	progressPage, err := store.ReadAll(ctx, reads, TableProgress, c.cfg.Part)
 	if err != nil {
 		return err
 	}
