Repeat a start without a response to the same runner

Cause: a start without a response takes 1 s to fail, a poll, a stop that may get no response itself, a back-off, and a start on another runner with the same odds. Change: the start is sent up to three times to the same runner, which executes a run once, whatever number of commands arrive. Only then its outcome is resolved by a stop, whatever a repeated command was refused for, because an earlier one may still be executed. While responses are being lost, starts and stops wait 0.4 s for one. A start is not repeated to a runner that drains or does not respond to polls, and a repeated one carries the same deadline. Result: TestStartWithoutResponseIsRepeated failed before (no run after 1.3 s when the request was lost or late), and passes; so do TestRepeatedStartOfAnEndedRunRunsOnce, TestStartIsNotRepeatedToADrainingRunner and the other tests of dispatch.

--- a/dispatch/commands.go
+++ b/dispatch/commands.go
@@ -17,6 +17,10 @@
 	refusalBackoff = 1 * time.Second
 	// maxBackoffDoublings bounds how often refusalBackoff is doubled after consecutive starts with unknown outcome.
 	maxBackoffDoublings = 3
+	// maxStartAttempts bounds how often a start command is sent, and repeatTimeout the time of a repeated command. It covers a round trip
+	// between regions on a busy link.
+	maxStartAttempts = 3
+	repeatTimeout    = 400 * time.Millisecond
 	// shortBackoff excludes a runner from placement after it had less free capacity than the cell had recorded, or refused an
 	// outdated or late command.
 	shortBackoff = 300 * time.Millisecond
@@ -74,10 +78,34 @@
 	c.background.Go(func() { c.sendStart(ctx, r, target, command) })
 }
 
+// sendStart sends a start command, and repeats it to the same runner while it gets no response: the runner executes a run once, whatever
+// number of commands arrive. Otherwise the run must be stopped before the task can start elsewhere.
 func (c *Cell) sendStart(ctx context.Context, r *run, target runner.Target, command runner.Start) {
-	sent := time.Now()
-	clock, err := c.cfg.Runners.Start(ctx, target, command)
-	c.cfg.Metrics.startCallTime.Observe(time.Since(sent).Seconds())
+	for attempt := 1; ; attempt++ {
+		callCtx, cancel := c.startContext(ctx, attempt)
+		sent := time.Now()
+		clock, err := c.cfg.Runners.Start(callCtx, target, command)
+		cancel()
+		c.cfg.Metrics.startCallTime.Observe(time.Since(sent).Seconds())
+		if c.applyStartResponse(ctx, r, command, attempt, clock, err) {
+			return
+		}
+	}
+}
+
+// startContext bounds an attempt to start a run. While responses are being lost, waiting longer for one helps less than the next attempt.
+func (c *Cell) startContext(ctx context.Context, attempt int) (context.Context, context.CancelFunc) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if attempt == 1 && !c.isLosingResponses(time.Now()) {
+		return context.WithCancel(ctx)
+	}
+	return context.WithTimeout(ctx, repeatTimeout)
+}
+
+// applyStartResponse applies the response to a start command, or that there was none. It reports whether the outcome is known or left to
+// reconcileRun; otherwise the command is to be repeated.
+func (c *Cell) applyStartResponse(ctx context.Context, r *run, command runner.Start, attempt int, clock time.Duration, err error) (decided bool) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	now := time.Now()
@@ -94,9 +122,27 @@
 			c.markStarted(r.unit.job)
 		}
 		c.logStart(r, "started", "")
-		return
+		return true
 	}
-	c.startFailed(ctx, now, r, err)
+	reason := runner.ReasonOf(err)
+	// Whatever the response to a repeated command says, an earlier one may still be executed.
+	unknown := attempt > 1 || reason == "" && !errors.Is(err, runner.ErrNotSent)
+	switch {
+	case !r.exists() || r.phase == runRunning:
+	case !unknown || reason == runner.ReasonFenced:
+		c.startFailed(now, r, err)
+	case attempt < maxStartAttempts && reason == "" && c.mayRepeatStart(now, r):
+		c.recordLoss(now, r.runner)
+		return false
+	default:
+		c.startUnknown(ctx, now, r, err)
+	}
+	return true
+}
+
+// mayRepeatStart reports whether a start command without a response may be sent again. The caller holds mu.
+func (c *Cell) mayRepeatStart(now time.Time, r *run) bool {
+	return !r.stop.wanted && !c.releasing && c.mayCommand(now) && !r.runner.pollFailing && !c.unavailable(now, r.runner).outOfService()
 }
 
 func (c *Cell) logStart(r *run, outcome, why string) {
@@ -109,26 +155,24 @@
 	entry.Debug(outcome)
 }
 
-// startFailed handles a start command that was refused, not sent or got no response. The caller holds mu.
-func (c *Cell) startFailed(ctx context.Context, now time.Time, r *run, err error) {
-	if !r.exists() || r.phase == runRunning {
-		return
-	}
+// startUnknown handles a start command that got no response. The caller holds mu.
+func (c *Cell) startUnknown(ctx context.Context, now time.Time, r *run, err error) {
+	rs := r.runner
+	r.phase = runStartUnknown
+	c.recordLoss(now, rs)
+	r.unit.avoid = rs.info.ID
+	rs.backoffUntil = now.Add(refusalBackoff << min(rs.unknownStarts, maxBackoffDoublings))
+	rs.unknownStarts++
+	c.logStart(r, "start has no response", err.Error())
+	r.resolving = true
+	c.background.Go(func() { c.resolveStart(ctx, r) })
+}
+
+// startFailed handles a start command that was refused or not sent. The caller holds mu.
+func (c *Cell) startFailed(now time.Time, r *run, err error) {
 	rs, u := r.runner, r.unit
-	reason := runner.ReasonOf(err)
-	if reason == "" && !errors.Is(err, runner.ErrNotSent) {
-		r.phase = runStartUnknown
-		c.recordLoss(now, rs)
-		u.avoid = rs.info.ID
-		rs.backoffUntil = now.Add(refusalBackoff << min(rs.unknownStarts, maxBackoffDoublings))
-		rs.unknownStarts++
-		c.logStart(r, "start has no response", err.Error())
-		r.resolving = true
-		c.background.Go(func() { c.resolveStart(ctx, r) })
-		return
-	}
 	c.logStart(r, "start was refused or not sent", err.Error())
-	switch reason {
+	switch runner.ReasonOf(err) {
 	case runner.ReasonFenced:
 		c.loseOwnership("a runner has seen a higher token")
 		return
--- a/dispatch/overdue.go
+++ b/dispatch/overdue.go
@@ -35,10 +35,13 @@
 	}
 }
 
+// isLosingResponses reports whether responses of runners are being lost. The caller holds mu.
+func (c *Cell) isLosingResponses(now time.Time) bool { return !now.After(c.losingUntil) }
+
 // abandonOverduePoll ends the poll in flight of a runner if responses are being lost and the poll should have reported the end of a
 // task. The caller holds mu.
 func (c *Cell) abandonOverduePoll(now time.Time, rs *runnerState) {
-	if now.After(c.losingUntil) || rs.cancelPoll == nil || now.Sub(rs.pollSentAt) < minPollTime {
+	if !c.isLosingResponses(now) || rs.cancelPoll == nil || now.Sub(rs.pollSentAt) < minPollTime {
 		return
 	}
 	for r := range rs.runs {
--- a/dispatch/run.go
+++ b/dispatch/run.go
@@ -131,11 +131,14 @@
 // sendStop sends one stop command. It is sent even if the cell's context has ended, because a run that must not run should
 // not continue.
 func (c *Cell) sendStop(r *run, target runner.Target, id workload.TaskID) {
-	ctx, cancel := context.WithTimeout(context.Background(), c.cfg.Lease)
-	defer cancel()
 	c.mu.Lock()
-	born := r.runner.born
+	born, timeout := r.runner.born, c.cfg.Lease
+	if c.isLosingResponses(time.Now()) {
+		timeout = repeatTimeout
+	}
 	c.mu.Unlock()
+	ctx, cancel := context.WithTimeout(context.Background(), timeout)
+	defer cancel()
 	err := c.cfg.Runners.Stop(ctx, target, id, r.number, c.epoch)
 	c.mu.Lock()
 	r.stop.inFlight = false
