Count leases from the first attempt of a commit without a response

Cause: a commit without a response is repeated, and the conflict of the repetition shows that it was applied. The owner recorded the time of the repetition as that of its last write, and granted leases until 10 s after it. A successor counts 10 s from the write. If the owner was then cut off from the store but not from its runners, their leases ended up to several seconds after a successor had started their tasks again. Change: such a commit counts as sent at its first attempt, as in Acquire.

--- a/dispatch/flush.go
+++ b/dispatch/flush.go
@@ -468,7 +468,7 @@
 // condition on the ownership row lets at most one attempt succeed, and the row's nonce shows whether one did. What the store
 // refuses at each attempt is left out.
 func (c *Cell) commit(ctx context.Context, b *batch) bool {
-	started := time.Now()
+	started, suspendedAtStart := time.Now(), c.cfg.suspended()
 	c.recordCommitSent(started, b)
 	unknown := false
 	for {
@@ -482,7 +482,7 @@
 		}
 		var conflict *store.ConflictError
 		if errors.As(err, &conflict) {
-			return c.handleConflict(ctx, sent, suspended, b, conflict)
+			return c.handleConflict(ctx, started, suspendedAtStart, b, conflict)
 		}
 		if errors.Is(err, store.ErrInvalidTxn) {
 			if unknown && len(b.submissions) > 0 {
@@ -636,7 +636,8 @@
 }
 
 // handleConflict handles a commit whose condition did not hold. It returns true if an earlier attempt had been applied,
-// so that the batch is durable.
+// so that the batch is durable. sent is when the first attempt was sent: a successor counts the leases of this owner from the write,
+// and which attempt wrote is not known.
 func (c *Cell) handleConflict(ctx context.Context, sent time.Time, suspended time.Duration, b *batch, conflict *store.ConflictError) bool {
 	row := conflict.Row(OwnerKey(c.cfg.Part))
 	var owner Ownership
--- a/dispatch/stuck_test.go
+++ b/dispatch/stuck_test.go
@@ -13,6 +13,7 @@
 	"github.com/currantthread/currantthread/internal/emulator"
 	"github.com/currantthread/currantthread/internal/wait"
 	"github.com/currantthread/currantthread/runner"
+	"github.com/currantthread/currantthread/store"
 	"github.com/currantthread/currantthread/workload"
 )
 
@@ -212,3 +213,51 @@
 		stop()
 	})
 }
+
+// lateStore applies commits without a response while it is silent, and shows the next attempt of such a commit that it was applied.
+type lateStore struct {
+	*emulator.Store
+	silent atomic.Bool
+	// cut is set once the owner's commits no longer reach the store, and writtenAt is when the last one was applied.
+	cut       atomic.Bool
+	writtenAt atomic.Int64
+}
+
+func (s *lateStore) Commit(ctx context.Context, txn store.Txn) (int64, error) {
+	if s.cut.Load() {
+		wait.For(ctx, 2500*time.Millisecond)
+		return 0, &store.UnknownOutcomeError{Err: errCut}
+	}
+	version, err := s.Store.Commit(ctx, txn)
+	if err == nil {
+		s.writtenAt.Store(time.Now().UnixNano())
+	}
+	switch {
+	case err == nil && s.silent.Load():
+		wait.For(ctx, 2500*time.Millisecond)
+		return 0, &store.UnknownOutcomeError{Err: errCut}
+	case err != nil && s.silent.Load():
+		// The conflict shows that the first attempt was applied, and is the last that the owner hears from the store.
+		s.cut.Store(true)
+	}
+	return version, err
+}
+
+// A commit without a response was repeated, and its conflict showed that it had been applied. The owner then granted leases as if it had
+// written at the time of the repetition, up to 10 s after it, while a successor counts 10 s from the write.
+func TestLeasesEndAfterCommitThatWasAppliedEarlier(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		cl := newCluster(t, 2, fixedDuration(time.Hour))
+		s := &lateStore{Store: cl.store}
+		c, stop := cl.startOwnerWith("a", true, s, cl.fleet)
+		cl.submit(c, jobOf(1, longRunning(4, 8000)))
+		time.Sleep(3 * time.Second)
+		assert.Equal(t, cl.running(), 4)
+		s.silent.Store(true)
+		time.Sleep(5 * time.Second)
+		assert.Assert(t, s.cut.Load())
+		time.Sleep(time.Until(time.Unix(0, s.writtenAt.Load()).Add(outageBound)))
+		assert.Equal(t, cl.running(), 0, "tasks %v after the last write", outageBound)
+		stop()
+	})
+}
