Let the soak kill all nodes at one moment

Cause: the soak killed one node at a time, so no run showed whether accepted jobs survive when no node is left that knows them. Change: fault killAllNodes and plan power, which plays it beside faults of the store, dropped history and cuts from the store. The other plans play what they did.

--- a/internal/soak/faults.go
+++ b/internal/soak/faults.go
@@ -61,6 +61,8 @@
 	"runners":    {faults: slices.Concat(runnerFaults, crashes)},
 	"stable":     {faults: slices.Concat(runnerFaults, otherFaults), without: []string{"scheduled"}},
 	"kill-owner": {faults: []func(*soak) string{(*soak).killOwner}, without: []string{"scheduled"}},
+	"power": {faults: []func(*soak) string{(*soak).killAllNodes, (*soak).breakStore, (*soak).dropHistory, (*soak).killAllNodes,
+		(*soak).cutStore}},
 }
 
 // inject injects faults until ctx ends. Each lasts up to some seconds, and the next may begin before it ends.
@@ -166,6 +168,20 @@
 
 func (s *soak) killNode() string  { return s.endNode(s.randomNode(), syscall.SIGKILL, s.downtime()) }
 func (s *soak) killOwner() string { return s.endNode(s.ownerOrRandom(), syscall.SIGKILL, s.downtime()) }
+
+// killAllNodes kills all nodes at one moment, as a loss of power does.
+func (s *soak) killAllNodes() string {
+	var ended sync.WaitGroup
+	for _, p := range s.nodes {
+		ended.Go(func() { p.end(syscall.SIGKILL) })
+	}
+	ended.Wait()
+	for _, p := range s.nodes {
+		s.undoAfter(s.random(time.Second), func() { s.start(p) })
+	}
+	return "all nodes killed"
+}
+
 func (s *soak) terminateNode() string {
 	return s.endNode(s.randomNode(), syscall.SIGTERM, grace+time.Second)
 }
