Return delegated tasks that have no place in their host

Callers saw: a long-running task that another cell had taken over stayed without a run once its runner was lost, beside free capacity in its own cell. Cause: a host never returned a task, and only held tasks may start there. Change: a host that has had no place for a task for 2 s gives it up in its row, which keeps the run number and the checkpoint, and tells the origin once a second until that is confirmed. The origin reads the host's row and takes the task back in a commit that is conditional on that row's version, as it does with offers that were not taken. It raises its run number to that of the host's row; so does the taking back of an offer, of which the host may have run the task and returned it before its response arrived. A host lists the run number of each task that it has had, and a new owner of the host leaves the numbers of tasks that it does not have as they are. The wait is shown as `returned` and continues in the origin. Why it is safe: the host's row that gives a task up is written after its last run there; taking it over again and taking it back each change the row that the other one depends on. The message only causes a read, and new owners on either side go on from their rows.

--- a/dispatch/acquire.go
+++ b/dispatch/acquire.go
@@ -212,7 +212,10 @@
 	for i := range o.steps {
 		for _, u := range o.steps[i].units {
 			u.recovered = true
-			u.run += runGap
+			// The row that says that a host does not have a unit was written after all its runs there.
+			if u.phase != phaseRemote || u.job.origin == "" {
+				u.run += runGap
+			}
 		}
 	}
 }
--- a/dispatch/cell.go
+++ b/dispatch/cell.go
@@ -151,6 +151,8 @@
 	pending       map[string]int // accepted jobs without a started task, by queue
 	// delegating holds the jobs with units in other cells.
 	delegating map[*jobState]bool
+	// returning holds the jobs of other cells with units that were returned to them.
+	returning map[*jobState]bool
 	// refusedBy holds the last refusal of each other cell, and reservations the places that are kept for tasks of other cells.
 	refusedBy          map[string]refusal
 	reservations       []reservation
@@ -179,7 +181,7 @@
 		pending:         map[string]int{}, planWake: make(chan struct{}, 1), flushWake: make(chan struct{}, 1),
 		done: make(chan struct{}), catalog: &catalog.Config{}, pressure: interference.NewPressure(),
 		advice: map[equivClass]*advice{}, terminated: map[string]bool{},
-		waits: waitCheck{loggedAt: map[waitKey]time.Time{}}, listedSilent: map[string]bool{}, census: census{indexed: map[string]bool{}}, delegating: map[*jobState]bool{}, refusedBy: map[string]refusal{},
+		waits: waitCheck{loggedAt: map[waitKey]time.Time{}}, listedSilent: map[string]bool{}, census: census{indexed: map[string]bool{}}, delegating: map[*jobState]bool{}, returning: map[*jobState]bool{}, refusedBy: map[string]refusal{},
 	}
 }
 
--- a/dispatch/delegation.go
+++ b/dispatch/delegation.go
@@ -27,7 +27,8 @@
 //     version of the host's row, or its absence, which it has read.
 //
 // Steps 2 and 3 each change the row that the other one is conditional on, so only one of them succeeds, whoever the owners are and
-// whatever messages are lost, late or repeated. A host never returns a task. It ends its tasks when the origin's job ends.
+// whatever messages are lost, late or repeated. A host returns a task that it has no place for (giveback.go). It ends its tasks when the origin's
+// job ends.
 
 // Peers reaches the owners of the other cells.
 type Peers interface {
@@ -61,6 +62,8 @@
 	Tasks   []DelegatedTask `json:"tasks"`
 	// Reserve asks to keep places for the tasks only. Owners of earlier builds refuse such a request.
 	Reserve bool `json:"reserve,omitempty"`
+	// Returned names the host that has returned the tasks; the message goes to the origin then. Owners of earlier builds refuse it.
+	Returned string `json:"returned,omitempty"`
 }
 
 // DelegatedTask is a task that a host takes over.
@@ -70,6 +73,8 @@
 	// Run is the highest run number that was used.
 	Run        int    `json:"run"`
 	Checkpoint string `json:"checkpoint,omitempty"`
+	// WaitedMs is for how long a task that is returned has waited, in milliseconds.
+	WaitedMs int64 `json:"waited_ms,omitempty"`
 }
 
 const (
@@ -121,6 +126,9 @@
 
 // resumeDelegations continues what the previous owner has begun: it asks the hosts again. The caller holds mu.
 func (c *Cell) resumeDelegations(j *jobState) {
+	if len(j.returnedUnits()) > 0 {
+		c.returning[j] = true
+	}
 	if len(j.hosts) == 0 {
 		return
 	}
@@ -164,7 +172,9 @@
 	if now.Sub(c.delegatedCheckedAt) >= delegateInterval && c.mayStartDelegations(now) {
 		c.delegatedCheckedAt = now
 		c.delegateWaiting(ctx, now)
+		c.returnUnplaced(now)
 	}
+	c.tellOrigins(ctx, now)
 }
 
 // mayStartDelegations reports whether the owner knows the state of its runners and of the store well enough to pass tasks on. The caller
@@ -413,19 +423,10 @@
 
 // withdraw takes back the units of a delegation that the host has not taken over. It reports whether the delegation has ended.
 func (c *Cell) withdraw(ctx context.Context, d *delegation, outcome Outcome) (ended bool) {
-	key := store.Key{Table: TableProgress, Part: c.cfg.Peers.Part(d.host), Name: d.job.def.ID}
-	row, err := c.readRow(ctx, key)
+	hosted, condition, err := c.readHosted(ctx, d.host, d.job.def.ID)
 	if err != nil {
 		return false
 	}
-	var hosted progress
-	if row.Version != 0 {
-		if hosted, err = decodeProgress(row.Value); err != nil {
-			c.cfg.Log.WithFields(logrus.Fields{"cell": c.cfg.Name, "request": d.job.def.ID, "host": d.host, "error": err.Error()}).
-				Error("row of delegated tasks can't be decoded")
-			return false
-		}
-	}
 	var taken, left []*unit
 	for _, u := range d.units {
 		if hosted.holds(u) {
@@ -440,18 +441,13 @@
 	if len(left) == 0 {
 		return true
 	}
-	t := &transfer{units: left, host: d.host, condition: store.Condition{Key: key, Version: row.Version}, done: make(chan struct{})}
 	c.mu.Lock()
 	if c.lost || d.job.state.Terminal() {
 		c.mu.Unlock()
 		return true
 	}
 	c.recordRefusal(time.Now(), d.host, 0)
-	for _, u := range left {
-		u.host = ""
-	}
-	d.job.transfers = append(d.job.transfers, t)
-	c.markUrgent(d.job)
+	t := c.beginTakeBack(left, d.host, &hosted, condition)
 	c.mu.Unlock()
 	select {
 	case <-t.done:
@@ -485,19 +481,7 @@
 }
 
 // holds reports whether the progress of a host lists a unit as one that it has.
-func (p *progress) holds(u *unit) bool {
-	for _, o := range p.Occs {
-		if o.Number != u.occ || u.step >= len(o.Steps) {
-			continue
-		}
-		for _, saved := range o.Steps[u.step].Units {
-			if saved.Unit == u.first && saved.Held {
-				return true
-			}
-		}
-	}
-	return false
-}
+func (p *progress) holds(u *unit) bool { return p.unit(u).Held }
 
 // endHosts ends the tasks of an ended job in the cells to which they were delegated, until it is confirmed.
 func (c *Cell) endHosts(ctx context.Context, j *jobState) {
--- a/dispatch/delegation_test.go
+++ b/dispatch/delegation_test.go
@@ -545,6 +545,28 @@
 	})
 }
 
+// A host that has lost runners returns tasks. Whatever happens meanwhile, the rules of TestDelegatedTasksRunOnce hold.
+func TestReturnedTasksRunOnce(t *testing.T) {
+	rapid.Check(t, func(rt *rapid.T) {
+		const cells, runners, jobs = 2, 4, 3
+		var plan []delegationStep
+		for crash := range rapid.IntRange(2, 3).Draw(rt, "lost") {
+			plan = append(plan, delegationStep{after: time.Duration(rapid.IntRange(10, 40).Draw(rt, "after")) * 100 * time.Millisecond, cell: 1,
+				crash: crash, comesBack: -1, cancel: -1})
+		}
+		// The leases of the lost runners end meanwhile.
+		plan = append(plan, delegationStep{after: lease, crash: -1, comesBack: -1, cancel: -1, fault: peerFault(rapid.IntRange(0, int(peerFaults)-1).Draw(rt, "fault"))})
+		for range rapid.IntRange(3, 9).Draw(rt, "steps") {
+			plan = append(plan, drawDelegationStep(rt, cells, runners, jobs))
+		}
+		synctest.Test(t, func(t *testing.T) {
+			if broken := playDelegations(t, plan, cells, runners, jobs); broken != "" {
+				rt.Errorf("%s\nplan: %+v", broken, plan)
+			}
+		})
+	})
+}
+
 // playDelegations plays steps against cells of which each is nearly full, and returns what broke.
 func playDelegations(t *testing.T, plan []delegationStep, cells, runners, jobs int) (broken string) {
 	d := newDeployment(t, fixedDuration(emulator.Endless), runners, runners)
--- a/dispatch/flush.go
+++ b/dispatch/flush.go
@@ -153,6 +153,8 @@
 	// offered are delegations that the batch makes durable, and transfers those that it decides.
 	offered   []*delegation
 	transfers []*transfer
+	// returned are units that the batch makes durable as returned to their origin.
+	returned []*unit
 }
 
 // flushLoop is the only writer of the cell's rows. It has one commit in flight and repeats a commit without a response
@@ -455,7 +457,7 @@
 		c.cfg.Log.WithField("request", j.def.ID).Warn("progress is stored without checkpoints, with which it is too large for a row")
 	}
 	c.addProgressRow(b, batchJob{job: j, state: j.state, waiters: j.durableWaiters, planned: j.plannedRuns(),
-		offered: j.markedDelegations(), transfers: slices.Clone(j.transfers)}, value)
+		offered: j.markedDelegations(), transfers: slices.Clone(j.transfers), returned: j.returnedUnits()}, value)
 	j.durableWaiters = nil
 	return len(value)
 }
@@ -620,6 +622,7 @@
 			close(w)
 		}
 		c.applyTransfers(now, bj)
+		c.applyReturns(bj)
 		for _, r := range bj.planned {
 			c.startPlanned(ctx, now, r)
 		}
--- a/dispatch/hosting.go
+++ b/dispatch/hosting.go
@@ -14,7 +14,7 @@
 // The host's side of a delegation; see delegation.go.
 
 // TakeOver takes over tasks that another cell delegates, or reserves places for them, and returns an outcome for each delegation once those
-// that were taken are durable: OutcomeFull if the cell has no capacity for the tasks, and OutcomeChanged if the origin's row has changed meanwhile.
+// that were taken are durable. It also takes back tasks that another cell returns. OutcomeFull if the cell has no capacity for the tasks, and OutcomeChanged if the origin's row has changed meanwhile.
 func (c *Cell) TakeOver(ctx context.Context, ds []*Delegation) []Outcome {
 	transfers, outcomes := c.beginTakeOvers(ds)
 	for i, t := range transfers {
@@ -22,6 +22,7 @@
 			outcomes[i] = c.await(ctx, t)
 		}
 	}
+	c.takeReturned(ctx, ds, outcomes)
 	return outcomes
 }
 
@@ -89,7 +90,7 @@
 	if c.lost {
 		return nil, OutcomeNotOwner
 	}
-	if c.cfg.Peers == nil || d.Origin == c.cfg.Name || d.Version < 1 && !d.Reserve || len(d.Tasks) == 0 {
+	if c.cfg.Peers == nil || d.Origin == c.cfg.Name || d.Version < 1 && !d.Reserve || len(d.Tasks) == 0 || d.Returned != "" {
 		return nil, OutcomeRefused
 	}
 	now := time.Now()
@@ -172,7 +173,11 @@
 		if u.held {
 			continue
 		}
-		u.run, u.checkpoint = min(max(u.run, task.Run), maxRestoredRun), task.Checkpoint
+		if !u.isReturned() || task.Run >= u.run {
+			// A message about a returned unit may be older than its last run here.
+			u.checkpoint = task.Checkpoint
+		}
+		u.run = min(max(u.run, task.Run), maxRestoredRun)
 		units = append(units, u)
 	}
 	return units, true
--- a/dispatch/job.go
+++ b/dispatch/job.go
@@ -62,6 +62,12 @@
 	placeRequested bool
 	// held is set in a host cell for the units that are delegated to it.
 	held bool
+	// noPlaceSince is since when a held unit that waits has had no place; zero or before readyAt if it has one.
+	noPlaceSince time.Time
+	// returnedAt is when the host returned the unit; zero if it did not, or if the origin has confirmed that it has the unit. returnDurable is
+	// set once the host's row says so.
+	returnedAt    time.Time
+	returnDurable bool
 	// queuedAtCheck is the number of the last check for waiting tasks that found the unit in the queue.
 	queuedAtCheck int
 }
@@ -157,6 +163,9 @@
 	transfers   []*transfer
 	// endingHosts is set while the units in other cells are being ended.
 	endingHosts bool
+	// tellingOrigin is set while the origin is told of returned units, and originToldAt is when that last began.
+	tellingOrigin bool
+	originToldAt  time.Time
 }
 
 func newJobState(def *workload.Job) *jobState {
--- a/dispatch/progress.go
+++ b/dispatch/progress.go
@@ -65,6 +65,8 @@
 	Host string `json:"h,omitempty"`
 	// Held is set in the host cell.
 	Held bool `json:"t,omitempty"`
+	// Returned is set in the host cell for a unit that is not held any more, until the origin has confirmed that it has the unit.
+	Returned bool `json:"q,omitempty"`
 }
 
 func (j *jobState) progress() progress {
@@ -102,8 +104,10 @@
 			p.Done[i/8] |= 1 << (i % 8)
 			continue
 		}
-		if u.run > 1 || u.fails > 0 || u.checkpoint != "" || u.assigned != "" || u.host != "" || u.held {
-			p.Units = append(p.Units, unitProgress{i, u.run, u.fails, u.failedRuns, u.checkpoint, u.assigned, u.host, u.held})
+		// An origin that takes a unit back needs its run number, also if there was only one run.
+		hosted := u.held || u.isReturned() || u.run > 0 && u.job.origin != ""
+		if u.run > 1 || u.fails > 0 || u.checkpoint != "" || u.assigned != "" || u.host != "" || hosted {
+			p.Units = append(p.Units, unitProgress{i, u.run, u.fails, u.failedRuns, u.checkpoint, u.assigned, u.host, u.held, u.isReturned()})
 		}
 	}
 	return p
@@ -248,6 +252,9 @@
 		u.run, u.fails = min(max(saved.Run, 0), maxRestoredRun), min(max(saved.Fails, 0), maxRestoredRun)
 		u.failedRuns = saved.FailedRuns[max(len(saved.FailedRuns)-maxTrackedFailures, 0):]
 		u.checkpoint, u.assigned, u.host, u.held = saved.Checkpoint, saved.Assigned, saved.Host, saved.Held
+		if saved.Returned && !saved.Held {
+			u.returnedAt, u.returnDurable = time.Now(), true
+		}
 	}
 }
 
--- a/dispatch/progressrow_test.go
+++ b/dispatch/progressrow_test.go
@@ -177,3 +177,31 @@
 	assert.Assert(t, bytes.HasPrefix(row, []byte("{")))
 	assertSameProgress(t, restored, j, true)
 }
+
+// The row of a host keeps what the origin needs to take a returned task back, in each form.
+func TestProgressOfReturnedTasks(t *testing.T) {
+	for _, tasks := range []int{4, 2 * maxPlainEntries} {
+		j := newHostedJob(&Delegation{Origin: "c0", Job: &workload.Job{ID: "00000000000000aa", Occurrences: 1,
+			Steps: []workload.Step{{Count: tasks, Estimated: time.Second, LongRunning: true}}}})
+		units := j.occs[0].steps[0].units
+		for _, u := range units {
+			u.run, u.held, u.phase = 1, true, phaseReady
+		}
+		returned, confirmed, held := units[0], units[1], units[2]
+		returned.phase, returned.held, returned.run, returned.checkpoint, returned.returnedAt = phaseRemote, false, 7, "half", time.Now()
+		confirmed.phase, confirmed.held = phaseRemote, false
+		row, restored := restoreAgain(t, j)
+		p, err := decodeProgress(row)
+		assert.NilError(t, err)
+		assert.Equal(t, p.Compact || p.HighestRun > 0, tasks > maxPlainEntries)
+		got := p.unit(returned)
+		assert.Assert(t, got.Run == 7 && got.Checkpoint == "half" && got.Returned && !got.Held, "%+v", got)
+		got = p.unit(confirmed)
+		assert.Assert(t, got.Run >= 1 && !got.Returned && !got.Held, "%+v", got)
+		assert.Assert(t, p.holds(held))
+		restoredUnits := restored.occs[0].steps[0].units
+		assert.Assert(t, restoredUnits[0].isReturned() && restoredUnits[0].returnDurable && restoredUnits[0].phase == phaseRemote)
+		assert.Assert(t, !restoredUnits[1].isReturned() && restoredUnits[1].phase == phaseRemote)
+		assert.Assert(t, !restoredUnits[2].isReturned() && restoredUnits[2].held)
+	}
+}
--- a/dispatch/transfer.go
+++ b/dispatch/transfer.go
@@ -29,6 +29,9 @@
 	j := bj.job
 	for _, t := range bj.transfers {
 		for _, u := range t.units {
+			if t.takesOver {
+				u.returnedAt, u.returnDurable = time.Time{}, false
+			}
 			// A unit that got a runner with the transfer is active.
 			if !j.state.Terminal() && u.phase == phaseRemote {
 				c.makeReady(u)
@@ -60,6 +63,9 @@
 		}
 	}
 	c.decide(j, t, false)
+	if len(j.returnedUnits()) > 0 {
+		c.returning[j] = true
+	}
 	if t.takesOver && j.rowVersion == 0 && len(j.transfers) == 0 {
 		delete(c.jobs, j.def.ID)
 		delete(c.delegating, j)
--- a/dispatch/waiting.go
+++ b/dispatch/waiting.go
@@ -55,6 +55,8 @@
 	waitRunnerSilent waitReason = "runner_silent"
 	// waitOffered: the task is offered to another cell, which has not taken it over.
 	waitOffered waitReason = "offered"
+	// waitReturned: this cell has returned the task to the cell that accepted its job, which has not confirmed that it has it.
+	waitReturned waitReason = "returned"
 	// waitEndedRun: the task or its job has ended, but its run has not, and holds capacity.
 	waitEndedRun waitReason = "ended_run_remains"
 	// The following reasons contradict the invariants of the cell's state.
@@ -85,6 +87,7 @@
 	waitStopping:       logrus.WarnLevel,
 	waitRunnerSilent:   logrus.WarnLevel,
 	waitOffered:        logrus.InfoLevel,
+	waitReturned:       logrus.InfoLevel,
 	waitEndedRun:       logrus.WarnLevel,
 	waitBlocked:        logrus.ErrorLevel,
 	waitNoRun:          logrus.ErrorLevel,
@@ -289,6 +292,9 @@
 		case phaseActive:
 			s.active(u)
 		case phaseRemote:
+			if u.isReturned() {
+				s.returned(u)
+			}
 			if !u.hasHost() {
 				s.add(u, waitNoHost, u.waitsSince(), nil, func() logrus.Fields { return logrus.Fields{"host": u.host, "origin": u.job.origin} })
 			}
@@ -354,6 +360,15 @@
 	return "", time.Time{}
 }
 
+// returned reports a unit that was returned to its origin.
+func (s *waitScan) returned(u *unit) {
+	// A new owner does not know since when the unit has waited.
+	u.beginWait(s.now)
+	if s.now.Sub(u.waitingSince) >= waitBound {
+		s.add(u, waitReturned, u.waitingSince, nil, func() logrus.Fields { return logrus.Fields{"durable": u.returnDurable} })
+	}
+}
+
 // offered reports units that are offered to another cell.
 func (s *waitScan) offered() {
 	for j := range s.cell.delegating {
