Read rows of other cells as of what they must show, and bound repeated starts and plans

Cause: reads by owners must be as new as the owner's last commit. The pause after a plan counted suspensions of the VM without a bound. A start was repeated to a runner whose new process is not proved. Change: a host reads the origin's row as of its first version with tasks of that job, and a row that is the condition of a commit may be of any age. The pause is 0.1 s at most. A start is repeated only to a runner that may get new ones, but for back-offs and silence. Result: TestHostedTasksStartWhileReadsAreOld failed before (0 of 2 tasks), and passes; TestTasksAreTakenBackWhileReadsAreOld passes. The tests of dispatch and store pass.

--- a/dispatch/acquire.go
+++ b/dispatch/acquire.go
@@ -173,6 +173,7 @@
 			continue
 		}
 		j.rowVersion = versions[row.Key.Name]
+		j.hostedSince = j.rowVersion
 		c.jobs[row.Key.Name] = j
 		c.resume(j)
 	}
--- a/dispatch/commands.go
+++ b/dispatch/commands.go
@@ -148,7 +148,15 @@
 	if c.isLosingResponses(now) {
 		limit = maxAttemptsWhileLosing
 	}
-	return attempts < limit && !r.stop.wanted && !c.releasing && c.mayCommand(now) && !r.runner.pollFailing && !c.unavailable(now, r.runner).outOfService()
+	if attempts >= limit || r.stop.wanted || c.releasing || !c.mayCommand(now) {
+		return false
+	}
+	switch c.unavailable(now, r.runner) {
+	case "", responseOverdue, startBackoff, noCapacityUntilLater:
+		return true
+	default:
+		return false
+	}
 }
 
 func (c *Cell) logStart(r *run, outcome, why string) {
--- a/dispatch/delegation.go
+++ b/dispatch/delegation.go
@@ -466,18 +466,31 @@
 	return true
 }
 
-// readRow reads one row; its version is 0 if it does not exist.
+// readRow reads one row, as of the owner's last commit or later; its version is 0 if it does not exist.
 func (c *Cell) readRow(ctx context.Context, key store.Key) (store.Row, error) {
 	page, err := c.cfg.Store.Range(ctx, key.Table, key.Part, key.Name, key.Name+"\x00", 1)
-	if err != nil {
-		return store.Row{}, err
+	return rowOf(page, key), err
+}
+
+// readRowSince reads one row as of a version or later. A caller that does not need its own last commits goes on while reads of the store are
+// old.
+func (c *Cell) readRowSince(ctx context.Context, version int64, key store.Key) (store.Row, error) {
+	reads, ok := c.cfg.Store.(*store.FreshReads)
+	if !ok {
+		return c.readRow(ctx, key)
 	}
+	page, err := reads.RangeSince(ctx, version, key.Table, key.Part, key.Name, key.Name+"\x00", 1)
+	return rowOf(page, key), err
+}
+
+// rowOf returns the row with a key; its version is 0 if the page does not have it.
+func rowOf(page store.Page, key store.Key) store.Row {
 	for _, row := range page.Rows {
 		if row.Key == key {
-			return row, nil
+			return row
 		}
 	}
-	return store.Row{Key: key}, nil
+	return store.Row{Key: key}
 }
 
 // holds reports whether the progress of a host lists a unit as one that it has.
@@ -537,8 +550,16 @@
 // hasEndedIn reports whether the store shows that a job has ended in another cell, or that the cell has no record of it.
 func (c *Cell) hasEndedIn(ctx context.Context, cell, id string) (bool, error) {
 	row, err := c.readRow(ctx, store.Key{Table: TableProgress, Part: c.cfg.Peers.Part(cell), Name: id})
-	if err != nil || row.Version == 0 {
-		return err == nil, err
+	if err != nil {
+		return false, err
+	}
+	return isEnded(row)
+}
+
+// isEnded reports whether a progress row shows that the job has ended, or does not exist.
+func isEnded(row store.Row) (bool, error) {
+	if row.Version == 0 {
+		return true, nil
 	}
 	p, err := decodeProgress(row.Value)
 	return err == nil && p.State.Terminal(), err
--- a/dispatch/giveback.go
+++ b/dispatch/giveback.go
@@ -272,7 +272,8 @@
 // readHosted reads what a host has recorded of a job, and returns the condition under which that is still so.
 func (c *Cell) readHosted(ctx context.Context, host, id string) (hosted progress, unchanged store.Condition, err error) {
 	key := store.Key{Table: TableProgress, Part: c.cfg.Peers.Part(host), Name: id}
-	row, err := c.readRow(ctx, key)
+	// An old row does no harm: the condition does not hold then.
+	row, err := c.readRowSince(ctx, 0, key)
 	if err != nil {
 		return progress{}, store.Condition{}, err
 	}
--- a/dispatch/hosting.go
+++ b/dispatch/hosting.go
@@ -186,7 +186,15 @@
 // startHosted sends the start command of a planned run of another cell's job, unless that job has ended. The origin may have been lost
 // before it could tell this cell.
 func (c *Cell) startHosted(ctx context.Context, r *run, origin string) {
-	ended, err := c.hasEndedIn(ctx, origin, r.unit.job.def.ID)
+	c.mu.Lock()
+	since := r.unit.job.hostedSince
+	c.mu.Unlock()
+	// The origin's row names this cell since it has taken tasks over. A read from before that would look like the end of the job.
+	row, err := c.readRowSince(ctx, since, store.Key{Table: TableProgress, Part: c.cfg.Peers.Part(origin), Name: r.unit.job.def.ID})
+	ended := false
+	if err == nil {
+		ended, err = isEnded(row)
+	}
 	now := time.Now()
 	c.mu.Lock()
 	defer c.mu.Unlock()
--- a/dispatch/job.go
+++ b/dispatch/job.go
@@ -153,6 +153,8 @@
 	durableWaiters []chan struct{}
 	// rowVersion is the version of the job's progress row; 0 if none was written.
 	rowVersion int64
+	// hostedSince is a version at which this cell had tasks of another cell's job, as seen first by this owner.
+	hostedSince int64
 
 	// origin is the cell that accepted the job, if that is another one: only the held units belong to this cell.
 	origin string
--- a/dispatch/plan.go
+++ b/dispatch/plan.go
@@ -18,6 +18,8 @@
 	// planSpacingFactor bounds the share of the time that is spent on plans: after a plan, the pause is at least this multiple of its
 	// duration.
 	planSpacingFactor = 4
+	// maxPlanSpacing bounds the pause, because the duration includes suspensions of the VM.
+	maxPlanSpacing = 100 * time.Millisecond
 )
 
 func (c *Cell) planLoop(ctx context.Context) {
@@ -34,7 +36,7 @@
 		}
 		took := time.Since(started)
 		c.mu.Unlock()
-		if !wait.For(ctx, max(planSpacing, planSpacingFactor*took)) {
+		if !wait.For(ctx, min(max(planSpacing, planSpacingFactor*took), maxPlanSpacing)) {
 			return
 		}
 	}
--- a/dispatch/recovery_test.go
+++ b/dispatch/recovery_test.go
@@ -485,3 +485,59 @@
 	}
 	return ""
 }
+
+// A host asked for the origin's row as of its own newest commit before each start. While reads of the store were old, no read was new enough, and
+// each attempt began with a commit: a delegated task never started.
+func TestHostedTasksStartWhileReadsAreOld(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		d := newDeployment(t, fixedDuration(emulator.Endless), 2, 2)
+		go d.reportLoads()
+		first, _ := d.own("c0", "a", d.store, d.fleet)
+		_, _ = d.own("c1", "b", d.store, d.fleet)
+		time.Sleep(3 * time.Second)
+		job := jobOf(1, longRunning(2, 28000))
+		d.submit(first, job)
+		first.SetEvacuated(map[string]bool{"chipre": true})
+		d.store.SetReadsBehind(3 * time.Second)
+		time.Sleep(15 * time.Second)
+		assert.Equal(t, d.runningIn("c0", job)+d.runningIn("c1", job), 2)
+		d.assertNoOverlap()
+	})
+}
+
+// An origin read the host's row as of its own newest commit before it took a task back, so that the task belonged to no cell while reads of the
+// store were old and the origin had other work.
+func TestTasksAreTakenBackWhileReadsAreOld(t *testing.T) {
+	for _, behind := range []time.Duration{0, time.Second, 3 * time.Second} {
+		t.Run(behind.String(), func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				job := jobOf(1, longRunning(2, 56000))
+				d := newDeployment(t, func(id workload.TaskID, _ int) (time.Duration, bool) {
+					if id.Job == job.ID {
+						return emulator.Endless, false
+					}
+					return 100 * time.Millisecond, false
+				}, 2, 2)
+				go d.reportLoads()
+				first, _ := d.own("c0", "a", d.store, d.fleet)
+				_, _ = d.own("c1", "b", d.store, d.fleet)
+				time.Sleep(3 * time.Second)
+				d.submit(first, job)
+				time.Sleep(time.Second)
+				d.store.SetReadsBehind(behind)
+				d.setFault(peerLosesTakeovers)
+				d.fleet.Crash("c0-r1")
+				time.Sleep(lease + 2*time.Second)
+				d.fleet.Restart("c0-r1")
+				began := time.Now()
+				for k := 0; time.Since(began) < time.Minute && d.runningIn("c0", job) != 2; k++ {
+					d.submit(first, jobOf(100+k, tasks(1, 1000)))
+					time.Sleep(200 * time.Millisecond)
+				}
+				// The host is asked for 4 s, and the offer may have been repeated once.
+				assert.Assert(t, time.Since(began) < 12*time.Second, "%v", time.Since(began))
+				d.assertNoOverlap()
+			})
+		})
+	}
+}
--- a/dispatch/transfer.go
+++ b/dispatch/transfer.go
@@ -39,6 +39,9 @@
 		}
 		c.decide(j, t, true)
 		if t.takesOver {
+			if j.hostedSince == 0 {
+				j.hostedSince = j.rowVersion
+			}
 			c.cfg.Metrics.takenOver.Add(float64(len(t.units)))
 			c.cfg.Log.WithFields(logrus.Fields{"cell": c.cfg.Name, "request": j.def.ID, "origin": j.origin, "tasks": len(t.units)}).
 				Info("took tasks over from another cell")
--- a/store/fresh.go
+++ b/store/fresh.go
@@ -50,10 +50,15 @@
 
 // Range implements Store.
 func (f *FreshReads) Range(ctx context.Context, table, part, from, to string, limit int) (Page, error) {
-	known, began := f.known.Load(), time.Now()
+	return f.RangeSince(ctx, f.known.Load(), table, part, from, to, limit)
+}
+
+// RangeSince is Range for a reader that needs a state at least as new as a version, whatever later commits it knows of.
+func (f *FreshReads) RangeSince(ctx context.Context, version int64, table, part, from, to string, limit int) (Page, error) {
+	began := time.Now()
 	for {
 		page, err := f.Store.Range(ctx, table, part, from, to, limit)
-		if err != nil || page.Version >= known {
+		if err != nil || page.Version >= version {
 			return page, err
 		}
 		if time.Since(began) > oldReadPatience || !wait.For(ctx, retryDelay) {
