--- a/review/standin/book.go
+++ b/review/standin/book.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"os"
+	"sort"
 	"sync"
 	"time"
 )
@@ -251,6 +252,9 @@
 		return
 	}
 	record.acked = true
+	if e.how == "failed" {
+		b.checkBudget(e.task)
+	}
 	if e.how == "done" {
 		for _, other := range b.byTask[e.task] {
 			if other != record && other.at.After(record.endAt) {
@@ -260,6 +264,54 @@
 	}
 }
 
+// checkBudget checks that no run of a task began after its last attempt had failed. The caller holds mu.
+func (b *book) checkBudget(t taskName) {
+	j := b.jobs[t.job]
+	if j == nil || j.Steps[t.step].LongRunning {
+		return
+	}
+	var failures []time.Time
+	for _, r := range b.byTask[t] {
+		if r.how == "failed" && r.acked {
+			failures = append(failures, r.endAt)
+		}
+	}
+	if len(failures) < b.maxAttempts {
+		return
+	}
+	sort.Slice(failures, func(x, y int) bool { return failures[x].Before(failures[y]) })
+	for _, r := range b.byTask[t] {
+		if r.at.After(failures[b.maxAttempts-1]) {
+			b.broken("BUDGET", "%s run %d started after %d failed runs", t, r.number, b.maxAttempts)
+		}
+	}
+}
+
+// mostFailures returns the most failed runs of any task of a job.
+func (b *book) mostFailures(id string) int {
+	most := 0
+	gangs := map[taskName]map[int]bool{}
+	for t, list := range b.byTask {
+		if t.job != id {
+			continue
+		}
+		key := t
+		if b.jobs[id].Steps[t.step].Gang {
+			key.index = 0
+		}
+		if gangs[key] == nil {
+			gangs[key] = map[int]bool{}
+		}
+		for _, r := range list {
+			if r.how == "failed" {
+				gangs[key][r.number] = true
+			}
+		}
+		most = max(most, len(gangs[key]))
+	}
+	return most
+}
+
 // allDone reports whether all tasks of a job have ended done.
 func (b *book) allDone(id string) bool {
 	b.mu.Lock()
--- a/review/standin/runner.go
+++ b/review/standin/runner.go
@@ -88,6 +88,8 @@
 	changed chan struct{}
 	ready   bool
 	dead    bool
+	// answered is when a hold was last answered, by fencing token.
+	answered map[int64]time.Time
 	// lapsedAt is when the lease last lapsed.
 	lapsedAt time.Time
 }
@@ -160,7 +162,7 @@
 		time.Sleep(20 * time.Millisecond)
 	}
 	l := &life{runner: r, born: time.Now().UnixMilli(), booted: time.Now(), labels: labels, running: map[string]*run{},
-		highest: map[taskName]int{}, nextEnd: 1, changed: make(chan struct{}), ready: true}
+		highest: map[taskName]int{}, answered: map[int64]time.Time{}, nextEnd: 1, changed: make(chan struct{}), ready: true}
 	f.mu.Lock()
 	r.addr, r.listener, r.life = listener.Addr().String(), listener, l
 	r.server = &http.Server{Handler: l.handler()}
@@ -198,6 +200,33 @@
 	f.book.note("runner %s crashes", r.id)
 }
 
+// lastAnswered returns the runners that were the last to answer the last hold with a token after a time.
+func (f *fleet) lastAnswered(token int64, after time.Time, count int) []*runner {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	var answered []*runner
+	for _, r := range f.runners {
+		if r.life != nil && r.life.answered[token].After(after) {
+			answered = append(answered, r)
+		}
+	}
+	sort.Slice(answered, func(a, b int) bool { return answered[a].life.answered[token].After(answered[b].life.answered[token]) })
+	return answered[:min(count, len(answered))]
+}
+
+// highestToken returns the highest fencing token that a runner has seen.
+func (f *fleet) highestToken() int64 {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	highest := int64(0)
+	for _, r := range f.runners {
+		if r.life != nil {
+			highest = max(highest, r.life.token)
+		}
+	}
+	return highest
+}
+
 // register writes the runner's entry in service discovery.
 func (r *runner) register() {
 	f := r.fleet
@@ -558,6 +587,7 @@
 		}
 		if expired || len(l.ended) > 0 {
 			body := l.report()
+			l.answered[o.FencingToken] = time.Now()
 			f.mu.Unlock()
 			writeJSON(w, http.StatusOK, body)
 			return
--- a/review/standin/store.go
+++ b/review/standin/store.go
@@ -60,9 +60,11 @@
 	mu      sync.Mutex
 	rows    map[rowKey]row
 	history []row
-	ver     int64
-	began   time.Time
-	changed chan struct{}
+	// writtenAt is when a row was last written.
+	writtenAt map[rowKey]time.Time
+	ver       int64
+	began     time.Time
+	changed   chan struct{}
 	// fault, if set, decides what happens to a transaction that a node sends.
 	fault func(node string, txn *transaction) storeFault
 	// readFault, if set, decides whether the store answers nothing to a read of a node.
@@ -102,7 +104,7 @@
 }
 
 func newMetadataStore() *metadataStore {
-	return &metadataStore{rows: map[rowKey]row{}, began: time.Now(), changed: make(chan struct{})}
+	return &metadataStore{rows: map[rowKey]row{}, writtenAt: map[rowKey]time.Time{}, began: time.Now(), changed: make(chan struct{})}
 }
 
 // setFault replaces the fault hook; nil ends the disruption.
@@ -112,6 +114,19 @@
 	s.fault = fault
 }
 
+// lastWritten returns when a row with a key was last written in a table, in whatever partition.
+func (s *metadataStore) lastWritten(table, key string) time.Time {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	var last time.Time
+	for k, at := range s.writtenAt {
+		if k.Table == table && k.Key == key && at.After(last) {
+			last = at
+		}
+	}
+	return last
+}
+
 // countFromHere resets the counts of transactions.
 func (s *metadataStore) countFromHere() {
 	s.mu.Lock()
@@ -170,7 +185,7 @@
 	s.ver++
 	for _, w := range txn.Writes {
 		w.Ver = s.ver
-		s.rows[w.rowKey] = w
+		s.rows[w.rowKey], s.writtenAt[w.rowKey] = w, time.Now()
 		s.history = append(s.history, w)
 	}
 	for _, key := range txn.Remove {
