Hold the cell's lock in a test that fails starts

TestStartsThatFailTogetherCountOnceForTheBackoff called startUnknown without the lock that its goroutines take, which the race detector reports.

--- a/dispatch/backoff_test.go
+++ b/dispatch/backoff_test.go
@@ -13,19 +13,24 @@
 func TestStartsThatFailTogetherCountOnceForTheBackoff(t *testing.T) {
 	s := newStuckCell(t)
 	s.rs.synced, s.lost = false, true // neither polls nor stops are sent
+	failStart := func(now time.Time) {
+		s.mu.Lock()
+		defer s.mu.Unlock()
+		s.startUnknown(t.Context(), now, s.startOn(runStarting), errors.New("no response"))
+	}
 	for range 5 {
-		s.startUnknown(t.Context(), s.now, s.startOn(runStarting), errors.New("no response"))
+		failStart(s.now)
 	}
 	s.background.Wait()
 	assert.Equal(t, s.rs.backoffUntil, s.now.Add(refusalBackoff))
 	later := s.rs.backoffUntil
-	s.startUnknown(t.Context(), later, s.startOn(runStarting), errors.New("no response"))
+	failStart(later)
 	s.background.Wait()
 	assert.Equal(t, s.rs.backoffUntil, later.Add(2*refusalBackoff))
 	// While several runners lose responses, the runner is not the cause.
 	s.losingUntil = later.Add(time.Minute)
 	later = s.rs.backoffUntil
-	s.startUnknown(t.Context(), later, s.startOn(runStarting), errors.New("no response"))
+	failStart(later)
 	s.background.Wait()
 	assert.Equal(t, s.rs.backoffUntil, later.Add(shortBackoff))
 }
