Measure the ownership and the report behind each start

The hypotheses were an old report, an old commit, and an old plan.

Each start command now records how long before it the last successful commit was sent and how long before it the runner's last report arrived, in two histograms and in the line of the start.

--- a/dispatch/commands.go
+++ b/dispatch/commands.go
@@ -69,6 +69,9 @@
 func (c *Cell) commandStart(ctx context.Context, now time.Time, r *run) {
 	u, rs := r.unit, r.runner
 	c.cfg.Metrics.starts.Inc()
+	r.evidence = startEvidence{ownership: c.sinceCommit(now), report: now.Sub(rs.lastResponseAt)}
+	c.cfg.Metrics.ownershipAge.Observe(r.evidence.ownership.Seconds())
+	c.cfg.Metrics.reportAge.Observe(r.evidence.report.Seconds())
 	command := runner.Start{
 		Task: r.id(), Run: r.number, Spec: u.job.def.Spec, Deadline: c.startDeadline(now, rs), Token: c.epoch,
 		Checkpoint: u.checkpoint,
@@ -161,7 +164,7 @@
 
 func (c *Cell) logStart(r *run, outcome, why string) {
 	entry := c.cfg.Log.WithFields(logrus.Fields{"request": r.unit.job.def.ID, "task": r.id().String(), "run": r.number,
-		"runner": r.runner.info.ID})
+		"runner": r.runner.info.ID, "ownership_ms": r.evidence.ownership.Milliseconds(), "report_ms": r.evidence.report.Milliseconds()})
 	if why != "" {
 		entry.WithField("why", why).Warn(outcome)
 		return
--- a/dispatch/metrics.go
+++ b/dispatch/metrics.go
@@ -17,6 +17,9 @@
 	// the time from a unit becoming ready to its start command, and startCallTime the duration of a start call. All are
 	// in seconds.
 	commitTime, submissionTime, startWait, startCallTime prometheus.Histogram
+	// ownershipAge is how long before a start command the last successful commit was sent, and reportAge how long before it the
+	// runner's last report arrived, in seconds.
+	ownershipAge, reportAge prometheus.Histogram
 	// delegated counts tasks offered to other cells, withdrawn those that were taken back, and takenOver those of other cells.
 	delegated, withdrawn, takenOver prometheus.Counter
 	// placements counts searches for a runner for a ready unit.
@@ -82,6 +85,8 @@
 		submissionTime: histogram("hand_in_seconds", "Time from a submission to its decision."),
 		startWait:      histogram("start_wait_seconds", "Time from the turn of a task to its start order."),
 		startCallTime:  histogram("start_order_seconds", "Time of start orders."),
+		ownershipAge:   histogram("start_ownership_age_seconds", "Time from the last successful commit to a start command."),
+		reportAge:      histogram("start_report_age_seconds", "Time from the runner's last report to a start command."),
 		objectiveShare: share,
 		stalls:         counter("stalls_total", "Runs stopped for want of progress."),
 		starts:         counter("starts_total", "Start orders sent."),
--- a/dispatch/run.go
+++ b/dispatch/run.go
@@ -55,6 +55,7 @@
 	resolving      bool
 	stop           stopState
 	startedAt      time.Time
+	evidence       startEvidence
 	percent        int
 	progressAt     time.Time // when the progress last changed
 	measurement    float64
@@ -70,6 +71,10 @@
 	pausedSince time.Time
 }
 
+// startEvidence is what a start command was based on: how long before it the last successful commit was sent, and how long before it the
+// runner's last report arrived.
+type startEvidence struct{ ownership, report time.Duration }
+
 // stopState is the state of the stop of a run.
 type stopState struct {
 	// wanted is set once the run should end, for reason.
