Start nothing after an interruption before a commit has succeeded

Cause: an owner may start tasks for 9 s after its last commit, which is meant for a store that is away. After an interruption nobody has asked the store, and a runner's new process knows no fencing token. Evidence: the starts that broke the rule had an ownership_ms of 2937 to 3311.

An owner that has not ticked for more than 0.5 s, suspensions of the VM included, now needs a commit that was sent later. This is checked before a plan, a planned start and each attempt of a start command, since the interruption may fall between them. It works because each commit is conditional on the ownership row, so one that succeeds excludes a takeover before it.

--- a/dispatch/acquire.go
+++ b/dispatch/acquire.go
@@ -75,6 +75,7 @@
 		cfg.Acquired(epoch)
 	}
 	c.ownerVersion, c.lastCommit, c.suspendedAtCommit = epoch, sent, suspended
+	c.activeAt, c.suspendedAtActive = sent, suspended
 	c.runnerAddedAt = time.Now()
 	if version != 0 {
 		if err := c.load(ctx); err != nil {
--- a/dispatch/cell.go
+++ b/dispatch/cell.go
@@ -34,6 +34,9 @@
 	storeOutageTolerance = 10 * time.Second
 	// minLease is the shortest lease with which a task is started.
 	minLease = 1 * time.Second
+	// maxInterruption is the longest time between two ticks that does not count as an interruption. Another node acquires the cell
+	// once the owner's heartbeat has been unchanged for 2.4 s, so an owner that ticks has no successor that it could not know of.
+	maxInterruption = 500 * time.Millisecond
 )
 
 // Config configures a Cell.
@@ -93,10 +96,14 @@
 	lastCommit   time.Time // send time of the last successful commit
 	// suspendedAtCommit is for how long the VM had been suspended at lastCommit.
 	suspendedAtCommit time.Duration
-	plannedAt         time.Time // when the last plan was made
-	drainCheckedAt    time.Time // when draining runners were last checked
-	expiryCheckedAt   time.Time // when finished jobs were last checked for removal
-	lost              bool
+	// activeAt is when the owner last noticed that it runs, and suspendedAtActive for how long the VM had been suspended then. resumedAt
+	// is when it last noticed an interruption; zero if there was none.
+	activeAt, resumedAt time.Time
+	suspendedAtActive   time.Duration
+	plannedAt           time.Time // when the last plan was made
+	drainCheckedAt      time.Time // when draining runners were last checked
+	expiryCheckedAt     time.Time // when finished jobs were last checked for removal
+	lost                bool
 	// awaitsProof is set if a conclusion about a runner waits for a commit.
 	awaitsProof bool
 	stopping    bool // the context of Run has ended; no more runners are polled
@@ -174,7 +181,7 @@
 
 func newCell(cfg Config, epoch int64) *Cell {
 	return &Cell{
-		cfg: cfg, epoch: epoch, jobs: map[string]*jobState{}, runners: map[string]*runnerState{},
+		cfg: cfg, epoch: epoch, activeAt: time.Now(), suspendedAtActive: cfg.suspended(), jobs: map[string]*jobState{}, runners: map[string]*runnerState{},
 		evacuated: map[string]bool{}, dirty: map[*jobState]bool{}, withheld: map[*jobState]withheldRow{},
 		unresolved: map[string]*unresolvedRunner{}, inherited: map[string]bool{},
 		silentLeaseEnds: map[string]time.Time{},
@@ -256,11 +263,35 @@
 	}
 }
 
-// mayCommand reports whether the owner may still start tasks and extend leases. The caller holds mu.
+// mayCommand reports whether the owner may still send commands and extend leases. The caller holds mu.
 func (c *Cell) mayCommand(now time.Time) bool {
 	return !c.lost && c.sinceCommit(now) <= storeOutageTolerance-minLease
 }
 
+// mayStart reports whether the owner may send a start command now. After an interruption it may not before a commit has shown that it has no
+// successor: a runner that restarted in the meantime does not know the successor's token and would execute the start. The caller
+// holds mu.
+func (c *Cell) mayStart() bool {
+	now := time.Now()
+	c.observeActivity(now)
+	return c.mayCommand(now) && c.ownedAt(c.resumedAt)
+}
+
+// observeActivity records that the owner runs, and notices if its process or its VM has been stopped since the last call. It is called on
+// each tick and before each start, because after an interruption any goroutine may run first. The caller holds mu.
+func (c *Cell) observeActivity(now time.Time) {
+	suspended := c.cfg.suspended()
+	pause := now.Sub(c.activeAt) + suspended - c.suspendedAtActive
+	c.activeAt, c.suspendedAtActive = now, suspended
+	if pause <= maxInterruption {
+		return
+	}
+	c.resumedAt = now
+	c.cfg.Metrics.interruptions.Inc()
+	c.cfg.Log.WithFields(logrus.Fields{"cell": c.cfg.Name, "epoch": c.epoch, "ms": pause.Milliseconds(),
+		"ownership_ms": c.sinceCommit(now).Milliseconds()}).Warn("the owner was interrupted, starts wait for a commit")
+}
+
 // sinceCommit returns how long ago the last successful commit was sent, including the time for which the VM was suspended. The
 // caller holds mu.
 func (c *Cell) sinceCommit(now time.Time) time.Duration {
@@ -291,6 +322,7 @@
 func (c *Cell) tick(ctx context.Context, now time.Time) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
+	c.observeActivity(time.Now())
 	c.expireUnresolved(now)
 	for _, rs := range c.runners {
 		c.tickRunner(now, rs)
--- a/dispatch/commands.go
+++ b/dispatch/commands.go
@@ -50,11 +50,8 @@
 	if !r.exists() || r.phase != runPlanned || r.stop.wanted || c.releasing {
 		return
 	}
-	if c.unavailable(now, r.runner) != "" || !c.mayCommand(now) {
-		c.detach(r)
-		if len(r.unit.runs) == 0 && !r.unit.job.state.Terminal() {
-			c.makeReady(r.unit)
-		}
+	if c.unavailable(now, r.runner) != "" || !c.mayStart() {
+		c.withdrawStart(r)
 		return
 	}
 	if origin := r.unit.job.origin; origin != "" {
@@ -87,7 +84,10 @@
 // number of commands arrive. Otherwise the run must be stopped before the task can start elsewhere.
 func (c *Cell) sendStart(ctx context.Context, r *run, target runner.Target, command runner.Start) {
 	for attempt := 1; ; attempt++ {
-		callCtx, cancel := c.startContext(ctx, attempt)
+		callCtx, cancel, permitted := c.beginStart(ctx, r, attempt)
+		if !permitted {
+			return
+		}
 		sent := time.Now()
 		clock, err := c.cfg.Runners.Start(callCtx, target, command)
 		cancel()
@@ -98,14 +98,46 @@
 	}
 }
 
-// startContext bounds an attempt to start a run. While responses are being lost, waiting longer for one helps less than the next attempt.
-func (c *Cell) startContext(ctx context.Context, attempt int) (context.Context, context.CancelFunc) {
+// errInterrupted is why a start command is not repeated after an interruption of the owner.
+var errInterrupted = errors.New("the owner was interrupted and may have a successor")
+
+// beginStart reports whether an attempt to start a run may be sent now, and bounds it. While responses are being lost, waiting longer for one
+// helps less than the next attempt.
+func (c *Cell) beginStart(ctx context.Context, r *run, attempt int) (callCtx context.Context, cancel context.CancelFunc, permitted bool) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if attempt == 1 && !c.isLosingResponses(time.Now()) {
-		return context.WithCancel(ctx)
+	now := time.Now()
+	if !c.mayStart() {
+		switch {
+		case !r.exists():
+		case attempt == 1:
+			c.withdrawStart(r)
+		case r.phase == runStarting:
+			c.startUnknown(ctx, now, r, errInterrupted)
+		}
+		return nil, nil, false
+	}
+	if attempt == 1 && !c.isLosingResponses(now) {
+		callCtx, cancel = context.WithCancel(ctx)
+	} else {
+		callCtx, cancel = context.WithTimeout(ctx, repeatTimeout)
+	}
+	return callCtx, cancel, true
+}
+
+// withdrawStart removes a run whose start command was not sent or had no effect. The members of a gang start together or not at all. The
+// caller holds mu.
+func (c *Cell) withdrawStart(r *run) {
+	u := r.unit
+	c.detach(r)
+	if u.phase == phaseActive && len(u.runs) == 0 && !u.job.state.Terminal() {
+		c.makeReady(u)
+	}
+	for _, other := range slices.Clone(u.runs) {
+		if other.number == r.number {
+			c.stopRun(other, "another member of the gang could not start")
+		}
 	}
-	return context.WithTimeout(ctx, repeatTimeout)
 }
 
 // applyStartResponse applies the response to a start command, or that there was none. It reports whether the outcome is known or left to
@@ -151,7 +183,7 @@
 	if c.isLosingResponses(now) {
 		limit = maxAttemptsWhileLosing
 	}
-	if attempts >= limit || r.stop.wanted || c.releasing || !c.mayCommand(now) {
+	if attempts >= limit || r.stop.wanted || c.releasing || !c.mayStart() {
 		return false
 	}
 	switch c.unavailable(now, r.runner) {
@@ -218,15 +250,7 @@
 	default:
 		rs.backoffUntil = now.Add(refusalBackoff)
 	}
-	c.detach(r)
-	if u.phase == phaseActive && len(u.runs) == 0 && !u.job.state.Terminal() {
-		c.makeReady(u)
-	}
-	for _, other := range slices.Clone(u.runs) {
-		if other.number == r.number {
-			c.stopRun(other, "another member of the gang could not start")
-		}
-	}
+	c.withdrawStart(r)
 }
 
 // endLongBackoff shortens the back-off of a runner that responds to commands again. A confirmed stop shows that as well as a start, and the
--- a/dispatch/hosting.go
+++ b/dispatch/hosting.go
@@ -204,11 +204,8 @@
 	switch {
 	case ended:
 		c.finish(now, r.unit.job, workload.StateCancelled, "the job has ended in cell "+origin)
-	case err != nil || !c.mayCommand(now) || c.unavailable(now, r.runner) != "":
-		c.detach(r)
-		if len(r.unit.runs) == 0 && !r.unit.job.state.Terminal() {
-			c.makeReady(r.unit)
-		}
+	case err != nil || !c.mayStart() || c.unavailable(now, r.runner) != "":
+		c.withdrawStart(r)
 	default:
 		r.phase, r.startedAt = runStarting, now
 		c.commandStart(ctx, now, r)
--- a/dispatch/plan.go
+++ b/dispatch/plan.go
@@ -31,7 +31,7 @@
 		}
 		c.mu.Lock()
 		started := time.Now()
-		if c.mayCommand(started) {
+		if c.mayStart() {
 			c.plan(ctx, started)
 		}
 		took := time.Since(started)
--- a/dispatch/waiting.go
+++ b/dispatch/waiting.go
@@ -33,6 +33,8 @@
 const (
 	// waitOwnerSuspended: the owner's last successful commit was too long ago, so it may not start tasks.
 	waitOwnerSuspended waitReason = "owner_suspended"
+	// waitOwnerInterrupted: the owner's process or VM was stopped, and no commit has shown since that it still owns the cell.
+	waitOwnerInterrupted waitReason = "owner_interrupted"
 	// waitUnresolved: the task may still run on a runner that has not reported to this owner.
 	waitUnresolved waitReason = "runners_unresolved"
 	// waitNoTicket: the advice service has given no valid ticket for the step.
@@ -75,25 +77,26 @@
 
 // waitLevels holds the log levels of all reasons.
 var waitLevels = map[waitReason]logrus.Level{
-	waitOwnerSuspended: logrus.WarnLevel,
-	waitUnresolved:     logrus.WarnLevel,
-	waitNoTicket:       logrus.InfoLevel,
-	waitNoRunner:       logrus.InfoLevel,
-	waitNoIdleRunner:   logrus.DebugLevel,
-	waitNotPlanned:     logrus.WarnLevel,
-	waitNotDurable:     logrus.WarnLevel,
-	waitStarting:       logrus.WarnLevel,
-	waitStartUnknown:   logrus.WarnLevel,
-	waitStopping:       logrus.WarnLevel,
-	waitRunnerSilent:   logrus.WarnLevel,
-	waitOffered:        logrus.InfoLevel,
-	waitReturned:       logrus.InfoLevel,
-	waitEndedRun:       logrus.WarnLevel,
-	waitBlocked:        logrus.ErrorLevel,
-	waitNoRun:          logrus.ErrorLevel,
-	waitNotQueued:      logrus.ErrorLevel,
-	waitNoHost:         logrus.ErrorLevel,
-	waitNoRunnerState:  logrus.ErrorLevel,
+	waitOwnerSuspended:   logrus.WarnLevel,
+	waitOwnerInterrupted: logrus.WarnLevel,
+	waitUnresolved:       logrus.WarnLevel,
+	waitNoTicket:         logrus.InfoLevel,
+	waitNoRunner:         logrus.InfoLevel,
+	waitNoIdleRunner:     logrus.DebugLevel,
+	waitNotPlanned:       logrus.WarnLevel,
+	waitNotDurable:       logrus.WarnLevel,
+	waitStarting:         logrus.WarnLevel,
+	waitStartUnknown:     logrus.WarnLevel,
+	waitStopping:         logrus.WarnLevel,
+	waitRunnerSilent:     logrus.WarnLevel,
+	waitOffered:          logrus.InfoLevel,
+	waitReturned:         logrus.InfoLevel,
+	waitEndedRun:         logrus.WarnLevel,
+	waitBlocked:          logrus.ErrorLevel,
+	waitNoRun:            logrus.ErrorLevel,
+	waitNotQueued:        logrus.ErrorLevel,
+	waitNoHost:           logrus.ErrorLevel,
+	waitNoRunnerState:    logrus.ErrorLevel,
 }
 
 // runStatus is the state of a run as shown in logs and metrics.
@@ -332,8 +335,8 @@
 	if oldest == nil || s.now.Sub(oldestSince) < waitBound {
 		return
 	}
-	if !s.cell.mayCommand(s.now) {
-		oldestReason = waitOwnerSuspended
+	if reason := s.cell.startsWithheld(s.now); reason != "" {
+		oldestReason = reason
 	}
 	if !u.waitingSince.IsZero() && u.waitingSince.Before(oldestSince) {
 		oldestSince = u.waitingSince
@@ -341,6 +344,18 @@
 	s.add(u, oldestReason, oldestSince, oldest, nil)
 }
 
+// startsWithheld returns why the owner may start no tasks at all; "" if it may. The caller holds mu.
+func (c *Cell) startsWithheld(now time.Time) waitReason {
+	switch {
+	case !c.mayCommand(now):
+		return waitOwnerSuspended
+	case !c.ownedAt(c.resumedAt):
+		return waitOwnerInterrupted
+	default:
+		return ""
+	}
+}
+
 // unconfirmed returns why the last report of its runner does not confirm a run, and since when; "" if it does.
 func (s *waitScan) unconfirmed(r *run) (waitReason, time.Time) {
 	switch r.status() {
@@ -459,8 +474,8 @@
 // explain returns why a ready unit is not started.
 func (s *waitScan) explain(u *unit, views []*runnerView) verdict {
 	c := s.cell
-	if !c.mayCommand(s.now) {
-		return verdict{waitOwnerSuspended, nil}
+	if reason := c.startsWithheld(s.now); reason != "" {
+		return verdict{reason, nil}
 	}
 	if c.awaitsUnresolved(u) {
 		return verdict{waitUnresolved, func() logrus.Fields { return c.unresolvedDetails(s.now, u) }}
