Make a cancellation of an unknown job hold against writes under way

A node whose reads were less old than its last heartbeat denied accepted jobs to clients that cancelled them at once.

Cause: the 410 was derived from the absence of the job's index row, which a write under way can still create: the owner repeats a commit without an outcome, and the store may apply an earlier attempt seconds later.

A cancellation without an index row now writes that row, under the same condition as a submission: that there is none. One of the two fails, whoever sends it and whenever it is applied. The overtaken submission gets the outcome cancelled (503, never runs). The owner of the partition deletes the records after the retention of ended jobs. Cell.Cancel awaits an undecided submission of the job.

--- a/dispatch/cell.go
+++ b/dispatch/cell.go
@@ -209,6 +209,7 @@
 	loops.Go(func() { c.flushLoop(ctx) })
 	loops.Go(func() { c.tickLoop(ctx) })
 	loops.Go(func() { c.pressureLoop(ctx) })
+	loops.Go(func() { c.cancelledLoop(ctx) })
 	<-ctx.Done()
 	c.mu.Lock()
 	c.stopping = true
--- a/dispatch/flush.go
+++ b/dispatch/flush.go
@@ -385,6 +385,11 @@
 // retentionFactor extends Config.Retention, so that a job's state is kept longer than clients may query it.
 const retentionFactor = 1.5
 
+// retention returns how long rows are kept that clients may ask about.
+func (c *Cell) retention() time.Duration {
+	return time.Duration(retentionFactor * float64(c.cfg.Retention))
+}
+
 // expired returns finished jobs whose retention has passed. The caller holds mu.
 func (c *Cell) expired(now time.Time) []*jobState {
 	if now.Sub(c.expiryCheckedAt) < expiryInterval {
@@ -392,7 +397,7 @@
 	}
 	c.expiryCheckedAt = now
 	var expired []*jobState
-	retention := time.Duration(retentionFactor * float64(c.cfg.Retention))
+	retention := c.retention()
 	for _, j := range c.jobs {
 		if j.durableState.Terminal() && !j.dirty && now.Sub(j.finishedAt) > retention && !j.hasRuns() && len(j.hosts) == 0 {
 			expired = append(expired, j)
@@ -682,6 +687,9 @@
 		switch {
 		case index.Version == 0:
 			kept = append(kept, s)
+		case IsCancelled(index.Value):
+			c.cfg.Log.WithFields(logrus.Fields{"request": s.job.ID, "queue": s.job.Policy.Queue}).Info("job was cancelled before it was accepted")
+			s.finish(OutcomeCancelled, "")
 		case string(index.Value) == c.cfg.Name:
 			c.countIndexed(s.job.ID)
 			s.finish(OutcomeAccepted, "")
--- a/dispatch/intake.go
+++ b/dispatch/intake.go
@@ -31,10 +31,12 @@
 	OutcomeNotOwner
 	// OutcomeChanged means that tasks were not taken over because the row of the cell that delegates them has changed.
 	OutcomeChanged
+	// OutcomeCancelled means that the job was cancelled before it was accepted, and will never run.
+	OutcomeCancelled
 )
 
 // outcomeNames are the names of outcomes in logs.
-var outcomeNames = []string{"unknown", "accepted", "elsewhere", "refused", "full", "not_owner", "changed"}
+var outcomeNames = []string{"unknown", "accepted", "elsewhere", "refused", "full", "not_owner", "changed", "cancelled"}
 
 // String returns the name of the outcome.
 func (o Outcome) String() string {
@@ -156,9 +158,20 @@
 }
 
 // Cancel cancels a job that has not ended, and returns once its end is durable. found is false if the cell does not
-// have the job.
+// have the job. The decision on a submission of the job that is under way is awaited.
 func (c *Cell) Cancel(ctx context.Context, id string) (found bool, err error) {
 	c.mu.Lock()
+	for s := c.waitingSubmission(id); s != nil && !c.lost; s = c.waitingSubmission(id) {
+		c.mu.Unlock()
+		select {
+		case <-s.done:
+		case <-ctx.Done():
+			return true, ctx.Err()
+		case <-c.done:
+			return true, errNotOwner
+		}
+		c.mu.Lock()
+	}
 	if c.lost {
 		c.mu.Unlock()
 		return false, errNotOwner
--- a/node/clients.go
+++ b/node/clients.go
@@ -93,6 +93,8 @@
 				n.cacheJobCell(job.ID, elsewhere)
 			}
 			return intake.Decision{Outcome: intake.Accepted, Cell: elsewhere}
+		case dispatch.OutcomeCancelled:
+			return intake.Decision{Outcome: intake.Refused, Reason: "the job was cancelled before it was accepted"}
 		case dispatch.OutcomeFull:
 			full++
 		case dispatch.OutcomeUnknown:
@@ -331,7 +333,7 @@
 	return store.NewFreshReads(n.store, n.heartbeatVersion.Load())
 }
 
-// findCell returns the cell of a job, or "" if no job with the ID was accepted.
+// findCell returns the cell of a job, or "" if no job with the ID has been accepted.
 func (n *Node) findCell(ctx context.Context, jobID string) (string, error) {
 	n.mu.Lock()
 	cell := n.jobCells[jobID]
@@ -348,10 +350,14 @@
 		return "", errors.Join(errNoResponse, err)
 	}
 	i := slices.IndexFunc(page.Rows, func(row store.Row) bool { return row.Key.Name == jobID })
-	if i < 0 {
+	if i < 0 || dispatch.IsCancelled(page.Rows[i].Value) {
 		return "", nil
 	}
-	cell = string(page.Rows[i].Value)
+	return n.indexedCell(jobID, string(page.Rows[i].Value))
+}
+
+// indexedCell checks and caches the cell that the index row of a job names.
+func (n *Node) indexedCell(jobID, cell string) (string, error) {
 	if !n.isCell(cell) {
 		// The job was accepted, so it must not look like one that does not exist.
 		return "", fmt.Errorf("index row of job %s names the cell %.50q, which does not exist", jobID, cell)
@@ -360,6 +366,24 @@
 	return cell, nil
 }
 
+// findOrCancel returns the cell of a job, or "" if no job with the ID has been accepted. Then the job is cancelled, and it will not be accepted
+// later either: a submission of it may still be under way.
+func (n *Node) findOrCancel(ctx context.Context, jobID string) (string, error) {
+	cell, err := n.findCell(ctx, jobID)
+	if cell != "" || err != nil && !errors.Is(err, store.ErrOldRead) {
+		return cell, err
+	}
+	cell, err = dispatch.CancelUnaccepted(ctx, n.store, n.indexPart(jobID), jobID)
+	if err != nil {
+		return "", errors.Join(errNoResponse, err)
+	}
+	if cell == "" {
+		n.log.WithField("request", jobID).Info("job that has not been accepted is cancelled")
+		return "", nil
+	}
+	return n.indexedCell(jobID, cell)
+}
+
 // State implements intake.Service.
 func (n *Node) State(ctx context.Context, jobID string) (workload.State, bool, error) {
 	cell, err := n.findCell(ctx, jobID)
@@ -387,7 +411,7 @@
 
 // Cancel implements intake.Service.
 func (n *Node) Cancel(ctx context.Context, jobID string) (bool, error) {
-	cell, err := n.findCell(ctx, jobID)
+	cell, err := n.findOrCancel(ctx, jobID)
 	if err != nil || cell == "" {
 		return false, err
 	}
