Share capacity among late best-effort jobs

Cause: tasks that miss their objectives were started in the order of the objectives, so a job came with all its tasks, and those past any value after all others.

Best-effort tasks that miss their objective now have turns: each job gets a run before any of them gets a second one. Tasks in time and tasks that commit processor time keep their order.

--- a/dispatch/job.go
+++ b/dispatch/job.go
@@ -51,9 +51,10 @@
 	offers, fullAnswers int
 	// stalls counts runs that were stopped for no progress.
 	stalls int
-	// latenessClass is the lateness as of the last plan.
-	latenessClass int
-	runs          []*run
+	// latenessClass is the lateness as of the last plan, and turn how many runs of the job go before the unit. It is 0 unless the
+	// unit shares capacity.
+	latenessClass, turn int
+	runs                []*run
 	// recovered units were accepted under an earlier owner. Runs that this owner has not seen yet may exist.
 	recovered bool
 	// host is the cell to which the unit is delegated; empty if it is not. Only the cell that accepted the job records it.
--- a/dispatch/plan.go
+++ b/dispatch/plan.go
@@ -164,12 +164,39 @@
 	}
 }
 
-// sortReady orders restarts of long-running tasks first, then units by priority, then by class of lateness, then by the latest start that meets their objective.
-// When the runners are overloaded, late units wait for those that can still meet their objective.
-func (c *Cell) sortReady(now time.Time) {
+// classifyReady sets the lateness classes and the turns of the ready units. Best-effort units that miss their objective share what the others
+// leave: each job gets a run before any of them gets a second one, so a unit whose job has none counts as classLate at most.
+// The caller holds mu.
+func (c *Cell) classifyReady(now time.Time) {
+	var sharing []*unit
 	for _, u := range c.ready {
-		u.latenessClass = u.lateness(now)
+		u.latenessClass, u.turn = u.lateness(now), 0
+		if u.def().BestEffort && u.latenessClass != classInTime {
+			sharing = append(sharing, u)
+		}
+	}
+	if len(sharing) == 0 {
+		return
+	}
+	turns := map[*jobState]int{}
+	for _, rs := range c.runners {
+		for r := range rs.runs {
+			turns[r.unit.job]++
+		}
+	}
+	for _, u := range sharing {
+		u.turn = turns[u.job]
+		turns[u.job]++
+		if u.turn == 0 {
+			u.latenessClass = classLate
+		}
 	}
+}
+
+// sortReady orders restarts of long-running tasks first, then units by priority, then by class of lateness, then by turn, then by the latest start that
+// meets their objective. When the runners are overloaded, late units wait for those that can still meet their objective.
+func (c *Cell) sortReady(now time.Time) {
+	c.classifyReady(now)
 	sort.SliceStable(c.ready, func(a, b int) bool {
 		x, y := c.ready[a], c.ready[b]
 		if rx, ry := x.isRestart(), y.isRestart(); rx != ry {
@@ -181,6 +208,9 @@
 		if x.latenessClass != y.latenessClass {
 			return x.latenessClass < y.latenessClass
 		}
+		if x.turn != y.turn {
+			return x.turn < y.turn
+		}
 		if cx, cy := x.pieceSize(), y.pieceSize(); cx != cy {
 			return cx > cy
 		}
