--- a/dispatch/interruption_test.go
+++ b/dispatch/interruption_test.go
@@ -31,9 +31,13 @@
 	s.stopped.Store(&resumed)
 }
 
-// resume lets the owner go on after it has stood still for a time that its clock does not count.
-func (s *stoppable) resume(pause time.Duration) {
-	s.suspended.Add(int64(pause))
+// stopTime is how long owners are stopped. It is longer than a takeover and shorter than the time for which an owner without a commit may
+// send commands.
+const stopTime = 2500 * time.Millisecond
+
+// resume lets the owner go on after it has been stopped for stopTime.
+func (s *stoppable) resume() {
+	s.suspended.Add(int64(stopTime))
 	close(*s.stopped.Swap(nil))
 }
 
@@ -78,11 +82,11 @@
 	return report, err
 }
 
-// startStoppable makes a node with the given connection the owner.
-func (cl *cluster) startStoppable(node string, s *stoppable) (*dispatch.Cell, context.CancelFunc) {
+// startStoppable makes node a with the given connection the owner.
+func (cl *cluster) startStoppable(s *stoppable) (*dispatch.Cell, context.CancelFunc) {
 	cl.t.Helper()
 	ctx, cancel := context.WithCancel(cl.t.Context())
-	cfg := cl.config(node, true)
+	cfg := cl.config("a", true)
 	cfg.Store, cfg.Runners = s, s
 	cfg.Suspended = func() time.Duration { return time.Duration(s.suspended.Load()) }
 	c := cl.acquireWith(ctx, cfg)
@@ -94,10 +98,6 @@
 	return c, cancel
 }
 
-// stopTime is how long owners are stopped. It is longer than a takeover and shorter than the time for which an owner without a commit may
-// send commands.
-const stopTime = 2500 * time.Millisecond
-
 // takeOver makes another node the owner, which starts nothing on r1, and restarts r1 without its knowledge.
 func (cl *cluster) takeOver() *dispatch.Cell {
 	cl.t.Helper()
@@ -117,7 +117,7 @@
 	synctest.Test(t, func(t *testing.T) {
 		cl := newCluster(t, 2, fixedDuration(2*time.Second))
 		a := &stoppable{link: link{Fleet: cl.fleet, Store: cl.store}}
-		first, _ := cl.startStoppable("a", a)
+		first, _ := cl.startStoppable(a)
 		time.Sleep(100 * time.Millisecond)
 		// Each runner has capacity for three tasks.
 		job := jobOf(1, tasks(10, 21000))
@@ -130,7 +130,7 @@
 		assert.Equal(t, cl.fleet.Running("r0"), 3)
 		// The refusal of r0 would show the successor at once.
 		a.cut.Store("r0", true)
-		a.resume(stopTime)
+		a.resume()
 		time.Sleep(20 * time.Second)
 		cl.assertNoOverlap()
 		assert.Assert(t, first.HasLostOwnership())
@@ -153,7 +153,7 @@
 			return false
 		}
 		cl.infos[0].Draining = true
-		first, _ := cl.startStoppable("a", a)
+		first, _ := cl.startStoppable(a)
 		time.Sleep(100 * time.Millisecond)
 		cl.submit(first, jobOf(1, longRunning(1, 40000)))
 		time.Sleep(200 * time.Millisecond)
@@ -161,7 +161,7 @@
 		cl.infos[0].Draining = false
 		next := cl.takeOver()
 		assert.Equal(t, cl.fleet.Running("r0"), 1)
-		a.resume(stopTime)
+		a.resume()
 		time.Sleep(time.Second)
 		cl.assertNoOverlap()
 		assert.Assert(t, first.HasLostOwnership())
@@ -175,7 +175,7 @@
 		cl := newCluster(t, 2, fixedDuration(10*time.Second))
 		a := &stoppable{link: link{Fleet: cl.fleet, Store: cl.store}}
 		cl.infos[0].Draining = true
-		first, _ := cl.startStoppable("a", a)
+		first, _ := cl.startStoppable(a)
 		time.Sleep(100 * time.Millisecond)
 		cl.fleet.SetCommandFaults("r1", emulator.CommandFaults{Start: emulator.CommandRequestLost})
 		cl.submit(first, jobOf(1, tasks(1, 40000)))
@@ -185,7 +185,7 @@
 		cl.infos[0].Draining = false
 		next := cl.takeOver()
 		assert.Equal(t, cl.fleet.Running("r0"), 1)
-		a.resume(stopTime)
+		a.resume()
 		time.Sleep(20 * time.Second)
 		cl.assertNoOverlap()
 		assert.Assert(t, first.HasLostOwnership())
@@ -198,14 +198,14 @@
 	synctest.Test(t, func(t *testing.T) {
 		cl := newCluster(t, 2, fixedDuration(2*time.Second))
 		a := &stoppable{link: link{Fleet: cl.fleet, Store: cl.store}}
-		first, _ := cl.startStoppable("a", a)
+		first, _ := cl.startStoppable(a)
 		time.Sleep(100 * time.Millisecond)
 		job := jobOf(1, tasks(10, 21000))
 		cl.submit(first, job)
 		time.Sleep(1900 * time.Millisecond)
 		a.stop()
 		time.Sleep(200 * time.Millisecond)
-		a.resume(stopTime)
+		a.resume()
 		time.Sleep(3 * time.Second)
 		assert.Equal(t, state(first, job), workload.StateCompleted)
 		assert.Assert(t, !first.HasLostOwnership())
