--- a/dispatch/interruption_test.go
+++ b/dispatch/interruption_test.go
@@ -83,7 +83,7 @@
 }
 
 // startStoppable makes node a with the given connection the owner.
-func (cl *cluster) startStoppable(s *stoppable) (*dispatch.Cell, context.CancelFunc) {
+func (cl *cluster) startStoppable(s *stoppable) *dispatch.Cell {
 	cl.t.Helper()
 	ctx, cancel := context.WithCancel(cl.t.Context())
 	cfg := cl.config("a", true)
@@ -95,7 +95,7 @@
 		cancel()
 		<-c.Done()
 	})
-	return c, cancel
+	return c
 }
 
 // takeOver makes another node the owner, which starts nothing on r1, and restarts r1 without its knowledge.
@@ -117,7 +117,7 @@
 	synctest.Test(t, func(t *testing.T) {
 		cl := newCluster(t, 2, fixedDuration(2*time.Second))
 		a := &stoppable{link: link{Fleet: cl.fleet, Store: cl.store}}
-		first, _ := cl.startStoppable(a)
+		first := cl.startStoppable(a)
 		time.Sleep(100 * time.Millisecond)
 		// Each runner has capacity for three tasks.
 		job := jobOf(1, tasks(10, 21000))
@@ -153,7 +153,7 @@
 			return false
 		}
 		cl.infos[0].Draining = true
-		first, _ := cl.startStoppable(a)
+		first := cl.startStoppable(a)
 		time.Sleep(100 * time.Millisecond)
 		cl.submit(first, jobOf(1, longRunning(1, 40000)))
 		time.Sleep(200 * time.Millisecond)
@@ -175,7 +175,7 @@
 		cl := newCluster(t, 2, fixedDuration(10*time.Second))
 		a := &stoppable{link: link{Fleet: cl.fleet, Store: cl.store}}
 		cl.infos[0].Draining = true
-		first, _ := cl.startStoppable(a)
+		first := cl.startStoppable(a)
 		time.Sleep(100 * time.Millisecond)
 		cl.fleet.SetCommandFaults("r1", emulator.CommandFaults{Start: emulator.CommandRequestLost})
 		cl.submit(first, jobOf(1, tasks(1, 40000)))
@@ -198,7 +198,7 @@
 	synctest.Test(t, func(t *testing.T) {
 		cl := newCluster(t, 2, fixedDuration(2*time.Second))
 		a := &stoppable{link: link{Fleet: cl.fleet, Store: cl.store}}
-		first, _ := cl.startStoppable(a)
+		first := cl.startStoppable(a)
 		time.Sleep(100 * time.Millisecond)
 		job := jobOf(1, tasks(10, 21000))
 		cl.submit(first, job)
