--- a/dispatch/cell.go
+++ b/dispatch/cell.go
@@ -35,7 +35,7 @@
 	// minLease is the shortest lease with which a task is started.
 	minLease = 1 * time.Second
 	// maxInterruption is the longest time between two ticks that does not count as an interruption. Another node acquires the cell
-	// once the owner's heartbeat has been unchanged for 2.4 s, so an owner that ticks has no successor that it could not know of.
+	// once the owner's heartbeat has been unchanged for 2.4 s, and shorter interruptions delay no heartbeat for that long.
 	maxInterruption = 500 * time.Millisecond
 )
 
