--- a/dispatch/interruption_test.go
+++ b/dispatch/interruption_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 	"sync/atomic"
 	"testing"
 	"testing/synctest"
@@ -82,20 +83,19 @@
 	return report, err
 }
 
-// startStoppable makes node a with the given connection the owner.
-func (cl *cluster) startStoppable(s *stoppable) *dispatch.Cell {
+// startStoppable makes node a the owner and returns the cell and its connection. change, if set, changes the connection before.
+func (cl *cluster) startStoppable(change func(*stoppable)) (*dispatch.Cell, *stoppable) {
 	cl.t.Helper()
-	ctx, cancel := context.WithCancel(cl.t.Context())
+	s := &stoppable{link: link{Fleet: cl.fleet, Store: cl.store}}
+	if change != nil {
+		change(s)
+	}
 	cfg := cl.config("a", true)
 	cfg.Store, cfg.Runners = s, s
 	cfg.Suspended = func() time.Duration { return time.Duration(s.suspended.Load()) }
-	c := cl.acquireWith(ctx, cfg)
-	go c.Run(ctx)
-	cl.t.Cleanup(func() {
-		cancel()
-		<-c.Done()
-	})
-	return c
+	c, _ := cl.startOwnerOf(cfg)
+	time.Sleep(100 * time.Millisecond)
+	return c, s
 }
 
 // takeOver makes another node the owner, which starts nothing on r1, and restarts r1 without its knowledge.
@@ -116,9 +116,7 @@
 func TestInterruptedOwnerStartsNothingOnRestartedRunner(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		cl := newCluster(t, 2, fixedDuration(2*time.Second))
-		a := &stoppable{link: link{Fleet: cl.fleet, Store: cl.store}}
-		first := cl.startStoppable(a)
-		time.Sleep(100 * time.Millisecond)
+		first, a := cl.startStoppable(nil)
 		// Each runner has capacity for three tasks.
 		job := jobOf(1, tasks(10, 21000))
 		cl.submit(first, job)
@@ -143,18 +141,12 @@
 func TestInterruptedOwnerStartsNoTaskWhoseAssignmentBecameDurable(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		cl := newCluster(t, 2, fixedDuration(emulator.Endless))
-		a := &stoppable{link: link{Fleet: cl.fleet, Store: cl.store}}
-		a.stopAfter = func(txn store.Txn) bool {
-			for _, w := range txn.Writes {
-				if w.Key.Table == dispatch.TableProgress {
-					return true
-				}
-			}
-			return false
-		}
 		cl.infos[0].Draining = true
-		first := cl.startStoppable(a)
-		time.Sleep(100 * time.Millisecond)
+		first, a := cl.startStoppable(func(s *stoppable) {
+			s.stopAfter = func(txn store.Txn) bool {
+				return slices.ContainsFunc(txn.Writes, func(w store.Write) bool { return w.Key.Table == dispatch.TableProgress })
+			}
+		})
 		cl.submit(first, jobOf(1, longRunning(1, 40000)))
 		time.Sleep(200 * time.Millisecond)
 		assert.Equal(t, len(cl.fleet.Starts()), 0)
@@ -173,10 +165,8 @@
 func TestInterruptedOwnerRepeatsNoStart(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		cl := newCluster(t, 2, fixedDuration(10*time.Second))
-		a := &stoppable{link: link{Fleet: cl.fleet, Store: cl.store}}
 		cl.infos[0].Draining = true
-		first := cl.startStoppable(a)
-		time.Sleep(100 * time.Millisecond)
+		first, a := cl.startStoppable(nil)
 		cl.fleet.SetCommandFaults("r1", emulator.CommandFaults{Start: emulator.CommandRequestLost})
 		cl.submit(first, jobOf(1, tasks(1, 40000)))
 		time.Sleep(50 * time.Millisecond)
@@ -197,9 +187,7 @@
 func TestInterruptedOwnerGoesOnAfterACommit(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		cl := newCluster(t, 2, fixedDuration(2*time.Second))
-		a := &stoppable{link: link{Fleet: cl.fleet, Store: cl.store}}
-		first := cl.startStoppable(a)
-		time.Sleep(100 * time.Millisecond)
+		first, a := cl.startStoppable(nil)
 		job := jobOf(1, tasks(10, 21000))
 		cl.submit(first, job)
 		time.Sleep(1900 * time.Millisecond)
--- a/dispatch/takeover_test.go
+++ b/dispatch/takeover_test.go
@@ -22,9 +22,15 @@
 // startOwnerWith is startOwner for an owner with its own connections to the store and the runners.
 func (cl *cluster) startOwnerWith(node string, predecessorDead bool, s store.Store, runners runner.Client) (*dispatch.Cell, context.CancelFunc) {
 	cl.t.Helper()
-	ctx, cancel := context.WithCancel(cl.t.Context())
 	cfg := cl.config(node, predecessorDead)
 	cfg.Store, cfg.Runners = s, runners
+	return cl.startOwnerOf(cfg)
+}
+
+// startOwnerOf is startOwner for an owner with its own configuration.
+func (cl *cluster) startOwnerOf(cfg dispatch.Config) (*dispatch.Cell, context.CancelFunc) {
+	cl.t.Helper()
+	ctx, cancel := context.WithCancel(cl.t.Context())
 	c := cl.acquireWith(ctx, cfg)
 	go c.Run(ctx)
 	cl.t.Cleanup(func() {
