Conclude from service discovery that a draining runner has left

After a takeover, tasks waited up to 10 s for the leases of runners that had drained and left, and in calm operation for one lease, although service discovery no longer listed them. A removed entry alone proves nothing: the platform also removes it after three heartbeat intervals of silence, when the runner may run on. An entry that announced the drain, and that was removed sooner after it was written than silence allows, does: everything on that runner has ended. What its owner may conclude still needs a commit that is sent after that read.

A run whose start has no response waits for its lease as before, because the next process under the ID would accept that start from the same owner. Beside a former owner that may still send commands, a new one waits 3 s more: by then that one has no response from the process either, and starts nothing on the next one without a commit. Service discovery is read every 0.4 s while a runner of the node's cells drains; with 1.2 s, an idle owner could date the last write of an entry no closer than the silence that is allowed.

TestTasksOfRunnerThatLeftStartAgainAtOnce and TestNewOwnerDoesNotWaitForRunnerThatLeft fail without RunnerLeft.

--- a/dispatch/metrics.go
+++ b/dispatch/metrics.go
@@ -13,6 +13,8 @@
 // Metrics holds the metrics of the cells of a process.
 type Metrics struct {
 	starts, ends, failures, commits, polls, stalls prometheus.Counter
+	// left counts runners that were concluded to have left.
+	left prometheus.Counter
 	// interruptions counts the times at which an owner noticed that its process or its VM had been stopped.
 	interruptions prometheus.Counter
 	// commitTime is the duration of a transaction, submissionTime the time from a submission to its decision, startWait
@@ -100,6 +102,7 @@
 		delegated:      counter("delegated_tasks_total", "Tasks offered to other cells for want of capacity."),
 		withdrawn:      counter("withdrawn_tasks_total", "Offered tasks that were taken back."),
 		takenOver:      counter("taken_over_tasks_total", "Tasks taken over from other cells."),
+		left:           counter("left_runners_total", "Runners of the cells that service discovery shows to have left."),
 		placements:     counter("placement_attempts_total", "Searches for a runner for a ready task."),
 	}
 	serve(m.waiting, maps.Keys(waitLevels))
--- a/dispatch/unresolved.go
+++ b/dispatch/unresolved.go
@@ -16,6 +16,8 @@
 	until time.Time
 	// responded is set once the runner has responded to this owner, at the time until.
 	responded bool
+	// left is set once the runner's process is known to have left.
+	left bool
 }
 
 // inheritedLeaseEnd returns when the last lease that the previous owner, or one before it, can have granted has expired.
@@ -140,6 +142,9 @@
 		if expiry.Before(x.until) {
 			x.until = expiry
 		}
+		if now := time.Now(); x.left && now.Before(x.until) {
+			x.until = now
+		}
 	}
 }
 
@@ -159,7 +164,7 @@
 			c.terminated[id] = true
 		}
 		expired = true
-		c.cfg.Log.WithFields(logrus.Fields{"cell": c.cfg.Name, "runner": id}).Info("lease of an unreachable runner has expired")
+		c.cfg.Log.WithFields(logrus.Fields{"cell": c.cfg.Name, "runner": id, "left": x.left}).Info("lease of an unreachable runner has expired")
 	}
 	if expired {
 		// The tasks of the runner need not wait for the next check.
--- a/node/cells.go
+++ b/node/cells.go
@@ -210,6 +210,7 @@
 	defer n.mu.Unlock()
 	c.ConfirmRunners(n.cellRunners(cell))
 	n.setRunners(cell, c)
+	n.tellLeft(cell, c)
 }
 
 // hasEnded reports whether a former owner of a cell is confirmed to have stopped sending commands for it.
--- /dev/null
+++ b/node/left_test.go
@@ -0,0 +1,298 @@
+package node
+
+import (
+	"bytes"
+	"context"
+	"strings"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"github.com/currantthread/currantthread/dispatch"
+	"github.com/currantthread/currantthread/internal/emulator"
+	"github.com/currantthread/currantthread/internal/wait"
+	"github.com/currantthread/currantthread/platform"
+	"github.com/currantthread/currantthread/runner"
+	"github.com/currantthread/currantthread/store"
+	"github.com/currantthread/currantthread/workload"
+)
+
+// runnerHeartbeat is the interval at which the runners of a leavingSite write their entries.
+const runnerHeartbeat = 1100 * time.Millisecond
+
+// leavingSite is a node that owns a cell with a job of three tasks, and two runners with room for all of them.
+type leavingSite struct {
+	t     *testing.T
+	rows  *emulator.Store
+	fleet *emulator.Fleet
+	node  *Node
+	log   *bytes.Buffer
+	cell  *dispatch.Cell
+	infos map[string]runner.Info
+	// beats ends the writes of each runner's entry.
+	beats map[string]context.CancelFunc
+	loops sync.WaitGroup
+	stop  context.CancelFunc
+}
+
+// newLeavingSite starts a node whose settings name an interval of the runners' heartbeats, and which knows of both runners.
+func newLeavingSite(t *testing.T, heartbeat time.Duration) *leavingSite {
+	t.Helper()
+	s := &leavingSite{t: t, rows: emulator.NewStore(), infos: map[string]runner.Info{}, beats: map[string]context.CancelFunc{},
+		fleet: emulator.NewFleet(func(workload.TaskID, int) (time.Duration, bool) { return time.Hour, false })}
+	n, log := testNode(t, 0)
+	n.versions = store.NewVersionClock(s.rows, func() time.Duration { return 0 })
+	n.store, n.runners, n.incarnation = n.versions, s.fleet, "a"
+	n.bounds.Store(&platform.Bounds{HoldMax: 10 * time.Second, RunnerHeartbeat: heartbeat})
+	n.discovery = store.NewFollower(n.store, platform.TableServers, n.discoveryChanged, func(error) {})
+	n.discovery.Poll, n.discovery.SpacingNow, n.discovery.Active = true, n.discoveryPause, n.needsRunners
+	s.node, s.log = n, log
+	var ctx context.Context
+	ctx, s.stop = context.WithCancel(t.Context())
+	for _, id := range []string{"i-1", "i-2"} {
+		info := testRunner(id)
+		info.Born = time.Now().UnixMilli()
+		s.fleet.Add(info)
+		s.list(info)
+	}
+	s.loops.Go(func() { n.discovery.Run(ctx) })
+	time.Sleep(time.Second)
+	n.assignmentsChanged([]store.Row{rosterRow(1, rowLayout, "1"), rosterRow(1, "i-1", firstCell), rosterRow(1, "i-2", firstCell)})
+	part := n.cellPart(firstCell)
+	s.rows.Put(store.Key{Table: dispatch.TableJobs, Part: part, Name: "0000000000000001"},
+		[]byte(`{"id":"0000000000000001","occ":1,"policy":{"service":"kioscos"},"steps":[{"n":3,"res":{"CPU":8000,"MemoryMB":1000}}]}`))
+	return s
+}
+
+// acquire makes the node the owner of the cell, which named an owner that may still send commands unless released is set.
+func (s *leavingSite) acquire(released bool) {
+	s.t.Helper()
+	value := `{"node":"gone","nonce":"x"}`
+	if released {
+		value = `{"node":"gone","nonce":"x","released":true}`
+	}
+	s.rows.Put(dispatch.OwnerKey(s.node.cellPart(firstCell)), []byte(value))
+	s.node.mu.Lock()
+	s.node.acquiring[firstCell] = true
+	s.node.mu.Unlock()
+	s.node.acquire(s.t.Context(), firstCell, false)
+	s.cell = s.node.cells[firstCell]
+	assert.Assert(s.t, s.cell != nil, s.log.String())
+}
+
+// list makes a runner write its entry from now on.
+func (s *leavingSite) list(info runner.Info) {
+	s.infos[info.ID] = info
+	if cancel := s.beats[info.ID]; cancel != nil {
+		cancel()
+	}
+	ctx, cancel := context.WithCancel(s.t.Context())
+	s.beats[info.ID] = cancel
+	row := serverRow(s.t, 0, info)
+	s.rows.Put(row.Key, row.Value)
+	s.loops.Go(func() {
+		for wait.For(ctx, runnerHeartbeat) {
+			s.rows.Put(row.Key, row.Value)
+		}
+	})
+}
+
+// drain makes a runner announce that it drains.
+func (s *leavingSite) drain(id string) {
+	info := s.infos[id]
+	info.Draining = true
+	s.list(info)
+}
+
+// unlist removes the entry of a runner, which writes it no more.
+func (s *leavingSite) unlist(id string) {
+	s.beats[id]()
+	s.rows.Delete(store.Key{Table: platform.TableServers, Name: id})
+}
+
+// close ends the node.
+func (s *leavingSite) close() {
+	s.stop()
+	for _, cancel := range s.beats {
+		cancel()
+	}
+	if s.cell != nil {
+		s.cell.Stop()
+		<-s.cell.Done()
+	}
+	s.loops.Wait()
+}
+
+// concluded reports whether the node has concluded that a runner has left.
+func (s *leavingSite) concluded(id string) bool {
+	s.node.mu.Lock()
+	defer s.node.mu.Unlock()
+	_, left := s.node.leftRunners[id]
+	return left
+}
+
+// The tasks on runners that drained and left waited for their lease of 6.4 s, although service discovery showed that they had left.
+func TestTasksOfRunnerThatLeftStartAgainAtOnce(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		s := newLeavingSite(t, runnerHeartbeat)
+		defer s.close()
+		s.acquire(true)
+		time.Sleep(20 * time.Second)
+		assert.Equal(t, s.fleet.Running("i-1")+s.fleet.Running("i-2"), 3, s.log.String())
+		id, other := "i-1", "i-2"
+		if s.fleet.Running(id) == 0 {
+			id, other = other, id
+		}
+		s.drain(id)
+		time.Sleep(4 * time.Second)
+		s.fleet.Crash(id)
+		s.unlist(id)
+		time.Sleep(2 * time.Second)
+		assert.Equal(t, s.fleet.Running(other), 3, s.log.String())
+		assert.Equal(t, len(s.fleet.Overlaps()), 0)
+		// The next owner need not wait for it either.
+		owner, _, err := dispatch.ReadOwner(t.Context(), s.rows, s.node.cellPart(firstCell))
+		assert.NilError(t, err)
+		assert.DeepEqual(t, owner.Terminated, []string{id})
+		// A process that is started later under its ID gets tasks again.
+		s.fleet.Restart(id)
+		info, _ := s.fleet.Info(id)
+		info.Draining = false
+		s.list(info)
+		time.Sleep(2 * time.Second)
+		s.fleet.Crash(other)
+		s.unlist(other)
+		time.Sleep(15 * time.Second)
+		assert.Equal(t, s.fleet.Running(id), 3, s.log.String())
+	})
+}
+
+// A new owner waited 6.4 to 10.6 s for runners that had drained and left before they responded to it.
+func TestNewOwnerDoesNotWaitForRunnerThatLeft(t *testing.T) {
+	for name, c := range map[string]struct {
+		released bool
+		within   time.Duration
+	}{"predecessor has ended": {true, 2 * time.Second}, "predecessor may send commands": {false, 5 * time.Second}} {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				s := newLeavingSite(t, runnerHeartbeat)
+				defer s.close()
+				s.drain("i-1")
+				time.Sleep(5 * time.Second)
+				commitBefore(t, s)
+				time.Sleep(runnerHeartbeat)
+				// The runner no longer responds when the cell is taken over.
+				s.fleet.Crash("i-1")
+				s.acquire(c.released)
+				time.Sleep(100 * time.Millisecond)
+				s.unlist("i-1")
+				assert.Equal(t, s.fleet.Running("i-2"), 0)
+				time.Sleep(c.within)
+				assert.Equal(t, s.fleet.Running("i-2"), 3, s.log.String())
+			})
+		})
+	}
+}
+
+// commitBefore commits a row, as the node's heartbeats do.
+func commitBefore(t *testing.T, s *leavingSite) {
+	t.Helper()
+	_, err := s.node.store.Commit(t.Context(), store.Txn{Writes: []store.Write{{Key: store.Key{Table: "nodes", Name: "n0"}}}})
+	assert.NilError(t, err)
+}
+
+// A runner that is cut off from the store and from its owner runs its tasks until its lease has ended. An entry that may have been removed
+// for silence, while the store was away or for an unknown reason proves nothing: tasks would run twice.
+func TestEntryThatDoesNotProveThatTheRunnerLeft(t *testing.T) {
+	for name, c := range map[string]struct {
+		heartbeat time.Duration
+		remove    func(s *leavingSite, id string)
+	}{
+		"silence": {runnerHeartbeat, func(s *leavingSite, id string) {
+			s.drain(id)
+			time.Sleep(2 * time.Second)
+			s.beats[id]()
+			s.fleet.SetFault(id, emulator.RunnerUnreachable)
+			time.Sleep(3 * runnerHeartbeat)
+			s.unlist(id)
+		}},
+		"not draining": {runnerHeartbeat, func(s *leavingSite, id string) {
+			s.fleet.SetFault(id, emulator.RunnerUnreachable)
+			s.unlist(id)
+		}},
+		"another entry without a drain is removed": {runnerHeartbeat, func(s *leavingSite, id string) {
+			third := testRunner("i-3")
+			s.list(third)
+			s.drain(id)
+			time.Sleep(3 * time.Second)
+			s.fleet.SetFault(id, emulator.RunnerUnreachable)
+			s.unlist(id)
+			s.unlist("i-3")
+		}},
+		"store refuses meanwhile": {runnerHeartbeat, func(s *leavingSite, id string) {
+			s.drain(id)
+			time.Sleep(2 * time.Second)
+			s.fleet.SetFault(id, emulator.RunnerUnreachable)
+			s.rows.SetFault(emulator.StoreRefuses)
+			time.Sleep(drainSpacing + 100*time.Millisecond)
+			s.unlist(id)
+			s.rows.SetFault(emulator.StoreWorks)
+		}},
+		"unknown interval": {0, func(s *leavingSite, id string) {
+			s.drain(id)
+			time.Sleep(2 * time.Second)
+			s.fleet.SetFault(id, emulator.RunnerUnreachable)
+			s.unlist(id)
+		}},
+		"unknown birth time": {runnerHeartbeat, func(s *leavingSite, id string) {
+			info := s.infos[id]
+			info.Born = 0
+			s.infos[id] = info
+			s.drain(id)
+			time.Sleep(2 * time.Second)
+			s.fleet.SetFault(id, emulator.RunnerUnreachable)
+			s.unlist(id)
+		}},
+		"old reads": {runnerHeartbeat, func(s *leavingSite, id string) {
+			s.drain(id)
+			time.Sleep(3 * time.Second)
+			s.beats[id]()
+			s.fleet.SetFault(id, emulator.RunnerUnreachable)
+			// The reads show the entry as it was long ago, and that it is missing as late.
+			s.rows.SetReadsBehind(2 * time.Second)
+			time.Sleep(3 * runnerHeartbeat)
+			s.unlist(id)
+		}},
+		"row that turns bad": {runnerHeartbeat, func(s *leavingSite, id string) {
+			s.drain(id)
+			time.Sleep(2 * time.Second)
+			s.fleet.SetFault(id, emulator.RunnerUnreachable)
+			s.beats[id]()
+			s.rows.Put(store.Key{Table: platform.TableServers, Name: id}, []byte("{"))
+			time.Sleep(drainSpacing + 50*time.Millisecond)
+			s.unlist(id)
+		}},
+	} {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				s := newLeavingSite(t, c.heartbeat)
+				defer s.close()
+				s.acquire(true)
+				time.Sleep(20 * time.Second)
+				id := "i-1"
+				if s.fleet.Running(id) == 0 {
+					id = "i-2"
+				}
+				c.remove(s, id)
+				time.Sleep(3 * time.Second)
+				assert.Assert(t, !s.concluded(id), s.log.String())
+				assert.Assert(t, !strings.Contains(s.log.String(), "has left"), s.log.String())
+				time.Sleep(12 * time.Second)
+				assert.Equal(t, len(s.fleet.Overlaps()), 0)
+			})
+		})
+	}
+}
--- a/node/node.go
+++ b/node/node.go
@@ -52,6 +52,7 @@
 	log              *logrus.Entry
 	registry         *prometheus.Registry
 	store            store.Store
+	versions         *store.VersionClock // dates the versions of store
 	runners          runner.Client
 	advisor          dispatch.Advisor
 	directory        *ownership.Directory
@@ -90,12 +91,14 @@
 	acquireAfter map[string]time.Time
 	evacuated    map[string]bool
 	runnerInfos  map[string]runner.Info
-	unusable     map[string]bool      // rows of service discovery that describe no usable runner, by key
-	runnerCells  map[string]string    // cell of each runner, by runner ID
-	runnerAddrs  map[string]string    // address of each runner when it was assigned to its cell, by runner ID
-	rewrite      map[string]string    // values of rows of the roster that must be written again, by name
-	ownerless    map[string]time.Time // when this node first found that the cell has no owner, by cell
-	jobCells     map[string]string    // cache of the cells of jobs, by job ID
+	listedRows   map[string]listedRow  // last usable row of each listed runner, by runner ID
+	leftRunners  map[string]leftRunner // runners that have left, by runner ID
+	unusable     map[string]bool       // rows of service discovery that describe no usable runner, by key
+	runnerCells  map[string]string     // cell of each runner, by runner ID
+	runnerAddrs  map[string]string     // address of each runner when it was assigned to its cell, by runner ID
+	rewrite      map[string]string     // values of rows of the roster that must be written again, by name
+	ownerless    map[string]time.Time  // when this node first found that the cell has no owner, by cell
+	jobCells     map[string]string     // cache of the cells of jobs, by job ID
 	// rewriteVersions holds the versions of the rows that rewrite replaces, by name; 0 or none if a row was deleted.
 	rewriteVersions map[string]int64
 	// endedEpochs holds the last epoch of each cell for which this process, a former owner, sends no more commands.
@@ -103,6 +106,8 @@
 	// seenOwners holds the ownership rows of cells that appear to have no owner.
 	seenOwners    map[string]seenOwner
 	submittedWork map[string]submittedWork
+	// unexplainedAt is when a row of service discovery was last found removed without a drain or silence.
+	unexplainedAt time.Time
 	assignWake    chan struct{}
 	// heartbeatWake makes the node write and read heartbeats at once, and offers receives the cells that their owners hand over.
 	heartbeatWake chan struct{}
@@ -133,15 +138,17 @@
 
 func newNode(s *platform.Settings, out io.Writer) *Node {
 	services := platform.Connect(s)
+	versions := store.NewVersionClock(services.Store, clock.Suspended)
 	n := &Node{
 		settings: s, log: observe.NewLogger(out, "node", s.Node), registry: observe.NewRegistry(),
-		store: services.Store, runners: services.Runners, directory: ownership.NewDirectory(s.Node),
+		store: versions, versions: versions, runners: services.Runners, directory: ownership.NewDirectory(s.Node),
 		incarnation: strconv.FormatInt(time.Now().UnixNano(), 36),
 		innerAddr:   net.JoinHostPort(s.IP, strconv.Itoa(s.InnerPorts[0])),
 		peers:       newPeers(),
 		cells:       map[string]*dispatch.Cell{}, acquiring: map[string]bool{}, acquireAfter: map[string]time.Time{},
 		evacuated:   map[string]bool{},
 		runnerInfos: map[string]runner.Info{}, unusable: map[string]bool{},
+		listedRows: map[string]listedRow{}, leftRunners: map[string]leftRunner{},
 		runnerCells: map[string]string{}, runnerAddrs: map[string]string{},
 		rewrite: map[string]string{}, rewriteVersions: map[string]int64{}, assignWake: make(chan struct{}, 1),
 		ownerless: map[string]time.Time{}, endedEpochs: map[string]int64{},
@@ -163,7 +170,7 @@
 	relayed := &relayedStore{Store: n.store, relay: n.relayAddr, call: n.callRelay, log: n.log}
 	n.operator = store.NewFollower(relayed, platform.TableOperator, n.operatorChanged, n.dependencyLogger("operator's rows"))
 	n.discovery = store.NewFollower(n.store, platform.TableServers, n.discoveryChanged, n.dependencyLogger("service discovery"))
-	n.discovery.Poll, n.discovery.Spacing, n.discovery.Active = true, discoverySpacing, n.needsRunners
+	n.discovery.Poll, n.discovery.SpacingNow, n.discovery.Active = true, n.discoveryPause, n.needsRunners
 	n.assignments = store.NewFollower(n.store, tableAssignments, n.assignmentsChanged, n.dependencyLogger("roster"))
 	return n
 }
@@ -308,10 +315,12 @@
 	n.mu.Lock()
 	defer n.mu.Unlock()
 	var problems []error
+	var removed []store.Row
 	for _, row := range rows {
 		id := row.Key.Name
 		if row.Deleted {
 			delete(n.unusable, id)
+			removed = append(removed, row)
 			n.removeRunner(id)
 			continue
 		}
@@ -322,13 +331,16 @@
 				n.unusable[id] = true
 				problems = append(problems, err)
 			}
+			delete(n.listedRows, id)
 			n.removeRunner(id)
 			continue
 		}
 		delete(n.unusable, id)
 		n.runnerInfos[id] = info
+		n.recordListed(&info, row.Version)
 		n.updateCellRunner(info, true)
 	}
+	n.concludeLeft(removed)
 	n.unusableRows.Set(float64(len(n.unusable)))
 	n.logUnusable(problems)
 	n.wakeAssign()
--- a/store/follower.go
+++ b/store/follower.go
@@ -28,6 +28,8 @@
 	onError  func(err error)
 	// Spacing is the minimum time between two calls; it batches the changes of frequently changing tables.
 	Spacing time.Duration
+	// SpacingNow, if set, replaces Spacing. It is called after each call.
+	SpacingNow func() time.Duration
 	// Poll reads the whole table each time instead of its feed. This is cheaper for tables of which most rows change between
 	// two calls: a feed lists a row once per change, and one page holds only 500 rows.
 	Poll bool
@@ -76,7 +78,11 @@
 		}
 		err := f.readOnce(ctx)
 		if err == nil {
-			wait.For(ctx, f.Spacing)
+			spacing := f.Spacing
+			if f.SpacingNow != nil {
+				spacing = f.SpacingNow()
+			}
+			wait.For(ctx, spacing)
 			if failed {
 				failed = false
 				f.onError(nil)
