Count the wait of a new owner from the last write of the ownership row

A new owner counted the leases of unreachable runners from its first read of the row, which it reads only once the owner's heartbeat is late. The row was written before the earliest response of the store to this node that names the row's version or a higher one, usually one to a heartbeat within 0.8 s of the write.

The owner's leases end 10 s after it sent its last successful commit, and the version is given out after the commit is sent. If a commit without a response is sent again and the second attempt succeeds, its condition on the ownership row held then, so the first attempt had not been applied and the version belongs to the second; the owner counts from when that was sent. If the conflict of a later attempt shows that an earlier one was applied, it counts from the first attempt. An acquisition counts from its first attempt.

TestWaitCountsFromTheLastWriteOfTheOwnershipRow fails without the change: the task starts after 11 s.

--- a/node/cells.go
+++ b/node/cells.go
@@ -142,7 +142,7 @@
 		return
 	}
 	config := n.cellConfig(cell, n.hasEnded(previous, cell))
-	config.PredecessorLastWrite = n.firstSeen(cell, version)
+	config.PredecessorLastWrite = n.lastWrite(cell, version)
 	var runnersRead <-chan struct{}
 	reads, stopReads := context.WithCancel(ctx)
 	defer stopReads()
@@ -264,6 +264,19 @@
 	return time.Time{}
 }
 
+// lastWrite returns a time before which a version of a cell's ownership row was written, as early as this node can tell; zero if it
+// can't. The row was written before it was first read, and before any response of the store named its version or a higher one.
+func (n *Node) lastWrite(cell string, version int64) time.Time {
+	seen := n.firstSeen(cell, version)
+	written, known := n.versions.GivenOutBefore(version)
+	if version == 0 || !known || !seen.IsZero() && seen.Before(written) {
+		return seen
+	}
+	n.log.WithFields(logrus.Fields{"cell": cell, "version": version, "written_ms": time.Since(written).Milliseconds(),
+		"seen_ms": time.Since(seen).Milliseconds()}).Info("last write of the ownership row is dated")
+	return written
+}
+
 // suspectAfter is how long the heartbeat of a cell's owner is unchanged when the best candidates for the cell read its
 // ownership row: the last read of the heartbeats has not shown a new one. The earlier they know the version of the row, the
 // shorter a new owner waits for unreachable runners.
