Don't take a call that its caller gave up for a failure of the store

Requests of clients end with reads of the store whose time is over a millisecond after they are sent. A call that its caller ends before a response is due says nothing; one that is ended later still counts as failed.

The case "call that was given up at once" of TestVersionClockDoesNotTellOverAnOutage fails without the change.

--- a/store/versionclock.go
+++ b/store/versionclock.go
@@ -80,14 +80,16 @@
 	return call, sent
 }
 
-// end records the result of a call, with the newest version that its response names, or 0.
-func (c *VersionClock) end(call *pendingCall, newest int64, err error) {
+// end records the result of a call, with the newest version that its response names, or 0. A call that the caller gave up before a response was
+// due says nothing about the store.
+func (c *VersionClock) end(ctx context.Context, call *pendingCall, newest int64, err error) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	delete(c.pending, call)
 	now := c.now()
+	givenUp := ctx.Err() != nil && now.at.Before(call.due)
 	var conflict *ConflictError
-	if err != nil && !errors.As(err, &conflict) && !errors.Is(err, ErrInvalidTxn) && !errors.Is(err, ErrHistoryDropped) {
+	if err != nil && !givenUp && !errors.As(err, &conflict) && !errors.Is(err, ErrInvalidTxn) && !errors.Is(err, ErrHistoryDropped) {
 		c.failedAt = now
 	}
 	if n := len(c.received); newest > 0 && (n == 0 || newest > c.received[n-1].version) {
@@ -112,7 +114,7 @@
 	if errors.As(err, &conflict) {
 		newest = newestOf(conflict.Rows, 0)
 	}
-	c.end(call, newest, err)
+	c.end(ctx, call, newest, err)
 	if err == nil {
 		c.recordCommit(version, sent)
 	}
@@ -140,7 +142,7 @@
 func (c *VersionClock) Range(ctx context.Context, table, part, from, to string, limit int) (Page, error) {
 	call, _ := c.begin(0)
 	page, err := c.Store.Range(ctx, table, part, from, to, limit)
-	c.end(call, newestOf(page.Rows, page.Version), err)
+	c.end(ctx, call, newestOf(page.Rows, page.Version), err)
 	return page, err
 }
 
@@ -148,7 +150,7 @@
 func (c *VersionClock) Feed(ctx context.Context, table string, after int64, wait time.Duration) (Page, error) {
 	call, _ := c.begin(wait)
 	page, err := c.Store.Feed(ctx, table, after, wait)
-	c.end(call, newestOf(page.Rows, page.Version), err)
+	c.end(ctx, call, newestOf(page.Rows, page.Version), err)
 	return page, err
 }
 
