Ask other nodes when the store gave out versions

A process that restarts quickly takes its own cell over before any other node. It had no calls by which it could date the last write of the ownership row, so it counted the leases of unreachable runners from its own start, and it could not tell that a draining runner's entry was removed too early for silence. They tell ages, which count 3% longer or shorter than told, and nothing from before a call of theirs failed.

TestMarksOfAnotherProcess fails without the allowance for clocks, and if marks from before a failure are told.

The tests' nodes get a transport that reaches no other node: a request over the network can't be made in a bubble of synctest. No assertion changes.

--- a/innerproto/innerprotoconnect/currantthread.connect.go
+++ b/innerproto/innerprotoconnect/currantthread.connect.go
@@ -62,6 +62,8 @@
 	JobServiceDelegateTasksProcedure = "/currantthread.inner.v1.JobService/DelegateTasks"
 	// JobServiceTakeCellProcedure is the fully-qualified name of the JobService's TakeCell RPC.
 	JobServiceTakeCellProcedure = "/currantthread.inner.v1.JobService/TakeCell"
+	// JobServiceVersionMarksProcedure is the fully-qualified name of the JobService's VersionMarks RPC.
+	JobServiceVersionMarksProcedure = "/currantthread.inner.v1.JobService/VersionMarks"
 	// RelayServiceChangesProcedure is the fully-qualified name of the RelayService's Changes RPC.
 	RelayServiceChangesProcedure = "/currantthread.inner.v1.RelayService/Changes"
 )
@@ -325,6 +327,8 @@
 	DelegateTasks(context.Context, *innerproto.DelegateTasksRequest) (*innerproto.DelegateTasksResponse, error)
 	// TakeCell asks the node to acquire a cell whose owner, the caller, does not reach the store.
 	TakeCell(context.Context, *innerproto.TakeCellRequest) (*innerproto.TakeCellResponse, error)
+	// VersionMarks returns when the node, by its clock, saw the store give out versions.
+	VersionMarks(context.Context, *innerproto.VersionMarksRequest) (*innerproto.VersionMarksResponse, error)
 }
 
 // NewJobServiceClient constructs a client for the currantthread.inner.v1.JobService service. By
@@ -368,6 +372,12 @@
 			connect.WithSchema(jobServiceMethods.ByName("TakeCell")),
 			connect.WithClientOptions(opts...),
 		),
+		versionMarks: connect.NewClient[innerproto.VersionMarksRequest, innerproto.VersionMarksResponse](
+			httpClient,
+			baseURL+JobServiceVersionMarksProcedure,
+			connect.WithSchema(jobServiceMethods.ByName("VersionMarks")),
+			connect.WithClientOptions(opts...),
+		),
 	}
 }
 
@@ -378,6 +388,7 @@
 	cancelJob     *connect.Client[innerproto.CancelJobRequest, innerproto.CancelJobResponse]
 	delegateTasks *connect.Client[innerproto.DelegateTasksRequest, innerproto.DelegateTasksResponse]
 	takeCell      *connect.Client[innerproto.TakeCellRequest, innerproto.TakeCellResponse]
+	versionMarks  *connect.Client[innerproto.VersionMarksRequest, innerproto.VersionMarksResponse]
 }
 
 // Submit calls currantthread.inner.v1.JobService.Submit.
@@ -425,6 +436,15 @@
 	return nil, err
 }
 
+// VersionMarks calls currantthread.inner.v1.JobService.VersionMarks.
+func (c *jobServiceClient) VersionMarks(ctx context.Context, req *innerproto.VersionMarksRequest) (*innerproto.VersionMarksResponse, error) {
+	response, err := c.versionMarks.CallUnary(ctx, connect.NewRequest(req))
+	if response != nil {
+		return response.Msg, err
+	}
+	return nil, err
+}
+
 // JobServiceHandler is an implementation of the currantthread.inner.v1.JobService service.
 type JobServiceHandler interface {
 	Submit(context.Context, *innerproto.SubmitRequest) (*innerproto.SubmitResponse, error)
@@ -434,6 +454,8 @@
 	DelegateTasks(context.Context, *innerproto.DelegateTasksRequest) (*innerproto.DelegateTasksResponse, error)
 	// TakeCell asks the node to acquire a cell whose owner, the caller, does not reach the store.
 	TakeCell(context.Context, *innerproto.TakeCellRequest) (*innerproto.TakeCellResponse, error)
+	// VersionMarks returns when the node, by its clock, saw the store give out versions.
+	VersionMarks(context.Context, *innerproto.VersionMarksRequest) (*innerproto.VersionMarksResponse, error)
 }
 
 // NewJobServiceHandler builds an HTTP handler from the service implementation. It returns the path
@@ -473,6 +495,12 @@
 		connect.WithSchema(jobServiceMethods.ByName("TakeCell")),
 		connect.WithHandlerOptions(opts...),
 	)
+	jobServiceVersionMarksHandler := connect.NewUnaryHandlerSimple(
+		JobServiceVersionMarksProcedure,
+		svc.VersionMarks,
+		connect.WithSchema(jobServiceMethods.ByName("VersionMarks")),
+		connect.WithHandlerOptions(opts...),
+	)
 	return "/currantthread.inner.v1.JobService/", http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		switch r.URL.Path {
 		case JobServiceSubmitProcedure:
@@ -485,6 +513,8 @@
 			jobServiceDelegateTasksHandler.ServeHTTP(w, r)
 		case JobServiceTakeCellProcedure:
 			jobServiceTakeCellHandler.ServeHTTP(w, r)
+		case JobServiceVersionMarksProcedure:
+			jobServiceVersionMarksHandler.ServeHTTP(w, r)
 		default:
 			http.NotFound(w, r)
 		}
@@ -514,6 +544,10 @@
 	return nil, connect.NewError(connect.CodeUnimplemented, errors.New("currantthread.inner.v1.JobService.TakeCell is not implemented"))
 }
 
+func (UnimplementedJobServiceHandler) VersionMarks(context.Context, *innerproto.VersionMarksRequest) (*innerproto.VersionMarksResponse, error) {
+	return nil, connect.NewError(connect.CodeUnimplemented, errors.New("currantthread.inner.v1.JobService.VersionMarks is not implemented"))
+}
+
 // RelayServiceClient is a client for the currantthread.inner.v1.RelayService service.
 type RelayServiceClient interface {
 	Changes(context.Context, *innerproto.ChangesRequest) (*innerproto.ChangesResponse, error)
--- a/node/cells.go
+++ b/node/cells.go
@@ -130,6 +130,9 @@
 		n.mu.Unlock()
 	}()
 	log := n.log.WithField("cell", cell)
+	if !n.versions.Covers(markSpan) {
+		n.learnMarks(ctx, cell)
+	}
 	previous, version, err := n.readOwner(ctx, cell)
 	if err != nil {
 		log.WithError(err).Warn("could not read the ownership row")
--- a/node/lastwrite_test.go
+++ b/node/lastwrite_test.go
@@ -27,12 +27,7 @@
 		_, _, err := n.readOwner(t.Context(), firstCell)
 		assert.NilError(t, err)
 		time.Sleep(time.Second)
-		n.mu.Lock()
-		n.acquiring[firstCell] = true
-		n.mu.Unlock()
-		n.acquire(t.Context(), firstCell, false)
-		s.cell = n.cells[firstCell]
-		assert.Assert(t, s.cell != nil, s.log.String())
+		s.take()
 		time.Sleep(time.Until(written.Add(10*time.Second + 500*time.Millisecond)))
 		assert.Equal(t, s.fleet.Running("i-2"), 0)
 		time.Sleep(time.Until(written.Add(11 * time.Second)))
--- a/node/left_test.go
+++ b/node/left_test.go
@@ -75,6 +75,12 @@
 		value = `{"node":"gone","nonce":"x","released":true}`
 	}
 	s.rows.Put(dispatch.OwnerKey(s.node.cellPart(firstCell)), []byte(value))
+	s.take()
+}
+
+// take makes the node the owner of the cell.
+func (s *leavingSite) take() {
+	s.t.Helper()
 	s.node.mu.Lock()
 	s.node.acquiring[firstCell] = true
 	s.node.mu.Unlock()
--- a/node/odd_rows_test.go
+++ b/node/odd_rows_test.go
@@ -3,7 +3,9 @@
 import (
 	"bytes"
 	"context"
+	"errors"
 	"fmt"
+	"net/http"
 	"strings"
 	"testing"
 	"testing/synctest"
@@ -28,11 +30,20 @@
 	var log bytes.Buffer
 	n := newNode(&platform.Settings{Node: "n0", IP: "127.0.0.1", InnerPorts: [2]int{7720, 7735}, StoreAddr: "127.0.0.1:9000",
 		CrossPartition: true}, &log)
+	n.peers.http = &http.Client{Transport: unreachablePeers{}}
 	n.cellCount.Store(cells)
 	n.catalog.Store(&catalog.Config{Version: 1, Services: map[string]catalog.Service{"kioscos": {Name: "kioscos"}}})
 	return n, &log
 }
 
+// unreachablePeers reaches no node. In a bubble of synctest the network can't be used.
+type unreachablePeers struct{}
+
+// RoundTrip implements http.RoundTripper.
+func (unreachablePeers) RoundTrip(*http.Request) (*http.Response, error) {
+	return nil, errors.New("no other node can be reached")
+}
+
 // metric returns the value of a gauge as it is served.
 func metric(t *testing.T, n *Node, name string) float64 {
 	t.Helper()
--- a/store/versionclock.go
+++ b/store/versionclock.go
@@ -92,9 +92,25 @@
 	if err != nil && !givenUp && !errors.As(err, &conflict) && !errors.Is(err, ErrInvalidTxn) && !errors.Is(err, ErrHistoryDropped) {
 		c.failedAt = now
 	}
-	if n := len(c.received); newest > 0 && (n == 0 || newest > c.received[n-1].version) {
-		c.received = boundMarks(append(c.received, versionMark{newest, now}))
+	c.recordReceived(newest, now)
+}
+
+// recordReceived records that a version was given out before a moment. The caller holds mu.
+func (c *VersionClock) recordReceived(version int64, at moment) {
+	i := sort.Search(len(c.received), func(i int) bool { return c.received[i].version >= version })
+	if version <= 0 || i < len(c.received) && at.since(c.received[i].moment) >= 0 {
+		// A response has named this version or a higher one before, which says more.
+		return
+	}
+	if i < len(c.received) && c.received[i].version == version {
+		i++
 	}
+	j := i
+	for j > 0 && c.received[j-1].moment.since(at) >= 0 {
+		j--
+	}
+	rest := append([]versionMark{{version, at}}, c.received[i:]...)
+	c.received = boundMarks(append(c.received[:j], rest...))
 }
 
 // boundMarks drops the oldest marks beyond maxMarks. Versions that only they bound are then bounded less closely or not at all.
@@ -116,18 +132,18 @@
 	}
 	c.end(ctx, call, newest, err)
 	if err == nil {
-		c.recordCommit(version, sent)
+		c.mu.Lock()
+		defer c.mu.Unlock()
+		c.recordSent(version, sent)
 	}
 	return version, err
 }
 
-// recordCommit records a successful commit. Responses of concurrent commits arrive in any order.
-func (c *VersionClock) recordCommit(version int64, sent moment) {
-	c.mu.Lock()
-	defer c.mu.Unlock()
+// recordSent records that versions above one were given out after a moment. The caller holds mu.
+func (c *VersionClock) recordSent(version int64, sent moment) {
 	i := sort.Search(len(c.sent), func(i int) bool { return c.sent[i].version >= version })
 	if i > 0 && c.sent[i-1].moment.since(sent) >= 0 {
-		// A lower version was taken after this commit was sent, which says more.
+		// A commit that was sent later has taken a lower version, which says more.
 		return
 	}
 	j := i
@@ -198,3 +214,87 @@
 	}
 	return true
 }
+
+// Mark is a bound that a VersionClock knows: a version, and how long before the mark was told the moment was before or after which
+// versions were given out.
+type Mark struct {
+	Version int64
+	Age     time.Duration
+}
+
+// Marks are bounds that one process tells another one. Those of Sent bound the versions above theirs from below, those of Received their
+// own and lower versions from above.
+type Marks struct{ Sent, Received []Mark }
+
+const (
+	// maxToldMarks bounds the marks of each kind that are told.
+	maxToldMarks = 64
+	// clockDrift is by how much the steady clocks of two VMs may differ.
+	clockDrift = 0.03
+)
+
+// Covers reports whether the clock bounds versions that were given out up to a time ago.
+func (c *VersionClock) Covers(span time.Duration) bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return len(c.sent) > 0 && c.now().since(c.sent[0].moment) >= span
+}
+
+// Tell returns marks up to an age. What a process concludes from the time that passed needs calls that did not fail, so it tells none from before
+// its last failure.
+func (c *VersionClock) Tell(span time.Duration) Marks {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	now := c.now()
+	var told Marks
+	for _, m := range c.sent {
+		if c.worksSince(now, m.moment) {
+			told.Sent = append(told.Sent, Mark{m.version, now.since(m.moment)})
+		}
+	}
+	for _, m := range c.received {
+		told.Received = append(told.Received, Mark{m.version, now.since(m.moment)})
+	}
+	told.Sent, told.Received = thin(told.Sent, span), thin(told.Received, span)
+	return told
+}
+
+// thin returns marks up to an age, about evenly in time. Without the others, fewer versions are bounded as closely.
+func thin(marks []Mark, span time.Duration) []Mark {
+	var kept []Mark
+	for _, m := range marks {
+		if m.Age <= span && (len(kept) == 0 || kept[len(kept)-1].Age-m.Age >= span/maxToldMarks) {
+			kept = append(kept, m)
+		}
+	}
+	return kept
+}
+
+// Learn asks another process for its marks and adds them. Ages are taken as too long or too short by as much as the clocks may differ,
+// whichever bounds less closely.
+func (c *VersionClock) Learn(ask func() (Marks, error)) error {
+	// The other process measured the ages after this moment and before the one at which they are here.
+	asked := c.now()
+	told, err := ask()
+	if err != nil {
+		return err
+	}
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	now := c.now()
+	for _, m := range told.Sent {
+		if m.Version > 0 && m.Age >= 0 {
+			at := asked
+			at.at = at.at.Add(-time.Duration(float64(m.Age) * (1 + clockDrift)))
+			c.recordSent(m.Version, at)
+		}
+	}
+	for _, m := range told.Received {
+		if m.Age >= 0 {
+			at := now
+			at.at = at.at.Add(-time.Duration(float64(m.Age) * (1 - clockDrift)))
+			c.recordReceived(m.Version, at)
+		}
+	}
+	return nil
+}
--- a/store/versionclock_test.go
+++ b/store/versionclock_test.go
@@ -194,3 +194,50 @@
 		assert.Assert(t, since < 100*time.Millisecond)
 	})
 }
+
+// What another process tells must bound versions no more closely than its clock and the delay of its response allow, and must not hide that a
+// call of it failed.
+func TestMarksOfAnotherProcess(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		s := emulator.NewStore()
+		other := store.NewVersionClock(s, notSuspended)
+		var sent time.Time
+		for range 3 {
+			sent = time.Now()
+			commitOwn(t, other)
+			time.Sleep(800 * time.Millisecond)
+		}
+		s.Put(key("b"), nil)
+		written := time.Now()
+		time.Sleep(100 * time.Millisecond)
+		commitOwn(t, other)
+		time.Sleep(2 * time.Second)
+		ask := func() (store.Marks, error) {
+			time.Sleep(30 * time.Millisecond)
+			told := other.Tell(10 * time.Second)
+			time.Sleep(40 * time.Millisecond)
+			return told, nil
+		}
+		c := store.NewVersionClock(s, notSuspended)
+		assert.Assert(t, !c.Covers(time.Second))
+		assert.NilError(t, c.Learn(ask))
+		assert.Assert(t, c.Covers(4*time.Second))
+		version := rowVersion(t, c, "b")
+		since, known := c.Since(version)
+		assert.Assert(t, known)
+		assert.Assert(t, since >= time.Since(sent)+30*time.Millisecond+80*time.Millisecond, "%s, sent %s ago", since, time.Since(sent))
+		assert.Assert(t, since < time.Since(written)+time.Second, "%s, written %s ago", since, time.Since(written))
+		before, known := c.GivenOutBefore(version)
+		assert.Assert(t, known)
+		assert.Assert(t, before.After(written) && before.Before(written.Add(300*time.Millisecond)), "%s after the write", before.Sub(written))
+
+		s.SetFault(emulator.StoreRefuses)
+		_, err := other.Range(t.Context(), "t", "", "", "", 0)
+		assert.ErrorIs(t, err, store.ErrUnavailable)
+		s.SetFault(emulator.StoreWorks)
+		c = store.NewVersionClock(s, notSuspended)
+		assert.NilError(t, c.Learn(ask))
+		_, known = c.Since(rowVersion(t, c, "b"))
+		assert.Assert(t, !known)
+	})
+}
