Read which runners left before a new owner looked

A new owner that first read service discovery after draining runners had left saw no entries of theirs, and waited for their leases. It now reads the changes of the last 10 s once. They name the versions of an entry's last write and of its removal, which the version clock dates; the conditions are those of two reads of the entries. An entry that was written again or turned bad in between proves nothing.

A new owner also asks other nodes, whose commits date versions more closely than its own heartbeats.

TestNewOwnerLearnsWhichRunnersLeftBefore fails without the read. Of the cases of TestHistoryThatDoesNotProveThatTheRunnerLeft, silence, not draining, drain taken back, another entry without a drain, row turns bad and store refuses meanwhile each fail without the condition that they guard. Listed again has two conditions, of which either suffices, and history is dropped has no condition of its own.

--- a/node/cells.go
+++ b/node/cells.go
@@ -149,7 +149,10 @@
 	var runnersRead <-chan struct{}
 	reads, stopReads := context.WithCancel(ctx)
 	defer stopReads()
-	config.Acquired = func(epoch int64) { runnersRead = n.readRunners(reads, cell, epoch) }
+	config.Acquired = func(epoch int64) {
+		runnersRead = n.readRunners(reads, cell, epoch)
+		go n.readHistory(ctx, cell, epoch)
+	}
 	c, err := dispatch.Acquire(ctx, config, previous, version, n.runnersOf(cell))
 	if errors.Is(err, dispatch.ErrOwned) {
 		log.Info("another node acquired the cell")
--- a/node/left_test.go
+++ b/node/left_test.go
@@ -302,3 +302,117 @@
 		})
 	}
 }
+
+// heartbeats commits a row every 0.8 s for a time, as a node that owns no cell does.
+func heartbeats(t *testing.T, s *leavingSite, d time.Duration) {
+	t.Helper()
+	for began := time.Now(); time.Since(began) < d; time.Sleep(800 * time.Millisecond) {
+		commitBefore(t, s)
+	}
+}
+
+// A new owner waited for runners that had drained and left before it read service discovery for the first time. The changes of service
+// discovery since then show it, also to a process that has just started.
+func TestNewOwnerLearnsWhichRunnersLeftBefore(t *testing.T) {
+	for name, pass := range map[string]func(t *testing.T, s *leavingSite, d time.Duration){"node that ran before": heartbeats, "process that has just started": withPeer} {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				s := newLeavingSite(t, runnerHeartbeat)
+				defer s.close()
+				time.Sleep(20 * time.Second)
+				s.drain("i-1")
+				go func() {
+					time.Sleep(4500 * time.Millisecond)
+					s.fleet.Crash("i-1")
+					s.unlist("i-1")
+				}()
+				pass(t, s, 7*time.Second)
+				s.acquire(true)
+				time.Sleep(time.Second)
+				assert.Equal(t, s.fleet.Running("i-2"), 3, s.log.String())
+			})
+		})
+	}
+}
+
+// The changes of service discovery prove nothing about a runner that is cut off, was removed for silence, or has written an entry again.
+func TestHistoryThatDoesNotProveThatTheRunnerLeft(t *testing.T) {
+	for name, remove := range map[string]func(s *leavingSite){
+		"silence": func(s *leavingSite) {
+			s.drain("i-1")
+			time.Sleep(1500 * time.Millisecond)
+			s.beats["i-1"]()
+			time.Sleep(3 * runnerHeartbeat)
+			s.unlist("i-1")
+		},
+		"not draining": func(s *leavingSite) {
+			time.Sleep(2 * time.Second)
+			s.unlist("i-1")
+		},
+		"another entry without a drain is removed": func(s *leavingSite) {
+			s.list(testRunner("i-3"))
+			s.drain("i-1")
+			time.Sleep(3 * time.Second)
+			s.unlist("i-1")
+			s.unlist("i-3")
+		},
+		"drain taken back": func(s *leavingSite) {
+			info := s.infos["i-1"]
+			s.drain("i-1")
+			time.Sleep(3 * time.Second)
+			s.list(info)
+			time.Sleep(runnerHeartbeat)
+			s.unlist("i-1")
+		},
+		"listed again": func(s *leavingSite) {
+			s.drain("i-1")
+			time.Sleep(3 * time.Second)
+			s.unlist("i-1")
+			s.list(s.infos["i-1"])
+		},
+		"row turns bad": func(s *leavingSite) {
+			s.drain("i-1")
+			time.Sleep(3 * time.Second)
+			s.beats["i-1"]()
+			s.rows.Put(store.Key{Table: platform.TableServers, Name: "i-1"}, []byte("{"))
+			s.unlist("i-1")
+		},
+		"store refuses meanwhile": func(s *leavingSite) {
+			s.drain("i-1")
+			time.Sleep(3 * time.Second)
+			s.rows.SetFault(emulator.StoreRefuses)
+			_, err := s.node.store.Range(s.t.Context(), "nodes", "", "", "", 0)
+			assert.ErrorIs(s.t, err, store.ErrUnavailable)
+			s.unlist("i-1")
+			s.rows.SetFault(emulator.StoreWorks)
+		},
+		"history is dropped": func(s *leavingSite) {
+			s.drain("i-1")
+			time.Sleep(3 * time.Second)
+			s.unlist("i-1")
+			s.rows.DropHistory()
+		},
+	} {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				s := newLeavingSite(t, runnerHeartbeat)
+				defer s.close()
+				time.Sleep(20 * time.Second)
+				s.loops.Go(func() { heartbeats(t, s, 2*time.Second) })
+				time.Sleep(time.Second)
+				s.fleet.SetFault("i-1", emulator.RunnerUnreachable)
+				s.loops.Go(func() {
+					for range 10 {
+						time.Sleep(400 * time.Millisecond)
+						_, _ = s.node.store.Commit(t.Context(), store.Txn{Writes: []store.Write{{Key: store.Key{Table: "nodes", Name: "n0"}}}}) // the store may refuse it
+					}
+				})
+				remove(s)
+				s.acquire(true)
+				time.Sleep(3 * time.Second)
+				assert.Assert(t, !s.concluded("i-1"), s.log.String())
+				assert.Equal(t, s.fleet.Running("i-2"), 0, s.log.String())
+			})
+		})
+	}
+}
--- a/store/versionclock.go
+++ b/store/versionclock.go
@@ -202,6 +202,31 @@
 	return now.since(c.sent[i-1].moment), true
 }
 
+// Between returns an upper bound of the time between the moments at which two versions were given out, and false as Since does.
+func (c *VersionClock) Between(from, to int64) (time.Duration, bool) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	i := sort.Search(len(c.sent), func(i int) bool { return c.sent[i].version >= from })
+	j := sort.Search(len(c.received), func(j int) bool { return c.received[j].version >= to })
+	if i == 0 || j == len(c.received) || to < from || !c.worksSince(c.now(), c.sent[i-1].moment) {
+		return 0, false
+	}
+	return c.received[j].moment.since(c.sent[i-1].moment), true
+}
+
+// VersionBefore returns a version that was given out about as long ago, or less long if the clock does not cover that. It returns false if
+// there is none.
+func (c *VersionClock) VersionBefore(age time.Duration) (int64, bool) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if len(c.sent) == 0 {
+		return 0, false
+	}
+	now := c.now()
+	i := sort.Search(len(c.sent), func(i int) bool { return now.since(c.sent[i].moment) < age })
+	return c.sent[max(i-1, 0)].version, true
+}
+
 // worksSince reports whether no call has failed or is overdue since a moment. The caller holds mu.
 func (c *VersionClock) worksSince(now, begin moment) bool {
 	if !c.failedAt.at.IsZero() && c.failedAt.since(begin) >= 0 {
