Merge the conclusions from the store's versions

A draining runner that has left is known from service discovery, and the wait of a new owner counts from the last write of the ownership row.

--- a/node/cells.go
+++ b/node/cells.go
@@ -130,6 +130,9 @@
 		n.mu.Unlock()
 	}()
 	log := n.log.WithField("cell", cell)
+	if !n.versions.Covers(markSpan) {
+		n.learnMarks(ctx, cell)
+	}
 	previous, version, err := n.readOwner(ctx, cell)
 	if err != nil {
 		log.WithError(err).Warn("could not read the ownership row")
@@ -142,11 +145,14 @@
 		return
 	}
 	config := n.cellConfig(cell, n.hasEnded(previous, cell))
-	config.PredecessorLastWrite = n.firstSeen(cell, version)
+	config.PredecessorLastWrite = n.lastWrite(cell, version)
 	var runnersRead <-chan struct{}
 	reads, stopReads := context.WithCancel(ctx)
 	defer stopReads()
-	config.Acquired = func(epoch int64) { runnersRead = n.readRunners(reads, cell, epoch) }
+	config.Acquired = func(epoch int64) {
+		runnersRead = n.readRunners(reads, cell, epoch)
+		go n.readHistory(ctx, cell, epoch)
+	}
 	c, err := dispatch.Acquire(ctx, config, previous, version, n.runnersOf(cell))
 	if errors.Is(err, dispatch.ErrOwned) {
 		log.Info("another node acquired the cell")
@@ -210,6 +216,7 @@
 	defer n.mu.Unlock()
 	c.ConfirmRunners(n.cellRunners(cell))
 	n.setRunners(cell, c)
+	n.tellLeft(cell, c)
 }
 
 // hasEnded reports whether a former owner of a cell is confirmed to have stopped sending commands for it.
@@ -263,6 +270,19 @@
 	return time.Time{}
 }
 
+// lastWrite returns a time before which a version of a cell's ownership row was written, as early as this node can tell; zero if it
+// can't. The row was written before it was first read, and before any response of the store named its version or a higher one.
+func (n *Node) lastWrite(cell string, version int64) time.Time {
+	seen := n.firstSeen(cell, version)
+	written, known := n.versions.GivenOutBefore(version)
+	if version == 0 || !known || !seen.IsZero() && seen.Before(written) {
+		return seen
+	}
+	n.log.WithFields(logrus.Fields{"cell": cell, "version": version, "written_ms": time.Since(written).Milliseconds(),
+		"seen_ms": time.Since(seen).Milliseconds()}).Info("last write of the ownership row is dated")
+	return written
+}
+
 // suspectAfter is how long the heartbeat of a cell's owner is unchanged when the best candidates for the cell read its
 // ownership row: the last read of the heartbeats has not shown a new one. The earlier they know the version of the row, the
 // shorter a new owner waits for unreachable runners.
