Start tasks of a runner that is gone with its owner after one lease

A successor that does not reach a runner waited until the last lease that its predecessor could have granted had ended: 10 s after the predecessor's last write, because an owner without the store went on extending leases for that long. That is needed only in a general outage of the store, but each takeover paid for it, and long-running tasks started again 11 to 12.5 s after the loss.

An owner now grants leases that end at most 6 s after its last successful commit, unless a witness, a process of another node, confirms that it does not reach the store either. The ownership row states the cap and the witnesses. A successor asks all witnesses in the row that it has replaced; each says whether it has confirmed an outage, and from then on confirms none to owners with lower epochs. If all deny, the inherited leases end 6 s after the row was written. Rows of earlier builds, a witness that is gone, has restarted or has confirmed an outage, and owners without other nodes leave the wait at 10 s.

TestCutsBesideAWitnessRunNoTaskTwice fails if an owner ignores the cap.

Tests of nodes in virtual time do not use the suspensions that the machine's clocks show: these grew as fast as virtual time passed, so that the time since an owner's last commit was always 0.

--- a/dispatch/acquire.go
+++ b/dispatch/acquire.go
@@ -55,8 +55,12 @@
 	sent, suspended := time.Now(), cfg.suspended()
 	inherited := inheritedLeaseEnd(&cfg, previous, sent)
 	// If this owner is lost before its first commit, the next one needs what the previous owner knew.
-	value, err := json.Marshal(Ownership{Node: cfg.Node, Addr: cfg.Addr, Incarnation: cfg.Incarnation, Nonce: nonce,
-		Terminated: boundTerminated(previous.Terminated), Jobs: previous.Jobs, InheritedLeaseMs: inherited.Sub(sent).Milliseconds() + 1})
+	own := Ownership{Node: cfg.Node, Addr: cfg.Addr, Incarnation: cfg.Incarnation, Nonce: nonce,
+		Terminated: boundTerminated(previous.Terminated), Jobs: previous.Jobs, InheritedLeaseMs: inherited.Sub(sent).Milliseconds() + 1}
+	if limit := cfg.leaseCap(); limit > 0 && len(cfg.Witnesses) > 0 {
+		own.LeaseCapMs, own.Witnesses = limit.Milliseconds(), cfg.Witnesses
+	}
+	value, err := json.Marshal(own)
 	if err != nil {
 		return nil, err
 	}
@@ -76,6 +80,8 @@
 	}
 	c.ownerVersion, c.lastCommit, c.suspendedAtCommit = epoch, sent, suspended
 	c.activeAt, c.suspendedAtActive = sent, suspended
+	c.outage.wanted = cfg.Witnesses
+	c.recordWitnesses(&own)
 	c.runnerAddedAt = time.Now()
 	if version != 0 {
 		if err := c.load(ctx); err != nil {
--- a/dispatch/cell.go
+++ b/dispatch/cell.go
@@ -30,7 +30,8 @@
 	replanInterval = 500 * time.Millisecond
 	// storeOutageTolerance is how long after an owner's last successful write the leases that it grants end at the latest.
 	// It covers a store outage of seven seconds and a commit that was sent shortly before its end and gets no response. A
-	// successor waits for this time before it restarts a task that may be running on an unreachable runner.
+	// successor waits for this time before it restarts a task that may be running on an unreachable runner, unless the witnesses of
+	// its predecessor have confirmed no outage.
 	storeOutageTolerance = 10 * time.Second
 	// minLease is the shortest lease with which a task is started.
 	minLease = 1 * time.Second
@@ -75,6 +76,11 @@
 	Suspended func() time.Duration
 	// StoreLost, if set, is called while commits fail, once a second. Another node may reach the store and take the cell over.
 	StoreLost func()
+	// ConfirmOutage, if set, asks a witness whether it does not reach the store either, and whether no owner with a higher epoch than the
+	// given one has asked it to deny that. It returns false if the witness does not respond. Leases have no cap without it.
+	ConfirmOutage func(ctx context.Context, w Witness, epoch int64) bool
+	// Witnesses are those that the row of the acquisition states.
+	Witnesses []Witness
 	// Acquired, if set, is called once the ownership is committed. The cell then starts no tasks until ConfirmRunners is called.
 	Acquired func(epoch int64)
 }
@@ -124,6 +130,7 @@
 	// storeDown is set while the store does not accept commits, and storeLostAt is when Config.StoreLost was last called.
 	storeDown   bool
 	storeLostAt time.Time
+	outage      outageState
 	admission   admission
 	// runnerAddedAt is when the last new runner appeared. runnersKnown is set once none has appeared for
 	// runnerDiscoveryGrace.
@@ -142,9 +149,10 @@
 	// listedSilent holds runners of which the durable ownership row may list the ends of their leases. They get no tasks and no
 	// longer leases.
 	listedSilent map[string]bool
-	// previous is the last owner, and earlierLeases is when the leases of owners before it have expired.
-	previous      Ownership
-	earlierLeases time.Time
+	// previous is the last owner, which has written nothing after previousWritten, and earlierLeases is when the leases of owners before
+	// it have expired.
+	previous                       Ownership
+	previousWritten, earlierLeases time.Time
 	// unresolved holds, by ID, the runners that may run tasks of an earlier owner.
 	unresolved map[string]*unresolvedRunner
 	// inherited holds all runners that were recorded in unresolved, and inheritedEnd is when the last lease that an earlier
@@ -266,7 +274,7 @@
 
 // mayCommand reports whether the owner may still send commands and extend leases. The caller holds mu.
 func (c *Cell) mayCommand(now time.Time) bool {
-	return !c.lost && c.sinceCommit(now) <= storeOutageTolerance-minLease
+	return !c.lost && c.sinceCommit(now) <= c.leaseLimit()-minLease
 }
 
 // mayStart reports whether the owner may send a start command now. After an interruption it may not before a commit has shown that it has no
@@ -334,6 +342,7 @@
 	c.evictFromDraining(now)
 	c.sampleAdmission(now)
 	c.checkStore(now)
+	c.askWitnesses(ctx, now)
 	c.createDueOccurrences(now)
 	c.tickDelegations(ctx, now)
 	c.checkWaiting(now)
--- a/dispatch/cell_test.go
+++ b/dispatch/cell_test.go
@@ -45,6 +45,8 @@
 	registry *prometheus.Registry
 	// seen is when each version of the ownership row was first read, if watchOwner runs.
 	seen sync.Map
+	// witness is the witness of all owners; nil if they have none.
+	witness *witness
 }
 
 // watchOwner reads the ownership row like the nodes that may become owners.
@@ -110,7 +112,7 @@
 		logs = io.Discard
 	}
 	cl.registry = prometheus.NewRegistry()
-	return dispatch.Config{
+	cfg := dispatch.Config{
 		Advisor: cl.advisor,
 		Name:    cellName, Part: cellName, IndexPart: func(string) string { return "i0" }, Node: node, Addr: node,
 		Incarnation: node, Region: "caldas-centro", Regions: map[string]string{"chipre": "caldas-centro", "cartago": "valle-norte"},
@@ -118,6 +120,10 @@
 		Store: cl.store, Runners: cl.fleet, Log: observe.NewLogger(logs, "test", node),
 		Metrics: dispatch.NewMetrics(cl.registry), PredecessorDead: predecessorDead,
 	}
+	if cl.witness != nil {
+		cfg.ConfirmOutage, cfg.Witnesses = cl.witness.confirm, []dispatch.Witness{cl.witness.Witness}
+	}
+	return cfg
 }
 
 // acquireWith is acquire with a configuration. The previous owner may write its row between the read and the acquisition.
--- a/dispatch/flush.go
+++ b/dispatch/flush.go
@@ -68,6 +68,11 @@
 	LeasesMs map[string]int64 `json:"leases_ms,omitempty"`
 	// Jobs is the number of jobs that the cell stores as of the write; 0 if it is not known.
 	Jobs int `json:"jobs,omitempty"`
+	// LeaseCapMs is how long after the write leases that this owner grants may last, in milliseconds, unless one of Witnesses has
+	// confirmed an outage of the store; 0 if there is no such bound, as in rows of earlier builds.
+	LeaseCapMs int64 `json:"cap_ms,omitempty"`
+	// Witnesses are the processes that may confirm an outage.
+	Witnesses []Witness `json:"witnesses,omitempty"`
 }
 
 const (
@@ -315,6 +320,7 @@
 	b.owner = c.ownership(now, b.nonce)
 	b.owner.LeasesMs = c.silentLeases(now, maxListedLeases)
 	b.silent = b.owner.LeasesMs
+	c.listWitnesses(&b.owner)
 	for id := range b.silent {
 		c.listedSilent[id] = true
 	}
@@ -611,6 +617,7 @@
 	c.ownerVersion = version
 	c.census.rows = b.owner.Jobs
 	c.lastCommit, c.suspendedAtCommit = sent, suspended
+	c.recordWitnesses(&b.owner)
 	c.commitSentAt, c.committing = time.Time{}, nil
 	c.setStoreDown(false, "a commit was applied")
 	now := time.Now()
--- a/dispatch/formerowner_test.go
+++ b/dispatch/formerowner_test.go
@@ -134,6 +134,8 @@
 	runners []bool
 	// takeover makes the next node the owner.
 	takeover bool
+	// witness is what the witness does from now on.
+	witness witnessMode
 	// restart restarts a runner, or is -1.
 	restart int
 }
@@ -162,7 +164,7 @@
 			plan = append(plan, drawCutStep(rt, maxOwners, runners))
 		}
 		synctest.Test(t, func(t *testing.T) {
-			if broken := playCuts(t, plan, maxOwners, runners); broken != "" {
+			if broken := playCuts(t, plan, maxOwners, runners, nil); broken != "" {
 				rt.Errorf("%s\nplan: %+v", broken, plan)
 			}
 		})
@@ -170,7 +172,7 @@
 }
 
 // playCuts plays steps against a cell with ordinary and long-running jobs and returns what broke.
-func playCuts(t *testing.T, plan []cutStep, maxOwners, runners int) (broken string) {
+func playCuts(t *testing.T, plan []cutStep, maxOwners, runners int, w *witness) (broken string) {
 	lasting := jobOf(3, longRunning(3, 8000))
 	cl := newCluster(t, runners, func(task workload.TaskID, _ int) (time.Duration, bool) {
 		if task.Job == lasting.ID {
@@ -178,6 +180,7 @@
 		}
 		return 4 * time.Second, false
 	})
+	cl.witness = w
 	links := make([]*link, maxOwners)
 	for i := range links {
 		links[i] = &link{Fleet: cl.fleet, Store: cl.store}
@@ -203,6 +206,9 @@
 	for _, s := range plan {
 		time.Sleep(s.after)
 		l := links[s.owner]
+		if w != nil {
+			w.mode.Store(int32(s.witness))
+		}
 		l.cutStore.Store(s.store)
 		for i, cut := range s.runners {
 			if cut {
--- a/dispatch/metrics.go
+++ b/dispatch/metrics.go
@@ -15,6 +15,8 @@
 	starts, ends, failures, commits, polls, stalls prometheus.Counter
 	// interruptions counts the times at which an owner noticed that its process or its VM had been stopped.
 	interruptions prometheus.Counter
+	// outages counts confirmations of outages of the store that owners have used.
+	outages prometheus.Counter
 	// commitTime is the duration of a transaction, submissionTime the time from a submission to its decision, startWait
 	// the time from a unit becoming ready to its start command, and startCallTime the duration of a start call. All are
 	// in seconds.
@@ -92,6 +94,7 @@
 		objectiveShare: share,
 		stalls:         counter("stalls_total", "Runs stopped for want of progress."),
 		interruptions:  counter("owner_interruptions_total", "Times at which an owner had not run for more than 0.5 s."),
+		outages:        counter("outage_confirmations_total", "Outages of the store that another node has confirmed to an owner."),
 		starts:         counter("starts_total", "Start orders sent."),
 		ends:           counter("ends_total", "Ends of runs taken into the state."),
 		failures:       counter("failures_total", "Runs that ended as failed."),
--- a/dispatch/runnerstate.go
+++ b/dispatch/runnerstate.go
@@ -227,6 +227,9 @@
 		if rs.needsFastPoll() {
 			request.Wait = min(request.Wait, overTargetHoldWait)
 		}
+		if c.awaitsConfirmation(now) {
+			request.Wait = min(request.Wait, outageHoldWait)
+		}
 	}
 	c.cfg.Metrics.polls.Inc()
 	return request, rs.target(), true
@@ -246,7 +249,7 @@
 // leaseDeadline returns the end of a lease on the runner's clock and records when it ends by ours. The lease is shorter if
 // the last successful write was long ago. The caller holds mu and has checked mayCommand.
 func (c *Cell) leaseDeadline(now time.Time, rs *runnerState) time.Duration {
-	lease := min(c.cfg.Lease, storeOutageTolerance-c.sinceCommit(now))
+	lease := min(c.cfg.Lease, c.leaseLimit()-c.sinceCommit(now))
 	if end := leaseExpiry(now, lease); end.After(rs.leaseEnd) {
 		rs.leaseEnd = end
 	}
--- a/dispatch/takeover_test.go
+++ b/dispatch/takeover_test.go
@@ -32,6 +32,9 @@
 	cl.t.Helper()
 	ctx, cancel := context.WithCancel(cl.t.Context())
 	c := cl.acquireWith(ctx, cfg)
+	if cl.witness != nil && cl.witness.deny(c.Epoch()) {
+		c.MarkOutageDenied()
+	}
 	go c.Run(ctx)
 	cl.t.Cleanup(func() {
 		cancel()
--- a/dispatch/unresolved.go
+++ b/dispatch/unresolved.go
@@ -61,6 +61,7 @@
 	if !previous.Released && !c.cfg.PredecessorLastWrite.IsZero() {
 		written = c.cfg.PredecessorLastWrite
 	}
+	c.previousWritten = written
 	for id, ms := range previous.LeasesMs {
 		if lease := time.Duration(ms) * time.Millisecond; ms >= 0 && lease.Milliseconds() == ms {
 			c.silentLeaseEnds[id] = written.Add(lease)
--- a/innerproto/innerprotoconnect/currantthread.connect.go
+++ b/innerproto/innerprotoconnect/currantthread.connect.go
@@ -62,6 +62,11 @@
 	JobServiceDelegateTasksProcedure = "/currantthread.inner.v1.JobService/DelegateTasks"
 	// JobServiceTakeCellProcedure is the fully-qualified name of the JobService's TakeCell RPC.
 	JobServiceTakeCellProcedure = "/currantthread.inner.v1.JobService/TakeCell"
+	// JobServiceConfirmOutageProcedure is the fully-qualified name of the JobService's ConfirmOutage
+	// RPC.
+	JobServiceConfirmOutageProcedure = "/currantthread.inner.v1.JobService/ConfirmOutage"
+	// JobServiceDenyOutageProcedure is the fully-qualified name of the JobService's DenyOutage RPC.
+	JobServiceDenyOutageProcedure = "/currantthread.inner.v1.JobService/DenyOutage"
 	// RelayServiceChangesProcedure is the fully-qualified name of the RelayService's Changes RPC.
 	RelayServiceChangesProcedure = "/currantthread.inner.v1.RelayService/Changes"
 )
@@ -325,6 +330,11 @@
 	DelegateTasks(context.Context, *innerproto.DelegateTasksRequest) (*innerproto.DelegateTasksResponse, error)
 	// TakeCell asks the node to acquire a cell whose owner, the caller, does not reach the store.
 	TakeCell(context.Context, *innerproto.TakeCellRequest) (*innerproto.TakeCellResponse, error)
+	// ConfirmOutage asks a witness of the caller, which owns the cell with the epoch and does not reach the store, whether it does not
+	// reach the store either.
+	ConfirmOutage(context.Context, *innerproto.ConfirmOutageRequest) (*innerproto.ConfirmOutageResponse, error)
+	// DenyOutage asks a witness of a former owner to confirm no outage to owners of the cell with lower epochs than the caller's.
+	DenyOutage(context.Context, *innerproto.DenyOutageRequest) (*innerproto.DenyOutageResponse, error)
 }
 
 // NewJobServiceClient constructs a client for the currantthread.inner.v1.JobService service. By
@@ -368,6 +378,18 @@
 			connect.WithSchema(jobServiceMethods.ByName("TakeCell")),
 			connect.WithClientOptions(opts...),
 		),
+		confirmOutage: connect.NewClient[innerproto.ConfirmOutageRequest, innerproto.ConfirmOutageResponse](
+			httpClient,
+			baseURL+JobServiceConfirmOutageProcedure,
+			connect.WithSchema(jobServiceMethods.ByName("ConfirmOutage")),
+			connect.WithClientOptions(opts...),
+		),
+		denyOutage: connect.NewClient[innerproto.DenyOutageRequest, innerproto.DenyOutageResponse](
+			httpClient,
+			baseURL+JobServiceDenyOutageProcedure,
+			connect.WithSchema(jobServiceMethods.ByName("DenyOutage")),
+			connect.WithClientOptions(opts...),
+		),
 	}
 }
 
@@ -378,6 +400,8 @@
 	cancelJob     *connect.Client[innerproto.CancelJobRequest, innerproto.CancelJobResponse]
 	delegateTasks *connect.Client[innerproto.DelegateTasksRequest, innerproto.DelegateTasksResponse]
 	takeCell      *connect.Client[innerproto.TakeCellRequest, innerproto.TakeCellResponse]
+	confirmOutage *connect.Client[innerproto.ConfirmOutageRequest, innerproto.ConfirmOutageResponse]
+	denyOutage    *connect.Client[innerproto.DenyOutageRequest, innerproto.DenyOutageResponse]
 }
 
 // Submit calls currantthread.inner.v1.JobService.Submit.
@@ -425,6 +449,24 @@
 	return nil, err
 }
 
+// ConfirmOutage calls currantthread.inner.v1.JobService.ConfirmOutage.
+func (c *jobServiceClient) ConfirmOutage(ctx context.Context, req *innerproto.ConfirmOutageRequest) (*innerproto.ConfirmOutageResponse, error) {
+	response, err := c.confirmOutage.CallUnary(ctx, connect.NewRequest(req))
+	if response != nil {
+		return response.Msg, err
+	}
+	return nil, err
+}
+
+// DenyOutage calls currantthread.inner.v1.JobService.DenyOutage.
+func (c *jobServiceClient) DenyOutage(ctx context.Context, req *innerproto.DenyOutageRequest) (*innerproto.DenyOutageResponse, error) {
+	response, err := c.denyOutage.CallUnary(ctx, connect.NewRequest(req))
+	if response != nil {
+		return response.Msg, err
+	}
+	return nil, err
+}
+
 // JobServiceHandler is an implementation of the currantthread.inner.v1.JobService service.
 type JobServiceHandler interface {
 	Submit(context.Context, *innerproto.SubmitRequest) (*innerproto.SubmitResponse, error)
@@ -434,6 +476,11 @@
 	DelegateTasks(context.Context, *innerproto.DelegateTasksRequest) (*innerproto.DelegateTasksResponse, error)
 	// TakeCell asks the node to acquire a cell whose owner, the caller, does not reach the store.
 	TakeCell(context.Context, *innerproto.TakeCellRequest) (*innerproto.TakeCellResponse, error)
+	// ConfirmOutage asks a witness of the caller, which owns the cell with the epoch and does not reach the store, whether it does not
+	// reach the store either.
+	ConfirmOutage(context.Context, *innerproto.ConfirmOutageRequest) (*innerproto.ConfirmOutageResponse, error)
+	// DenyOutage asks a witness of a former owner to confirm no outage to owners of the cell with lower epochs than the caller's.
+	DenyOutage(context.Context, *innerproto.DenyOutageRequest) (*innerproto.DenyOutageResponse, error)
 }
 
 // NewJobServiceHandler builds an HTTP handler from the service implementation. It returns the path
@@ -473,6 +520,18 @@
 		connect.WithSchema(jobServiceMethods.ByName("TakeCell")),
 		connect.WithHandlerOptions(opts...),
 	)
+	jobServiceConfirmOutageHandler := connect.NewUnaryHandlerSimple(
+		JobServiceConfirmOutageProcedure,
+		svc.ConfirmOutage,
+		connect.WithSchema(jobServiceMethods.ByName("ConfirmOutage")),
+		connect.WithHandlerOptions(opts...),
+	)
+	jobServiceDenyOutageHandler := connect.NewUnaryHandlerSimple(
+		JobServiceDenyOutageProcedure,
+		svc.DenyOutage,
+		connect.WithSchema(jobServiceMethods.ByName("DenyOutage")),
+		connect.WithHandlerOptions(opts...),
+	)
 	return "/currantthread.inner.v1.JobService/", http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		switch r.URL.Path {
 		case JobServiceSubmitProcedure:
@@ -485,6 +544,10 @@
 			jobServiceDelegateTasksHandler.ServeHTTP(w, r)
 		case JobServiceTakeCellProcedure:
 			jobServiceTakeCellHandler.ServeHTTP(w, r)
+		case JobServiceConfirmOutageProcedure:
+			jobServiceConfirmOutageHandler.ServeHTTP(w, r)
+		case JobServiceDenyOutageProcedure:
+			jobServiceDenyOutageHandler.ServeHTTP(w, r)
 		default:
 			http.NotFound(w, r)
 		}
@@ -514,6 +577,14 @@
 	return nil, connect.NewError(connect.CodeUnimplemented, errors.New("currantthread.inner.v1.JobService.TakeCell is not implemented"))
 }
 
+func (UnimplementedJobServiceHandler) ConfirmOutage(context.Context, *innerproto.ConfirmOutageRequest) (*innerproto.ConfirmOutageResponse, error) {
+	return nil, connect.NewError(connect.CodeUnimplemented, errors.New("currantthread.inner.v1.JobService.ConfirmOutage is not implemented"))
+}
+
+func (UnimplementedJobServiceHandler) DenyOutage(context.Context, *innerproto.DenyOutageRequest) (*innerproto.DenyOutageResponse, error) {
+	return nil, connect.NewError(connect.CodeUnimplemented, errors.New("currantthread.inner.v1.JobService.DenyOutage is not implemented"))
+}
+
 // RelayServiceClient is a client for the currantthread.inner.v1.RelayService service.
 type RelayServiceClient interface {
 	Changes(context.Context, *innerproto.ChangesRequest) (*innerproto.ChangesResponse, error)
--- a/internal/emulator/store.go
+++ b/internal/emulator/store.go
@@ -105,6 +105,13 @@
 	return s.commits
 }
 
+// Row returns a row as it is stored, whatever the store responds to its clients; a row that does not exist has version 0.
+func (s *Store) Row(key store.Key) store.Row {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.rows[key]
+}
+
 // Put sets a row, as operators and runners do.
 func (s *Store) Put(key store.Key, value []byte) {
 	s.mu.Lock()
--- a/node/acquire_test.go
+++ b/node/acquire_test.go
@@ -121,6 +121,8 @@
 		settings.Node = fmt.Sprintf("n%d", i)
 		link := &readFaultStore{Store: c.store}
 		n.settings, n.store, n.runners, n.incarnation = &settings, link, emulator.NewFleet(nil), settings.Node
+		// Suspensions are measured by clocks that are not virtual.
+		n.suspended = nil
 		n.peers.http = &http.Client{Transport: c}
 		n.innerAddr, n.directory, n.heartbeats = settings.Node, ownership.NewDirectory(settings.Node), ownership.NewReader(link, ownership.TableNodes)
 		n.ownerRows = ownership.NewReader(link, ownership.TableOwners)
--- a/node/cells.go
+++ b/node/cells.go
@@ -146,7 +146,11 @@
 	var runnersRead <-chan struct{}
 	reads, stopReads := context.WithCancel(ctx)
 	defer stopReads()
-	config.Acquired = func(epoch int64) { runnersRead = n.readRunners(reads, cell, epoch) }
+	var denied <-chan struct{}
+	config.Acquired = func(epoch int64) {
+		runnersRead = n.readRunners(reads, cell, epoch)
+		denied = n.denyOutage(ctx, cell, epoch, previous)
+	}
 	c, err := dispatch.Acquire(ctx, config, previous, version, n.runnersOf(cell))
 	if errors.Is(err, dispatch.ErrOwned) {
 		log.Info("another node acquired the cell")
@@ -162,6 +166,13 @@
 		return
 	}
 	n.runCell(ctx, cell, c)
+	go func() {
+		select {
+		case <-denied:
+			c.MarkOutageDenied()
+		case <-c.Done():
+		}
+	}()
 	select {
 	case <-runnersRead:
 		n.confirmRunners(cell, c)
--- a/node/node.go
+++ b/node/node.go
@@ -54,6 +54,7 @@
 	store            store.Store
 	runners          runner.Client
 	advisor          dispatch.Advisor
+	suspended        func() time.Duration // as in dispatch.Config
 	directory        *ownership.Directory
 	incarnation      string
 	innerAddr        string
@@ -103,7 +104,11 @@
 	// seenOwners holds the ownership rows of cells that appear to have no owner.
 	seenOwners    map[string]seenOwner
 	submittedWork map[string]submittedWork
-	assignWake    chan struct{}
+	// witnesses holds the witnesses of this node's cells.
+	witnesses map[string][]dispatch.Witness
+	// outages is what this node has promised as a witness.
+	outages    outageWitness
+	assignWake chan struct{}
 	// heartbeatWake makes the node write and read heartbeats at once, and offers receives the cells that their owners hand over.
 	heartbeatWake chan struct{}
 	offers        chan cellOffer
@@ -135,7 +140,7 @@
 	services := platform.Connect(s)
 	n := &Node{
 		settings: s, log: observe.NewLogger(out, "node", s.Node), registry: observe.NewRegistry(),
-		store: services.Store, runners: services.Runners, directory: ownership.NewDirectory(s.Node),
+		store: services.Store, runners: services.Runners, suspended: clock.Suspended, directory: ownership.NewDirectory(s.Node),
 		incarnation: strconv.FormatInt(time.Now().UnixNano(), 36),
 		innerAddr:   net.JoinHostPort(s.IP, strconv.Itoa(s.InnerPorts[0])),
 		peers:       newPeers(),
@@ -148,6 +153,7 @@
 		seenOwners:    map[string]seenOwner{},
 		heartbeatWake: make(chan struct{}, 1), offers: make(chan cellOffer),
 		jobCells: map[string]string{}, submittedWork: map[string]submittedWork{},
+		witnesses: map[string][]dispatch.Witness{}, outages: newOutageWitness(time.Now()),
 	}
 	if services.Advice != nil {
 		n.advisor = services.Advice
@@ -388,8 +394,12 @@
 		Incarnation: n.incarnation, Metrics: n.metrics, Region: n.settings.Region, Regions: n.settings.Regions,
 		Lease:     time.Duration(float64(b.HoldMax) * leaseShare),
 		MaxLease:  b.HoldMax,
-		Suspended: clock.Suspended,
-		Retention: b.StatusRetention, Store: n.store, Runners: n.runners, Advisor: n.advisor, Peers: peers, StoreLost: func() { n.handOver(cell) }, Log: n.log, PredecessorDead: predecessorDead,
+		Suspended: n.suspended,
+		Retention: b.StatusRetention, Store: n.store, Runners: n.runners, Advisor: n.advisor, Peers: peers, StoreLost: func() { n.handOver(cell) },
+		ConfirmOutage: func(ctx context.Context, w dispatch.Witness, epoch int64) bool {
+			return n.askForConfirmation(ctx, w, cell, epoch)
+		},
+		Witnesses: n.chooseWitnesses(time.Now(), cell), Log: n.log, PredecessorDead: predecessorDead,
 	}
 }
 
@@ -415,6 +425,7 @@
 func (n *Node) heartbeatOnce(serving, running context.Context) error {
 	sent := time.Now()
 	heartbeatErr := n.writeHeartbeat(serving)
+	n.recordStoreResult(heartbeatErr)
 	switch {
 	case heartbeatErr != nil || time.Since(sent) > ownership.HeartbeatInterval:
 		n.storeSince = time.Time{}
@@ -422,6 +433,7 @@
 		n.storeSince = sent
 	}
 	problems, err := n.readHeartbeats(serving)
+	n.recordStoreResult(err)
 	if err != nil {
 		return errors.Join(heartbeatErr, err)
 	}
@@ -429,6 +441,7 @@
 		n.rowLog.warn(logrus.Fields{"error": problem.Error()}, "could not decode the heartbeat of a node")
 	}
 	n.checkPredecessors()
+	n.updateWitnesses()
 	if heartbeatErr == nil && running.Err() == nil {
 		n.acquireCells(running)
 	}
@@ -554,6 +567,7 @@
 	}
 	heartbeat.Acquiring = slices.Sorted(maps.Keys(n.acquiring))
 	heartbeat.Ended = maps.Clone(n.endedEpochs)
+	heartbeat.Witness = true
 	return heartbeat
 }
 
--- a/ownership/directory.go
+++ b/ownership/directory.go
@@ -51,6 +51,8 @@
 	Acquiring []string `json:"acquiring,omitempty"`
 	// Ended holds, by cell, the latest epoch that this process owned and for which it sends no more messages.
 	Ended map[string]int64 `json:"ended,omitempty"`
+	// Witness is set if the process confirms and denies outages of the store to owners of cells. Earlier builds don't.
+	Witness bool `json:"witness,omitempty"`
 }
 
 // member is the last known state of a node.
@@ -415,7 +417,11 @@
 }
 
 // Candidate is a node that may acquire a cell.
-type Candidate struct{ Node, Addr string }
+type Candidate struct {
+	Node, Addr, Incarnation string
+	// Witness is as in Heartbeat.
+	Witness bool
+}
 
 // Candidates returns the nodes that may acquire a cell in the order of Rank.
 func (d *Directory) Candidates(now time.Time, cell string) []Candidate {
@@ -435,7 +441,7 @@
 			continue
 		}
 		late := !silentSince.IsZero() && !m.joinedAt.Before(silentSince)
-		candidates = append(candidates, candidate{Candidate{name, m.heartbeat.Addr}, late, m.heartbeat.loadWithOneMore(), m.heartbeat.StoreMs > farStoreMs, hashOf(cell, name)})
+		candidates = append(candidates, candidate{Candidate{name, m.heartbeat.Addr, m.heartbeat.Incarnation, m.heartbeat.Witness}, late, m.heartbeat.loadWithOneMore(), m.heartbeat.StoreMs > farStoreMs, hashOf(cell, name)})
 	}
 	sort.Slice(candidates, func(a, b int) bool {
 		x, y := candidates[a], candidates[b]
