--- a/innerproto/innerprotoconnect/currantthread.connect.go
+++ b/innerproto/innerprotoconnect/currantthread.connect.go
@@ -64,6 +64,11 @@
 	JobServiceTakeCellProcedure = "/currantthread.inner.v1.JobService/TakeCell"
 	// JobServiceVersionMarksProcedure is the fully-qualified name of the JobService's VersionMarks RPC.
 	JobServiceVersionMarksProcedure = "/currantthread.inner.v1.JobService/VersionMarks"
+	// JobServiceConfirmOutageProcedure is the fully-qualified name of the JobService's ConfirmOutage
+	// RPC.
+	JobServiceConfirmOutageProcedure = "/currantthread.inner.v1.JobService/ConfirmOutage"
+	// JobServiceDenyOutageProcedure is the fully-qualified name of the JobService's DenyOutage RPC.
+	JobServiceDenyOutageProcedure = "/currantthread.inner.v1.JobService/DenyOutage"
 	// RelayServiceChangesProcedure is the fully-qualified name of the RelayService's Changes RPC.
 	RelayServiceChangesProcedure = "/currantthread.inner.v1.RelayService/Changes"
 )
@@ -329,6 +334,11 @@
 	TakeCell(context.Context, *innerproto.TakeCellRequest) (*innerproto.TakeCellResponse, error)
 	// VersionMarks returns when the node, by its clock, saw the store give out versions.
 	VersionMarks(context.Context, *innerproto.VersionMarksRequest) (*innerproto.VersionMarksResponse, error)
+	// ConfirmOutage asks a witness of the caller, which owns the cell with the epoch and does not reach the store, whether it does not
+	// reach the store either.
+	ConfirmOutage(context.Context, *innerproto.ConfirmOutageRequest) (*innerproto.ConfirmOutageResponse, error)
+	// DenyOutage asks a witness of a former owner to confirm no outage to owners of the cell with lower epochs than the caller's.
+	DenyOutage(context.Context, *innerproto.DenyOutageRequest) (*innerproto.DenyOutageResponse, error)
 }
 
 // NewJobServiceClient constructs a client for the currantthread.inner.v1.JobService service. By
@@ -378,6 +388,18 @@
 			connect.WithSchema(jobServiceMethods.ByName("VersionMarks")),
 			connect.WithClientOptions(opts...),
 		),
+		confirmOutage: connect.NewClient[innerproto.ConfirmOutageRequest, innerproto.ConfirmOutageResponse](
+			httpClient,
+			baseURL+JobServiceConfirmOutageProcedure,
+			connect.WithSchema(jobServiceMethods.ByName("ConfirmOutage")),
+			connect.WithClientOptions(opts...),
+		),
+		denyOutage: connect.NewClient[innerproto.DenyOutageRequest, innerproto.DenyOutageResponse](
+			httpClient,
+			baseURL+JobServiceDenyOutageProcedure,
+			connect.WithSchema(jobServiceMethods.ByName("DenyOutage")),
+			connect.WithClientOptions(opts...),
+		),
 	}
 }
 
@@ -389,6 +411,8 @@
 	delegateTasks *connect.Client[innerproto.DelegateTasksRequest, innerproto.DelegateTasksResponse]
 	takeCell      *connect.Client[innerproto.TakeCellRequest, innerproto.TakeCellResponse]
 	versionMarks  *connect.Client[innerproto.VersionMarksRequest, innerproto.VersionMarksResponse]
+	confirmOutage *connect.Client[innerproto.ConfirmOutageRequest, innerproto.ConfirmOutageResponse]
+	denyOutage    *connect.Client[innerproto.DenyOutageRequest, innerproto.DenyOutageResponse]
 }
 
 // Submit calls currantthread.inner.v1.JobService.Submit.
@@ -445,6 +469,24 @@
 	return nil, err
 }
 
+// ConfirmOutage calls currantthread.inner.v1.JobService.ConfirmOutage.
+func (c *jobServiceClient) ConfirmOutage(ctx context.Context, req *innerproto.ConfirmOutageRequest) (*innerproto.ConfirmOutageResponse, error) {
+	response, err := c.confirmOutage.CallUnary(ctx, connect.NewRequest(req))
+	if response != nil {
+		return response.Msg, err
+	}
+	return nil, err
+}
+
+// DenyOutage calls currantthread.inner.v1.JobService.DenyOutage.
+func (c *jobServiceClient) DenyOutage(ctx context.Context, req *innerproto.DenyOutageRequest) (*innerproto.DenyOutageResponse, error) {
+	response, err := c.denyOutage.CallUnary(ctx, connect.NewRequest(req))
+	if response != nil {
+		return response.Msg, err
+	}
+	return nil, err
+}
+
 // JobServiceHandler is an implementation of the currantthread.inner.v1.JobService service.
 type JobServiceHandler interface {
 	Submit(context.Context, *innerproto.SubmitRequest) (*innerproto.SubmitResponse, error)
@@ -456,6 +498,11 @@
 	TakeCell(context.Context, *innerproto.TakeCellRequest) (*innerproto.TakeCellResponse, error)
 	// VersionMarks returns when the node, by its clock, saw the store give out versions.
 	VersionMarks(context.Context, *innerproto.VersionMarksRequest) (*innerproto.VersionMarksResponse, error)
+	// ConfirmOutage asks a witness of the caller, which owns the cell with the epoch and does not reach the store, whether it does not
+	// reach the store either.
+	ConfirmOutage(context.Context, *innerproto.ConfirmOutageRequest) (*innerproto.ConfirmOutageResponse, error)
+	// DenyOutage asks a witness of a former owner to confirm no outage to owners of the cell with lower epochs than the caller's.
+	DenyOutage(context.Context, *innerproto.DenyOutageRequest) (*innerproto.DenyOutageResponse, error)
 }
 
 // NewJobServiceHandler builds an HTTP handler from the service implementation. It returns the path
@@ -501,6 +548,18 @@
 		connect.WithSchema(jobServiceMethods.ByName("VersionMarks")),
 		connect.WithHandlerOptions(opts...),
 	)
+	jobServiceConfirmOutageHandler := connect.NewUnaryHandlerSimple(
+		JobServiceConfirmOutageProcedure,
+		svc.ConfirmOutage,
+		connect.WithSchema(jobServiceMethods.ByName("ConfirmOutage")),
+		connect.WithHandlerOptions(opts...),
+	)
+	jobServiceDenyOutageHandler := connect.NewUnaryHandlerSimple(
+		JobServiceDenyOutageProcedure,
+		svc.DenyOutage,
+		connect.WithSchema(jobServiceMethods.ByName("DenyOutage")),
+		connect.WithHandlerOptions(opts...),
+	)
 	return "/currantthread.inner.v1.JobService/", http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		switch r.URL.Path {
 		case JobServiceSubmitProcedure:
@@ -515,6 +574,10 @@
 			jobServiceTakeCellHandler.ServeHTTP(w, r)
 		case JobServiceVersionMarksProcedure:
 			jobServiceVersionMarksHandler.ServeHTTP(w, r)
+		case JobServiceConfirmOutageProcedure:
+			jobServiceConfirmOutageHandler.ServeHTTP(w, r)
+		case JobServiceDenyOutageProcedure:
+			jobServiceDenyOutageHandler.ServeHTTP(w, r)
 		default:
 			http.NotFound(w, r)
 		}
@@ -548,6 +611,14 @@
 	return nil, connect.NewError(connect.CodeUnimplemented, errors.New("currantthread.inner.v1.JobService.VersionMarks is not implemented"))
 }
 
+func (UnimplementedJobServiceHandler) ConfirmOutage(context.Context, *innerproto.ConfirmOutageRequest) (*innerproto.ConfirmOutageResponse, error) {
+	return nil, connect.NewError(connect.CodeUnimplemented, errors.New("currantthread.inner.v1.JobService.ConfirmOutage is not implemented"))
+}
+
+func (UnimplementedJobServiceHandler) DenyOutage(context.Context, *innerproto.DenyOutageRequest) (*innerproto.DenyOutageResponse, error) {
+	return nil, connect.NewError(connect.CodeUnimplemented, errors.New("currantthread.inner.v1.JobService.DenyOutage is not implemented"))
+}
+
 // RelayServiceClient is a client for the currantthread.inner.v1.RelayService service.
 type RelayServiceClient interface {
 	Changes(context.Context, *innerproto.ChangesRequest) (*innerproto.ChangesResponse, error)
--- a/node/node.go
+++ b/node/node.go
@@ -55,6 +55,7 @@
 	versions         *store.VersionClock // dates the versions of store
 	runners          runner.Client
 	advisor          dispatch.Advisor
+	suspended        func() time.Duration // as in dispatch.Config
 	directory        *ownership.Directory
 	incarnation      string
 	innerAddr        string
@@ -108,7 +109,11 @@
 	submittedWork map[string]submittedWork
 	// unexplainedAt is when a row of service discovery was last found removed without a drain or silence.
 	unexplainedAt time.Time
-	assignWake    chan struct{}
+	// witnesses holds the witnesses of this node's cells.
+	witnesses map[string][]dispatch.Witness
+	// outages is what this node has promised as a witness.
+	outages    outageWitness
+	assignWake chan struct{}
 	// heartbeatWake makes the node write and read heartbeats at once, and offers receives the cells that their owners hand over.
 	heartbeatWake chan struct{}
 	offers        chan cellOffer
@@ -141,7 +146,7 @@
 	versions := store.NewVersionClock(services.Store, clock.Suspended)
 	n := &Node{
 		settings: s, log: observe.NewLogger(out, "node", s.Node), registry: observe.NewRegistry(),
-		store: versions, versions: versions, runners: services.Runners, directory: ownership.NewDirectory(s.Node),
+		store: versions, versions: versions, runners: services.Runners, suspended: clock.Suspended, directory: ownership.NewDirectory(s.Node),
 		incarnation: strconv.FormatInt(time.Now().UnixNano(), 36),
 		innerAddr:   net.JoinHostPort(s.IP, strconv.Itoa(s.InnerPorts[0])),
 		peers:       newPeers(),
@@ -155,6 +160,7 @@
 		seenOwners:    map[string]seenOwner{},
 		heartbeatWake: make(chan struct{}, 1), offers: make(chan cellOffer),
 		jobCells: map[string]string{}, submittedWork: map[string]submittedWork{},
+		witnesses: map[string][]dispatch.Witness{}, outages: newOutageWitness(time.Now()),
 	}
 	if services.Advice != nil {
 		n.advisor = services.Advice
@@ -400,8 +406,12 @@
 		Incarnation: n.incarnation, Metrics: n.metrics, Region: n.settings.Region, Regions: n.settings.Regions,
 		Lease:     time.Duration(float64(b.HoldMax) * leaseShare),
 		MaxLease:  b.HoldMax,
-		Suspended: clock.Suspended,
-		Retention: b.StatusRetention, Store: n.store, Runners: n.runners, Advisor: n.advisor, Peers: peers, StoreLost: func() { n.handOver(cell) }, Log: n.log, PredecessorDead: predecessorDead,
+		Suspended: n.suspended,
+		Retention: b.StatusRetention, Store: n.store, Runners: n.runners, Advisor: n.advisor, Peers: peers, StoreLost: func() { n.handOver(cell) },
+		ConfirmOutage: func(ctx context.Context, w dispatch.Witness, epoch int64) bool {
+			return n.askForConfirmation(ctx, w, cell, epoch)
+		},
+		Witnesses: n.chooseWitnesses(time.Now(), cell), Log: n.log, PredecessorDead: predecessorDead,
 	}
 }
 
@@ -427,6 +437,7 @@
 func (n *Node) heartbeatOnce(serving, running context.Context) error {
 	sent := time.Now()
 	heartbeatErr := n.writeHeartbeat(serving)
+	n.recordStoreResult(heartbeatErr)
 	switch {
 	case heartbeatErr != nil || time.Since(sent) > ownership.HeartbeatInterval:
 		n.storeSince = time.Time{}
@@ -434,6 +445,7 @@
 		n.storeSince = sent
 	}
 	problems, err := n.readHeartbeats(serving)
+	n.recordStoreResult(err)
 	if err != nil {
 		return errors.Join(heartbeatErr, err)
 	}
@@ -441,6 +453,7 @@
 		n.rowLog.warn(logrus.Fields{"error": problem.Error()}, "could not decode the heartbeat of a node")
 	}
 	n.checkPredecessors()
+	n.updateWitnesses()
 	if heartbeatErr == nil && running.Err() == nil {
 		n.acquireCells(running)
 	}
@@ -566,6 +579,7 @@
 	}
 	heartbeat.Acquiring = slices.Sorted(maps.Keys(n.acquiring))
 	heartbeat.Ended = maps.Clone(n.endedEpochs)
+	heartbeat.Witness = true
 	return heartbeat
 }
 
