Begin steps once the ends before them are durable, so that successors need not wait for steps that nobody began

What callers saw: jobs with nothing running for 6 s and longer after a takeover, beside runners that were gone together with the owner (LOST).

Cause: a successor does not know which tasks its predecessor started, so each task of the cell waited for each runner that did not respond.

Change: an owner begins a step once the ends of the steps before it are durable, and its ownership row says so. A successor whose predecessor's witnesses deny an outage, or that takes over a released cell, starts the tasks of blocked steps without waiting. In a confirmed outage steps begin at once; jobs with such steps are recorded until their rows are durable.

Tests: TestStepThatNobodyBeganStartsBesideARunnerThatIsGone fails without the check in awaitsUnresolved (0 of 3 tasks started). The other tests of dispatch/steps_test.go fail if steps begin early, if early steps or adopted tasks are not recorded, if runners of earlier owners are ignored, or if all steps count as not begun.

--- a/dispatch/cell.go
+++ b/dispatch/cell.go
@@ -131,6 +131,7 @@
 	storeDown   bool
 	storeLostAt time.Time
 	outage      outageState
+	steps       durableSteps
 	admission   admission
 	// runnerAddedAt is when the last new runner appeared. runnersKnown is set once none has appeared for
 	// runnerDiscoveryGrace.
@@ -195,7 +196,7 @@
 		silentLeaseEnds: map[string]time.Time{},
 		pending:         map[string]int{}, planWake: make(chan struct{}, 1), flushWake: make(chan struct{}, 1),
 		done: make(chan struct{}), catalog: &catalog.Config{}, pressure: interference.NewPressure(),
-		advice: map[equivClass]*advice{}, terminated: map[string]bool{},
+		steps: durableSteps{early: map[*jobState]bool{}}, advice: map[equivClass]*advice{}, terminated: map[string]bool{},
 		waits: waitCheck{loggedAt: map[waitKey]time.Time{}}, listedSilent: map[string]bool{}, census: census{indexed: map[string]bool{}}, delegating: map[*jobState]bool{}, returning: map[*jobState]bool{}, refusedBy: map[string]refusal{},
 	}
 }
@@ -418,7 +419,7 @@
 func (c *Cell) readyUnblocked(occ *occurrence) {
 	for i := range occ.steps {
 		step := &occ.steps[i]
-		if step.left == 0 || !occ.isUnblocked(i) {
+		if !step.hasBlocked() || !c.mayBegin(step.units[0].job, occ, i) {
 			continue
 		}
 		for _, u := range step.units {
--- a/dispatch/flush.go
+++ b/dispatch/flush.go
@@ -73,6 +73,9 @@
 	LeaseCapMs int64 `json:"cap_ms,omitempty"`
 	// Witnesses are the processes that may confirm an outage.
 	Witnesses []Witness `json:"witnesses,omitempty"`
+	// DurableSteps means that this owner, and all earlier ones whose leases may last, have begun no step before the ends of the steps before
+	// it were durable, and that this one begins none unless a witness confirms an outage. Rows of earlier builds lack it.
+	DurableSteps bool `json:"durable_steps,omitempty"`
 }
 
 const (
@@ -160,6 +163,8 @@
 	transfers []*transfer
 	// returned are units that the batch makes durable as returned to their origin.
 	returned []*unit
+	// doneSteps are the steps of which the batch makes durable that they are done.
+	doneSteps []*stepState
 }
 
 // flushLoop is the only writer of the cell's rows. It has one commit in flight and repeats a commit without a response
@@ -276,6 +281,7 @@
 	c.mu.Lock()
 	released := c.ownership(time.Now(), "released")
 	released.Released, released.LeasesMs = true, c.silentLeases(time.Now(), maxReleasedLeases)
+	released.DurableSteps = c.begunDurably()
 	value, err := json.Marshal(released)
 	txn := store.Txn{
 		Conditions: []store.Condition{{Key: OwnerKey(c.cfg.Part), Version: c.ownerVersion}},
@@ -321,6 +327,7 @@
 	b.owner.LeasesMs = c.silentLeases(now, maxListedLeases)
 	b.silent = b.owner.LeasesMs
 	c.listWitnesses(&b.owner)
+	c.listSteps(&b.owner)
 	for id := range b.silent {
 		c.listedSilent[id] = true
 	}
@@ -355,6 +362,7 @@
 		if c.jobs[j.def.ID] != j {
 			// It was to be taken over from another cell, which has taken it back.
 			delete(c.dirty, j)
+			delete(c.steps.early, j)
 			for _, w := range j.durableWaiters {
 				close(w)
 			}
@@ -468,7 +476,7 @@
 		c.cfg.Log.WithField("request", j.def.ID).Warn("progress is stored without checkpoints, with which it is too large for a row")
 	}
 	c.addProgressRow(b, batchJob{job: j, state: j.state, waiters: j.durableWaiters, planned: j.plannedRuns(),
-		offered: j.markedDelegations(), transfers: slices.Clone(j.transfers), returned: j.returnedUnits()}, value)
+		offered: j.markedDelegations(), transfers: slices.Clone(j.transfers), returned: j.returnedUnits(), doneSteps: j.doneSteps()}, value)
 	j.durableWaiters = nil
 	return len(value)
 }
@@ -639,6 +647,7 @@
 			c.startPlanned(ctx, now, r)
 		}
 	}
+	c.recordSteps(b)
 	c.offerDelegations(ctx, b)
 	c.applyProof(now)
 	for _, rs := range b.reappeared {
--- a/dispatch/job.go
+++ b/dispatch/job.go
@@ -57,6 +57,8 @@
 	runs                []*run
 	// recovered units were accepted under an earlier owner. Runs that this owner has not seen yet may exist.
 	recovered bool
+	// begun is set for recovered units whose turn had come by the rows of the earlier owner.
+	begun bool
 	// host is the cell to which the unit is delegated; empty if it is not. Only the cell that accepted the job records it.
 	host string
 	// placeRequested is set while another cell is asked for a place. The unit may start at home meanwhile.
@@ -121,6 +123,8 @@
 	units []*unit
 	// left is the number of units that are not done.
 	left int
+	// durable is set once it is durable that all units are done.
+	durable bool
 	// onRunner counts active runs of the step by runner.
 	onRunner map[string]int
 	// load is the learned load of serving tasks.
--- a/dispatch/outage.go
+++ b/dispatch/outage.go
@@ -141,6 +141,7 @@
 		return
 	}
 	c.outage.confirmed = true
+	c.beginSteps()
 	c.cfg.Metrics.outages.Inc()
 	c.cfg.Log.WithFields(logrus.Fields{"cell": c.cfg.Name, "epoch": c.epoch, "witness": w.Node, "since_commit_ms": c.sinceCommit(time.Now()).Milliseconds()}).
 		Warn("an outage of the store is confirmed, leases are extended for longer")
@@ -161,6 +162,7 @@
 	if _, ok := c.previous.WitnessesToAsk(); !ok || c.inheritedEnd.IsZero() {
 		return
 	}
+	c.inheritSteps()
 	end := leaseExpiry(c.previousWritten, time.Duration(c.previous.LeaseCapMs)*time.Millisecond)
 	if c.earlierLeases.After(end) {
 		end = c.earlierLeases
--- a/dispatch/progress.go
+++ b/dispatch/progress.go
@@ -180,6 +180,7 @@
 			if i < len(o.Steps) {
 				occ.steps[i].restore(o.Steps[i])
 			}
+			occ.steps[i].durable = occ.steps[i].left == 0
 			left += occ.steps[i].left
 			occ.steps[i].restoreRemote(j)
 		}
--- a/dispatch/runnerstate.go
+++ b/dispatch/runnerstate.go
@@ -637,8 +637,12 @@
 	u.runs = append(u.runs, r)
 	r.runner.runs[r] = true
 	u.stepState().onRunner[r.runner.info.ID]++
-	if u.phase == phaseReady {
+	switch u.phase {
+	case phaseReady:
 		c.unqueue(u)
+	case phaseBlocked:
+		c.steps.early[u.job] = true
+		c.markDirty(u.job)
 	}
 	u.phase = phaseActive
 }
--- a/dispatch/unresolved.go
+++ b/dispatch/unresolved.go
@@ -56,6 +56,9 @@
 		runners = append(runners, runner.Info{ID: id})
 	}
 	c.inheritedEnd = until
+	if previous.Released {
+		c.inheritSteps()
+	}
 	// The row was written before it was first seen, and a released one is not older than the acquisition.
 	written := time.Now()
 	if !previous.Released && !c.cfg.PredecessorLastWrite.IsZero() {
@@ -176,6 +179,9 @@
 	if u.startsDurably() {
 		return c.unresolved[u.assigned] != nil
 	}
+	if !u.begun && c.steps.inherited {
+		return false
+	}
 	for _, x := range c.unresolved {
 		if c.awaits(u, x) {
 			return true
--- a/dispatch/waiting.go
+++ b/dispatch/waiting.go
@@ -47,6 +47,8 @@
 	waitNotPlanned waitReason = "not_planned"
 	// waitNotDurable: the assignment of the task to a runner is not durable yet.
 	waitNotDurable waitReason = "assignment_not_durable"
+	// waitEndsNotDurable: the ends of the steps before are not durable yet.
+	waitEndsNotDurable waitReason = "ends_not_durable"
 	// waitStarting: the start command has neither a response nor a timeout.
 	waitStarting waitReason = "starting"
 	// waitStartUnknown: the start command got no response, and the runner has not confirmed whether it has the run.
@@ -85,6 +87,7 @@
 	waitNoIdleRunner:     logrus.DebugLevel,
 	waitNotPlanned:       logrus.WarnLevel,
 	waitNotDurable:       logrus.WarnLevel,
+	waitEndsNotDurable:   logrus.WarnLevel,
 	waitStarting:         logrus.WarnLevel,
 	waitStartUnknown:     logrus.WarnLevel,
 	waitStopping:         logrus.WarnLevel,
@@ -280,12 +283,18 @@
 		return false
 	}
 	mayStart := occ.isUnblocked(index)
+	durable := !s.cell.beginsDurably() || occ.isDurablyUnblocked(index)
 	for _, u := range step.units {
 		s.census.tasks[u.phase] += u.size
 		open = open || u.phase != phaseDone
 		switch u.phase {
 		case phaseBlocked:
-			if mayStart {
+			switch {
+			case mayStart && !durable:
+				if s.now.Sub(s.cell.lastCommit) >= waitBound {
+					s.add(u, waitEndsNotDurable, s.cell.lastCommit, nil, nil)
+				}
+			case mayStart:
 				s.add(u, waitBlocked, s.now, nil, func() logrus.Fields {
 					return logrus.Fields{"after": fmt.Sprint(u.def().After)}
 				})
