List what may run on closed runners, so that a successor waits for them only where it must

Cause: after a takeover, each recovered short task waited for every runner that had not responded, although the former owner had started nothing more on runners that drained, were silent or were not listed. The ownership row listed only leases of silent runners without open starts, so a runner that drained, or one with a start without a response, held back all tasks for up to 10.6 s.

Change: the ownership row lists up to 100 closed runners (8 KiB) with their inventory, three bytes of a hash for each unit that has a run there or an end that is not durable. A successor makes only these units wait for the runner; gangs and tasks that start durably wait as before. The inventory is built under the lock under which starts are decided, and the runner gets no task until a commit whose row does not list it has succeeded (listed_closed), also under a new process. A runner without a report to this owner is listed only with the inherited inventory, one with foreign runs not at all. The row of an acquisition passes the inventories on. Rows without the field, or with a value that can't be decoded, make tasks wait as before. The line of tasks that wait and that of an acquisition count the inventories.

--- a/dispatch/acquire.go
+++ b/dispatch/acquire.go
@@ -55,8 +55,9 @@
 	sent, suspended := time.Now(), cfg.suspended()
 	inherited := inheritedLeaseEnd(&cfg, previous, sent)
 	// If this owner is lost before its first commit, the next one needs what the previous owner knew.
+	closed := boundInventories(previous.Closed)
 	value, err := json.Marshal(Ownership{Node: cfg.Node, Addr: cfg.Addr, Incarnation: cfg.Incarnation, Nonce: nonce,
-		Terminated: boundTerminated(previous.Terminated), Jobs: previous.Jobs, InheritedLeaseMs: inherited.Sub(sent).Milliseconds() + 1})
+		Terminated: boundTerminated(previous.Terminated), Closed: closed, Jobs: previous.Jobs, InheritedLeaseMs: inherited.Sub(sent).Milliseconds() + 1})
 	if err != nil {
 		return nil, err
 	}
@@ -77,6 +78,7 @@
 	c.ownerVersion, c.lastCommit, c.suspendedAtCommit = epoch, sent, suspended
 	c.activeAt, c.suspendedAtActive = sent, suspended
 	c.runnerAddedAt = time.Now()
+	c.listClosed(closed)
 	if version != 0 {
 		if err := c.load(ctx); err != nil {
 			return nil, fmt.Errorf("%w: %w", ErrNotLoaded, err)
@@ -85,7 +87,7 @@
 		c.initUnresolved(previous, runners, inherited)
 	}
 	cfg.Log.WithFields(logrus.Fields{"cell": cfg.Name, "epoch": epoch, "previous": previous.Node, "released": previous.Released,
-		"jobs": len(c.jobs), "read": c.census.read, "recorded": c.census.recorded, "took_ms": time.Since(sent).Milliseconds()}).Info("acquired the cell")
+		"jobs": len(c.jobs), "read": c.census.read, "recorded": c.census.recorded, "inventories": len(previous.Closed), "took_ms": time.Since(sent).Milliseconds()}).Info("acquired the cell")
 	return c, nil
 }
 
--- a/dispatch/cell.go
+++ b/dispatch/cell.go
@@ -142,6 +142,8 @@
 	// listedSilent holds runners of which the durable ownership row may list the ends of their leases. They get no tasks and no
 	// longer leases.
 	listedSilent map[string]bool
+	// listedClosed holds runners that the durable ownership row may list in Ownership.Closed. They get no tasks.
+	listedClosed map[string]bool
 	// previous is the last owner, and earlierLeases is when the leases of owners before it have expired.
 	previous      Ownership
 	earlierLeases time.Time
@@ -188,7 +190,7 @@
 		pending:         map[string]int{}, planWake: make(chan struct{}, 1), flushWake: make(chan struct{}, 1),
 		done: make(chan struct{}), catalog: &catalog.Config{}, pressure: interference.NewPressure(),
 		advice: map[equivClass]*advice{}, terminated: map[string]bool{},
-		waits: waitCheck{loggedAt: map[waitKey]time.Time{}}, listedSilent: map[string]bool{}, census: census{indexed: map[string]bool{}}, delegating: map[*jobState]bool{}, returning: map[*jobState]bool{}, refusedBy: map[string]refusal{},
+		waits: waitCheck{loggedAt: map[waitKey]time.Time{}}, listedSilent: map[string]bool{}, listedClosed: map[string]bool{}, census: census{indexed: map[string]bool{}}, delegating: map[*jobState]bool{}, returning: map[*jobState]bool{}, refusedBy: map[string]refusal{},
 	}
 }
 
--- a/dispatch/commands.go
+++ b/dispatch/commands.go
@@ -187,7 +187,8 @@
 		return false
 	}
 	switch c.unavailable(now, r.runner) {
-	case "", responseOverdue, startBackoff, noCapacityUntilLater:
+	case "", responseOverdue, startBackoff, noCapacityUntilLater, listedClosed:
+		// The inventory of a runner that is listed as closed has the run.
 		return true
 	default:
 		return false
--- a/dispatch/flush.go
+++ b/dispatch/flush.go
@@ -66,6 +66,9 @@
 	// LeasesMs is how long after the write leases may last on runners that do not respond, in milliseconds by ID. The next owner
 	// need not wait longer for them, because this one extends none of these leases while the row lists it.
 	LeasesMs map[string]int64 `json:"leases_ms,omitempty"`
+	// Closed has, by ID, the runners on which this owner starts nothing while the row lists them, with the units that may run there: unitKeyBytes
+	// bytes for each unit (see keyOf) in base64 without padding. The next owner does not know what may run on the others.
+	Closed map[string]string `json:"closed,omitempty"`
 	// Jobs is the number of jobs that the cell stores as of the write; 0 if it is not known.
 	Jobs int `json:"jobs,omitempty"`
 }
@@ -135,6 +138,8 @@
 	reappeared []*runnerState
 	// silent has the runners that the batch's ownership row lists in LeasesMs.
 	silent map[string]int64
+	// closed has the runners that the batch's ownership row lists in Closed.
+	closed map[string]string
 }
 
 // endMark is the number of the last end of a runner's process, started at born, that was applied to the jobs' state.
@@ -271,6 +276,7 @@
 	c.mu.Lock()
 	released := c.ownership(time.Now(), "released")
 	released.Released, released.LeasesMs = true, c.silentLeases(time.Now(), maxReleasedLeases)
+	released.Closed = c.inventories(time.Now())
 	value, err := json.Marshal(released)
 	txn := store.Txn{
 		Conditions: []store.Condition{{Key: OwnerKey(c.cfg.Part), Version: c.ownerVersion}},
@@ -318,6 +324,9 @@
 	for id := range b.silent {
 		c.listedSilent[id] = true
 	}
+	b.owner.Closed = c.inventories(now)
+	b.closed = b.owner.Closed
+	c.listClosed(b.closed)
 	b.txn.Conditions = append(b.txn.Conditions, store.Condition{Key: OwnerKey(c.cfg.Part), Version: c.ownerVersion})
 	b.txn.Writes = append(b.txn.Writes, store.Write{Key: OwnerKey(c.cfg.Part), Value: c.encodeOwner(&b.owner)})
 	for _, rs := range c.runners {
@@ -644,6 +653,7 @@
 			wake(c.planWake)
 		}
 	}
+	c.unlistClosed(b.closed)
 	for _, j := range b.expired {
 		delete(c.jobs, j.def.ID)
 	}
--- a/dispatch/formerowner_test.go
+++ b/dispatch/formerowner_test.go
@@ -136,19 +136,27 @@
 	takeover bool
 	// restart restarts a runner, or is -1.
 	restart int
+	// drain changes for the owner whether a runner drains, and mute whether a runner responds to starts. Both are -1 for none.
+	drain, mute int
 }
 
 // drawCutStep draws a step for at most owners owners.
 func drawCutStep(rt *rapid.T, owners, runners int) cutStep {
 	s := cutStep{after: time.Duration(rapid.IntRange(1, 50).Draw(rt, "after")) * 100 * time.Millisecond,
 		owner: rapid.IntRange(0, owners-1).Draw(rt, "owner"), store: rapid.Bool().Draw(rt, "store"),
-		takeover: rapid.IntRange(0, 2).Draw(rt, "takeover") == 0, restart: -1}
+		takeover: rapid.IntRange(0, 2).Draw(rt, "takeover") == 0, restart: -1, drain: -1, mute: -1}
 	for range runners {
 		s.runners = append(s.runners, rapid.Bool().Draw(rt, "cut"))
 	}
 	if rapid.IntRange(0, 5).Draw(rt, "restart") == 0 {
 		s.restart = rapid.IntRange(0, runners-1).Draw(rt, "restarted")
 	}
+	if rapid.IntRange(0, 2).Draw(rt, "drain") == 0 {
+		s.drain = rapid.IntRange(0, runners-1).Draw(rt, "drained")
+	}
+	if rapid.IntRange(0, 3).Draw(rt, "mute") == 0 {
+		s.mute = rapid.IntRange(0, runners-1).Draw(rt, "muted")
+	}
 	return s
 }
 
@@ -200,6 +208,7 @@
 		cl.submit(c, job)
 	}
 	cl.submit(c, lasting)
+	muted := make([]emulator.CommandFault, runners)
 	for _, s := range plan {
 		time.Sleep(s.after)
 		l := links[s.owner]
@@ -218,6 +227,14 @@
 			time.Sleep(holdWait + time.Second)
 			cl.fleet.Restart(id)
 		}
+		if s.drain >= 0 {
+			cl.infos[s.drain].Draining = !cl.infos[s.drain].Draining
+			c.SetRunner(t.Context(), cl.infos[s.drain], true)
+		}
+		if s.mute >= 0 {
+			muted[s.mute] = emulator.CommandResponseLost - muted[s.mute]
+			cl.fleet.SetCommandFaults(cl.infos[s.mute].ID, emulator.CommandFaults{Start: muted[s.mute]})
+		}
 		if s.takeover && owners < maxOwners && !links[owners].cutStore.Load() {
 			c, _ = own()
 		}
@@ -226,6 +243,11 @@
 		l.cutStore.Store(false)
 		l.cut.Clear()
 	}
+	for i, info := range cl.infos {
+		cl.fleet.SetCommandFaults(info.ID, emulator.CommandFaults{})
+		cl.infos[i].Draining = false
+		c.SetRunner(t.Context(), cl.infos[i], true)
+	}
 	time.Sleep(outageBound + 30*time.Second)
 	if overlaps := cl.fleet.Overlaps(); len(overlaps) > 0 {
 		return fmt.Sprintf("tasks ran in two places at once: %v", overlaps)
--- a/dispatch/runnerstate.go
+++ b/dispatch/runnerstate.go
@@ -112,6 +112,8 @@
 		c.cfg.Log.WithFields(logrus.Fields{"runner": info.ID, "present": present, "draining": info.Draining,
 			"domain": info.Domain}).Info("runner changed")
 	}
+	now := time.Now()
+	wasClosed := rs.isClosed(now)
 	rs.present = present
 	if present {
 		if rs.info.Born != 0 && info.Born > rs.info.Born && rs.born != 0 && info.Born > rs.born {
@@ -120,6 +122,10 @@
 		}
 		rs.info = info
 	}
+	if rs.synced && rs.isClosed(now) != wasClosed {
+		// A successor learns from the next row what may run there, or the runner gets tasks again after it.
+		wake(c.flushWake)
+	}
 	wake(c.planWake)
 }
 
@@ -309,6 +315,9 @@
 	rs.lastResponseAt = now
 	rs.extendedByStart = false
 	rs.clock, rs.clockAt = report.Clock, now
+	if c.listedClosed[rs.info.ID] && !rs.isClosed(now) {
+		wake(c.flushWake)
+	}
 	if c.terminated[rs.info.ID] || c.listedSilent[rs.info.ID] {
 		// It gets tasks and leases again once a durable ownership row no longer lists it.
 		delete(c.terminated, rs.info.ID)
--- a/dispatch/storedform_test.go
+++ b/dispatch/storedform_test.go
@@ -11,6 +11,7 @@
 // error.
 func TestStoredFormOfRows(t *testing.T) {
 	storedform.Check[Ownership](t, "ownership.json")
+	storedform.Check[Ownership](t, "ownership_closed.json")
 	storedform.Check[workload.Job](t, "job.json")
 	storedform.Check[progress](t, "progress.json")
 	storedform.Check[progress](t, "progress_compact.json")
--- a/dispatch/unresolved.go
+++ b/dispatch/unresolved.go
@@ -16,6 +16,8 @@
 	until time.Time
 	// responded is set once the runner has responded to this owner, at the time until.
 	responded bool
+	// inventory is what the previous owner has listed of the units that may run there.
+	inventory inventory
 }
 
 // inheritedLeaseEnd returns when the last lease that the previous owner, or one before it, can have granted has expired.
@@ -83,7 +85,11 @@
 		if end, ok := c.silentLeaseEnds[info.ID]; ok && end.Before(until) {
 			until = end
 		}
-		c.unresolved[info.ID] = &unresolvedRunner{info: info, until: until}
+		x := &unresolvedRunner{info: info, until: until}
+		if listed, ok := c.previous.Closed[info.ID]; ok {
+			x.inventory = decodeInventory(listed)
+		}
+		c.unresolved[info.ID] = x
 	}
 }
 
@@ -188,7 +194,8 @@
 	if u.startsDurably() {
 		return x.info.ID == u.assigned
 	}
-	return c.mayRunOn(u, &x.info)
+	// The end of one member of a gang ends it, also while other members are not recorded any more, so an inventory may lack a gang.
+	return c.mayRunOn(u, &x.info) && (u.size > 1 || x.inventory.mayHave(u.key()))
 }
 
 // mayRunOn reports whether an earlier owner may have started a unit on a runner, as far as the runner's properties tell.
--- a/dispatch/waiting.go
+++ b/dispatch/waiting.go
@@ -597,6 +597,7 @@
 	responseOverdue      unavailability = "silent"
 	startBackoff         unavailability = "start_back_off"
 	noCapacityUntilLater unavailability = "no_capacity_back_off"
+	listedClosed         unavailability = "listed_closed"
 )
 
 // outOfService reports whether the runner is meant to take no tasks.
@@ -631,6 +632,8 @@
 		return noCapacityUntilLater
 	case rs.foreign > 0:
 		return foreignRuns
+	case c.listedClosed[rs.info.ID]:
+		return listedClosed
 	default:
 		return ""
 	}
@@ -651,7 +654,7 @@
 	}
 	slices.Sort(ids)
 	return logrus.Fields{"unresolved": len(ids), "unresolved_runners": strings.Join(ids[:min(len(ids), maxWaitRunners)], " "),
-		"left_ms": until.Sub(now).Milliseconds()}
+		"unresolved_all": len(c.unresolved), "inventories": c.knownInventories(), "left_ms": until.Sub(now).Milliseconds()}
 }
 
 // details describes the state of a step's advice.
--- a/dispatch/withhold.go
+++ b/dispatch/withhold.go
@@ -33,6 +33,8 @@
 type endOfJob struct {
 	number int64
 	job    string
+	// unit is that of a task that is not part of a gang.
+	unit unitKey
 }
 
 // checkRowSize returns an error for a value that the store does not take.
@@ -62,7 +64,7 @@
 	if last := len(rs.unackedEnds) - 1; last >= 0 && e.Number <= rs.unackedEnds[last].number {
 		rs.unackedEnds = nil
 	}
-	rs.unackedEnds = append(rs.unackedEnds, endOfJob{e.Number, e.Task.Job})
+	rs.unackedEnds = append(rs.unackedEnds, endOfJob{number: e.Number, job: e.Task.Job, unit: keyOf(e.Task)})
 }
 
 // durableEnds returns the number of the last end of a runner that may be acknowledged once all dirty jobs that are not withheld
