List when the runs of silent runners end, also if a start there has no response

Cause: the ownership row lists no lease of a runner on which a start has no response, because that command may reach another process, whose lease is not known. A successor therefore waited for the longest lease, also for the tasks that had been running there before.

Change: the inventory of a silent runner names apart the units whose runs the owner had confirmed, and the row says when these have ended. A start without a response extends the lease of the process that has them no further than recorded, and another process has none of them. The owner extends none of these leases and starts nothing there until a commit without the entry has succeeded (listedSilent), and a successor relies on the end only after a commit that was sent later (ownedAt). Units with such a start wait as before. The row of an acquisition passes no ends on, so they wait for the longest lease after it. A start command may still be repeated on a listed runner: it is part of the inventory and carries the deadline of the first attempt. left_ms of a waiting task counts to its own end.

Tests, each seen failing without its rule: TestTakeoverKnowsTheLeasesOfRunnersWithOpenStarts (no ends in the row; ends also for starts without a response; ends not passed on), TestRunnerWithOpenStartThatIsListedGetsNoLongerLease (lease extended after 2 s), TestCutOffOwnerDoesNotRelyOnListedLeasesOfRunnersWithOpenStarts (a task in two places).

--- a/dispatch/cell.go
+++ b/dispatch/cell.go
@@ -139,7 +139,7 @@
 	terminated map[string]bool
 	// losingUntil is until when responses of runners count as being lost.
 	losingUntil time.Time
-	// listedSilent holds runners of which the durable ownership row may list the ends of their leases. They get no tasks and no
+	// listedSilent holds runners of which the durable ownership row may list the ends of their leases, or of some runs there. They get no tasks and no
 	// longer leases.
 	listedSilent map[string]bool
 	// listedClosed holds runners that the durable ownership row may list in Ownership.Closed. They get no tasks.
@@ -155,6 +155,8 @@
 	inheritedEnd time.Time
 	// silentLeaseEnds holds the earlier ends of leases on runners that did not respond to the previous owner either.
 	silentLeaseEnds map[string]time.Time
+	// closedLeaseEnds holds the ends of leases that the previous owner has listed in Ownership.ClosedLeasesMs.
+	closedLeaseEnds map[string]time.Time
 	// awaitsRunners is set until ConfirmRunners is called.
 	awaitsRunners bool
 	pending       map[string]int // accepted jobs without a started task, by queue
--- a/dispatch/closedrunner_test.go
+++ b/dispatch/closedrunner_test.go
@@ -108,3 +108,107 @@
 		<-c.Done()
 	})
 }
+
+// A start without a response on a runner that had become silent made a successor wait for the longest lease of the runner, also for tasks
+// that had been running there long before.
+func TestTakeoverKnowsTheLeasesOfRunnersWithOpenStarts(t *testing.T) {
+	for name, lostOwner := range map[string]bool{"one takeover": false, "successor is lost after its first commit": true} {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				cl := newCluster(t, 3, fixedDuration(time.Minute))
+				c, kill := cl.startOwner("a", true)
+				time.Sleep(100 * time.Millisecond)
+				cl.submit(c, jobOf(1, tasks(6, 8000)))
+				time.Sleep(2 * time.Second)
+				assert.Equal(t, cl.fleet.Running("r1"), 2)
+				cl.fleet.SetFault("r1", emulator.RunnerUnreachable)
+				// The start of the third task, on r1, has no response.
+				cl.submit(c, jobOf(2, tasks(3, 8000)))
+				time.Sleep(4500 * time.Millisecond)
+				assert.Equal(t, cl.fleet.Running("r0")+cl.fleet.Running("r2"), 6)
+				cl.killOwner(c, kill)
+				if lostOwner {
+					c, kill = cl.startOwner("b", false)
+					time.Sleep(200 * time.Millisecond)
+					cl.killOwner(c, kill)
+				}
+				next, stop := cl.startOwner("z", false)
+				// The last lease was granted within a poll of the silence.
+				time.Sleep(lease + holdWait + time.Second - 4500*time.Millisecond)
+				assert.Equal(t, cl.fleet.Running("r0")+cl.fleet.Running("r2"), 8)
+				time.Sleep(outageBound)
+				assert.Equal(t, cl.fleet.Running("r0")+cl.fleet.Running("r2"), 9)
+				cl.assertNoOverlap()
+				stop()
+				<-next.Done()
+			})
+		})
+	}
+}
+
+// While the row of an owner says when the runs of a silent runner end, also beside a start without a response, the owner must not extend
+// their lease: its successor would not wait for it.
+func TestRunnerWithOpenStartThatIsListedGetsNoLongerLease(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		cl := newCluster(t, 1, fixedDuration(time.Minute))
+		a := &link{Fleet: cl.fleet, Store: cl.store}
+		c, stop := cl.startOwnerWith("a", true, a, a)
+		time.Sleep(100 * time.Millisecond)
+		cl.submit(c, jobOf(1, tasks(1, 20000)))
+		time.Sleep(2 * time.Second)
+		a.cut.Store("r0", true)
+		cl.submit(c, jobOf(2, tasks(1, 20000)))
+		time.Sleep(holdWait + 1200*time.Millisecond)
+		row, _, err := dispatch.ReadOwner(t.Context(), cl.store, cellName)
+		assert.NilError(t, err)
+		assert.Assert(t, row.ClosedLeasesMs["r0"] > 0 && row.LeasesMs["r0"] == 0, "%+v", row)
+		a.cutStore.Store(true)
+		listed := cl.fleet.LeaseEnd("r0")
+		a.cut.Delete("r0")
+		time.Sleep(2 * time.Second)
+		assert.Equal(t, cl.fleet.LeaseEnd("r0"), listed, "a lease was extended that the row lists")
+		a.cutStore.Store(false)
+		time.Sleep(3 * time.Second)
+		assert.Assert(t, cl.fleet.LeaseEnd("r0").After(listed), "leases are extended after a commit")
+		assert.Equal(t, cl.fleet.Running("r0"), 2)
+		cl.assertNoOverlap()
+		stop()
+		<-c.Done()
+	})
+}
+
+// An owner that is cut off took the listed end of a lease for the end of the run, although its successor had adopted the run and extended the
+// lease.
+func TestCutOffOwnerDoesNotRelyOnListedLeasesOfRunnersWithOpenStarts(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		cl := newCluster(t, 1, fixedDuration(time.Minute))
+		a, b, rest := &link{Fleet: cl.fleet, Store: cl.store}, &link{Fleet: cl.fleet, Store: cl.store}, &link{Fleet: cl.fleet, Store: cl.store}
+		first, _ := cl.startOwnerWith("a", true, a, a)
+		time.Sleep(100 * time.Millisecond)
+		cl.submit(first, jobOf(1, tasks(1, 20000)))
+		time.Sleep(2 * time.Second)
+		assert.Equal(t, cl.fleet.Running("r0"), 1)
+		a.cut.Store("r0", true)
+		cl.submit(first, jobOf(2, tasks(1, 20000)))
+		time.Sleep(3300 * time.Millisecond)
+		a.cutStore.Store(true)
+		cl.addRunner("r1")
+		// The second owner does not reach r0, and soon not the store.
+		b.cut.Store("r0", true)
+		rest.cut.Store("r1", true)
+		row, _, err := dispatch.ReadOwner(t.Context(), cl.store, cellName)
+		assert.NilError(t, err)
+		assert.Assert(t, row.ClosedLeasesMs["r0"] > 0, "%+v", row)
+		_, _ = cl.startOwnerWith("b", false, b, b)
+		time.Sleep(300 * time.Millisecond)
+		b.cutStore.Store(true)
+		time.Sleep(100 * time.Millisecond)
+		last, stop := cl.startOwnerWith("c", false, rest, rest)
+		time.Sleep(8 * time.Second)
+		cl.assertNoOverlap()
+		assert.Assert(t, cl.fleet.Running("r0") > 0)
+		assert.Equal(t, cl.fleet.Running("r1"), 0)
+		stop()
+		<-last.Done()
+	})
+}
--- a/dispatch/commands.go
+++ b/dispatch/commands.go
@@ -187,8 +187,8 @@
 		return false
 	}
 	switch c.unavailable(now, r.runner) {
-	case "", responseOverdue, startBackoff, noCapacityUntilLater, listedClosed:
-		// The inventory of a runner that is listed as closed has the run.
+	case "", responseOverdue, startBackoff, noCapacityUntilLater, listedSilent, listedClosed:
+		// The inventory of a listed runner has the run, and a repeated command does not extend the lease.
 		return true
 	default:
 		return false
--- a/dispatch/flush.go
+++ b/dispatch/flush.go
@@ -67,8 +67,12 @@
 	// need not wait longer for them, because this one extends none of these leases while the row lists it.
 	LeasesMs map[string]int64 `json:"leases_ms,omitempty"`
 	// Closed has, by ID, the runners on which this owner starts nothing while the row lists them, with the units that may run there: unitKeyBytes
-	// bytes for each unit (see keyOf) in base64 without padding. The next owner does not know what may run on the others.
+	// bytes for each unit (see keyOf) in base64 without padding, then, behind inventorySeparator, the same for the units that ClosedLeasesMs is
+	// about. The next owner does not know what may run on the others.
 	Closed map[string]string `json:"closed,omitempty"`
+	// ClosedLeasesMs is how long after the write those units may run there, in milliseconds by ID. This owner does not extend these leases while
+	// the row lists them. Without an entry, the end of the lease is not known.
+	ClosedLeasesMs map[string]int64 `json:"closed_ms,omitempty"`
 	// Jobs is the number of jobs that the cell stores as of the write; 0 if it is not known.
 	Jobs int `json:"jobs,omitempty"`
 }
@@ -136,8 +140,8 @@
 	expired     []*jobState
 	// reappeared are runners that the batch's ownership row no longer lists as terminated.
 	reappeared []*runnerState
-	// silent has the runners that the batch's ownership row lists in LeasesMs.
-	silent map[string]int64
+	// silent has the runners that the batch's ownership row lists in LeasesMs or ClosedLeasesMs.
+	silent map[string]bool
 	// closed has the runners that the batch's ownership row lists in Closed.
 	closed map[string]string
 }
@@ -276,7 +280,7 @@
 	c.mu.Lock()
 	released := c.ownership(time.Now(), "released")
 	released.Released, released.LeasesMs = true, c.silentLeases(time.Now(), maxReleasedLeases)
-	released.Closed = c.inventories(time.Now())
+	c.listInventories(time.Now(), &released)
 	value, err := json.Marshal(released)
 	txn := store.Txn{
 		Conditions: []store.Condition{{Key: OwnerKey(c.cfg.Part), Version: c.ownerVersion}},
@@ -320,12 +324,17 @@
 	b := &batch{nonce: c.cfg.Node + "/" + strconv.FormatInt(now.UnixNano(), 36), processed: map[*runnerState]endMark{}}
 	b.owner = c.ownership(now, b.nonce)
 	b.owner.LeasesMs = c.silentLeases(now, maxListedLeases)
-	b.silent = b.owner.LeasesMs
+	c.listInventories(now, &b.owner)
+	b.closed, b.silent = b.owner.Closed, map[string]bool{}
+	for id := range b.owner.LeasesMs {
+		b.silent[id] = true
+	}
+	for id := range b.owner.ClosedLeasesMs {
+		b.silent[id] = true
+	}
 	for id := range b.silent {
 		c.listedSilent[id] = true
 	}
-	b.owner.Closed = c.inventories(now)
-	b.closed = b.owner.Closed
 	c.listClosed(b.closed)
 	b.txn.Conditions = append(b.txn.Conditions, store.Condition{Key: OwnerKey(c.cfg.Part), Version: c.ownerVersion})
 	b.txn.Writes = append(b.txn.Writes, store.Write{Key: OwnerKey(c.cfg.Part), Value: c.encodeOwner(&b.owner)})
--- a/dispatch/inventory.go
+++ b/dispatch/inventory.go
@@ -4,6 +4,7 @@
 	"encoding/base64"
 	"maps"
 	"slices"
+	"strings"
 	"time"
 
 	"github.com/currantthread/currantthread/workload"
@@ -47,38 +48,80 @@
 
 func (u *unit) key() unitKey { return keyOf(u.task(0)) }
 
-// inventory has, in ascending order, the units that may run on a runner. nil means that any unit may.
-type inventory []unitKey
+// inventory has the units that may run on a runner, each list in ascending order. nil means that any unit may.
+type inventory struct {
+	// leased has the units whose runs there end with a lease of which the owner knows the end, and open the others.
+	open, leased []unitKey
+}
+
+// inventorySeparator separates the encoded lists of an inventory. The second one is left out if it is empty.
+const inventorySeparator = "."
 
-func (v inventory) mayHave(key unitKey) bool {
-	if v == nil {
-		return true
+// encode returns the value of an inventory in Ownership.Closed.
+func (v *inventory) encode() string {
+	if len(v.leased) == 0 {
+		return encodeKeys(v.open)
 	}
-	_, found := slices.BinarySearch(v, key)
-	return found
+	return encodeKeys(v.open) + inventorySeparator + encodeKeys(v.leased)
 }
 
-// encode returns the value of an inventory in Ownership.Closed.
-func (v inventory) encode() string {
-	b := make([]byte, 0, unitKeyBytes*len(v))
-	for _, key := range v {
+func encodeKeys(keys []unitKey) string {
+	b := make([]byte, 0, unitKeyBytes*len(keys))
+	for _, key := range keys {
 		b = append(b, byte(key>>16), byte(key>>8), byte(key))
 	}
 	return base64.RawStdEncoding.EncodeToString(b)
 }
 
 // decodeInventory returns the inventory with a value in Ownership.Closed, or nil if it can't be decoded.
-func decodeInventory(value string) inventory {
+func decodeInventory(value string) *inventory {
+	open, leased, _ := strings.Cut(value, inventorySeparator)
+	v := &inventory{}
+	var ok bool
+	if v.open, ok = decodeKeys(open); !ok {
+		return nil
+	}
+	if v.leased, ok = decodeKeys(leased); !ok {
+		return nil
+	}
+	return v
+}
+
+func decodeKeys(value string) (keys []unitKey, ok bool) {
 	b, err := base64.RawStdEncoding.DecodeString(value)
 	if err != nil || len(b)%unitKeyBytes != 0 {
-		return nil
+		return nil, false
 	}
-	v := make(inventory, 0, len(b)/unitKeyBytes)
 	for ; len(b) > 0; b = b[unitKeyBytes:] {
-		v = append(v, unitKey(b[0])<<16|unitKey(b[1])<<8|unitKey(b[2]))
+		keys = append(keys, unitKey(b[0])<<16|unitKey(b[1])<<8|unitKey(b[2]))
 	}
-	slices.Sort(v)
-	return v
+	slices.Sort(keys)
+	return keys, true
+}
+
+func sortedKeys(keys []unitKey) []unitKey {
+	slices.Sort(keys)
+	return slices.Compact(keys)
+}
+
+// mayRunUntil returns when a unit that starts without a durable assignment has ended on the runner if it runs there. It returns false if the
+// unit can't run there by what the previous owner has listed.
+func (x *unresolvedRunner) mayRunUntil(u *unit) (until time.Time, may bool) {
+	// The end of one member of a gang ends it, also while other members are not recorded any more, so an inventory may lack a gang.
+	if x.inventory == nil || u.size > 1 {
+		return x.until, true
+	}
+	key := u.key()
+	if _, open := slices.BinarySearch(x.inventory.open, key); open {
+		return x.until, true
+	}
+	if _, leased := slices.BinarySearch(x.inventory.leased, key); !leased {
+		return time.Time{}, false
+	}
+	if x.leasedUntil.IsZero() || x.until.Before(x.leasedUntil) {
+		return x.until, true
+	}
+	return x.leasedUntil, true
 }
 
 // isClosed reports whether the runner gets no tasks, for a reason that does not pass soon. The caller holds mu.
@@ -88,31 +131,51 @@
 
 // inventoryOf returns which units may run on a closed runner, or nil if that is not known. Units of which the runner has reported an end that
 // is not durable count too: a new owner must learn of that end before it starts them. The caller holds mu.
-func (c *Cell) inventoryOf(rs *runnerState) inventory {
+func (c *Cell) inventoryOf(rs *runnerState) *inventory {
 	// A runner without a report may have tasks of an earlier owner, and one with foreign runs has tasks that are not recorded here.
 	if !rs.synced || rs.foreign > 0 {
 		return nil
 	}
-	v := make(inventory, 0, len(rs.runs))
+	v := &inventory{}
+	leased := rs.hasKnownLeaseEnd()
 	for r := range rs.runs {
-		v = append(v, r.unit.key())
+		if leased && r.phase == runRunning {
+			v.leased = append(v.leased, r.unit.key())
+		} else {
+			v.open = append(v.open, r.unit.key())
+		}
 	}
 	for _, e := range rs.unackedEnds {
-		if e.number > rs.acked {
-			v = append(v, e.unit)
+		switch {
+		case e.number <= rs.acked:
+		case leased:
+			v.leased = append(v.leased, e.unit)
+		default:
+			v.open = append(v.open, e.unit)
 		}
 	}
-	slices.Sort(v)
-	return slices.Compact(v)
+	v.open, v.leased = sortedKeys(v.open), sortedKeys(v.leased)
+	return v
 }
 
-// inventories returns the value of Ownership.Closed. The caller holds mu.
-func (c *Cell) inventories(now time.Time) map[string]string {
-	closed := map[string]string{}
+// hasKnownLeaseEnd reports whether leaseEnd is when the confirmed runs of a runner that does not respond have ended. Start commands without a
+// response do not extend the lease of its present process beyond that. Another process, whose lease may end later, has only the runs of
+// such commands. The caller holds mu.
+func (rs *runnerState) hasKnownLeaseEnd() bool { return rs.pollFailing && !rs.leaseEnd.IsZero() }
+
+// listInventories sets the fields of an ownership row that say what may run on closed runners. The caller holds mu.
+func (c *Cell) listInventories(now time.Time, o *Ownership) {
+	closed, ends := map[string]string{}, map[string]time.Time{}
+	list := func(id string, v *inventory, leasedUntil time.Time) {
+		closed[id] = v.encode()
+		if len(v.leased) > 0 && !leasedUntil.IsZero() {
+			ends[id] = leasedUntil
+		}
+	}
 	for id, x := range c.unresolved {
 		// This owner starts nothing there either before the runner has responded.
 		if !x.responded && x.inventory != nil {
-			closed[id] = x.inventory.encode()
+			list(id, x.inventory, x.leasedUntil)
 		}
 	}
 	for id, rs := range c.runners {
@@ -120,10 +183,15 @@
 			continue
 		}
 		if v := c.inventoryOf(rs); v != nil {
-			closed[id] = v.encode()
+			list(id, v, rs.leaseEnd)
+		}
+	}
+	o.Closed, o.ClosedLeasesMs = boundInventories(closed), map[string]int64{}
+	for id, end := range ends {
+		if _, listed := o.Closed[id]; listed {
+			o.ClosedLeasesMs[id] = max(end.Sub(now).Milliseconds(), 0) + 1
 		}
 	}
-	return boundInventories(closed)
 }
 
 // boundInventories returns the first entries of a value of Ownership.Closed by ID, up to maxInventories and maxInventoryBytes.
--- a/dispatch/inventory_test.go
+++ b/dispatch/inventory_test.go
@@ -17,6 +17,9 @@
 	"github.com/currantthread/currantthread/workload"
 )
 
+// encoded returns the value of an inventory without leased units in Ownership.Closed.
+func encoded(open ...unitKey) string { return (&inventory{open: open}).encode() }
+
 // A task that is done on a closed runner must not run again because the owner has applied its end but not stored it: the next owner
 // learns of the end from the runner.
 func TestEndThatIsNotDurableKeepsTaskInInventory(t *testing.T) {
@@ -78,7 +81,7 @@
 		assert.NilError(t, err)
 		previous, version, err := ReadOwner(t.Context(), s, "c0")
 		assert.NilError(t, err)
-		previous.Closed = map[string]string{"r0": inventory{1, 2}.encode(), "r1": "not base64"}
+		previous.Closed = map[string]string{"r0": encoded(1, 2), "r1": "not base64"}
 		c, err := Acquire(t.Context(), testConfig("n2", s, nil), previous, version, []runner.Info{largeRunner, {ID: "r1"}, {ID: "r2"}})
 		assert.NilError(t, err)
 		row, _, err := ReadOwner(t.Context(), s, "c0")
@@ -89,11 +92,13 @@
 		for id := range row.Closed {
 			assert.Assert(t, c.listedClosed[id], id)
 		}
-		assert.DeepEqual(t, c.unresolved["r0"].inventory, inventory{1, 2})
+		assert.DeepEqual(t, c.unresolved["r0"].inventory.open, []unitKey{1, 2})
 		for _, id := range []string{"r1", "r2"} {
 			assert.Assert(t, c.unresolved[id].inventory == nil, id)
 		}
-		assert.DeepEqual(t, c.inventories(time.Now()), map[string]string{"r0": previous.Closed["r0"]})
+		var next Ownership
+		c.listInventories(time.Now(), &next)
+		assert.DeepEqual(t, next.Closed, map[string]string{"r0": previous.Closed["r0"]})
 	})
 }
 
@@ -117,15 +122,17 @@
 	newRunner("foreign").foreign = 1
 	newRunner("no report").synced = false
 	newRunner("awaits proof")
-	c.unresolved["awaits proof"] = &unresolvedRunner{responded: true, inventory: inventory{}}
+	c.unresolved["awaits proof"] = &unresolvedRunner{responded: true, inventory: &inventory{}}
 	newRunner("unresolved").synced = false
 	c.unresolved["unresolved"] = &unresolvedRunner{}
 	newRunner("ended").unackedEnds = []endOfJob{{number: 1, unit: units[0].key()}, {number: 2, unit: units[2].key()}}
 	c.runners["ended"].processed, c.runners["ended"].acked = 2, 1
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	assert.DeepEqual(t, c.inventories(time.Now()), map[string]string{"closed": inventory{units[1].key()}.encode(), "draining": "", "silent": "",
-		"ended": inventory{units[2].key()}.encode()})
+	var row Ownership
+	c.listInventories(time.Now(), &row)
+	assert.DeepEqual(t, row.Closed, map[string]string{"closed": encoded(units[1].key()), "draining": "", "silent": "", "ended": encoded(units[2].key())})
+	assert.Equal(t, len(row.ClosedLeasesMs), 0)
 }
 
 // A recovered unit waits for an unresolved runner if that may have it. An inventory may lack a gang.
@@ -141,13 +148,13 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	assert.Assert(t, c.awaitsUnresolved(listed) && c.awaitsUnresolved(other) && c.awaitsUnresolved(gang), "without an inventory")
-	x.inventory = decodeInventory(inventory{listed.key()}.encode())
+	x.inventory = decodeInventory(encoded(listed.key()))
 	assert.Assert(t, c.awaitsUnresolved(listed))
 	assert.Assert(t, !c.awaitsUnresolved(other))
 	assert.Assert(t, c.awaitsUnresolved(gang))
 	x.inventory = decodeInventory("")
 	assert.Assert(t, !c.awaitsUnresolved(listed) && c.awaitsUnresolved(gang), "nothing runs there")
-	for _, invalid := range []string{"AA", "AAAAA", "****"} {
+	for _, invalid := range []string{"AA", "AAAAA", "****", "AAAA.AA", "AAAA.AAAA.AAAA"} {
 		assert.Assert(t, decodeInventory(invalid) == nil, invalid)
 	}
 }
@@ -163,8 +170,8 @@
 		}
 	}
 	assert.Assert(t, len(keys) >= 2990, "%d keys of 3000 units", len(keys))
-	got := inventory{keyOf(workload.TaskID{Job: "00000000000000aa"}), keyOf(workload.TaskID{Job: "9c13454efe63f4e6", Occurrence: 70000, Step: 2, Index: 9999})}
-	assert.Equal(t, got.encode(), "3rcSe3rw")
+	got := encoded(keyOf(workload.TaskID{Job: "00000000000000aa"}), keyOf(workload.TaskID{Job: "9c13454efe63f4e6", Occurrence: 70000, Step: 2, Index: 9999}))
+	assert.Equal(t, got, "3rcSe3rw")
 }
 
 // The ownership row is part of each commit, so it must not grow with the number of closed runners or of their tasks.
--- a/dispatch/unresolved.go
+++ b/dispatch/unresolved.go
@@ -17,7 +17,9 @@
 	// responded is set once the runner has responded to this owner, at the time until.
 	responded bool
 	// inventory is what the previous owner has listed of the units that may run there.
-	inventory inventory
+	inventory *inventory
+	// leasedUntil is when the runs of the inventory's leased units have ended; zero if that is not known.
+	leasedUntil time.Time
 }
 
 // inheritedLeaseEnd returns when the last lease that the previous owner, or one before it, can have granted has expired.
@@ -63,12 +65,19 @@
 	if !previous.Released && !c.cfg.PredecessorLastWrite.IsZero() {
 		written = c.cfg.PredecessorLastWrite
 	}
-	for id, ms := range previous.LeasesMs {
+	c.silentLeaseEnds, c.closedLeaseEnds = leaseEnds(previous.LeasesMs, written), leaseEnds(previous.ClosedLeasesMs, written)
+	c.addUnresolved(runners)
+}
+
+// leaseEnds returns when leases end that last for the given times in milliseconds. Times that are out of range are left out.
+func leaseEnds(leasesMs map[string]int64, written time.Time) map[string]time.Time {
+	ends := map[string]time.Time{}
+	for id, ms := range leasesMs {
 		if lease := time.Duration(ms) * time.Millisecond; ms >= 0 && lease.Milliseconds() == ms {
-			c.silentLeaseEnds[id] = written.Add(lease)
+			ends[id] = written.Add(lease)
 		}
 	}
-	c.addUnresolved(runners)
+	return ends
 }
 
 // addUnresolved records runners that may run tasks of an earlier owner, once each. The caller holds mu.
@@ -87,7 +96,7 @@
 		}
 		x := &unresolvedRunner{info: info, until: until}
 		if listed, ok := c.previous.Closed[info.ID]; ok {
-			x.inventory = decodeInventory(listed)
+			x.inventory, x.leasedUntil = decodeInventory(listed), c.closedLeaseEnds[info.ID]
 		}
 		c.unresolved[info.ID] = x
 	}
@@ -194,8 +203,12 @@
 	if u.startsDurably() {
 		return x.info.ID == u.assigned
 	}
-	// The end of one member of a gang ends it, also while other members are not recorded any more, so an inventory may lack a gang.
-	return c.mayRunOn(u, &x.info) && (u.size > 1 || x.inventory.mayHave(u.key()))
+	if !c.mayRunOn(u, &x.info) {
+		return false
+	}
+	until, may := x.mayRunUntil(u)
+	// A runner stays unresolved until it has responded or its last lease has expired.
+	return may && (until.Equal(x.until) || !time.Now().After(until) || !c.ownedAt(until))
 }
 
 // mayRunOn reports whether an earlier owner may have started a unit on a runner, as far as the runner's properties tell.
--- a/dispatch/waiting.go
+++ b/dispatch/waiting.go
@@ -648,8 +648,12 @@
 			continue
 		}
 		ids = append(ids, id)
-		if x.until.After(until) {
-			until = x.until
+		end := x.until
+		if !u.startsDurably() {
+			end, _ = x.mayRunUntil(u)
+		}
+		if end.After(until) {
+			until = end
 		}
 	}
 	slices.Sort(ids)
