--- a/dispatch/cell.go
+++ b/dispatch/cell.go
@@ -147,9 +147,11 @@
 	terminated map[string]bool
 	// losingUntil is until when responses of runners count as being lost.
 	losingUntil time.Time
-	// listedSilent holds runners of which the durable ownership row may list the ends of their leases. They get no tasks and no
+	// listedSilent holds runners of which the durable ownership row may list the ends of their leases, or of some runs there. They get no tasks and no
 	// longer leases.
 	listedSilent map[string]bool
+	// listedClosed holds runners that the durable ownership row may list in Ownership.Closed. They get no tasks.
+	listedClosed map[string]bool
 	// previous is the last owner, which has written nothing after previousWritten, and earlierLeases is when the leases of owners before
 	// it have expired.
 	previous                       Ownership
@@ -162,6 +164,8 @@
 	inheritedEnd time.Time
 	// silentLeaseEnds holds the earlier ends of leases on runners that did not respond to the previous owner either.
 	silentLeaseEnds map[string]time.Time
+	// closedLeaseEnds holds the ends of leases that the previous owner has listed in Ownership.ClosedLeasesMs.
+	closedLeaseEnds map[string]time.Time
 	// awaitsRunners is set until ConfirmRunners is called.
 	awaitsRunners bool
 	pending       map[string]int // accepted jobs without a started task, by queue
@@ -197,7 +201,7 @@
 		pending:         map[string]int{}, planWake: make(chan struct{}, 1), flushWake: make(chan struct{}, 1),
 		done: make(chan struct{}), catalog: &catalog.Config{}, pressure: interference.NewPressure(),
 		steps: durableSteps{early: map[*jobState]bool{}}, advice: map[equivClass]*advice{}, terminated: map[string]bool{},
-		waits: waitCheck{loggedAt: map[waitKey]time.Time{}}, listedSilent: map[string]bool{}, census: census{indexed: map[string]bool{}}, delegating: map[*jobState]bool{}, returning: map[*jobState]bool{}, refusedBy: map[string]refusal{},
+		waits: waitCheck{loggedAt: map[waitKey]time.Time{}}, listedSilent: map[string]bool{}, listedClosed: map[string]bool{}, census: census{indexed: map[string]bool{}}, delegating: map[*jobState]bool{}, returning: map[*jobState]bool{}, refusedBy: map[string]refusal{},
 	}
 }
 
--- a/dispatch/flush.go
+++ b/dispatch/flush.go
@@ -66,6 +66,13 @@
 	// LeasesMs is how long after the write leases may last on runners that do not respond, in milliseconds by ID. The next owner
 	// need not wait longer for them, because this one extends none of these leases while the row lists it.
 	LeasesMs map[string]int64 `json:"leases_ms,omitempty"`
+	// Closed has, by ID, the runners on which this owner starts nothing while the row lists them, with the units that may run there: unitKeyBytes
+	// bytes for each unit (see keyOf) in base64 without padding, then, behind inventorySeparator, the same for the units that ClosedLeasesMs is
+	// about. The next owner does not know what may run on the others.
+	Closed map[string]string `json:"closed,omitempty"`
+	// ClosedLeasesMs is how long after the write those units may run there, in milliseconds by ID. This owner does not extend these leases while
+	// the row lists them. Without an entry, the end of the lease is not known.
+	ClosedLeasesMs map[string]int64 `json:"closed_ms,omitempty"`
 	// Jobs is the number of jobs that the cell stores as of the write; 0 if it is not known.
 	Jobs int `json:"jobs,omitempty"`
 	// LeaseCapMs is how long after the write leases that this owner grants may last, in milliseconds, unless one of Witnesses has
@@ -141,8 +148,10 @@
 	expired     []*jobState
 	// reappeared are runners that the batch's ownership row no longer lists as terminated.
 	reappeared []*runnerState
-	// silent has the runners that the batch's ownership row lists in LeasesMs.
-	silent map[string]int64
+	// silent has the runners that the batch's ownership row lists in LeasesMs or ClosedLeasesMs.
+	silent map[string]bool
+	// closed has the runners that the batch's ownership row lists in Closed.
+	closed map[string]string
 }
 
 // endMark is the number of the last end of a runner's process, started at born, that was applied to the jobs' state.
@@ -282,6 +291,7 @@
 	released := c.ownership(time.Now(), "released")
 	released.Released, released.LeasesMs = true, c.silentLeases(time.Now(), maxReleasedLeases)
 	released.DurableSteps = c.begunDurably()
+	c.listInventories(time.Now(), &released)
 	value, err := json.Marshal(released)
 	txn := store.Txn{
 		Conditions: []store.Condition{{Key: OwnerKey(c.cfg.Part), Version: c.ownerVersion}},
@@ -325,12 +335,20 @@
 	b := &batch{nonce: c.cfg.Node + "/" + strconv.FormatInt(now.UnixNano(), 36), processed: map[*runnerState]endMark{}}
 	b.owner = c.ownership(now, b.nonce)
 	b.owner.LeasesMs = c.silentLeases(now, maxListedLeases)
-	b.silent = b.owner.LeasesMs
 	c.listWitnesses(&b.owner)
 	c.listSteps(&b.owner)
+	c.listInventories(now, &b.owner)
+	b.closed, b.silent = b.owner.Closed, map[string]bool{}
+	for id := range b.owner.LeasesMs {
+		b.silent[id] = true
+	}
+	for id := range b.owner.ClosedLeasesMs {
+		b.silent[id] = true
+	}
 	for id := range b.silent {
 		c.listedSilent[id] = true
 	}
+	c.listClosed(b.closed)
 	b.txn.Conditions = append(b.txn.Conditions, store.Condition{Key: OwnerKey(c.cfg.Part), Version: c.ownerVersion})
 	b.txn.Writes = append(b.txn.Writes, store.Write{Key: OwnerKey(c.cfg.Part), Value: c.encodeOwner(&b.owner)})
 	for _, rs := range c.runners {
@@ -660,6 +678,7 @@
 			wake(c.planWake)
 		}
 	}
+	c.unlistClosed(b.closed)
 	for _, j := range b.expired {
 		delete(c.jobs, j.def.ID)
 	}
