Start long-running tasks of a silent runner once their lease ended, also if a start there has no response

Runners were gone 5 s before an orderly release of the cell, and their long-running tasks waited for a whole lease from the takeover on.

Cause: the row of an owner has the end of the lease of such a runner only in its inventory if a start there has no response, and long-running tasks waited for the runner as a whole.

Change: a long-running task waits until its run, as the inventory has it, has ended.

Test: the long-running cases of TestTakeoverKnowsTheLeasesOfRunnersWithOpenStarts fail without the change (6 tasks run instead of 8).

--- a/dispatch/closedrunner_test.go
+++ b/dispatch/closedrunner_test.go
@@ -112,13 +112,19 @@
 // A start without a response on a runner that had become silent made a successor wait for the longest lease of the runner, also for tasks
 // that had been running there long before.
 func TestTakeoverKnowsTheLeasesOfRunnersWithOpenStarts(t *testing.T) {
-	for name, lostOwner := range map[string]bool{"one takeover": false, "successor is lost after its first commit": true} {
+	for name, test := range map[string]struct {
+		step      workload.Step
+		lostOwner bool
+	}{
+		"one takeover": {step: tasks(6, 8000)}, "successor is lost after its first commit": {tasks(6, 8000), true},
+		"long-running": {step: longRunning(6, 8000)}, "long-running, successor is lost after its first commit": {longRunning(6, 8000), true},
+	} {
 		t.Run(name, func(t *testing.T) {
 			synctest.Test(t, func(t *testing.T) {
 				cl := newCluster(t, 3, fixedDuration(time.Minute))
 				c, kill := cl.startOwner("a", true)
 				time.Sleep(100 * time.Millisecond)
-				cl.submit(c, jobOf(1, tasks(6, 8000)))
+				cl.submit(c, jobOf(1, test.step))
 				time.Sleep(2 * time.Second)
 				assert.Equal(t, cl.fleet.Running("r1"), 2)
 				cl.fleet.SetFault("r1", emulator.RunnerUnreachable)
@@ -127,7 +133,7 @@
 				time.Sleep(4500 * time.Millisecond)
 				assert.Equal(t, cl.fleet.Running("r0")+cl.fleet.Running("r2"), 6)
 				cl.killOwner(c, kill)
-				if lostOwner {
+				if test.lostOwner {
 					c, kill = cl.startOwner("b", false)
 					time.Sleep(200 * time.Millisecond)
 					cl.killOwner(c, kill)
--- a/dispatch/inventory.go
+++ b/dispatch/inventory.go
@@ -104,8 +104,8 @@
 	return slices.Compact(keys)
 }
 
-// mayRunUntil returns when a unit that starts without a durable assignment has ended on the runner if it runs there. It returns false if the
-// unit can't run there by what the previous owner has listed.
+// mayRunUntil returns when a unit has ended on the runner if it runs there. It returns false if the unit can't run there by what the previous
+// owner has listed.
 func (x *unresolvedRunner) mayRunUntil(u *unit) (until time.Time, may bool) {
 	// The end of one member of a gang ends it, also while other members are not recorded any more, so an inventory may lack a gang.
 	if x.inventory == nil || u.size > 1 {
--- a/dispatch/plan.go
+++ b/dispatch/plan.go
@@ -73,8 +73,10 @@
 			continue
 		}
 		if c.awaitsUnresolved(u) {
-			if x := c.unresolved[u.assigned]; u.startsDurably() && x != nil && x.until.Sub(now) <= reserveAheadTime {
-				ahead = append(ahead, u)
+			if x := c.unresolved[u.assigned]; u.startsDurably() && x != nil {
+				if until, _ := x.mayRunUntil(u); until.Sub(now) <= reserveAheadTime {
+					ahead = append(ahead, u)
+				}
 			}
 			kept = append(kept, u)
 			continue
--- a/dispatch/unresolved.go
+++ b/dispatch/unresolved.go
@@ -197,7 +197,8 @@
 		return false
 	}
 	if u.startsDurably() {
-		return c.unresolved[u.assigned] != nil
+		x := c.unresolved[u.assigned]
+		return x != nil && c.awaits(u, x)
 	}
 	if !u.begun && c.steps.inherited {
 		return false
@@ -212,10 +213,7 @@
 
 // awaits reports whether a recovered unit must not start before an unresolved runner has responded. The caller holds mu.
 func (c *Cell) awaits(u *unit, x *unresolvedRunner) bool {
-	if u.startsDurably() {
-		return x.info.ID == u.assigned
-	}
-	if !c.mayRunOn(u, &x.info) {
+	if u.startsDurably() && x.info.ID != u.assigned || !u.startsDurably() && !c.mayRunOn(u, &x.info) {
 		return false
 	}
 	until, may := x.mayRunUntil(u)
--- a/dispatch/waiting.go
+++ b/dispatch/waiting.go
@@ -657,11 +657,7 @@
 			continue
 		}
 		ids = append(ids, id)
-		end := x.until
-		if !u.startsDurably() {
-			end, _ = x.mayRunUntil(u)
-		}
-		if end.After(until) {
+		if end, _ := x.mayRunUntil(u); end.After(until) {
 			until = end
 		}
 	}
