Lock the log that tests of runners that left read

The race detector reported a read of the log beside the cell's writes in two cases of TestHistoryThatDoesNotProveThatTheRunnerLeft. What the tests assert is unchanged.

--- a/node/left_test.go
+++ b/node/left_test.go
@@ -1,7 +1,6 @@
 package node
 
 import (
-	"bytes"
 	"context"
 	"strings"
 	"sync"
@@ -14,6 +13,7 @@
 	"github.com/currantthread/currantthread/dispatch"
 	"github.com/currantthread/currantthread/internal/emulator"
 	"github.com/currantthread/currantthread/internal/wait"
+	"github.com/currantthread/currantthread/observe"
 	"github.com/currantthread/currantthread/platform"
 	"github.com/currantthread/currantthread/runner"
 	"github.com/currantthread/currantthread/store"
@@ -29,7 +29,7 @@
 	rows  *emulator.Store
 	fleet *emulator.Fleet
 	node  *Node
-	log   *bytes.Buffer
+	log   *lockedBuffer
 	cell  *dispatch.Cell
 	infos map[string]runner.Info
 	// beats ends the writes of each runner's entry.
@@ -43,13 +43,14 @@
 	t.Helper()
 	s := &leavingSite{t: t, rows: emulator.NewStore(), infos: map[string]runner.Info{}, beats: map[string]context.CancelFunc{},
 		fleet: emulator.NewFleet(func(workload.TaskID, int) (time.Duration, bool) { return time.Hour, false })}
-	n, log := testNode(t, 0)
+	n, _ := testNode(t, 0)
 	n.versions = store.NewVersionClock(s.rows, func() time.Duration { return 0 })
 	n.store, n.runners, n.incarnation = n.versions, s.fleet, "a"
 	n.bounds.Store(&platform.Bounds{HoldMax: 10 * time.Second, RunnerHeartbeat: heartbeat})
 	n.discovery = store.NewFollower(n.store, platform.TableServers, n.discoveryChanged, func(error) {})
 	n.discovery.Poll, n.discovery.SpacingNow, n.discovery.Active = true, n.discoveryPause, n.needsRunners
-	s.node, s.log = n, log
+	s.node, s.log = n, &lockedBuffer{}
+	n.log = observe.NewLogger(s.log, "node", n.settings.Node)
 	var ctx context.Context
 	ctx, s.stop = context.WithCancel(t.Context())
 	for _, id := range []string{"i-1", "i-2"} {
--- a/node/run_test.go
+++ b/node/run_test.go
@@ -172,6 +172,12 @@
 	return strings.Count(b.buffer.String(), text)
 }
 
+func (b *lockedBuffer) String() string {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.buffer.String()
+}
+
 // freePorts returns four consecutive ports on which nothing listens.
 func freePorts(t *testing.T) int {
 	t.Helper()
