Start nothing while a written row overstates that steps began durably

A row that was built before an outage was confirmed states that no step has begun early. Its commit succeeds when the outage ends, and if that is later than the memory of the witness, a successor relies on it although a step began during the outage.

The owner now starts nothing from the time at which it learns that such a row was written until a later one is. Tasks that began in the outage have ended by then, or the witness still remembers: their leases end 10 s after the last commit before the outage, and a witness remembers for 15 s.

--- a/dispatch/cell.go
+++ b/dispatch/cell.go
@@ -288,7 +288,7 @@
 func (c *Cell) mayStart() bool {
 	now := time.Now()
 	c.observeActivity(now)
-	return c.mayCommand(now) && c.ownedAt(c.resumedAt)
+	return c.mayCommand(now) && c.ownedAt(c.resumedAt) && !c.steps.overstated
 }
 
 // observeActivity records that the owner runs, and notices if its process or its VM has been stopped since the last call. It is called on
--- a/dispatch/flush.go
+++ b/dispatch/flush.go
@@ -644,6 +644,7 @@
 	c.census.rows = b.owner.Jobs
 	c.lastCommit, c.suspendedAtCommit = sent, suspended
 	c.recordWitnesses(&b.owner)
+	c.recordSteps(b)
 	c.commitSentAt, c.committing = time.Time{}, nil
 	c.setStoreDown(false, "a commit was applied")
 	now := time.Now()
@@ -665,7 +666,6 @@
 			c.startPlanned(ctx, now, r)
 		}
 	}
-	c.recordSteps(b)
 	c.offerDelegations(ctx, b)
 	c.applyProof(now)
 	for _, rs := range b.reappeared {
--- a/dispatch/steps.go
+++ b/dispatch/steps.go
@@ -21,6 +21,9 @@
 	stated bool
 	// early holds the jobs of which a step may have begun before the ends of the steps before it were durable.
 	early map[*jobState]bool
+	// overstated is set while the last written row states the rule although early is not empty: the row was built before an outage was
+	// confirmed. The owner starts nothing until a later row is written, because a witness may have forgotten the outage.
+	overstated bool
 	// inherited is set once the previous owner, and those before it, are known to have followed the rule up to their last rows.
 	inherited bool
 }
@@ -90,6 +93,12 @@
 	for _, j := range b.expired {
 		delete(c.steps.early, j)
 	}
+	if c.steps.overstated = c.steps.stated && len(c.steps.early) > 0; c.steps.overstated {
+		c.urgent = true
+		wake(c.flushWake)
+	} else {
+		wake(c.planWake)
+	}
 	if stated && !c.steps.stated {
 		c.beginSteps()
 	}
--- a/dispatch/waiting.go
+++ b/dispatch/waiting.go
@@ -360,6 +360,8 @@
 		return waitOwnerSuspended
 	case !c.ownedAt(c.resumedAt):
 		return waitOwnerInterrupted
+	case c.steps.overstated:
+		return waitEndsNotDurable
 	default:
 		return ""
 	}
