Vouch for earlier owners only once all runners of the cell are known

An owner that has not read service discovery and the roster yet may know no runners. Its row then said that no lease of earlier owners lasts and that no step had begun early, and an occurrence that it created counted as new although a former owner might have started it.

Until ConfirmRunners is called, the row states the longest inherited lease and not that steps began durably, and new occurrences count as ones that an earlier owner may have started.

--- a/dispatch/cell.go
+++ b/dispatch/cell.go
@@ -394,11 +394,11 @@
 	return j.unitOf(id)
 }
 
-// addOccurrence creates the next occurrence of a job. While a runner has not responded to this owner, an earlier one may have
-// created the occurrence and started its tasks there. The caller holds mu.
+// addOccurrence creates the next occurrence of a job. While a runner has not responded to this owner, or may not be known to it yet, an earlier
+// one may have created the occurrence and started its tasks there. The caller holds mu.
 func (c *Cell) addOccurrence(j *jobState) {
 	occ := j.newOccurrence(j.nextOcc)
-	if len(c.unresolved) > 0 && !j.def.StartAt.IsZero() {
+	if (len(c.unresolved) > 0 || c.awaitsRunners && !c.inheritedEnd.IsZero()) && !j.def.StartAt.IsZero() {
 		occ.markRecovered()
 	}
 	j.nextOcc++
--- a/dispatch/flush.go
+++ b/dispatch/flush.go
@@ -117,6 +117,10 @@
 func (c *Cell) ownership(now time.Time, nonce string) Ownership {
 	o := Ownership{Node: c.cfg.Node, Addr: c.cfg.Addr, Incarnation: c.cfg.Incarnation, Epoch: c.epoch,
 		Terminated: c.terminatedRunners(), Nonce: nonce, Jobs: c.census.rows}
+	if c.awaitsRunners && !c.inheritedEnd.IsZero() {
+		// Not all runners on which earlier owners may have granted leases are known yet.
+		o.InheritedLeaseMs = c.inheritedEnd.Sub(now).Milliseconds() + 1
+	}
 	for _, x := range c.unresolved {
 		o.InheritedLeaseMs = max(o.InheritedLeaseMs, x.until.Sub(now).Milliseconds()+1)
 	}
--- a/dispatch/steps.go
+++ b/dispatch/steps.go
@@ -67,9 +67,10 @@
 	c.steps.stated = c.steps.stated || owner.DurableSteps
 }
 
-// begunDurably reports whether all steps that this owner or an earlier one may have begun are durably unblocked. The caller holds mu.
+// begunDurably reports whether all steps that this owner or an earlier one may have begun are durably unblocked. An owner that does not know
+// all runners of the cell does not know which are unresolved. The caller holds mu.
 func (c *Cell) begunDurably() bool {
-	return len(c.steps.early) == 0 && (len(c.unresolved) == 0 || c.steps.inherited)
+	return len(c.steps.early) == 0 && (len(c.unresolved) == 0 && !c.awaitsRunners || c.steps.inherited)
 }
 
 // recordSteps records that a batch is durable and begins the steps that waited for it. The caller holds mu.
