Confirm an outage of the partition of a cell

A witness that is asked, and that has responses from the store, now tries a commit on the partition of the cell under a condition that does not hold. If the store does not take it, the witness confirms.

TestWitnessKeepsItsPromise gets a store that responds, since its node had none at all; its assertions are unchanged.

--- a/node/outage.go
+++ b/node/outage.go
@@ -13,6 +13,7 @@
 	"github.com/currantthread/currantthread/dispatch"
 	"github.com/currantthread/currantthread/innerproto"
 	"github.com/currantthread/currantthread/internal/wait"
+	"github.com/currantthread/currantthread/store"
 )
 
 const (
@@ -24,7 +25,9 @@
 	outageAfter = 2 * time.Second
 	// confirmTimeout and denyTimeout bound one request to a witness.
 	confirmTimeout = 700 * time.Millisecond
-	denyTimeout    = 1 * time.Second
+	// partitionTimeout bounds the commit by which a witness checks the partition of a cell, within confirmTimeout.
+	partitionTimeout = 500 * time.Millisecond
+	denyTimeout      = 1 * time.Second
 	// denyRetry is the pause before a witness that did not respond is asked again, until denyPatience after the acquisition: by then the
 	// longest leases have ended.
 	denyRetry    = 300 * time.Millisecond
@@ -65,7 +68,18 @@
 func (w *outageWitness) confirm(now time.Time, cell string, epoch int64) bool {
 	w.mu.Lock()
 	defer w.mu.Unlock()
-	if now.Sub(w.respondedAt) < outageAfter || epoch < w.lowest[cell] {
+	return now.Sub(w.respondedAt) >= outageAfter && w.confirmLocked(now, cell, epoch)
+}
+
+// confirmPartition is confirm for an outage of the cell's partition that this node has just seen.
+func (w *outageWitness) confirmPartition(now time.Time, cell string, epoch int64) bool {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return w.confirmLocked(now, cell, epoch)
+}
+
+func (w *outageWitness) confirmLocked(now time.Time, cell string, epoch int64) bool {
+	if epoch < w.lowest[cell] {
 		return false
 	}
 	w.confirmedAt[cell], w.lowest[cell] = now, epoch
@@ -85,7 +99,7 @@
 var errOtherProcess = connect.NewError(connect.CodeFailedPrecondition, errors.New("the process that is asked has ended"))
 
 // ConfirmOutage implements innerprotoconnect.JobServiceHandler.
-func (s *jobService) ConfirmOutage(_ context.Context, req *innerproto.ConfirmOutageRequest) (*innerproto.ConfirmOutageResponse, error) {
+func (s *jobService) ConfirmOutage(ctx context.Context, req *innerproto.ConfirmOutageRequest) (*innerproto.ConfirmOutageResponse, error) {
 	n := s.node
 	switch {
 	case req.Incarnation != n.incarnation:
@@ -93,7 +107,20 @@
 	case !n.isCell(req.Cell):
 		return &innerproto.ConfirmOutageResponse{}, nil
 	}
-	return &innerproto.ConfirmOutageResponse{Confirmed: n.outages.confirm(time.Now(), req.Cell, req.Epoch)}, nil
+	confirmed := n.outages.confirm(time.Now(), req.Cell, req.Epoch) ||
+		n.isPartitionAway(ctx, req.Cell) && n.outages.confirmPartition(time.Now(), req.Cell, req.Epoch)
+	return &innerproto.ConfirmOutageResponse{Confirmed: confirmed}, nil
+}
+
+// isPartitionAway reports whether the store takes no commits of a cell from this node, while it may respond about other partitions. Nobody
+// can acquire the cell then.
+func (n *Node) isPartitionAway(ctx context.Context, cell string) bool {
+	ctx, cancel := context.WithTimeout(ctx, partitionTimeout)
+	defer cancel()
+	// The row exists, so the condition does not hold and nothing is written.
+	_, err := n.store.Commit(ctx, store.Txn{Conditions: []store.Condition{{Key: dispatch.OwnerKey(n.cellPart(cell))}}})
+	var conflict *store.ConflictError
+	return err != nil && !errors.As(err, &conflict) && !errors.Is(err, store.ErrInvalidTxn)
 }
 
 // DenyOutage implements innerprotoconnect.JobServiceHandler.
--- a/node/outage_test.go
+++ b/node/outage_test.go
@@ -14,6 +14,7 @@
 
 	"github.com/currantthread/currantthread/dispatch"
 	"github.com/currantthread/currantthread/innerproto"
+	"github.com/currantthread/currantthread/internal/emulator"
 	"github.com/currantthread/currantthread/observe"
 	"github.com/currantthread/currantthread/ownership"
 	"github.com/currantthread/currantthread/store"
@@ -180,6 +181,9 @@
 func TestWitnessKeepsItsPromise(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		n, _ := testNode(t, 2)
+		rows := emulator.NewStore()
+		rows.Latency = 0
+		n.store = rows
 		s := &jobService{node: n}
 		confirm := func(cell string, epoch int64) bool {
 			res, err := s.ConfirmOutage(t.Context(), &innerproto.ConfirmOutageRequest{Cell: cell, Epoch: epoch, Incarnation: n.incarnation})
