Hold a runner for a best-effort task that smaller ones pass over

Cause: a plan passes over a task at the head of the queue that fits on no runner, and the smaller tasks behind it take each piece of processor time and of headroom that comes free.

Change: of each service one runner at a time is held for a step whose job has had nothing running for 1 s or longer, chosen by size times wait, on the runner where it can start first. Other short tasks start there only if they should end before. The hold ends with the wait, with the runner, when serving tasks need the room, and after 4 s. While tasks in time wait for 1 s, no runner is held. Long-running tasks are not affected.

--- /dev/null
+++ b/dispatch/backfill.go
@@ -0,0 +1,298 @@
+package dispatch
+
+import (
+	"maps"
+	"slices"
+	"time"
+
+	"github.com/sirupsen/logrus"
+
+	"github.com/currantthread/currantthread/interference"
+	"github.com/currantthread/currantthread/placement"
+)
+
+// Smaller tasks use each piece of idle processor time and of headroom that becomes free, so a large best-effort task would wait until none of
+// them is left. Of each service, one runner at a time is therefore held for the step whose job has had nothing running for the longest time.
+// Meanwhile other short tasks start there only if they should end before that step starts.
+
+const (
+	// holdWaitBound is how long a job has had nothing running before a runner is held for it.
+	holdWaitBound = 1 * time.Second
+	// maxHoldTime bounds how long a runner is held, because tasks there may take longer than estimated and serving tasks may need more.
+	maxHoldTime = 4 * time.Second
+	// holdRetry is the time between two searches for a runner to hold, if the first one found none.
+	holdRetry = 100 * time.Millisecond
+)
+
+// hold is a runner that is held for a step.
+type hold struct {
+	equivClass
+	runner *runnerState
+	since  time.Time
+	// startAt is when the step was expected to start as of since.
+	startAt time.Time
+}
+
+// holds are the held runners of a cell by service, at most one for each.
+type holds struct {
+	byService map[string]*hold
+	// searchedAt is when no runner to hold was found for a step of the service.
+	searchedAt map[string]time.Time
+}
+
+// updateHolds releases the runners whose steps have started, wait no more or can't start there, and holds others. The views are those of
+// the plan that begins. The caller holds mu.
+func (c *Cell) updateHolds(now time.Time, views []*runnerView) {
+	running := runningJobs(views)
+	for service, h := range c.holds.byService {
+		if why := c.releaseReason(now, h, views, running[h.job]); why != "" {
+			c.release(now, service, h, why)
+		}
+	}
+	for service, u := range c.waitingForHold(now, running) {
+		if c.holds.byService[service] == nil && now.Sub(c.holds.searchedAt[service]) >= holdRetry {
+			c.holdFor(now, service, u, views)
+		}
+	}
+	for _, v := range views {
+		c.showHold(now, v)
+	}
+}
+
+// waitingForHold returns for each service the unit for which a runner is to be held next, if there is one, and notes since when the jobs of ready
+// units have had nothing running. While tasks that can still meet their objective wait, there is none: late ones get what these leave. The caller
+// holds mu.
+func (c *Cell) waitingForHold(now time.Time, running map[*jobState]bool) map[string]*unit {
+	waiting, inTime := map[string]*unit{}, map[string]bool{}
+	for _, u := range c.ready {
+		j := u.job
+		if u.phase != phaseReady || j.state.Terminal() || u.size > 1 || u.def().LongRunning || c.awaitsUnresolved(u) {
+			continue
+		}
+		service := c.serviceOf(j)
+		if u.latenessClass == classInTime && u.def().Label == "" && now.Sub(u.waitsSince()) >= holdWaitBound {
+			inTime[service] = true
+		}
+		switch {
+		case !u.def().BestEffort:
+			continue
+		case running[j]:
+			j.idleSince = time.Time{}
+			continue
+		case j.idleSince.IsZero():
+			j.idleSince = now
+		}
+		if now.Sub(u.idleSince()) < holdWaitBound {
+			continue
+		}
+		if first := waiting[service]; first == nil || u.goesBefore(now, first) {
+			waiting[service] = u
+		}
+	}
+	maps.DeleteFunc(waiting, func(service string, _ *unit) bool { return inTime[service] })
+	return waiting
+}
+
+// runningJobs returns the jobs that have a run.
+func runningJobs(views []*runnerView) map[*jobState]bool {
+	jobs := map[*jobState]bool{}
+	for _, v := range views {
+		for r := range v.state.runs {
+			jobs[r.unit.job] = true
+		}
+	}
+	return jobs
+}
+
+// goesBefore reports whether a runner is held for the unit rather than for another one: by priority, then by size times the time for
+// which the job has had nothing running. Small tasks find a runner more easily without a hold.
+func (u *unit) goesBefore(now time.Time, other *unit) bool {
+	if x, y := u.job.def.Policy.Priority, other.job.def.Policy.Priority; x != y {
+		return x < y
+	}
+	return u.passedOver(now) > other.passedOver(now)
+}
+
+// passedOver returns the processor time that the unit would have had since its job has had nothing running, in core-seconds.
+func (u *unit) passedOver(now time.Time) float64 {
+	return now.Sub(u.idleSince()).Seconds() * float64(u.def().Resources.CPU) / 1000
+}
+
+// idleSince returns since when the unit has waited with nothing of its job running.
+func (u *unit) idleSince() time.Time {
+	if since := u.waitsSince(); since.After(u.job.idleSince) {
+		return since
+	}
+	return u.job.idleSince
+}
+
+// releaseReason returns why a held runner is to be released; "" if it is not. The caller holds mu.
+func (c *Cell) releaseReason(now time.Time, h *hold, views []*runnerView, running bool) string {
+	i := slices.IndexFunc(views, func(v *runnerView) bool { return v.state == h.runner })
+	u := h.waitingUnit()
+	switch {
+	case u == nil:
+		return "the step waits no more"
+	case running:
+		return "the job has started"
+	case i < 0 || !views[i].candidate.Available || views[i].state.info.Service != c.serviceOf(h.job):
+		return "the runner is unavailable"
+	case now.Sub(h.since) >= maxHoldTime:
+		return holdTimedOut
+	}
+	if _, ok := c.expectedStart(now, u, views[i]); !ok {
+		return "the runner can't take the task any more"
+	}
+	return ""
+}
+
+// waitingUnit returns a ready unit of the step, or nil if there is none.
+func (h *hold) waitingUnit() *unit {
+	occ := h.job.occs[h.occ]
+	if occ == nil || h.job.state.Terminal() {
+		return nil
+	}
+	units := occ.steps[h.step].units
+	i := slices.IndexFunc(units, func(u *unit) bool { return u.phase == phaseReady })
+	if i < 0 {
+		return nil
+	}
+	return units[i]
+}
+
+// holdTimedOut is why a runner is released on which a step has not started within maxHoldTime.
+const holdTimedOut = "the time is over"
+
+// release ends a hold. If its time is over, others get their turn before another runner is held for its job. The caller holds mu.
+func (c *Cell) release(now time.Time, service string, h *hold, why string) {
+	delete(c.holds.byService, service)
+	if why == holdTimedOut {
+		h.job.idleSince, h.job.heldBefore = now, h.runner.info.ID
+	}
+	c.cfg.Log.WithFields(logrus.Fields{"cell": c.cfg.Name, "request": h.job.def.ID, "step": h.step, "runner": h.runner.info.ID, "why": why,
+		"held_ms": now.Sub(h.since).Milliseconds()}).Debug("held runner released")
+}
+
+// holdFor holds the runner on which a unit can start first. A runner that was held for its job before comes last. The caller holds mu.
+func (c *Cell) holdFor(now time.Time, service string, u *unit, views []*runnerView) {
+	var best *runnerView
+	var startAt time.Time
+	permitted := c.permittedRunners(now, u, views)
+	for _, v := range views {
+		if v.state.info.Service != service || v.candidate.OverTarget || !permitted[v.candidate.ID] {
+			continue
+		}
+		at, ok := c.expectedStart(now, u, v)
+		if !ok {
+			continue
+		}
+		again := v.candidate.ID == u.job.heldBefore
+		if best == nil || best.candidate.ID == u.job.heldBefore || !again && at.Before(startAt) {
+			best, startAt = v, at
+		}
+	}
+	if best == nil {
+		c.holds.searchedAt[service] = now
+		u.job.idleSince = now
+		return
+	}
+	c.holds.byService[service] = &hold{equivClass{u.job, u.occ, u.step}, best.state, now, startAt}
+	c.cfg.Log.WithFields(logrus.Fields{"cell": c.cfg.Name, "task": u.task(0).String(), "runner": best.candidate.ID, "cpu": u.def().Resources.CPU,
+		"idle_ms": now.Sub(u.idleSince()).Milliseconds(), "start_ms": startAt.Sub(now).Milliseconds()}).Debug("runner held for a waiting task")
+}
+
+// permittedRunners returns the runners on which the unit may start according to its advice. The caller holds mu.
+func (c *Cell) permittedRunners(now time.Time, u *unit, views []*runnerView) map[string]bool {
+	permitted := make(map[string]bool, len(views))
+	candidates := serviceCandidates(c.serviceOf(u.job), views)
+	if u.job.def.Policy.Advised {
+		candidates = c.adviceOf(u).permitted(now, candidates)
+	}
+	for _, candidate := range candidates {
+		permitted[candidate.ID] = true
+	}
+	return permitted
+}
+
+// expectedStart returns when a unit can start on a runner if no further short task starts there; false if it can't even once all have ended.
+// That a serving task is over its target now does not count. The caller holds mu.
+func (c *Cell) expectedStart(now time.Time, u *unit, v *runnerView) (time.Time, bool) {
+	request := c.placementRequest(u, map[string]int{})
+	e := *v.candidate
+	e.Held, e.Reserved, e.OverTarget = false, false, false
+	e.Serving = slices.Clone(e.Serving)
+	var short []*run
+	for r := range v.state.runs {
+		if !r.unit.def().LongRunning {
+			short = append(short, r)
+		}
+	}
+	slices.SortFunc(short, func(a, b *run) int { return a.expectedEnd(now).Compare(b.expectedEnd(now)) })
+	at := now
+	for placement.ExcludedBy(request, &e) != "" {
+		if len(short) == 0 {
+			return time.Time{}, false
+		}
+		at = short[0].expectedEnd(now)
+		c.recordEnd(now, &e, short[0])
+		short = short[1:]
+	}
+	return at, true
+}
+
+// recordEnd updates a candidate for a short run that has ended there. The caller holds mu.
+func (c *Cell) recordEnd(now time.Time, p *placement.Candidate, r *run) {
+	def := r.unit.def()
+	p.Committed, p.UsedCPU = p.Committed.Sub(def.Committed()), p.UsedCPU-usedCPU(now, r)
+	if !def.BestEffort {
+		return
+	}
+	share := float64(def.Resources.CPU) * float64(r.speed) / fullSpeed / float64(max(p.Capacity.CPU, 1))
+	for i := range p.Serving {
+		p.Serving[i].Headroom += share * c.pressure.Coefficient(interference.Pair{Serving: p.Serving[i].Image, BestEffort: def.Image})
+	}
+}
+
+// expectedEnd returns when a short run ends at its present speed, according to its estimate and its last reported progress.
+func (r *run) expectedEnd(now time.Time) time.Time {
+	if r.stop.wanted {
+		return now
+	}
+	since := r.progressAt
+	if since.IsZero() {
+		since = r.startedAt
+	}
+	left := r.unit.def().Estimated * time.Duration(100-max(r.percent, 0)) / 100 * fullSpeed / time.Duration(max(r.speed, speedStep))
+	if end := since.Add(left); end.After(now) {
+		return end
+	}
+	return now
+}
+
+// showHold sets what placement knows of the hold of a runner. The caller holds mu.
+func (c *Cell) showHold(now time.Time, v *runnerView) {
+	h := c.holds.byService[v.state.info.Service]
+	v.candidate.Held = h != nil && h.runner == v.state
+	if v.candidate.Held {
+		v.candidate.HeldFor = h.startAt.Sub(now)
+	}
+}
+
+// holdOf returns the hold for the step of a unit, or nil if there is none. The caller holds mu.
+func (c *Cell) holdOf(u *unit) *hold {
+	if len(c.holds.byService) == 0 {
+		return nil
+	}
+	if h := c.holds.byService[c.serviceOf(u.job)]; h != nil && h.equivClass == (equivClass{u.job, u.occ, u.step}) {
+		return h
+	}
+	return nil
+}
+
+// heldRunner returns the runner that is held for the step of a unit; "" if there is none. The caller holds mu.
+func (c *Cell) heldRunner(u *unit) string {
+	if h := c.holdOf(u); h != nil {
+		return h.runner.info.ID
+	}
+	return ""
+}
--- a/dispatch/cell.go
+++ b/dispatch/cell.go
@@ -162,6 +162,7 @@
 	returning map[*jobState]bool
 	// refusedBy holds the last refusal of each other cell, and reservations the places that are kept for tasks of other cells.
 	refusedBy          map[string]refusal
+	holds              holds
 	reservations       []reservation
 	delegatedCheckedAt time.Time // when waiting tasks were last checked for a delegation
 	waits              waitCheck
@@ -189,6 +190,7 @@
 		done: make(chan struct{}), catalog: &catalog.Config{}, pressure: interference.NewPressure(),
 		advice: map[equivClass]*advice{}, terminated: map[string]bool{},
 		waits: waitCheck{loggedAt: map[waitKey]time.Time{}}, listedSilent: map[string]bool{}, census: census{indexed: map[string]bool{}}, delegating: map[*jobState]bool{}, returning: map[*jobState]bool{}, refusedBy: map[string]refusal{},
+		holds: holds{map[string]*hold{}, map[string]time.Time{}},
 	}
 }
 
--- a/dispatch/job.go
+++ b/dispatch/job.go
@@ -148,6 +148,10 @@
 	// objective is when the job should be completed.
 	objective time.Time
 	dirty     bool
+	// idleSince is since when the job has had nothing running while one of its best-effort tasks waits, as seen by plans, or since when it
+	// waits anew for a runner to be held; zero if that is not so. heldBefore is the runner that was last held for it.
+	idleSince  time.Time
+	heldBefore string
 	// checkpointsOmitted is set if the last progress row had to be encoded without checkpoints.
 	checkpointsOmitted bool
 	// durableWaiters are closed once the job's current state is durable.
--- a/dispatch/plan.go
+++ b/dispatch/plan.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"math"
+	"slices"
 	"sort"
 	"time"
 
@@ -55,10 +56,14 @@
 	if len(c.ready) == 0 {
 		return
 	}
-	p := newPlanner(c.runnerViews(now))
+	views := c.runnerViews(now)
+	p := newPlanner(views)
 	// Units that will soon restart are served after those that restart now.
 	ahead := c.unitsOnSilentRunners(now)
 	c.sortReady(now)
+	if len(c.holds.byService) > 0 || slices.ContainsFunc(c.ready, func(u *unit) bool { return u.def().BestEffort }) {
+		c.updateHolds(now, views)
+	}
 	blocked := map[equivClass]bool{}
 	kept := c.ready[:0:0]
 	queue := c.ready
@@ -263,7 +268,9 @@
 			}
 		}
 		p.Slowdown, p.Suspect = rs.health.slowdown(), rs.health.suspect(now)
-		views = append(views, &runnerView{state: rs, candidate: p})
+		view := &runnerView{state: rs, candidate: p}
+		c.showHold(now, view)
+		views = append(views, view)
 	}
 	sort.Slice(views, func(a, b int) bool { return views[a].candidate.ID < views[b].candidate.ID })
 	return views
@@ -374,7 +381,7 @@
 func (c *Cell) placementRequest(u *unit, placed map[string]int) *placement.Request {
 	def := u.def()
 	onRunner := u.stepState().onRunner
-	return &placement.Request{Step: def, Avoid: u.avoid,
+	return &placement.Request{Step: def, Avoid: u.avoid, HeldRunner: c.heldRunner(u),
 		OnRunner: func(id string) int { return onRunner[id] + placed[id] },
 		Pressure: func(serving string) float64 {
 			return c.pressure.Coefficient(interference.Pair{Serving: serving, BestEffort: def.Image})
--- a/placement/placement.go
+++ b/placement/placement.go
@@ -3,6 +3,8 @@
 package placement
 
 import (
+	"time"
+
 	"github.com/currantthread/currantthread/workload"
 )
 
@@ -30,6 +32,10 @@
 	// Reserved is set for a runner that is kept for a long-running task that does not fit yet. Best-effort tasks, and
 	// other long-running tasks that fit, may still start there.
 	Reserved bool
+	// Held is set for a runner that is held for a best-effort task which is expected to start there after HeldFor. Other short tasks may start
+	// there only if they should end before.
+	Held    bool
+	HeldFor time.Duration
 	// Remote is set for runners in another region than the cell's owner.
 	Remote bool
 	// Slowdown is the learned factor of run times on this runner against others; 1 is normal.
@@ -65,6 +71,8 @@
 	OnRunner func(runnerID string) int
 	// Avoid is a runner on which the task failed before; empty if none.
 	Avoid string
+	// HeldRunner is the runner that is held for the task; empty if none.
+	HeldRunner string
 	// Rack, if set, is the only rack that is allowed. Dispatch does not set it yet.
 	Rack string
 	// Pressure returns how much of a serving task's capacity the request's tasks would take if they used a whole runner.
@@ -97,6 +105,11 @@
 	return !c.Reserved || r.Step.BestEffort || r.Step.LongRunning
 }
 
+func isNotHeld(r *Request, c *Candidate) bool {
+	endsBefore := r.Step.Estimated > 0 && r.Step.Estimated <= c.HeldFor
+	return !c.Held || r.Step.LongRunning || r.HeldRunner == c.ID || endsBefore
+}
+
 func hasCapacity(r *Request, c *Candidate) bool { return r.Step.Committed().Fits(c.Free()) }
 
 // fitsBestEffort excludes runners too small to give a best-effort task its processor time.
@@ -140,6 +153,7 @@
 }{
 	{FilterAvailable, isAvailable},
 	{"reserved", isUnreserved},
+	{"held", isNotHeld},
 	{"capacity", hasCapacity},
 	{"runner_size", fitsBestEffort},
 	{"label", hasRequiredLabel},
--- a/placement/placement_test.go
+++ b/placement/placement_test.go
@@ -30,6 +30,7 @@
 		change func(c *Candidate)
 		on     int
 		rack   string
+		held   string
 		want   bool
 		// by is the filter that excludes the runner.
 		by string
@@ -55,6 +56,16 @@
 		"reserved for a long-running task": {step: workload.Step{Resources: cpu(4000)}, change: func(c *Candidate) { c.Reserved = true }, by: "reserved"},
 		"best-effort on a reserved runner": {step: workload.Step{Resources: cpu(4000), BestEffort: true}, change: func(c *Candidate) { c.Reserved = true },
 			want: true},
+		"held for another task": {step: workload.Step{Resources: cpu(4000), BestEffort: true, Estimated: 2 * time.Second},
+			change: func(c *Candidate) { c.Held, c.HeldFor = true, time.Second }, by: "held"},
+		"short task of unknown duration on a held runner": {step: workload.Step{Resources: cpu(4000)},
+			change: func(c *Candidate) { c.Held, c.HeldFor = true, time.Second }, by: "held"},
+		"ends before the runner is needed": {step: workload.Step{Resources: cpu(4000), Estimated: time.Second},
+			change: func(c *Candidate) { c.Held, c.HeldFor = true, time.Second }, want: true},
+		"long-running on a held runner": {step: workload.Step{Resources: cpu(4000), LongRunning: true},
+			change: func(c *Candidate) { c.Held = true }, want: true},
+		"held for the task": {step: workload.Step{Resources: cpu(4000)}, held: "h",
+			change: func(c *Candidate) { c.Held = true }, want: true},
 		"best-effort on a small runner": {step: workload.Step{Resources: cpu(65000), BestEffort: true}, by: "runner_size"},
 		"other rack":                    {step: workload.Step{Resources: cpu(4000)}, rack: "r9", by: "rack"},
 	} {
@@ -65,7 +76,7 @@
 			}
 			r := request(test.step)
 			r.OnRunner = func(string) int { return test.on }
-			r.Rack = test.rack
+			r.Rack, r.HeldRunner = test.rack, test.held
 			assert.Equal(t, Pick(r, []*Candidate{c}) == c, test.want)
 			assert.Equal(t, ExcludedBy(r, c), test.by)
 		})
