Tell tasks that smaller ones pass over from those that no runner would take

The counts of filters in a wait line look the same if serving tasks keep a best-effort task away and if smaller tasks use up the room. The lines of best-effort tasks now have if_emptied (runners that would take the task without their short tasks), passed_on (those of them with a smaller task that was started since) and held.

TestWaitOfPassedOverTaskIsExplained is of the new fields.

--- a/dispatch/backfill.go
+++ b/dispatch/backfill.go
@@ -296,3 +296,30 @@
 	}
 	return ""
 }
+
+// emptiedDetails tells a best-effort task that is passed over by smaller ones from one that no runner would take: if_emptied is the number of
+// runners that would take it if no short task ran there, and passed_on the number of those on which a smaller best-effort task runs that was
+// started since it waits. The caller holds mu.
+func (c *Cell) emptiedDetails(now time.Time, u *unit, views []*runnerView) logrus.Fields {
+	emptied, passed := 0, 0
+	for _, v := range views {
+		if v.state.info.Service != c.serviceOf(u.job) {
+			continue
+		}
+		if _, ok := c.expectedStart(now, u, v); !ok {
+			continue
+		}
+		emptied++
+		for r := range v.state.runs {
+			if def := r.unit.def(); def.BestEffort && def.Resources.CPU < u.def().Resources.CPU && r.startedAt.After(u.waitsSince()) {
+				passed++
+				break
+			}
+		}
+	}
+	fields := logrus.Fields{"if_emptied": emptied, "passed_on": passed}
+	if held := c.heldRunner(u); held != "" {
+		fields["held"] = held
+	}
+	return fields
+}
--- a/dispatch/hold_test.go
+++ b/dispatch/hold_test.go
@@ -172,3 +172,18 @@
 	assert.Equal(t, views[i].candidate.HeldFor, 2*time.Second)
 	assert.Equal(t, s.placementRequest(s.large, nil).HeldRunner, "x2")
 }
+
+// The counts of filters alone don't tell a task that smaller ones pass over from one that no runner would take.
+func TestWaitOfPassedOverTaskIsExplained(t *testing.T) {
+	s := newHoldCell(t, time.Second, time.Second, time.Second)
+	s.serve("x1", 0.79)
+	for r := range s.runners["x2"].runs {
+		r.startedAt = s.now.Add(time.Millisecond)
+	}
+	s.after(holdWaitBound)
+	scan := &waitScan{cell: s.Cell, now: s.now}
+	fields := scan.explain(s.large, s.runnerViews(s.now)).details()
+	assert.Equal(t, fields["if_emptied"], 2)
+	assert.Equal(t, fields["passed_on"], 1)
+	assert.Equal(t, fields["held"], s.held())
+}
--- a/dispatch/waiting.go
+++ b/dispatch/waiting.go
@@ -504,6 +504,9 @@
 		if u.startsDurably() && c.cfg.Peers != nil {
 			fields["places_elsewhere"], fields["long_places_elsewhere"] = c.placesElsewhere(u)
 		}
+		if u.def().BestEffort && u.size == 1 {
+			maps.Copy(fields, c.emptiedDetails(s.now, u, views))
+		}
 		return fields
 	}}
 	switch {
