Begin occurrences of scheduled jobs once they are durable

Found by the review: the first step of an occurrence that became due after a takeover waited for runners that were gone together with the former owner, which might have created it without a durable row. It is the same cause as that of steps that nobody had begun.

An occurrence begins once it is durable, and a successor that does not find it starts its tasks without waiting, under the same conditions as for blocked steps.

--- a/dispatch/acquire.go
+++ b/dispatch/acquire.go
@@ -221,7 +221,7 @@
 func (o *occurrence) markRecovered() {
 	for i := range o.steps {
 		for _, u := range o.steps[i].units {
-			u.recovered, u.begun = true, o.isUnblocked(i)
+			u.recovered, u.begun = true, o.durable && o.isUnblocked(i)
 			// The row that says that a host does not have a unit was written after all its runs there.
 			if u.phase != phaseRemote || u.job.origin == "" {
 				u.run += runGap
--- a/dispatch/flush.go
+++ b/dispatch/flush.go
@@ -178,6 +178,8 @@
 	returned []*unit
 	// doneSteps are the steps of which the batch makes durable that they are done.
 	doneSteps []*stepState
+	// newOccs are the occurrences of which the batch makes durable that they were created.
+	newOccs []*occurrence
 }
 
 // flushLoop is the only writer of the cell's rows. It has one commit in flight and repeats a commit without a response
@@ -498,7 +500,7 @@
 		c.cfg.Log.WithField("request", j.def.ID).Warn("progress is stored without checkpoints, with which it is too large for a row")
 	}
 	c.addProgressRow(b, batchJob{job: j, state: j.state, waiters: j.durableWaiters, planned: j.plannedRuns(),
-		offered: j.markedDelegations(), transfers: slices.Clone(j.transfers), returned: j.returnedUnits(), doneSteps: j.doneSteps()}, value)
+		offered: j.markedDelegations(), transfers: slices.Clone(j.transfers), returned: j.returnedUnits(), doneSteps: j.doneSteps(), newOccs: j.newOccs()}, value)
 	j.durableWaiters = nil
 	return len(value)
 }
--- a/dispatch/job.go
+++ b/dispatch/job.go
@@ -99,6 +99,8 @@
 	steps  []stepState
 	// left is the number of steps with units that are not done.
 	left int
+	// durable is set once it is durable that the occurrence was created.
+	durable bool
 }
 
 // isUnblocked reports whether all steps that a step waits for are done.
@@ -204,7 +206,7 @@
 
 // newOccurrence creates an occurrence and its units.
 func (j *jobState) newOccurrence(number int) *occurrence {
-	occ := &occurrence{number: number, due: j.def.Due(number), steps: make([]stepState, len(j.def.Steps)), left: len(j.def.Steps)}
+	occ := &occurrence{number: number, due: j.def.Due(number), steps: make([]stepState, len(j.def.Steps)), left: len(j.def.Steps), durable: j.def.StartAt.IsZero()}
 	for i := range j.def.Steps {
 		def := &j.def.Steps[i]
 		step := &occ.steps[i]
--- a/dispatch/progress.go
+++ b/dispatch/progress.go
@@ -172,6 +172,7 @@
 		}
 		j.nextOcc = max(j.nextOcc, o.Number+1)
 		occ := j.newOccurrence(o.Number)
+		occ.durable = true
 		left := 0
 		for i := range occ.steps {
 			for _, u := range occ.steps[i].units {
@@ -212,7 +213,7 @@
 		if tasks > maxMissingTasks {
 			return fmt.Errorf("progress row of job %s does not list occurrence %d of %d", j.def.ID, number, j.nextOcc)
 		}
-		j.newOccurrence(number)
+		j.newOccurrence(number).durable = true
 	}
 	return nil
 }
--- a/dispatch/steps.go
+++ b/dispatch/steps.go
@@ -8,8 +8,8 @@
 
 // A new owner does not know which tasks its predecessor started, so a task that may run on a runner that does not respond has to wait. Most
 // tasks that wait after a takeover belong to steps that nobody has begun: their turn came while the cell had no owner. An owner therefore
-// begins a step only once the ends of the steps before it are durable, and its ownership row says so. The successor need not wait for runners before
-// it starts a task of a step that the rows show as blocked.
+// begins a step only once its occurrence and the ends of the steps before it are durable, and its ownership row says so. The successor need not
+// wait for runners before it starts a task of a step that the rows show as blocked.
 //
 // While a witness has confirmed an outage of the store, and while rows are withheld, steps begin at once. The jobs of which a step
 // began so are recorded, and no row states the rule before their rows are written. A successor relies on the rule only if
@@ -81,10 +81,13 @@
 		for _, s := range bj.doneSteps {
 			s.durable = true
 		}
+		for _, occ := range bj.newOccs {
+			occ.durable = true
+		}
 		if bj.state.Terminal() || !bj.job.hasUndurableSteps() {
 			delete(c.steps.early, bj.job)
 		}
-		if len(bj.doneSteps) == 0 || bj.job.state.Terminal() {
+		if len(bj.doneSteps)+len(bj.newOccs) == 0 || bj.job.state.Terminal() {
 			continue
 		}
 		for _, occ := range bj.job.occs {
@@ -118,6 +121,17 @@
 	return done
 }
 
+// newOccs returns the occurrences of a job that are not known to be durable. The caller holds the cell's mu.
+func (j *jobState) newOccs() []*occurrence {
+	var created []*occurrence
+	for _, occ := range j.occs {
+		if !occ.durable {
+			created = append(created, occ)
+		}
+	}
+	return created
+}
+
 // hasUndurableSteps reports whether a step may have begun although the ends of the steps before it are not durable. The caller holds the
 // cell's mu.
 func (j *jobState) hasUndurableSteps() bool {
@@ -141,12 +155,15 @@
 	return slices.ContainsFunc(s.units, func(u *unit) bool { return u.phase != phaseBlocked })
 }
 
-// isDurablyUnblocked reports whether the ends of all steps that a step waits for are durable.
+// isDurablyUnblocked reports whether the occurrence and the ends of all steps that a step waits for are durable.
 func (o *occurrence) isDurablyUnblocked(step int) bool {
 	units := o.steps[step].units
 	if len(units) == 0 || units[0].job.origin != "" {
 		return true
 	}
+	if !o.durable {
+		return false
+	}
 	for _, before := range units[0].def().After {
 		if !o.steps[before].durable {
 			return false
--- a/dispatch/steps_test.go
+++ b/dispatch/steps_test.go
@@ -235,3 +235,34 @@
 		<-next.Done()
 	})
 }
+
+// While no outage is confirmed, an occurrence must not begin before it is durable: a successor that does not find it would begin it too.
+func TestOccurrenceBeginsOnceItIsDurable(t *testing.T) {
+	for name, mode := range map[string]witnessMode{"no outage": witnessDenies, "outage": witnessConfirms} {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				cl := newCluster(t, 3, fixedDuration(stepDuration))
+				cl.witness = newWitness(mode)
+				first, stop := cl.startOwnerOf(cl.config("a", true))
+				time.Sleep(3 * time.Second)
+				job := jobOf(1, tasks(3, 8000))
+				job.StartAt = time.Now().Add(2 * time.Second)
+				cl.submit(first, job)
+				time.Sleep(1500 * time.Millisecond)
+				cl.store.SetFault(emulator.StoreSilent)
+				time.Sleep(5 * time.Second)
+				if mode == witnessConfirms {
+					assert.Equal(t, cl.startsOfStep(job, 0), 3)
+				} else {
+					assert.Equal(t, cl.startsOfStep(job, 0), 0)
+				}
+				cl.store.SetFault(emulator.StoreWorks)
+				time.Sleep(settleTime + stepDuration)
+				assert.Equal(t, cl.startsOfStep(job, 0), 3)
+				assert.Equal(t, state(first, job), workload.StateCompleted)
+				stop()
+				<-first.Done()
+			})
+		})
+	}
+}
