--- a/dispatch/backfill.go
+++ b/dispatch/backfill.go
@@ -12,8 +12,8 @@
 )
 
 // Smaller tasks use each piece of idle processor time and of headroom that becomes free, so a large best-effort task would wait until none of
-// them is left. Of each service, one runner at a time is therefore held for the step whose job has had nothing running for the longest time.
-// Meanwhile other short tasks start there only if they should end before that step starts.
+// them is left. Of each service, one runner at a time is therefore held for a step whose job has had nothing running for holdWaitBound. Meanwhile
+// other short tasks start there only if they should end before that step starts.
 
 const (
 	// holdWaitBound is how long a job has had nothing running before a runner is held for it.
