Await runners that left while the former owner may send commands

A former owner that is cut off repeats a start, and the process that starts next under the ID of a runner that has left accepts it for a whole lease. Its successor, which does not reach that process, waited 3 s only.

The successor now waits for the whole inherited lease, unless the former owner is known to have ended or has released the cell.

A case of TestNewOwnerDoesNotWaitForRunnerThatLeft expected the tasks to start within 5 s beside a former owner that may send commands; that was wrong, and it now expects that they don't before the lease has ended, and do after it.

--- a/dispatch/left.go
+++ b/dispatch/left.go
@@ -23,14 +23,9 @@
 	}
 	if x := c.unresolved[id]; x != nil && !x.responded {
 		x.left = true
-		end := now
-		if !c.previous.Released && !c.cfg.PredecessorDead {
-			// By then the former owner has no response from that process any more, and starts nothing on the next one under this ID
-			// without a commit.
-			end = now.Add(reachableTimeout)
-		}
-		if end.Before(x.until) {
-			x.until = end
+		// A former owner that may still send commands may repeat a start without a response, which the next process under this ID would accept.
+		if (c.previous.Released || c.cfg.PredecessorDead) && now.Before(x.until) {
+			x.until = now
 		}
 	}
 	c.ownedAt(now)
--- a/node/left_test.go
+++ b/node/left_test.go
@@ -177,12 +177,13 @@
 	})
 }
 
-// A new owner waited 6.4 to 10.6 s for runners that had drained and left before they responded to it.
+// A new owner waited 6.4 to 10.6 s for runners that had drained and left before they responded to it. It must do so while the former owner may
+// repeat a start, which the next process under the runner's ID would accept.
 func TestNewOwnerDoesNotWaitForRunnerThatLeft(t *testing.T) {
 	for name, c := range map[string]struct {
 		released bool
-		within   time.Duration
-	}{"predecessor has ended": {true, 2 * time.Second}, "predecessor may send commands": {false, 5 * time.Second}} {
+		started  int
+	}{"predecessor has ended": {true, 3}, "predecessor may send commands": {false, 0}} {
 		t.Run(name, func(t *testing.T) {
 			synctest.Test(t, func(t *testing.T) {
 				s := newLeavingSite(t, runnerHeartbeat)
@@ -197,7 +198,11 @@
 				time.Sleep(100 * time.Millisecond)
 				s.unlist("i-1")
 				assert.Equal(t, s.fleet.Running("i-2"), 0)
-				time.Sleep(c.within)
+				time.Sleep(2 * time.Second)
+				assert.Equal(t, s.fleet.Running("i-2"), c.started, s.log.String())
+				time.Sleep(3 * time.Second)
+				assert.Equal(t, s.fleet.Running("i-2"), c.started, s.log.String())
+				time.Sleep(6 * time.Second)
 				assert.Equal(t, s.fleet.Running("i-2"), 3, s.log.String())
 			})
 		})
