Conclude nothing from a part of the history of service discovery

A new owner reads up to eight pages of changes. If there are more, a later change may list a runner again whose entry was removed, and a process that has just started has not read the entry itself. From the review, by reasoning; no test shows it.

--- a/node/left.go
+++ b/node/left.go
@@ -153,6 +153,7 @@
 	defer cancel()
 	began := after
 	var history removalHistory
+	complete := false
 	for range maxHistoryPages {
 		page, err := n.store.Feed(ctx, platform.TableServers, after, 0)
 		if err != nil {
@@ -163,10 +164,14 @@
 		}
 		history.add(page.Rows, n.versions)
 		after = max(after, page.Version)
-		if len(page.Rows) == 0 || after >= epoch {
+		if complete = len(page.Rows) == 0 || after >= epoch; complete {
 			break
 		}
 	}
+	if !complete {
+		// A later change may list a removed runner again.
+		return
+	}
 	n.mu.Lock()
 	defer n.mu.Unlock()
 	var removals []removal
