--- a/scripts/test.sh
+++ b/scripts/test.sh
@@ -87,11 +87,12 @@
 # shellcheck disable=SC2086 # the lists are split on purpose
 "$go" test $race $packages 2>&1 | tee "$out" || status=1
 
-# Packages that failed with a crash of the race detector and without a failed test or a race, and all packages that failed.
-crashed=$(awk '/^ThreadSanitizer: CHECK failed|^SIGSEGV: segmentation violation/{crash=1} /^ *--- FAIL: |WARNING: DATA RACE|^panic: /{fail=1}
-  /^(FAIL|ok)[ \t]+[^ \t]+/{if($1=="FAIL" && crash && !fail) print $2; crash=fail=0}' "$out")
+# Packages that failed with a crash of the race detector, those of them without a failed test or a race, and all packages that failed.
+crashes=$(awk '/^ThreadSanitizer: CHECK failed|^SIGSEGV: segmentation violation/{crash=1} /^ *--- FAIL: |WARNING: DATA RACE|^panic: /{fail=1}
+  /^(FAIL|ok)[ \t]+[^ \t]+/{if($1=="FAIL" && crash) print $2, fail+0; crash=fail=0}' "$out")
+crashed=$(printf '%s\n' "$crashes" | awk '$2==0{print $1}')
 failed=$(awk '/^FAIL[ \t]+[^ \t]+/{print $2}' "$out" | sort -u)
-[ "$race" = -race ] || crashed=""
+[ "$race" = -race ] || crashes="" crashed=""
 if [ -n "$crashed" ]; then
   [ "$(printf '%s\n' "$crashed" | sort -u)" = "$failed" ] && status=0
 fi
@@ -100,8 +101,10 @@
   # shellcheck disable=SC2086
   "$go" test $without_race $crashed || status=1
 else
-  [ -z "$crashed" ] || printf '\nthe race detector crashed, tested again with each test in its own process: %s\n' "$(printf '%s' "$crashed" | tr '\n' ' ')"
-  for package in $split_packages $crashed; do
+  # A crash after a failed test hides the tests that would have followed.
+  again=$(printf '%s\n' "$crashes" | awk '{print $1}')
+  [ -z "$again" ] || printf '\nthe race detector crashed, tested again with each test in its own process: %s\n' "$(printf '%s' "$again" | tr '\n' ' ')"
+  for package in $split_packages $again; do
     test_split "$package" || status=1
   done
 fi
