--- a/dispatch/left.go
+++ b/dispatch/left.go
@@ -8,8 +8,9 @@
 
 // RunnerLeft states that a runner's process, which started at born in milliseconds of Unix time, has left, so that everything on it
 // has ended. Its confirmed runs are lost and it need not be waited for, both once a commit that is sent from now on has succeeded. A
-// run whose start has no response waits for the lease as before: a process that starts under the same ID may get that start, and
-// would accept it from this owner. It does nothing if another process has responded since.
+// run whose start has no response waits for the lease as before, and so do tasks that a former owner may have started there until that
+// owner is known to have ended: a process that starts under the same ID may get such a start and would accept it. It does nothing
+// if another process has responded since.
 func (c *Cell) RunnerLeft(id string, born int64) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
