--- a/review/6/run.sh
+++ b/review/6/run.sh
@@ -1,4 +1,4 @@
 #!/bin/bash
-# Two machines of the system and a runner are removed for good at one moment. Exits with 1 if tasks that last wait for too long then.
+# Runners crash and come back, the owner loses power, and those runners are cut off and run on. Exits with 1 if a task runs twice.
 cd "$(dirname "$0")/../.." || exit 2
-exec target/standin-2 lost-machines review/6
+exec target/standin-2 reborn-lease review/6
--- a/review/standin-2/lostmachines.go
+++ b/review/standin-2/lostmachines.go
@@ -1,10 +1,6 @@
 package main
 
-import (
-	"fmt"
-	"sort"
-	"time"
-)
+import "time"
 
 const (
 	// calmBefore is how long the platform's rule wants no disruption before the time in which a task has to run.
@@ -47,7 +43,7 @@
 		}
 	}
 	time.Sleep(observed)
-	return w.waitedTooLong(lostAt), nil
+	return w.waitedFrom(lostAt, lostAt), nil
 }
 
 // ownerAndWitness returns the owner and the first machine that its row names beside it.
@@ -76,25 +72,3 @@
 	}
 	return busiest
 }
-
-// waitedTooLong returns the tasks that last whose run ended at the disruption and that did not run again in time.
-func (w *world) waitedTooLong(lostAt time.Time) (broken []string) {
-	limit := lastingWait + lastingSpan
-	for task, runs := range w.record.byTask() {
-		for i, u := range runs {
-			if u.ended.IsZero() || u.ended.Before(lostAt) {
-				continue
-			}
-			waited := time.Since(u.ended)
-			if i+1 < len(runs) {
-				waited = runs[i+1].began.Sub(u.ended)
-			}
-			w.record.note("%s waited %.2f s for its next run", task, waited.Seconds())
-			if waited > limit {
-				broken = append(broken, fmt.Sprintf("LOST: %s, which lasts, did not run for %.1f s after its run on %s had ended; allowed are %.0f s", task, waited.Seconds(), u.runner, limit.Seconds()))
-			}
-		}
-	}
-	sort.Strings(broken)
-	return broken
-}
--- a/review/standin-2/main.go
+++ b/review/standin-2/main.go
@@ -18,12 +18,16 @@
 
 // cases plays the cases by name. Each returns how the rule was broken; trouble is false if the disruption is left out.
 var cases = map[string]func(w *world, trouble bool) ([]string, error){
-	"lost-machines": lostMachines,
+	"lost-machines":    lostMachines,
+	"reborn-lease":     rebornLease,
+	"second-successor": secondSuccessor,
 }
 
 // sizes are the numbers of nodes and runners of the cases.
 var sizes = map[string][2]int{
-	"lost-machines": {9, 24},
+	"lost-machines":    {9, 24},
+	"reborn-lease":     {9, 24},
+	"second-successor": {9, 24},
 }
 
 func main() { os.Exit(play()) }
--- a/review/standin-2/runner.go
+++ b/review/standin-2/runner.go
@@ -1,6 +1,7 @@
 package main
 
 import (
+	"context"
 	"encoding/json"
 	"fmt"
 	"net"
@@ -54,6 +55,8 @@
 
 	mu   sync.Mutex // guards the fields below
 	life *life
+	// lives counts the starts of the runner's process. A connection belongs to the life in which it was opened.
+	lives int
 	// dark means that no packet arrives; the process may run or not.
 	dark     bool
 	draining bool
@@ -88,6 +91,7 @@
 	if r.life != nil {
 		return
 	}
+	r.lives++
 	r.life = &life{r: r, born: time.Now().UnixMilli(), booted: time.Now(), runs: map[string]*run{}, highest: map[string]int{}, next: 1, changed: make(chan struct{})}
 	r.dark, r.draining = false, false
 }
@@ -191,6 +195,12 @@
 	}
 	r.mu.Lock()
 	l := r.life
+	if opened, _ := req.Context().Value(openedInLife{}).(int); opened != r.lives && !r.dark {
+		// The connection is that of an earlier life, which this one does not know.
+		r.mu.Unlock()
+		resetConnection(w)
+		return
+	}
 	if r.dark {
 		r.mu.Unlock()
 		<-req.Context().Done()
@@ -356,6 +366,20 @@
 	})
 }
 
+// openedInLife is the key of the life in which a connection was opened.
+type openedInLife struct{}
+
+func resetConnection(w http.ResponseWriter) {
+	conn, _, err := http.NewResponseController(w).Hijack()
+	if err != nil {
+		return
+	}
+	if tcp, ok := conn.(*net.TCPConn); ok {
+		_ = tcp.SetLinger(0) // the connection is closed anyway
+	}
+	_ = conn.Close()
+}
+
 func stepOf(task string) string {
 	if parts := strings.Split(task, "."); len(parts) == 4 {
 		return parts[2]
@@ -455,7 +479,11 @@
 		return err
 	}
 	r.addr = listener.Addr().String()
-	server := &http.Server{Handler: r}
+	server := &http.Server{Handler: r, ConnContext: func(ctx context.Context, _ net.Conn) context.Context {
+		r.mu.Lock()
+		defer r.mu.Unlock()
+		return context.WithValue(ctx, openedInLife{}, r.lives)
+	}}
 	go func() { _ = server.Serve(listener) }() // ends with the process
 	r.start()
 	w.runners = append(w.runners, r)
--- a/review/standin-2/world.go
+++ b/review/standin-2/world.go
@@ -297,15 +297,15 @@
 }
 
 type step struct {
-	Count        int   `json:"count"`
-	CPU          int   `json:"cpu"`
-	MemMB        int   `json:"mem_mb"`
-	EstimatedMs  int   `json:"estimated_ms"`
-	After        []int `json:"after,omitempty"`
-	Gang         bool  `json:"gang,omitempty"`
-	LongRunning  bool  `json:"long_running,omitempty"`
-	AntiAffinity int   `json:"anti_affinity,omitempty"`
-	BestEffort   bool  `json:"fills,omitempty"`
+	Count        int    `json:"count"`
+	CPU          int    `json:"cpu"`
+	MemMB        int    `json:"mem_mb"`
+	EstimatedMs  int    `json:"estimated_ms"`
+	After        []int  `json:"after,omitempty"`
+	Gang         bool   `json:"gang,omitempty"`
+	LongRunning  bool   `json:"long_running,omitempty"`
+	AntiAffinity int    `json:"anti_affinity,omitempty"`
+	Requirements string `json:"requirements,omitempty"`
 }
 
 // job is a job as its client knows it.
