--- a/review/standin-2/main.go
+++ b/review/standin-2/main.go
@@ -19,6 +19,7 @@
 // cases plays the cases by name. Each returns how the rule was broken; trouble is false if the disruption is left out.
 var cases = map[string]func(w *world, trouble bool) ([]string, error){
 	"lost-machines":    lostMachines,
+	"moved-runner":     movedRunner,
 	"reborn-lease":     rebornLease,
 	"second-successor": secondSuccessor,
 }
@@ -26,6 +27,7 @@
 // sizes are the numbers of nodes and runners of the cases.
 var sizes = map[string][2]int{
 	"lost-machines":    {9, 24},
+	"moved-runner":     {9, 24},
 	"reborn-lease":     {9, 24},
 	"second-successor": {9, 24},
 }
--- a/review/standin-2/runner.go
+++ b/review/standin-2/runner.go
@@ -9,6 +9,7 @@
 	"strconv"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"time"
 )
 
@@ -51,6 +52,7 @@
 	zone  string
 	rack  string
 	addr  string
+	port  *port
 	seq   int
 
 	mu   sync.Mutex // guards the fields below
@@ -58,7 +60,9 @@
 	// lives counts the starts of the runner's process. A connection belongs to the life in which it was opened.
 	lives int
 	// dark means that no packet arrives; the process may run or not.
-	dark     bool
+	dark bool
+	// storeCut means that the runner does not reach the store; all else does reach it.
+	storeCut bool
 	draining bool
 	listed   bool
 	wroteAt  time.Time
@@ -186,8 +190,50 @@
 	Percent      int    `json:"percent"`
 }
 
+// port is an address at which one runner after another may listen.
+type port struct{ current atomic.Pointer[runner] }
+
+// opened is the runner and its life to which a connection was opened.
+type opened struct {
+	r    *runner
+	life int
+}
+
+// openedKey is the key of opened in the context of a request.
+type openedKey struct{}
+
+// listen returns a port and its address.
+func listen() (*port, string, error) {
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		return nil, "", err
+	}
+	p := &port{}
+	server := &http.Server{Handler: p, ConnContext: func(ctx context.Context, _ net.Conn) context.Context {
+		r := p.current.Load()
+		if r == nil {
+			return ctx
+		}
+		r.mu.Lock()
+		defer r.mu.Unlock()
+		return context.WithValue(ctx, openedKey{}, opened{r, r.lives})
+	}}
+	go func() { _ = server.Serve(listener) }() // ends with the process
+	return p, listener.Addr().String(), nil
+}
+
 // ServeHTTP implements http.Handler.
-func (r *runner) ServeHTTP(w http.ResponseWriter, req *http.Request) {
+func (p *port) ServeHTTP(w http.ResponseWriter, req *http.Request) {
+	at, _ := req.Context().Value(openedKey{}).(opened)
+	if r := p.current.Load(); r == nil || r != at.r {
+		resetConnection(w)
+		return
+	}
+	at.r.serve(w, req, at.life)
+}
+
+// serve serves a request on a connection that was opened in the given life.
+func (r *runner) serve(w http.ResponseWriter, req *http.Request, openedIn int) {
 	var c command
 	if err := json.NewDecoder(req.Body).Decode(&c); err != nil {
 		w.WriteHeader(http.StatusBadRequest)
@@ -195,7 +241,7 @@
 	}
 	r.mu.Lock()
 	l := r.life
-	if opened, _ := req.Context().Value(openedInLife{}).(int); opened != r.lives && !r.dark {
+	if openedIn != r.lives && !r.dark {
 		// The connection is that of an earlier life, which this one does not know.
 		r.mu.Unlock()
 		resetConnection(w)
@@ -366,9 +412,6 @@
 	})
 }
 
-// openedInLife is the key of the life in which a connection was opened.
-type openedInLife struct{}
-
 func resetConnection(w http.ResponseWriter) {
 	conn, _, err := http.NewResponseController(w).Hijack()
 	if err != nil {
@@ -456,7 +499,7 @@
 	for {
 		r.mu.Lock()
 		switch l := r.life; {
-		case l != nil && !r.dark:
+		case l != nil && !r.dark && !r.storeCut:
 			r.world.store.put("servers", r.id, r.entry(l))
 			r.listed, r.wroteAt = true, time.Now()
 		case r.listed && time.Since(r.wroteAt) > 3*heartbeatMs*time.Millisecond:
@@ -474,17 +517,13 @@
 
 func (w *world) addRunner(i int, zone string) error {
 	r := &runner{world: w, id: fmt.Sprintf("i-%04x", i), zone: zone, rack: fmt.Sprintf("r%d", i/8)}
-	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	p, addr, err := listen()
 	if err != nil {
 		return err
 	}
-	r.addr = listener.Addr().String()
-	server := &http.Server{Handler: r, ConnContext: func(ctx context.Context, _ net.Conn) context.Context {
-		r.mu.Lock()
-		defer r.mu.Unlock()
-		return context.WithValue(ctx, openedInLife{}, r.lives)
-	}}
-	go func() { _ = server.Serve(listener) }() // ends with the process
+	r.addr = addr
+	r.port = p
+	p.current.Store(r)
 	r.start()
 	w.runners = append(w.runners, r)
 	go r.beat(w.stop)
