--- a/catalog/catalog.go
+++ b/catalog/catalog.go
@@ -18,6 +18,8 @@
 	Timeout time.Duration
 	Policy  workload.Policy
 	Advice  Advice
+	// Public means that requests need no key.
+	Public bool
 }
 
 // Advice describes the responses of the advice service for a queue. The zero value means that the queue has no advice.
@@ -53,6 +55,10 @@
 	Queues   []Queue
 	Services map[string]Service
 	Limits   Limits
+	// Organisations has the organisations by name. If it is empty, no request needs a key.
+	Organisations map[string]*Organisation
+	// keys has the names of the organisations by the digests of their keys.
+	keys map[keyDigest]string
 }
 
 // Match returns the queue with the longest path prefix that matches a request's host and path, and the rest of the
--- a/workload/workload.go
+++ b/workload/workload.go
@@ -119,6 +119,9 @@
 	Spec   string `json:"spec,omitempty"`
 	Steps  []Step `json:"steps"`
 	Policy Policy `json:"policy"`
+	// Organisation is the name of the organisation that submitted the job. It is empty for jobs of public queues, of deployments without
+	// organisations and of earlier builds.
+	Organisation string `json:"org,omitempty"`
 	// Occurrences is how often the steps run; 1 for a job without a schedule.
 	Occurrences int `json:"occ"`
 	// StartAt is when the first occurrence is due; zero means at once.
