--- a/dispatch/flush.go
+++ b/dispatch/flush.go
@@ -461,10 +461,10 @@
 	if s.finished {
 		return 0
 	}
-	if c.jobs[s.job.ID] != nil {
+	if j := c.jobs[s.job.ID]; j != nil {
 		// A repeated submission arrived while the commit of the job was in flight. Its condition would make this commit
 		// fail.
-		s.finish(OutcomeAccepted, "")
+		s.finish(repeatedOutcome(j, s.job), "")
 		return 0
 	}
 	value, err := json.Marshal(s.job)
@@ -480,6 +480,27 @@
 	return len(value)
 }
 
+// repeatedOutcome returns the outcome of a submission of a job that the cell has.
+func repeatedOutcome(j *jobState, submitted *workload.Job) Outcome {
+	if !j.def.BelongsTo(submitted.Organisation) {
+		return OutcomeConflict
+	}
+	return OutcomeAccepted
+}
+
+// finishIndexed decides a submission of a job for which the index names this cell. If the cell does not have the job, only its row says
+// which organisation it belongs to. The caller holds mu.
+func (c *Cell) finishIndexed(s *submission) {
+	switch j := c.jobs[s.job.ID]; {
+	case j != nil:
+		s.finish(repeatedOutcome(j, s.job), "")
+	case s.job.Organisation != "":
+		s.finish(OutcomeElsewhere, c.cfg.Name)
+	default:
+		s.finish(OutcomeAccepted, "")
+	}
+}
+
 func (c *Cell) addSubmissionRows(b *batch, s *submission, value []byte) {
 	b.submissions = append(b.submissions, s)
 	b.txn.Conditions = append(b.txn.Conditions, store.Condition{Key: c.indexKey(s.job.ID)})
@@ -746,7 +767,7 @@
 			s.finish(OutcomeCancelled, "")
 		case string(index.Value) == c.cfg.Name:
 			c.countIndexed(s.job.ID)
-			s.finish(OutcomeAccepted, "")
+			c.finishIndexed(s)
 		default:
 			s.finish(OutcomeElsewhere, string(index.Value))
 		}
--- a/dispatch/intake.go
+++ b/dispatch/intake.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"encoding/json"
 	"fmt"
 	"iter"
 	"time"
@@ -33,10 +34,12 @@
 	OutcomeChanged
 	// OutcomeCancelled means that the job was cancelled before it was accepted, and will never run.
 	OutcomeCancelled
+	// OutcomeConflict means that a job of another organisation has the ID; nothing was done.
+	OutcomeConflict
 )
 
 // outcomeNames are the names of outcomes in logs.
-var outcomeNames = []string{"unknown", "accepted", "elsewhere", "refused", "full", "not_owner", "changed", "cancelled"}
+var outcomeNames = []string{"unknown", "accepted", "elsewhere", "refused", "full", "not_owner", "changed", "cancelled", "conflict"}
 
 // String returns the name of the outcome.
 func (o Outcome) String() string {
@@ -66,17 +69,25 @@
 
 // Submit makes a job durable in the cell. Submitting a job again that the cell already has is accepted without effect.
 // Submit returns OutcomeFull if the cell lacks capacity for a long-running job, or, unless force is set, for the first
-// steps of another job. For OutcomeElsewhere it also returns the name of the other cell.
+// steps of another job. For OutcomeElsewhere it also returns the name of the other cell, which may be this one if the job has an organisation
+// and the cell does not know that of the stored job.
 func (c *Cell) Submit(ctx context.Context, job *workload.Job, force bool) (Outcome, string) {
 	began := time.Now()
 	defer func() { c.cfg.Metrics.submissionTime.Observe(time.Since(began).Seconds()) }()
 	c.mu.Lock()
+	if !c.awaitOtherOrganisation(ctx, job) {
+		c.mu.Unlock()
+		return OutcomeUnknown, ""
+	}
 	if c.lost {
 		c.mu.Unlock()
 		return OutcomeNotOwner, ""
 	}
 	if j, ok := c.jobs[job.ID]; ok {
 		c.mu.Unlock()
+		if !j.def.BelongsTo(job.Organisation) {
+			return OutcomeConflict, ""
+		}
 		if j.origin != "" {
 			return OutcomeElsewhere, j.origin
 		}
@@ -108,6 +119,31 @@
 	}
 }
 
+// awaitOtherOrganisation waits for the decision on a submission of another organisation with the same ID. It returns false if ctx or the
+// cell ended first. The caller holds mu, which is released meanwhile.
+func (c *Cell) awaitOtherOrganisation(ctx context.Context, job *workload.Job) bool {
+	for s := c.waitingSubmission(job.ID); s != nil && !s.job.BelongsTo(job.Organisation) && !c.lost; s = c.waitingSubmission(job.ID) {
+		if !c.awaitDecision(ctx, s) {
+			return false
+		}
+	}
+	return true
+}
+
+// awaitDecision waits for the decision on a submission. It returns false if ctx or the cell ended first. The caller holds mu, which is
+// released meanwhile.
+func (c *Cell) awaitDecision(ctx context.Context, s *submission) bool {
+	c.mu.Unlock()
+	defer c.mu.Lock()
+	select {
+	case <-s.done:
+		return true
+	case <-ctx.Done():
+	case <-c.done:
+	}
+	return false
+}
+
 // waitingSubmission returns the undecided submission of a job, which a repeated submission joins. The caller holds mu.
 func (c *Cell) waitingSubmission(id string) *submission {
 	for s := range c.undecided() {
@@ -157,9 +193,26 @@
 	return j.visible(), true
 }
 
-// Cancel cancels a job that has not ended, and returns once its end is durable. found is false if the cell does not
-// have the job. The decision on a submission of the job that is under way is awaited.
+// Organisation returns the organisation of a job, and whether the cell has the job.
+func (c *Cell) Organisation(id string) (string, bool) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	j := c.jobs[id]
+	if j == nil {
+		return "", false
+	}
+	return j.def.Organisation, true
+}
+
+// Cancel cancels a job, whatever its organisation is. See CancelFor.
 func (c *Cell) Cancel(ctx context.Context, id string) (found bool, err error) {
+	return c.CancelFor(ctx, id, "")
+}
+
+// CancelFor cancels a job that has not ended, and returns once its end is durable. found is false if the cell does not
+// have the job, or if the job belongs to another organisation; then nothing is changed. The decision on a submission of the job
+// that is under way is awaited.
+func (c *Cell) CancelFor(ctx context.Context, id, organisation string) (found bool, err error) {
 	c.mu.Lock()
 	for s := c.waitingSubmission(id); s != nil && !c.lost; s = c.waitingSubmission(id) {
 		c.mu.Unlock()
@@ -177,7 +230,7 @@
 		return false, errNotOwner
 	}
 	j := c.jobs[id]
-	if j == nil {
+	if j == nil || !j.def.BelongsTo(organisation) {
 		c.mu.Unlock()
 		return false, nil
 	}
@@ -325,3 +378,18 @@
 	}
 	return workload.StateRunning, true, nil
 }
+
+// StoredOrganisation reads the organisation of a job from the store. found is false if the job does not exist.
+func StoredOrganisation(ctx context.Context, s store.Store, part, id string) (organisation string, found bool, err error) {
+	page, err := s.Range(ctx, TableJobs, part, id, id+"\x00", 1)
+	if err != nil || len(page.Rows) == 0 {
+		return "", false, err
+	}
+	var job struct {
+		Organisation string `json:"org"`
+	}
+	if err := json.Unmarshal(page.Rows[0].Value, &job); err != nil {
+		return "", true, fmt.Errorf("row of job %s: %w", id, err)
+	}
+	return job.Organisation, true, nil
+}
--- a/dispatch/job.go
+++ b/dispatch/job.go
@@ -342,5 +342,5 @@
 // compact drops the details of a finished job, of which only the state is needed.
 func (j *jobState) compact() {
 	j.occs = nil
-	j.def = &workload.Job{ID: j.def.ID, Policy: j.def.Policy, AcceptedAt: j.def.AcceptedAt}
+	j.def = &workload.Job{ID: j.def.ID, Organisation: j.def.Organisation, Policy: j.def.Policy, AcceptedAt: j.def.AcceptedAt}
 }
--- a/intake/intake.go
+++ b/intake/intake.go
@@ -21,6 +21,8 @@
 	Accepted
 	// Refused means that the job was not accepted and will not run because of this submission.
 	Refused
+	// Conflict means that a job of another organisation has the ID. The submission changed nothing.
+	Conflict
 )
 
 // Decision is the response to a submission.
@@ -39,12 +41,14 @@
 	// Catalog returns the active configuration, or nil while there is none.
 	Catalog() *catalog.Config
 	// Submit accepts a job or refuses it. It is idempotent: a job whose ID was accepted before is accepted again, without
-	// effect.
+	// effect, unless it belongs to another organisation.
 	Submit(ctx context.Context, job *workload.Job) Decision
-	// State returns a job's state; found is false if no such job exists.
-	State(ctx context.Context, jobID string) (state workload.State, found bool, err error)
-	// Cancel ends a job and returns once that is durable; found is false if no such job exists.
-	Cancel(ctx context.Context, jobID string) (found bool, err error)
+	// State returns a job's state; found is false if no such job exists, or if it belongs to another organisation than the
+	// caller's. An empty organisation may read all jobs.
+	State(ctx context.Context, jobID, organisation string) (state workload.State, found bool, err error)
+	// Cancel ends a job and returns once that is durable; found is false, and nothing is changed, if no such job exists, or if it
+	// belongs to another organisation than the caller's. An empty organisation may cancel all jobs.
+	Cancel(ctx context.Context, jobID, organisation string) (found bool, err error)
 	// Pending returns the number of a queue's accepted jobs of which no task has started; known is false while some of
 	// them can't be counted.
 	Pending(queue string) (count int, known bool)
--- a/node/cancel_test.go
+++ b/node/cancel_test.go
@@ -104,14 +104,14 @@
 func (c *cancelCluster) cancel(node int, id string) (found bool, err error) {
 	ctx, cancel := context.WithTimeout(c.t.Context(), clientDeadline)
 	defer cancel()
-	return c.nodes[node].Cancel(ctx, id)
+	return c.nodes[node].Cancel(ctx, id, "")
 }
 
 // assertNotRunning checks that all nodes say that a job was cancelled or does not exist.
 func (c *cancelCluster) assertNotRunning(id string) {
 	c.t.Helper()
 	for _, n := range c.nodes {
-		state, found, err := n.State(c.t.Context(), id)
+		state, found, err := n.State(c.t.Context(), id, "")
 		assert.NilError(c.t, err)
 		assert.Assert(c.t, !found || state == workload.StateCancelled, "job %s is %s", id, state)
 	}
@@ -264,7 +264,7 @@
 			time.Sleep(3 * lateCommit)
 			if acknowledged {
 				for _, n := range c.nodes {
-					if state, found, err := n.State(t.Context(), id); err != nil || found && state != workload.StateCancelled {
+					if state, found, err := n.State(t.Context(), id, ""); err != nil || found && state != workload.StateCancelled {
 						broken = fmt.Sprintf("a cancelled job is %s (found %v, error %v)", state, found, err)
 					}
 				}
--- a/node/clients.go
+++ b/node/clients.go
@@ -92,7 +92,9 @@
 			if n.isCell(elsewhere) {
 				n.cacheJobCell(job.ID, elsewhere)
 			}
-			return intake.Decision{Outcome: intake.Accepted, Cell: elsewhere}
+			return n.decideRepeated(ctx, job, elsewhere)
+		case dispatch.OutcomeConflict:
+			return intake.Decision{Outcome: intake.Conflict, Cell: target.Load.Cell, Reason: reasonConflict}
 		case dispatch.OutcomeCancelled:
 			return intake.Decision{Outcome: intake.Refused, Reason: "the job was cancelled before it was accepted"}
 		case dispatch.OutcomeFull:
@@ -120,6 +122,27 @@
 // heartbeats.
 const refusedRetryAfter = 1 * time.Second
 
+// reasonConflict explains intake.Conflict. It does not say what is known of the other job.
+const reasonConflict = "the id is that of another job"
+
+// decideRepeated decides the submission of a job that a cell has accepted before: of the same job, or of another organisation's.
+func (n *Node) decideRepeated(ctx context.Context, job *workload.Job, cell string) intake.Decision {
+	if job.Organisation == "" {
+		return intake.Decision{Outcome: intake.Accepted, Cell: cell}
+	}
+	_, found, err := n.stateIn(ctx, cell, job.ID, job.Organisation)
+	switch {
+	case errors.Is(err, errOtherOrganisation):
+		return intake.Decision{Outcome: intake.Conflict, Cell: cell, Reason: reasonConflict}
+	case err != nil:
+		return intake.Decision{Outcome: intake.Unknown, Reason: err.Error()}
+	case !found:
+		// The read is older than the job, or the job was removed meanwhile.
+		return intake.Decision{Outcome: intake.Unknown, Reason: "the job's row can't be read yet"}
+	}
+	return intake.Decision{Outcome: intake.Accepted, Cell: cell}
+}
+
 // refuseFull refuses a job for which no cell has capacity, unless an earlier submission of the same job was accepted.
 func (n *Node) refuseFull(ctx context.Context, job *workload.Job, targets []ownership.Owner) intake.Decision {
 	cell, err := n.findCell(ctx, job.ID)
@@ -127,7 +150,7 @@
 	case err != nil:
 		return intake.Decision{Outcome: intake.Unknown, Reason: err.Error()}
 	case cell != "":
-		return intake.Decision{Outcome: intake.Accepted, Cell: cell}
+		return n.decideRepeated(ctx, job, cell)
 	}
 	demand := dispatch.LongRunningDemand(job)
 	retryAfter := targets[0].Load.CapacityWait(demand)
@@ -385,64 +408,141 @@
 }
 
 // State implements intake.Service.
-func (n *Node) State(ctx context.Context, jobID string) (workload.State, bool, error) {
+func (n *Node) State(ctx context.Context, jobID, organisation string) (workload.State, bool, error) {
 	cell, err := n.findCell(ctx, jobID)
 	if err != nil || cell == "" {
 		return "", false, err
 	}
-	if c := n.localCell(cell); c != nil && !c.HasLostOwnership() {
-		if state, found := c.State(jobID); found {
-			return state, true, nil
-		}
-	} else if owner, ok := n.directory.Owners(time.Now())[cell]; ok && owner.Node != n.settings.Node {
-		callCtx, cancel := context.WithTimeout(ctx, peerTimeout)
-		defer cancel()
-		res, err := n.peers.client(owner.Addr).JobState(callCtx, &innerproto.JobStateRequest{Cell: cell, Job: jobID})
-		if err == nil && res.Owner && res.Found {
-			return workload.State(res.State), true, nil
-		}
+	state, found, err := n.stateIn(ctx, cell, jobID, organisation)
+	if errors.Is(err, errOtherOrganisation) {
+		return "", false, nil
+	}
+	return state, found, err
+}
+
+// errOtherOrganisation means that a job belongs to another organisation than the caller's.
+var errOtherOrganisation = errors.New("the job belongs to another organisation")
+
+// stateIn returns the state of a job of a cell, by the cell's owner or, if it does not know the job, by the store. It returns
+// errOtherOrganisation if the job belongs to another organisation than the given one.
+func (n *Node) stateIn(ctx context.Context, cell, jobID, organisation string) (workload.State, bool, error) {
+	state, owning, found := n.stateByOwner(ctx, cell, jobID)
+	if found {
+		return state, true, checkOrganisation(owning, organisation)
 	}
+	return n.storedState(ctx, cell, jobID, organisation)
+}
+
+// storedState is stateIn by the store alone.
+func (n *Node) storedState(ctx context.Context, cell, jobID, organisation string) (workload.State, bool, error) {
 	state, found, err := dispatch.StoredState(ctx, n.freshStore(), n.cellPart(cell), jobID)
 	if err != nil {
 		return "", false, errors.Join(errNoResponse, err)
 	}
-	return state, found, nil
+	if !found || organisation == "" {
+		return state, found, nil
+	}
+	owning, found, err := dispatch.StoredOrganisation(ctx, n.freshStore(), n.cellPart(cell), jobID)
+	if err != nil {
+		return "", false, errors.Join(errNoResponse, err)
+	}
+	return state, found, checkOrganisation(owning, organisation)
+}
+
+// checkOrganisation returns errOtherOrganisation unless a caller's organisation may act on a job of an organisation.
+func checkOrganisation(owning, organisation string) error {
+	job := workload.Job{Organisation: owning}
+	if !job.BelongsTo(organisation) {
+		return errOtherOrganisation
+	}
+	return nil
+}
+
+// stateByOwner returns the state of a job and its organisation by the owner of its cell. found is false if the owner does not know the
+// job or can't be reached.
+func (n *Node) stateByOwner(ctx context.Context, cell, jobID string) (state workload.State, organisation string, found bool) {
+	if c := n.localCell(cell); c != nil && !c.HasLostOwnership() {
+		return ownedState(c, jobID)
+	}
+	owner, ok := n.directory.Owners(time.Now())[cell]
+	if !ok || owner.Node == n.settings.Node {
+		return "", "", false
+	}
+	callCtx, cancel := context.WithTimeout(ctx, peerTimeout)
+	defer cancel()
+	callCtx, call := connect.NewClientContext(callCtx)
+	res, err := n.peers.client(owner.Addr).JobState(callCtx, &innerproto.JobStateRequest{Cell: cell, Job: jobID})
+	if err != nil || !res.Owner || !res.Found {
+		return "", "", false
+	}
+	organisation, err = organisationIn(call.ResponseHeader())
+	return workload.State(res.State), organisation, err == nil
+}
+
+func ownedState(c *dispatch.Cell, jobID string) (state workload.State, organisation string, found bool) {
+	state, found = c.State(jobID)
+	if !found {
+		return "", "", false
+	}
+	// The job may have been removed meanwhile. Without its organisation it must not look like a job that has none.
+	organisation, found = c.Organisation(jobID)
+	return state, organisation, found
+}
+
+// headerOrganisation is the header with the name of an organisation in calls of JobService: of the caller in requests, of the job in
+// responses. It is absent if there is none. Names may have any characters, so they are encoded as binary headers are.
+const headerOrganisation = "Organisation-Bin"
+
+func setOrganisation(header http.Header, organisation string) {
+	if organisation != "" {
+		header.Set(headerOrganisation, connect.EncodeBinaryHeader([]byte(organisation)))
+	}
+}
+
+func organisationIn(header http.Header) (string, error) {
+	name, err := connect.DecodeBinaryHeader(header.Get(headerOrganisation))
+	return string(name), err
 }
 
 // Cancel implements intake.Service.
-func (n *Node) Cancel(ctx context.Context, jobID string) (bool, error) {
+func (n *Node) Cancel(ctx context.Context, jobID, organisation string) (bool, error) {
 	cell, err := n.findOrCancel(ctx, jobID)
 	if err != nil || cell == "" {
 		return false, err
 	}
 	if c := n.localCell(cell); c != nil {
-		found, err := c.Cancel(ctx, jobID)
-		return n.checkCancelled(ctx, cell, jobID, found, err)
+		found, err := c.CancelFor(ctx, jobID, organisation)
+		return n.checkCancelled(ctx, cell, jobID, organisation, found, err)
 	}
 	owner, ok := n.directory.Owners(time.Now())[cell]
 	if !ok {
 		return true, errNoResponse
 	}
-	res, err := n.peers.client(owner.Addr).CancelJob(ctx, &innerproto.CancelJobRequest{Cell: cell, Job: jobID})
+	callCtx, call := connect.NewClientContext(ctx)
+	setOrganisation(call.RequestHeader(), organisation)
+	res, err := n.peers.client(owner.Addr).CancelJob(callCtx, &innerproto.CancelJobRequest{Cell: cell, Job: jobID})
 	if err != nil {
 		return true, err
 	}
 	if !res.Done {
 		return true, errNoResponse
 	}
-	return n.checkCancelled(ctx, cell, jobID, res.Found, nil)
+	return n.checkCancelled(ctx, cell, jobID, organisation, res.Found, nil)
 }
 
 // checkCancelled checks the result of a cancellation by the owner of the job's cell. A job that the owner does not have but the
-// store does is not known to be cancelled: its rows can't be decoded, or it is being removed after its end.
-func (n *Node) checkCancelled(ctx context.Context, cell, jobID string, found bool, err error) (bool, error) {
+// store does is not known to be cancelled: its rows can't be decoded, or it is being removed after its end. A job of another organisation counts
+// as not found.
+func (n *Node) checkCancelled(ctx context.Context, cell, jobID, organisation string, found bool, err error) (bool, error) {
 	if found || err != nil {
 		return found, err
 	}
-	state, stored, err := dispatch.StoredState(ctx, n.freshStore(), n.cellPart(cell), jobID)
+	state, stored, err := n.storedState(ctx, cell, jobID, organisation)
 	switch {
+	case errors.Is(err, errOtherOrganisation):
+		return false, nil
 	case err != nil:
-		return true, errors.Join(errNoResponse, err)
+		return true, err
 	case stored && !state.Terminal():
 		return true, fmt.Errorf("cell %s can't cancel stored job %s", cell, jobID)
 	}
@@ -505,12 +605,15 @@
 }
 
 // JobState implements innerprotoconnect.JobServiceHandler.
-func (s *jobService) JobState(_ context.Context, req *innerproto.JobStateRequest) (*innerproto.JobStateResponse, error) {
+func (s *jobService) JobState(ctx context.Context, req *innerproto.JobStateRequest) (*innerproto.JobStateResponse, error) {
 	c := s.node.localCell(req.Cell)
 	if c == nil || c.HasLostOwnership() {
 		return &innerproto.JobStateResponse{}, nil
 	}
-	state, found := c.State(req.Job)
+	state, organisation, found := ownedState(c, req.Job)
+	if call, ok := connect.CallInfoForHandlerContext(ctx); ok {
+		setOrganisation(call.ResponseHeader(), organisation)
+	}
 	return &innerproto.JobStateResponse{Owner: true, Found: found, State: string(state)}, nil
 }
 
@@ -520,7 +623,14 @@
 	if c == nil {
 		return &innerproto.CancelJobResponse{}, nil
 	}
-	found, err := c.Cancel(ctx, req.Job)
+	organisation := ""
+	if call, ok := connect.CallInfoForHandlerContext(ctx); ok {
+		var err error
+		if organisation, err = organisationIn(call.RequestHeader()); err != nil {
+			return nil, connect.NewError(connect.CodeInvalidArgument, err)
+		}
+	}
+	found, err := c.CancelFor(ctx, req.Job, organisation)
 	if err != nil {
 		return &innerproto.CancelJobResponse{Found: found}, nil //nolint:nilerr // Done is false in the response
 	}
--- a/node/node.go
+++ b/node/node.go
@@ -216,7 +216,7 @@
 	defer stopServing()
 	group, serving := errgroup.WithContext(serving)
 	grace := time.Duration(float64(n.bounds.Load().Grace) * shutdownGraceShare)
-	frontend := platform.NewFrontend(n, n.log)
+	frontend := platform.NewFrontend(n, n.log, n.registry)
 	handlers := []http.Handler{frontend, platform.NewReadiness(n.health.Ready), n.innerHandler(), observe.NewAdmin(n.registry, &n.health)}
 	for i, handler := range handlers {
 		group.Go(func() error { return observe.Serve(serving, listeners[i], handler, grace) })
--- a/node/odd_rows_test.go
+++ b/node/odd_rows_test.go
@@ -238,10 +238,10 @@
 		n.store = s
 		const id = "5c0e7a21d94b36f8"
 		s.Put(store.Key{Table: dispatch.TableIndex, Part: n.indexPart(id), Name: id}, []byte(value))
-		_, _, err := n.State(t.Context(), id)
+		_, _, err := n.State(t.Context(), id, "")
 		assert.Assert(t, err != nil, "%.20q", value)
 		assert.Assert(t, len(err.Error()) < 500)
-		_, err = n.Cancel(t.Context(), id)
+		_, err = n.Cancel(t.Context(), id, "")
 		assert.Assert(t, err != nil, "%.20q", value)
 	}
 }
@@ -268,10 +268,10 @@
 				}
 				release := ownFirstCell(t, n, s)
 				defer release()
-				state, found, err := n.State(t.Context(), id)
+				state, found, err := n.State(t.Context(), id, "")
 				assert.Equal(t, state, c.state)
 				assert.Assert(t, found || err != nil)
-				_, err = n.Cancel(t.Context(), id)
+				_, err = n.Cancel(t.Context(), id, "")
 				assert.Assert(t, err != nil)
 			})
 		})
@@ -289,11 +289,11 @@
 		job := &workload.Job{ID: id, Occurrences: 1, Steps: []workload.Step{{Count: 1}}}
 		outcome, _ := n.cells[firstCell].Submit(t.Context(), job, true)
 		assert.Equal(t, outcome, dispatch.OutcomeAccepted)
-		found, err := n.Cancel(t.Context(), id)
+		found, err := n.Cancel(t.Context(), id, "")
 		assert.NilError(t, err)
 		assert.Assert(t, found)
 		s.Put(store.Key{Table: dispatch.TableIndex, Part: n.indexPart(removed), Name: removed}, []byte(firstCell))
-		found, err = n.Cancel(t.Context(), removed)
+		found, err = n.Cancel(t.Context(), removed, "")
 		assert.NilError(t, err)
 		assert.Assert(t, !found)
 	})
--- /dev/null
+++ b/node/organisation_test.go
@@ -0,0 +1,114 @@
+package node
+
+import (
+	"context"
+	"fmt"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"github.com/currantthread/currantthread/dispatch"
+	"github.com/currantthread/currantthread/intake"
+	"github.com/currantthread/currantthread/internal/emulator"
+	"github.com/currantthread/currantthread/store"
+	"github.com/currantthread/currantthread/workload"
+)
+
+func (c *cancelCluster) submitAs(node int, id, organisation string) intake.Outcome {
+	ctx, cancel := context.WithTimeout(c.t.Context(), clientDeadline)
+	defer cancel()
+	return c.nodes[node].Submit(ctx, &workload.Job{ID: id, Organisation: organisation, Occurrences: 1, AcceptedAt: time.Now(),
+		Policy: workload.Policy{Queue: "q"}, Steps: []workload.Step{{Count: 1, Resources: workload.Resources{CPU: 1000}}}}).Outcome
+}
+
+// sharedID is the ID of the job of the tests.
+const sharedID = "00000000000000aa"
+
+// assertAccess checks the answers to an organisation's requests about the job sharedID, by each node.
+func (c *cancelCluster) assertAccess(organisation string, found bool, submitted intake.Outcome) {
+	c.t.Helper()
+	for i, n := range c.nodes {
+		_, ok, err := n.State(c.t.Context(), sharedID, organisation)
+		assert.NilError(c.t, err)
+		assert.Equal(c.t, ok, found, "state for %q by node %d", organisation, i)
+		assert.Equal(c.t, c.submitAs(i, sharedID, organisation), submitted, "submission by %q to node %d", organisation, i)
+	}
+}
+
+// A job answers to its own organisation only, whichever node is asked: the owner of its cell or another one, which calls the owner.
+func TestJobsOfOtherOrganisations(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := newCancelCluster(t)
+		const id = sharedID
+		// The name of an organisation may have any characters.
+		const name, other = "Café \n 北", "cartago"
+		assert.Equal(t, c.submitAs(0, id, name), intake.Accepted)
+		for i, n := range c.nodes {
+			found, err := n.Cancel(t.Context(), id, other)
+			assert.NilError(t, err)
+			assert.Assert(t, !found, "cancelled by node %d", i)
+		}
+		c.assertAccess(other, false, intake.Conflict)
+		c.assertAccess(name, true, intake.Accepted)
+		c.assertAccess("", true, intake.Accepted)
+		for _, n := range c.nodes {
+			state, found, err := n.State(t.Context(), id, name)
+			assert.NilError(t, err)
+			assert.Assert(t, found && state != workload.StateCancelled)
+		}
+		found, err := c.nodes[1-c.running()].Cancel(t.Context(), id, name)
+		assert.NilError(t, err)
+		assert.Assert(t, found)
+		c.assertAccess(other, false, intake.Conflict)
+		c.assertAccess(name, true, intake.Accepted)
+	})
+}
+
+// Jobs without an organisation, such as those of earlier builds, answer to all.
+func TestJobsWithoutOrganisation(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := newCancelCluster(t)
+		const id = sharedID
+		assert.Equal(t, c.submitAs(0, id, ""), intake.Accepted)
+		c.assertAccess("cartago", true, intake.Accepted)
+		found, err := c.nodes[1-c.running()].Cancel(t.Context(), id, "cartago")
+		assert.NilError(t, err)
+		assert.Assert(t, found)
+	})
+}
+
+// While the owner of a job's cell can't be reached, the job's row says which organisation it belongs to. A repeated submission to another cell
+// is decided by the same row, and has no decision while that can't be read.
+func TestOrganisationOfAStoredJob(t *testing.T) {
+	for _, organisation := range []string{"kioscos", ""} {
+		t.Run(organisation, func(t *testing.T) {
+			s := emulator.NewStore()
+			n, _ := testNode(t, 2)
+			n.store = s
+			const id, cell = sharedID, "c1"
+			job := &workload.Job{ID: id, Organisation: "cartago"}
+			assert.Equal(t, n.decideRepeated(t.Context(), job, cell).Outcome, intake.Unknown, "the row can't be read yet")
+			s.Put(store.Key{Table: dispatch.TableIndex, Part: n.indexPart(id), Name: id}, []byte(cell))
+			s.Put(store.Key{Table: dispatch.TableJobs, Part: n.cellPart(cell), Name: id}, fmt.Appendf(nil, `{"id":%q,"org":%q}`, id, organisation))
+			for _, progress := range []string{"", `{"state":"completed"}`} {
+				if progress != "" {
+					s.Put(store.Key{Table: dispatch.TableProgress, Part: n.cellPart(cell), Name: id}, []byte(progress))
+				}
+				for caller, want := range map[string]bool{"kioscos": true, "": true, "cartago": organisation == ""} {
+					_, found, err := n.State(t.Context(), id, caller)
+					assert.NilError(t, err)
+					assert.Equal(t, found, want, caller)
+					outcome := intake.Accepted
+					if !want {
+						outcome = intake.Conflict
+					}
+					assert.Equal(t, n.decideRepeated(t.Context(), &workload.Job{ID: id, Organisation: caller}, cell).Outcome, outcome)
+				}
+			}
+			s.SetFault(emulator.StoreRefuses)
+			assert.Equal(t, n.decideRepeated(t.Context(), job, cell).Outcome, intake.Unknown)
+		})
+	}
+}
--- a/workload/workload.go
+++ b/workload/workload.go
@@ -131,6 +131,11 @@
 	AcceptedAt time.Time `json:"accepted_at"`
 }
 
+// BelongsTo reports whether a caller may act on the job. Callers and jobs without an organisation are not checked.
+func (j *Job) BelongsTo(organisation string) bool {
+	return organisation == "" || j.Organisation == "" || j.Organisation == organisation
+}
+
 // Due returns when an occurrence is due.
 func (j *Job) Due(occurrence int) time.Time {
 	if j.StartAt.IsZero() {
