Read configurations from other nodes while the store does not respond

A node to which the store does not respond, in a region without a relay or once its view of the nodes is 15 s old, kept its configuration until the store responded again, so it accepted keys that had been removed. It now asks other nodes, of its own region and of others in turn, also after its history is lost. What a node passes on carries the age of the read, so that nodes that are all cut off don't confirm each other. A copy no longer answers for versions after which it may have missed a deletion: a node that asked a relay which had started later kept the deleted row.

Load was not measured.

--- a/node/node.go
+++ b/node/node.go
@@ -174,7 +174,7 @@
 		Name: "unusable_rows", Help: "Rows of service discovery that describe no usable runner."})
 	n.registry.MustRegister(n.unusableRows)
 	n.bounds.Store(&s.Bounds)
-	relayed := &relayedStore{Store: n.store, relay: n.relayAddr, call: n.callRelay, log: n.log}
+	relayed := &relayedStore{Store: n.store, relay: n.relayAddr, peers: func() []string { return n.directory.Peers() }, call: n.callRelay, log: n.log}
 	n.operator = store.NewFollower(relayed, platform.TableOperator, n.operatorChanged, n.dependencyLogger("operator's rows"))
 	n.discovery = store.NewFollower(n.store, platform.TableServers, n.discoveryChanged, n.dependencyLogger("service discovery"))
 	n.discovery.Poll, n.discovery.SpacingNow, n.discovery.Active = true, n.discoveryPause, n.needsRunners
--- a/node/relay_test.go
+++ b/node/relay_test.go
@@ -37,7 +37,7 @@
 	ignore := func(error) {}
 	h.relay = store.NewFollower(h.store, platform.TableOperator, func([]store.Row) {}, ignore)
 	h.relayed = &relayedStore{Store: h.store, log: observe.NewLogger(io.Discard, "test", "node"),
-		relay: func() string { return "relay" }, call: h.call}
+		relay: func() string { return "relay" }, peers: func() []string { return nil }, call: h.call}
 	h.node = store.NewFollower(h.relayed, platform.TableOperator, func(rows []store.Row) {
 		h.mu.Lock()
 		defer h.mu.Unlock()
--- a/ownership/directory.go
+++ b/ownership/directory.go
@@ -195,6 +195,11 @@
 // viewRetention, because owners continue to work for a while without the store and refuse requests themselves when they
 // stop. The caller holds mu.
 func (d *Directory) alive(now time.Time, m *member) bool {
+	return d.wasAlive(m) && now.Sub(d.readAt) < viewRetention
+}
+
+// wasAlive reports whether a member was considered alive when the rows were last read. The caller holds mu.
+func (d *Directory) wasAlive(m *member) bool {
 	since := m.changedAt
 	if d.gapEnd.After(since) {
 		since = d.gapEnd
@@ -203,7 +208,7 @@
 	if d.ownersOnly && len(m.heartbeat.Cells) == 0 {
 		readAt = d.allReadAt
 	}
-	return readAt.Sub(since) < deadAfter && now.Sub(d.readAt) < viewRetention
+	return readAt.Sub(since) < deadAfter
 }
 
 const (
@@ -370,6 +375,48 @@
 	return relay.Addr
 }
 
+// Peers returns the addresses of the other nodes that were alive when heartbeats were last read, however long ago that is. Nodes of this
+// node's region and others alternate, because a cut may separate a whole region from the store or from the other regions. Each node has
+// an order of its own, so that they do not all call the same one.
+func (d *Directory) Peers() []string {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	region := ""
+	if self := d.members[d.self]; self != nil {
+		region = self.heartbeat.Region
+	}
+	var near, far []*Heartbeat
+	for name, m := range d.members {
+		switch {
+		case name == d.self || m.heartbeat.Leaving || !d.wasAlive(m):
+		case m.heartbeat.Region == region:
+			near = append(near, &m.heartbeat)
+		default:
+			far = append(far, &m.heartbeat)
+		}
+	}
+	d.sortPeers(near)
+	d.sortPeers(far)
+	addrs := make([]string, 0, len(near)+len(far))
+	for i := range max(len(near), len(far)) {
+		for _, group := range [][]*Heartbeat{near, far} {
+			if i < len(group) {
+				addrs = append(addrs, group[i].Addr)
+			}
+		}
+	}
+	return addrs
+}
+
+func (d *Directory) sortPeers(peers []*Heartbeat) {
+	rank := func(h *Heartbeat) uint64 {
+		hash := fnv.New64a()
+		_, _ = hash.Write([]byte(d.self + "/" + h.Node)) // a hash never fails
+		return hash.Sum64()
+	}
+	slices.SortFunc(peers, func(a, b *Heartbeat) int { return cmp.Compare(rank(a), rank(b)) })
+}
+
 // Resources that a node needs to own a cell of typical size without being limited by its CPU or its link.
 const (
 	cpuPerCell  = 0.3
--- a/ownership/directory_test.go
+++ b/ownership/directory_test.go
@@ -153,6 +153,18 @@
 	assert.Equal(t, d.LastLoads()["c0"].Pending["q"], 7)
 }
 
+// directoryOf returns the directory of a node that has read heartbeats at start.
+func directoryOf(t *testing.T, self string, heartbeats ...Heartbeat) *Directory {
+	t.Helper()
+	d := NewDirectory(self)
+	var rows []store.Row
+	for i, heartbeat := range heartbeats {
+		rows = append(rows, row(t, int64(i+1), heartbeat))
+	}
+	d.Update(start, rows)
+	return d
+}
+
 // In a region far from the store only one node reads operators' rows across the link between regions. The relay does not
 // relay to itself, and it is replaced when it is dead or leaving.
 func TestRelay(t *testing.T) {
@@ -161,26 +173,17 @@
 		heartbeat.StoreMs, heartbeat.Region, heartbeat.LinkMbps = 44, "r2", mbps
 		return heartbeat
 	}
-	directory := func(self string, heartbeats ...Heartbeat) *Directory {
-		d := NewDirectory(self)
-		var rows []store.Row
-		for i, heartbeat := range heartbeats {
-			rows = append(rows, row(t, int64(i+1), heartbeat))
-		}
-		d.Update(start, rows)
-		return d
-	}
 	heartbeats := []Heartbeat{far("a", 10), far("b", 200), far("c", 200), far("d", 10), far("e", 10), far("f", 10), strongNode("near")}
-	assert.Equal(t, directory("a", heartbeats...).Relay(start), "b")
-	assert.Equal(t, directory("c", heartbeats...).Relay(start), "b")
-	assert.Equal(t, directory("b", heartbeats...).Relay(start), "")
-	assert.Equal(t, directory("near", heartbeats...).Relay(start), "")
-	assert.Equal(t, directory("a", heartbeats[1:]...).Relay(start), "", "the node's own row is not known")
-	assert.Equal(t, directory("a", heartbeats[:5]...).Relay(start), "", "few nodes")
+	assert.Equal(t, directoryOf(t, "a", heartbeats...).Relay(start), "b")
+	assert.Equal(t, directoryOf(t, "c", heartbeats...).Relay(start), "b")
+	assert.Equal(t, directoryOf(t, "b", heartbeats...).Relay(start), "")
+	assert.Equal(t, directoryOf(t, "near", heartbeats...).Relay(start), "")
+	assert.Equal(t, directoryOf(t, "a", heartbeats[1:]...).Relay(start), "", "the node's own row is not known")
+	assert.Equal(t, directoryOf(t, "a", heartbeats[:5]...).Relay(start), "", "few nodes")
 	leaving := append([]Heartbeat{far("g", 10)}, heartbeats...)
 	leaving[2].Leaving = true
-	assert.Equal(t, directory("a", leaving...).Relay(start), "c")
-	assert.Equal(t, directory("a", heartbeats...).Relay(start.Add(viewRetention)), "", "nothing is known any more")
+	assert.Equal(t, directoryOf(t, "a", leaving...).Relay(start), "c")
+	assert.Equal(t, directoryOf(t, "a", heartbeats...).Relay(start.Add(viewRetention)), "", "nothing is known any more")
 }
 
 // A former owner that is still alive is recognized as ended once its row reports the epoch as ended; waiting for a timeout
@@ -263,3 +266,20 @@
 		})
 	}
 }
+
+// A node that the store refuses has read no heartbeats for a long time, and must still know whom to ask. Regions alternate: a cut of the own
+// region would otherwise leave no peer that reaches the store among the first ones.
+func TestPeers(t *testing.T) {
+	var heartbeats []Heartbeat
+	for i, name := range []string{"a", "b", "c", "d", "e", "f"} {
+		heartbeats = append(heartbeats, Heartbeat{Node: name, Addr: name, Incarnation: "1", Region: []string{"near", "far"}[i%2], Leaving: name == "f"})
+	}
+	d := directoryOf(t, "a", heartbeats...)
+	assert.Equal(t, d.AliveCount(start.Add(time.Hour)), 0)
+	peers := d.Peers()
+	assert.Equal(t, len(peers), 4)
+	for i, near := range []bool{true, false, true, false} {
+		assert.Equal(t, peers[i] == "c" || peers[i] == "e", near, "%v", peers)
+	}
+	assert.Equal(t, len(directoryOf(t, "x", heartbeats...).Peers()), 5, "the node's own row is not known")
+}
--- a/store/follower.go
+++ b/store/follower.go
@@ -43,11 +43,19 @@
 	rows    map[string]Row
 	version int64
 	synced  bool
+	// gaps are ranges of versions of which this copy may have missed rows that were created and deleted, in ascending order.
+	gaps []versionRange
 	// readAt is when the table was last read, and advanced is closed when version grows.
 	readAt   time.Time
 	advanced chan struct{}
 }
 
+// versionRange has the versions above from and below to.
+type versionRange struct{ from, to int64 }
+
+// maxGaps bounds Follower.gaps; the oldest ranges are merged.
+const maxGaps = 32
+
 // NewFollower returns a follower of a table. onChange is called with changed rows, one call at a time; onError
 // is called for failed reads, and with nil when reads work again.
 func NewFollower(s Store, table string, onChange func(rows []Row), onError func(err error)) *Follower {
@@ -104,9 +112,12 @@
 	f.mu.Lock()
 	synced, version := f.synced, f.version
 	f.mu.Unlock()
-	if !synced || f.Poll {
+	if f.Poll {
 		return f.resync(ctx)
 	}
+	if !synced {
+		return f.resyncOrFeed(ctx, version)
+	}
 	page, err := f.store.Feed(ctx, f.table, version, feedWait)
 	if errors.Is(err, ErrHistoryDropped) {
 		f.mu.Lock()
@@ -117,18 +128,40 @@
 	if err != nil {
 		return err
 	}
+	f.applyPage(page)
+	return nil
+}
+
+// resyncOrFeed reads the whole table. If that fails after the history of an earlier copy was lost, it reads the feed, for which the store may
+// have another source than for reads. The copy is then newer, but does not count as synced.
+func (f *Follower) resyncOrFeed(ctx context.Context, version int64) error {
+	err := f.resync(ctx)
+	if err == nil || version == 0 {
+		return err
+	}
+	page, feedErr := f.store.Feed(ctx, f.table, version, feedWait)
+	if feedErr != nil {
+		return err
+	}
+	f.applyPage(page)
+	return nil
+}
+
+// applyPage applies a page of the feed.
+func (f *Follower) applyPage(page Page) {
 	f.applying.Lock()
 	defer f.applying.Unlock()
 	f.apply(page.Rows)
-	f.advance(page.Version)
-	return nil
+	f.advance(page.Version, page.Age)
 }
 
-// advance records that the table was read up to a version. The caller holds applying.
-func (f *Follower) advance(version int64) {
+// advance records that the table was read up to a version some time ago. The caller holds applying.
+func (f *Follower) advance(version int64, age time.Duration) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	f.readAt = time.Now()
+	if readAt := time.Now().Add(-age); readAt.After(f.readAt) {
+		f.readAt = readAt
+	}
 	if version <= f.version {
 		return
 	}
@@ -139,7 +172,7 @@
 
 // Changes returns the current state of the rows that changed after a version, including deleted ones, and how long ago the
 // table was read. It waits up to timeout until the table has been read beyond that version. known is false before the first
-// read.
+// read, while the history is lost, and for a version after which rows may have been deleted that this copy never had.
 func (f *Follower) Changes(ctx context.Context, after int64, timeout time.Duration) (page Page, age time.Duration, known bool) {
 	f.mu.Lock()
 	behind, advanced := f.version <= after, f.advanced
@@ -150,6 +183,11 @@
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	page.Version = f.version
+	for _, gap := range f.gaps {
+		if gap.from < after && after < gap.to {
+			return page, 0, false
+		}
+	}
 	for _, row := range f.rows {
 		if row.Version > after {
 			page.Rows = append(page.Rows, row)
@@ -195,11 +233,23 @@
 	}
 	f.mu.Unlock()
 	f.apply(rows)
-	f.advance(page.Version)
+	f.recordGap(page.Version)
+	f.advance(page.Version, page.Age)
+	return true
+}
+
+// recordGap records that the table was read whole up to a version. Unless the copy was synced before, it lacks the changes since its own version.
+func (f *Follower) recordGap(version int64) {
 	f.mu.Lock()
+	defer f.mu.Unlock()
+	if !f.synced && version > f.version {
+		f.gaps = append(f.gaps, versionRange{f.version, version})
+	}
+	if len(f.gaps) > maxGaps {
+		f.gaps[1].from = f.gaps[0].from
+		f.gaps = f.gaps[1:]
+	}
 	f.synced = true
-	f.mu.Unlock()
-	return true
 }
 
 // apply replaces rows by newer ones. The caller holds applying.
--- a/store/follower_test.go
+++ b/store/follower_test.go
@@ -102,3 +102,31 @@
 		})
 	}
 }
+
+// A copy that may lack deleted rows does not answer for the versions in question. A node that asked a relay which had started after a row was
+// deleted kept the row for good.
+func TestChangesAfterAGap(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		s := emulator.NewStore()
+		s.Put(key("a"), []byte("1"))
+		s.Put(key("b"), []byte("1"))
+		s.Delete(key("b"))
+		f, _ := startFollower(t, s, nil)
+		time.Sleep(time.Second)
+		for after, want := range map[int64]bool{0: true, 1: false, 2: false, 3: true} {
+			_, _, known := f.Changes(t.Context(), after, 0)
+			assert.Equal(t, known, want, "after %d", after)
+		}
+		s.SetFault(emulator.StoreRefuses)
+		time.Sleep(time.Second)
+		s.Put(key("c"), []byte("1"))
+		s.Delete(key("c"))
+		s.DropHistory()
+		s.SetFault(emulator.StoreWorks)
+		time.Sleep(5 * time.Second)
+		for after, want := range map[int64]bool{2: false, 3: true, 4: false, 5: true} {
+			_, _, known := f.Changes(t.Context(), after, 0)
+			assert.Equal(t, known, want, "after %d", after)
+		}
+	})
+}
--- a/store/store.go
+++ b/store/store.go
@@ -64,6 +64,8 @@
 	More bool
 	// Version is the store's version as of the read, or the version from which a feed continues.
 	Version int64
+	// Age is how long ago the rows were read, if they were passed on by another node; 0 for reads of the store.
+	Age time.Duration
 }
 
 // Store is the platform's metadata store. Errors of Commit are ErrUnavailable, ErrInvalidTxn, *ConflictError or
