--- a/node/node.go
+++ b/node/node.go
@@ -174,7 +174,7 @@
 		Name: "unusable_rows", Help: "Rows of service discovery that describe no usable runner."})
 	n.registry.MustRegister(n.unusableRows)
 	n.bounds.Store(&s.Bounds)
-	relayed := &relayedStore{Store: n.store, relay: n.relayAddr, call: n.callRelay, log: n.log}
+	relayed := &relayedStore{Store: n.store, relay: n.relayAddr, peers: func() []string { return n.directory.Peers() }, call: n.callRelay, log: n.log}
 	n.operator = store.NewFollower(relayed, platform.TableOperator, n.operatorChanged, n.dependencyLogger("operator's rows"))
 	n.discovery = store.NewFollower(n.store, platform.TableServers, n.discoveryChanged, n.dependencyLogger("service discovery"))
 	n.discovery.Poll, n.discovery.SpacingNow, n.discovery.Active = true, n.discoveryPause, n.needsRunners
@@ -216,7 +216,7 @@
 	defer stopServing()
 	group, serving := errgroup.WithContext(serving)
 	grace := time.Duration(float64(n.bounds.Load().Grace) * shutdownGraceShare)
-	frontend := platform.NewFrontend(n, n.log)
+	frontend := platform.NewFrontend(n, n.log, n.registry)
 	handlers := []http.Handler{frontend, platform.NewReadiness(n.health.Ready), n.innerHandler(), observe.NewAdmin(n.registry, &n.health)}
 	for i, handler := range handlers {
 		group.Go(func() error { return observe.Serve(serving, listeners[i], handler, grace) })
