Start tasks of an organisation only within the limit of the cell

Cause: an owner started tasks without regard to the caps of organisations. Change: a cell counts what the runs of each organisation hold, from their assignment to a runner until they are proved to have ended, runs that must not exist included. It starts no more than the limit of its row permits, also of hosted and best-effort tasks. After a takeover, tasks that runners without a response may run count too. The ownership row acknowledges the rows that the owner applies, and says what is held beyond a limit. Tasks that wait for a limit have the wait reason cap, hold no runner, are not delegated and are no load. The check before a delegation and the count for jobs that had ended early before a takeover have no test of their own yet.

--- a/dispatch/acquire.go
+++ b/dispatch/acquire.go
@@ -57,7 +57,8 @@
 	// If this owner is lost before its first commit, the next one needs what the previous owner knew.
 	closed := boundInventories(previous.Closed)
 	own := Ownership{Node: cfg.Node, Addr: cfg.Addr, Incarnation: cfg.Incarnation, Nonce: nonce,
-		Terminated: boundTerminated(previous.Terminated), Closed: closed, Fenced: previous.Fenced, Jobs: previous.Jobs, InheritedLeaseMs: inherited.Sub(sent).Milliseconds() + 1}
+		Terminated: boundTerminated(previous.Terminated), Closed: closed, Fenced: previous.Fenced, Jobs: previous.Jobs, InheritedLeaseMs: inherited.Sub(sent).Milliseconds() + 1,
+		Quota: previous.Quota, QuotaOver: previous.QuotaOver}
 	written := previousWrite(&cfg, previous, sent)
 	var rest int64
 	own.LongLeasesMs, rest = encodeLongLeases(sent, longLeaseEnds(&cfg, previous.LongLeasesMs, written, sent))
@@ -89,6 +90,7 @@
 	c.recordWitnesses(&own)
 	c.runnerAddedAt = time.Now()
 	c.listClosed(closed)
+	c.caps.inherited, c.caps.inheritedOver, c.caps.firstOwner = previous.Quota, previous.QuotaOver, version == 0
 	if version != 0 {
 		if err := c.load(ctx); err != nil {
 			return nil, fmt.Errorf("%w: %w", ErrNotLoaded, err)
@@ -188,6 +190,7 @@
 		j.rowVersion = versions[row.Key.Name]
 		j.hostedSince = j.rowVersion
 		c.jobs[row.Key.Name] = j
+		c.restoreCap(j)
 		c.resume(j)
 	}
 	c.countRead(defs.Rows, progressPage.Rows)
--- a/dispatch/admission.go
+++ b/dispatch/admission.go
@@ -126,7 +126,7 @@
 		}
 	}
 	for _, u := range c.ready {
-		if def := u.def(); u.phase == phaseReady && isShort(def) {
+		if def := u.def(); u.phase == phaseReady && !u.waitsForCap && isShort(def) {
 			short += def.Committed().CPU * int64(u.size)
 		}
 	}
--- /dev/null
+++ b/dispatch/capmetrics.go
@@ -0,0 +1,96 @@
+package dispatch
+
+import (
+	"sync"
+
+	"github.com/prometheus/client_golang/prometheus"
+
+	"github.com/currantthread/currantthread/observe"
+	"github.com/currantthread/currantthread/quota"
+)
+
+const (
+	// maxOrganisationLabels bounds the organisations with their own label values in the metrics of a process. The others share
+	// otherOrganisations.
+	maxOrganisationLabels = 100
+	otherOrganisations    = "other"
+)
+
+// resourceLabels are the values of the label resource, in the order of quota.Amounts.
+var resourceLabels = [...]string{"cpu", "memory_mb", "gpu"}
+
+// capMetrics are the gauges of organisations with a cap, by organisation and cell.
+type capMetrics struct {
+	held, limit, waiting *prometheus.GaugeVec
+
+	mu     sync.Mutex // guards labels
+	labels map[string]bool
+}
+
+// organisationGauges are the values that a cell has added to the gauges.
+type organisationGauges map[string]organisationValues
+
+type organisationValues struct {
+	held, limit quota.Amounts
+	waiting     int
+}
+
+func newCapMetrics(registry prometheus.Registerer) *capMetrics {
+	gauges := func(name, help string, labels ...string) *prometheus.GaugeVec {
+		g := prometheus.NewGaugeVec(prometheus.GaugeOpts{Namespace: observe.Namespace, Subsystem: "cell", Name: name, Help: help}, labels)
+		registry.MustRegister(g)
+		return g
+	}
+	return &capMetrics{
+		held: gauges("organisation_held", "What the runs of an organisation with a cap hold at most: thousandths of a core, MB and accelerators.",
+			"organisation", "cell", "resource"),
+		limit: gauges("organisation_limit", "What the runs of an organisation with a cap may hold in the cell.",
+			"organisation", "cell", "resource"),
+		waiting: gauges("organisation_cap_waiting_tasks", "Tasks that wait because of the cap of their organisation.", "organisation", "cell"),
+		labels:  map[string]bool{},
+	}
+}
+
+// label returns the label value of an organisation.
+func (m *capMetrics) label(organisation string) string {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	if !m.labels[organisation] && len(m.labels) >= maxOrganisationLabels {
+		return otherOrganisations
+	}
+	m.labels[organisation] = true
+	return organisation
+}
+
+// replace replaces the values that a cell has added.
+func (m *capMetrics) replace(cell string, previous, current organisationGauges) {
+	for organisation := range previous {
+		if _, ok := current[organisation]; !ok {
+			m.add(cell, organisation, previous[organisation], organisationValues{})
+		}
+	}
+	for organisation, values := range current {
+		m.add(cell, organisation, previous[organisation], values)
+	}
+}
+
+func (m *capMetrics) add(cell, organisation string, previous, current organisationValues) {
+	label := m.label(organisation)
+	for i, resource := range resourceLabels {
+		m.held.WithLabelValues(label, cell, resource).Add(float64(current.held[i] - previous.held[i]))
+		m.limit.WithLabelValues(label, cell, resource).Add(float64(current.limit[i] - previous.limit[i]))
+	}
+	m.waiting.WithLabelValues(label, cell).Add(float64(current.waiting - previous.waiting))
+}
+
+// showCaps updates the gauges of organisations with a cap. The caller holds mu.
+func (c *Cell) showCaps() {
+	current := organisationGauges{}
+	for organisation, a := range c.caps.accounts {
+		if a.Known() {
+			current[organisation] = organisationValues{a.Held(), a.Limit(), a.waitingTasks}
+		}
+	}
+	c.cfg.Metrics.caps.replace(c.cfg.Name, c.caps.shown, current)
+	c.caps.shown = current
+}
--- a/dispatch/cell.go
+++ b/dispatch/cell.go
@@ -81,6 +81,10 @@
 	ConfirmOutage func(ctx context.Context, w Witness, epoch int64) bool
 	// Witnesses are those that the row of the acquisition states.
 	Witnesses []Witness
+	// AwaitQuota means that tasks of organisations start only once SetQuota has been called with rows that were read since the acquisition.
+	AwaitQuota bool
+	// DemandChanged, if set, is called when tasks have begun to wait for the limit of their organisation. It must not call the cell.
+	DemandChanged func()
 	// Acquired, if set, is called once the ownership is committed. The cell then starts no tasks until ConfirmRunners is called.
 	Acquired func(epoch int64)
 }
@@ -182,6 +186,7 @@
 	reservations       []reservation
 	delegatedCheckedAt time.Time // when waiting tasks were last checked for a delegation
 	waits              waitCheck
+	caps               caps
 	census             census
 	fullAnswers        fullAnswers
 	// adviceMu serializes calls to the advice service.
@@ -207,6 +212,7 @@
 		steps: durableSteps{early: map[*jobState]bool{}}, advice: map[equivClass]*advice{}, terminated: map[string]bool{},
 		waits: waitCheck{loggedAt: map[waitKey]time.Time{}}, listedSilent: map[string]bool{}, listedClosed: map[string]bool{}, census: census{indexed: map[string]bool{}}, delegating: map[*jobState]bool{}, returning: map[*jobState]bool{}, refusedBy: map[string]refusal{},
 		holds: holds{map[string]*hold{}, map[string]time.Time{}},
+		caps:  caps{accounts: map[string]*capAccount{}, endedHere: map[string]bool{}},
 	}
 }
 
--- a/dispatch/delegation.go
+++ b/dispatch/delegation.go
@@ -204,7 +204,7 @@
 func (c *Cell) mayDelegate(u *unit) bool {
 	j := u.job
 	return u.phase == phaseReady && u.startsDurably() && !j.state.Terminal() && j.origin == "" && j.def.StartAt.IsZero() &&
-		len(j.delegations) == 0 && len(j.transfers) == 0 && !c.awaitsUnresolved(u)
+		len(j.delegations) == 0 && len(j.transfers) == 0 && !c.awaitsUnresolved(u) && c.capAllows(time.Now(), u)
 }
 
 // waitingUnits are units of one step that are to be delegated.
--- a/dispatch/flush.go
+++ b/dispatch/flush.go
@@ -12,6 +12,7 @@
 	"github.com/sirupsen/logrus"
 
 	"github.com/currantthread/currantthread/internal/wait"
+	"github.com/currantthread/currantthread/quota"
 	"github.com/currantthread/currantthread/store"
 	"github.com/currantthread/currantthread/workload"
 )
@@ -89,6 +90,11 @@
 	// DurableSteps means that this owner, and all earlier ones whose leases may last, have begun no step before the ends of the steps before
 	// it were durable, and that this one begins none unless a witness confirms an outage. Rows of earlier builds lack it.
 	DurableSteps bool `json:"durable_steps,omitempty"`
+	// Quota is the version up to which this owner, and each earlier one, applies the rows of table quota; 0 if no organisation has a cap, and
+	// in rows of earlier builds.
+	Quota int64 `json:"quota,omitempty"`
+	// QuotaOver has the organisations whose runs in the cell may hold more than their limit, with what they hold at most.
+	QuotaOver map[string]quota.Amounts `json:"quota_over,omitempty"`
 }
 
 const (
@@ -135,6 +141,7 @@
 		}
 		o.InheritedLeaseMs = max(o.InheritedLeaseMs, until.Sub(now).Milliseconds()+1)
 	}
+	c.listQuota(&o)
 	c.listLongLeases(now, &o)
 	c.listFenced(now, &o)
 	return o
--- a/dispatch/hosting.go
+++ b/dispatch/hosting.go
@@ -69,7 +69,7 @@
 	}
 	for _, t := range transfers {
 		for _, u := range t.units {
-			if u.job.def.Policy.Advised {
+			if u.job.def.Policy.Advised || !c.capAllows(now, u) {
 				continue
 			}
 			service := c.serviceOf(u.job)
@@ -140,6 +140,7 @@
 		u.held = true
 	}
 	c.jobs[d.Job.ID] = j
+	c.caps.needed = c.caps.needed || d.Job.Organisation != ""
 	c.delegating[j] = true
 	j.transfers = append(j.transfers, t)
 	c.markUrgent(j)
--- a/dispatch/intake.go
+++ b/dispatch/intake.go
@@ -8,6 +8,7 @@
 
 	"github.com/sirupsen/logrus"
 
+	"github.com/currantthread/currantthread/quota"
 	"github.com/currantthread/currantthread/store"
 	"github.com/currantthread/currantthread/workload"
 )
@@ -138,6 +139,7 @@
 	}
 	j := newJobState(job)
 	c.jobs[job.ID] = j
+	c.caps.needed = c.caps.needed || job.Organisation != ""
 	if job.StartAt.IsZero() {
 		c.pending[job.Policy.Queue]++
 		c.addOccurrence(j)
@@ -228,6 +230,8 @@
 	LongRunningPieces map[string][]Piece `json:"lpieces,omitempty"`
 	// Pending counts accepted jobs without a started task, by queue.
 	Pending map[string]int `json:"pending,omitempty"`
+	// Organisations has what organisations use and wait for that use more than half of their limit or have tasks that wait for it.
+	Organisations map[string]quota.Demand `json:"orgs,omitempty"`
 }
 
 // hasCapacity reports whether the cell has capacity for the first steps of a job. The caller holds mu.
@@ -264,6 +268,7 @@
 	free, longRunning := c.freePlaces(now), c.longRunningPlaces(now)
 	load.Places, load.Pieces = free.Counts, free.Pieces
 	load.LongRunningPlaces, load.LongRunningPieces = longRunning.Counts, longRunning.Pieces
+	load.Organisations = c.demands()
 	return load
 }
 
@@ -294,7 +299,7 @@
 	}
 	var work int64
 	for _, u := range c.ready {
-		if u.phase == phaseReady {
+		if u.phase == phaseReady && !u.waitsForCap {
 			work += u.def().Resources.CPU * int64(u.size) * max(u.def().Estimated.Milliseconds(), 1)
 			load.Free -= u.def().Committed().CPU * int64(u.size)
 		}
--- a/dispatch/job.go
+++ b/dispatch/job.go
@@ -71,6 +71,8 @@
 	// set once the host's row says so.
 	returnedAt    time.Time
 	returnDurable bool
+	// waitsForCap is set if the last plan did not start the unit because of the cap of its organisation.
+	waitsForCap bool
 	// queuedAtCheck is the number of the last check for waiting tasks that found the unit in the queue.
 	queuedAtCheck int
 }
@@ -342,5 +344,10 @@
 // compact drops the details of a finished job, of which only the state is needed.
 func (j *jobState) compact() {
 	j.occs = nil
-	j.def = &workload.Job{ID: j.def.ID, Policy: j.def.Policy, AcceptedAt: j.def.AcceptedAt}
+	compacted := &workload.Job{ID: j.def.ID, Policy: j.def.Policy, AcceptedAt: j.def.AcceptedAt, Organisation: j.def.Organisation}
+	if j.def.Organisation != "" {
+		// Runs that are still being stopped count towards the cap.
+		compacted.Steps = j.def.Steps
+	}
+	j.def = compacted
 }
--- a/dispatch/metrics.go
+++ b/dispatch/metrics.go
@@ -42,6 +42,7 @@
 	// jobs counts jobs by state, tasks those of jobs that have not ended by what has them, and missingJobs accepted jobs that the
 	// owner's state does not have.
 	jobs, tasks, missingJobs *prometheus.GaugeVec
+	caps                     *capMetrics
 }
 
 // timeBuckets are in seconds. They range from the response time of a store in the same zone to the longest wait that a
@@ -82,6 +83,7 @@
 		Help: "Runners that may run tasks of an earlier owner and have not reported to this one."})
 	registry.MustRegister(unresolved)
 	m := &Metrics{
+		caps:           newCapMetrics(registry),
 		waiting:        gauges("waiting_tasks", "Tasks that have waited too long for a confirmed run, by reason.", "reason"),
 		runs:           gauges("runs", "Runs that are not confirmed to have ended, by phase.", "phase"),
 		unresolved:     unresolved,
--- a/dispatch/plan.go
+++ b/dispatch/plan.go
@@ -53,6 +53,9 @@
 // plan starts all ready units that can be placed. The caller holds mu.
 func (c *Cell) plan(ctx context.Context, now time.Time) {
 	c.plannedAt = now
+	demanded := c.capDemanded()
+	c.beginCapPlan()
+	defer c.endCapPlan(now, demanded)
 	if len(c.ready) == 0 {
 		return
 	}
@@ -72,6 +75,7 @@
 		if u.phase != phaseReady || u.job.state.Terminal() {
 			continue
 		}
+		u.waitsForCap = false
 		key := equivClass{u.job, u.occ, u.step}
 		if blocked[key] {
 			kept = append(kept, u)
@@ -86,6 +90,11 @@
 			kept = append(kept, u)
 			continue
 		}
+		if !c.capAllows(now, u) {
+			c.waitForCap(u)
+			kept = append(kept, u)
+			continue
+		}
 		if len(ahead) > 0 && !u.isRestart() {
 			c.reserveAhead(ahead, p)
 			ahead = nil
--- a/dispatch/runnerstate.go
+++ b/dispatch/runnerstate.go
@@ -81,7 +81,9 @@
 	cancelPoll                context.CancelFunc
 	pollAbandoned, pollAtOnce bool
 	health                    health
-	stop                      context.CancelFunc // ends the poll loop
+	// extra holds runs that are not part of the state and count towards the caps of their organisations.
+	extra []extraRun
+	stop  context.CancelFunc // ends the poll loop
 }
 
 func (rs *runnerState) target() runner.Target {
@@ -152,7 +154,7 @@
 			continue
 		}
 		for r := range rs.runs {
-			if !r.unit.def().LongRunning || r.stop.wanted || r.unit.size > 1 {
+			if !r.unit.def().LongRunning || r.stop.wanted || r.unit.size > 1 || c.isOverCap(r.unit.job) {
 				continue
 			}
 			if views == nil {
@@ -214,6 +216,7 @@
 		return false
 	}
 	delete(c.runners, rs.info.ID)
+	c.dropExtras(rs)
 	c.terminated[rs.info.ID] = true
 	return true
 }
@@ -386,6 +389,7 @@
 	case runner.ReasonIncarnation:
 		if rs.hasProcessAt(target.Addr) {
 			c.loseRuns(now, rs, "another incarnation answers")
+			c.dropExtras(rs)
 			if now.Before(rs.leaseEnd) {
 				rs.leaseEnd = now
 			}
@@ -518,6 +522,7 @@
 		return
 	}
 	delete(r.runner.runs, r)
+	c.countRun(r.unit.job, r.unit.def(), false)
 	for i, other := range r.unit.runs {
 		if other == r {
 			r.unit.runs = append(r.unit.runs[:i], r.unit.runs[i+1:]...)
@@ -584,7 +589,10 @@
 	if u.def().Gang {
 		// The end of one member represents all members.
 		for len(u.runs) > 0 {
-			c.detach(u.runs[0])
+			// The others may not have ended yet.
+			other := u.runs[0]
+			c.detach(other)
+			c.addExtra(other.runner, u.job, u.step)
 		}
 	}
 	c.markDirty(j)
@@ -629,6 +637,7 @@
 func (c *Cell) applyRunning(now time.Time, rs *runnerState, sent time.Time, report runner.Report) {
 	listed := make(map[*run]bool, len(report.Running))
 	rs.foreign = 0
+	c.dropExtras(rs)
 	for i := range report.Running {
 		if r := c.matchRunning(now, rs, &report.Running[i]); r != nil {
 			listed[r] = true
@@ -660,6 +669,7 @@
 	superseded := u != nil && u.hasNewerRun(listed.Run)
 	if u == nil || u.phase == phaseDone || u.phase == phaseRemote || superseded && u.size > 1 {
 		rs.foreign++
+		c.addExtra(rs, j, listed.Task.Step)
 		c.stopForeignRun(rs, listed.Task, listed.Run)
 		return nil
 	}
@@ -687,6 +697,7 @@
 	u.run = max(u.run, r.number)
 	u.runs = append(u.runs, r)
 	r.runner.runs[r] = true
+	c.countRun(u.job, u.def(), true)
 	u.stepState().onRunner[r.runner.info.ID]++
 	switch u.phase {
 	case phaseReady:
@@ -745,6 +756,7 @@
 			c.loseRun(now, r, rs.leaseEnd, "lease ended on an unreachable runner")
 		}
 	}
+	c.dropExtras(rs)
 	_, unresolved := c.unresolved[rs.info.ID]
 	if len(rs.runs) == 0 && !unresolved {
 		// A new owner need not wait for it.
--- a/dispatch/waiting.go
+++ b/dispatch/waiting.go
@@ -43,6 +43,8 @@
 	waitNoRunner waitReason = "no_runner"
 	// waitNoIdleRunner: no runner has idle capacity for the best-effort task. It is counted but not logged.
 	waitNoIdleRunner waitReason = "no_idle_runner"
+	// waitCap: the organisation would hold more than its limit in the cell.
+	waitCap waitReason = "cap"
 	// waitNotPlanned: a runner would take the task, but no plan has started it.
 	waitNotPlanned waitReason = "not_planned"
 	// waitNotDurable: the assignment of the task to a runner is not durable yet.
@@ -85,6 +87,7 @@
 	waitNoTicket:         logrus.InfoLevel,
 	waitNoRunner:         logrus.InfoLevel,
 	waitNoIdleRunner:     logrus.DebugLevel,
+	waitCap:              logrus.DebugLevel,
 	waitNotPlanned:       logrus.WarnLevel,
 	waitNotDurable:       logrus.WarnLevel,
 	waitEndsNotDurable:   logrus.WarnLevel,
@@ -204,6 +207,7 @@
 	}
 	counts.jobs, counts.holders, counts.gaps = scan.census.jobs, scan.census.holders(), c.gaps(len(scan.census.withoutTasks))
 	c.cfg.Metrics.replaceWaiting(c.waits.counted, counts)
+	c.showCaps()
 	c.waits.counted = counts
 	c.reportGaps(counts.gaps, scan.census.withoutTasks)
 	c.logWaiting(now, scan.groups)
@@ -215,6 +219,8 @@
 	defer c.mu.Unlock()
 	c.cfg.Metrics.replaceWaiting(c.waits.counted, waitCounts{})
 	c.waits.counted = waitCounts{}
+	c.cfg.Metrics.caps.replace(c.cfg.Name, c.caps.shown, nil)
+	c.caps.shown = nil
 }
 
 // observe records since when the run has had its status and since when its task has ended.
@@ -491,6 +497,9 @@
 	if c.awaitsUnresolved(u) {
 		return verdict{waitUnresolved, func() logrus.Fields { return c.unresolvedDetails(s.now, u) }}
 	}
+	if !c.capAllows(s.now, u) {
+		return verdict{waitCap, nil}
+	}
 	all := serviceCandidates(c.serviceOf(u.job), views)
 	candidates := all
 	if u.job.def.Policy.Advised {
