Divide the caps of organisations from the owner of the first cell

Cause: the limits that cells apply had no writer. Change: nodes with cells follow table quota once the configuration has organisations or a job names one. The owner of the first cell creates a row for each organisation with a cap, reads the acknowledgements of the cells that a change concerns, and moves unused limits to cells where tasks wait. Result: the tests of packages node and ownership pass. The allocator has no test of its own yet.

--- a/node/cells.go
+++ b/node/cells.go
@@ -170,6 +170,7 @@
 		return
 	}
 	n.runCell(ctx, cell, c)
+	go n.readQuota(ctx, cell, c)
 	go func() {
 		select {
 		case <-denied:
--- a/node/node.go
+++ b/node/node.go
@@ -30,6 +30,7 @@
 	"github.com/currantthread/currantthread/observe"
 	"github.com/currantthread/currantthread/ownership"
 	"github.com/currantthread/currantthread/platform"
+	"github.com/currantthread/currantthread/quota"
 	"github.com/currantthread/currantthread/runner"
 	"github.com/currantthread/currantthread/store"
 )
@@ -84,6 +85,7 @@
 	operator    *store.Follower
 	discovery   *store.Follower
 	assignments *store.Follower
+	quotas      *store.Follower
 
 	mu        sync.Mutex // guards the fields below
 	cells     map[string]*dispatch.Cell
@@ -112,6 +114,11 @@
 	unexplainedAt time.Time
 	// witnesses holds the witnesses of this node's cells.
 	witnesses map[string][]dispatch.Witness
+	// quotaRows are the limits of organisations by name, with all changes up to quotaVersion, and badQuotaRows are the names of newer rows that
+	// can't be decoded.
+	quotaRows    map[string]quota.VersionedRow
+	quotaVersion int64
+	badQuotaRows map[string]bool
 	// outages is what this node has promised as a witness.
 	outages    outageWitness
 	assignWake chan struct{}
@@ -162,6 +169,7 @@
 		heartbeatWake: make(chan struct{}, 1), offers: make(chan cellOffer),
 		jobCells: map[string]string{}, submittedWork: map[string]submittedWork{},
 		witnesses: map[string][]dispatch.Witness{}, outages: newOutageWitness(time.Now()),
+		quotaRows: map[string]quota.VersionedRow{}, badQuotaRows: map[string]bool{},
 	}
 	if services.Advice != nil {
 		n.advisor = services.Advice
@@ -179,6 +187,8 @@
 	n.discovery = store.NewFollower(n.store, platform.TableServers, n.discoveryChanged, n.dependencyLogger("service discovery"))
 	n.discovery.Poll, n.discovery.SpacingNow, n.discovery.Active = true, n.discoveryPause, n.needsRunners
 	n.assignments = store.NewFollower(n.store, tableAssignments, n.assignmentsChanged, n.dependencyLogger("roster"))
+	n.quotas = store.NewFollower(n.store, quota.Table, func([]store.Row) {}, n.dependencyLogger("limits of organisations"))
+	n.quotas.Active = n.needsQuota
 	return n
 }
 
@@ -229,6 +239,9 @@
 		return nil
 	})
 	group.Go(func() error { n.assignLoop(serving); return nil })
+	group.Go(func() error { n.quotas.Run(serving); return nil })
+	group.Go(func() error { n.quotaLoop(serving); return nil })
+	group.Go(func() error { newAllocator(n).run(serving); return nil })
 	group.Go(func() error { n.reloadLoop(serving); return nil })
 	group.Go(func() error {
 		<-ctx.Done()
@@ -410,6 +423,7 @@
 		MaxLease:  b.HoldMax,
 		Suspended: n.suspended,
 		Retention: b.StatusRetention, Store: n.store, Runners: n.runners, Advisor: n.advisor, Peers: peers, StoreLost: func() { n.handOver(cell) },
+		AwaitQuota: true, DemandChanged: n.wakeHeartbeat,
 		ConfirmOutage: func(ctx context.Context, w dispatch.Witness, epoch int64) bool {
 			return n.askForConfirmation(ctx, w, cell, epoch)
 		},
