--- a/dispatch/capmetrics.go
+++ b/dispatch/capmetrics.go
@@ -21,7 +21,7 @@
 
 // capMetrics are the gauges of organisations with a cap, by organisation and cell.
 type capMetrics struct {
-	held, limit, waiting *prometheus.GaugeVec
+	held, limit, running, waiting *prometheus.GaugeVec
 
 	mu     sync.Mutex // guards labels
 	labels map[string]bool
@@ -31,8 +31,8 @@
 type organisationGauges map[string]organisationValues
 
 type organisationValues struct {
-	held, limit quota.Amounts
-	waiting     int
+	held, limit, running quota.Amounts
+	waiting              int
 }
 
 func newCapMetrics(registry prometheus.Registerer) *capMetrics {
@@ -46,6 +46,8 @@
 			"organisation", "cell", "resource"),
 		limit: gauges("organisation_limit", "What the runs of an organisation with a cap may hold in the cell.",
 			"organisation", "cell", "resource"),
+		running: gauges("organisation_running", "What the known runs of an organisation with a cap hold, tasks larger than the cap in full.",
+			"organisation", "cell", "resource"),
 		waiting: gauges("organisation_cap_waiting_tasks", "Tasks that wait because of the cap of their organisation.", "organisation", "cell"),
 		labels:  map[string]bool{},
 	}
@@ -79,6 +81,7 @@
 	for i, resource := range resourceLabels {
 		m.held.WithLabelValues(label, cell, resource).Add(float64(current.held[i] - previous.held[i]))
 		m.limit.WithLabelValues(label, cell, resource).Add(float64(current.limit[i] - previous.limit[i]))
+		m.running.WithLabelValues(label, cell, resource).Add(float64(current.running[i] - previous.running[i]))
 	}
 	m.waiting.WithLabelValues(label, cell).Add(float64(current.waiting - previous.waiting))
 }
@@ -88,7 +91,7 @@
 	current := organisationGauges{}
 	for organisation, a := range c.caps.accounts {
 		if a.Known() {
-			current[organisation] = organisationValues{a.Held(), a.Limit(), a.waitingTasks}
+			current[organisation] = organisationValues{a.Held(), a.Limit(), quota.Of(c.held(organisation)), a.waitingTasks}
 		}
 	}
 	c.cfg.Metrics.caps.replace(c.cfg.Name, c.caps.shown, current)
--- a/dispatch/caps_test.go
+++ b/dispatch/caps_test.go
@@ -58,8 +58,8 @@
 }
 
 // awaiting returns the configuration of an owner that waits for the table of limits.
-func (cl *cluster) awaiting(node string, predecessorDead bool) dispatch.Config {
-	cfg := cl.config(node, predecessorDead)
+func (cl *cluster) awaiting(node string) dispatch.Config {
+	cfg := cl.config(node, true)
 	cfg.AwaitQuota = true
 	return cfg
 }
@@ -85,17 +85,21 @@
 func TestRunsStayWithinTheLimit(t *testing.T) {
 	bestEffort := tasks(10, 1000)
 	bestEffort.BestEffort = true
+	gang := tasks(4, 1000)
+	gang.Gang = true
 	for name, test := range map[string]struct {
 		step workload.Step
 		want int
-	}{"short": {tasks(10, 1000), 3}, "best effort": {bestEffort, 3}, "larger than the cap": {tasks(10, 5000), 1}, "long-running": {longRunning(10, 1000), 3},
-		"gang": {func() workload.Step { s := tasks(4, 1000); s.Gang = true; return s }(), 0}} {
+	}{
+		"short": {tasks(10, 1000), 3}, "best effort": {bestEffort, 3}, "larger than the cap": {tasks(10, 5000), 1},
+		"long-running": {longRunning(10, 1000), 3}, "gang larger than the cap": {gang, 0},
+	} {
 		t.Run(name, func(t *testing.T) {
 			synctest.Test(t, func(t *testing.T) {
 				cl := newCluster(t, 2, fixedDuration(time.Hour))
 				limits := cl.limits()
 				limits.set(cellName, 3500, 0, 3500)
-				c, stop := cl.startOwnerOf(cl.awaiting("a", true))
+				c, stop := cl.startOwnerOf(cl.awaiting("a"))
 				time.Sleep(2 * time.Second)
 				cl.submit(c, jobOfOrganisation(1, test.step))
 				cl.submit(c, jobOf(2, tasks(5, 1000)))
@@ -120,7 +124,7 @@
 		cl := newCluster(t, 1, fixedDuration(time.Hour))
 		limits := cl.limits()
 		limits.set(cellName, 3000, 0, 3000)
-		c, stop := cl.startOwnerOf(cl.awaiting("a", true))
+		c, stop := cl.startOwnerOf(cl.awaiting("a"))
 		cl.submit(c, jobOfOrganisation(1, tasks(5, 1000)))
 		c.SetQuota(map[string]quota.VersionedRow{"x": {Row: limits.row, Version: limits.version}}, limits.version)
 		time.Sleep(2 * time.Second)
@@ -141,7 +145,7 @@
 		cl := newCluster(t, 2, fixedDuration(time.Hour))
 		limits := cl.limits()
 		limits.set(cellName, 8000, 0, 8000)
-		first, kill := cl.startOwnerOf(cl.awaiting("a", true))
+		first, kill := cl.startOwnerOf(cl.awaiting("a"))
 		limits.tell(first)
 		time.Sleep(time.Second)
 		// Each runner can hold half of them.
@@ -155,7 +159,7 @@
 		<-first.Done()
 		cl.store.SetFault(emulator.StoreWorks)
 		cl.fleet.SetFault("r1", emulator.RunnerUnreachable)
-		next, stop := cl.startOwnerOf(cl.awaiting("b", true))
+		next, stop := cl.startOwnerOf(cl.awaiting("b"))
 		limits.tell(next)
 		// No task of this job may run on r1, so only the limit holds it back.
 		cl.submit(next, jobOfOrganisation(2, tasks(20, 1000)))
@@ -176,7 +180,7 @@
 		cl := newCluster(t, 2, fixedDuration(time.Hour))
 		limits := cl.limits()
 		limits.set(cellName, 4000, 0, 4000)
-		c, stop := cl.startOwnerOf(cl.awaiting("a", true))
+		c, stop := cl.startOwnerOf(cl.awaiting("a"))
 		limits.tell(c)
 		time.Sleep(time.Second)
 		cl.fleet.SetFault("r0", emulator.RunnerLosesResponses)
@@ -203,7 +207,7 @@
 		})
 		limits := cl.limits()
 		limits.set(cellName, 4000, 0, 4000)
-		c, stop := cl.startOwnerOf(cl.awaiting("a", true))
+		c, stop := cl.startOwnerOf(cl.awaiting("a"))
 		limits.tell(c)
 		time.Sleep(time.Second)
 		cl.submit(c, jobOfOrganisation(1, tasks(8, 1000)))
@@ -235,7 +239,7 @@
 		cl := newCluster(t, 2, fixedDuration(time.Hour))
 		limits := cl.limits()
 		limits.set(cellName, 4000, 0, 4000)
-		c, kill := cl.startOwnerOf(cl.awaiting("a", true))
+		c, kill := cl.startOwnerOf(cl.awaiting("a"))
 		limits.tell(c)
 		time.Sleep(time.Second)
 		cl.submit(c, jobOfOrganisation(1, tasks(8, 1000)))
@@ -246,7 +250,7 @@
 		before := cl.owner()
 		kill()
 		<-c.Done()
-		next := cl.acquireWith(t.Context(), cl.awaiting("b", true))
+		next := cl.acquireWith(t.Context(), cl.awaiting("b"))
 		owner := cl.owner()
 		assert.Equal(t, owner.Node, "b")
 		assert.Assert(t, owner.Quota >= before.Quota)
@@ -263,7 +267,7 @@
 		limits := cl.limits()
 		limits.set(cellName, 4000, 0, 4000)
 		a := &link{Fleet: cl.fleet, Store: cl.store}
-		cfg := cl.awaiting("a", true)
+		cfg := cl.awaiting("a")
 		cfg.Runners = &stopsFail{a}
 		first, kill := cl.startOwnerOf(cfg)
 		limits.tell(first)
@@ -277,7 +281,7 @@
 		<-first.Done()
 		assert.Equal(t, cl.runs(), 4)
 		// Nor does the next owner reach the runner's stops at first.
-		cfg = cl.awaiting("b", true)
+		cfg = cl.awaiting("b")
 		stops := &stopsFail{a}
 		cfg.Runners = stops
 		next, stop := cl.startOwnerOf(cfg)
@@ -339,7 +343,7 @@
 func TestOrganisationsWithoutRows(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		cl := newCluster(t, 1, fixedDuration(time.Hour))
-		c, stop := cl.startOwnerOf(cl.awaiting("a", true))
+		c, stop := cl.startOwnerOf(cl.awaiting("a"))
 		config := &catalog.Config{Version: 1, Organisations: map[string]*catalog.Organisation{
 			"free": {Name: "free"}, "capped": {Name: "capped", Cap: workload.Resources{CPU: 1000}}}}
 		c.SetCatalog(config)
@@ -363,7 +367,7 @@
 func TestNoLimitsInRowsWithoutOrganisations(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		cl := newCluster(t, 1, fixedDuration(time.Hour))
-		c, stop := cl.startOwnerOf(cl.awaiting("a", true))
+		c, stop := cl.startOwnerOf(cl.awaiting("a"))
 		cl.submit(c, jobOf(1, tasks(3, 1000)))
 		time.Sleep(2 * time.Second)
 		assert.Equal(t, cl.runs(), 3)
