--- a/node/quota.go
+++ b/node/quota.go
@@ -115,7 +115,8 @@
 			return
 		}
 		if failures++; failures == 1 {
-			n.log.WithFields(logrus.Fields{"cell": cell, "error": err, "version": page.Version}).Warn("could not read the limits of organisations for a new cell")
+			n.log.WithFields(logrus.Fields{"cell": cell, "error": err, "version": page.Version}).
+				Warn("could not read the limits of organisations for a new cell")
 		}
 		wait.For(ctx, readRetry)
 	}
--- a/quota/plan_test.go
+++ b/quota/plan_test.go
@@ -69,7 +69,8 @@
 }
 
 func (m *model) drawCap() Amounts {
-	return Amounts{rapid.Int64Range(1, 40).Draw(m.t, "cpu"), rapid.SampledFrom([]int64{0, 0, 30}).Draw(m.t, "mem"), rapid.SampledFrom([]int64{0, 3}).Draw(m.t, "gpu")}
+	return Amounts{rapid.Int64Range(1, 40).Draw(m.t, "cpu"), rapid.SampledFrom([]int64{0, 0, 30}).Draw(m.t, "mem"),
+		rapid.SampledFrom([]int64{0, 3}).Draw(m.t, "gpu")}
 }
 
 func (m *model) drawCell() *modelCell { return rapid.SampledFrom(m.cells).Draw(m.t, "cell") }
@@ -97,7 +98,8 @@
 // submit adds a waiting task to a cell.
 func (m *model) submit() {
 	c := m.drawCell()
-	size := Amounts{rapid.Int64Range(1, 50).Draw(m.t, "size"), rapid.Int64Range(0, 20).Draw(m.t, "mem size"), rapid.Int64Range(0, 2).Draw(m.t, "gpu size")}
+	size := Amounts{rapid.Int64Range(1, 50).Draw(m.t, "size"), rapid.Int64Range(0, 20).Draw(m.t, "mem size"),
+		rapid.Int64Range(0, 2).Draw(m.t, "gpu size")}
 	c.tasks = append(c.tasks, &modelTask{size: size})
 }
 
@@ -385,7 +387,8 @@
 
 // run performs random steps and checks the property after each.
 func (m *model) run(steps int) {
-	actions := []func(){m.submit, m.start, m.start, m.end, m.replace, m.resolve, m.follow, m.follow, m.commit, m.read, m.read, m.write, m.write, m.write, m.changeCap, m.settle, m.submit, m.start, m.start}
+	actions := []func(){m.submit, m.start, m.start, m.end, m.replace, m.resolve, m.follow, m.follow, m.commit, m.read, m.read,
+		m.write, m.write, m.write, m.changeCap, m.settle, m.submit, m.start, m.start}
 	for range steps {
 		actions[rapid.IntRange(0, len(actions)-1).Draw(m.t, "action")]()
 		m.check()
