Add the pure package fairshare and use it in the first generation

Cause: sched computed weighted dominant shares and quotas itself, and dispatch has no order over organisations. Change: package fairshare holds shares, quota checks and the order of progressive filling (a heap over organisations, one queue each). sched uses it for teams; its own copy is removed and its tests are unchanged.

--- a/sched/config.go
+++ b/sched/config.go
@@ -3,6 +3,7 @@
 import (
 	"time"
 
+	"github.com/currantthread/currantthread/fairshare"
 	"github.com/currantthread/currantthread/job"
 )
 
@@ -64,15 +65,13 @@
 // effectDelay is the time after which usage reports show the effect of an action.
 func (c Config) effectDelay() time.Duration { return c.UsageLag + c.ReportInterval }
 
+// axisNames are the names of the resources in reasons.
+var axisNames = [...]string{fairshare.Processors: "processors", fairshare.Memory: "memory", fairshare.Accelerators: "accelerators"}
+
 // exceededAxis returns the first axis on which r exceeds quota, or "".
 func exceededAxis(r, quota job.Resources) string {
-	switch {
-	case quota.CPUMilli > 0 && r.CPUMilli > quota.CPUMilli:
-		return "processors"
-	case quota.MemoryMiB > 0 && r.MemoryMiB > quota.MemoryMiB:
-		return "memory"
-	case quota.Accelerators > 0 && r.Accelerators > quota.Accelerators:
-		return "accelerators"
+	if axis := fairshare.Exceeded(amounts(r), amounts(quota)); axis >= 0 {
+		return axisNames[axis]
 	}
 	return ""
 }
--- a/sched/queue.go
+++ b/sched/queue.go
@@ -7,6 +7,7 @@
 	"strings"
 	"time"
 
+	"github.com/currantthread/currantthread/fairshare"
 	"github.com/currantthread/currantthread/job"
 )
 
@@ -172,19 +173,14 @@
 		if l.active == 0 {
 			continue
 		}
-		var best *teamQueue
-		bestShare := 0.0
-		for _, candidate := range l.teamQueues {
-			if len(candidate.groups) == 0 {
-				continue
+		best := fairshare.Lowest(len(l.teamQueues), func(i int) (float64, bool) {
+			if len(l.teamQueues[i].groups) == 0 {
+				return 0, false
 			}
-			share := candidate.team.share(s.capacity)
-			if best == nil || share < bestShare {
-				best, bestShare = candidate, share
-			}
-		}
-		if best != nil {
-			return best.groups[0]
+			return l.teamQueues[i].team.share(s.capacity), true
+		})
+		if best >= 0 {
+			return l.teamQueues[best].groups[0]
 		}
 	}
 	return nil
--- a/sched/state.go
+++ b/sched/state.go
@@ -3,6 +3,7 @@
 import (
 	"time"
 
+	"github.com/currantthread/currantthread/fairshare"
 	"github.com/currantthread/currantthread/interference"
 	"github.com/currantthread/currantthread/job"
 )
@@ -153,16 +154,13 @@
 	used job.Resources
 }
 
-func (t *team) weight() float64 { return float64(max(t.config.Weight, 1)) }
-
 // share is the dominant share of the team divided by its weight.
 func (t *team) share(total job.Resources) float64 {
-	share := max(
-		ratio(t.used.CPUMilli, total.CPUMilli),
-		ratio(t.used.MemoryMiB, total.MemoryMiB),
-		ratio(t.used.Accelerators, total.Accelerators),
-	)
-	return share / t.weight()
+	return fairshare.Share(amounts(t.used), amounts(total), float64(t.config.Weight))
+}
+
+func amounts(r job.Resources) fairshare.Amounts {
+	return fairshare.Amounts{fairshare.Processors: r.CPUMilli, fairshare.Memory: r.MemoryMiB, fairshare.Accelerators: r.Accelerators}
 }
 
 func ratio(part, total int64) float64 {
