Divide a cell among organisations by weighted dominant share

Cause: plans order all waiting units by lateness, so a backlog of one organisation delays the jobs of all others. Change: within a priority, the next unit of a plan comes from the organisation whose runs hold the lowest weighted dominant share of the cell. Restarts go first as before, and units without value come last of their priority. Long-running and short tasks are divided separately. Without organisations in the configuration the order is that of sortReady.

--- a/dispatch/job.go
+++ b/dispatch/job.go
@@ -54,7 +54,9 @@
 	// latenessClass is the lateness as of the last plan, and turn how many runs of the job go before the unit. It is 0 unless the
 	// unit shares capacity.
 	latenessClass, turn int
-	runs                []*run
+	// overtakenAt is when a plan last started a later unit of another organisation before it tried this one, which then found no runner.
+	overtakenAt time.Time
+	runs        []*run
 	// recovered units were accepted under an earlier owner. Runs that this owner has not seen yet may exist.
 	recovered bool
 	// begun is set for recovered units whose turn had come by the rows of the earlier owner.
--- a/dispatch/plan.go
+++ b/dispatch/plan.go
@@ -66,15 +66,16 @@
 	}
 	blocked := map[equivClass]bool{}
 	kept := c.ready[:0:0]
-	queue := c.ready
+	turns := c.newTurns(now)
 	c.ready = nil
-	for _, u := range queue {
+	for u := turns.next(); u != nil; u = turns.next() {
 		if u.phase != phaseReady || u.job.state.Terminal() {
 			continue
 		}
 		key := equivClass{u.job, u.occ, u.step}
 		if blocked[key] {
 			kept = append(kept, u)
+			turns.waits(now, u)
 			continue
 		}
 		if c.awaitsUnresolved(u) {
@@ -91,11 +92,14 @@
 			ahead = nil
 		}
 		placed, reserved := c.place(ctx, now, u, p)
-		if !placed {
+		if placed {
+			turns.started(u)
+		} else {
 			// Each waiting long-running task may reserve a different runner, so one that does not fit blocks the others only if there
 			// was no runner to reserve.
 			blocked[key] = !reserved
 			kept = append(kept, u)
+			turns.waits(now, u)
 		}
 	}
 	c.ready = append(c.ready, kept...)
