Refuse jobs in excess of an organisation's share at submission

Cause: an organisation that sends many times its usual load fills the queue with jobs that lose their value before they start. Change: while a resource is full, a job of an organisation that has had more jobs accepted than its weight gives is refused if the organisation's waiting work that is due before the job takes longer than the job has value, at the rate of its share (Cell.Submit, OutcomeExcess; the node reads the index row first, so an accepted job stays accepted). Retry-After is the time until the backlog fits, spread by organisation and job. The measured pace of tasks corrects their estimates.

--- a/dispatch/admission.go
+++ b/dispatch/admission.go
@@ -52,12 +52,17 @@
 	if passed <= 0 {
 		return
 	}
-	kept := math.Exp(-float64(passed) / float64(admissionTimeConstant))
+	kept := decay(passed, admissionTimeConstant)
 	a.shortDemand = a.shortDemand*kept + float64(short)*(1-kept)
 	a.freedRate = a.freedRate*kept + float64(a.freedSinceSample)/passed.Seconds()*(1-kept)
 	a.sampledAt, a.freedSinceSample = now, 0
 }
 
+// decay returns the part of a moving average that is kept after a time.
+func decay(passed, timeConstant time.Duration) float64 {
+	return math.Exp(-float64(passed) / float64(timeConstant))
+}
+
 // reserve returns the part of the capacity that is kept free of long-running tasks.
 func (a *admission) reserve(capacity int64) int64 {
 	share := shortDemandFactor * a.shortDemand / float64(max(capacity, 1))
--- a/dispatch/cell.go
+++ b/dispatch/cell.go
@@ -54,6 +54,8 @@
 	// Region is the owner's region, and Regions maps failure domains to regions.
 	Region  string
 	Regions map[string]string
+	// Cells is the number of cells of the deployment, among which the jobs of an organisation are divided; 0 counts as 1.
+	Cells int
 	// Lease is how long a runner keeps running tasks without contact to the owner.
 	Lease time.Duration
 	// MaxLease is the longest lease that a runner grants. Less than Lease means Lease.
@@ -133,6 +135,7 @@
 	outage      outageState
 	steps       durableSteps
 	admission   admission
+	share       submissionState
 	// runnerAddedAt is when the last new runner appeared. runnersKnown is set once none has appeared for
 	// runnerDiscoveryGrace.
 	runnerAddedAt time.Time
--- a/dispatch/intake.go
+++ b/dispatch/intake.go
@@ -33,10 +33,13 @@
 	OutcomeChanged
 	// OutcomeCancelled means that the job was cancelled before it was accepted, and will never run.
 	OutcomeCancelled
+	// OutcomeExcess means that the job was not accepted because the waiting work of its organisation is more than can be done before
+	// it has no value any more. The job will never run because of this submission.
+	OutcomeExcess
 )
 
 // outcomeNames are the names of outcomes in logs.
-var outcomeNames = []string{"unknown", "accepted", "elsewhere", "refused", "full", "not_owner", "changed", "cancelled"}
+var outcomeNames = []string{"unknown", "accepted", "elsewhere", "refused", "full", "not_owner", "changed", "cancelled", "excess"}
 
 // String returns the name of the outcome.
 func (o Outcome) String() string {
@@ -66,7 +69,7 @@
 
 // Submit makes a job durable in the cell. Submitting a job again that the cell already has is accepted without effect.
 // Submit returns OutcomeFull if the cell lacks capacity for a long-running job, or, unless force is set, for the first
-// steps of another job. For OutcomeElsewhere it also returns the name of the other cell.
+// steps of another job. It returns OutcomeExcess for a job of an organisation that sends more than the cell can do for it. For OutcomeElsewhere it also returns the name of the other cell.
 func (c *Cell) Submit(ctx context.Context, job *workload.Job, force bool) (Outcome, string) {
 	began := time.Now()
 	defer func() { c.cfg.Metrics.submissionTime.Observe(time.Since(began).Seconds()) }()
@@ -87,6 +90,10 @@
 		c.mu.Unlock()
 		return OutcomeRefused, ""
 	}
+	if s == nil && c.excessOf(began, job) > 0 {
+		c.mu.Unlock()
+		return OutcomeExcess, ""
+	}
 	if s == nil && (!force || job.LongRunning()) && !c.hasCapacity(job) {
 		c.mu.Unlock()
 		return OutcomeFull, ""
@@ -94,6 +101,7 @@
 	if s == nil {
 		s = &submission{job: job, done: make(chan struct{})}
 		c.submissions = append(c.submissions, s)
+		c.countSubmission(began, job)
 		c.urgent = true
 		wake(c.flushWake)
 	}
@@ -228,6 +236,8 @@
 	LongRunningPieces map[string][]Piece `json:"lpieces,omitempty"`
 	// Pending counts accepted jobs without a started task, by queue.
 	Pending map[string]int `json:"pending,omitempty"`
+	// ExcessMs is, for each organisation of which a job was refused lately, how long its waiting work leaves no time for another job.
+	ExcessMs map[string]int64 `json:"excess,omitempty"`
 }
 
 // hasCapacity reports whether the cell has capacity for the first steps of a job. The caller holds mu.
@@ -282,6 +292,7 @@
 		}
 	}
 	now := time.Now()
+	load.ExcessMs = c.excessLoad(now)
 	for _, rs := range c.runners {
 		if c.isUsable(now, rs) {
 			load.Runners++
--- a/dispatch/load.go
+++ b/dispatch/load.go
@@ -39,6 +39,13 @@
 	}
 }
 
+// HasFree reports whether the cell has free processors for the first steps of a job.
+func (l *Load) HasFree(job *workload.Job) bool {
+	var d Demand
+	d.Add(job)
+	return l.Free > 0 && l.Free >= d.Committed
+}
+
 // Pressure ranks cells for a new job: the backlog in seconds plus the committed share of the capacity.
 func (l *Load) Pressure() float64 {
 	if l.Capacity == 0 {
--- a/dispatch/runnerstate.go
+++ b/dispatch/runnerstate.go
@@ -543,6 +543,7 @@
 	switch endReason {
 	case runner.EndDone:
 		rs.health.succeeded(now, r)
+		c.share.pace.observe(now, r)
 		if u.def().LongRunning {
 			break
 		}
--- a/node/clients.go
+++ b/node/clients.go
@@ -18,6 +18,7 @@
 
 	"github.com/currantthread/currantthread/catalog"
 	"github.com/currantthread/currantthread/dispatch"
+	"github.com/currantthread/currantthread/fairshare"
 	"github.com/currantthread/currantthread/innerproto"
 	"github.com/currantthread/currantthread/innerproto/innerprotoconnect"
 	"github.com/currantthread/currantthread/intake"
@@ -72,14 +73,21 @@
 	if err != nil {
 		return intake.Decision{Outcome: intake.Refused, Reason: err.Error()}
 	}
-	unknown, full := false, 0
+	unknown, full, excess := false, 0, false
 	targets := n.targets(job)
 	for i, target := range targets {
+		if excess && !target.Load.HasFree(job) {
+			continue
+		}
 		// The cells after the first two are sorted by load, the least loaded first. If the last of them is full too, the
 		// first cell is made to accept the job whatever its capacity is. Long-running jobs are the exception: they would
 		// wait for capacity that may not become free for minutes.
 		outcome, elsewhere := n.submitTo(ctx, target, job, value, n.storeIsSlow())
-		if outcome == dispatch.OutcomeFull && i == len(targets)-1 && !job.LongRunning() {
+		if outcome == dispatch.OutcomeExcess && i > 0 {
+			// The first cell decides, because it gets the job if no cell has capacity.
+			outcome = dispatch.OutcomeFull
+		}
+		if outcome == dispatch.OutcomeFull && i == len(targets)-1 && !job.LongRunning() && !excess {
 			outcome, elsewhere = n.submitTo(ctx, targets[0], job, value, true)
 			target = targets[0]
 		}
@@ -97,6 +105,8 @@
 			return intake.Decision{Outcome: intake.Refused, Reason: "the job was cancelled before it was accepted"}
 		case dispatch.OutcomeFull:
 			full++
+		case dispatch.OutcomeExcess:
+			excess = true
 		case dispatch.OutcomeUnknown:
 			unknown = true
 		case dispatch.OutcomeRefused:
@@ -111,6 +121,8 @@
 		return intake.Decision{Outcome: intake.Unknown, Reason: "no owner of a cell answered in time"}
 	case full > 0 && job.LongRunning():
 		return n.refuseFull(ctx, job, targets)
+	case excess:
+		return n.refuseExcess(ctx, job, targets[0])
 	default:
 		return intake.Decision{Outcome: intake.Refused, Reason: "no cell takes jobs", RetryAfter: refusedRetryAfter}
 	}
@@ -137,6 +149,24 @@
 	return intake.Decision{Outcome: intake.Refused, Reason: "no cell has room for the job's lasting tasks", RetryAfter: retryAfter}
 }
 
+// refuseExcess refuses a job whose organisation sends more than the runners can do for it, unless an earlier submission of the same job was
+// accepted.
+func (n *Node) refuseExcess(ctx context.Context, job *workload.Job, target ownership.Owner) intake.Decision {
+	cell, err := n.findCell(ctx, job.ID)
+	switch {
+	case err != nil:
+		return intake.Decision{Outcome: intake.Unknown, Reason: err.Error()}
+	case cell != "":
+		return intake.Decision{Outcome: intake.Accepted, Cell: cell}
+	}
+	wait := time.Duration(target.Load.ExcessMs[job.Organisation]) * time.Millisecond
+	if c := n.localCell(target.Load.Cell); c != nil {
+		wait = c.Excess(job.Organisation)
+	}
+	return intake.Decision{Outcome: intake.Refused, Reason: "the organisation's waiting jobs take all of its share until this one has no value any more",
+		RetryAfter: fairshare.RetryAfter(wait, job.Organisation, job.ID)}
+}
+
 // targets returns the owners of cells in the order in which a job is offered to them.
 func (n *Node) targets(job *workload.Job) []ownership.Owner {
 	owners := n.directory.Owners(time.Now())
--- a/node/clients_test.go
+++ b/node/clients_test.go
@@ -181,6 +181,29 @@
 	assert.Equal(t, decision.Cell, "c1")
 }
 
+// A job that is refused for its organisation's share is accepted if an earlier submission of it was. A refusal states a time of the organisation's
+// backlog, which differs from job to job.
+func TestRefusalForShare(t *testing.T) {
+	s := emulator.NewStore()
+	n := &Node{store: s, settings: &platform.Settings{CrossPartition: true}, jobCells: map[string]string{}}
+	target := ownerWith("c0", 0)
+	target.Load.ExcessMs = map[string]int64{"a": 9000}
+	job := &workload.Job{ID: "00000000000000aa", Organisation: "a"}
+	assert.Equal(t, n.refuseExcess(t.Context(), job, target).Outcome, intake.Unknown, "the partition of the index row is not known yet")
+
+	n.cellCount.Store(2)
+	decision := n.refuseExcess(t.Context(), job, target)
+	assert.Equal(t, decision.Outcome, intake.Refused)
+	assert.Assert(t, decision.RetryAfter >= 9*time.Second && decision.RetryAfter < 18*time.Second, decision.RetryAfter)
+	other := &workload.Job{ID: "00000000000000ab", Organisation: "a"}
+	assert.Assert(t, n.refuseExcess(t.Context(), other, target).RetryAfter != decision.RetryAfter)
+
+	s.Put(store.Key{Table: dispatch.TableIndex, Part: n.indexPart(job.ID), Name: job.ID}, []byte("c1"))
+	decision = n.refuseExcess(t.Context(), job, target)
+	assert.Equal(t, decision.Outcome, intake.Accepted)
+	assert.Equal(t, decision.Cell, "c1")
+}
+
 // A read from before a job was accepted must not tell a client that the job does not exist, or that no cell took it.
 func TestOldReadDoesNotDenyAnAcceptedJob(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
--- a/node/node.go
+++ b/node/node.go
@@ -406,6 +406,7 @@
 	return dispatch.Config{
 		Name: cell, Part: n.cellPart(cell), IndexPart: n.indexPart, Node: n.settings.Node, Addr: n.innerAddr,
 		Incarnation: n.incarnation, Metrics: n.metrics, Region: n.settings.Region, Regions: n.settings.Regions,
+		Cells:     int(n.cellCount.Load()),
 		Lease:     time.Duration(float64(b.HoldMax) * leaseShare),
 		MaxLease:  b.HoldMax,
 		Suspended: n.suspended,
