Show by organisation what holds the cell, why tasks wait and what is refused

Cause: operators can't see which organisation waits, or whether for its share or for capacity. A task waits for its share if a plan started a later one of another organisation before it tried this one; the check for waiting tasks reports that as the reason share.

--- a/dispatch/metrics.go
+++ b/dispatch/metrics.go
@@ -42,6 +42,7 @@
 	// jobs counts jobs by state, tasks those of jobs that have not ended by what has them, and missingJobs accepted jobs that the
 	// owner's state does not have.
 	jobs, tasks, missingJobs *prometheus.GaugeVec
+	organisations            organisationMetrics
 }
 
 // timeBuckets are in seconds. They range from the response time of a store in the same zone to the longest wait that a
@@ -82,6 +83,7 @@
 		Help: "Runners that may run tasks of an earlier owner and have not reported to this one."})
 	registry.MustRegister(unresolved)
 	m := &Metrics{
+		organisations:  newOrganisationMetrics(registry),
 		waiting:        gauges("waiting_tasks", "Tasks that have waited too long for a confirmed run, by reason.", "reason"),
 		runs:           gauges("runs", "Runs that are not confirmed to have ended, by phase.", "phase"),
 		unresolved:     unresolved,
@@ -127,7 +129,8 @@
 }
 
 // replaceWaiting replaces the values that a cell has added to the gauges.
-func (m *Metrics) replaceWaiting(previous, current waitCounts) {
+func (m *Metrics) replaceWaiting(cell string, previous, current waitCounts) {
+	m.organisations.replace(cell, previous.organisations, current.organisations)
 	replace(m.waiting, previous.tasks, current.tasks)
 	replace(m.runs, previous.runs, current.runs)
 	replace(m.jobs, previous.jobs, current.jobs)
--- a/dispatch/shares.go
+++ b/dispatch/shares.go
@@ -142,3 +142,6 @@
 		u.overtakenAt = now
 	}
 }
+
+// wasOvertaken reports whether a later unit of another organisation was started since the unit has waited.
+func (u *unit) wasOvertaken() bool { return u.overtakenAt.After(u.waitsSince()) }
--- a/dispatch/shares_test.go
+++ b/dispatch/shares_test.go
@@ -5,6 +5,7 @@
 	"testing"
 	"time"
 
+	"github.com/prometheus/client_golang/prometheus/testutil"
 	"gotest.tools/v3/assert"
 
 	"github.com/currantthread/currantthread/catalog"
@@ -151,6 +152,38 @@
 	assert.DeepEqual(t, s.order(9), []string{"idle", "idle", "idle", "a", "idle", "a", "idle", "a", "idle"})
 }
 
+// Operators must see whether a task waits because its organisation has its share or because the runners are full.
+func TestWaitReasonOfOrganisations(t *testing.T) {
+	s := newStuckCell(t)
+	s.ready = nil
+	s.cfg.Regions = map[string]string{}
+	s.rs.bornSeenAt = s.now.Add(-time.Second)
+	s.SetCatalog(weights(t, map[string]float64{"a": 1, "b": 1, "full": 1}))
+	long := workload.Step{Count: 1, LongRunning: true, Estimated: time.Second, Resources: workload.Resources{CPU: 16_000, MemoryMB: 1000}}
+	s.run("a", long)
+	s.run("full", long)
+	s.run("full", long)
+	a, b := s.addFor("a", 0, long)[0], s.addFor("b", 0, long)[0]
+	larger := long
+	larger.Resources.CPU = 17_000
+	s.addFor("b", 0, larger)
+	// makeReady uses the time of day.
+	s.now = time.Now().Add(time.Millisecond)
+	s.plan(t.Context(), s.now)
+	assert.Equal(t, b.phase, phaseActive)
+	assert.Equal(t, a.phase, phaseReady)
+	s.rs.lastResponseAt, s.lastCommit = s.now.Add(4*time.Second), s.now.Add(4*time.Second)
+	s.observeActivity(s.now)
+	s.checkWaiting(s.now.Add(4 * time.Second))
+
+	metrics := &s.metrics.organisations
+	assert.Equal(t, testutil.ToFloat64(metrics.waiting.WithLabelValues("a", "c0", waitsForShare)), 1.0)
+	assert.Equal(t, testutil.ToFloat64(metrics.waiting.WithLabelValues("b", "c0", waitsForCapacity)), 1.0)
+	assert.Equal(t, testutil.ToFloat64(metrics.share.WithLabelValues("full", "c0")), 0.5)
+	s.resetWaiting()
+	assert.Equal(t, testutil.CollectAndCount(metrics.waiting)+testutil.CollectAndCount(metrics.share), 0)
+}
+
 // In a full cell each plan tries one unit of each step, so its cost must stay small beside the sort.
 func BenchmarkPlanOfManyOrganisations(b *testing.B) {
 	for _, organisations := range []int{0, 62} {
--- a/dispatch/waiting.go
+++ b/dispatch/waiting.go
@@ -43,6 +43,8 @@
 	waitNoRunner waitReason = "no_runner"
 	// waitNoIdleRunner: no runner has idle capacity for the best-effort task. It is counted but not logged.
 	waitNoIdleRunner waitReason = "no_idle_runner"
+	// waitShare: there was a runner for the task, but other organisations, which hold less of their shares, went first.
+	waitShare waitReason = "share"
 	// waitNotPlanned: a runner would take the task, but no plan has started it.
 	waitNotPlanned waitReason = "not_planned"
 	// waitNotDurable: the assignment of the task to a runner is not durable yet.
@@ -85,6 +87,7 @@
 	waitNoTicket:         logrus.InfoLevel,
 	waitNoRunner:         logrus.InfoLevel,
 	waitNoIdleRunner:     logrus.DebugLevel,
+	waitShare:            logrus.InfoLevel,
 	waitNotPlanned:       logrus.WarnLevel,
 	waitNotDurable:       logrus.WarnLevel,
 	waitEndsNotDurable:   logrus.WarnLevel,
@@ -154,6 +157,8 @@
 	jobs       map[string]int
 	holders    map[taskHolder]int
 	gaps       map[jobGap]int
+	// organisations are by the label of the organisation.
+	organisations organisationCounts
 }
 
 // waitGroup is the waiting tasks of a step that share a reason.
@@ -203,7 +208,8 @@
 		counts.tasks[g.reason] += g.tasks
 	}
 	counts.jobs, counts.holders, counts.gaps = scan.census.jobs, scan.census.holders(), c.gaps(len(scan.census.withoutTasks))
-	c.cfg.Metrics.replaceWaiting(c.waits.counted, counts)
+	counts.organisations = c.organisationCounts(now, scan.groups)
+	c.cfg.Metrics.replaceWaiting(c.cfg.Name, c.waits.counted, counts)
 	c.waits.counted = counts
 	c.reportGaps(counts.gaps, scan.census.withoutTasks)
 	c.logWaiting(now, scan.groups)
@@ -213,7 +219,7 @@
 func (c *Cell) resetWaiting() {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	c.cfg.Metrics.replaceWaiting(c.waits.counted, waitCounts{})
+	c.cfg.Metrics.replaceWaiting(c.cfg.Name, c.waits.counted, waitCounts{})
 	c.waits.counted = waitCounts{}
 }
 
@@ -534,6 +540,9 @@
 	case u.def().BestEffort && e.fitting == 0:
 		v.reason = waitNoIdleRunner
 	}
+	if v.reason != waitNotPlanned && u.wasOvertaken() {
+		v.reason = waitShare
+	}
 	return v
 }
 
--- a/node/clients.go
+++ b/node/clients.go
@@ -120,14 +120,23 @@
 	case unknown:
 		return intake.Decision{Outcome: intake.Unknown, Reason: "no owner of a cell answered in time"}
 	case full > 0 && job.LongRunning():
-		return n.refuseFull(ctx, job, targets)
+		return n.countRefused(job, dispatch.RefusedForCapacity, n.refuseFull(ctx, job, targets))
 	case excess:
-		return n.refuseExcess(ctx, job, targets[0])
+		return n.countRefused(job, dispatch.RefusedForShare, n.refuseExcess(ctx, job, targets[0]))
 	default:
-		return intake.Decision{Outcome: intake.Refused, Reason: "no cell takes jobs", RetryAfter: refusedRetryAfter}
+		decision := intake.Decision{Outcome: intake.Refused, Reason: "no cell takes jobs", RetryAfter: refusedRetryAfter}
+		return n.countRefused(job, dispatch.RefusedUnavailable, decision)
 	}
 }
 
+// countRefused counts a decision if it is a refusal and the configuration has organisations.
+func (n *Node) countRefused(job *workload.Job, reason string, decision intake.Decision) intake.Decision {
+	if config := n.Catalog(); decision.Outcome == intake.Refused && config != nil && len(config.Organisations) > 0 {
+		n.metrics.CountRefused(job.Organisation, reason)
+	}
+	return decision
+}
+
 // refusedRetryAfter is when a client may retry after no cell accepted its job: a cell gets a new owner within three
 // heartbeats.
 const refusedRetryAfter = 1 * time.Second
