Add currantctl organisations, and show caps and weights in the metrics

Cause: the state of an organisation is spread over the metrics of all nodes. Nodes serve the caps and weights of the active configuration. Not run against a deployment.

--- a/ctl/app.go
+++ b/ctl/app.go
@@ -107,7 +107,7 @@
 		Action:       unknownCommand,
 		Commands: []*cli.Command{
 			settingsCommand(), domainCommand(), jobCommand(), serviceCommand(), standingCommand(), cellCommand(),
-			reportCommand(), traceCommand(),
+			reportCommand(), traceCommand(), organisationsCommand(),
 		},
 	}
 }
--- a/dispatch/organisations.go
+++ b/dispatch/organisations.go
@@ -5,6 +5,7 @@
 
 	"github.com/prometheus/client_golang/prometheus"
 
+	"github.com/currantthread/currantthread/catalog"
 	"github.com/currantthread/currantthread/fairshare"
 	"github.com/currantthread/currantthread/observe"
 )
@@ -44,6 +45,8 @@
 	waiting *prometheus.GaugeVec
 	share   *prometheus.GaugeVec
 	refused *prometheus.CounterVec
+	// caps and weights are those of the active configuration.
+	caps, weights *prometheus.GaugeVec
 }
 
 func newOrganisationMetrics(registry prometheus.Registerer) organisationMetrics {
@@ -58,8 +61,11 @@
 			[]string{"organisation", "cell"}),
 		refused: prometheus.NewCounterVec(prometheus.CounterOpts(opts("refused_total", "Jobs refused at submission, by organisation and reason.")),
 			[]string{"organisation", "reason"}),
+		caps: prometheus.NewGaugeVec(opts("cap", "What the organisation's tasks may hold in all cells together; absent if there is no bound."),
+			[]string{"organisation", "resource"}),
+		weights: prometheus.NewGaugeVec(opts("weight", "Weight of the organisation."), []string{"organisation"}),
 	}
-	registry.MustRegister(m.waiting, m.share, m.refused)
+	registry.MustRegister(m.waiting, m.share, m.refused, m.caps, m.weights)
 	return m
 }
 
@@ -68,6 +74,25 @@
 	m.organisations.refused.WithLabelValues(m.organisations.label(organisation), reason).Inc()
 }
 
+// SetOrganisations shows the organisations of the active configuration. Those without series of their own are left out.
+func (m *Metrics) SetOrganisations(config *catalog.Config) {
+	o := &m.organisations
+	o.caps.Reset()
+	o.weights.Reset()
+	for name, organisation := range config.Organisations {
+		label := o.label(name)
+		if label != name {
+			continue
+		}
+		o.weights.WithLabelValues(label).Set(organisation.Weight)
+		for resource, amount := range map[string]int64{"cpu": organisation.Cap.CPU, "mem": organisation.Cap.MemoryMB, "gpu": organisation.Cap.GPU} {
+			if amount > 0 {
+				o.caps.WithLabelValues(label, resource).Set(float64(amount))
+			}
+		}
+	}
+}
+
 func (m *organisationMetrics) label(organisation string) string {
 	if organisation == "" {
 		return noOrganisation
--- a/node/node.go
+++ b/node/node.go
@@ -285,6 +285,7 @@
 		return
 	}
 	n.catalog.Store(config)
+	n.metrics.SetOrganisations(config)
 	n.log.WithFields(logrus.Fields{"version": config.Version, "queues": len(config.Queues)}).Info("configuration applied")
 	n.mu.Lock()
 	defer n.mu.Unlock()
