--- a/dispatch/excess.go
+++ b/dispatch/excess.go
@@ -11,8 +11,9 @@
 // before it has no value any more; package fairshare has the rule.
 
 const (
-	// poolInterval is how long the state of a pool is used for decisions on submissions. Accepted jobs are added to it meanwhile.
-	poolInterval = 250 * time.Millisecond
+	// poolInterval is how long the state of a pool is used for decisions on submissions. Accepted jobs are added to it meanwhile. Reading it
+	// anew takes 12 ms with 10,000 waiting tasks of 5,000 jobs, under the cell's lock.
+	poolInterval = 500 * time.Millisecond
 	// excessRetention is how long the last refusal of an organisation's job is part of the cell's load: three heartbeats.
 	excessRetention = 2400 * time.Millisecond
 	// Bounds of the measured pace, so that a few odd tasks can't cause or prevent all refusals.
--- a/dispatch/shares.go
+++ b/dispatch/shares.go
@@ -89,8 +89,13 @@
 	}
 	held := c.holdings(now)
 	t.short, t.longRunning = fairshare.NewOrder[*unit](held.capacity), fairshare.NewOrder[*unit](held.capacity)
+	opened := map[string]bool{}
 	for _, u := range c.ready {
 		name := u.job.def.Organisation
+		if opened[name] {
+			continue
+		}
+		opened[name] = true
 		t.short.Open(name, c.weightOf(name), held.short[name])
 		t.longRunning.Open(name, c.weightOf(name), held.longRunning[name])
 	}
--- a/dispatch/shares_test.go
+++ b/dispatch/shares_test.go
@@ -205,3 +205,33 @@
 		})
 	}
 }
+
+// The check runs on each submission of an organisation beyond its weight, under the cell's lock.
+func BenchmarkExcessOfManyOrganisations(b *testing.B) {
+	s := fullCell(b, 20, 0, 0)
+	names := map[string]float64{}
+	for i := range 62 {
+		names[fmt.Sprint("o", i)] = 1
+	}
+	s.SetCatalog(weights(b, names))
+	step := workload.Step{Count: 2, Estimated: time.Second, Resources: workload.Resources{CPU: 8000, MemoryMB: 1000}}
+	for i := range 5000 {
+		s.addFor(fmt.Sprint("o", i%62), 0, step)
+	}
+	job := *s.jobs[fmt.Sprintf("%016x", 100)].def
+	job.Organisation = "o0"
+	for range 100 {
+		s.countSubmission(s.now, &job)
+	}
+	b.Run("known", func(b *testing.B) {
+		for b.Loop() {
+			assert.Assert(b, s.excessOf(s.now, &job) > 0)
+		}
+	})
+	b.Run("anew", func(b *testing.B) {
+		for b.Loop() {
+			s.share.pools = nil
+			assert.Assert(b, s.excessOf(s.now, &job) > 0)
+		}
+	})
+}
--- a/ownership/directory.go
+++ b/ownership/directory.go
@@ -188,6 +188,11 @@
 			return fmt.Errorf("queue %.50q has %d waiting jobs", queue, count)
 		}
 	}
+	for organisation, ms := range load.ExcessMs {
+		if ms < 0 || ms > maxAmount {
+			return fmt.Errorf("excess of organisation %.50q is %d ms", organisation, ms)
+		}
+	}
 	return nil
 }
 
--- a/ownership/odd_rows_test.go
+++ b/ownership/odd_rows_test.go
@@ -41,6 +41,7 @@
 		"largest capacity":      change(func(_ *Heartbeat, load *dispatch.Load) { load.Capacity = 1<<63 - 1 }),
 		"negative capacity":     change(func(_ *Heartbeat, load *dispatch.Load) { load.Capacity = -1 }),
 		"smallest free":         change(func(_ *Heartbeat, load *dispatch.Load) { load.Free = -1 << 63 }),
+		"negative excess":       change(func(_ *Heartbeat, load *dispatch.Load) { load.ExcessMs = map[string]int64{"o": -7} }),
 		"negative pending":      change(func(_ *Heartbeat, load *dispatch.Load) { load.Pending = map[string]int{"q": -7} }),
 	}
 }
