--- a/dispatch/capmetrics_test.go
+++ b/dispatch/capmetrics_test.go
@@ -7,6 +7,7 @@
 	"github.com/prometheus/client_golang/prometheus"
 	"gotest.tools/v3/assert"
 
+	"github.com/currantthread/currantthread/observe"
 	"github.com/currantthread/currantthread/quota"
 )
 
@@ -14,7 +15,7 @@
 // gone once it ends.
 func TestOrganisationLabelsAreBounded(t *testing.T) {
 	registry := prometheus.NewRegistry()
-	m := newCapMetrics(registry)
+	m := newCapMetrics(registry, observe.NewLabels(maxOrganisationLabels))
 	shown := organisationGauges{}
 	for i := range maxOrganisationLabels + 5 {
 		name := fmt.Sprintf("o%03d", i)
@@ -40,8 +41,8 @@
 	for name, values := range families() {
 		assert.Equal(t, len(values), maxOrganisationLabels+1, name)
 	}
-	assert.Equal(t, families()["currantthread_cell_organisation_held"][otherOrganisations], 50.0)
-	assert.Equal(t, families()["currantthread_cell_organisation_cap_waiting_tasks"][otherOrganisations], 5.0)
+	assert.Equal(t, families()["currantthread_organisation_held"]["other"], 50.0)
+	assert.Equal(t, families()["currantthread_organisation_cap_waiting_tasks"]["other"], 5.0)
 	m.replace("c0", shown, nil)
 	for name, values := range families() {
 		for label, value := range values {
--- a/node/node.go
+++ b/node/node.go
@@ -298,6 +298,7 @@
 		return
 	}
 	n.catalog.Store(config)
+	n.metrics.SetOrganisations(config)
 	n.log.WithFields(logrus.Fields{"version": config.Version, "queues": len(config.Queues)}).Info("configuration applied")
 	n.mu.Lock()
 	defer n.mu.Unlock()
@@ -419,6 +420,7 @@
 	return dispatch.Config{
 		Name: cell, Part: n.cellPart(cell), IndexPart: n.indexPart, Node: n.settings.Node, Addr: n.innerAddr,
 		Incarnation: n.incarnation, Metrics: n.metrics, Region: n.settings.Region, Regions: n.settings.Regions,
+		Cells:     int(n.cellCount.Load()),
 		Lease:     time.Duration(float64(b.HoldMax) * leaseShare),
 		MaxLease:  b.HoldMax,
 		Suspended: n.suspended,
