Let a cancellation of an unknown job hold for its organisation only

DELETE for an ID that is not accepted records the cancellation in the index row, and each later submission of the ID was refused, also that of another organisation: one could keep the other's job from being accepted. The row now lists the organisations that have cancelled the ID. A submission by another one replaces the row and deletes the record. Rows without a list hold for all, as before.

Tests in package node, seen to fail without the mechanism, except that the case of a lost response only guards the whole.

--- a/dispatch/cancelled.go
+++ b/dispatch/cancelled.go
@@ -2,7 +2,10 @@
 
 import (
 	"context"
+	"encoding/json"
 	"errors"
+	"slices"
+	"strings"
 	"time"
 
 	"github.com/sirupsen/logrus"
@@ -19,34 +22,62 @@
 // of ended jobs.
 const TableCancelled = "cancelled"
 
-// indexCancelled is the value of the index row of a job that was cancelled before it was accepted. It is not the name of a cell.
+// indexCancelled begins the value of the index row of a job that was cancelled before it was accepted. No name of a cell begins with it. The
+// organisations of the callers follow as a JSON list; nothing follows if a caller without an organisation has cancelled the job.
 const indexCancelled = "-"
 
 // IsCancelled reports whether an index row says that its job was cancelled before it was accepted.
-func IsCancelled(index []byte) bool { return string(index) == indexCancelled }
-
-// CancelUnaccepted cancels a job that has no index row, so that no submission of it is accepted later. part is the partition of the index row. If
-// the job has been accepted after all, it returns the name of its cell and changes nothing. On an error, the job may have been cancelled.
-func CancelUnaccepted(ctx context.Context, s store.Store, part, id string) (cell string, err error) {
-	index := store.Key{Table: TableIndex, Part: part, Name: id}
-	txn := store.Txn{
-		Conditions: []store.Condition{{Key: index}},
-		Writes: []store.Write{{Key: index, Value: []byte(indexCancelled)},
-			{Key: store.Key{Table: TableCancelled, Part: part, Name: id}, Value: []byte(time.Now().UTC().Format(time.RFC3339))}},
+func IsCancelled(index []byte) bool { return strings.HasPrefix(string(index), indexCancelled) }
+
+// cancelledBy returns the organisations that have cancelled a job, by its index row. all is set if no submission of the job may be accepted.
+func cancelledBy(index []byte) (organisations []string, all bool) {
+	list := strings.TrimPrefix(string(index), indexCancelled)
+	if list == "" || json.Unmarshal([]byte(list), &organisations) != nil {
+		return nil, true
+	}
+	return organisations, false
+}
+
+// isCancelledFor reports whether an index row says that a submission by an organisation was cancelled. A job without an organisation could be
+// cancelled by each of them.
+func isCancelledFor(index []byte, organisation string) bool {
+	organisations, all := cancelledBy(index)
+	return IsCancelled(index) && (all || organisation == "" || slices.Contains(organisations, organisation))
+}
+
+// cancelledIndex returns the index row of a job that an organisation cancels, and others have cancelled before.
+func cancelledIndex(organisation string, others []string) []byte {
+	if organisation == "" {
+		return []byte(indexCancelled)
+	}
+	list, err := json.Marshal(append(slices.Clone(others), organisation))
+	if err != nil {
+		// A list of strings can always be encoded.
+		return []byte(indexCancelled)
 	}
+	return append([]byte(indexCancelled), list...)
+}
+
+// CancelUnaccepted cancels a job that has no index row, so that no submission of it by the caller's organisation is accepted later; none at all if
+// the organisation is empty. part is the partition of the index row. If the job has been accepted after all, it returns the name of its cell and
+// changes nothing. On an error, the job may have been cancelled.
+func CancelUnaccepted(ctx context.Context, s store.Store, part, id, organisation string) (cell string, err error) {
+	index := store.Row{Key: store.Key{Table: TableIndex, Part: part, Name: id}}
 	for {
-		_, err := s.Commit(ctx, txn)
+		err := commitCancelled(ctx, s, index, organisation)
 		if err == nil {
 			return "", nil
 		}
 		var conflict *store.ConflictError
 		if errors.As(err, &conflict) {
-			row := conflict.Row(index)
+			index = conflict.Row(index.Key)
+			organisations, all := cancelledBy(index.Value)
 			switch {
-			case IsCancelled(row.Value):
+			case index.Version == 0:
+			case !IsCancelled(index.Value):
+				return string(index.Value), nil
+			case all || organisation != "" && slices.Contains(organisations, organisation):
 				return "", nil
-			case row.Version != 0:
-				return string(row.Value), nil
 			}
 		}
 		if errors.Is(err, store.ErrUnavailable) || !wait.For(ctx, commitRetry) {
@@ -55,6 +86,21 @@
 	}
 }
 
+// commitCancelled writes the record of a cancelled job if its index row is still the given one.
+func commitCancelled(ctx context.Context, s store.Store, index store.Row, organisation string) error {
+	var others []string
+	if index.Version != 0 {
+		others, _ = cancelledBy(index.Value)
+	}
+	listed := store.Key{Table: TableCancelled, Part: index.Key.Part, Name: index.Key.Name}
+	_, err := s.Commit(ctx, store.Txn{
+		Conditions: []store.Condition{{Key: index.Key, Version: index.Version}},
+		Writes: []store.Write{{Key: index.Key, Value: cancelledIndex(organisation, others)},
+			{Key: listed, Value: []byte(time.Now().UTC().Format(time.RFC3339))}},
+	})
+	return err
+}
+
 const (
 	// cancelledCheckInterval is how often an owner reads the cancelled jobs of its partition. The read usually returns no row.
 	cancelledCheckInterval = 1 * time.Minute
--- a/dispatch/flush.go
+++ b/dispatch/flush.go
@@ -379,7 +379,7 @@
 }
 
 // buildBatch takes pending changes, up to about the size of a transaction: the bytes are checked before each addition. A
-// submission adds up to 3 entries (a condition, the index row and the job row), a progress row 1 and up to 2 for each transfer,
+// submission adds up to 4 entries (a condition, the index row, the job row and the deletion of a record of cancellations), a progress row 1 and up to 2 for each transfer,
 // and an expired job 3 deletions. The caller holds mu.
 func (c *Cell) buildBatch(now time.Time) (b *batch, more bool) {
 	c.urgent = false
@@ -387,7 +387,7 @@
 	size := 0
 	rest := c.submissions[:0:0]
 	for _, s := range c.submissions {
-		if b.txn.Entries()+3 > store.MaxTxnEntries || size > store.MaxTxnBytes {
+		if b.txn.Entries()+4 > store.MaxTxnEntries || size > store.MaxTxnBytes {
 			rest = append(rest, s)
 			continue
 		}
@@ -503,10 +503,13 @@
 
 func (c *Cell) addSubmissionRows(b *batch, s *submission, value []byte) {
 	b.submissions = append(b.submissions, s)
-	b.txn.Conditions = append(b.txn.Conditions, store.Condition{Key: c.indexKey(s.job.ID)})
+	b.txn.Conditions = append(b.txn.Conditions, store.Condition{Key: c.indexKey(s.job.ID), Version: s.replaces})
 	b.txn.Writes = append(b.txn.Writes,
 		store.Write{Key: c.indexKey(s.job.ID), Value: []byte(c.cfg.Name)},
 		store.Write{Key: c.key(TableJobs, s.job.ID), Value: value})
+	if s.replaces != 0 {
+		b.txn.Deletes = append(b.txn.Deletes, store.Key{Table: TableCancelled, Part: c.cfg.IndexPart(s.job.ID), Name: s.job.ID})
+	}
 }
 
 func (c *Cell) addExpired(b *batch, j *jobState) {
@@ -760,7 +763,8 @@
 	for _, s := range b.submissions {
 		index := conflict.Row(c.indexKey(s.job.ID))
 		switch {
-		case index.Version == 0:
+		case index.Version == 0, IsCancelled(index.Value) && !isCancelledFor(index.Value, s.job.Organisation):
+			s.replaces = index.Version
 			kept = append(kept, s)
 		case IsCancelled(index.Value):
 			c.cfg.Log.WithFields(logrus.Fields{"request": s.job.ID, "queue": s.job.Policy.Queue}).Info("job was cancelled before it was accepted")
--- a/dispatch/intake.go
+++ b/dispatch/intake.go
@@ -51,9 +51,11 @@
 
 // submission is a job that waits to become durable.
 type submission struct {
-	job      *workload.Job
-	outcome  Outcome
-	cell     string // for OutcomeElsewhere
+	job     *workload.Job
+	outcome Outcome
+	cell    string // for OutcomeElsewhere
+	// replaces is the version of the index row by which other organisations have cancelled a job with the ID; 0 if there is none.
+	replaces int64
 	done     chan struct{}
 	finished bool
 }
--- a/node/clients.go
+++ b/node/clients.go
@@ -390,13 +390,13 @@
 }
 
 // findOrCancel returns the cell of a job, or "" if no job with the ID has been accepted. Then the job is cancelled, and it will not be accepted
-// later either: a submission of it may still be under way.
-func (n *Node) findOrCancel(ctx context.Context, jobID string) (string, error) {
+// later either, unless another organisation submits it: a submission of it may still be under way.
+func (n *Node) findOrCancel(ctx context.Context, jobID, organisation string) (string, error) {
 	cell, err := n.findCell(ctx, jobID)
 	if cell != "" || err != nil && !errors.Is(err, store.ErrOldRead) {
 		return cell, err
 	}
-	cell, err = dispatch.CancelUnaccepted(ctx, n.store, n.indexPart(jobID), jobID)
+	cell, err = dispatch.CancelUnaccepted(ctx, n.store, n.indexPart(jobID), jobID, organisation)
 	if err != nil {
 		return "", errors.Join(errNoResponse, err)
 	}
@@ -506,7 +506,7 @@
 
 // Cancel implements intake.Service.
 func (n *Node) Cancel(ctx context.Context, jobID, organisation string) (bool, error) {
-	cell, err := n.findOrCancel(ctx, jobID)
+	cell, err := n.findOrCancel(ctx, jobID, organisation)
 	if err != nil || cell == "" {
 		return false, err
 	}
--- a/node/organisation_test.go
+++ b/node/organisation_test.go
@@ -112,3 +112,76 @@
 		})
 	}
 }
+
+// cancelAs cancels a job that does not exist.
+func (c *cancelCluster) cancelAs(node int, id, organisation string) {
+	c.t.Helper()
+	ctx, cancel := context.WithTimeout(c.t.Context(), clientDeadline)
+	defer cancel()
+	found, err := c.nodes[node].Cancel(ctx, id, organisation)
+	assert.NilError(c.t, err)
+	assert.Assert(c.t, !found)
+}
+
+// A cancellation of a job that has not been accepted holds for submissions of the same organisation, and for those of all if the caller has
+// none. Otherwise an organisation could keep another one's job from being accepted.
+func TestCancellationByAnotherOrganisation(t *testing.T) {
+	for name, test := range map[string]struct {
+		cancelled []string
+		accepted  map[string]bool
+	}{
+		"another":             {[]string{"b"}, map[string]bool{"a": true, "b": false, "": false}},
+		"others":              {[]string{"b", "c", "b"}, map[string]bool{"a": true, "b": false, "c": false}},
+		"without and another": {[]string{"", "b"}, map[string]bool{"a": false, "b": false, "": false}},
+		"another and without": {[]string{"b", ""}, map[string]bool{"a": false, "b": false, "": false}},
+	} {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				c := newCancelCluster(t)
+				next := 0
+				for organisation, accepted := range test.accepted {
+					for node := range c.nodes {
+						id := fmt.Sprintf("%016x", next)
+						next++
+						for _, by := range test.cancelled {
+							c.cancelAs(1-node, id, by)
+						}
+						want := intake.Refused
+						if accepted {
+							want = intake.Accepted
+						}
+						assert.Equal(t, c.submitAs(node, id, organisation), want, "%q", organisation)
+						if accepted {
+							c.cancelAs(node, id, test.cancelled[0])
+							assert.Equal(t, c.submitAs(node, id, test.cancelled[0]), intake.Conflict)
+							state, found, err := c.nodes[node].State(t.Context(), id, organisation)
+							assert.NilError(t, err)
+							assert.Assert(t, found && state != workload.StateCancelled)
+							key := store.Key{Table: dispatch.TableCancelled, Part: c.nodes[0].indexPart(id), Name: id}
+							assert.Equal(t, c.rows.Row(key).Version, int64(0), "the record is deleted")
+						}
+					}
+				}
+			})
+		})
+	}
+}
+
+// A submission without a decision is accepted although another organisation cancels the ID meanwhile, also if the store applies it late.
+func TestCancellationByAnotherOrganisationMeanwhile(t *testing.T) {
+	for name, fault := range map[string]commitFault{"applied late": commitLate, "applied without response": commitLost} {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				c := newCancelCluster(t)
+				c.fault.Store(int32(fault))
+				assert.Equal(t, c.submitAs(0, sharedID, "a"), intake.Unknown)
+				c.fault.Store(int32(commitWorks))
+				c.cancelAs(1, sharedID, "b")
+				time.Sleep(2 * lateCommit)
+				assert.Equal(t, c.submitAs(1, sharedID, "a"), intake.Accepted)
+				c.assertAccess("a", true, intake.Accepted)
+				c.assertAccess("b", false, intake.Conflict)
+			})
+		})
+	}
+}
