Add currantctl config check

Checks a configuration of the users' platform before it is written: all errors that nodes would reject, with line, column and path, entries that never match, limits that contradict each other, and differences from the stored configuration or another file. Keys are never shown.

--- a/ctl/app.go
+++ b/ctl/app.go
@@ -48,7 +48,10 @@
 	var usage usageError
 	var problems settings.Problems
 	var refusal *control.APIError
+	var findings configFindings
 	switch {
+	case errors.As(err, &findings):
+		return findings.exitCode()
 	case errors.As(err, &usage), errors.As(err, &problems):
 		return ExitUsage
 	case errors.As(err, &refusal) && refusal.Code == "invalid":
@@ -107,7 +110,7 @@
 		Action:       unknownCommand,
 		Commands: []*cli.Command{
 			settingsCommand(), domainCommand(), jobCommand(), serviceCommand(), standingCommand(), cellCommand(),
-			reportCommand(), traceCommand(),
+			reportCommand(), traceCommand(), configCommand(),
 		},
 	}
 }
