Move limits without waiting for silent cells, and check what other writers store

Cause: a lowered limit of a cell whose owner was gone held back all moves of the organisation for up to 10 s, and rows and heartbeats of other writers could hold amounts that overflow, or no cap. Change: limits of silent or pending cells are not lowered, and moves go on beside them. A search among all limits takes them all, because it is not known which are used. Rows without a cap and demands out of range are refused.

--- a/dispatch/caps_test.go
+++ b/dispatch/caps_test.go
@@ -300,6 +300,42 @@
 	})
 }
 
+// The runs of a job that the previous owner had cancelled shortly before must count while they may remain on a runner that does not respond.
+func TestRunsOfEndedJobsOnSilentRunnersCount(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		cl := newCluster(t, 1, fixedDuration(time.Hour))
+		limits := cl.limits()
+		limits.set(cellName, 4000, 0, 4000)
+		cfg := cl.awaiting("a")
+		cfg.Runners = &stopsFail{&link{Fleet: cl.fleet, Store: cl.store}}
+		first, kill := cl.startOwnerOf(cfg)
+		limits.tell(first)
+		time.Sleep(time.Second)
+		job := jobOfOrganisation(1, tasks(4, 1000))
+		cl.submit(first, job)
+		time.Sleep(time.Second)
+		_, err := first.Cancel(t.Context(), job.ID)
+		assert.NilError(t, err)
+		kill()
+		<-first.Done()
+		cl.fleet.SetFault("r0", emulator.RunnerUnreachable)
+		next, stop := cl.startOwnerOf(cl.awaiting("b"))
+		other := cl.infos[0]
+		other.ID, other.Addr = "r9", "r9"
+		cl.fleet.Add(other)
+		next.SetRunner(t.Context(), other, true)
+		limits.tell(next)
+		cl.submit(next, jobOfOrganisation(2, tasks(4, 1000)))
+		for range 200 {
+			time.Sleep(50 * time.Millisecond)
+			assert.Assert(t, cl.runs() <= 4, "%d tasks run", cl.runs())
+		}
+		assert.Equal(t, cl.fleet.Running("r9"), 4)
+		stop()
+		<-next.Done()
+	})
+}
+
 // stopsFail is a link on which no stop arrives.
 type stopsFail struct{ *link }
 
@@ -338,6 +374,32 @@
 	})
 }
 
+// A task that waits for a limit must not be delegated: the other cell would have to let it wait too, and the delegation costs two commits.
+func TestTasksThatWaitForALimitAreNotDelegated(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		d := newDeployment(t, fixedDuration(emulator.Endless), 2, 2)
+		limits := d.limits()
+		limits.row = quota.Row{Config: 1, Cap: quota.Amounts{60_000}, Cells: map[string]quota.Share{"c0": {Limit: quota.Amounts{60_000}}}}
+		limits.version = 1
+		go d.reportLoads()
+		first, _ := d.own("c0", "a", d.store, d.fleet)
+		second, _ := d.own("c1", "b", d.store, d.fleet)
+		limits.tell(first)
+		limits.tell(second)
+		time.Sleep(3 * time.Second)
+		job := jobOfOrganisation(1, longRunning(2, 56000))
+		d.submit(first, job)
+		time.Sleep(10 * time.Second)
+		assert.Equal(t, d.runningIn("c0", job), 1)
+		page, err := d.store.Range(t.Context(), dispatch.TableProgress, "c1", "", "", 0)
+		assert.NilError(t, err)
+		assert.Equal(t, len(page.Rows), 0, "the task was delegated")
+		// What short tasks need is not counted as taken by it.
+		outcome, _ := first.Submit(t.Context(), jobOf(2, tasks(1, 40000)), false)
+		assert.Equal(t, outcome, dispatch.OutcomeAccepted)
+	})
+}
+
 // Tasks of an organisation that neither the configuration nor the table has start once their job is old enough, and those of an organisation
 // without a cap at once. Those of an organisation with a cap wait for its row.
 func TestOrganisationsWithoutRows(t *testing.T) {
--- a/node/quota.go
+++ b/node/quota.go
@@ -27,6 +27,9 @@
 	// overReportInterval is how often the reports of cells are read of which the last one said that they hold more than their limits: it lasts until
 	// tasks end.
 	overReportInterval = time.Second
+	// silentAfter is how long the heartbeat of a cell's owner is unchanged when the cell's limits are not lowered for the sake of others: a heartbeat
+	// and the next one were missed. An owner that is gone has a successor, which acknowledges, after 3 to 10 s.
+	silentAfter = 2 * ownership.HeartbeatInterval
 	// moveInterval is the minimum time between two rows that lower limits of one organisation.
 	moveInterval = time.Second
 	// learnedUseRetention is how long a report of what a cell uses replaces its missing demand.
@@ -196,7 +199,7 @@
 	if !owns || config == nil || len(cells) == 0 || version < epoch {
 		return nil, 0
 	}
-	demands := a.demands(now, cells)
+	demands, silent := a.demands(now, cells)
 	states := map[string]*organisationState{}
 	for name, row := range rows {
 		// An organisation that is removed from the configuration keeps its cap.
@@ -211,7 +214,7 @@
 	var organisations []*organisationState
 	for _, name := range slices.Sorted(maps.Keys(states)) {
 		o := states[name]
-		o.state.Cells, o.state.Demand = cells, a.withLearned(now, name, demands[name])
+		o.state.Cells, o.state.Demand, o.state.Silent = cells, a.withLearned(now, name, demands[name]), silent
 		o.state.MayMove = now.Sub(a.movedAt[name]) >= moveInterval
 		if o.state.Version > 0 || o.state.Cap != (quota.Amounts{}) {
 			organisations = append(organisations, o)
@@ -220,11 +223,13 @@
 	return organisations, version
 }
 
-// demands returns what the cells report, by organisation and cell.
-func (a *allocator) demands(now time.Time, cells []string) map[string]map[string]quota.Demand {
-	demands := map[string]map[string]quota.Demand{}
+// demands returns what the cells report, by organisation and cell, and the cells whose owners have not been heard of lately.
+func (a *allocator) demands(now time.Time, cells []string) (demands map[string]map[string]quota.Demand, silent map[string]bool) {
+	demands, silent = map[string]map[string]quota.Demand{}, map[string]bool{}
 	owners := a.node.directory.Owners(now)
 	for _, cell := range cells {
+		owner, ok := owners[cell]
+		silent[cell] = !ok || a.node.directory.SilentFor(now, owner.Node) > silentAfter
 		for organisation, d := range owners[cell].Load.Organisations {
 			if demands[organisation] == nil {
 				demands[organisation] = map[string]quota.Demand{}
@@ -232,7 +237,7 @@
 			demands[organisation][cell] = d
 		}
 	}
-	return demands
+	return demands, silent
 }
 
 // withLearned adds what cells without a demand have recently reported that they use.
--- a/ownership/directory.go
+++ b/ownership/directory.go
@@ -16,6 +16,7 @@
 	"time"
 
 	"github.com/currantthread/currantthread/dispatch"
+	"github.com/currantthread/currantthread/quota"
 	"github.com/currantthread/currantthread/store"
 )
 
@@ -183,6 +184,13 @@
 			return fmt.Errorf("amount %d is out of range", amount)
 		}
 	}
+	for organisation, d := range load.Organisations {
+		for _, amounts := range []quota.Amounts{d.Used, d.Waiting, d.Largest} {
+			if slices.Min(amounts[:]) < 0 || slices.Max(amounts[:]) > quota.MaxAmount {
+				return fmt.Errorf("demand %v of organisation %.50q is out of range", amounts, organisation)
+			}
+		}
+	}
 	for queue, count := range load.Pending {
 		if count < 0 || count > maxAmount {
 			return fmt.Errorf("queue %.50q has %d waiting jobs", queue, count)
--- a/ownership/odd_rows_test.go
+++ b/ownership/odd_rows_test.go
@@ -9,6 +9,7 @@
 	"gotest.tools/v3/assert"
 
 	"github.com/currantthread/currantthread/dispatch"
+	"github.com/currantthread/currantthread/quota"
 	"github.com/currantthread/currantthread/store"
 )
 
@@ -41,7 +42,13 @@
 		"largest capacity":      change(func(_ *Heartbeat, load *dispatch.Load) { load.Capacity = 1<<63 - 1 }),
 		"negative capacity":     change(func(_ *Heartbeat, load *dispatch.Load) { load.Capacity = -1 }),
 		"smallest free":         change(func(_ *Heartbeat, load *dispatch.Load) { load.Free = -1 << 63 }),
-		"negative pending":      change(func(_ *Heartbeat, load *dispatch.Load) { load.Pending = map[string]int{"q": -7} }),
+		"negative demand": change(func(_ *Heartbeat, load *dispatch.Load) {
+			load.Organisations = map[string]quota.Demand{"x": {Waiting: quota.Amounts{0, -1, 0}}}
+		}),
+		"largest demand": change(func(_ *Heartbeat, load *dispatch.Load) {
+			load.Organisations = map[string]quota.Demand{"x": {Used: quota.Amounts{1<<63 - 1}}}
+		}),
+		"negative pending": change(func(_ *Heartbeat, load *dispatch.Load) { load.Pending = map[string]int{"q": -7} }),
 	}
 }
 
--- a/quota/plan.go
+++ b/quota/plan.go
@@ -43,8 +43,9 @@
 	// Reports has reports of the pending cells that were read after the row.
 	Reports map[string]Report
 	Demand  map[string]Demand
-	// MayMove permits to lower limits in favour of cells where tasks wait.
+	// MayMove permits to lower limits in favour of cells where tasks wait, but not those of Silent cells, whose owners may not acknowledge it soon.
 	MayMove bool
+	Silent  map[string]bool
 }
 
 // Change is what distinguishes a row from the one before it.
@@ -94,7 +95,7 @@
 	if pending == 0 && len(s.Row.Pending()) > 0 {
 		return row, Settled
 	}
-	if unacknowledged == 0 && s.MayMove && s.lower(row) {
+	if _, known := row.free(); known && s.MayMove && s.lower(row) {
 		return row, Lowered
 	}
 	return s.Row, Unchanged
@@ -288,23 +289,28 @@
 	if len(s.needy(row)) == 0 {
 		return false
 	}
-	for _, base := range []func(cell string, limit Amounts) Amounts{s.wanted, s.wantedIfReported} {
+	for search, base := range []func(cell string, limit Amounts) Amounts{s.wanted, s.wantedIfReported} {
 		spare := map[string]Amounts{}
 		var total Amounts
 		for _, cell := range s.Cells {
 			limit := row.Cells[cell].Limit
 			spare[cell] = limit.Sub(base(cell, limit)).Max(Amounts{})
-			if d, ok := s.Demand[cell]; ok && d.lack(limit) != (Amounts{}) {
-				// What it has is needed for its own waiting task.
+			if d, ok := s.Demand[cell]; ok && d.lack(limit) != (Amounts{}) || s.Silent[cell] || row.Cells[cell].Before != nil {
+				// What it has is needed for its own waiting task, or would not be free soon.
 				spare[cell] = Amounts{}
 			}
 			total = total.Add(spare[cell])
 		}
 		left := total
-		if len(s.serve(row, &left)) > 0 {
-			s.take(row, spare, total.Sub(left))
-			return true
+		if len(s.serve(row, &left)) == 0 {
+			continue
+		}
+		if search > 0 {
+			// Some of the limits are in use, but it is not known which. What remains is spread again.
+			left = Amounts{}
 		}
+		s.take(row, spare, total.Sub(left))
+		return true
 	}
 	return false
 }
--- a/quota/row.go
+++ b/quota/row.go
@@ -38,19 +38,31 @@
 	Cells map[string]Share `json:"cells,omitempty"`
 }
 
-// maxAmount bounds the amounts of a row, so that their sums over all cells can't overflow.
-const maxAmount = 1 << 50
+// MaxAmount bounds the amounts of a row and of a demand, so that their sums over all cells can't overflow.
+const MaxAmount = 1 << 50
 
-var errAmount = errors.New("amount is out of range")
+var (
+	errAmount = errors.New("amount is out of range")
+	errNoCap  = errors.New("cap is missing")
+)
 
 // Decode decodes and checks the value of a row.
 func Decode(value []byte) (Row, error) {
-	var r Row
-	if err := json.Unmarshal(value, &r); err != nil {
+	var stored struct {
+		Row
+		Cap *Amounts `json:"cap"`
+	}
+	if err := json.Unmarshal(value, &stored); err != nil {
 		return Row{}, err
 	}
+	if stored.Cap == nil {
+		// A row without a cap would let everything start.
+		return Row{}, errNoCap
+	}
+	r := stored.Row
+	r.Cap = *stored.Cap
 	check := func(a Amounts, lowest int64) bool {
-		return !slices.ContainsFunc(a[:], func(v int64) bool { return v < lowest || v > maxAmount })
+		return !slices.ContainsFunc(a[:], func(v int64) bool { return v < lowest || v > MaxAmount })
 	}
 	if !check(r.Cap, 0) {
 		return Row{}, fmt.Errorf("cap: %w", errAmount)
