Test that costly connections do not exhaust the process of a node

Cause: nothing limits what connections of clients hold. max_header_bytes, header_timeout_ms and idle_timeout_ms are not applied to the clients' listener, and a body costs what it becomes when it is decoded. Change: internal/untrusted starts cmd/currantthread, built without the race detector, with memory_mb 64 and max_fds 4100 or 128 against the emulated platform. 200 connections of each kind of client are opened, and then all kinds together. Checked: the process is alive, its peak memory and open descriptors are within the settings, and one ordinary request is answered. scripts/test.sh runs the package by itself after all others. EmptyLines does not fail by memory: net/http answers 400 to an empty first line; it fails because a connection that sends an empty line after a request is never closed, and nothing limits the connections.

--- /dev/null
+++ b/internal/untrusted/untrusted_test.go
@@ -0,0 +1,198 @@
+package untrusted
+
+import (
+	"bytes"
+	"fmt"
+	"io"
+	"net"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+)
+
+const (
+	// clients is the number of connections that each test keeps open at once.
+	clients = 200
+	// attempts bounds how often a client connects again after its connection was closed.
+	attempts = 4
+	// holdTime is how long a client keeps a connection open after its last byte.
+	holdTime = 4 * time.Second
+	// writeTimeout bounds a write to a process that does not read.
+	writeTimeout = 5 * time.Second
+
+	// headBytes is the size of a head within the limit, and hugeHeadBytes that of one far above it but within net/http's own limit.
+	headBytes     = 16_000
+	hugeHeadBytes = 900_000
+	// endlessBytes is where a client that sends without end stops, so that the test ends.
+	endlessBytes = 4 << 20
+	bodyBytes    = 262_144
+	// pieceBytes is the size of the pieces in which a body arrives.
+	pieceBytes = 8 << 10
+)
+
+// kind is one kind of client: send writes to a new connection until it fails or everything is sent.
+type kind struct {
+	name string
+	send func(conn net.Conn, client int) error
+}
+
+var kinds = map[string]kind{
+	"ShortLines":    {"requests within the limits with very many short header lines, unfinished", sendShortLines},
+	"UnusualLines":  {"unusual header lines far over the limit", sendUnusualLines},
+	"EndlessHead":   {"heads that never end", sendEndlessHead},
+	"EmptyLines":    {"empty lines without end before a request", sendEmptyLines},
+	"WholeBodies":   {"many large bodies within the limit, whole at once", sendWholeBody},
+	"PartialBodies": {"many large bodies piece by piece, most stopping before their last byte", sendPartialBody},
+}
+
+// run lets all clients send, each again after its connection was closed, and returns once all have ended.
+func (n *node) run(kinds ...kind) {
+	var running sync.WaitGroup
+	for client := range clients {
+		running.Go(func() {
+			for range attempts {
+				if !n.runClient(kinds[client%len(kinds)], client) {
+					return
+				}
+			}
+		})
+	}
+	running.Wait()
+}
+
+// runClient sends on one connection and keeps it open. It reports whether the connection was closed by the process.
+func (n *node) runClient(k kind, client int) (closed bool) {
+	conn, err := net.DialTimeout("tcp", n.clientAddr, writeTimeout)
+	if err != nil {
+		return true
+	}
+	defer conn.Close()
+	if err := k.send(conn, client); err != nil {
+		return true
+	}
+	_ = conn.SetReadDeadline(time.Now().Add(holdTime))
+	_, err = io.Copy(io.Discard, conn)
+	return err == nil
+}
+
+func write(conn net.Conn, data []byte) error {
+	_ = conn.SetWriteDeadline(time.Now().Add(writeTimeout))
+	_, err := conn.Write(data)
+	return err
+}
+
+func requestLine(client int) string {
+	return fmt.Sprintf("POST %s%016x HTTP/1.1\r\nHost: %s\r\n", jobPathPrefix, client+100, queueHost)
+}
+
+// appendLines appends header lines with different names until the head has the given size.
+func appendLines(head []byte, size int, format string) []byte {
+	for i := 0; ; i++ {
+		line := fmt.Sprintf(format, i)
+		if len(head)+len(line) > size {
+			return head
+		}
+		head = append(head, line...)
+	}
+}
+
+func sendShortLines(conn net.Conn, client int) error {
+	return write(conn, appendLines([]byte(requestLine(client)), headBytes, "%x:\n"))
+}
+
+func sendUnusualLines(conn net.Conn, client int) error {
+	return write(conn, appendLines([]byte(requestLine(client)), hugeHeadBytes, "%x~!:\t\n"))
+}
+
+func sendEndlessHead(conn net.Conn, client int) error {
+	if err := write(conn, []byte(requestLine(client))); err != nil {
+		return err
+	}
+	line := []byte("x-a: " + strings.Repeat("y", 2000) + "\r\n")
+	for sent := 0; sent < endlessBytes; sent += len(line) {
+		if err := write(conn, line); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+// sendEmptyLines sends empty lines after a request, where net/http skips some, or from the start of the connection (every fourth client).
+func sendEmptyLines(conn net.Conn, client int) error {
+	if client%4 != 0 {
+		// No queue has this host, so the response is 404 and the connection stays open.
+		if err := write(conn, []byte("POST / HTTP/1.1\r\nHost: none.example\r\nContent-Length: 0\r\n\r\n\r\n")); err != nil {
+			return err
+		}
+		// net/http waits for four bytes, of which the empty line is two.
+		return nil
+	}
+	for sent := 0; sent < endlessBytes; sent += pieceBytes {
+		if err := write(conn, bytes.Repeat([]byte("\r\n"), pieceBytes/2)); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+// sendWholeBody sends a body that becomes one element for each three bytes.
+func sendWholeBody(conn net.Conn, client int) error {
+	const start, end = `{"steps":[{}`, `]}`
+	body := start + strings.Repeat(",{}", (bodyBytes-len(start)-len(end))/3) + end
+	return write(conn, fmt.Appendf(nil, "%sContent-Length: %d\r\n\r\n%s", requestLine(client), len(body), body))
+}
+
+// sendPartialBody sends a body in pieces. Each client but every tenth stops before the last byte.
+func sendPartialBody(conn net.Conn, client int) error {
+	if err := write(conn, fmt.Appendf(nil, "%sContent-Length: %d\r\n\r\n", requestLine(client), bodyBytes)); err != nil {
+		return err
+	}
+	body := []byte(`{"spec":"` + strings.Repeat("s", bodyBytes-len(`{"spec":""}`)) + `"}`)
+	if client%10 != 0 {
+		body = body[:len(body)-1]
+	}
+	for len(body) > 0 {
+		piece := body[:min(len(body), pieceBytes)]
+		if err := write(conn, piece); err != nil {
+			return err
+		}
+		body = body[len(piece):]
+		time.Sleep(time.Millisecond) // the pieces arrive one by one
+	}
+	return nil
+}
+
+// The tests guard against clients whose connections cost far more memory than the bytes that they send.
+
+func TestShortLines(t *testing.T) { testMemory(t, kinds["ShortLines"]) }
+
+func TestUnusualLines(t *testing.T) { testMemory(t, kinds["UnusualLines"]) }
+
+func TestEndlessHead(t *testing.T) { testMemory(t, kinds["EndlessHead"]) }
+
+func TestWholeBodies(t *testing.T) { testMemory(t, kinds["WholeBodies"]) }
+
+func TestPartialBodies(t *testing.T) { testMemory(t, kinds["PartialBodies"]) }
+
+func testMemory(t *testing.T, k kind) {
+	t.Helper()
+	n := startNode(t, manyFDs, usualLimits)
+	t.Log(k.name)
+	n.run(k)
+	n.check()
+}
+
+// TestEmptyLines guards against connections that stay open for ever after an empty line, and use up the descriptors.
+func TestEmptyLines(t *testing.T) {
+	n := startNode(t, fewFDs, usualLimits)
+	n.run(kinds["EmptyLines"])
+	n.check()
+}
+
+// TestAllKinds guards against a budget that covers each kind of client by itself but not all of them together.
+func TestAllKinds(t *testing.T) {
+	n := startNode(t, fewFDs, usualLimits)
+	n.run(kinds["ShortLines"], kinds["UnusualLines"], kinds["EndlessHead"], kinds["EmptyLines"], kinds["WholeBodies"], kinds["PartialBodies"])
+	n.check()
+}
--- a/scripts/test.sh
+++ b/scripts/test.sh
@@ -11,13 +11,19 @@
 # frequent_crashes are the packages in which the detector crashes often on arm64, and split those that are tested in one process for each test at once.
 frequent_crashes="cell dispatch"
 split="node"
+# alone are the packages whose tests measure the memory of processes. They are tested one after another, once all other tests have ended.
+alone="internal/untrusted"
 # max_attempts bounds how often a test in which the detector crashes is run, and test_timeout is the time for one test.
 max_attempts=5
 test_timeout=5m
 
 module=$("$go" list -m)
 packages=$("$go" list ./...) || exit 1
-without_race="" split_packages=""
+without_race="" split_packages="" alone_packages=""
+for name in $alone; do
+  alone_packages="$alone_packages $module/$name"
+  packages=$(printf '%s\n' "$packages" | grep -vxF "$module/$name")
+done
 if [ "$race" = -race ]; then
   if [ "$("$go" env GOARCH)" = arm64 ]; then
     for name in $frequent_crashes; do without_race="$without_race $module/$name"; done
@@ -108,4 +114,6 @@
     test_split "$package" || status=1
   done
 fi
+# shellcheck disable=SC2086
+"$go" test -p 1 $race $alone_packages || status=1
 exit "$status"
