Bound what the connections of untrusted clients hold

Cause: the clients' listener of a node used one fixed timeout and net/http's limit of 1 MB for a head. Nothing limited the connections or the bytes held for them, and a body became one element for each three bytes of "{},". Change: package clientlimit wraps the listeners frontend and readiness. It bounds heads and empty lines before net/http parses them, applies header_timeout_ms and idle_timeout_ms of the active configuration, ends bodies and responses that make no progress, and charges connections, heads, bodies and decoded jobs to one budget, which is derived from memory_mb and max_fds. When a budget is used up, the connections that hold most for longest without progress are closed. The steps of a job are bounded while they are decoded, few large bodies are decoded at once, and the garbage collector works harder near memory_mb. The time for a submission begins once its body has arrived. Throughput of ordinary requests was not measured.

--- /dev/null
+++ b/clientlimit/conn.go
@@ -0,0 +1,294 @@
+package clientlimit
+
+import (
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"time"
+)
+
+// Reasons of the metric of closed connections and refused requests.
+const (
+	reasonPressure   = "budget"         // closed because a budget was used up
+	reasonMemory     = "refused"        // refused because nothing else could be closed
+	reasonHeadBytes  = "header_bytes"   // head larger than allowed
+	reasonHeadTime   = "header_timeout" // head took too long
+	reasonEmptyLines = "empty_lines"
+	reasonIdle       = "idle_timeout"
+	reasonBodyBytes  = "body_bytes"
+	reasonBodyTime   = "body_timeout"  // body made no progress
+	reasonWriteTime  = "write_timeout" // response was not read
+)
+
+const (
+	// bufferedBytes is the size of net/http's read buffer, which may hold the start of the next request.
+	bufferedBytes = 4 << 10
+	// lingerTime and lingerBytes bound what is read and discarded after a refusal. Closing a connection with unread bytes resets it, and
+	// the client could lose the response.
+	lingerTime  = 500 * time.Millisecond
+	lingerBytes = 1 << 20
+)
+
+type phase int
+
+const (
+	waiting phase = iota // for the first byte of a request
+	inHead
+	serving // net/http has parsed the head
+)
+
+// Conn is a connection of a client.
+type Conn struct {
+	net.Conn
+	limiter *Limiter
+
+	// The mutex of limiter guards the fields below.
+	index int
+	gone  bool
+	held  int64
+	phase phase
+	// since is when the phase began, progress when the connection last made progress, and paused when its body was last not being read.
+	since, progress, paused time.Time
+	unmarked                int // bytes of a body since progress
+	head                    headScan
+	reused                  bool   // this is not the first request
+	reading, writing        bool   // a body is being read, or a response written
+	queued                  bool   // the request waits for its turn to be decoded
+	expired                 string // reason why reading was ended
+}
+
+// closable reports whether the connection may be closed for another one. Requests that are being served are not. The caller holds the mutex.
+func (c *Conn) closable() bool { return c.phase != serving || c.reading || c.writing || c.queued }
+
+// weight is what the connection holds times how long it made no progress.
+func (c *Conn) weight(now time.Time) float64 {
+	return float64(c.held) * (now.Sub(c.progress) + time.Millisecond).Seconds()
+}
+
+// overdue returns why the connection must be closed now, or "". The caller holds the mutex.
+func (c *Conn) overdue(now time.Time, limits Limits) string {
+	switch {
+	case c.writing && now.Sub(c.progress) >= writeTimeout:
+		return reasonWriteTime
+	case c.phase == waiting && now.Sub(c.since) >= limits.IdleTimeout:
+		return reasonIdle
+	case c.phase == inHead && now.Sub(c.since) >= limits.HeaderTimeout:
+		return reasonHeadTime
+	case c.phase == serving && c.reading && now.Sub(c.progress) >= progressTimeout:
+		return reasonBodyTime
+	}
+	return ""
+}
+
+// expire makes the pending read fail. The caller holds the mutex.
+func (c *Conn) expire(reason string) {
+	c.expired = reason
+	_ = c.SetReadDeadline(time.Unix(1, 0)) // a closed connection is read no more
+}
+
+// Read implements net.Conn.
+func (c *Conn) Read(buf []byte) (int, error) {
+	// net/http reads single bytes only while it serves a request, to detect that the client has gone.
+	body := len(buf) > 1 && c.beginBodyRead()
+	n, err := c.Conn.Read(buf)
+	if err != nil {
+		return n, c.readError(err, body)
+	}
+	if refusal := c.received(buf[:n], body); refusal != nil {
+		return 0, refusal
+	}
+	return n, nil
+}
+
+// beginBodyRead records that a body is being read, if the connection is past the head of a request.
+func (c *Conn) beginBodyRead() bool {
+	l := c.limiter
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if c.phase != serving {
+		return false
+	}
+	// Time for which the body was not being read is not the client's.
+	now := time.Now()
+	c.progress = c.progress.Add(now.Sub(c.paused))
+	c.reading = true
+	return true
+}
+
+// received accounts for bytes. An error ends the connection after its refusal was written.
+func (c *Conn) received(buf []byte, body bool) error {
+	l := c.limiter
+	now := time.Now()
+	l.mu.Lock()
+	if c.gone {
+		l.mu.Unlock()
+		return net.ErrClosed
+	}
+	if c.phase == serving {
+		if body {
+			c.reading, c.paused = false, now
+			if c.unmarked += len(buf); c.unmarked >= progressBytes {
+				c.unmarked, c.progress = 0, now
+			}
+		}
+		l.mu.Unlock()
+		return nil
+	}
+	victims, status, reason := c.receivedHead(buf, now)
+	begins := l.beginsPressure(len(victims) > 0, now)
+	l.mu.Unlock()
+	l.closeAll(victims, begins)
+	if reason == "" {
+		return nil
+	}
+	return c.refuse(status, reason)
+}
+
+// receivedHead accounts for bytes of a head. The caller holds the mutex.
+func (c *Conn) receivedHead(buf []byte, now time.Time) (victims []*Conn, status int, reason string) {
+	l := c.limiter
+	bytes, lines := c.head.bytes, c.head.lines
+	c.head.feed(buf)
+	if c.phase == waiting && c.head.started() {
+		c.phase, c.since, c.progress = inHead, now, now
+	}
+	limit := l.limits.HeaderBytes
+	if c.reused {
+		// The buffer of net/http may have held the start of the head, so bytes of the body may be counted.
+		limit += bufferedBytes
+	}
+	switch {
+	case c.head.bytes > limit:
+		return nil, http.StatusRequestHeaderFieldsTooLarge, reasonHeadBytes
+	case c.head.empty > maxEmptyLines:
+		return nil, http.StatusBadRequest, reasonEmptyLines
+	}
+	grown := int64(c.head.bytes-bytes) + int64(c.head.lines-lines)*lineCost
+	victims, ok := l.charge(c, grown, now)
+	if !ok {
+		return victims, http.StatusServiceUnavailable, reasonMemory
+	}
+	return victims, 0, ""
+}
+
+// refuse responds to a request that no handler has seen, and ends the connection.
+func (c *Conn) refuse(status int, reason string) error {
+	c.limiter.closed.WithLabelValues(reason).Inc()
+	c.release()
+	response := fmt.Sprintf("HTTP/1.1 %d %s\r\nContent-Type: application/json\r\nContent-Length: %d\r\nConnection: close\r\n",
+		status, http.StatusText(status), len(refusalBody(status)))
+	if status == http.StatusServiceUnavailable {
+		response += "Retry-After: 1\r\n"
+	}
+	if _, err := c.Write([]byte(response + "\r\n" + refusalBody(status))); err != nil {
+		return io.EOF
+	}
+	c.linger()
+	return io.EOF
+}
+
+func refusalBody(status int) string { return fmt.Sprintf(`{"error":%q}`, http.StatusText(status)) }
+
+// linger ends the sending side and discards what the client still sends.
+func (c *Conn) linger() {
+	if half, ok := c.Conn.(interface{ CloseWrite() error }); ok {
+		_ = half.CloseWrite() // the connection is closed soon
+	}
+	_ = c.SetReadDeadline(time.Now().Add(lingerTime))
+	buf := make([]byte, bufferedBytes)
+	for total := 0; total < lingerBytes; {
+		n, err := c.Conn.Read(buf)
+		if err != nil {
+			return
+		}
+		total += n
+	}
+}
+
+// readError returns the error for a failed read. It responds if a head took too long.
+func (c *Conn) readError(err error, body bool) error {
+	l := c.limiter
+	l.mu.Lock()
+	reason := c.expired
+	if body {
+		c.reading, c.paused = false, time.Now()
+	}
+	l.mu.Unlock()
+	switch reason {
+	case "":
+		return err
+	case reasonHeadTime:
+		return c.refuse(http.StatusRequestTimeout, reason)
+	case reasonBodyTime:
+		l.closed.WithLabelValues(reason).Inc()
+		return ErrBodyTimeout
+	}
+	l.closed.WithLabelValues(reason).Inc()
+	return io.EOF
+}
+
+// Write implements net.Conn.
+func (c *Conn) Write(buf []byte) (written int, err error) {
+	defer c.setWriting(false)
+	for err == nil && written < len(buf) {
+		c.setWriting(true)
+		var n int
+		n, err = c.Conn.Write(buf[written:min(len(buf), written+writeChunk)])
+		written += n
+	}
+	return written, err
+}
+
+func (c *Conn) setWriting(writing bool) {
+	c.limiter.mu.Lock()
+	defer c.limiter.mu.Unlock()
+	c.writing, c.progress = writing, time.Now()
+}
+
+// Close implements net.Conn.
+func (c *Conn) Close() error {
+	c.limiter.mu.Lock()
+	c.limiter.removeOne(c)
+	c.limiter.mu.Unlock()
+	return c.Conn.Close()
+}
+
+// release gives back all but the cost of the connection itself.
+func (c *Conn) release() {
+	l := c.limiter
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	c.releaseLocked()
+}
+
+func (c *Conn) releaseLocked() {
+	if excess := c.held - connCost; !c.gone && excess > 0 {
+		c.held -= excess
+		c.limiter.held -= excess
+	}
+}
+
+// ConnState follows the requests of a connection. It is the hook of http.Server.
+func ConnState(conn net.Conn, state http.ConnState) {
+	c, ok := conn.(*Conn)
+	if !ok || state != http.StateActive && state != http.StateIdle {
+		return
+	}
+	now := time.Now()
+	l := c.limiter
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if c.expired != "" && !c.gone {
+		// The timeout was that of the former phase, and the request has been faster.
+		c.expired = ""
+		_ = c.SetReadDeadline(time.Time{}) // a closed connection is read no more
+	}
+	c.since, c.progress, c.paused, c.unmarked = now, now, now, 0
+	if state == http.StateActive {
+		c.phase = serving
+		return
+	}
+	c.phase, c.head, c.reused = waiting, headScan{}, true
+	c.releaseLocked()
+}
--- a/node/node.go
+++ b/node/node.go
@@ -25,6 +25,7 @@
 	"golang.org/x/sync/errgroup"
 
 	"github.com/currantthread/currantthread/catalog"
+	"github.com/currantthread/currantthread/clientlimit"
 	"github.com/currantthread/currantthread/dispatch"
 	"github.com/currantthread/currantthread/internal/clock"
 	"github.com/currantthread/currantthread/observe"
@@ -64,6 +65,7 @@
 	unusableRows     prometheus.Gauge
 	rowLog           *rowLog
 	health           observe.Health
+	clients          *clientlimit.Limiter // bounds the connections of clients
 	catalog          atomic.Pointer[catalog.Config]
 	bounds           atomic.Pointer[platform.Bounds]
 	minCommitMs      atomic.Int64      // time of the fastest commit of a heartbeat, in milliseconds; 0 until one succeeded
@@ -170,6 +172,8 @@
 	n.heartbeats, n.ownerRows = ownership.NewReader(n.store, ownership.TableNodes), ownership.NewReader(n.store, ownership.TableOwners)
 	n.heartbeatRepeater.Delay = ownership.HeartbeatInterval
 	n.metrics = dispatch.NewMetrics(n.registry)
+	n.clients = clientlimit.New(n.registry, observe.Namespace, n.log)
+	n.applyVMLimits(s)
 	n.unusableRows = prometheus.NewGauge(prometheus.GaugeOpts{Namespace: observe.Namespace, Subsystem: "discovery",
 		Name: "unusable_rows", Help: "Rows of service discovery that describe no usable runner."})
 	n.registry.MustRegister(n.unusableRows)
@@ -217,9 +221,12 @@
 	group, serving := errgroup.WithContext(serving)
 	grace := time.Duration(float64(n.bounds.Load().Grace) * shutdownGraceShare)
 	frontend := platform.NewFrontend(n, n.log)
-	handlers := []http.Handler{frontend, platform.NewReadiness(n.health.Ready), n.innerHandler(), observe.NewAdmin(n.registry, &n.health)}
-	for i, handler := range handlers {
-		group.Go(func() error { return observe.Serve(serving, listeners[i], handler, grace) })
+	outer, inner := listeners[:2], listeners[2:]
+	for i, handler := range []http.Handler{frontend, platform.NewReadiness(n.health.Ready)} {
+		group.Go(func() error { return observe.ServeClients(serving, outer[i], handler, n.clients, grace) })
+	}
+	for i, handler := range []http.Handler{n.innerHandler(), observe.NewAdmin(n.registry, &n.health)} {
+		group.Go(func() error { return observe.Serve(serving, inner[i], handler, grace) })
 	}
 	group.Go(func() error { n.operator.Run(serving); return nil })
 	group.Go(func() error { n.discovery.Run(serving); return nil })
@@ -285,6 +292,8 @@
 		return
 	}
 	n.catalog.Store(config)
+	n.clients.SetLimits(clientlimit.Limits{HeaderBytes: config.Limits.HeaderBytes, HeaderTimeout: config.Limits.HeaderTimeout,
+		IdleTimeout: config.Limits.IdleTimeout})
 	n.log.WithFields(logrus.Fields{"version": config.Version, "queues": len(config.Queues)}).Info("configuration applied")
 	n.mu.Lock()
 	defer n.mu.Unlock()
--- a/node/reload.go
+++ b/node/reload.go
@@ -4,10 +4,12 @@
 	"bytes"
 	"context"
 	"os"
+	"runtime/debug"
 	"time"
 
 	"github.com/sirupsen/logrus"
 
+	"github.com/currantthread/currantthread/clientlimit"
 	"github.com/currantthread/currantthread/platform"
 )
 
@@ -59,5 +61,14 @@
 		n.log.WithFields(fields).Warn("changes of names and addresses need a restart")
 	}
 	n.bounds.Store(&fresh.Bounds)
+	n.applyVMLimits(fresh)
 	n.log.WithFields(fields).Info("settings reloaded")
 }
+
+// applyVMLimits derives what clients may hold, and when the garbage collector works harder, from the memory and descriptors of this VM.
+func (n *Node) applyVMLimits(s *platform.Settings) {
+	n.clients.SetBudget(clientlimit.BudgetOf(s.MemoryMB, s.MaxFDs))
+	if s.MemoryMB > 0 {
+		debug.SetMemoryLimit(clientlimit.RuntimeLimit(s.MemoryMB))
+	}
+}
--- a/observe/observe.go
+++ b/observe/observe.go
@@ -15,6 +15,8 @@
 	"github.com/prometheus/client_golang/prometheus/collectors"
 	"github.com/prometheus/client_golang/prometheus/promhttp"
 	"github.com/sirupsen/logrus"
+
+	"github.com/currantthread/currantthread/clientlimit"
 )
 
 // Namespace is the prefix of every metric name.
@@ -67,7 +69,17 @@
 
 // Serve serves handler on listener until ctx ends, then waits at most grace for requests in flight.
 func Serve(ctx context.Context, listener net.Listener, handler http.Handler, grace time.Duration) error {
-	server := &http.Server{Handler: handler, ReadHeaderTimeout: readHeaderTimeout}
+	return serve(ctx, listener, &http.Server{Handler: handler, ReadHeaderTimeout: readHeaderTimeout}, grace)
+}
+
+// ServeClients is like Serve for a listener that untrusted clients reach, with the limits of limiter.
+func ServeClients(ctx context.Context, listener net.Listener, handler http.Handler, limiter *clientlimit.Limiter, grace time.Duration) error {
+	server := &http.Server{Handler: handler}
+	limiter.Configure(server)
+	return serve(ctx, limiter.Listener(listener), server, grace)
+}
+
+func serve(ctx context.Context, listener net.Listener, server *http.Server, grace time.Duration) error {
 	failed := make(chan error, 1)
 	go func() { failed <- server.Serve(listener) }()
 	select {
