--- a/clientlimit/head.go
+++ b/clientlimit/head.go
@@ -15,8 +15,13 @@
 // started reports whether a byte of the head, other than those of empty lines before it, was seen.
 func (s *headScan) started() bool { return s.lines > 0 || s.line > 0 && !s.onlyCR }
 
-// feed scans the next bytes of a connection. Bytes after the head are ignored.
+// feed scans the next bytes of a connection. The rest of the bytes with which the head ends is the start of a body and not counted.
 func (s *headScan) feed(buf []byte) {
+	if s.done {
+		// net/http has not found the end of the head, so what follows is counted too.
+		s.bytes += len(buf)
+		return
+	}
 	for len(buf) > 0 && !s.done {
 		end := bytes.IndexByte(buf, '\n')
 		if end < 0 {
