--- a/clientlimit/helpers_test.go
+++ b/clientlimit/helpers_test.go
@@ -24,6 +24,7 @@
 	testAddr     = "10.0.0.1:80"
 	maxBody      = 262_144
 	holdPath     = "/hold"
+	pausePath    = "/pause"
 	largePath    = "/large"
 	largeBytes   = 1 << 20
 	testHeader   = 16_384
@@ -34,7 +35,7 @@
 var testLimits = Limits{HeaderBytes: testHeader, HeaderTimeout: testHeadTime, IdleTimeout: testIdle}
 
 // world is a server with a limiter on an in-memory network. Its handler reads the body of each request. It answers holdPath once release
-// is closed, and largePath with largeBytes.
+// is closed, and largePath with largeBytes; for pausePath it waits between the first byte of the body and the rest.
 type world struct {
 	t       *testing.T
 	limiter *Limiter
@@ -84,6 +85,10 @@
 }
 
 func (w *world) serve(response http.ResponseWriter, r *http.Request) {
+	if r.URL.Path == pausePath {
+		_, _ = r.Body.Read(make([]byte, 1))
+		<-w.release
+	}
 	body, err := ReadBody(r, maxBody)
 	switch {
 	case errors.Is(err, ErrBodyTooLarge):
@@ -128,9 +133,10 @@
 	synctest.Wait()
 }
 
-// expect reads a response with the given status.
+// expect reads a response with the given status, which the server must have sent already.
 func (c *client) expect(status int) string {
 	c.t.Helper()
+	_ = c.SetReadDeadline(time.Now().Add(time.Millisecond))
 	response, err := http.ReadResponse(c.reader, nil)
 	assert.NilError(c.t, err)
 	body, err := io.ReadAll(response.Body)
--- a/clientlimit/limiter_test.go
+++ b/clientlimit/limiter_test.go
@@ -93,6 +93,19 @@
 	})
 }
 
+// A handler that stops reading a body must not be mistaken for a client that makes no progress.
+func TestHandlerThatPauses(t *testing.T) {
+	inBubble(t, func(w *world) {
+		c := w.dial()
+		c.send(post(pausePath, maxBody) + "b")
+		time.Sleep(time.Hour)
+		close(w.release)
+		time.Sleep(step)
+		c.send(strings.Repeat("b", maxBody-1))
+		assert.Equal(t, c.expect(http.StatusOK), strconv.Itoa(maxBody-1))
+	})
+}
+
 // A handler that takes long must not be mistaken for a client that makes no progress.
 func TestSlowHandler(t *testing.T) {
 	inBubble(t, func(w *world) {
@@ -114,7 +127,7 @@
 	})
 }
 
-// Empty lines without end must not keep a connection open.
+// Empty lines without end must not keep a connection open. net/http refuses them too, with the same status.
 func TestEmptyLinesAreBounded(t *testing.T) {
 	inBubble(t, func(w *world) {
 		c := w.dial()
