Answer a refused repeat by the organisation of the stored job, and leave capped ones out of the rate

Cause: before a refusal for a share, a job that the index row knows was answered as accepted also if it is another organisation's. And an organisation that waits for its cap counted as one that competes for capacity, which made the rate of others look lower. Change: refuseExcess decides like refuseFull (409 for another organisation's job); Account.Capped. Result: TestRefusalForShare and a case of TestRefusalsByLoad fail without the changes.

--- a/dispatch/excess.go
+++ b/dispatch/excess.go
@@ -207,6 +207,7 @@
 func (c *Cell) addWaiting(p *pool, j *jobState) {
 	for _, occ := range j.occs {
 		var need [3]float64
+		capped := false
 		for i := range occ.steps {
 			if occ.steps[i].left == 0 || j.def.Steps[i].LongRunning {
 				continue
@@ -215,6 +216,7 @@
 			for _, u := range occ.steps[i].units {
 				if u.phase == phaseReady || u.phase == phaseBlocked {
 					waiting += u.size
+					capped = capped || u.waitsForCap
 				}
 			}
 			addNeed(&need, &j.def.Steps[i], waiting)
@@ -226,6 +228,7 @@
 			}
 			by := due.Add(tooLateFactor * j.objective.Sub(j.def.AcceptedAt))
 			a := c.shareAccount(p, j.def.Organisation)
+			a.Capped = a.Capped || capped
 			a.Waiting = append(a.Waiting, fairshare.Work{Priority: j.def.Policy.Priority, By: by, Need: need})
 		}
 	}
--- a/dispatch/organisations.go
+++ b/dispatch/organisations.go
@@ -26,7 +26,7 @@
 )
 
 // organisationReasons maps the reasons of waits to those that are shown for organisations. Others have nothing to do with the capacity.
-var organisationReasons = map[waitReason]string{"cap": waitsForCap, waitShare: waitsForShare, waitNoRunner: waitsForCapacity,
+var organisationReasons = map[waitReason]string{waitCap: waitsForCap, waitShare: waitsForShare, waitNoRunner: waitsForCapacity,
 	waitNoIdleRunner: waitsForCapacity}
 
 // Reasons of refusals.
--- a/fairshare/admission.go
+++ b/fairshare/admission.go
@@ -65,6 +65,8 @@
 	Held Amounts
 	// Waiting is the work of its jobs that has not started.
 	Waiting []Work
+	// Capped means that its tasks wait for its cap, so they don't compete for capacity.
+	Capped bool
 }
 
 // Load is the state of a pool of runners for which short tasks of organisations wait.
@@ -91,7 +93,7 @@
 func (l *Load) rate(name string, d int) float64 {
 	available, weights := float64(l.Capacity[d]-l.LongRunning[d]), 0.0
 	for other, a := range l.Accounts {
-		if other == name || len(a.Waiting) > 0 {
+		if other == name || len(a.Waiting) > 0 && !a.Capped {
 			weights += positive(a.Weight)
 		} else {
 			available -= float64(a.Held[d])
--- a/fairshare/admission_test.go
+++ b/fairshare/admission_test.go
@@ -51,6 +51,9 @@
 			Load{Accounts: map[string]*Account{"a": account(5, 20, 600), "b": account(20, 40, 5)}}, 400, 5, false},
 		"long-running tasks hold most": {
 			Load{LongRunning: Amounts{Processors: 80}, Accounts: map[string]*Account{"a": account(5, 12, 40), "b": account(5, 8, 40)}}, 100, 5, true},
+		"another organisation waits for its cap": {
+			Load{Accounts: map[string]*Account{"a": account(5, 10, 39), "c": account(5, 30, 0),
+				"b": {Weight: 20, Held: Amounts{Processors: 50}, Waiting: backlog(now, 9, value), Capped: true}}}, 200, 5, false},
 		"tasks take half of their estimates": {
 			Load{Pace: 0.5, Accounts: map[string]*Account{"a": account(10, 50, 120), "b": account(10, 50, 120)}}, 160, 10, false},
 	}
--- a/node/clients.go
+++ b/node/clients.go
@@ -189,7 +189,7 @@
 	case err != nil:
 		return intake.Decision{Outcome: intake.Unknown, Reason: err.Error()}
 	case cell != "":
-		return intake.Decision{Outcome: intake.Accepted, Cell: cell}
+		return n.decideRepeated(ctx, job, cell)
 	}
 	wait := time.Duration(target.Load.ExcessMs[job.Organisation]) * time.Millisecond
 	if c := n.localCell(target.Load.Cell); c != nil {
--- a/node/clients_test.go
+++ b/node/clients_test.go
@@ -1,6 +1,7 @@
 package node
 
 import (
+	"encoding/json"
 	"fmt"
 	"math"
 	"net"
@@ -185,7 +186,8 @@
 // backlog, which differs from job to job.
 func TestRefusalForShare(t *testing.T) {
 	s := emulator.NewStore()
-	n := &Node{store: s, settings: &platform.Settings{CrossPartition: true}, jobCells: map[string]string{}}
+	n := &Node{store: s, settings: &platform.Settings{CrossPartition: true}, jobCells: map[string]string{},
+		directory: ownership.NewDirectory("self")}
 	target := ownerWith("c0", 0)
 	target.Load.ExcessMs = map[string]int64{"a": 9000}
 	job := &workload.Job{ID: "00000000000000aa", Organisation: "a"}
@@ -199,9 +201,14 @@
 	assert.Assert(t, n.refuseExcess(t.Context(), other, target).RetryAfter != decision.RetryAfter)
 
 	s.Put(store.Key{Table: dispatch.TableIndex, Part: n.indexPart(job.ID), Name: job.ID}, []byte("c1"))
+	row, err := json.Marshal(job)
+	assert.NilError(t, err)
+	s.Put(store.Key{Table: dispatch.TableJobs, Part: n.cellPart("c1"), Name: job.ID}, row)
 	decision = n.refuseExcess(t.Context(), job, target)
-	assert.Equal(t, decision.Outcome, intake.Accepted)
+	assert.Equal(t, decision.Outcome, intake.Accepted, decision.Reason)
 	assert.Equal(t, decision.Cell, "c1")
+	foreign := &workload.Job{ID: job.ID, Organisation: "b"}
+	assert.Equal(t, n.refuseExcess(t.Context(), foreign, target).Outcome, intake.Conflict)
 }
 
 // A read from before a job was accepted must not tell a client that the job does not exist, or that no cell took it.
