Let one node determine the number of cells at the first start

Cause: until the number of cells is set, every node read service discovery, all heartbeats and the roster. In a trial with 296 nodes and 3,000 runners these reads filled the link between regions, calls timed out, and a node that had read 226 runners and no heartbeat set 2 cells instead of 23. Two nodes then supervised 1,500 runners each. Nodes without cells do not follow the roster. A node that begins to follow all heartbeats reads the changes where these are few.

--- a/node/cells.go
+++ b/node/cells.go
@@ -29,20 +29,12 @@
 const tableAssignments = "roster"
 
 const (
-	// rowLayout is the row of tableAssignments that holds the number of cells, which is fixed at the first start.
-	rowLayout = "layout/cells"
 	// runnersPerCell is the intended size of a cell. At this size, 300 starts a second cost the owner a fifth of a core.
 	// Larger cells pack better and learn interference faster.
 	runnersPerCell = 130
 	// nodesPerCell is the number of nodes for which one cell is created. The node count is used as well as the runner
 	// count because runners may appear seconds after the nodes, and jobs arrive before all runners have appeared.
 	nodesPerCell = 12
-	// layoutDelay is how long the set of nodes must be unchanged at the first start before the number of cells is set.
-	layoutDelay = 1 * time.Second
-	// runnersDelay is how long the number of runners must be unchanged then: the next read of service discovery has shown no
-	// others. maxRunnersDelay bounds the wait after the first one.
-	runnersDelay    = discoverySpacing * 5 / 4
-	maxRunnersDelay = 2500 * time.Millisecond
 	// rankDelay is how much longer each lower-ranked candidate waits before it acquires a cell without an owner.
 	rankDelay = 1500 * time.Millisecond
 	// assignInterval is the pause between attempts to write runner assignments or the number of cells.
@@ -438,25 +430,6 @@
 	}
 }
 
-// layoutChanged applies the row with the number of cells. The number never changes, because the partition of each job's index
-// row depends on it: once it is known, another value is an error, and a deleted row is written again. The caller holds mu.
-func (n *Node) layoutChanged(row store.Row) {
-	known := int(n.cellCount.Load())
-	count, err := strconv.Atoi(string(row.Value))
-	switch {
-	case row.Deleted && known > 0:
-		n.rowLog.warn(nil, "row with the number of cells was deleted")
-		n.rewrite[rowLayout] = strconv.Itoa(known)
-		n.wakeAssign()
-	case row.Deleted:
-	case err != nil || count < 1 || count > maxCells || known > 0 && count != known:
-		n.rowLog.warn(logrus.Fields{"value": fmt.Sprintf("%.50q", row.Value), "known": known}, "invalid number of cells")
-	default:
-		delete(n.rewrite, rowLayout)
-		n.cellCount.Store(int32(count))
-	}
-}
-
 // assignmentChanged applies the row of a runner. A runner stays in its cell if its row is deleted or names no cell or another one,
 // because the cell's owner may still send it commands. The caller holds mu.
 func (n *Node) assignmentChanged(row store.Row) {
@@ -523,60 +496,6 @@
 	}
 }
 
-// ensureLayout waits until the number of cells is set, and writes it if no node has done so. It returns false if ctx ends
-// first.
-func (n *Node) ensureLayout(ctx context.Context) bool {
-	stableSince, lastNodes := time.Now(), 0
-	var firstRunner, runnersSince time.Time
-	lastRunners := 0
-	for {
-		n.mu.Lock()
-		layoutSet, runners := n.cellCount.Load() > 0, len(n.runnerInfos)
-		n.mu.Unlock()
-		if layoutSet {
-			return true
-		}
-		nodes := n.directory.AliveCount(time.Now())
-		if nodes != lastNodes {
-			stableSince, lastNodes = time.Now(), nodes
-		}
-		if firstRunner.IsZero() && runners > 0 {
-			firstRunner = time.Now()
-		}
-		if runners != lastRunners {
-			runnersSince, lastRunners = time.Now(), runners
-		}
-		allRunners := runners > 0 && (time.Since(runnersSince) > runnersDelay || time.Since(firstRunner) > maxRunnersDelay)
-		_, synced := n.assignments.Rows()
-		if synced && allRunners && time.Since(stableSince) > layoutDelay {
-			count := n.layoutCount(time.Now(), runners, nodes)
-			_, err := n.store.Commit(ctx, store.Txn{
-				Conditions: []store.Condition{{Key: store.Key{Table: tableAssignments, Name: rowLayout}}},
-				Writes:     []store.Write{{Key: store.Key{Table: tableAssignments, Name: rowLayout}, Value: []byte(strconv.Itoa(count))}},
-			})
-			var conflict *store.ConflictError
-			switch {
-			case err == nil:
-				n.log.WithFields(logrus.Fields{"cells": count, "runners": runners, "nodes": nodes}).Info("set the number of cells")
-			case !errors.As(err, &conflict):
-				n.log.WithError(err).Warn("could not write the number of cells")
-			}
-		}
-		if !wait.For(ctx, assignInterval) {
-			return false
-		}
-	}
-}
-
-// layoutCount returns the number of cells for a number of runners and nodes. Without transactions over several partitions all rows lie
-// in one, in which several cells would share their rows.
-func (n *Node) layoutCount(now time.Time, runners, nodes int) int {
-	if !n.settings.CrossPartition {
-		return 1
-	}
-	return n.directory.CellCount(now, runners, runnersPerCell, max((runners+runnersPerCell/2)/runnersPerCell, nodes/nodesPerCell))
-}
-
 // assign writes the cells of new runners. It reports whether there are more than one transaction can hold, and whether it must be
 // called again after a pause because the transaction failed or replaced a row.
 func (n *Node) assign(ctx context.Context) (more, retry bool) {
--- a/node/node.go
+++ b/node/node.go
@@ -70,6 +70,7 @@
 	minCommitMs      atomic.Int64      // time of the fastest commit of a heartbeat, in milliseconds; 0 until one succeeded
 	commitLatency    atomic.Int64      // commit time of the last heartbeat, a time.Duration
 	cellCount        atomic.Int32      // number of cells, 0 until it is known
+	isElector        atomic.Bool       // this node determines the number of cells
 	heartbeats       *ownership.Reader // used only by the goroutine of heartbeatLoop, like the next five fields
 	ownerRows        *ownership.Reader
 	followsAll       bool         // this node reads the heartbeats of all nodes
@@ -187,17 +188,18 @@
 	n.discovery = store.NewFollower(n.store, platform.TableServers, n.discoveryChanged, n.dependencyLogger("service discovery"))
 	n.discovery.Poll, n.discovery.SpacingNow, n.discovery.Active = true, n.discoveryPause, n.needsRunners
 	n.assignments = store.NewFollower(n.store, tableAssignments, n.assignmentsChanged, n.dependencyLogger("roster"))
+	n.assignments.Active = n.needsRunners
 	n.quotas = store.NewFollower(n.store, quota.Table, func([]store.Row) {}, n.dependencyLogger("limits of organisations"))
 	n.quotas.Active = n.needsQuota
 	return n
 }
 
-// needsRunners reports whether this node needs service discovery: it owns or acquires cells, or the number of cells is
-// not set yet.
+// needsRunners reports whether this node needs service discovery and the roster: it owns or acquires cells, or determines the number of
+// cells.
 func (n *Node) needsRunners() bool {
 	n.mu.Lock()
 	defer n.mu.Unlock()
-	return n.cellCount.Load() == 0 || len(n.cells) > 0 || len(n.acquiring) > 0
+	return n.isElector.Load() || len(n.cells) > 0 || len(n.acquiring) > 0
 }
 
 func (n *Node) metricsAddr() string {
@@ -479,6 +481,9 @@
 }
 
 const (
+	// maxChangesRead is the number of changes of heartbeats up to which a node that begins to follow all nodes reads these instead of all rows.
+	// While the store is slow, all rows take up to half a minute: one call for each partition.
+	maxChangesRead = 500
 	// allReadInterval is how often a node that follows owners only reads the heartbeats of all nodes.
 	allReadInterval = 30 * time.Second
 	// ownerlessTolerance is how long a cell may have no owner until such a node follows all nodes, for followAllFor: the likely
@@ -493,7 +498,9 @@
 	all := n.needsAllHeartbeats(now)
 	if all != n.followsAll {
 		n.followsAll = all
-		n.heartbeats.Reset()
+		if !all || n.directory.ChangesSince(now.Sub(n.allReadAt)) > maxChangesRead {
+			n.heartbeats.Reset()
+		}
 		n.ownerRows.Reset()
 		n.log.WithField("all", all).Debug("heartbeats that this node follows changed")
 	}
@@ -526,7 +533,10 @@
 			n.followsAllUntil = now.Add(followAllFor)
 		}
 	}
-	return cells == 0 || len(n.cells) > 0 || len(n.acquiring) > 0 || now.Before(n.followsAllUntil) || n.directory.FollowsAll(now, cells)
+	if cells == 0 {
+		return n.isElector.Load()
+	}
+	return len(n.cells) > 0 || len(n.acquiring) > 0 || now.Before(n.followsAllUntil) || n.directory.FollowsAll(now, cells)
 }
 
 // writeHeartbeat writes this node's heartbeat row, and repeats the write if it gets no response.
--- a/ownership/directory.go
+++ b/ownership/directory.go
@@ -246,6 +246,13 @@
 	return alive <= maxFullyRead || strong < cells+spareOwners
 }
 
+// ChangesSince returns about how many times the known nodes have rewritten their rows in a time.
+func (d *Directory) ChangesSince(gap time.Duration) int {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return int(min(gap/HeartbeatInterval, time.Hour/HeartbeatInterval)) * len(d.members)
+}
+
 // IsFresh reports whether the directory was read within deadAfter.
 func (d *Directory) IsFresh(now time.Time) bool {
 	d.mu.Lock()
--- a/store/follower.go
+++ b/store/follower.go
@@ -155,6 +155,13 @@
 	f.advance(page.Version, page.Age)
 }
 
+// Age returns how long ago the table was last read; the longest duration if it was not.
+func (f *Follower) Age(now time.Time) time.Duration {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return now.Sub(f.readAt)
+}
+
 // advance records that the table was read up to a version some time ago. The caller holds applying.
 func (f *Follower) advance(version int64, age time.Duration) {
 	f.mu.Lock()
