--- a/dispatch/job.go
+++ b/dispatch/job.go
@@ -54,7 +54,9 @@
 	// latenessClass is the lateness as of the last plan, and turn how many runs of the job go before the unit. It is 0 unless the
 	// unit shares capacity.
 	latenessClass, turn int
-	runs                []*run
+	// overtakenAt is when a plan last started a later unit of another organisation before it tried this one, which then found no runner.
+	overtakenAt time.Time
+	runs        []*run
 	// recovered units were accepted under an earlier owner. Runs that this owner has not seen yet may exist.
 	recovered bool
 	// begun is set for recovered units whose turn had come by the rows of the earlier owner.
@@ -71,6 +73,8 @@
 	// set once the host's row says so.
 	returnedAt    time.Time
 	returnDurable bool
+	// waitsForCap is set if the last plan did not start the unit because of the cap of its organisation.
+	waitsForCap bool
 	// queuedAtCheck is the number of the last check for waiting tasks that found the unit in the queue.
 	queuedAtCheck int
 }
@@ -342,5 +346,10 @@
 // compact drops the details of a finished job, of which only the state is needed.
 func (j *jobState) compact() {
 	j.occs = nil
-	j.def = &workload.Job{ID: j.def.ID, Organisation: j.def.Organisation, Policy: j.def.Policy, AcceptedAt: j.def.AcceptedAt}
+	compacted := &workload.Job{ID: j.def.ID, Policy: j.def.Policy, AcceptedAt: j.def.AcceptedAt, Organisation: j.def.Organisation}
+	if j.def.Organisation != "" {
+		// Runs that are still being stopped count towards the cap.
+		compacted.Steps = j.def.Steps
+	}
+	j.def = compacted
 }
