Complete the rows of the test of refusals for a share

The test had the index row of an accepted job without its job row, which one transaction writes together, and a node without a directory. The decision on a repeated submission now reads both. Its assertions are unchanged.

--- a/node/clients_test.go
+++ b/node/clients_test.go
@@ -185,7 +185,7 @@
 // backlog, which differs from job to job.
 func TestRefusalForShare(t *testing.T) {
 	s := emulator.NewStore()
-	n := &Node{store: s, settings: &platform.Settings{CrossPartition: true}, jobCells: map[string]string{}}
+	n := &Node{store: s, settings: &platform.Settings{CrossPartition: true}, jobCells: map[string]string{}, directory: ownership.NewDirectory("self")}
 	target := ownerWith("c0", 0)
 	target.Load.ExcessMs = map[string]int64{"a": 9000}
 	job := &workload.Job{ID: "00000000000000aa", Organisation: "a"}
@@ -199,6 +199,7 @@
 	assert.Assert(t, n.refuseExcess(t.Context(), other, target).RetryAfter != decision.RetryAfter)
 
 	s.Put(store.Key{Table: dispatch.TableIndex, Part: n.indexPart(job.ID), Name: job.ID}, []byte("c1"))
+	s.Put(store.Key{Table: dispatch.TableJobs, Part: n.cellPart("c1"), Name: job.ID}, []byte(`{"id":"00000000000000aa","org":"a"}`))
 	decision = n.refuseExcess(t.Context(), job, target)
 	assert.Equal(t, decision.Outcome, intake.Accepted)
 	assert.Equal(t, decision.Cell, "c1")
