--- a/node/organisation_test.go
+++ b/node/organisation_test.go
@@ -12,6 +12,7 @@
 	"github.com/currantthread/currantthread/dispatch"
 	"github.com/currantthread/currantthread/intake"
 	"github.com/currantthread/currantthread/internal/emulator"
+	"github.com/currantthread/currantthread/ownership"
 	"github.com/currantthread/currantthread/store"
 	"github.com/currantthread/currantthread/workload"
 )
@@ -185,3 +186,20 @@
 		})
 	}
 }
+
+// A refusal for lack of capacity or for the organisation's share looks for an accepted job with the ID first. That job may be another
+// organisation's; it was reported as accepted.
+func TestRefusalsFindJobsOfOtherOrganisations(t *testing.T) {
+	s := emulator.NewStore()
+	n, _ := testNode(t, 2)
+	n.store = s
+	const cell = "c1"
+	s.Put(store.Key{Table: dispatch.TableIndex, Part: n.indexPart(sharedID), Name: sharedID}, []byte(cell))
+	s.Put(store.Key{Table: dispatch.TableJobs, Part: n.cellPart(cell), Name: sharedID}, []byte(`{"id":"`+sharedID+`","org":"kioscos"}`))
+	targets := []ownership.Owner{ownerWith("c0", 0)}
+	for organisation, want := range map[string]intake.Outcome{"kioscos": intake.Accepted, "cartago": intake.Conflict, "": intake.Accepted} {
+		job := &workload.Job{ID: sharedID, Organisation: organisation}
+		assert.Equal(t, n.refuseFull(t.Context(), job, targets).Outcome, want, organisation)
+		assert.Equal(t, n.refuseExcess(t.Context(), job, targets[0]).Outcome, want, organisation)
+	}
+}
