--- a/clientlimit/conn.go
+++ b/clientlimit/conn.go
@@ -21,6 +21,9 @@
 	reasonWriteTime  = "write_timeout" // response was not read
 )
 
+// reported replaces reasonBodyTime once the handler knows of it. net/http tries to read the rest of the body afterwards.
+const reported = "reported"
+
 const (
 	// bufferedBytes is the size of net/http's read buffer, which may hold the start of the next request.
 	bufferedBytes = 4 << 10
@@ -176,19 +179,23 @@
 func (c *Conn) refuse(status int, reason string) error {
 	c.limiter.closed.WithLabelValues(reason).Inc()
 	c.release()
-	response := fmt.Sprintf("HTTP/1.1 %d %s\r\nContent-Type: application/json\r\nContent-Length: %d\r\nConnection: close\r\n",
-		status, http.StatusText(status), len(refusalBody(status)))
-	if status == http.StatusServiceUnavailable {
-		response += "Retry-After: 1\r\n"
-	}
-	if _, err := c.Write([]byte(response + "\r\n" + refusalBody(status))); err != nil {
+	if _, err := c.Write(c.limiter.Refusal(status)); err != nil {
 		return io.EOF
 	}
 	c.linger()
 	return io.EOF
 }
 
-func refusalBody(status int) string { return fmt.Sprintf(`{"error":%q}`, http.StatusText(status)) }
+// refusal is the default response to a request that is refused.
+func refusal(status int) []byte {
+	body := fmt.Sprintf(`{"error":%q}`, http.StatusText(status))
+	var retry string
+	if status == http.StatusServiceUnavailable {
+		retry = "Retry-After: 1\r\n"
+	}
+	return fmt.Appendf(nil, "HTTP/1.1 %d %s\r\nContent-Type: application/json\r\nContent-Length: %d\r\nConnection: close\r\n%s\r\n%s",
+		status, http.StatusText(status), len(body), retry, body)
+}
 
 // linger ends the sending side and discards what the client still sends.
 func (c *Conn) linger() {
@@ -211,6 +218,9 @@
 	l := c.limiter
 	l.mu.Lock()
 	reason := c.expired
+	if reason == reasonBodyTime {
+		c.expired = reported
+	}
 	if body {
 		c.reading, c.paused = false, time.Now()
 	}
@@ -223,6 +233,8 @@
 	case reasonBodyTime:
 		l.closed.WithLabelValues(reason).Inc()
 		return ErrBodyTimeout
+	case reported:
+		return ErrBodyTimeout
 	}
 	l.closed.WithLabelValues(reason).Inc()
 	return io.EOF
--- a/clientlimit/limiter.go
+++ b/clientlimit/limiter.go
@@ -36,6 +36,10 @@
 
 // Limiter bounds the connections of the listeners that it wraps. It is safe for concurrent use.
 type Limiter struct {
+	// Refusal returns the complete response for a request that is refused with a status before a handler sees it. It may be replaced before
+	// the first connection is accepted.
+	Refusal func(status int) []byte
+
 	log      *logrus.Entry
 	closed   *prometheus.CounterVec
 	decoding *semaphore.Weighted
@@ -53,7 +57,7 @@
 
 // New returns a limiter with default limits that registers its metrics.
 func New(registry prometheus.Registerer, namespace string, log *logrus.Entry) *Limiter {
-	l := &Limiter{log: log, limits: Limits{}.withDefaults(), budget: BudgetOf(0, 0), decoding: semaphore.NewWeighted(decodeBytes)}
+	l := &Limiter{Refusal: refusal, log: log, limits: Limits{}.withDefaults(), budget: BudgetOf(0, 0), decoding: semaphore.NewWeighted(decodeBytes)}
 	l.closed = prometheus.NewCounterVec(prometheus.CounterOpts{Namespace: namespace, Subsystem: "clients", Name: "closed_total",
 		Help: "Requests refused and connections closed by a limit, by reason."}, []string{"reason"})
 	gauge := func(name, help string, value func() float64) prometheus.Collector {
@@ -94,12 +98,15 @@
 func (l *Limiter) Configure(server *http.Server) {
 	server.MaxHeaderBytes = libraryHeaderBytes
 	server.ConnState = ConnState
-	server.ConnContext = func(ctx context.Context, conn net.Conn) context.Context {
-		if c, ok := conn.(*Conn); ok {
-			return context.WithValue(ctx, connKey{}, c)
-		}
-		return ctx
+	server.ConnContext = ConnContext
+}
+
+// ConnContext stores a connection in the context of its requests. It is the hook of http.Server.
+func ConnContext(ctx context.Context, conn net.Conn) context.Context {
+	if c, ok := conn.(*Conn); ok {
+		return context.WithValue(ctx, connKey{}, c)
 	}
+	return ctx
 }
 
 type connKey struct{}
--- a/entry/body.go
+++ b/entry/body.go
@@ -6,6 +6,8 @@
 	"net/http"
 	"os"
 
+	"github.com/currantthread/currantthread/clientlimit"
+	"github.com/currantthread/currantthread/limit"
 	"github.com/currantthread/currantthread/upstream"
 	"github.com/currantthread/currantthread/verdict"
 )
@@ -30,12 +32,15 @@
 	overflow bool
 	// err is the final error of the source: io.EOF after the complete body.
 	err error
+	// charge charges the connection for bytes that are kept.
+	charge func(bytes int64) error
 	// digest receives all bytes read from the source; nil if no digest is needed.
 	digest io.Writer
 }
 
 func newCallBody(r *http.Request, maxBytes, keepLimit int64) *callBody {
-	b := &callBody{source: r.Body, length: r.ContentLength, remaining: maxBytes, keepLimit: int(keepLimit)}
+	b := &callBody{source: r.Body, length: r.ContentLength, remaining: maxBytes, keepLimit: int(keepLimit),
+		charge: clientlimit.ConnOf(r.Context()).Charge}
 	if r.ContentLength == 0 || r.Body == nil || r.Body == http.NoBody {
 		b.length = 0
 		b.err = io.EOF
@@ -56,6 +61,9 @@
 	for b.err == nil && len(b.kept) < b.keepLimit {
 		buf := make([]byte, b.readAheadSize())
 		n, _ := b.readSource(buf)
+		if err := b.charge(int64(n)); err != nil {
+			return verdict.Wrap(verdict.NotRun, limit.CodeOverloaded, err)
+		}
 		b.kept = append(b.kept, buf[:n]...)
 	}
 	if b.err == nil || errors.Is(b.err, io.EOF) {
@@ -68,12 +76,12 @@
 const readAheadChunk = 8 << 10
 
 func (b *callBody) readAheadSize() int {
-	size := b.keepLimit - len(b.kept)
+	size := min(b.keepLimit-len(b.kept), readAheadChunk)
 	if b.length >= 0 {
 		// Reading one byte more than the rest of the body detects its end.
 		return int(min(int64(size), b.length-int64(len(b.kept))+1))
 	}
-	return min(size, readAheadChunk)
+	return size
 }
 
 func (b *callBody) readSource(buf []byte) (int, error) {
@@ -156,7 +164,7 @@
 	switch {
 	case errors.Is(err, errBodyTooLarge):
 		return verdict.Wrap(v, codeBodyTooLarge, err)
-	case errors.Is(err, os.ErrDeadlineExceeded):
+	case errors.Is(err, os.ErrDeadlineExceeded), errors.Is(err, clientlimit.ErrBodyTimeout):
 		return verdict.Wrap(v, codeBodyTimeout, err)
 	default:
 		return verdict.Wrap(v, upstream.CodeRequestBody, err)
--- a/entry/callerconn.go
+++ b/entry/callerconn.go
@@ -13,6 +13,8 @@
 	"sync/atomic"
 	"time"
 
+	"github.com/currantthread/currantthread/clientlimit"
+	"github.com/currantthread/currantthread/limit"
 	"github.com/currantthread/currantthread/upstream"
 	"github.com/currantthread/currantthread/verdict"
 )
@@ -27,10 +29,30 @@
 	server *Server
 }
 
-// CallerListener wraps a listener so that requests that net/http rejects before calling a handler get an error response
-// with a verdict, as all other refused requests do.
+// CallerListener wraps a listener so that its connections are bounded, and requests that net/http rejects before calling a
+// handler get an error response with a verdict, as all other refused requests do.
 func (s *Server) CallerListener(listener net.Listener) net.Listener {
-	return &callerListener{Listener: listener, server: s}
+	return s.clients.Listener(&callerListener{Listener: listener, server: s})
+}
+
+// headerSlack is added to the limit of a header for clientlimit, which counts white space as it was sent. Handlers apply the
+// limit itself.
+const headerSlack = 4 << 10
+
+// applyClientLimits passes the active settings to the limiter of callers' connections.
+func (s *Server) applyClientLimits() {
+	s.clients.SetLimits(clientlimit.Limits{HeaderBytes: int(s.cfg.Settings().Entry.MaxHeaderBytes) + headerSlack,
+		HeaderTimeout: callerReadHeaderTimeout, IdleTimeout: callerIdleTimeout})
+}
+
+// callerConnOf returns the caller's connection that the limiter has wrapped.
+func callerConnOf(conn net.Conn) (*callerConn, bool) {
+	limited, ok := conn.(*clientlimit.Conn)
+	if !ok {
+		return nil, false
+	}
+	c, ok := limited.Conn.(*callerConn)
+	return c, ok
 }
 
 // Accept implements net.Listener.
@@ -39,6 +61,7 @@
 	if err != nil {
 		return nil, err
 	}
+	l.server.applyClientLimits()
 	return &callerConn{Conn: accepted, server: l.server}, nil
 }
 
@@ -72,7 +95,7 @@
 		return c.Conn.Write(buf)
 	}
 	status := string(statusLine[len("HTTP/1.1 "):])
-	if _, err := c.Conn.Write(c.refusal(status)); err != nil {
+	if _, err := c.Conn.Write(c.server.refusal(status)); err != nil {
 		return 0, err
 	}
 	if strings.HasPrefix(status, strconv.Itoa(http.StatusRequestHeaderFieldsTooLarge)) {
@@ -103,18 +126,23 @@
 }
 
 // refusal returns the complete response that replaces an error response of net/http with this status.
-func (c *callerConn) refusal(status string) []byte {
-	code := codeBadRequest
+func (s *Server) refusal(status string) []byte {
+	code, message := codeBadRequest, "the request is malformed: "+status
 	number, err := strconv.Atoi(status[:min(len(status), len("000"))])
-	if err != nil || number >= http.StatusInternalServerError {
+	if err != nil || number >= http.StatusInternalServerError && number != http.StatusServiceUnavailable {
 		number = http.StatusBadRequest
 	}
-	if number == http.StatusRequestHeaderFieldsTooLarge {
+	switch number {
+	case http.StatusRequestHeaderFieldsTooLarge:
 		code = codeHeaderTooLarge
+	case http.StatusRequestTimeout:
+		message = "the header of the request took too long"
+	case http.StatusServiceUnavailable:
+		code, message = limit.CodeOverloaded, "the memory for requests is used up"
 	}
-	id := c.server.nextRequestID()
-	c.server.metrics.refusals.WithLabelValues(unknownService, string(code)).Inc()
-	body, err := json.Marshal(refusalBody{Verdict: verdict.NotRun.String(), Code: code, Message: "the request is malformed: " + status, RequestID: id})
+	id := s.nextRequestID()
+	s.metrics.refusals.WithLabelValues(unknownService, string(code)).Inc()
+	body, err := json.Marshal(refusalBody{Verdict: verdict.NotRun.String(), Code: code, Message: message, RequestID: id})
 	if err != nil {
 		body = nil
 	}
@@ -125,15 +153,20 @@
 
 // connContext stores the caller's connection in the context of its requests.
 func connContext(ctx context.Context, conn net.Conn) context.Context {
-	return context.WithValue(ctx, callerConnKey{}, conn)
+	if c, ok := callerConnOf(conn); ok {
+		ctx = context.WithValue(ctx, callerConnKey{}, c)
+	}
+	return clientlimit.ConnContext(ctx, conn)
 }
 
 // connState resets the per-request state of a connection that waits for the next request.
 func connState(conn net.Conn, state http.ConnState) {
-	if c, ok := conn.(*callerConn); ok && state == http.StateIdle {
+	if c, ok := callerConnOf(conn); ok && state == http.StateIdle {
 		c.responding.Store(false)
 		c.scanner = headerScanner{}
+		c.server.applyClientLimits()
 	}
+	clientlimit.ConnState(conn, state)
 }
 
 // markResponding records that a handler is responding on the request's connection. It reports whether the request's
--- a/entry/daemon.go
+++ b/entry/daemon.go
@@ -179,13 +179,11 @@
 // NewCallerServer returns the HTTP server for callers of s. It serves listeners wrapped by s.CallerListener.
 func NewCallerServer(s *Server) *http.Server {
 	return &http.Server{
-		Handler:           s.Handler(),
-		ReadHeaderTimeout: callerReadHeaderTimeout,
-		IdleTimeout:       callerIdleTimeout,
-		WriteTimeout:      callerWriteTimeout,
-		MaxHeaderBytes:    maxHeaderBytes,
-		ConnContext:       connContext,
-		ConnState:         connState,
+		Handler:        s.Handler(),
+		WriteTimeout:   callerWriteTimeout,
+		MaxHeaderBytes: maxHeaderBytes,
+		ConnContext:    connContext,
+		ConnState:      connState,
 	}
 }
 
--- a/entry/entry.go
+++ b/entry/entry.go
@@ -5,6 +5,7 @@
 
 import (
 	"context"
+	"fmt"
 	"net"
 	"net/http"
 	"strconv"
@@ -17,8 +18,10 @@
 	"github.com/prometheus/client_golang/prometheus"
 	"github.com/sirupsen/logrus"
 
+	"github.com/currantthread/currantthread/clientlimit"
 	"github.com/currantthread/currantthread/infra"
 	"github.com/currantthread/currantthread/limit"
+	"github.com/currantthread/currantthread/observe"
 	"github.com/currantthread/currantthread/route"
 	"github.com/currantthread/currantthread/settings"
 	"github.com/currantthread/currantthread/upstream"
@@ -59,6 +62,7 @@
 type Server struct {
 	cfg          Config
 	metrics      *metrics
+	clients      *clientlimit.Limiter // bounds callers' connections
 	claims       *claims
 	regionBudget *limit.ByteBudget
 	jitter       *jitter
@@ -93,6 +97,8 @@
 		instance: uuid.NewString()[:8],
 		services: map[string]*service{},
 	}
+	s.clients = clientlimit.New(cfg.Registry, observe.Namespace, cfg.Log)
+	s.clients.Refusal = func(status int) []byte { return s.refusal(fmt.Sprintf("%d %s", status, http.StatusText(status))) }
 	s.view.Store(&vmView{entryVMs: 1, regionEntryVMs: 1})
 	s.regionBudget = limit.NewByteBudget(s.regionRate(cfg.Settings()))
 	s.claims = newClaims(s)
--- a/entry/entry_test.go
+++ b/entry/entry_test.go
@@ -649,3 +649,19 @@
 		assert.Equal(t, got.verdict(), verdict.MayHaveRun)
 	})
 }
+
+// A header that exceeds the limit without its end must be refused before net/http has read 1 MB of it, and one that never ends within a bounded
+// time; both with a verdict.
+func TestUnfinishedHeaderIsRefused(t *testing.T) {
+	inBubble(t, func(t *testing.T, h *harness) {
+		e := h.addEntry("e1")
+		for text, status := range map[string]string{
+			"GET /svc/web/ HTTP/1.1\r\n" + strings.Repeat("X: x\r\n", 12_000): "431",
+			"GET /svc/web/ HTTP/1.1\r\nHost: a\r\n":                           "408",
+		} {
+			got := e.sendRaw(text)
+			assert.Assert(t, strings.HasPrefix(got, "HTTP/1.1 "+status+" "), "%s", got)
+			assert.Assert(t, strings.Contains(got, verdict.Header+": "+verdict.NotRun.String()), "%s", got)
+		}
+	})
+}
