--- a/clientlimit/budget.go
+++ b/clientlimit/budget.go
@@ -4,8 +4,8 @@
 
 const (
 	// connCost is what a connection costs before it has sent anything, in bytes. A goroutine with its stack, net/http's two buffers and
-	// its state are estimated at 12 to 16 KB; the rest stands for bytes in the socket's buffers.
-	connCost = 32 << 10
+	// its state are estimated at 8 to 12 KB; the rest stands for bytes in the socket's buffers.
+	connCost = 40 << 10
 	// lineCost is what net/http allocates for a header line beyond its bytes: 200 unfinished heads with about 3,300 lines each took 62 MB,
 	// 94 bytes a line, and a map that grows holds its old and new halves for a moment.
 	lineCost = 128
@@ -14,7 +14,7 @@
 	clientShare = 30
 	// runtimeShare is the part of a VM's memory from which the garbage collector works harder, in percent. The rest is for the program's
 	// text and for sockets.
-	runtimeShare = 70
+	runtimeShare = 65
 	// fileFDs is the number of descriptors that the platform reserves for files.
 	fileFDs = 200
 	// The defaults apply to deployments whose settings give no limits. A client within the configuration's limits does not reach them.
--- a/clientlimit/socket_linux.go
+++ b/clientlimit/socket_linux.go
@@ -9,7 +9,7 @@
 const (
 	// receiveBuffer and sendBuffer bound what the system buffers for a connection, in bytes; it doubles them. Bytes that nobody has read
 	// count towards the memory of the VM.
-	receiveBuffer = 32 << 10
+	receiveBuffer = 16 << 10
 	sendBuffer    = 16 << 10
 )
 
