Follow the limits of organisations that are no longer configured

Cause: once the last organisation was removed from the configuration, cells without a job of an organisation no longer read the table, so they acknowledged nothing and the limits of the organisation's jobs did not move. NeedsQuota also waited for the cell's lock. Change: a cell that has or inherits acknowledged rows needs the table; NeedsQuota takes no lock. Result: TestRemovedOrganisationKeepsItsLimits passes and was seen to fail without the change.

--- a/dispatch/acquire.go
+++ b/dispatch/acquire.go
@@ -91,6 +91,7 @@
 	c.runnerAddedAt = time.Now()
 	c.listClosed(closed)
 	c.caps.inherited, c.caps.inheritedOver, c.caps.firstOwner = previous.Quota, previous.QuotaOver, version == 0
+	c.caps.needed.Store(previous.Quota > 0)
 	if version != 0 {
 		if err := c.load(ctx); err != nil {
 			return nil, fmt.Errorf("%w: %w", ErrNotLoaded, err)
--- a/dispatch/caps.go
+++ b/dispatch/caps.go
@@ -3,6 +3,7 @@
 import (
 	"maps"
 	"slices"
+	"sync/atomic"
 	"time"
 
 	"github.com/sirupsen/logrus"
@@ -41,8 +42,8 @@
 	accounts   map[string]*capAccount
 	// endedHere has the organisations of which a job had ended early before the takeover, so that its runs may still be being stopped.
 	endedHere map[string]bool
-	// needed is set once the cell has had a job of an organisation.
-	needed bool
+	// needed is what NeedsQuota returns.
+	needed atomic.Bool
 	// wokenAt is when a heartbeat was last requested.
 	wokenAt time.Time
 	// shown is what the cell has added to the gauges.
@@ -158,6 +159,9 @@
 	if c.caps.version == 0 {
 		c.cfg.Log.WithFields(logrus.Fields{"cell": c.cfg.Name, "organisations": len(rows), "version": version}).Debug("limits of organisations read")
 	}
+	if len(rows) > 0 {
+		c.caps.needed.Store(true)
+	}
 	acknowledged := c.caps.version
 	c.caps.version = version
 	for organisation, row := range rows {
@@ -178,19 +182,16 @@
 	}
 }
 
-// NeedsQuota reports whether the cell needs the table of limits: it has jobs of organisations, or the configuration names some.
-func (c *Cell) NeedsQuota() bool {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	return len(c.catalog.Organisations) > 0 || c.caps.needed
-}
+// NeedsQuota reports whether the cell needs the table of limits whatever the configuration says: it has had a job of an organisation, or this owner or
+// an earlier one has acknowledged rows and has to acknowledge their changes. It is called often, so it does not wait for a plan.
+func (c *Cell) NeedsQuota() bool { return c.caps.needed.Load() }
 
 // restoreCap records what a job that was accepted under an earlier owner means for the cap of its organisation. The caller holds mu.
 func (c *Cell) restoreCap(j *jobState) {
 	if j.def.Organisation == "" {
 		return
 	}
-	c.caps.needed = true
+	c.caps.needed.Store(true)
 	if j.state.Terminal() && j.state != workload.StateCompleted && time.Since(j.finishedAt) < endedRunTime {
 		c.caps.endedHere[j.def.Organisation] = true
 	}
--- a/dispatch/hosting.go
+++ b/dispatch/hosting.go
@@ -140,7 +140,9 @@
 		u.held = true
 	}
 	c.jobs[d.Job.ID] = j
-	c.caps.needed = c.caps.needed || d.Job.Organisation != ""
+	if d.Job.Organisation != "" {
+		c.caps.needed.Store(true)
+	}
 	c.delegating[j] = true
 	j.transfers = append(j.transfers, t)
 	c.markUrgent(j)
--- a/dispatch/intake.go
+++ b/dispatch/intake.go
@@ -139,7 +139,9 @@
 	}
 	j := newJobState(job)
 	c.jobs[job.ID] = j
-	c.caps.needed = c.caps.needed || job.Organisation != ""
+	if job.Organisation != "" {
+		c.caps.needed.Store(true)
+	}
 	if job.StartAt.IsZero() {
 		c.pending[job.Policy.Queue]++
 		c.addOccurrence(j)
--- a/node/quota_test.go
+++ b/node/quota_test.go
@@ -262,3 +262,25 @@
 		assert.Assert(t, calls.count.Load() > 0)
 	})
 }
+
+// An organisation that was removed from the configuration, even as the last one, keeps its limits: its jobs go on within them, and all cells
+// acknowledge changes.
+func TestRemovedOrganisationKeepsItsLimits(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		const cells, limit = 2, 2000
+		c := newCappedCluster(t, 2, cells, workload.Resources{CPU: limit}, time.Hour)
+		defer c.stop()
+		c.await(20*time.Second, func() bool { return c.owns(cells) })
+		c.await(limitBound, func() bool { _, sum := c.limits(); return sum == limit })
+		for _, n := range c.nodes {
+			config := *n.catalog.Load()
+			config.Version, config.Organisations = 2, nil
+			n.catalog.Store(&config)
+		}
+		time.Sleep(2 * time.Second)
+		c.submit("c0", 1, 5, 1000)
+		c.await(2*limitBound, func() bool { return c.running() == 2 })
+		time.Sleep(10 * time.Second)
+		assert.Equal(t, c.running(), 2)
+	})
+}
