--- a/dispatch/cappedfaults_test.go
+++ b/dispatch/cappedfaults_test.go
@@ -100,8 +100,8 @@
 	}
 }
 
-// Whatever fails, and whoever believes to own the cell, its runs must hold no more than the limit allows, also while it is lowered, and all jobs must be
-// completed in the end.
+// Whatever fails, and whoever believes to own the cell, its runs must hold no more than the limit allows, also while it is lowered, and all
+// jobs must be completed in the end.
 func TestMixedFaultsBreakNoLimit(t *testing.T) {
 	rapid.Check(t, func(rt *rapid.T) {
 		const owners, runners, steps = 4, 3, 8
--- a/dispatch/caps.go
+++ b/dispatch/caps.go
@@ -182,8 +182,8 @@
 	}
 }
 
-// NeedsQuota reports whether the cell needs the table of limits whatever the configuration says: it has had a job of an organisation, or this owner or
-// an earlier one has acknowledged rows and has to acknowledge their changes. It is called often, so it does not wait for a plan.
+// NeedsQuota reports whether the cell needs the table of limits whatever the configuration says: it has had a job of an organisation, or this
+// owner or an earlier one has acknowledged rows and has to acknowledge their changes. It is called often, so it does not wait for a plan.
 func (c *Cell) NeedsQuota() bool { return c.caps.needed.Load() }
 
 // restoreCap records what a job that was accepted under an earlier owner means for the cap of its organisation. The caller holds mu.
--- a/quota/row_test.go
+++ b/quota/row_test.go
@@ -9,7 +9,8 @@
 
 // A row of another writer must be refused as a whole: a cell that applied a part of it would acknowledge limits that it does not know.
 func TestOddRowsAreRefused(t *testing.T) {
-	for _, value := range []string{``, `{`, `null`, `{}`, `{"config":3,"cells":{}}`, `[]`, `{"cap":[-1,0,0]}`, `{"cap":[1e30,0,0]}`, `{"cap":[2000000000000000,0,0]}`,
+	for _, value := range []string{``, `{`, `null`, `{}`, `{"config":3,"cells":{}}`, `[]`, `{"cap":[-1,0,0]}`, `{"cap":[1e30,0,0]}`,
+		`{"cap":[2000000000000000,0,0]}`,
 		`{"cap":[1,0,0],"cells":{"c0":{"limit":[-1,0,0]}}}`, `{"cap":[1,0,0],"cells":{"c0":{"limit":[0,0,0],"before":[-2,0,0]}}}`,
 		`{"cap":["1",0,0]}`, `{"cells":{"c0":7}}`} {
 		_, err := Decode([]byte(value))
