Test that configured limits reach the listeners of a process

Change: TestConfiguredLimits sends single requests at and just above max_header_bytes and max_body_bytes to the listeners frontend and readiness of a real node.

--- a/internal/untrusted/untrusted_test.go
+++ b/internal/untrusted/untrusted_test.go
@@ -9,6 +9,8 @@
 	"sync"
 	"testing"
 	"time"
+
+	"gotest.tools/v3/assert"
 )
 
 const (
@@ -205,3 +207,39 @@
 	n.run(kinds["ShortLines"], kinds["UnusualLines"], kinds["EndlessHead"], kinds["EmptyLines"], kinds["WholeBodies"], kinds["PartialBodies"])
 	n.check()
 }
+
+// TestConfiguredLimits guards against limits of the configuration that don't reach the listeners: requests at each limit are served without load, and
+// larger ones refused. The defaults would serve the refused head.
+func TestConfiguredLimits(t *testing.T) {
+	n := startNode(t, manyFDs, usualLimits)
+	const job = `{"spec":"a","steps":[{"count":1,"cpu":100,"mem_mb":10,"estimated_ms":10}]}`
+	for _, c := range []struct {
+		addr, start      string
+		headSize, length int
+		status           string
+	}{
+		{n.clientAddr, requestLine(1), usualLimits.HeaderBytes, len(job), "200"},
+		{n.clientAddr, requestLine(2), usualLimits.HeaderBytes + 1, len(job), "431"},
+		{n.clientAddr, requestLine(3), 1000, bodyBytes, "200"},
+		{n.clientAddr, requestLine(4), 1000, bodyBytes + 1, "413"},
+		{n.readyAddr, "GET /v1/ready HTTP/1.1\r\nHost: a\r\n", usualLimits.HeaderBytes, 0, "200"},
+		{n.readyAddr, "GET /v1/ready HTTP/1.1\r\nHost: a\r\n", usualLimits.HeaderBytes + 1, 0, "431"},
+	} {
+		head := c.start + fmt.Sprintf("Content-Length: %d\r\nx: ", c.length)
+		head += strings.Repeat("x", c.headSize-len(head)-len("\r\n\r\n")) + "\r\n\r\n"
+		body := ""
+		if c.length > 0 {
+			body = job + strings.Repeat(" ", c.length-len(job))
+		}
+		conn, err := net.DialTimeout("tcp", c.addr, writeTimeout)
+		assert.NilError(t, err)
+		// A refused request may be closed before all of it is sent.
+		go func() { _ = write(conn, []byte(head+body)) }()
+		response := make([]byte, len("HTTP/1.1 200"))
+		_ = conn.SetReadDeadline(time.Now().Add(requestTimeout))
+		_, err = io.ReadFull(conn, response)
+		assert.NilError(t, err)
+		assert.Equal(t, string(response), "HTTP/1.1 "+c.status, "%q with %d and %d bytes", c.start, c.headSize, c.length)
+		assert.NilError(t, conn.Close())
+	}
+}
