Hide the jobs of organisations from callers of public queues without a key

Cause: the state and the cancellation of a job did not depend on its queue, so a request to a public queue reached any job by its ID. Change: without a valid key such a request reaches jobs without an organisation only; with one it has that organisation.

--- a/catalog/organisation.go
+++ b/catalog/organisation.go
@@ -16,6 +16,10 @@
 	Cap workload.Resources
 }
 
+// Anonymous stands for callers without a key where the configuration has organisations. They may read and cancel jobs without an organisation
+// only. No organisation has this name.
+const Anonymous = "\x00"
+
 // keyDigest is the SHA-256 digest of a key. Comparing digests takes no longer for keys that nearly match.
 type keyDigest [sha256.Size]byte
 
