Let few nodes read all heartbeats, and shorten the rows that all nodes read

Cause: in a trial with 296 nodes and 3,000 runners, polls of runners in the other region timed out while nothing had failed. 96 strong nodes read the heartbeats of all, and all nodes read the owners' heartbeats with the places of their cells. Change: of many strong nodes, as many as there are cells and 8 more follow all heartbeats, those close to the store first, and they take cells first. The rows of owners that all nodes read have no places. Result: TestFewOfManyStrongNodesReadAllHeartbeats fails on the code before. Not measured yet at 300 nodes.

--- a/dispatch/intake.go
+++ b/dispatch/intake.go
@@ -327,6 +327,12 @@
 	return c.currentLoad()
 }
 
+// WithoutPlaces returns the load as nodes need it that only choose a cell for jobs.
+func (l Load) WithoutPlaces() Load {
+	l.Places, l.LongRunningPlaces, l.Pieces, l.LongRunningPieces, l.Organisations = nil, nil, nil, nil, nil
+	return l
+}
+
 // LoadWithPlaces returns the cell's load as other nodes need it to choose a host for tasks.
 func (c *Cell) LoadWithPlaces() Load {
 	c.mu.Lock()
--- a/node/manynodes_test.go
+++ b/node/manynodes_test.go
@@ -114,3 +114,31 @@
 		assert.Assert(t, c.knows() >= nodes-strong, "%d nodes know the owner", c.knows())
 	})
 }
+
+// Where all nodes were strong, all of them read the heartbeats of all: with 300 nodes that filled the link between regions. Only as many as there
+// are cells, and a few more, may do so.
+func TestFewOfManyStrongNodesReadAllHeartbeats(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		const nodes, standby = 60, 9
+		c, counters := manyNodes(t, nodes, nodes)
+		defer c.stop()
+		before := make([]int64, nodes)
+		for i, counter := range counters {
+			before[i] = counter.rows.Load()
+		}
+		time.Sleep(20 * time.Second)
+		following := 0
+		for i, counter := range counters {
+			if counter.rows.Load()-before[i] > 600 {
+				following++
+			}
+		}
+		assert.Assert(t, following >= 1 && following <= standby+1, "%d nodes read all heartbeats", following)
+		owner := c.running()
+		c.kill[owner]()
+		c.links[owner].away.Store(true)
+		time.Sleep(5 * time.Second)
+		next := c.running()
+		assert.Assert(t, next >= 0 && next != owner, "node %d owns the cell", next)
+	})
+}
--- a/node/node.go
+++ b/node/node.go
@@ -581,8 +581,16 @@
 	txn := store.Txn{Conditions: []store.Condition{{Key: key, Version: known}}, Writes: []store.Write{{Key: key, Value: value}}}
 	owns := len(heartbeat.Cells) > 0
 	if owns || n.listedAsOwner.Load() {
-		// The last row says that the node has no cells any more.
-		txn.Writes = append(txn.Writes, store.Write{Key: ownership.OwnerRowKey(n.settings.Node), Value: value})
+		// The last row says that the node has no cells any more. All nodes read these rows, and only owners, which follow all heartbeats, need
+		// to know where tasks could be hosted.
+		for i := range heartbeat.Cells {
+			heartbeat.Cells[i] = heartbeat.Cells[i].WithoutPlaces()
+		}
+		ownerRow, err := json.Marshal(heartbeat)
+		if err != nil {
+			return 0, err
+		}
+		txn.Writes = append(txn.Writes, store.Write{Key: ownership.OwnerRowKey(n.settings.Node), Value: ownerRow})
 	}
 	if owns {
 		n.listedAsOwner.Store(true)
--- a/ownership/directory.go
+++ b/ownership/directory.go
@@ -78,6 +78,8 @@
 	// allReadAt is when the rows of all nodes were last read, and ownersOnly is set if only those of owners have been read since.
 	allReadAt  time.Time
 	ownersOnly bool
+	// cells is the number of cells as last given to FollowsAll.
+	cells int
 }
 
 // NewDirectory returns an empty directory of the node self.
@@ -231,27 +233,59 @@
 	// spareOwners is the number of strong nodes beyond one for each cell that must be alive for the other nodes not to follow all
 	// heartbeats.
 	spareOwners = 3
+	// standbyOwners is the number of strong nodes beyond one for each cell that follow all heartbeats, if there are more than maxFullyRead nodes.
+	// What they read is the same for each cell then, however many strong nodes there are.
+	standbyOwners = 8
 )
 
-// FollowsAll reports whether this node has to read the heartbeats of all nodes, because it is one of the likely next owners of a
-// cell. Other nodes need to know the owners only.
-func (d *Directory) FollowsAll(now time.Time, cells int) bool {
-	d.mu.Lock()
-	defer d.mu.Unlock()
-	alive, strong := 0, 0
+// likelyOwners returns the nodes that own cells and those that should take cells next: strong ones, of which those close to the store come
+// first. It returns nil if all nodes are, because there are few. The caller holds mu.
+func (d *Directory) likelyOwners(now time.Time) map[string]bool {
+	type strongNode struct {
+		name string
+		far  bool
+		hash uint64
+	}
+	var strong []strongNode
+	likely, alive := map[string]bool{}, 0
 	for name, m := range d.members {
 		if !d.alive(now, m) || m.heartbeat.Leaving {
 			continue
 		}
 		alive++
+		if len(m.heartbeat.Cells) > 0 {
+			likely[name] = true
+		}
 		if m.heartbeat.capacityHalfCells() >= maxCapacityHalfCells {
-			strong++
-			if name == d.self {
-				return true
+			strong = append(strong, strongNode{name, m.heartbeat.StoreMs > farStoreMs, hashOf(name)})
+		}
+	}
+	if alive <= maxFullyRead || len(strong) < d.cells+spareOwners {
+		return nil
+	}
+	slices.SortFunc(strong, func(a, b strongNode) int {
+		if a.far != b.far {
+			if a.far {
+				return 1
 			}
+			return -1
 		}
+		return cmp.Compare(a.hash, b.hash)
+	})
+	for _, s := range strong[:min(len(strong), d.cells+standbyOwners)] {
+		likely[s.name] = true
 	}
-	return alive <= maxFullyRead || strong < cells+spareOwners
+	return likely
+}
+
+// FollowsAll reports whether this node has to read the heartbeats of all nodes, because it is one of the likely next owners of a
+// cell. Other nodes need to know the owners only.
+func (d *Directory) FollowsAll(now time.Time, cells int) bool {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.cells = cells
+	likely := d.likelyOwners(now)
+	return likely == nil || likely[d.self]
 }
 
 // ChangesSince returns about how many times the known nodes have rewritten their rows in a time.
@@ -497,24 +531,29 @@
 	type candidate struct {
 		Candidate
 		late bool
-		load float64
-		far  bool
-		hash uint64
+		// unlikely nodes may know of the other nodes what they were half a minute ago.
+		unlikely bool
+		load     float64
+		far      bool
+		hash     uint64
 	}
 	var candidates []candidate
 	silentSince := d.lastHeardOwner(cell)
+	likely := d.likelyOwners(now)
 	for name, m := range d.members {
 		if !d.alive(now, m) || m.heartbeat.Leaving {
 			continue
 		}
 		late := !silentSince.IsZero() && !m.joinedAt.Before(silentSince)
-		candidates = append(candidates, candidate{Candidate{name, m.heartbeat.Addr, m.heartbeat.Incarnation, m.heartbeat.Witness}, late, m.heartbeat.loadWithOneMore(), m.heartbeat.StoreMs > farStoreMs, hashOf(cell, name)})
+		candidates = append(candidates, candidate{Candidate{name, m.heartbeat.Addr, m.heartbeat.Incarnation, m.heartbeat.Witness}, late, likely != nil && !likely[name], m.heartbeat.loadWithOneMore(), m.heartbeat.StoreMs > farStoreMs, hashOf(cell, name)})
 	}
 	sort.Slice(candidates, func(a, b int) bool {
 		x, y := candidates[a], candidates[b]
 		switch {
 		case x.late != y.late:
 			return y.late
+		case x.unlikely != y.unlikely:
+			return y.unlikely
 		case x.load != y.load:
 			return x.load < y.load
 		case x.far != y.far:
