Let nodes follow all heartbeats one after another when a cell has no owner

Cause: a cell without an owner for 4 s made all nodes read the heartbeats of all for 30 s. With 300 nodes that is 33 MB/s by calculation, four times what a link of 60 Mbit/s between regions carries, so a lost failure domain could keep the cells without owners. Change: 16 nodes begin, and the number doubles each second. Result: the tests of node pass; not measured at 300 nodes yet.

--- a/node/manynodes_test.go
+++ b/node/manynodes_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"fmt"
 	"sync/atomic"
 	"testing"
 	"testing/synctest"
@@ -142,3 +143,18 @@
 		assert.Assert(t, next >= 0 && next != owner, "node %d owns the cell", next)
 	})
 }
+
+// If all of 300 nodes begin to read all heartbeats at once because a cell has no owner, their reads fill the link between regions.
+func TestFewNodesBeginToFollowAllAtOnce(t *testing.T) {
+	for _, nodes := range []int{9, 48, 300, 1000} {
+		begun, last := 0, time.Duration(0)
+		for i := range nodes {
+			delay := followDelay(fmt.Sprintf("edge-%d", i), nodes)
+			if last = max(last, delay); delay == 0 {
+				begun++
+			}
+		}
+		assert.Assert(t, begun >= min(nodes, firstFollowers)/2 && begun <= 2*firstFollowers, "%d of %d nodes begin at once", begun, nodes)
+		assert.Assert(t, last <= 6*time.Second, "the last of %d nodes begins after %v", nodes, last)
+	}
+}
--- a/node/node.go
+++ b/node/node.go
@@ -5,11 +5,14 @@
 
 import (
 	"context"
+	"crypto/sha256"
+	"encoding/binary"
 	"encoding/json"
 	"errors"
 	"fmt"
 	"io"
 	"maps"
+	"math"
 	"net"
 	"net/http"
 	"os"
@@ -538,7 +541,7 @@
 	n.mu.Lock()
 	defer n.mu.Unlock()
 	for _, since := range n.ownerless {
-		if !since.IsZero() && now.Sub(since) > ownerlessTolerance {
+		if !since.IsZero() && now.Sub(since) > ownerlessTolerance+followDelay(n.settings.Node, n.directory.Size()) {
 			n.followsAllUntil = now.Add(followAllFor)
 		}
 	}
@@ -548,6 +551,19 @@
 	return len(n.cells) > 0 || len(n.acquiring) > 0 || now.Before(n.followsAllUntil) || n.directory.FollowsAll(now, cells)
 }
 
+// firstFollowers is the number of nodes that follow all nodes as soon as a cell has had no owner for ownerlessTolerance. The number doubles each
+// second: when the owners of several cells are lost, and all of 300 nodes begin at once, their reads fill the link between regions, and no
+// node acquires the cells.
+const firstFollowers = 16
+
+// followDelay returns how much later than the first ones a node begins to follow all nodes.
+func followDelay(node string, nodes int) time.Duration {
+	// FNV maps names that differ in the last characters only to similar numbers.
+	digest := sha256.Sum256([]byte(node))
+	position := float64(binary.BigEndian.Uint32(digest[:])) / (1 << 32) * float64(nodes)
+	return time.Duration(math.Log2(max(position/firstFollowers, 1)) * float64(time.Second))
+}
+
 // writeHeartbeat writes this node's heartbeat row, and repeats the write if it gets no response.
 func (n *Node) writeHeartbeat(ctx context.Context) error {
 	sent := time.Now()
--- a/ownership/directory.go
+++ b/ownership/directory.go
@@ -295,6 +295,13 @@
 	return int(min(gap/HeartbeatInterval, time.Hour/HeartbeatInterval)) * len(d.members)
 }
 
+// Size returns the number of nodes that this node has ever read, alive or not.
+func (d *Directory) Size() int {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return len(d.members)
+}
+
 // IsFresh reports whether the directory was read within deadAfter.
 func (d *Directory) IsFresh(now time.Time) bool {
 	d.mu.Lock()
