Learn the run times of short tasks

Cause: estimates of callers are off by up to 0.9 both ways. Latest starts, expected ends and the slowdown of runners took them as exact. Change: package lookahead predicts run times by image from those of ended runs, with a median and an upper quantile. Critical paths (the order by latest start), expected ends of runs and the health of runners use it; objectives don't. Progress that a run has reported corrects its prediction. Metric currantthread_cell_run_time_share. Effect on a deployment not measured.

--- a/dispatch/backfill.go
+++ b/dispatch/backfill.go
@@ -253,22 +253,6 @@
 	}
 }
 
-// expectedEnd returns when a short run ends at its present speed, according to its estimate and its last reported progress.
-func (r *run) expectedEnd(now time.Time) time.Time {
-	if r.stop.wanted {
-		return now
-	}
-	since := r.progressAt
-	if since.IsZero() {
-		since = r.startedAt
-	}
-	left := r.unit.def().Estimated * time.Duration(100-max(r.percent, 0)) / 100 * fullSpeed / time.Duration(max(r.speed, speedStep))
-	if end := since.Add(left); end.After(now) {
-		return end
-	}
-	return now
-}
-
 // showHold sets what placement knows of the hold of a runner. The caller holds mu.
 func (c *Cell) showHold(now time.Time, v *runnerView) {
 	h := c.holds.byService[v.state.info.Service]
--- a/dispatch/cell.go
+++ b/dispatch/cell.go
@@ -17,6 +17,7 @@
 
 	"github.com/currantthread/currantthread/catalog"
 	"github.com/currantthread/currantthread/interference"
+	"github.com/currantthread/currantthread/lookahead"
 	"github.com/currantthread/currantthread/runner"
 	"github.com/currantthread/currantthread/store"
 	"github.com/currantthread/currantthread/workload"
@@ -120,6 +121,8 @@
 	catalog     *catalog.Config
 	evacuated   map[string]bool
 	pressure    *interference.Pressure
+	// runTimes is what this owner has learned of the run times of short tasks. It is kept in memory only.
+	runTimes *lookahead.RunTimes
 	// pressureWrittenAt is when what was learned was last added to a commit.
 	pressureWrittenAt time.Time
 	advice            map[equivClass]*advice
@@ -203,7 +206,7 @@
 		unresolved: map[string]*unresolvedRunner{}, inherited: map[string]bool{},
 		silentLeaseEnds: map[string]time.Time{}, inheritedLongLeases: map[string]time.Time{},
 		pending: map[string]int{}, planWake: make(chan struct{}, 1), flushWake: make(chan struct{}, 1),
-		done: make(chan struct{}), catalog: &catalog.Config{}, pressure: interference.NewPressure(),
+		done: make(chan struct{}), catalog: &catalog.Config{}, pressure: interference.NewPressure(), runTimes: lookahead.NewRunTimes(),
 		steps: durableSteps{early: map[*jobState]bool{}}, advice: map[equivClass]*advice{}, terminated: map[string]bool{},
 		waits: waitCheck{loggedAt: map[waitKey]time.Time{}}, listedSilent: map[string]bool{}, listedClosed: map[string]bool{}, census: census{indexed: map[string]bool{}}, delegating: map[*jobState]bool{}, returning: map[*jobState]bool{}, refusedBy: map[string]refusal{},
 		holds: holds{map[string]*hold{}, map[string]time.Time{}},
@@ -444,6 +447,7 @@
 	u.phase = phaseReady
 	u.readyAt = time.Now()
 	u.beginWait(u.readyAt)
+	c.updateCriticalPath(u.readyAt, u.job)
 	c.ready = append(c.ready, u)
 	wake(c.planWake)
 }
--- a/dispatch/commands.go
+++ b/dispatch/commands.go
@@ -30,7 +30,8 @@
 
 // startRun creates a run and sends its start command. The caller holds mu.
 func (c *Cell) startRun(ctx context.Context, now time.Time, u *unit, member, number int, rs *runnerState) {
-	r := &run{unit: u, member: member, number: number, runner: rs, startedAt: now, percent: -1, speed: fullSpeed, pace: startedPace()}
+	r := &run{unit: u, member: member, number: number, runner: rs, startedAt: now, percent: -1, speed: fullSpeed, pace: startedPace(),
+		startSeen: true, predicted: c.predictStep(u.job.def, u.step)}
 	c.attach(r)
 	c.commandStart(ctx, now, r)
 }
--- a/dispatch/health.go
+++ b/dispatch/health.go
@@ -32,18 +32,21 @@
 	failures     float64 // moving average of failed runs, 0 to 1
 	suspicions   int     // consecutive, without a successful run
 	suspectUntil time.Time
-	// ratio is the moving average of run time over estimate; 0 until the first run.
+	// ratio is the moving average of run time over expected run time; 0 until the first run.
 	ratio float64
 }
 
 func (h *health) succeeded(now time.Time, r *run) {
 	h.failures -= failureGain * h.failures
 	h.suspicions = 0
-	estimate := r.unit.def().Estimated
-	if estimate <= 0 || r.unit.run > 1 || r.unit.def().BestEffort {
+	expected := r.predicted.Typical
+	if expected <= 0 {
+		expected = r.unit.def().Estimated
+	}
+	if expected <= 0 || r.unit.run > 1 || r.unit.def().BestEffort {
 		return
 	}
-	ratio := float64(now.Sub(r.startedAt)) / float64(estimate)
+	ratio := float64(now.Sub(r.startedAt)) / float64(expected)
 	if h.ratio == 0 {
 		h.ratio = 1
 	}
@@ -72,7 +75,7 @@
 
 func (h *health) suspect(now time.Time) bool { return now.Before(h.suspectUntil) }
 
-// slowdown returns the factor by which runs on this runner take longer than estimated, at least 1.
+// slowdown returns the factor by which runs on this runner take longer than expected, at least 1.
 func (h *health) slowdown() float64 { return max(h.ratio, 1) }
 
 // suspectJobRunners is the number of other runners on which tasks of a job must have failed before for the job to count
--- a/dispatch/job.go
+++ b/dispatch/job.go
@@ -136,9 +136,11 @@
 // jobState is the owner's state of a job.
 type jobState struct {
 	def *workload.Job
-	// criticalPath is, for each step, the longest estimated time from its start to the end of the job.
+	// criticalPath is, for each step, the longest expected time from its start to the end of the job. The objective is that of the estimates.
 	criticalPath []time.Duration
-	state        workload.State
+	// pathUpdatedAt is when criticalPath was last computed from learned run times; zero while it is that of the estimates.
+	pathUpdatedAt time.Time
+	state         workload.State
 	// durableState is the last terminal state that is durable. Clients see a terminal state only once it is.
 	durableState workload.State
 	started      bool
--- a/dispatch/metrics.go
+++ b/dispatch/metrics.go
@@ -4,9 +4,11 @@
 	"iter"
 	"maps"
 	"slices"
+	"time"
 
 	"github.com/prometheus/client_golang/prometheus"
 
+	"github.com/currantthread/currantthread/lookahead"
 	"github.com/currantthread/currantthread/observe"
 )
 
@@ -36,6 +38,8 @@
 	delegations *prometheus.CounterVec
 	// objectiveShare is the time of a completed job as a share of its objective, by queue.
 	objectiveShare *prometheus.HistogramVec
+	// runTimeShare is the run time of short tasks as a share of the expected one, by what the expectation was based on.
+	runTimeShare *prometheus.HistogramVec
 	// waiting counts tasks without a confirmed run by reason, and runs counts runs by phase.
 	waiting, runs *prometheus.GaugeVec
 	unresolved    prometheus.Gauge
@@ -67,6 +71,12 @@
 	share := prometheus.NewHistogramVec(prometheus.HistogramOpts{Namespace: observe.Namespace, Subsystem: "cell", Name: "job_objective_share",
 		Help: "Time of completed jobs as a share of their objectives.", Buckets: shareBuckets}, []string{"queue"})
 	registry.MustRegister(share)
+	runTimeShare := prometheus.NewHistogramVec(prometheus.HistogramOpts{Namespace: observe.Namespace, Subsystem: "cell", Name: "run_time_share",
+		Help: "Run time of short tasks as a share of the expected run time.", Buckets: runTimeShareBuckets}, []string{"basis"})
+	registry.MustRegister(runTimeShare)
+	for _, basis := range []string{basisEstimate, basisLearned} {
+		runTimeShare.WithLabelValues(basis)
+	}
 	gauges := func(name, help, label string) *prometheus.GaugeVec {
 		g := prometheus.NewGaugeVec(prometheus.GaugeOpts{Namespace: observe.Namespace, Subsystem: "cell", Name: name, Help: help}, []string{label})
 		registry.MustRegister(g)
@@ -96,6 +106,7 @@
 		ownershipAge:   histogram("start_ownership_age_seconds", "Time from the last successful commit to a start command."),
 		reportAge:      histogram("start_report_age_seconds", "Time from the runner's last report to a start command."),
 		objectiveShare: share,
+		runTimeShare:   runTimeShare,
 		stalls:         counter("stalls_total", "Runs stopped for want of progress."),
 		interruptions:  counter("owner_interruptions_total", "Times at which an owner had not run for more than 0.5 s."),
 		outages:        counter("outage_confirmations_total", "Outages of the store that another node has confirmed to an owner."),
@@ -119,6 +130,27 @@
 	return m
 }
 
+// runTimeShareBuckets divide the share of the expected run time. Estimates may be off by a factor of 10.
+var runTimeShareBuckets = []float64{0.1, 0.25, 0.5, 0.75, 0.9, 1.1, 1.25, 1.5, 2, 4, 8}
+
+// Values of the label basis: what an expected run time was based on.
+const (
+	basisEstimate = "estimate"
+	basisLearned  = "learned"
+)
+
+// observePrediction records the run time of a task and the prediction for it. Tasks without an estimate have none at first.
+func (m *Metrics) observePrediction(p lookahead.Prediction, took time.Duration) {
+	if p.Typical <= 0 {
+		return
+	}
+	basis := basisEstimate
+	if p.Learned {
+		basis = basisLearned
+	}
+	m.runTimeShare.WithLabelValues(basis).Observe(took.Seconds() / p.Typical.Seconds())
+}
+
 // serve makes the gauges of all labels exist.
 func serve[L ~string](gauges *prometheus.GaugeVec, labels iter.Seq[L]) {
 	for label := range labels {
--- a/dispatch/run.go
+++ b/dispatch/run.go
@@ -7,6 +7,7 @@
 
 	"github.com/sirupsen/logrus"
 
+	"github.com/currantthread/currantthread/lookahead"
 	"github.com/currantthread/currantthread/runner"
 	"github.com/currantthread/currantthread/workload"
 )
@@ -69,6 +70,10 @@
 	// overTargetSince is when a serving task was first reported over its latency target; zero if the last report did not
 	// show it over the target.
 	overTargetSince time.Time
+	// startSeen is set for short runs that this owner has started, and predicted is the run time that was expected then. The start of an adopted run
+	// is not known.
+	startSeen bool
+	predicted lookahead.Prediction
 	// pausedSince is when the wanted speed last became 0; zero if it is not 0.
 	pausedSince time.Time
 }
--- a/dispatch/runnerstate.go
+++ b/dispatch/runnerstate.go
@@ -542,6 +542,7 @@
 	}
 	switch endReason {
 	case runner.EndDone:
+		c.learnRunTime(now, r)
 		rs.health.succeeded(now, r)
 		if u.def().LongRunning {
 			break
--- a/workload/workload.go
+++ b/workload/workload.go
@@ -151,6 +151,11 @@
 
 // CriticalPath returns, for each step, the estimated time of the critical path that begins with it.
 func (j *Job) CriticalPath() []time.Duration {
+	return j.CriticalPathOf(func(step int) time.Duration { return j.Steps[step].Estimated })
+}
+
+// CriticalPathOf returns, for each step, the time of the critical path that begins with it if the tasks of a step take the given time.
+func (j *Job) CriticalPathOf(runTime func(step int) time.Duration) []time.Duration {
 	path := make([]time.Duration, len(j.Steps))
 	var visit func(i int) time.Duration
 	followers := make([][]int, len(j.Steps))
@@ -169,7 +174,7 @@
 		for _, f := range followers[i] {
 			longest = max(longest, visit(f))
 		}
-		path[i] = longest + j.Steps[i].Estimated
+		path[i] = longest + runTime(i)
 		return path[i]
 	}
 	for i := range j.Steps {
