Complete steps that have begun before others begin

Cause: within a class tasks went by their latest start alone. The last task of a wide step decides when it ends, and waited behind the first tasks of other jobs. Change: among tasks of the same priority, class and turn, those that have run before or are the last fourth of their step go first. Latest starts are computed once in a plan. Effect on a deployment not measured.

--- a/dispatch/job.go
+++ b/dispatch/job.go
@@ -54,6 +54,7 @@
 	// latenessClass is the lateness as of the last plan, and turn how many runs of the job go before the unit. It is 0 unless the
 	// unit shares capacity.
 	latenessClass, turn int
+	rank                rank
 	runs                []*run
 	// recovered units were accepted under an earlier owner. Runs that this owner has not seen yet may exist.
 	recovered bool
@@ -127,6 +128,8 @@
 	left int
 	// durable is set once it is durable that all units are done.
 	durable bool
+	// waiting is the number of ready units as of the last plan.
+	waiting int
 	// onRunner counts active runs of the step by runner.
 	onRunner map[string]int
 	// load is the learned load of serving tasks.
--- a/dispatch/plan.go
+++ b/dispatch/plan.go
@@ -200,10 +200,11 @@
 	}
 }
 
-// sortReady orders restarts of long-running tasks first, then units by priority, then by class of lateness, then by turn, then by the latest start that
-// meets their objective. When the runners are overloaded, late units wait for those that can still meet their objective.
+// sortReady orders restarts of long-running tasks first, then units by priority, then by class of lateness, then by turn, then those that complete a
+// step that has begun, then by the latest start that meets their objective. When the runners are overloaded, late units wait for those that can still meet their objective.
 func (c *Cell) sortReady(now time.Time) {
 	c.classifyReady(now)
+	c.rankReady()
 	sort.SliceStable(c.ready, func(a, b int) bool {
 		x, y := c.ready[a], c.ready[b]
 		if rx, ry := x.isRestart(), y.isRestart(); rx != ry {
@@ -221,7 +222,7 @@
 		if cx, cy := x.pieceSize(), y.pieceSize(); cx != cy {
 			return cx > cy
 		}
-		return x.latestStart().Before(y.latestStart())
+		return x.rank.before(y.rank)
 	})
 }
 
