Hold runners for short tasks that smaller ones pass over

Cause: a runner was held for best-effort tasks only, and whether a task ends before was decided by its estimate. A task of 2.7 cores at the head of the queue waited while tasks of 1.8 cores took each piece of capacity that became free. Tasks of a higher priority, tasks that end before by the upper quantile of their run time, and tasks that fit beside the held-for one start there. The hold for best-effort tasks is a case of the same mechanism and as before except that ends follow learned run times. Metric currantthread_cell_held_runners_total. Effect on a deployment not measured.

--- a/dispatch/backfill.go
+++ b/dispatch/backfill.go
@@ -8,17 +8,20 @@
 	"github.com/sirupsen/logrus"
 
 	"github.com/currantthread/currantthread/interference"
+	"github.com/currantthread/currantthread/lookahead"
 	"github.com/currantthread/currantthread/placement"
+	"github.com/currantthread/currantthread/workload"
 )
 
-// Smaller tasks use each piece of idle processor time and of headroom that becomes free, so a large best-effort task would wait until none of
-// them is left. Of each service, one runner at a time is therefore held for a step whose job has had nothing running for holdWaitBound. Meanwhile
-// other short tasks start there only if they should end before that step starts.
+// Smaller tasks use each piece of idle processor time and of headroom that becomes free, so a large short task would wait until none of
+// them is left. Runners are therefore held for such tasks: of each service, one at a time for a best-effort step whose job has had nothing running for
+// holdWaitBound, and a few for steps that commit processor time and are passed over by smaller ones (reserve.go). Meanwhile other short tasks
+// start there only if they should end before the step starts.
 
 const (
-	// holdWaitBound is how long a job has had nothing running before a runner is held for it.
+	// holdWaitBound is how long a job has had nothing running before a runner is held for its best-effort tasks.
 	holdWaitBound = 1 * time.Second
-	// maxHoldTime bounds how long a runner is held, because tasks there may take longer than estimated and serving tasks may need more.
+	// maxHoldTime bounds how long a runner is held, because tasks there may take longer than expected and serving tasks may need more.
 	maxHoldTime = 4 * time.Second
 	// holdRetry is the time between two searches for a runner to hold, if the first one found none.
 	holdRetry = 100 * time.Millisecond
@@ -31,29 +34,66 @@
 	since  time.Time
 	// startAt is when the step was expected to start as of since.
 	startAt time.Time
+	// commits is set if the tasks of the step commit processor time, and spare is what remains beside one of them when it starts, as of
+	// the last plan.
+	commits bool
+	spare   workload.Resources
 }
 
-// holds are the held runners of a cell by service, at most one for each.
+// holds are the held runners of a cell.
 type holds struct {
-	byService map[string]*hold
-	// searchedAt is when no runner to hold was found for a step of the service.
-	searchedAt map[string]time.Time
+	// byService holds those of each service: at most one for a best-effort step, and at most lookahead.MaxReservations in all beside it.
+	byService map[string][]*hold
+	// searchedAt is when no runner to hold was found for a best-effort step of the service, and reserveSearchedAt for another one.
+	searchedAt, reserveSearchedAt map[string]time.Time
+}
+
+// bestEffort returns the hold for a best-effort step of a service, or nil if there is none.
+func (h *holds) bestEffort(service string) *hold {
+	for _, held := range h.byService[service] {
+		if !held.commits {
+			return held
+		}
+	}
+	return nil
+}
+
+// isHeld reports whether a runner is held.
+func (h *holds) isHeld(rs *runnerState) bool {
+	return slices.ContainsFunc(h.byService[rs.info.Service], func(held *hold) bool { return held.runner == rs })
+}
+
+// add adds a hold.
+func (h *holds) add(service string, held *hold) {
+	h.byService[service] = append(h.byService[service], held)
 }
 
 // updateHolds releases the runners whose steps have started, wait no more or can't start there, and holds others. The views are those of
 // the plan that begins. The caller holds mu.
 func (c *Cell) updateHolds(now time.Time, views []*runnerView) {
-	running := runningJobs(views)
-	for service, h := range c.holds.byService {
-		if why := c.releaseReason(now, h, views, running[h.job]); why != "" {
-			c.release(now, service, h, why)
+	running := map[*jobState]bool{}
+	if len(c.holds.byService) > 0 || slices.ContainsFunc(c.ready, func(u *unit) bool { return u.def().BestEffort }) {
+		running = runningJobs(views)
+	}
+	for service, held := range c.holds.byService {
+		held = slices.DeleteFunc(held, func(h *hold) bool {
+			why := c.releaseReason(now, h, views, running[h.job])
+			if why != "" {
+				c.release(now, h, why)
+			}
+			return why != ""
+		})
+		c.holds.byService[service] = held
+		if len(held) == 0 {
+			delete(c.holds.byService, service)
 		}
 	}
 	for service, u := range c.waitingForHold(now, running) {
-		if c.holds.byService[service] == nil && now.Sub(c.holds.searchedAt[service]) >= holdRetry {
+		if c.holds.bestEffort(service) == nil && now.Sub(c.holds.searchedAt[service]) >= holdRetry {
 			c.holdFor(now, service, u, views)
 		}
 	}
+	c.reserveForPassedOver(now, views)
 	for _, v := range views {
 		c.showHold(now, v)
 	}
@@ -133,16 +173,21 @@
 	switch {
 	case u == nil:
 		return "the step waits no more"
-	case running:
+	case !h.commits && running:
 		return "the job has started"
 	case i < 0 || !views[i].candidate.Available || views[i].state.info.Service != c.serviceOf(h.job):
 		return "the runner is unavailable"
 	case now.Sub(h.since) >= maxHoldTime:
 		return holdTimedOut
 	}
-	if _, ok := c.expectedStart(now, u, views[i]); !ok {
+	if h.commits && h.hasStarted() {
+		return "a task of the step has started"
+	}
+	_, then, ok := c.expectedState(now, u, views[i])
+	if !ok {
 		return "the runner can't take the task any more"
 	}
+	h.spare = then.Free().Sub(u.def().Committed())
 	return ""
 }
 
@@ -163,42 +208,48 @@
 // holdTimedOut is why a runner is released on which a step has not started within maxHoldTime.
 const holdTimedOut = "the time is over"
 
-// release ends a hold. If its time is over, others get their turn before another runner is held for its job. The caller holds mu.
-func (c *Cell) release(now time.Time, service string, h *hold, why string) {
-	delete(c.holds.byService, service)
+// release notes the end of a hold. If its time is over, others get their turn before another runner is held for its job. The caller holds mu.
+func (c *Cell) release(now time.Time, h *hold, why string) {
 	if why == holdTimedOut {
 		h.job.idleSince, h.job.heldBefore = now, h.runner.info.ID
+		h.job.occs[h.occ].steps[h.step].holdEndedAt = now
 	}
 	c.cfg.Log.WithFields(logrus.Fields{"cell": c.cfg.Name, "request": h.job.def.ID, "step": h.step, "runner": h.runner.info.ID, "why": why,
 		"held_ms": now.Sub(h.since).Milliseconds()}).Debug("held runner released")
 }
 
-// holdFor holds the runner on which a unit can start first. A runner that was held for its job before comes last. The caller holds mu.
-func (c *Cell) holdFor(now time.Time, service string, u *unit, views []*runnerView) {
+// holdFor holds the runner on which a unit can start first. A runner that was held for its job before comes last. It reports whether there is
+// one. The caller holds mu.
+func (c *Cell) holdFor(now time.Time, service string, u *unit, views []*runnerView) bool {
 	var best *runnerView
 	var startAt time.Time
+	var spare workload.Resources
+	commits := !u.def().BestEffort
 	permitted := c.permittedRunners(now, u, views)
 	for _, v := range views {
-		if v.state.info.Service != service || v.candidate.OverTarget || !permitted[v.candidate.ID] {
+		if v.state.info.Service != service || v.candidate.OverTarget || !permitted[v.candidate.ID] || c.holds.isHeld(v.state) {
 			continue
 		}
-		at, ok := c.expectedStart(now, u, v)
+		at, then, ok := c.expectedState(now, u, v)
 		if !ok {
 			continue
 		}
 		again := v.candidate.ID == u.job.heldBefore
 		if best == nil || best.candidate.ID == u.job.heldBefore || !again && at.Before(startAt) {
-			best, startAt = v, at
+			best, startAt, spare = v, at, then.Free().Sub(u.def().Committed())
 		}
 	}
 	if best == nil {
-		c.holds.searchedAt[service] = now
-		u.job.idleSince = now
-		return
+		if !commits {
+			c.holds.searchedAt[service], u.job.idleSince = now, now
+		}
+		return false
 	}
-	c.holds.byService[service] = &hold{equivClass{u.job, u.occ, u.step}, best.state, now, startAt}
+	c.holds.add(service, &hold{equivClass{u.job, u.occ, u.step}, best.state, now, startAt, commits, spare})
+	c.cfg.Metrics.holds.Inc()
 	c.cfg.Log.WithFields(logrus.Fields{"cell": c.cfg.Name, "task": u.task(0).String(), "runner": best.candidate.ID, "cpu": u.def().Resources.CPU,
 		"idle_ms": now.Sub(u.idleSince()).Milliseconds(), "start_ms": startAt.Sub(now).Milliseconds()}).Debug("runner held for a waiting task")
+	return true
 }
 
 // permittedRunners returns the runners on which the unit may start according to its advice. The caller holds mu.
@@ -217,27 +268,42 @@
 // expectedStart returns when a unit can start on a runner if no further short task starts there; false if it can't even once all have ended.
 // That a serving task is over its target now does not count. The caller holds mu.
 func (c *Cell) expectedStart(now time.Time, u *unit, v *runnerView) (time.Time, bool) {
+	at, _, ok := c.expectedState(now, u, v)
+	return at, ok
+}
+
+// expectedState is expectedStart that also returns the runner at that time. The caller holds mu.
+func (c *Cell) expectedState(now time.Time, u *unit, v *runnerView) (at time.Time, then placement.Candidate, ok bool) {
 	request := c.placementRequest(u, map[string]int{})
-	e := *v.candidate
-	e.Held, e.Reserved, e.OverTarget = false, false, false
-	e.Serving = slices.Clone(e.Serving)
+	then = *v.candidate
+	then.Held, then.HeldCommitment, then.Reserved, then.OverTarget = false, nil, false, false
+	then.Serving = slices.Clone(then.Serving)
 	var short []*run
 	for r := range v.state.runs {
 		if !r.unit.def().LongRunning {
 			short = append(short, r)
 		}
 	}
-	slices.SortFunc(short, func(a, b *run) int { return a.expectedEnd(now).Compare(b.expectedEnd(now)) })
-	at := now
-	for placement.ExcludedBy(request, &e) != "" {
-		if len(short) == 0 {
-			return time.Time{}, false
-		}
-		at = short[0].expectedEnd(now)
-		c.recordEnd(now, &e, short[0])
-		short = short[1:]
+	type ending struct {
+		run *run
+		at  time.Time
+	}
+	endings := make([]ending, len(short))
+	for i, r := range short {
+		endings[i] = ending{r, r.expectedEnd(now)}
 	}
-	return at, true
+	slices.SortFunc(endings, func(a, b ending) int { return a.at.Compare(b.at) })
+	ends := make([]time.Time, len(endings))
+	for i, e := range endings {
+		ends[i] = e.at
+	}
+	at, ok = lookahead.EarliestStart(now, ends, func(ended int) bool {
+		if ended > 0 {
+			c.recordEnd(now, &then, endings[ended-1].run)
+		}
+		return placement.ExcludedBy(request, &then) == ""
+	})
+	return at, then, ok
 }
 
 // recordEnd updates a candidate for a short run that has ended there. The caller holds mu.
@@ -255,10 +321,15 @@
 
 // showHold sets what placement knows of the hold of a runner. The caller holds mu.
 func (c *Cell) showHold(now time.Time, v *runnerView) {
-	h := c.holds.byService[v.state.info.Service]
-	v.candidate.Held = h != nil && h.runner == v.state
-	if v.candidate.Held {
-		v.candidate.HeldFor = h.startAt.Sub(now)
+	v.candidate.Held, v.candidate.HeldCommitment = false, nil
+	for _, h := range c.holds.byService[v.state.info.Service] {
+		if h.runner != v.state {
+			continue
+		}
+		v.candidate.Held, v.candidate.HeldFor = true, h.startAt.Sub(now)
+		if h.commits {
+			v.candidate.HeldCommitment = &placement.HeldCommitment{Priority: h.job.def.Policy.Priority, Spare: h.spare}
+		}
 	}
 }
 
@@ -267,8 +338,11 @@
 	if len(c.holds.byService) == 0 {
 		return nil
 	}
-	if h := c.holds.byService[c.serviceOf(u.job)]; h != nil && h.equivClass == (equivClass{u.job, u.occ, u.step}) {
-		return h
+	key := equivClass{u.job, u.occ, u.step}
+	for _, h := range c.holds.byService[c.serviceOf(u.job)] {
+		if h.equivClass == key {
+			return h
+		}
 	}
 	return nil
 }
--- a/dispatch/metrics.go
+++ b/dispatch/metrics.go
@@ -32,6 +32,8 @@
 	ownershipAge, reportAge prometheus.Histogram
 	// delegated counts tasks offered to other cells, withdrawn those that were taken back, and takenOver those of other cells.
 	delegated, withdrawn, takenOver prometheus.Counter
+	// holds counts runners that were held for a short task.
+	holds prometheus.Counter
 	// placements counts searches for a runner for a ready unit.
 	placements prometheus.Counter
 	// delegations counts requests to other cells to take tasks over, by their outcome.
@@ -120,6 +122,7 @@
 		takenOver:      counter("taken_over_tasks_total", "Tasks taken over from other cells."),
 		longLeases:     counter("long_leases_total", "Leases that a restarted runner has granted on the clock of its former process, so that they end later."),
 		left:           counter("left_runners_total", "Runners of the cells that service discovery shows to have left."),
+		holds:          counter("held_runners_total", "Runners held for short tasks that smaller ones pass over."),
 		placements:     counter("placement_attempts_total", "Searches for a runner for a ready task."),
 	}
 	serve(m.waiting, maps.Keys(waitLevels))
--- a/dispatch/plan.go
+++ b/dispatch/plan.go
@@ -61,7 +61,7 @@
 	// Units that will soon restart are served after those that restart now.
 	ahead := c.unitsOnSilentRunners(now)
 	c.sortReady(now)
-	if len(c.holds.byService) > 0 || slices.ContainsFunc(c.ready, func(u *unit) bool { return u.def().BestEffort }) {
+	if len(c.holds.byService) > 0 || slices.ContainsFunc(c.ready, func(u *unit) bool { return !u.def().LongRunning }) {
 		c.updateHolds(now, views)
 	}
 	blocked := map[equivClass]bool{}
@@ -384,7 +384,8 @@
 func (c *Cell) placementRequest(u *unit, placed map[string]int) *placement.Request {
 	def := u.def()
 	onRunner := u.stepState().onRunner
-	return &placement.Request{Step: def, Avoid: u.avoid, HeldRunner: c.heldRunner(u),
+	return &placement.Request{Step: def, Avoid: u.avoid, HeldRunner: c.heldRunner(u), RunTime: c.predictStep(u.job.def, u.step),
+		Priority: u.job.def.Policy.Priority,
 		OnRunner: func(id string) int { return onRunner[id] + placed[id] },
 		Pressure: func(serving string) float64 {
 			return c.pressure.Coefficient(interference.Pair{Serving: serving, BestEffort: def.Image})
@@ -405,6 +406,7 @@
 func recordPlacement(p *placement.Candidate, r *placement.Request) {
 	p.Committed = p.Committed.Add(r.Step.Committed())
 	p.UsedCPU += expectedCPU(r.Step)
+	r.UseSpare(p)
 	if r.Step.BestEffort {
 		share := float64(r.Step.Resources.CPU) / float64(max(p.Capacity.CPU, 1))
 		for i := range p.Serving {
--- a/dispatch/planscale_test.go
+++ b/dispatch/planscale_test.go
@@ -44,9 +44,17 @@
 
 // A plan of a cell of 500 runners with 10,000 waiting tasks, none of which fits.
 func BenchmarkPlanOfManyWaitingTasks(b *testing.B) {
-	s := busyCell(b, 500)
-	for b.Loop() {
-		s.plan(b.Context(), s.now)
+	for _, waited := range []time.Duration{0, 2 * time.Second} {
+		b.Run("waited="+waited.String(), func(b *testing.B) {
+			s := busyCell(b, 500)
+			s.now = s.now.Add(waited)
+			for _, rs := range s.runners {
+				rs.lastResponseAt = s.now
+			}
+			for b.Loop() {
+				s.plan(b.Context(), s.now)
+			}
+		})
 	}
 }
 
--- /dev/null
+++ b/dispatch/reserve.go
@@ -0,0 +1,92 @@
+package dispatch
+
+import (
+	"time"
+
+	"github.com/currantthread/currantthread/lookahead"
+	"github.com/currantthread/currantthread/workload"
+)
+
+// maxReserveSearches bounds the searches for a runner to hold in one plan, each of which looks at the runs of all runners of a service.
+const maxReserveSearches = 2
+
+// waitingSteps are the steps of a service whose waiting tasks commit processor time, in the order of the queue.
+type waitingSteps struct {
+	steps []lookahead.Waiting
+	// first holds the first waiting unit of each step.
+	first []*unit
+}
+
+// reserveForPassedOver holds runners for short steps that commit processor time and are passed over by smaller ones. The queue is sorted. The
+// caller holds mu.
+func (c *Cell) reserveForPassedOver(now time.Time, views []*runnerView) {
+	waiting := c.waitingSteps(now)
+	if len(waiting) == 0 {
+		return
+	}
+	searches := 0
+	for service, w := range waiting {
+		if now.Sub(c.holds.reserveSearchedAt[service]) < holdRetry {
+			continue
+		}
+		runners, mostFree := serviceFree(service, views)
+		limit := lookahead.MaxReservations(runners) - len(c.holds.byService[service])
+		for _, i := range lookahead.PassedOver(w.steps, mostFree, limit) {
+			if searches >= maxReserveSearches {
+				return
+			}
+			searches++
+			if !c.holdFor(now, service, w.first[i], views) {
+				c.holds.reserveSearchedAt[service] = now
+			}
+		}
+	}
+}
+
+// waitingSteps returns the steps of the ready units by service, if some of them may be passed over. Best-effort tasks commit no processor time
+// and pass over nothing. The caller holds mu.
+func (c *Cell) waitingSteps(now time.Time) map[string]*waitingSteps {
+	var byService map[string]*waitingSteps
+	var last *unit
+	for _, u := range c.ready {
+		if last != nil && u.sharesStep(last) || u.phase != phaseReady || u.job.state.Terminal() || u.def().BestEffort || c.awaitsUnresolved(u) {
+			continue
+		}
+		last = u
+		if byService == nil {
+			byService = map[string]*waitingSteps{}
+		}
+		service := c.serviceOf(u.job)
+		w := byService[service]
+		if w == nil {
+			w = &waitingSteps{}
+			byService[service] = w
+		}
+		w.first = append(w.first, u)
+		w.steps = append(w.steps, lookahead.Waiting{Demand: u.def().Committed(), Priority: u.job.def.Policy.Priority,
+			Waited:   min(now.Sub(u.waitsSince()), now.Sub(u.stepState().holdEndedAt)),
+			Eligible: !u.def().LongRunning && u.size == 1 && u.latenessClass != classTooLate, Reserved: c.holdOf(u) != nil})
+	}
+	return byService
+}
+
+// serviceFree returns the number of runners of a service that take tasks, and the most of each resource that any of them has free.
+func serviceFree(service string, views []*runnerView) (runners int, mostFree workload.Resources) {
+	for _, v := range views {
+		if v.state.info.Service == service && v.candidate.Available {
+			runners++
+			mostFree = mostFree.Max(v.candidate.Free())
+		}
+	}
+	return runners, mostFree
+}
+
+// hasStarted reports whether a task of the step has started on the runner since it is held.
+func (h *hold) hasStarted() bool {
+	for r := range h.runner.runs {
+		if u := r.unit; u.job == h.job && u.occ == h.occ && u.step == h.step && !r.startedAt.Before(h.since) {
+			return true
+		}
+	}
+	return false
+}
--- a/placement/placement.go
+++ b/placement/placement.go
@@ -5,6 +5,7 @@
 import (
 	"time"
 
+	"github.com/currantthread/currantthread/lookahead"
 	"github.com/currantthread/currantthread/workload"
 )
 
@@ -32,10 +33,12 @@
 	// Reserved is set for a runner that is kept for a long-running task that does not fit yet. Best-effort tasks, and
 	// other long-running tasks that fit, may still start there.
 	Reserved bool
-	// Held is set for a runner that is held for a best-effort task which is expected to start there after HeldFor. Other short tasks may start
-	// there only if they should end before.
+	// Held is set for a runner that is held for a short task which is expected to start there after HeldFor. Other short tasks may start
+	// there only if they should end before, or if HeldCommitment says so.
 	Held    bool
 	HeldFor time.Duration
+	// HeldCommitment is set if the runner is held for a task that commits processor time.
+	HeldCommitment *HeldCommitment
 	// Remote is set for runners in another region than the cell's owner.
 	Remote bool
 	// Slowdown is the learned factor of run times on this runner against others; 1 is normal.
@@ -44,6 +47,14 @@
 	Suspect bool
 }
 
+// HeldCommitment describes a task that commits processor time and for which a runner is held.
+type HeldCommitment struct {
+	// Priority of the task. Tasks that go before it are not kept off.
+	Priority int
+	// Spare is what remains beside the task when it starts. Other tasks may use it, whatever time they take.
+	Spare workload.Resources
+}
+
 // Serving is a task with a latency target on a runner.
 type Serving struct {
 	Image string
@@ -73,6 +84,10 @@
 	Avoid string
 	// HeldRunner is the runner that is held for the task; empty if none.
 	HeldRunner string
+	// RunTime is the expected run time. Without one, the estimate of the step is taken as exact.
+	RunTime lookahead.Prediction
+	// Priority of the task's job. 0 comes first.
+	Priority int
 	// Rack, if set, is the only rack that is allowed. Dispatch does not set it yet.
 	Rack string
 	// Pressure returns how much of a serving task's capacity the request's tasks would take if they used a whole runner.
@@ -106,8 +121,28 @@
 }
 
 func isNotHeld(r *Request, c *Candidate) bool {
-	endsBefore := r.Step.Estimated > 0 && r.Step.Estimated <= c.HeldFor
-	return !c.Held || r.Step.LongRunning || r.HeldRunner == c.ID || endsBefore
+	if !c.Held || r.Step.LongRunning || r.HeldRunner == c.ID || r.endsBefore(c.HeldFor) {
+		return true
+	}
+	h := c.HeldCommitment
+	return h != nil && (r.Priority < h.Priority || r.Step.Committed().Fits(h.Spare))
+}
+
+// endsBefore reports whether the task is certain enough to end within a time.
+func (r *Request) endsBefore(within time.Duration) bool {
+	p := r.RunTime
+	if p.Typical <= 0 {
+		p = lookahead.Estimated(r.Step.Estimated)
+	}
+	return p.EndsBefore(within)
+}
+
+// UseSpare takes the task out of what remains beside the task for which a runner is held, unless it ends before that one starts.
+func (r *Request) UseSpare(c *Candidate) {
+	if c.HeldCommitment == nil || r.HeldRunner == c.ID || !r.Step.LongRunning && r.endsBefore(c.HeldFor) {
+		return
+	}
+	c.HeldCommitment.Spare = c.HeldCommitment.Spare.Sub(r.Step.Committed())
 }
 
 func hasCapacity(r *Request, c *Candidate) bool { return r.Step.Committed().Fits(c.Free()) }
--- a/placement/placement_test.go
+++ b/placement/placement_test.go
@@ -7,6 +7,7 @@
 
 	"gotest.tools/v3/assert"
 
+	"github.com/currantthread/currantthread/lookahead"
 	"github.com/currantthread/currantthread/workload"
 )
 
@@ -31,7 +32,10 @@
 		on     int
 		rack   string
 		held   string
-		want   bool
+		// priority is that of the task; the runner is held for one of priority 2.
+		priority int
+		runTime  lookahead.Prediction
+		want     bool
 		// by is the filter that excludes the runner.
 		by string
 	}{
@@ -64,6 +68,17 @@
 			change: func(c *Candidate) { c.Held, c.HeldFor = true, time.Second }, want: true},
 		"long-running on a held runner": {step: workload.Step{Resources: cpu(4000), LongRunning: true},
 			change: func(c *Candidate) { c.Held = true }, want: true},
+		"ends before by its estimate only": {step: workload.Step{Resources: cpu(4000), Estimated: time.Second}, runTime: lookahead.Prediction{
+			Typical: 900 * time.Millisecond, Upper: 1100 * time.Millisecond}, change: func(c *Candidate) { c.Held, c.HeldFor = true, time.Second }, by: "held"},
+		"ends before although its estimate is too high": {step: workload.Step{Resources: cpu(4000), Estimated: 2 * time.Second},
+			runTime: lookahead.Prediction{Typical: 800 * time.Millisecond, Upper: time.Second},
+			change:  func(c *Candidate) { c.Held, c.HeldFor = true, time.Second }, want: true},
+		"beside the task that a runner is held for": {step: workload.Step{Resources: cpu(4000)}, priority: 2, change: heldWithSpare(4000), want: true},
+		"too large beside the task that a runner is held for": {step: workload.Step{Resources: cpu(4001)}, priority: 2, change: heldWithSpare(4000),
+			by: "held"},
+		"beside a task that takes the whole runner": {step: workload.Step{Resources: cpu(100)}, priority: 2, change: heldWithSpare(0), by: "held"},
+		"before the task that a runner is held for": {step: workload.Step{Resources: cpu(4000)}, priority: 1, change: heldWithSpare(0), want: true},
+		"after the task that a runner is held for":  {step: workload.Step{Resources: cpu(4000)}, priority: 2, change: heldWithSpare(0), by: "held"},
 		"held for the task": {step: workload.Step{Resources: cpu(4000)}, held: "h",
 			change: func(c *Candidate) { c.Held = true }, want: true},
 		"best-effort on a small runner": {step: workload.Step{Resources: cpu(65000), BestEffort: true}, by: "runner_size"},
@@ -76,13 +91,47 @@
 			}
 			r := request(test.step)
 			r.OnRunner = func(string) int { return test.on }
-			r.Rack, r.HeldRunner = test.rack, test.held
+			r.Rack, r.HeldRunner, r.Priority, r.RunTime = test.rack, test.held, test.priority, test.runTime
 			assert.Equal(t, Pick(r, []*Candidate{c}) == c, test.want)
 			assert.Equal(t, ExcludedBy(r, c), test.by)
 		})
 	}
 }
 
+// heldWithSpare holds a runner for a task of priority 2 that leaves some processor time.
+func heldWithSpare(millis int64) func(c *Candidate) {
+	return func(c *Candidate) {
+		c.Held, c.HeldFor, c.HeldCommitment = true, time.Second, &HeldCommitment{Priority: 2, Spare: cpu(millis)}
+	}
+}
+
+// Tasks that start beside the one for which a runner is held must not take together what it needs.
+func TestSpareIsUsedOnce(t *testing.T) {
+	for name, test := range map[string]struct {
+		step workload.Step
+		held string
+		want int64
+	}{
+		"longer than until its start": {step: workload.Step{Resources: cpu(1000), Estimated: 2 * time.Second}, want: 3000},
+		"ends before its start":       {step: workload.Step{Resources: cpu(1000), Estimated: time.Second}, want: 4000},
+		"long-running":                {step: workload.Step{Resources: cpu(1000), Estimated: time.Second, LongRunning: true}, want: 3000},
+		"best-effort":                 {step: workload.Step{Resources: cpu(1000), BestEffort: true}, want: 4000},
+		"the task itself":             {step: workload.Step{Resources: cpu(8000)}, held: "h", want: 4000},
+	} {
+		t.Run(name, func(t *testing.T) {
+			c := newCandidate("h")
+			heldWithSpare(4000)(c)
+			r := request(test.step)
+			r.HeldRunner = test.held
+			r.UseSpare(c)
+			assert.Equal(t, c.HeldCommitment.Spare.CPU, test.want)
+		})
+	}
+	c := newCandidate("h")
+	request(workload.Step{Resources: cpu(1000)}).UseSpare(c)
+	assert.Assert(t, c.HeldCommitment == nil)
+}
+
 // Each score must prefer the better of two runners, which saves time or disturbs less.
 func TestScores(t *testing.T) {
 	for name, test := range map[string]struct {
