Leave places for larger tasks that wait

Cause: short tasks go to the emptiest runner, which takes the places of larger tasks that wait beside them. Nothing changes if nothing larger waits. Effect on a deployment not measured.

--- a/dispatch/backfill.go
+++ b/dispatch/backfill.go
@@ -14,8 +14,8 @@
 )
 
 // Smaller tasks use each piece of idle processor time and of headroom that becomes free, so a large short task would wait until none of
-// them is left. Runners are therefore held for such tasks: of each service, one at a time for a best-effort step whose job has had nothing running for
-// holdWaitBound, and a few for steps that commit processor time and are passed over by smaller ones (reserve.go). Meanwhile other short tasks
+// them is left. Runners are therefore held for such tasks: of each service, one at a time for a best-effort step whose job has had nothing running
+// for holdWaitBound, and a few for steps that commit processor time and are passed over by smaller ones (reserve.go). Meanwhile other short tasks
 // start there only if they should end before the step starts.
 
 const (
@@ -46,6 +46,8 @@
 	byService map[string][]*hold
 	// searchedAt is when no runner to hold was found for a best-effort step of the service, and reserveSearchedAt for another one.
 	searchedAt, reserveSearchedAt map[string]time.Time
+	// largest holds the largest waiting task of each service.
+	largest map[string]largestTask
 }
 
 // bestEffort returns the hold for a best-effort step of a service, or nil if there is none.
--- a/dispatch/order_test.go
+++ b/dispatch/order_test.go
@@ -10,8 +10,8 @@
 	"github.com/currantthread/currantthread/workload"
 )
 
-// Wide batch steps at 2.4 times the usual rate: in the order of latest starts alone, the last tasks of many begun steps waited behind the first tasks of
-// others, so that few jobs ended in time.
+// Wide batch steps at 2.4 times the usual rate: in the order of latest starts alone, the last tasks of many begun steps waited behind the first
+// tasks of others, so that few jobs ended in time.
 func TestTasksThatCompleteAStepGoFirst(t *testing.T) {
 	const second = time.Second
 	for name, test := range map[string]struct {
--- a/dispatch/plan.go
+++ b/dispatch/plan.go
@@ -201,7 +201,8 @@
 }
 
 // sortReady orders restarts of long-running tasks first, then units by priority, then by class of lateness, then by turn, then those that complete a
-// step that has begun, then by the latest start that meets their objective. When the runners are overloaded, late units wait for those that can still meet their objective.
+// step that has begun, then by the latest start that meets their objective. When the runners are overloaded, late units wait for those that can still
+// meet their objective.
 func (c *Cell) sortReady(now time.Time) {
 	c.classifyReady(now)
 	c.rankReady()
@@ -385,7 +386,7 @@
 	def := u.def()
 	onRunner := u.stepState().onRunner
 	return &placement.Request{Step: def, Avoid: u.avoid, HeldRunner: c.heldRunner(u), RunTime: c.predictStep(u.job.def, u.step),
-		Priority: u.job.def.Policy.Priority,
+		Priority: u.job.def.Policy.Priority, Large: c.largerThan(u),
 		OnRunner: func(id string) int { return onRunner[id] + placed[id] },
 		Pressure: func(serving string) float64 {
 			return c.pressure.Coefficient(interference.Pair{Serving: serving, BestEffort: def.Image})
--- a/dispatch/planscale_test.go
+++ b/dispatch/planscale_test.go
@@ -10,8 +10,8 @@
 	"github.com/currantthread/currantthread/workload"
 )
 
-// busyCell returns a cell whose runners of 16 cores are full of short tasks, with 10,000 waiting tasks of 500 jobs: urgent ones of 2.7 cores and batch
-// ones of 1.8 cores, a third of which are best-effort.
+// busyCell returns a cell whose runners of 16 cores are full of short tasks, with 10,000 waiting tasks of 500 jobs: urgent ones of 2.7 cores and
+// batch ones of 1.8 cores, a third of which are best-effort.
 func busyCell(t testing.TB, runners int) *stuckCell {
 	t.Helper()
 	s := newStuckCell(t)
@@ -66,10 +66,15 @@
 	}
 	p := newPlanner(s.runnerViews(s.now))
 	candidates := p.runnersOf("kioscos").candidates
-	request := s.placementRequest(s.ready[0], map[string]int{})
-	for b.Loop() {
-		if placement.Pick(request, candidates) == nil {
-			b.Fatal("no runner has place")
-		}
+	for name, large := range map[string]workload.Resources{"nothing larger waits": {}, "a larger one waits": {CPU: 4_000, MemoryMB: 1_000}} {
+		b.Run(name, func(b *testing.B) {
+			request := s.placementRequest(s.ready[0], map[string]int{})
+			request.Large = large
+			for b.Loop() {
+				if placement.Pick(request, candidates) == nil {
+					b.Fatal("no runner has place")
+				}
+			}
+		})
 	}
 }
--- a/dispatch/reserve.go
+++ b/dispatch/reserve.go
@@ -26,6 +26,7 @@
 	}
 	searches := 0
 	for service, w := range waiting {
+		c.recordLargest(now, service, w.steps)
 		if now.Sub(c.holds.reserveSearchedAt[service]) < holdRetry {
 			continue
 		}
@@ -81,6 +82,42 @@
 	return runners, mostFree
 }
 
+// largestKept is how long the largest waiting task of a service counts. Large tasks that come again find less room if small ones have taken it
+// meanwhile.
+const largestKept = 10 * time.Second
+
+// largestTask is what a task commits that waited at a time.
+type largestTask struct {
+	demand workload.Resources
+	at     time.Time
+}
+
+// recordLargest records the waiting task of a service that commits most processor time. The caller holds mu.
+func (c *Cell) recordLargest(now time.Time, service string, steps []lookahead.Waiting) {
+	largest := c.holds.largest[service]
+	if now.Sub(largest.at) >= largestKept {
+		largest = largestTask{}
+	}
+	for i := range steps {
+		if demand := steps[i].Demand; demand.CPU >= largest.demand.CPU {
+			largest = largestTask{demand, now}
+		}
+	}
+	c.holds.largest[service] = largest
+}
+
+// largerThan returns what the largest waiting task of a unit's service commits; zero if it is not larger. The caller holds mu.
+func (c *Cell) largerThan(u *unit) workload.Resources {
+	if u.def().BestEffort || u.def().LongRunning || len(c.holds.largest) == 0 {
+		return workload.Resources{}
+	}
+	largest := c.holds.largest[c.serviceOf(u.job)]
+	if largest.demand.CPU <= u.def().Committed().CPU || c.plannedAt.Sub(largest.at) >= largestKept {
+		return workload.Resources{}
+	}
+	return largest.demand
+}
+
 // hasStarted reports whether a task of the step has started on the runner since it is held.
 func (h *hold) hasStarted() bool {
 	for r := range h.runner.runs {
--- a/dispatch/runtimes_test.go
+++ b/dispatch/runtimes_test.go
@@ -10,21 +10,22 @@
 	"github.com/currantthread/currantthread/workload"
 )
 
-// runToEnd starts and ends a task of a new job whose step has an estimate, and returns its run.
-func (s *stuckCell) runToEnd(image string, estimate, took time.Duration) *run {
-	u := s.add(workload.Step{Count: 1, Image: image, Estimated: estimate, Resources: workload.Resources{CPU: 1000}})[0]
-	r := &run{unit: u, number: 1, runner: s.rs, startedAt: s.now, phase: runRunning, speed: fullSpeed, startSeen: true, predicted: s.predictStep(u.job.def, 0)}
+// runToEnd starts and ends a task of a new job whose step has an estimate and the image "batch", and returns its run.
+func (s *stuckCell) runToEnd(estimate, took time.Duration) *run {
+	u := s.add(workload.Step{Count: 1, Image: "batch", Estimated: estimate, Resources: workload.Resources{CPU: 1000}})[0]
+	r := &run{unit: u, number: 1, runner: s.rs, startedAt: s.now, phase: runRunning, speed: fullSpeed, startSeen: true,
+		predicted: s.predictStep(u.job.def, 0)}
 	s.attach(r)
 	s.endRun(s.now.Add(took), r, runner.EndDone, "", "")
 	return r
 }
 
-// Estimates are off by up to 0.9. Jobs whose estimates are too low were started last, because their latest start appeared to be late, and missed their
-// objectives. The objective itself is what the client was promised.
+// Estimates are off by up to 0.9. Jobs whose estimates are too low were started last, because their latest start appeared to be late, and missed
+// their objectives. The objective itself is what the client was promised.
 func TestLatestStartFollowsLearnedRunTimes(t *testing.T) {
 	s := newStuckCell(t)
 	for range 20 {
-		s.runToEnd("batch", 500*time.Millisecond, 2*time.Second)
+		s.runToEnd(500*time.Millisecond, 2*time.Second)
 	}
 	j := s.add(workload.Step{Count: 1, Image: "batch", Estimated: 500 * time.Millisecond})[0].job
 	assert.Equal(t, j.objective.Sub(j.def.AcceptedAt), time.Second)
@@ -40,11 +41,11 @@
 func TestWrongEstimatesDoNotMakeARunnerSlow(t *testing.T) {
 	s := newStuckCell(t)
 	for range 40 {
-		s.runToEnd("batch", 500*time.Millisecond, 2*time.Second)
+		s.runToEnd(500*time.Millisecond, 2*time.Second)
 	}
 	assert.Assert(t, s.rs.health.slowdown() < 1.1, "slowdown %.2f", s.rs.health.slowdown())
 	for range 10 {
-		s.runToEnd("batch", 500*time.Millisecond, 4*time.Second)
+		s.runToEnd(500*time.Millisecond, 4*time.Second)
 	}
 	assert.Assert(t, s.rs.health.slowdown() > 1.3, "slowdown %.2f", s.rs.health.slowdown())
 }
@@ -67,7 +68,7 @@
 		})
 	}
 	s := newStuckCell(t)
-	s.runToEnd("batch", time.Second, time.Second)
+	s.runToEnd(time.Second, time.Second)
 	assert.Equal(t, s.runTimes.Images(), 1)
 }
 
@@ -75,7 +76,7 @@
 func TestExpectedEndFollowsThePace(t *testing.T) {
 	s := newStuckCell(t)
 	for range 20 {
-		s.runToEnd("batch", time.Second, time.Second)
+		s.runToEnd(time.Second, time.Second)
 	}
 	u := s.add(workload.Step{Count: 1, Image: "batch", Estimated: 100 * time.Millisecond})[0]
 	r := &run{unit: u, runner: s.rs, startedAt: s.now, speed: fullSpeed, percent: -1, startSeen: true, predicted: s.predictStep(u.job.def, 0)}
--- a/lookahead/reserve.go
+++ b/lookahead/reserve.go
@@ -51,8 +51,8 @@
 	Eligible bool
 }
 
-// PassedOver returns the indices of those for which a runner is to be reserved, at most limit: they have waited for ReserveWait, fit nowhere now, and
-// tasks that need less and don't have a higher priority wait too, which would take each piece of capacity that becomes free. Those with a higher
+// PassedOver returns the indices of those for which a runner is to be reserved, at most limit: they have waited for ReserveWait, fit nowhere now,
+// and tasks that need less and don't have a higher priority wait too, which would take each piece of capacity that becomes free. Those with a higher
 // priority come first, then larger ones, then in the given order, which is that in which they are served.
 func PassedOver(waiting []Waiting, mostFree workload.Resources, limit int) []int {
 	if limit <= 0 {
@@ -79,7 +79,8 @@
 	return chosen[:min(len(chosen), limit)]
 }
 
-// isPassedOver reports whether smaller tasks wait that don't go before. smallest holds the least processor time that a waiting task needs, by priority.
+// isPassedOver reports whether smaller tasks wait that don't go before. smallest holds the least processor time that a waiting task needs, by
+// priority.
 func (w *Waiting) isPassedOver(smallest map[int]int64) bool {
 	for priority, cpu := range smallest {
 		if priority >= w.Priority && cpu < w.Demand.CPU {
--- a/lookahead/reserve_test.go
+++ b/lookahead/reserve_test.go
@@ -13,8 +13,8 @@
 	return workload.Resources{CPU: int64(n * 1000), MemoryMB: 1000}
 }
 
-// Urgent tasks of 2.7 cores beside batch tasks of 1.8 cores on full runners: each piece that a batch task leaves is too small for an urgent one and is
-// taken by the next batch task.
+// Urgent tasks of 2.7 cores beside batch tasks of 1.8 cores on full runners: each piece that a batch task leaves is too small for an urgent one and
+// is taken by the next batch task.
 func TestPassedOver(t *testing.T) {
 	urgent := Waiting{Demand: cores(2.7), Waited: ReserveWait, Eligible: true}
 	batch := Waiting{Demand: cores(1.8), Priority: 2, Waited: time.Second, Eligible: true}
@@ -30,16 +30,17 @@
 		limit   int
 		want    []int
 	}{
-		"urgent before batch":                   {[]Waiting{urgent, batch}, free, 8, []int{0}},
-		"nothing smaller waits":                 {[]Waiting{urgent, urgent}, free, 8, nil},
-		"nothing waits":                         {nil, free, 8, nil},
-		"smaller ones have a higher priority":   {[]Waiting{change(urgent, func(w *Waiting) { w.Demand = cores(1) }), batch}, free, 8, nil},
-		"it has waited too short":               {[]Waiting{change(urgent, func(w *Waiting) { w.Waited-- }), batch}, free, 8, nil},
-		"it fits now":                           {[]Waiting{urgent, batch}, cores(3), 8, nil},
-		"a runner is reserved already":          {[]Waiting{change(urgent, func(w *Waiting) { w.Reserved = true }), batch}, free, 8, nil},
-		"it is not eligible":                    {[]Waiting{change(urgent, func(w *Waiting) { w.Eligible = false }), batch}, free, 8, nil},
-		"one that is not eligible passes over":  {[]Waiting{urgent, change(batch, func(w *Waiting) { w.Eligible = false })}, free, 8, []int{0}},
-		"by priority, then the largest":         {[]Waiting{batch, large, urgent, change(large, func(w *Waiting) { w.Demand = cores(9) })}, free, 8, []int{2, 3, 1}},
+		"urgent before batch":                  {[]Waiting{urgent, batch}, free, 8, []int{0}},
+		"nothing smaller waits":                {[]Waiting{urgent, urgent}, free, 8, nil},
+		"nothing waits":                        {nil, free, 8, nil},
+		"smaller ones have a higher priority":  {[]Waiting{change(urgent, func(w *Waiting) { w.Demand = cores(1) }), batch}, free, 8, nil},
+		"it has waited too short":              {[]Waiting{change(urgent, func(w *Waiting) { w.Waited-- }), batch}, free, 8, nil},
+		"it fits now":                          {[]Waiting{urgent, batch}, cores(3), 8, nil},
+		"a runner is reserved already":         {[]Waiting{change(urgent, func(w *Waiting) { w.Reserved = true }), batch}, free, 8, nil},
+		"it is not eligible":                   {[]Waiting{change(urgent, func(w *Waiting) { w.Eligible = false }), batch}, free, 8, nil},
+		"one that is not eligible passes over": {[]Waiting{urgent, change(batch, func(w *Waiting) { w.Eligible = false })}, free, 8, []int{0}},
+		"by priority, then the largest": {[]Waiting{batch, large, urgent, change(large, func(w *Waiting) { w.Demand = cores(9) })}, free, 8,
+			[]int{2, 3, 1}},
 		"of equal ones the first in the queue":  {[]Waiting{urgent, urgent, batch}, free, 1, []int{0}},
 		"no more than the limit":                {[]Waiting{urgent, urgent, large, batch}, free, 2, []int{0, 1}},
 		"the limit is used up":                  {[]Waiting{urgent, batch}, free, 0, nil},
--- a/lookahead/runtimes_test.go
+++ b/lookahead/runtimes_test.go
@@ -46,8 +46,8 @@
 	return logError / tasks, within / tasks
 }
 
-// Estimates of callers are off by up to 0.9 both ways, and 3% of tasks take 7 times as long. An owner that takes estimates as exact orders its queue by
-// latest starts that are wrong by a multiple, and keeps runners free for tasks that start much later or earlier.
+// Estimates of callers are off by up to 0.9 both ways, and 3% of tasks take 7 times as long. An owner that takes estimates as exact orders its queue
+// by latest starts that are wrong by a multiple, and keeps runners free for tasks that start much later or earlier.
 func TestPredictionIsCloserThanTheEstimate(t *testing.T) {
 	for name, test := range map[string]struct {
 		load
--- a/placement/placement.go
+++ b/placement/placement.go
@@ -88,6 +88,8 @@
 	RunTime lookahead.Prediction
 	// Priority of the task's job. 0 comes first.
 	Priority int
+	// Large is what a larger task that waits, or has waited shortly before, commits; zero if there is none.
+	Large workload.Resources
 	// Rack, if set, is the only rack that is allowed. Dispatch does not set it yet.
 	Rack string
 	// Pressure returns how much of a serving task's capacity the request's tasks would take if they used a whole runner.
@@ -224,6 +226,9 @@
 	weightAvoid   = 8.0
 )
 
+// maxFragmentationScore is the most that scoreFragmentation returns. Most runners of a search are excluded by it without that score.
+const maxFragmentationScore = weightAlignment
+
 // scoreIdleCPU prefers runners whose processors are used least. For serving tasks it prefers those that are nearly
 // full.
 func scoreIdleCPU(r *Request, c *Candidate) float64 {
@@ -314,6 +319,10 @@
 		for _, s := range scores {
 			score += s(r, c)
 		}
+		if best != nil && score+maxFragmentationScore <= bestScore {
+			continue
+		}
+		score += scoreFragmentation(r, c)
 		if best == nil || score > bestScore {
 			best, bestScore = c, score
 		}
--- a/placement/placement_test.go
+++ b/placement/placement_test.go
@@ -69,7 +69,8 @@
 		"long-running on a held runner": {step: workload.Step{Resources: cpu(4000), LongRunning: true},
 			change: func(c *Candidate) { c.Held = true }, want: true},
 		"ends before by its estimate only": {step: workload.Step{Resources: cpu(4000), Estimated: time.Second}, runTime: lookahead.Prediction{
-			Typical: 900 * time.Millisecond, Upper: 1100 * time.Millisecond}, change: func(c *Candidate) { c.Held, c.HeldFor = true, time.Second }, by: "held"},
+			Typical: 900 * time.Millisecond, Upper: 1100 * time.Millisecond},
+			change: func(c *Candidate) { c.Held, c.HeldFor = true, time.Second }, by: "held"},
 		"ends before although its estimate is too high": {step: workload.Step{Resources: cpu(4000), Estimated: 2 * time.Second},
 			runTime: lookahead.Prediction{Typical: 800 * time.Millisecond, Upper: time.Second},
 			change:  func(c *Candidate) { c.Held, c.HeldFor = true, time.Second }, want: true},
