--- a/dispatch/backfill.go
+++ b/dispatch/backfill.go
@@ -108,7 +108,7 @@
 	waiting, inTime := map[string]*unit{}, map[string]bool{}
 	for _, u := range c.ready {
 		j := u.job
-		if u.phase != phaseReady || j.state.Terminal() || u.size > 1 || u.def().LongRunning || c.awaitsUnresolved(u) {
+		if u.phase != phaseReady || j.state.Terminal() || u.size > 1 || u.def().LongRunning || !c.waitsForCapacity(u) {
 			continue
 		}
 		service := c.serviceOf(j)
--- a/dispatch/job.go
+++ b/dispatch/job.go
@@ -143,6 +143,8 @@
 	def *workload.Job
 	// criticalPath is, for each step, the longest expected time from its start to the end of the job. The objective is that of the estimates.
 	criticalPath []time.Duration
+	// estimatedPath is criticalPath by the estimates.
+	estimatedPath []time.Duration
 	// pathUpdatedAt is when criticalPath was last computed from learned run times; zero while it is that of the estimates.
 	pathUpdatedAt time.Time
 	state         workload.State
@@ -194,6 +196,7 @@
 	for _, c := range j.criticalPath {
 		longest = max(longest, c)
 	}
+	j.estimatedPath = j.criticalPath
 	stretch := max(def.Policy.Stretch, 1)
 	j.objective = def.AcceptedAt.Add(time.Duration(stretch*float64(longest)) + def.Policy.Slack)
 	return j
--- a/dispatch/plan.go
+++ b/dispatch/plan.go
@@ -159,7 +159,7 @@
 	if u.def().LongRunning {
 		return classInTime
 	}
-	latest := u.latestStart()
+	latest := u.lastInTime()
 	allowed := u.job.objective.Sub(u.job.def.AcceptedAt)
 	switch {
 	case !now.After(latest):
@@ -241,12 +241,15 @@
 func (u *unit) isRestart() bool { return u.def().LongRunning && (u.run > 0 || u.held) }
 
 // latestStart returns the latest start with which the unit's job can still meet its objective.
-func (u *unit) latestStart() time.Time {
+func (u *unit) latestStart() time.Time { return u.objective().Add(-u.job.criticalPath[u.step]) }
+
+// objective returns when the unit's occurrence should be completed.
+func (u *unit) objective() time.Time {
 	objective := u.job.objective
 	if !u.job.def.StartAt.IsZero() {
 		objective = u.job.def.Due(u.occ).Add(objective.Sub(u.job.def.AcceptedAt))
 	}
-	return objective.Add(-u.job.criticalPath[u.step])
+	return objective
 }
 
 // runnerViews returns the runners of the cell as input of placement. The caller holds mu.
--- a/dispatch/reserve.go
+++ b/dispatch/reserve.go
@@ -50,7 +50,7 @@
 	var byService map[string]*waitingSteps
 	var last *unit
 	for _, u := range c.ready {
-		if last != nil && u.sharesStep(last) || u.phase != phaseReady || u.job.state.Terminal() || u.def().BestEffort || c.awaitsUnresolved(u) {
+		if last != nil && u.sharesStep(last) || u.phase != phaseReady || u.job.state.Terminal() || u.def().BestEffort || !c.waitsForCapacity(u) {
 			continue
 		}
 		last = u
@@ -71,6 +71,10 @@
 	return byService
 }
 
+// waitsForCapacity reports whether a ready unit could start now if a runner had capacity for it. No runner is held for one that could not. The caller
+// holds mu.
+func (c *Cell) waitsForCapacity(u *unit) bool { return !c.awaitsUnresolved(u) }
+
 // serviceFree returns the number of runners of a service that take tasks, and the most of each resource that any of them has free.
 func serviceFree(service string, views []*runnerView) (runners int, mostFree workload.Resources) {
 	for _, v := range views {
--- a/dispatch/runtimes.go
+++ b/dispatch/runtimes.go
@@ -49,6 +49,12 @@
 	j.criticalPath = j.def.CriticalPathOf(func(step int) time.Duration { return c.predictStep(j.def, step).Typical })
 }
 
+// lastInTime returns until when a unit that has not started counts as in time. That is the latest start, but not before that of the estimates: a job
+// whose estimates are too low would otherwise be late from its submission on and wait behind all others.
+func (u *unit) lastInTime() time.Time {
+	return u.objective().Add(-min(u.job.criticalPath[u.step], u.job.estimatedPath[u.step]))
+}
+
 // prediction returns the expected run time of a short run. Until it has been learned it is the estimate.
 func (r *run) prediction() lookahead.Prediction {
 	if r.predicted.Typical > 0 {
--- a/dispatch/runtimes_test.go
+++ b/dispatch/runtimes_test.go
@@ -26,12 +26,19 @@
 	s := newStuckCell(t)
 	for range 20 {
 		s.runToEnd(500*time.Millisecond, 2*time.Second)
+		s.runToEnd(3*time.Second, 2*time.Second)
 	}
 	j := s.add(workload.Step{Count: 1, Image: "batch", Estimated: 500 * time.Millisecond})[0].job
 	assert.Equal(t, j.objective.Sub(j.def.AcceptedAt), time.Second)
 	u := j.occs[0].steps[0].units[0]
 	latest := u.latestStart().Sub(j.def.AcceptedAt)
 	assert.Assert(t, latest > -1100*time.Millisecond && latest < -900*time.Millisecond, "latest start %v after submission, want about -1 s", latest)
+	// The job is not late from the beginning.
+	assert.Equal(t, u.lateness(j.def.AcceptedAt), classInTime)
+	assert.Equal(t, u.lateness(j.def.AcceptedAt.Add(501*time.Millisecond)), classLate)
+	// One whose estimate is too high is in time for as long as its tasks can start.
+	high := s.add(workload.Step{Count: 1, Image: "batch", Estimated: 3 * time.Second})[0]
+	assert.Equal(t, high.lateness(high.job.def.AcceptedAt.Add(3500*time.Millisecond)), classInTime)
 	// Another image keeps its estimate.
 	other := s.add(workload.Step{Count: 1, Image: "other", Estimated: 500 * time.Millisecond})[0]
 	assert.Equal(t, other.latestStart(), other.job.objective.Add(-500*time.Millisecond))
