--- a/dispatch/runtimes_test.go
+++ b/dispatch/runtimes_test.go
@@ -10,14 +10,13 @@
 	"github.com/currantthread/currantthread/workload"
 )
 
-// runToEnd starts and ends a task of a new job whose step has an estimate and the image "batch", and returns its run.
-func (s *stuckCell) runToEnd(estimate, took time.Duration) *run {
+// runToEnd starts and ends a task of a new job whose step has an estimate and the image "batch".
+func (s *stuckCell) runToEnd(estimate, took time.Duration) {
 	u := s.add(workload.Step{Count: 1, Image: "batch", Estimated: estimate, Resources: workload.Resources{CPU: 1000}})[0]
 	r := &run{unit: u, number: 1, runner: s.rs, startedAt: s.now, phase: runRunning, speed: fullSpeed, startSeen: true,
 		predicted: s.predictStep(u.job.def, 0)}
 	s.attach(r)
 	s.endRun(s.now.Add(took), r, runner.EndDone, "", "")
-	return r
 }
 
 // Estimates are off by up to 0.9. Jobs whose estimates are too low were started last, because their latest start appeared to be late, and missed
