Postpone wide jobs in the order of tasks

Cause: in overload the order by latest starts serves tasks of many jobs, so that few of them end in time. Change: the latest start by which tasks of a class are ordered is postponed by a twentieth of the remaining run time of the job's tasks, by learned run times.

--- a/dispatch/job.go
+++ b/dispatch/job.go
@@ -130,6 +130,8 @@
 	durable bool
 	// waiting is the number of ready units as of the last plan.
 	waiting int
+	// postponed is how much later than their latest start the ready units count, as of the last plan.
+	postponed time.Duration
 	// holdEndedAt is when a runner was last released that had been held for the step in vain.
 	holdEndedAt time.Time
 	// onRunner counts active runs of the step by runner.
--- a/dispatch/order.go
+++ b/dispatch/order.go
@@ -3,25 +3,34 @@
 import "time"
 
 // The last task of a step decides when the step ends, and a job has no value before its last step has ended. Of the tasks of a class, those that
-// complete what has begun therefore go first.
+// complete what has begun therefore go first, and jobs with little left before others with about the same latest start: in overload, more jobs end in
+// time.
 
 // nearlyDoneShare bounds the waiting tasks of a step that counts as nearly done, as one in so many of its tasks.
 const nearlyDoneShare = 4
 
+// remainingShare is the part of the remaining run time of all tasks of a job by which its tasks are postponed against those of others. It bounds
+// how long a wide job waits for narrow ones.
+const remainingShare = 0.05
+
+// maxPostponingRunTime bounds the run time of a task that counts, so that sums don't overflow.
+const maxPostponingRunTime = time.Hour
+
 // rank is what the order within a class depends on, as of the last plan.
 type rank struct {
 	// completes is set if the unit has run before, or if its step is nearly done.
 	completes bool
-	// latest is the latest start with which the unit's job can still meet its objective.
-	latest time.Time
+	// start is the latest start with which the unit's job can still meet its objective, postponed by remainingShare.
+	start time.Time
 }
 
-// before reports whether a unit goes before another one of the same class: those that complete what has begun, then by the latest start.
+// before reports whether a unit goes before another one of the same class: those that complete what has begun, then by the postponed latest
+// start.
 func (r rank) before(other rank) bool {
 	if r.completes != other.completes {
 		return r.completes
 	}
-	return r.latest.Before(other.latest)
+	return r.start.Before(other.start)
 }
 
 // rankReady sets the ranks of the ready units. The caller holds mu.
@@ -35,7 +44,7 @@
 			steps[i] = steps[i-1]
 		default:
 			steps[i] = u.stepState()
-			steps[i].waiting = 0
+			steps[i].waiting, steps[i].postponed = 0, c.postponement(u)
 		}
 	}
 	for _, s := range steps {
@@ -45,9 +54,22 @@
 	}
 	for i, u := range c.ready {
 		if s := steps[i]; s != nil {
-			u.rank = rank{u.completesStep(s), u.latestStart()}
+			u.rank = rank{u.completesStep(s), u.latestStart().Add(s.postponed)}
+		}
+	}
+}
+
+// postponement returns remainingShare of the time that the tasks of a unit's occurrence which are not done would take one after another. The caller
+// holds mu.
+func (c *Cell) postponement(u *unit) time.Duration {
+	remaining := time.Duration(0)
+	steps := u.job.occs[u.occ].steps
+	for i := range steps {
+		if steps[i].left > 0 && !u.job.def.Steps[i].LongRunning {
+			remaining += time.Duration(steps[i].left) * min(c.predictStep(u.job.def, i).Typical, maxPostponingRunTime)
 		}
 	}
+	return time.Duration(remainingShare * float64(remaining))
 }
 
 // sharesStep reports whether two units are of the same step.
--- a/dispatch/order_test.go
+++ b/dispatch/order_test.go
@@ -10,6 +10,15 @@
 	"github.com/currantthread/currantthread/workload"
 )
 
+// numbered returns the labels of the tasks of a job.
+func numbered(job, tasks int) []string {
+	labels := make([]string, tasks)
+	for i := range labels {
+		labels[i] = fmt.Sprintf("%d.%d", job, i)
+	}
+	return labels
+}
+
 // Wide batch steps at 2.4 times the usual rate: in the order of latest starts alone, the last tasks of many begun steps waited behind the first
 // tasks of others, so that few jobs ended in time.
 func TestTasksThatCompleteAStepGoFirst(t *testing.T) {
@@ -27,6 +36,11 @@
 		"of two nearly done by the objective":  {jobs: [][2]int{{8, 7}, {4, 3}}, want: []string{"0.7", "1.3"}},
 		"a repeated task goes before its step": {jobs: [][2]int{{4, 0}}, prepare: func(_ *stuckCell, w [][]*unit) { w[0][2].run = 1 },
 			want: []string{"0.2", "0.0", "0.1", "0.3"}},
+		"narrow jobs go before wide ones of about the same objective": {jobs: [][2]int{{60, 0}, {2, 0}, {3, 0}},
+			want: append([]string{"1.0", "1.1", "2.0", "2.1", "2.2"}, numbered(0, 60)...)},
+		"wide jobs are not postponed for ever": {jobs: [][2]int{{40, 0}, {2, 0}}, prepare: func(s *stuckCell, w [][]*unit) {
+			w[1][0].job.objective = s.now.Add(12*second + time.Millisecond)
+		}, want: append(numbered(0, 40), "1.0", "1.1")},
 		"late ones don't go before those in time": {jobs: [][2]int{{2, 0}, {8, 6}}, prepare: func(s *stuckCell, w [][]*unit) {
 			j := w[1][0].job
 			j.objective = s.now.Add(-2 * second)
--- a/dispatch/plan.go
+++ b/dispatch/plan.go
@@ -201,8 +201,8 @@
 }
 
 // sortReady orders restarts of long-running tasks first, then units by priority, then by class of lateness, then by turn, then those that complete a
-// step that has begun, then by the latest start that meets their objective. When the runners are overloaded, late units wait for those that can still
-// meet their objective.
+// step that has begun, then by the latest start that meets their objective, postponed for wide jobs. When the runners are overloaded, late units wait
+// for those that can still meet their objective.
 func (c *Cell) sortReady(now time.Time) {
 	c.classifyReady(now)
 	c.rankReady()
