--- a/dispatch/job.go
+++ b/dispatch/job.go
@@ -56,6 +56,7 @@
 	latenessClass, turn int
 	// overtakenAt is when a plan last started a later unit of another organisation before it tried this one, which then found no runner.
 	overtakenAt time.Time
+	rank        rank
 	runs        []*run
 	// recovered units were accepted under an earlier owner. Runs that this owner has not seen yet may exist.
 	recovered bool
@@ -131,6 +132,12 @@
 	left int
 	// durable is set once it is durable that all units are done.
 	durable bool
+	// waiting is the number of ready units as of the last plan.
+	waiting int
+	// postponed is how much later than their latest start the ready units count, as of the last plan.
+	postponed time.Duration
+	// holdEndedAt is when a runner was last released that had been held for the step in vain.
+	holdEndedAt time.Time
 	// onRunner counts active runs of the step by runner.
 	onRunner map[string]int
 	// load is the learned load of serving tasks.
@@ -140,9 +147,13 @@
 // jobState is the owner's state of a job.
 type jobState struct {
 	def *workload.Job
-	// criticalPath is, for each step, the longest estimated time from its start to the end of the job.
+	// criticalPath is, for each step, the longest expected time from its start to the end of the job. The objective is that of the estimates.
 	criticalPath []time.Duration
-	state        workload.State
+	// estimatedPath is criticalPath by the estimates.
+	estimatedPath []time.Duration
+	// pathUpdatedAt is when criticalPath was last computed from learned run times; zero while it is that of the estimates.
+	pathUpdatedAt time.Time
+	state         workload.State
 	// durableState is the last terminal state that is durable. Clients see a terminal state only once it is.
 	durableState workload.State
 	started      bool
@@ -191,6 +202,7 @@
 	for _, c := range j.criticalPath {
 		longest = max(longest, c)
 	}
+	j.estimatedPath = j.criticalPath
 	stretch := max(def.Policy.Stretch, 1)
 	j.objective = def.AcceptedAt.Add(time.Duration(stretch*float64(longest)) + def.Policy.Slack)
 	return j
--- a/dispatch/plan.go
+++ b/dispatch/plan.go
@@ -64,7 +64,7 @@
 	// Units that will soon restart are served after those that restart now.
 	ahead := c.unitsOnSilentRunners(now)
 	c.sortReady(now)
-	if len(c.holds.byService) > 0 || slices.ContainsFunc(c.ready, func(u *unit) bool { return u.def().BestEffort }) {
+	if len(c.holds.byService) > 0 || slices.ContainsFunc(c.ready, func(u *unit) bool { return !u.def().LongRunning }) {
 		c.updateHolds(now, views)
 	}
 	blocked := map[equivClass]bool{}
@@ -172,7 +172,7 @@
 	if u.def().LongRunning {
 		return classInTime
 	}
-	latest := u.latestStart()
+	latest := u.lastInTime()
 	allowed := u.job.objective.Sub(u.job.def.AcceptedAt)
 	switch {
 	case !now.After(latest):
@@ -213,10 +213,12 @@
 	}
 }
 
-// sortReady orders restarts of long-running tasks first, then units by priority, then by class of lateness, then by turn, then by the latest start that
-// meets their objective. When the runners are overloaded, late units wait for those that can still meet their objective.
+// sortReady orders restarts of long-running tasks first, then units by priority, then by class of lateness, then by turn, then those that complete a
+// step that has begun, then by the latest start that meets their objective, postponed for wide jobs. When the runners are overloaded, late units wait
+// for those that can still meet their objective.
 func (c *Cell) sortReady(now time.Time) {
 	c.classifyReady(now)
+	c.rankReady()
 	sort.SliceStable(c.ready, func(a, b int) bool {
 		x, y := c.ready[a], c.ready[b]
 		if rx, ry := x.isRestart(), y.isRestart(); rx != ry {
@@ -234,7 +236,7 @@
 		if cx, cy := x.pieceSize(), y.pieceSize(); cx != cy {
 			return cx > cy
 		}
-		return x.latestStart().Before(y.latestStart())
+		return x.rank.before(y.rank)
 	})
 }
 
@@ -252,12 +254,15 @@
 func (u *unit) isRestart() bool { return u.def().LongRunning && (u.run > 0 || u.held) }
 
 // latestStart returns the latest start with which the unit's job can still meet its objective.
-func (u *unit) latestStart() time.Time {
+func (u *unit) latestStart() time.Time { return u.objective().Add(-u.job.criticalPath[u.step]) }
+
+// objective returns when the unit's occurrence should be completed.
+func (u *unit) objective() time.Time {
 	objective := u.job.objective
 	if !u.job.def.StartAt.IsZero() {
 		objective = u.job.def.Due(u.occ).Add(objective.Sub(u.job.def.AcceptedAt))
 	}
-	return objective.Add(-u.job.criticalPath[u.step])
+	return objective
 }
 
 // runnerViews returns the runners of the cell as input of placement. The caller holds mu.
@@ -396,7 +401,8 @@
 func (c *Cell) placementRequest(u *unit, placed map[string]int) *placement.Request {
 	def := u.def()
 	onRunner := u.stepState().onRunner
-	return &placement.Request{Step: def, Avoid: u.avoid, HeldRunner: c.heldRunner(u),
+	return &placement.Request{Step: def, Avoid: u.avoid, HeldRunner: c.heldRunner(u), RunTime: c.predictStep(u.job.def, u.step),
+		Priority: u.job.def.Policy.Priority, Large: c.largerThan(u),
 		OnRunner: func(id string) int { return onRunner[id] + placed[id] },
 		Pressure: func(serving string) float64 {
 			return c.pressure.Coefficient(interference.Pair{Serving: serving, BestEffort: def.Image})
@@ -417,6 +423,7 @@
 func recordPlacement(p *placement.Candidate, r *placement.Request) {
 	p.Committed = p.Committed.Add(r.Step.Committed())
 	p.UsedCPU += expectedCPU(r.Step)
+	r.UseSpare(p)
 	if r.Step.BestEffort {
 		share := float64(r.Step.Resources.CPU) / float64(max(p.Capacity.CPU, 1))
 		for i := range p.Serving {
--- a/dispatch/runnerstate.go
+++ b/dispatch/runnerstate.go
@@ -547,6 +547,7 @@
 	}
 	switch endReason {
 	case runner.EndDone:
+		c.learnRunTime(now, r)
 		rs.health.succeeded(now, r)
 		c.share.pace.observe(now, r)
 		if u.def().LongRunning {
