--- a/dispatch/backfill.go
+++ b/dispatch/backfill.go
@@ -108,7 +108,7 @@
 	waiting, inTime := map[string]*unit{}, map[string]bool{}
 	for _, u := range c.ready {
 		j := u.job
-		if u.phase != phaseReady || j.state.Terminal() || u.size > 1 || u.def().LongRunning || !c.waitsForCapacity(u) {
+		if u.phase != phaseReady || j.state.Terminal() || u.size > 1 || u.def().LongRunning || !c.waitsForCapacity(now, u) {
 			continue
 		}
 		service := c.serviceOf(j)
@@ -175,6 +175,8 @@
 	switch {
 	case u == nil:
 		return "the step waits no more"
+	case !c.waitsForCapacity(now, u):
+		return "the step waits for something else"
 	case !h.commits && running:
 		return "the job has started"
 	case i < 0 || !views[i].candidate.Available || views[i].state.info.Service != c.serviceOf(h.job):
--- a/dispatch/flush.go
+++ b/dispatch/flush.go
@@ -12,6 +12,7 @@
 	"github.com/sirupsen/logrus"
 
 	"github.com/currantthread/currantthread/internal/wait"
+	"github.com/currantthread/currantthread/quota"
 	"github.com/currantthread/currantthread/store"
 	"github.com/currantthread/currantthread/workload"
 )
@@ -89,6 +90,11 @@
 	// DurableSteps means that this owner, and all earlier ones whose leases may last, have begun no step before the ends of the steps before
 	// it were durable, and that this one begins none unless a witness confirms an outage. Rows of earlier builds lack it.
 	DurableSteps bool `json:"durable_steps,omitempty"`
+	// Quota is the version up to which this owner, and each earlier one, applies the rows of table quota; 0 if no organisation has a cap, and
+	// in rows of earlier builds.
+	Quota int64 `json:"quota,omitempty"`
+	// QuotaOver has the organisations whose runs in the cell may hold more than their limit, with what they hold at most.
+	QuotaOver map[string]quota.Amounts `json:"quota_over,omitempty"`
 }
 
 const (
@@ -135,6 +141,7 @@
 		}
 		o.InheritedLeaseMs = max(o.InheritedLeaseMs, until.Sub(now).Milliseconds()+1)
 	}
+	c.listQuota(&o)
 	c.listLongLeases(now, &o)
 	c.listFenced(now, &o)
 	return o
@@ -379,7 +386,7 @@
 }
 
 // buildBatch takes pending changes, up to about the size of a transaction: the bytes are checked before each addition. A
-// submission adds up to 3 entries (a condition, the index row and the job row), a progress row 1 and up to 2 for each transfer,
+// submission adds up to 4 entries (a condition, the index row, the job row and the deletion of a record of cancellations), a progress row 1 and up to 2 for each transfer,
 // and an expired job 3 deletions. The caller holds mu.
 func (c *Cell) buildBatch(now time.Time) (b *batch, more bool) {
 	c.urgent = false
@@ -387,7 +394,7 @@
 	size := 0
 	rest := c.submissions[:0:0]
 	for _, s := range c.submissions {
-		if b.txn.Entries()+3 > store.MaxTxnEntries || size > store.MaxTxnBytes {
+		if b.txn.Entries()+4 > store.MaxTxnEntries || size > store.MaxTxnBytes {
 			rest = append(rest, s)
 			continue
 		}
@@ -461,10 +468,10 @@
 	if s.finished {
 		return 0
 	}
-	if c.jobs[s.job.ID] != nil {
+	if j := c.jobs[s.job.ID]; j != nil {
 		// A repeated submission arrived while the commit of the job was in flight. Its condition would make this commit
 		// fail.
-		s.finish(OutcomeAccepted, "")
+		s.finish(repeatedOutcome(j, s.job), "")
 		return 0
 	}
 	value, err := json.Marshal(s.job)
@@ -480,12 +487,36 @@
 	return len(value)
 }
 
+// repeatedOutcome returns the outcome of a submission of a job that the cell has.
+func repeatedOutcome(j *jobState, submitted *workload.Job) Outcome {
+	if !j.def.BelongsTo(submitted.Organisation) {
+		return OutcomeConflict
+	}
+	return OutcomeAccepted
+}
+
+// finishIndexed decides a submission of a job for which the index names this cell. If the cell does not have the job, only its row says
+// which organisation it belongs to. The caller holds mu.
+func (c *Cell) finishIndexed(s *submission) {
+	switch j := c.jobs[s.job.ID]; {
+	case j != nil:
+		s.finish(repeatedOutcome(j, s.job), "")
+	case s.job.Organisation != "":
+		s.finish(OutcomeElsewhere, c.cfg.Name)
+	default:
+		s.finish(OutcomeAccepted, "")
+	}
+}
+
 func (c *Cell) addSubmissionRows(b *batch, s *submission, value []byte) {
 	b.submissions = append(b.submissions, s)
-	b.txn.Conditions = append(b.txn.Conditions, store.Condition{Key: c.indexKey(s.job.ID)})
+	b.txn.Conditions = append(b.txn.Conditions, store.Condition{Key: c.indexKey(s.job.ID), Version: s.replaces})
 	b.txn.Writes = append(b.txn.Writes,
 		store.Write{Key: c.indexKey(s.job.ID), Value: []byte(c.cfg.Name)},
 		store.Write{Key: c.key(TableJobs, s.job.ID), Value: value})
+	if s.replaces != 0 {
+		b.txn.Deletes = append(b.txn.Deletes, store.Key{Table: TableCancelled, Part: c.cfg.IndexPart(s.job.ID), Name: s.job.ID})
+	}
 }
 
 func (c *Cell) addExpired(b *batch, j *jobState) {
@@ -739,14 +770,15 @@
 	for _, s := range b.submissions {
 		index := conflict.Row(c.indexKey(s.job.ID))
 		switch {
-		case index.Version == 0:
+		case index.Version == 0, IsCancelled(index.Value) && !isCancelledFor(index.Value, s.job.Organisation):
+			s.replaces = index.Version
 			kept = append(kept, s)
 		case IsCancelled(index.Value):
 			c.cfg.Log.WithFields(logrus.Fields{"request": s.job.ID, "queue": s.job.Policy.Queue}).Info("job was cancelled before it was accepted")
 			s.finish(OutcomeCancelled, "")
 		case string(index.Value) == c.cfg.Name:
 			c.countIndexed(s.job.ID)
-			s.finish(OutcomeAccepted, "")
+			c.finishIndexed(s)
 		default:
 			s.finish(OutcomeElsewhere, string(index.Value))
 		}
--- a/dispatch/plan.go
+++ b/dispatch/plan.go
@@ -53,6 +53,9 @@
 // plan starts all ready units that can be placed. The caller holds mu.
 func (c *Cell) plan(ctx context.Context, now time.Time) {
 	c.plannedAt = now
+	demanded := c.capDemanded()
+	c.beginCapPlan()
+	defer c.endCapPlan(now, demanded)
 	if len(c.ready) == 0 {
 		return
 	}
@@ -66,15 +69,17 @@
 	}
 	blocked := map[equivClass]bool{}
 	kept := c.ready[:0:0]
-	queue := c.ready
+	turns := c.newTurns(now)
 	c.ready = nil
-	for _, u := range queue {
+	for u := turns.next(); u != nil; u = turns.next() {
 		if u.phase != phaseReady || u.job.state.Terminal() {
 			continue
 		}
+		u.waitsForCap = false
 		key := equivClass{u.job, u.occ, u.step}
 		if blocked[key] {
 			kept = append(kept, u)
+			turns.waits(now, u)
 			continue
 		}
 		if c.awaitsUnresolved(u) {
@@ -86,16 +91,24 @@
 			kept = append(kept, u)
 			continue
 		}
+		if !c.capAllows(now, u) {
+			c.waitForCap(u)
+			kept = append(kept, u)
+			continue
+		}
 		if len(ahead) > 0 && !u.isRestart() {
 			c.reserveAhead(ahead, p)
 			ahead = nil
 		}
 		placed, reserved := c.place(ctx, now, u, p)
-		if !placed {
+		if placed {
+			turns.started(u)
+		} else {
 			// Each waiting long-running task may reserve a different runner, so one that does not fit blocks the others only if there
 			// was no runner to reserve.
 			blocked[key] = !reserved
 			kept = append(kept, u)
+			turns.waits(now, u)
 		}
 	}
 	c.ready = append(c.ready, kept...)
--- a/dispatch/reserve.go
+++ b/dispatch/reserve.go
@@ -1,8 +1,10 @@
 package dispatch
 
 import (
+	"slices"
 	"time"
 
+	"github.com/currantthread/currantthread/fairshare"
 	"github.com/currantthread/currantthread/lookahead"
 	"github.com/currantthread/currantthread/workload"
 )
@@ -32,7 +34,11 @@
 		}
 		runners, mostFree := serviceFree(service, views)
 		limit := lookahead.MaxReservations(runners) - len(c.holds.byService[service])
-		for _, i := range lookahead.PassedOver(w.steps, mostFree, limit) {
+		if limit <= 0 {
+			continue
+		}
+		passedOver := c.withinShares(now, w, lookahead.PassedOver(w.steps, mostFree, len(w.steps)))
+		for _, i := range passedOver[:min(len(passedOver), limit)] {
 			if searches >= maxReserveSearches {
 				return
 			}
@@ -44,13 +50,35 @@
 	}
 }
 
+// withinShares returns those of the chosen steps whose organisation does not hold more than the mean weighted dominant share of the organisations with
+// waiting tasks, all without organisations. A runner that is held for others would take from those that hold less. The caller holds mu.
+func (c *Cell) withinShares(now time.Time, w *waitingSteps, chosen []int) []int {
+	if len(chosen) == 0 || len(c.catalog.Organisations) == 0 {
+		return chosen
+	}
+	held := c.holdings(now)
+	shares, sum := map[string]float64{}, 0.0
+	for _, u := range w.first {
+		name := u.job.def.Organisation
+		if _, known := shares[name]; !known {
+			shares[name] = fairshare.Share(held.short[name], held.capacity, c.weightOf(name))
+			sum += shares[name]
+		}
+	}
+	mean := sum / float64(len(shares))
+	return slices.DeleteFunc(chosen, func(i int) bool { return shares[w.first[i].job.def.Organisation] > mean+shareTolerance })
+}
+
+// shareTolerance allows for rounding in the comparison of shares.
+const shareTolerance = 1e-9
+
 // waitingSteps returns the steps of the ready units by service, if some of them may be passed over. Best-effort tasks commit no processor time
 // and pass over nothing. The caller holds mu.
 func (c *Cell) waitingSteps(now time.Time) map[string]*waitingSteps {
 	var byService map[string]*waitingSteps
 	var last *unit
 	for _, u := range c.ready {
-		if last != nil && u.sharesStep(last) || u.phase != phaseReady || u.job.state.Terminal() || u.def().BestEffort || !c.waitsForCapacity(u) {
+		if last != nil && u.sharesStep(last) || u.phase != phaseReady || u.job.state.Terminal() || u.def().BestEffort || !c.waitsForCapacity(now, u) {
 			continue
 		}
 		last = u
@@ -73,7 +101,9 @@
 
 // waitsForCapacity reports whether a ready unit could start now if a runner had capacity for it. No runner is held for one that could not. The caller
 // holds mu.
-func (c *Cell) waitsForCapacity(u *unit) bool { return !c.awaitsUnresolved(u) }
+func (c *Cell) waitsForCapacity(now time.Time, u *unit) bool {
+	return !c.awaitsUnresolved(u) && c.capAllows(now, u)
+}
 
 // serviceFree returns the number of runners of a service that take tasks, and the most of each resource that any of them has free.
 func serviceFree(service string, views []*runnerView) (runners int, mostFree workload.Resources) {
--- a/dispatch/waiting.go
+++ b/dispatch/waiting.go
@@ -43,6 +43,10 @@
 	waitNoRunner waitReason = "no_runner"
 	// waitNoIdleRunner: no runner has idle capacity for the best-effort task. It is counted but not logged.
 	waitNoIdleRunner waitReason = "no_idle_runner"
+	// waitCap: the organisation would hold more than its limit in the cell.
+	waitCap waitReason = "cap"
+	// waitShare: there was a runner for the task, but other organisations, which hold less of their shares, went first.
+	waitShare waitReason = "share"
 	// waitNotPlanned: a runner would take the task, but no plan has started it.
 	waitNotPlanned waitReason = "not_planned"
 	// waitNotDurable: the assignment of the task to a runner is not durable yet.
@@ -85,6 +89,8 @@
 	waitNoTicket:         logrus.InfoLevel,
 	waitNoRunner:         logrus.InfoLevel,
 	waitNoIdleRunner:     logrus.DebugLevel,
+	waitCap:              logrus.DebugLevel,
+	waitShare:            logrus.InfoLevel,
 	waitNotPlanned:       logrus.WarnLevel,
 	waitNotDurable:       logrus.WarnLevel,
 	waitEndsNotDurable:   logrus.WarnLevel,
@@ -154,6 +160,8 @@
 	jobs       map[string]int
 	holders    map[taskHolder]int
 	gaps       map[jobGap]int
+	// organisations are by the label of the organisation.
+	organisations organisationCounts
 }
 
 // waitGroup is the waiting tasks of a step that share a reason.
@@ -203,7 +211,9 @@
 		counts.tasks[g.reason] += g.tasks
 	}
 	counts.jobs, counts.holders, counts.gaps = scan.census.jobs, scan.census.holders(), c.gaps(len(scan.census.withoutTasks))
-	c.cfg.Metrics.replaceWaiting(c.waits.counted, counts)
+	c.showCaps()
+	counts.organisations = c.organisationCounts(now, scan.groups)
+	c.cfg.Metrics.replaceWaiting(c.cfg.Name, c.waits.counted, counts)
 	c.waits.counted = counts
 	c.reportGaps(counts.gaps, scan.census.withoutTasks)
 	c.logWaiting(now, scan.groups)
@@ -213,8 +223,10 @@
 func (c *Cell) resetWaiting() {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	c.cfg.Metrics.replaceWaiting(c.waits.counted, waitCounts{})
+	c.cfg.Metrics.replaceWaiting(c.cfg.Name, c.waits.counted, waitCounts{})
 	c.waits.counted = waitCounts{}
+	c.cfg.Metrics.caps.replace(c.cfg.Name, c.caps.shown, nil)
+	c.caps.shown = nil
 }
 
 // observe records since when the run has had its status and since when its task has ended.
@@ -491,6 +503,9 @@
 	if c.awaitsUnresolved(u) {
 		return verdict{waitUnresolved, func() logrus.Fields { return c.unresolvedDetails(s.now, u) }}
 	}
+	if !c.capAllows(s.now, u) {
+		return verdict{waitCap, nil}
+	}
 	all := serviceCandidates(c.serviceOf(u.job), views)
 	candidates := all
 	if u.job.def.Policy.Advised {
@@ -534,6 +549,9 @@
 	case u.def().BestEffort && e.fitting == 0:
 		v.reason = waitNoIdleRunner
 	}
+	if v.reason != waitNotPlanned && u.wasOvertaken() {
+		v.reason = waitShare
+	}
 	return v
 }
 
--- a/node/node.go
+++ b/node/node.go
@@ -25,11 +25,13 @@
 	"golang.org/x/sync/errgroup"
 
 	"github.com/currantthread/currantthread/catalog"
+	"github.com/currantthread/currantthread/clientlimit"
 	"github.com/currantthread/currantthread/dispatch"
 	"github.com/currantthread/currantthread/internal/clock"
 	"github.com/currantthread/currantthread/observe"
 	"github.com/currantthread/currantthread/ownership"
 	"github.com/currantthread/currantthread/platform"
+	"github.com/currantthread/currantthread/quota"
 	"github.com/currantthread/currantthread/runner"
 	"github.com/currantthread/currantthread/store"
 )
@@ -64,11 +66,13 @@
 	unusableRows     prometheus.Gauge
 	rowLog           *rowLog
 	health           observe.Health
+	clients          *clientlimit.Limiter // bounds the connections of clients
 	catalog          atomic.Pointer[catalog.Config]
 	bounds           atomic.Pointer[platform.Bounds]
 	minCommitMs      atomic.Int64      // time of the fastest commit of a heartbeat, in milliseconds; 0 until one succeeded
 	commitLatency    atomic.Int64      // commit time of the last heartbeat, a time.Duration
 	cellCount        atomic.Int32      // number of cells, 0 until it is known
+	isElector        atomic.Bool       // this node determines the number of cells
 	heartbeats       *ownership.Reader // used only by the goroutine of heartbeatLoop, like the next five fields
 	ownerRows        *ownership.Reader
 	followsAll       bool         // this node reads the heartbeats of all nodes
@@ -84,6 +88,7 @@
 	operator    *store.Follower
 	discovery   *store.Follower
 	assignments *store.Follower
+	quotas      *store.Follower
 
 	mu        sync.Mutex // guards the fields below
 	cells     map[string]*dispatch.Cell
@@ -112,6 +117,11 @@
 	unexplainedAt time.Time
 	// witnesses holds the witnesses of this node's cells.
 	witnesses map[string][]dispatch.Witness
+	// quotaRows are the limits of organisations by name, with all changes up to quotaVersion, and badQuotaRows are the names of newer rows that
+	// can't be decoded.
+	quotaRows    map[string]quota.VersionedRow
+	quotaVersion int64
+	badQuotaRows map[string]bool
 	// outages is what this node has promised as a witness.
 	outages    outageWitness
 	assignWake chan struct{}
@@ -162,6 +172,7 @@
 		heartbeatWake: make(chan struct{}, 1), offers: make(chan cellOffer),
 		jobCells: map[string]string{}, submittedWork: map[string]submittedWork{},
 		witnesses: map[string][]dispatch.Witness{}, outages: newOutageWitness(time.Now()),
+		quotaRows: map[string]quota.VersionedRow{}, badQuotaRows: map[string]bool{},
 	}
 	if services.Advice != nil {
 		n.advisor = services.Advice
@@ -170,24 +181,29 @@
 	n.heartbeats, n.ownerRows = ownership.NewReader(n.store, ownership.TableNodes), ownership.NewReader(n.store, ownership.TableOwners)
 	n.heartbeatRepeater.Delay = ownership.HeartbeatInterval
 	n.metrics = dispatch.NewMetrics(n.registry)
+	n.clients = clientlimit.New(n.registry, observe.Namespace, n.log)
+	n.applyVMLimits(s)
 	n.unusableRows = prometheus.NewGauge(prometheus.GaugeOpts{Namespace: observe.Namespace, Subsystem: "discovery",
 		Name: "unusable_rows", Help: "Rows of service discovery that describe no usable runner."})
 	n.registry.MustRegister(n.unusableRows)
 	n.bounds.Store(&s.Bounds)
-	relayed := &relayedStore{Store: n.store, relay: n.relayAddr, call: n.callRelay, log: n.log}
+	relayed := &relayedStore{Store: n.store, relay: n.relayAddr, peers: func() []string { return n.directory.Peers() }, call: n.callRelay, log: n.log}
 	n.operator = store.NewFollower(relayed, platform.TableOperator, n.operatorChanged, n.dependencyLogger("operator's rows"))
 	n.discovery = store.NewFollower(n.store, platform.TableServers, n.discoveryChanged, n.dependencyLogger("service discovery"))
 	n.discovery.Poll, n.discovery.SpacingNow, n.discovery.Active = true, n.discoveryPause, n.needsRunners
 	n.assignments = store.NewFollower(n.store, tableAssignments, n.assignmentsChanged, n.dependencyLogger("roster"))
+	n.assignments.Active = n.needsRunners
+	n.quotas = store.NewFollower(n.store, quota.Table, func([]store.Row) {}, n.dependencyLogger("limits of organisations"))
+	n.quotas.Active = n.needsQuota
 	return n
 }
 
-// needsRunners reports whether this node needs service discovery: it owns or acquires cells, or the number of cells is
-// not set yet.
+// needsRunners reports whether this node needs service discovery and the roster: it owns or acquires cells, or determines the number of
+// cells.
 func (n *Node) needsRunners() bool {
 	n.mu.Lock()
 	defer n.mu.Unlock()
-	return n.cellCount.Load() == 0 || len(n.cells) > 0 || len(n.acquiring) > 0
+	return n.isElector.Load() || len(n.cells) > 0 || len(n.acquiring) > 0
 }
 
 func (n *Node) metricsAddr() string {
@@ -216,10 +232,13 @@
 	defer stopServing()
 	group, serving := errgroup.WithContext(serving)
 	grace := time.Duration(float64(n.bounds.Load().Grace) * shutdownGraceShare)
-	frontend := platform.NewFrontend(n, n.log)
-	handlers := []http.Handler{frontend, platform.NewReadiness(n.health.Ready), n.innerHandler(), observe.NewAdmin(n.registry, &n.health)}
-	for i, handler := range handlers {
-		group.Go(func() error { return observe.Serve(serving, listeners[i], handler, grace) })
+	frontend := platform.NewFrontend(n, n.log, n.registry)
+	outer, inner := listeners[:2], listeners[2:]
+	for i, handler := range []http.Handler{frontend, platform.NewReadiness(n.health.Ready)} {
+		group.Go(func() error { return observe.ServeClients(serving, outer[i], handler, n.clients, grace) })
+	}
+	for i, handler := range []http.Handler{n.innerHandler(), observe.NewAdmin(n.registry, &n.health)} {
+		group.Go(func() error { return observe.Serve(serving, inner[i], handler, grace) })
 	}
 	group.Go(func() error { n.operator.Run(serving); return nil })
 	group.Go(func() error { n.discovery.Run(serving); return nil })
@@ -229,6 +248,9 @@
 		return nil
 	})
 	group.Go(func() error { n.assignLoop(serving); return nil })
+	group.Go(func() error { n.quotas.Run(serving); return nil })
+	group.Go(func() error { n.quotaLoop(serving); return nil })
+	group.Go(func() error { newAllocator(n).run(serving); return nil })
 	group.Go(func() error { n.reloadLoop(serving); return nil })
 	group.Go(func() error {
 		<-ctx.Done()
@@ -285,6 +307,9 @@
 		return
 	}
 	n.catalog.Store(config)
+	n.metrics.SetOrganisations(config)
+	n.clients.SetLimits(clientlimit.Limits{HeaderBytes: config.Limits.HeaderBytes, HeaderTimeout: config.Limits.HeaderTimeout,
+		IdleTimeout: config.Limits.IdleTimeout})
 	n.log.WithFields(logrus.Fields{"version": config.Version, "queues": len(config.Queues)}).Info("configuration applied")
 	n.mu.Lock()
 	defer n.mu.Unlock()
@@ -406,10 +431,12 @@
 	return dispatch.Config{
 		Name: cell, Part: n.cellPart(cell), IndexPart: n.indexPart, Node: n.settings.Node, Addr: n.innerAddr,
 		Incarnation: n.incarnation, Metrics: n.metrics, Region: n.settings.Region, Regions: n.settings.Regions,
+		Cells:     int(n.cellCount.Load()),
 		Lease:     time.Duration(float64(b.HoldMax) * leaseShare),
 		MaxLease:  b.HoldMax,
 		Suspended: n.suspended,
 		Retention: b.StatusRetention, Store: n.store, Runners: n.runners, Advisor: n.advisor, Peers: peers, StoreLost: func() { n.handOver(cell) },
+		AwaitQuota: true, DemandChanged: n.wakeHeartbeat,
 		ConfirmOutage: func(ctx context.Context, w dispatch.Witness, epoch int64) bool {
 			return n.askForConfirmation(ctx, w, cell, epoch)
 		},
@@ -463,6 +490,9 @@
 }
 
 const (
+	// maxChangesRead is the number of changes of heartbeats up to which a node that begins to follow all nodes reads these instead of all rows.
+	// While the store is slow, all rows take up to half a minute: one call for each partition.
+	maxChangesRead = 500
 	// allReadInterval is how often a node that follows owners only reads the heartbeats of all nodes.
 	allReadInterval = 30 * time.Second
 	// ownerlessTolerance is how long a cell may have no owner until such a node follows all nodes, for followAllFor: the likely
@@ -477,7 +507,9 @@
 	all := n.needsAllHeartbeats(now)
 	if all != n.followsAll {
 		n.followsAll = all
-		n.heartbeats.Reset()
+		if !all || n.directory.ChangesSince(now.Sub(n.allReadAt)) > maxChangesRead {
+			n.heartbeats.Reset()
+		}
 		n.ownerRows.Reset()
 		n.log.WithField("all", all).Debug("heartbeats that this node follows changed")
 	}
@@ -510,7 +542,10 @@
 			n.followsAllUntil = now.Add(followAllFor)
 		}
 	}
-	return cells == 0 || len(n.cells) > 0 || len(n.acquiring) > 0 || now.Before(n.followsAllUntil) || n.directory.FollowsAll(now, cells)
+	if cells == 0 {
+		return n.isElector.Load()
+	}
+	return len(n.cells) > 0 || len(n.acquiring) > 0 || now.Before(n.followsAllUntil) || n.directory.FollowsAll(now, cells)
 }
 
 // writeHeartbeat writes this node's heartbeat row, and repeats the write if it gets no response.
--- a/ownership/directory.go
+++ b/ownership/directory.go
@@ -16,6 +16,7 @@
 	"time"
 
 	"github.com/currantthread/currantthread/dispatch"
+	"github.com/currantthread/currantthread/quota"
 	"github.com/currantthread/currantthread/store"
 )
 
@@ -183,11 +184,23 @@
 			return fmt.Errorf("amount %d is out of range", amount)
 		}
 	}
+	for organisation, d := range load.Organisations {
+		for _, amounts := range []quota.Amounts{d.Used, d.Waiting, d.Largest} {
+			if slices.Min(amounts[:]) < 0 || slices.Max(amounts[:]) > quota.MaxAmount {
+				return fmt.Errorf("demand %v of organisation %.50q is out of range", amounts, organisation)
+			}
+		}
+	}
 	for queue, count := range load.Pending {
 		if count < 0 || count > maxAmount {
 			return fmt.Errorf("queue %.50q has %d waiting jobs", queue, count)
 		}
 	}
+	for organisation, ms := range load.ExcessMs {
+		if ms < 0 || ms > maxAmount {
+			return fmt.Errorf("excess of organisation %.50q is %d ms", organisation, ms)
+		}
+	}
 	return nil
 }
 
@@ -195,6 +208,11 @@
 // viewRetention, because owners continue to work for a while without the store and refuse requests themselves when they
 // stop. The caller holds mu.
 func (d *Directory) alive(now time.Time, m *member) bool {
+	return d.wasAlive(m) && now.Sub(d.readAt) < viewRetention
+}
+
+// wasAlive reports whether a member was considered alive when the rows were last read. The caller holds mu.
+func (d *Directory) wasAlive(m *member) bool {
 	since := m.changedAt
 	if d.gapEnd.After(since) {
 		since = d.gapEnd
@@ -203,7 +221,7 @@
 	if d.ownersOnly && len(m.heartbeat.Cells) == 0 {
 		readAt = d.allReadAt
 	}
-	return readAt.Sub(since) < deadAfter && now.Sub(d.readAt) < viewRetention
+	return readAt.Sub(since) < deadAfter
 }
 
 const (
@@ -236,6 +254,13 @@
 	return alive <= maxFullyRead || strong < cells+spareOwners
 }
 
+// ChangesSince returns about how many times the known nodes have rewritten their rows in a time.
+func (d *Directory) ChangesSince(gap time.Duration) int {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return int(min(gap/HeartbeatInterval, time.Hour/HeartbeatInterval)) * len(d.members)
+}
+
 // IsFresh reports whether the directory was read within deadAfter.
 func (d *Directory) IsFresh(now time.Time) bool {
 	d.mu.Lock()
@@ -370,6 +395,48 @@
 	return relay.Addr
 }
 
+// Peers returns the addresses of the other nodes that were alive when heartbeats were last read, however long ago that is. Nodes of this
+// node's region and others alternate, because a cut may separate a whole region from the store or from the other regions. Each node has
+// an order of its own, so that they do not all call the same one.
+func (d *Directory) Peers() []string {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	region := ""
+	if self := d.members[d.self]; self != nil {
+		region = self.heartbeat.Region
+	}
+	var near, far []*Heartbeat
+	for name, m := range d.members {
+		switch {
+		case name == d.self || m.heartbeat.Leaving || !d.wasAlive(m):
+		case m.heartbeat.Region == region:
+			near = append(near, &m.heartbeat)
+		default:
+			far = append(far, &m.heartbeat)
+		}
+	}
+	d.sortPeers(near)
+	d.sortPeers(far)
+	addrs := make([]string, 0, len(near)+len(far))
+	for i := range max(len(near), len(far)) {
+		for _, group := range [][]*Heartbeat{near, far} {
+			if i < len(group) {
+				addrs = append(addrs, group[i].Addr)
+			}
+		}
+	}
+	return addrs
+}
+
+func (d *Directory) sortPeers(peers []*Heartbeat) {
+	rank := func(h *Heartbeat) uint64 {
+		hash := fnv.New64a()
+		_, _ = hash.Write([]byte(d.self + "/" + h.Node)) // a hash never fails
+		return hash.Sum64()
+	}
+	slices.SortFunc(peers, func(a, b *Heartbeat) int { return cmp.Compare(rank(a), rank(b)) })
+}
+
 // Resources that a node needs to own a cell of typical size without being limited by its CPU or its link.
 const (
 	cpuPerCell  = 0.3
