--- a/dispatch/backfill.go
+++ b/dispatch/backfill.go
@@ -175,6 +175,8 @@
 	switch {
 	case u == nil:
 		return "the step waits no more"
+	case !c.waitsForCapacity(now, u):
+		return "the step waits for something else"
 	case !h.commits && running:
 		return "the job has started"
 	case i < 0 || !views[i].candidate.Available || views[i].state.info.Service != c.serviceOf(h.job):
--- a/dispatch/reserve.go
+++ b/dispatch/reserve.go
@@ -1,8 +1,10 @@
 package dispatch
 
 import (
+	"slices"
 	"time"
 
+	"github.com/currantthread/currantthread/fairshare"
 	"github.com/currantthread/currantthread/lookahead"
 	"github.com/currantthread/currantthread/workload"
 )
@@ -32,7 +34,11 @@
 		}
 		runners, mostFree := serviceFree(service, views)
 		limit := lookahead.MaxReservations(runners) - len(c.holds.byService[service])
-		for _, i := range lookahead.PassedOver(w.steps, mostFree, limit) {
+		if limit <= 0 {
+			continue
+		}
+		passedOver := c.withinShares(now, w, lookahead.PassedOver(w.steps, mostFree, len(w.steps)))
+		for _, i := range passedOver[:min(len(passedOver), limit)] {
 			if searches >= maxReserveSearches {
 				return
 			}
@@ -44,6 +50,28 @@
 	}
 }
 
+// withinShares returns those of the chosen steps whose organisation does not hold more than the mean weighted dominant share of the organisations with
+// waiting tasks, all without organisations. A runner that is held for others would take from those that hold less. The caller holds mu.
+func (c *Cell) withinShares(now time.Time, w *waitingSteps, chosen []int) []int {
+	if len(chosen) == 0 || len(c.catalog.Organisations) == 0 {
+		return chosen
+	}
+	held := c.holdings(now)
+	shares, sum := map[string]float64{}, 0.0
+	for _, u := range w.first {
+		name := u.job.def.Organisation
+		if _, known := shares[name]; !known {
+			shares[name] = fairshare.Share(held.short[name], held.capacity, c.weightOf(name))
+			sum += shares[name]
+		}
+	}
+	mean := sum / float64(len(shares))
+	return slices.DeleteFunc(chosen, func(i int) bool { return shares[w.first[i].job.def.Organisation] > mean+shareTolerance })
+}
+
+// shareTolerance allows for rounding in the comparison of shares.
+const shareTolerance = 1e-9
+
 // waitingSteps returns the steps of the ready units by service, if some of them may be passed over. Best-effort tasks commit no processor time
 // and pass over nothing. The caller holds mu.
 func (c *Cell) waitingSteps(now time.Time) map[string]*waitingSteps {
