--- a/dispatch/reserve.go
+++ b/dispatch/reserve.go
@@ -50,8 +50,8 @@
 	}
 }
 
-// withinShares returns those of the chosen steps whose organisation does not hold more than the mean weighted dominant share of the organisations with
-// waiting tasks, all without organisations. A runner that is held for others would take from those that hold less. The caller holds mu.
+// withinShares returns those of the chosen steps whose organisation does not hold more than the mean weighted dominant share of the organisations
+// with waiting tasks, all without organisations. A runner that is held for others would take from those that hold less. The caller holds mu.
 func (c *Cell) withinShares(now time.Time, w *waitingSteps, chosen []int) []int {
 	if len(chosen) == 0 || len(c.catalog.Organisations) == 0 {
 		return chosen
--- a/dispatch/reserveshares_test.go
+++ b/dispatch/reserveshares_test.go
@@ -13,8 +13,8 @@
 	"github.com/currantthread/currantthread/workload"
 )
 
-// largeWaits returns a cell of 16 runners of 16 cores that are full of tasks of one organisation, where a large task of an organisation waits for longer
-// than a runner is held, and small ones wait beside it.
+// largeWaits returns a cell of 16 runners of 16 cores that are full of tasks of one organisation, where a large task of an organisation has
+// waited for long enough, and small ones wait beside it.
 func largeWaits(t *testing.T, running, waiting, small string) (s *stuckCell, large *unit) {
 	t.Helper()
 	s = newStuckCell(t)
@@ -48,8 +48,7 @@
 	return s, large
 }
 
-// A runner that is held for a task keeps others off. That must not give an organisation more than its share, nor keep a runner free for a task that may not
-// start.
+// A runner that is held for a task keeps others off. That must not give an organisation more than its share.
 func TestRunnersAreHeldWithinShares(t *testing.T) {
 	organisations := map[string]*catalog.Organisation{"a": {Name: "a", Weight: 1}, "b": {Name: "b", Weight: 1}}
 	for name, test := range map[string]struct {
