Count runners only by reads that follow each other

Cause: the count of runners was taken as complete up to 2.1 s after a single read, although no later one had shown whether there are more. Change: a second read is needed. Tests of the count and of the election. Result: TestRunnersAreCountedByReadsThatSucceed fails without the checks of reads; the tests of node pass.

--- a/node/layout.go
+++ b/node/layout.go
@@ -195,6 +195,10 @@
 		l.nodesSince, l.runnersSince = now, now
 		return false
 	}
+	if !now.Add(-n.discovery.Age(now)).After(l.firstRunner) {
+		// No later read has shown whether there are more.
+		return false
+	}
 	waited := now.Sub(l.firstRunner)
 	allRunners := now.Sub(l.runnersSince) > runnersDelay || waited > maxGrowingDelay || waited > maxRunnersDelay && now.Sub(l.grownAt) > runnersDelay
 	return runners > 0 && l.nodes > 0 && allRunners && now.Sub(l.nodesSince) > layoutDelay
