Read the number of cells before the delay of the election, and drop an unused method

Cause: each start of a node waited for up to 0.3 s before it read the number of cells, which is known after the first start; before the count by one node it was read at once. quota.Amounts.Resources had no caller, and a comment named the wrong value of the elector's row. Change: the delay lies between the first read and the election; the method is gone.

--- a/node/layout.go
+++ b/node/layout.go
@@ -21,14 +21,14 @@
 const (
 	// rowLayout is the row of tableAssignments that holds the number of cells, which is fixed at the first start.
 	rowLayout = "layout/cells"
-	// tableLayout has the row rowElector with the name of the node that sets the number of cells.
+	// tableLayout has the row rowElector with the incarnation of the node that sets the number of cells.
 	tableLayout = "layout"
 	rowElector  = "elector"
 	// electorTimeout is how long the row of an elector may be unchanged without a number of cells before another node replaces it. It is longer
 	// than maxGrowingDelay, so that a working elector is done by then.
 	electorTimeout = 8 * time.Second
-	// layoutInterval is the pause between two reads of the number of cells, and electionJitter the longest delay of the first one. Most nodes then
-	// see that there is an elector and write nothing.
+	// layoutInterval is the pause between two reads of the number of cells, and electionJitter the longest delay between the first one and the
+	// election. Most nodes then see that there is an elector and write nothing.
 	layoutInterval = 300 * time.Millisecond
 	electionJitter = 300 * time.Millisecond
 	// layoutDelay is how long the set of nodes must be unchanged at the first start before the number of cells is set.
@@ -66,7 +66,9 @@
 	defer n.isElector.Store(false)
 	election := election{node: n}
 	count := layoutCounter{node: n}
-	if !wait.For(ctx, rand.N(electionJitter)) {
+	// After the first start the number is known, and a node that starts again need not wait.
+	n.readLayout(ctx)
+	if n.cellCount.Load() == 0 && !wait.For(ctx, rand.N(electionJitter)) {
 		return false
 	}
 	for n.cellCount.Load() == 0 {
--- a/quota/amounts.go
+++ b/quota/amounts.go
@@ -16,11 +16,6 @@
 // Of returns an amount of resources.
 func Of(r workload.Resources) Amounts { return Amounts{r.CPU, r.MemoryMB, r.GPU} }
 
-// Resources returns the amounts as resources.
-func (a Amounts) Resources() workload.Resources {
-	return workload.Resources{CPU: a[0], MemoryMB: a[1], GPU: a[2]}
-}
-
 // Add returns a + b.
 func (a Amounts) Add(b Amounts) Amounts {
 	for i := range a {
