Charge closed connections until their requests have ended

Callers saw the process of a node end for lack of memory, although the budget of clients was kept, when clients sent large bodies one after another on each connection and read no responses.

Cause: a connection that is closed for another one gave its charge back at once, but its request held the body until it noticed. A request that waits for its turn to be decoded did not notice at all: its context ends only if net/http detects that the connection was closed, and net/http stops looking once it has received a byte of the next request. So the queue of the decoder filled with bodies that nobody was charged for.

Change: a charge is given back by whoever held the memory. The wait for the decoder ends when the connection is closed. A body that is refused, or can't be decoded, is given back at once.

--- a/clientlimit/body.go
+++ b/clientlimit/body.go
@@ -6,7 +6,6 @@
 	"io"
 	"net"
 	"net/http"
-	"time"
 )
 
 var (
@@ -67,28 +66,36 @@
 		return nil, ErrBodyTooLarge
 	}
 	body := &Body{}
+	if err := body.read(c, r, limit); err != nil {
+		body.Discard(c)
+		return nil, err
+	}
+	return body, nil
+}
+
+func (b *Body) read(c *Conn, r *http.Request, limit int64) error {
 	var chunk []byte
 	for size := firstSize(r.ContentLength); ; {
 		if len(chunk) == cap(chunk) {
 			if err := c.Charge(int64(size)); err != nil {
-				return nil, err
+				return err
 			}
 			chunk = make([]byte, 0, size)
-			body.chunks = append(body.chunks, chunk)
+			b.chunks = append(b.chunks, chunk)
 			size = laterChunk
 		}
 		n, err := r.Body.Read(chunk[len(chunk):cap(chunk)])
 		chunk = chunk[:len(chunk)+n]
-		body.chunks[len(body.chunks)-1] = chunk
-		body.size += n
+		b.chunks[len(b.chunks)-1] = chunk
+		b.size += n
 		switch {
-		case int64(body.size) > limit:
+		case int64(b.size) > limit:
 			c.count(reasonBodyBytes)
-			return nil, ErrBodyTooLarge
+			return ErrBodyTooLarge
 		case errors.Is(err, io.EOF):
-			return body, nil
+			return nil
 		case err != nil:
-			return nil, err
+			return err
 		}
 	}
 }
@@ -101,28 +108,17 @@
 	return int(max(min(length, firstChunk), 1))
 }
 
-// Charge adds bytes to what the connection holds until its request ends. The error is ErrBudget, or net.ErrClosed if the connection was
-// closed for another one.
+// Charge adds bytes to what the connection holds until its request ends. It may wait until connections that were closed for it have given
+// back what they hold. The error is ErrBudget, or net.ErrClosed if the connection was closed for another one.
 func (c *Conn) Charge(bytes int64) error {
-	if c == nil || bytes <= 0 {
+	if c == nil {
 		return nil
 	}
-	now := time.Now()
-	l := c.limiter
-	l.mu.Lock()
-	if c.gone {
-		l.mu.Unlock()
-		return net.ErrClosed
-	}
-	victims, ok := l.charge(c, bytes, now)
-	begins := l.beginsPressure(len(victims) > 0 || !ok, now)
-	l.mu.Unlock()
-	l.closeAll(victims, begins)
-	if !ok {
+	err := c.limiter.charge(c, bytes)
+	if errors.Is(err, ErrBudget) {
 		c.count(reasonMemory)
-		return ErrBudget
 	}
-	return nil
+	return err
 }
 
 // Release gives back bytes that Charge has added.
@@ -130,39 +126,48 @@
 	if c == nil {
 		return
 	}
-	l := c.limiter
-	l.mu.Lock()
-	defer l.mu.Unlock()
-	if !c.gone {
-		c.held -= bytes
-		l.held -= bytes
-	}
+	c.limiter.mu.Lock()
+	defer c.limiter.mu.Unlock()
+	c.limiter.release(c, bytes)
 }
 
 // BeginDecode waits until a body of the given size may be decoded, and returns a function that ends it. While the request waits, its
-// connection may be closed for another one. The error is that of ctx.
+// connection may be closed for another one; the error is then net.ErrClosed, and otherwise that of ctx.
 func (c *Conn) BeginDecode(ctx context.Context, bytes int) (end func(), err error) {
 	if c == nil {
 		return func() {}, nil
 	}
 	weight := int64(min(max(bytes, 1), decodeBytes))
+	end = func() { c.limiter.decoding.Release(weight) }
 	if c.limiter.decoding.TryAcquire(weight) {
-		return func() { c.limiter.decoding.Release(weight) }, nil
+		return end, nil
+	}
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	if c.setInterrupt(cancel) {
+		return nil, net.ErrClosed
 	}
-	c.setQueued(true)
 	err = c.limiter.decoding.Acquire(ctx, weight)
-	c.setQueued(false)
-	if err != nil {
+	closed := c.setInterrupt(nil)
+	switch {
+	case err == nil && closed:
+		end()
+		return nil, net.ErrClosed
+	case closed:
+		return nil, net.ErrClosed
+	case err != nil:
 		c.count(reasonMemory)
 		return nil, err
 	}
-	return func() { c.limiter.decoding.Release(weight) }, nil
+	return end, nil
 }
 
-func (c *Conn) setQueued(queued bool) {
+// setInterrupt sets the function that ends the wait of a request, and reports whether the connection was closed for another one.
+func (c *Conn) setInterrupt(interrupt context.CancelFunc) (closed bool) {
 	c.limiter.mu.Lock()
 	defer c.limiter.mu.Unlock()
-	c.queued = queued
+	c.interrupt = interrupt
+	return c.ending || c.gone
 }
 
 // count counts a refused request.
--- a/clientlimit/conn.go
+++ b/clientlimit/conn.go
@@ -1,6 +1,8 @@
 package clientlimit
 
 import (
+	"context"
+	"errors"
 	"fmt"
 	"io"
 	"net"
@@ -48,21 +50,27 @@
 
 	// The mutex of limiter guards the fields below.
 	index int
-	gone  bool
 	held  int64
 	phase phase
+	// ending is set once the limiter has closed the connection. What it holds stays charged until net/http closes it too, because only then
+	// the memory is free. gone is set once that has happened.
+	ending, gone bool
 	// since is when the phase began, progress when the connection last made progress, and paused when its body was last not being read.
 	since, progress, paused time.Time
 	unmarked                int // bytes of a body since progress
 	head                    headScan
 	reused                  bool   // this is not the first request
 	reading, writing        bool   // a body is being read, or a response written
-	queued                  bool   // the request waits for its turn to be decoded
 	expired                 string // reason why reading was ended
+	// waiter is what the connection needs while it waits for memory, and interrupt ends the wait of a request for its turn to be decoded.
+	waiter    *waiter
+	interrupt context.CancelFunc
 }
 
 // closable reports whether the connection may be closed for another one. Requests that are being served are not. The caller holds the mutex.
-func (c *Conn) closable() bool { return c.phase != serving || c.reading || c.writing || c.queued }
+func (c *Conn) closable() bool {
+	return !c.ending && (c.phase != serving || c.reading || c.writing || c.waiter != nil || c.interrupt != nil)
+}
 
 // weight is what the connection holds times how long it made no progress.
 func (c *Conn) weight(now time.Time) float64 {
@@ -72,6 +80,8 @@
 // overdue returns why the connection must be closed now, or "". The caller holds the mutex.
 func (c *Conn) overdue(now time.Time, limits Limits) string {
 	switch {
+	case c.ending:
+		return ""
 	case c.writing && now.Sub(c.progress) >= writeTimeout:
 		return reasonWriteTime
 	case c.phase == waiting && now.Sub(c.since) >= limits.IdleTimeout:
@@ -124,7 +134,7 @@
 	l := c.limiter
 	now := time.Now()
 	l.mu.Lock()
-	if c.gone {
+	if c.ending || c.gone {
 		l.mu.Unlock()
 		return net.ErrClosed
 	}
@@ -138,18 +148,21 @@
 		l.mu.Unlock()
 		return nil
 	}
-	victims, status, reason := c.receivedHead(buf, now)
-	begins := l.beginsPressure(len(victims) > 0, now)
+	grown, status, reason := c.receivedHead(buf, now)
 	l.mu.Unlock()
-	l.closeAll(victims, begins)
-	if reason == "" {
-		return nil
+	if reason != "" {
+		return c.refuse(status, reason)
+	}
+	err := l.charge(c, grown)
+	if errors.Is(err, ErrBudget) {
+		return c.refuse(http.StatusServiceUnavailable, reasonMemory)
 	}
-	return c.refuse(status, reason)
+	return err
 }
 
-// receivedHead accounts for bytes of a head. The caller holds the mutex.
-func (c *Conn) receivedHead(buf []byte, now time.Time) (victims []*Conn, status int, reason string) {
+// receivedHead records bytes of a head. It returns by how much they raise what the head costs, or why the request must be refused. The
+// caller holds the mutex.
+func (c *Conn) receivedHead(buf []byte, now time.Time) (grown int64, status int, reason string) {
 	l := c.limiter
 	bytes, lines := c.head.bytes, c.head.lines
 	c.head.feed(buf)
@@ -163,16 +176,11 @@
 	}
 	switch {
 	case c.head.bytes > limit:
-		return nil, http.StatusRequestHeaderFieldsTooLarge, reasonHeadBytes
+		return 0, http.StatusRequestHeaderFieldsTooLarge, reasonHeadBytes
 	case c.head.empty > maxEmptyLines:
-		return nil, http.StatusBadRequest, reasonEmptyLines
+		return 0, http.StatusBadRequest, reasonEmptyLines
 	}
-	grown := int64(c.head.bytes-bytes) + int64(c.head.lines-lines)*lineCost
-	victims, ok := l.charge(c, grown, now)
-	if !ok {
-		return victims, http.StatusServiceUnavailable, reasonMemory
-	}
-	return victims, 0, ""
+	return int64(c.head.bytes-bytes) + int64(c.head.lines-lines)*lineCost, 0, ""
 }
 
 // refuse responds to a request that no handler has seen, and ends the connection.
@@ -258,7 +266,7 @@
 	c.writing, c.progress = writing, time.Now()
 }
 
-// Close implements net.Conn.
+// Close implements net.Conn. net/http calls it once it holds nothing of the request any more.
 func (c *Conn) Close() error {
 	c.limiter.mu.Lock()
 	c.limiter.removeOne(c)
@@ -268,18 +276,13 @@
 
 // release gives back all but the cost of the connection itself.
 func (c *Conn) release() {
-	l := c.limiter
-	l.mu.Lock()
-	defer l.mu.Unlock()
-	c.releaseLocked()
+	c.limiter.mu.Lock()
+	defer c.limiter.mu.Unlock()
+	c.releaseRequest()
 }
 
-func (c *Conn) releaseLocked() {
-	if excess := c.held - connCost; !c.gone && excess > 0 {
-		c.held -= excess
-		c.limiter.held -= excess
-	}
-}
+// releaseRequest gives back all but the cost of the connection itself. The caller holds the mutex.
+func (c *Conn) releaseRequest() { c.limiter.release(c, c.held-connCost) }
 
 // ConnState follows the requests of a connection. It is the hook of http.Server.
 func ConnState(conn net.Conn, state http.ConnState) {
@@ -291,7 +294,7 @@
 	l := c.limiter
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	if c.expired != "" && !c.gone {
+	if c.expired != "" && !c.ending && !c.gone {
 		// The timeout was that of the former phase, and the request has been faster.
 		c.expired = ""
 		_ = c.SetReadDeadline(time.Time{}) // a closed connection is read no more
@@ -302,5 +305,5 @@
 		return
 	}
 	c.phase, c.head, c.reused = waiting, headScan{}, true
-	c.releaseLocked()
+	c.releaseRequest()
 }
--- a/clientlimit/helpers_test.go
+++ b/clientlimit/helpers_test.go
@@ -9,6 +9,7 @@
 	"net"
 	"net/http"
 	"strings"
+	"sync/atomic"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -26,6 +27,7 @@
 	holdPath     = "/hold"
 	pausePath    = "/pause"
 	largePath    = "/large"
+	decodePath   = "/decode"
 	largeBytes   = 1 << 20
 	testHeader   = 16_384
 	testIdle     = 15 * time.Second
@@ -35,12 +37,14 @@
 var testLimits = Limits{HeaderBytes: testHeader, HeaderTimeout: testHeadTime, IdleTimeout: testIdle}
 
 // world is a server with a limiter on an in-memory network. Its handler reads the body of each request. It answers holdPath once release
-// is closed, and largePath with largeBytes; for pausePath it waits between the first byte of the body and the rest.
+// is closed, and largePath with largeBytes; for pausePath it waits between the first byte of the body and the rest. For decodePath it decodes the
+// body until release is closed.
 type world struct {
 	t       *testing.T
 	limiter *Limiter
 	network *memnet.Network
 	release chan struct{}
+	bodies  atomic.Int64 // bytes of bodies that handlers hold
 }
 
 // inBubble runs a test in virtual time.
@@ -69,6 +73,12 @@
 	})
 }
 
+// admit returns an accepted connection that no server serves, or nil if it was closed.
+func (w *world) admit() *Conn {
+	conn, _ := net.Pipe()
+	return w.limiter.admit(conn)
+}
+
 // open returns the number of connections, and held what they hold together.
 func (w *world) open() int {
 	synctest.Wait()
@@ -100,6 +110,17 @@
 	case err != nil:
 		response.WriteHeader(http.StatusBadRequest)
 	default:
+		w.bodies.Add(int64(body.Len()))
+		defer w.bodies.Add(-int64(body.Len()))
+		if r.URL.Path == decodePath {
+			end, err := ConnOf(r.Context()).BeginDecode(r.Context(), body.Len())
+			if err != nil {
+				response.WriteHeader(http.StatusServiceUnavailable)
+				return
+			}
+			defer end()
+			<-w.release
+		}
 		if r.URL.Path == holdPath {
 			<-w.release
 		}
--- a/clientlimit/limiter.go
+++ b/clientlimit/limiter.go
@@ -48,8 +48,11 @@
 	limits Limits
 	budget Budget
 	conns  []*Conn
-	held   int64 // bytes that all connections hold
-	timer  *time.Timer
+	// held counts the bytes that all connections hold, and ending and endingConns those of connections that were closed but still hold them.
+	held, ending int64
+	endingConns  int
+	waiters      []*waiter // in the order in which they get memory
+	timer        *time.Timer
 	// pressed is set while connections are closed for a budget, and pressedAt is when the last one was.
 	pressed   bool
 	pressedAt time.Time
@@ -86,6 +89,7 @@
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	l.budget = budget
+	l.grant()
 }
 
 // Listener wraps a listener, whose connections Configure's server must serve.
@@ -139,29 +143,7 @@
 func (l *Limiter) admit(accepted net.Conn) *Conn {
 	now := time.Now()
 	c := &Conn{Conn: accepted, limiter: l, since: now, progress: now}
-	l.mu.Lock()
-	var victims []*Conn
-	if len(l.conns) >= l.budget.Connections {
-		victims = l.selectVictims(now, 0, len(l.conns)+1-l.budget.Connections+l.budget.Connections/spareShare, c)
-		l.remove(victims, now)
-	}
-	var admitted bool
-	if len(l.conns) < l.budget.Connections {
-		c.index = len(l.conns)
-		l.conns = append(l.conns, c)
-		more, ok := l.charge(c, connCost, now)
-		victims = append(victims, more...)
-		if admitted = ok; !ok {
-			l.removeOne(c)
-		}
-	}
-	if l.timer == nil {
-		l.timer = time.AfterFunc(checkInterval, l.check)
-	}
-	begins := l.beginsPressure(len(victims) > 0 || !admitted, now)
-	l.mu.Unlock()
-	l.closeAll(victims, begins)
-	if !admitted {
+	if err := l.reserve(&waiter{conn: c, bytes: connCost, admits: true}); err != nil {
 		l.closed.WithLabelValues(reasonMemory).Inc()
 		_ = reset(accepted)
 		return nil
@@ -169,25 +151,13 @@
 	return c
 }
 
-// charge adds bytes to what a connection holds, and returns the connections that must be closed for it. If that is not enough, nothing is
-// added. The caller holds mu.
-func (l *Limiter) charge(c *Conn, bytes int64, now time.Time) (victims []*Conn, ok bool) {
-	if bytes > 0 && l.held+bytes > l.budget.Bytes {
-		victims = l.selectVictims(now, l.held+bytes-l.budget.Bytes+l.budget.Bytes/spareShare, 0, c)
-		l.remove(victims, now)
-		if c.gone || l.held+bytes > l.budget.Bytes {
-			return victims, false
-		}
-	}
-	c.held += bytes
-	l.held += bytes
-	return victims, true
-}
-
 // selectVictims returns the connections that hold most for longest without progress, which hold at least the given number of bytes together
 // and are at least the given number, or all that can be closed. Requests that are being served are left alone, and so is the newcomer. The
 // caller holds mu.
 func (l *Limiter) selectVictims(now time.Time, bytes int64, count int, newcomer *Conn) []*Conn {
+	if bytes <= 0 && count <= 0 {
+		return nil
+	}
 	type candidate struct {
 		conn   *Conn
 		weight float64
@@ -218,28 +188,59 @@
 	return victims
 }
 
-// remove removes connections, which the caller closes after releasing mu.
-func (l *Limiter) remove(victims []*Conn, now time.Time) {
-	for _, c := range victims {
-		l.removeOne(c)
+// end marks connections that the caller closes after releasing mu, and reports whether the log must say so. What they hold stays charged
+// until net/http has closed them.
+func (l *Limiter) end(conns []*Conn, now time.Time) (begins bool) {
+	for _, c := range conns {
+		l.endOne(c)
 	}
-	if len(victims) > 0 {
-		l.pressedAt = now
+	return l.beginsPressure(len(conns) > 0, now)
+}
+
+func (l *Limiter) endOne(c *Conn) {
+	c.ending = true
+	l.ending += c.held
+	l.endingConns++
+	if c.waiter != nil {
+		l.settle(c.waiter, net.ErrClosed)
+	}
+	if c.interrupt != nil {
+		c.interrupt()
 	}
 }
 
+// removeOne gives back what a connection holds.
 func (l *Limiter) removeOne(c *Conn) {
 	if c.gone {
 		return
 	}
+	if c.waiter != nil {
+		l.settle(c.waiter, net.ErrClosed)
+	}
+	l.release(c, c.held)
 	c.gone = true
-	l.held -= c.held
-	c.held = 0
+	if c.ending {
+		l.endingConns--
+	}
 	last := len(l.conns) - 1
 	l.conns[c.index] = l.conns[last]
 	l.conns[c.index].index = c.index
 	l.conns[last] = nil
 	l.conns = l.conns[:last]
+	l.grant()
+}
+
+// release gives back bytes that a connection holds. The caller holds mu.
+func (l *Limiter) release(c *Conn, bytes int64) {
+	if c.gone || bytes <= 0 {
+		return
+	}
+	c.held -= bytes
+	l.held -= bytes
+	if c.ending {
+		l.ending -= bytes
+	}
+	l.grant()
 }
 
 // beginsPressure records that a budget is used up and reports whether that is new. The caller holds mu.
@@ -279,7 +280,7 @@
 		}
 	}
 	for _, c := range stuck {
-		l.removeOne(c)
+		l.endOne(c)
 	}
 	ends := l.pressed && now.Sub(l.pressedAt) >= calmTime
 	if ends {
--- a/clientlimit/limiter_test.go
+++ b/clientlimit/limiter_test.go
@@ -3,9 +3,11 @@
 import (
 	"fmt"
 	"net/http"
+	"slices"
 	"strconv"
 	"strings"
 	"testing"
+	"testing/synctest"
 	"time"
 
 	"gotest.tools/v3/assert"
@@ -226,6 +228,62 @@
 	})
 }
 
+// A request that waits to be decoded must not hold its body after its connection was closed for another one: many such bodies would exceed the
+// budget.
+func TestClosedConnectionLeavesTheDecodeQueue(t *testing.T) {
+	inBubble(t, func(w *world) {
+		const budget = 3*maxBody + 8*connCost
+		w.limiter.SetBudget(Budget{Bytes: budget, Connections: 100})
+		var clients []*client
+		for range 4 { // two are decoded, one waits, and the last one needs its memory
+			c := w.dial()
+			// net/http does not notice that a connection was closed after it has received a byte of the next request.
+			c.send(post(decodePath, maxBody) + strings.Repeat("b", maxBody) + "G")
+			clients = append(clients, c)
+			time.Sleep(time.Second)
+		}
+		clients[2].expectClosed()
+		assert.Equal(t, w.bodies.Load(), int64(3*maxBody))
+		assert.Assert(t, w.held() <= budget)
+		close(w.release)
+		synctest.Wait()
+		for _, i := range []int{0, 1, 3} {
+			clients[i].expect(http.StatusOK)
+		}
+		assert.Equal(t, w.held(), int64(3*connCost))
+	})
+}
+
+// What a closed connection holds must stay charged until its handler has ended, and whoever needs it must wait for that.
+func TestClosedConnectionIsChargedUntilItsRequestEnds(t *testing.T) {
+	inBubble(t, func(w *world) {
+		const budget = 2 * connCost
+		w.limiter.SetBudget(Budget{Bytes: budget, Connections: 100})
+		conns := []*Conn{w.admit(), w.admit()}
+		admitted := make(chan *Conn, 1)
+		go func() { admitted <- w.admit() }()
+		synctest.Wait()
+		assert.Equal(t, w.held(), int64(budget))
+		select {
+		case <-admitted:
+			t.Fatal("a connection was admitted before another one gave its memory back")
+		default:
+		}
+		closed := slices.IndexFunc(conns, func(c *Conn) bool { return c.ending })
+		assert.NilError(t, conns[closed].Close())
+		third := <-admitted
+		assert.Assert(t, third != nil)
+		assert.Equal(t, w.held(), int64(budget))
+		// A connection that is never given back must not hold up others for ever.
+		assert.Assert(t, w.admit() == nil)
+		for _, c := range append(conns, third) {
+			assert.NilError(t, c.Close())
+		}
+		assert.Equal(t, w.held(), int64(0))
+		assert.Equal(t, w.open(), 0)
+	})
+}
+
 // The settings of the smallest VM must leave memory and descriptors for the rest of a node.
 func TestBudgetOfTheSmallestVM(t *testing.T) {
 	b := BudgetOf(184, 4100)
--- a/internal/untrusted/process_test.go
+++ b/internal/untrusted/process_test.go
@@ -1,7 +1,6 @@
 package untrusted
 
 import (
-	"bytes"
 	"encoding/json"
 	"fmt"
 	"net"
@@ -30,6 +29,7 @@
 	serviceName   = "press"
 	queueHost     = "jobs.example"
 	jobPathPrefix = "/jobs/"
+	ordinaryJob   = `{"spec":"a","steps":[{"count":1,"cpu":100,"mem_mb":10,"estimated_ms":10}]}`
 	program       = "github.com/currantthread/currantthread/cmd/currantthread"
 
 	// memoryMB is the memory_mb of each test's settings and the bound of the process's peak resident memory.
@@ -265,11 +265,7 @@
 	n.t.Helper()
 	client := &http.Client{Timeout: requestTimeout, Transport: &http.Transport{DisableKeepAlives: true}}
 	n.await("a response to an ordinary request", answerWait, func() bool {
-		body := []byte(`{"spec":"a","steps":[{"count":1,"cpu":100,"mem_mb":10,"estimated_ms":10}]}`)
-		request, err := http.NewRequest(http.MethodPost, "http://"+n.clientAddr+jobPathPrefix+id, bytes.NewReader(body))
-		assert.NilError(n.t, err)
-		request.Host = queueHost
-		response, err := client.Do(request)
+		response, err := client.Do(n.submission(id, ordinaryJob))
 		if err != nil {
 			return false
 		}
@@ -278,6 +274,15 @@
 	})
 }
 
+// submission returns a request that submits a job.
+func (n *node) submission(id, job string) *http.Request {
+	n.t.Helper()
+	request, err := http.NewRequest(http.MethodPost, "http://"+n.clientAddr+jobPathPrefix+id, strings.NewReader(job))
+	assert.NilError(n.t, err)
+	request.Host = queueHost
+	return request
+}
+
 // check fails the test unless the process is alive, within its bounds, and answers an ordinary request.
 func (n *node) check() {
 	n.t.Helper()
--- a/internal/untrusted/untrusted_test.go
+++ b/internal/untrusted/untrusted_test.go
@@ -212,14 +212,13 @@
 // larger ones refused. The defaults would serve the refused head.
 func TestConfiguredLimits(t *testing.T) {
 	n := startNode(t, manyFDs, usualLimits)
-	const job = `{"spec":"a","steps":[{"count":1,"cpu":100,"mem_mb":10,"estimated_ms":10}]}`
 	for _, c := range []struct {
 		addr, start      string
 		headSize, length int
 		status           string
 	}{
-		{n.clientAddr, requestLine(1), usualLimits.HeaderBytes, len(job), "200"},
-		{n.clientAddr, requestLine(2), usualLimits.HeaderBytes + 1, len(job), "431"},
+		{n.clientAddr, requestLine(1), usualLimits.HeaderBytes, len(ordinaryJob), "200"},
+		{n.clientAddr, requestLine(2), usualLimits.HeaderBytes + 1, len(ordinaryJob), "431"},
 		{n.clientAddr, requestLine(3), 1000, bodyBytes, "200"},
 		{n.clientAddr, requestLine(4), 1000, bodyBytes + 1, "413"},
 		{n.readyAddr, "GET /v1/ready HTTP/1.1\r\nHost: a\r\n", usualLimits.HeaderBytes, 0, "200"},
@@ -229,7 +228,7 @@
 		head += strings.Repeat("x", c.headSize-len(head)-len("\r\n\r\n")) + "\r\n\r\n"
 		body := ""
 		if c.length > 0 {
-			body = job + strings.Repeat(" ", c.length-len(job))
+			body = ordinaryJob + strings.Repeat(" ", c.length-len(ordinaryJob))
 		}
 		conn, err := net.DialTimeout("tcp", c.addr, writeTimeout)
 		assert.NilError(t, err)
