Free the head of a refused request before the rest is discarded

Callers saw the memory of a node's process exceed that of its VM when clients sent heads of many short lines, a little over the limit, and kept their connections open.

Change: the read ends as soon as the refusal is sent. net/http frees the head and closes the connection, and only then the rest is discarded, with the connection charged and open to be closed for another one.

--- a/clientlimit/conn.go
+++ b/clientlimit/conn.go
@@ -40,7 +40,8 @@
 const (
 	waiting phase = iota // for the first byte of a request
 	inHead
-	serving // net/http has parsed the head
+	serving   // net/http has parsed the head
+	lingering // net/http has closed the connection, and what the client still sends is discarded
 )
 
 // Conn is a connection of a client.
@@ -55,6 +56,7 @@
 	// ending is set once the limiter has closed the connection. What it holds stays charged until net/http closes it too, because only then
 	// the memory is free. gone is set once that has happened.
 	ending, gone bool
+	refused      bool // a refusal was sent
 	// since is when the phase began, progress when the connection last made progress, and paused when its body was last not being read.
 	since, progress, paused time.Time
 	unmarked                int // bytes of a body since progress
@@ -183,14 +185,18 @@
 	return int64(c.head.bytes-bytes) + int64(c.head.lines-lines)*lineCost, 0, ""
 }
 
-// refuse responds to a request that no handler has seen, and ends the connection.
+// refuse responds to a request that no handler has seen, and returns the error with which net/http ends the connection. net/http holds the
+// head until then, so the rest of the request is not discarded here but by Close.
 func (c *Conn) refuse(status int, reason string) error {
-	c.limiter.closed.WithLabelValues(reason).Inc()
-	c.release()
-	if _, err := c.Write(c.limiter.Refusal(status)); err != nil {
-		return io.EOF
+	l := c.limiter
+	l.closed.WithLabelValues(reason).Inc()
+	_, err := c.Write(l.Refusal(status))
+	if half, ok := c.Conn.(interface{ CloseWrite() error }); ok && err == nil {
+		_ = half.CloseWrite() // the connection is closed soon
 	}
-	c.linger()
+	l.mu.Lock()
+	c.refused = true
+	l.mu.Unlock()
 	return io.EOF
 }
 
@@ -205,20 +211,11 @@
 		status, http.StatusText(status), len(body), retry, body)
 }
 
-// linger ends the sending side and discards what the client still sends.
+// linger discards what the client still sends, and closes the connection.
 func (c *Conn) linger() {
-	if half, ok := c.Conn.(interface{ CloseWrite() error }); ok {
-		_ = half.CloseWrite() // the connection is closed soon
-	}
 	_ = c.SetReadDeadline(time.Now().Add(lingerTime))
-	buf := make([]byte, bufferedBytes)
-	for total := 0; total < lingerBytes; {
-		n, err := c.Conn.Read(buf)
-		if err != nil {
-			return
-		}
-		total += n
-	}
+	_, _ = io.CopyN(io.Discard, c.Conn, lingerBytes) // ends with an error unless the client sends all of it
+	_ = c.closeNow()
 }
 
 // readError returns the error for a failed read. It responds if a head took too long.
@@ -252,7 +249,10 @@
 func (c *Conn) Write(buf []byte) (written int, err error) {
 	defer c.setWriting(false)
 	for err == nil && written < len(buf) {
-		c.setWriting(true)
+		if c.setWriting(true) {
+			// net/http responds to a request whose head it could not read.
+			return written, net.ErrClosed
+		}
 		var n int
 		n, err = c.Conn.Write(buf[written:min(len(buf), written+writeChunk)])
 		written += n
@@ -260,27 +260,39 @@
 	return written, err
 }
 
-func (c *Conn) setWriting(writing bool) {
+// setWriting reports whether a refusal was sent, after which nothing may follow.
+func (c *Conn) setWriting(writing bool) (refused bool) {
 	c.limiter.mu.Lock()
 	defer c.limiter.mu.Unlock()
 	c.writing, c.progress = writing, time.Now()
+	return c.refused
 }
 
 // Close implements net.Conn. net/http calls it once it holds nothing of the request any more.
 func (c *Conn) Close() error {
+	l := c.limiter
+	l.mu.Lock()
+	lingers := c.refused && c.phase != lingering && !c.ending && !c.gone
+	if lingers {
+		c.phase = lingering
+		c.releaseRequest()
+	}
+	l.mu.Unlock()
+	if lingers {
+		go c.linger()
+		return nil
+	}
+	return c.closeNow()
+}
+
+// closeNow closes the connection and gives back what it holds.
+func (c *Conn) closeNow() error {
 	c.limiter.mu.Lock()
 	c.limiter.removeOne(c)
 	c.limiter.mu.Unlock()
 	return c.Conn.Close()
 }
 
-// release gives back all but the cost of the connection itself.
-func (c *Conn) release() {
-	c.limiter.mu.Lock()
-	defer c.limiter.mu.Unlock()
-	c.releaseRequest()
-}
-
 // releaseRequest gives back all but the cost of the connection itself. The caller holds the mutex.
 func (c *Conn) releaseRequest() { c.limiter.release(c, c.held-connCost) }
 
--- a/clientlimit/helpers_test.go
+++ b/clientlimit/helpers_test.go
@@ -44,7 +44,8 @@
 	limiter *Limiter
 	network *memnet.Network
 	release chan struct{}
-	bodies  atomic.Int64 // bytes of bodies that handlers hold
+	// bodies counts the bytes of bodies that handlers hold, and ended the connections that net/http has closed.
+	bodies, ended atomic.Int64
 }
 
 // inBubble runs a test in virtual time.
@@ -57,6 +58,12 @@
 		w.limiter.SetLimits(testLimits)
 		server := &http.Server{Handler: http.HandlerFunc(w.serve)}
 		w.limiter.Configure(server)
+		server.ConnState = func(conn net.Conn, state http.ConnState) {
+			if state == http.StateClosed {
+				w.ended.Add(1)
+			}
+			ConnState(conn, state)
+		}
 		listener := w.limiter.Listener(w.network.Listen(testAddr))
 		done := make(chan struct{})
 		go func() {
--- a/clientlimit/limiter_test.go
+++ b/clientlimit/limiter_test.go
@@ -284,6 +284,21 @@
 	})
 }
 
+// net/http holds a refused head until it closes the connection, so that must not wait until the client has stopped sending.
+func TestRefusedHeadIsNotHeld(t *testing.T) {
+	inBubble(t, func(w *world) {
+		c := w.dial()
+		c.send("GET / HTTP/1.1\r\n" + strings.Repeat("a:\n", testHeader))
+		c.expect(http.StatusRequestHeaderFieldsTooLarge)
+		assert.Equal(t, w.ended.Load(), int64(1))
+		assert.Equal(t, w.open(), 1, "the client could lose the response")
+		assert.Equal(t, w.held(), int64(connCost))
+		time.Sleep(lingerTime)
+		assert.Equal(t, w.open(), 0)
+		assert.Equal(t, w.held(), int64(0))
+	})
+}
+
 // The settings of the smallest VM must leave memory and descriptors for the rest of a node.
 func TestBudgetOfTheSmallestVM(t *testing.T) {
 	b := BudgetOf(184, 4100)
--- a/internal/untrusted/requests_test.go
+++ b/internal/untrusted/requests_test.go
@@ -5,10 +5,20 @@
 	"net"
 	"strings"
 	"testing"
+	"time"
 )
 
-// bodiesInARow is the number of bodies that a client sends on one connection without reading a response.
-const bodiesInARow = 20
+const (
+	// bodiesInARow is the number of bodies that a client sends on one connection without reading a response.
+	bodiesInARow = 20
+	// overlongBytes is the size of a head that is a little over the limit.
+	overlongBytes = 17_000
+	// overlongClients is the number of clients that send such a head, one after another every overlongInterval.
+	overlongClients  = 600
+	overlongInterval = 2 * time.Millisecond
+)
+
+var overlongHead = headerLines(overlongBytes, "%x:\n")
 
 // sendBodiesInARow sends whole bodies one after another without waiting for responses. Each is decoded to its end and then refused.
 func sendBodiesInARow(conn net.Conn, client int) error {
@@ -23,7 +33,24 @@
 	return nil
 }
 
+// sendOverlongHead sends a head of many short lines that is refused, and keeps the connection open whatever the process does.
+func sendOverlongHead(conn net.Conn, client int) error {
+	time.Sleep(time.Duration(client) * overlongInterval)
+	if err := write(conn, append([]byte(requestLine(client)), overlongHead()...)); err != nil {
+		return err
+	}
+	time.Sleep(holdTime)
+	return nil
+}
+
 // TestBodiesInARow guards against bodies that are still held after their connection was closed for the budget.
 func TestBodiesInARow(t *testing.T) {
 	testMemory(t, kind{"large bodies within the limit, one after another, responses not read", sendBodiesInARow})
 }
+
+// TestOverlongHeads guards against heads that are still held while the rest of a refused request is discarded.
+func TestOverlongHeads(t *testing.T) {
+	n := startNode(t, manyFDs, usualLimits)
+	n.runClients(overlongClients, kind{"heads of many short lines a little over the limit", sendOverlongHead})
+	n.check()
+}
--- a/internal/untrusted/untrusted_test.go
+++ b/internal/untrusted/untrusted_test.go
@@ -49,9 +49,12 @@
 }
 
 // run lets all clients send, each again after its connection was closed, and returns once all have ended.
-func (n *node) run(kinds ...kind) {
+func (n *node) run(kinds ...kind) { n.runClients(clients, kinds...) }
+
+// runClients is run with another number of clients.
+func (n *node) runClients(count int, kinds ...kind) {
 	var running sync.WaitGroup
-	for client := range clients {
+	for client := range count {
 		running.Go(func() {
 			for range attempts {
 				if !n.runClient(kinds[client%len(kinds)], client) {
