Apply a smaller budget of clients to what they hold already

An operator who lowers memory_mb or max_fds of a node expects it to hold within the new settings. Connections that were open stayed, and were closed only when one of them sent more.

Change: setting a smaller budget closes the connections that exceed it, in the usual order.

TestBudgetShrinks failed before.

--- a/clientlimit/limiter.go
+++ b/clientlimit/limiter.go
@@ -84,12 +84,16 @@
 	l.limits = limits.withDefaults()
 }
 
-// SetBudget changes the budget of all connections.
+// SetBudget changes the budget of all connections. Connections that exceed a smaller one are closed.
 func (l *Limiter) SetBudget(budget Budget) {
+	now := time.Now()
 	l.mu.Lock()
-	defer l.mu.Unlock()
 	l.budget = budget
+	victims := l.selectVictims(now, l.held-l.ending-budget.Bytes, len(l.conns)-l.endingConns-budget.Connections, nil)
+	begins := l.end(victims, now)
 	l.grant()
+	l.mu.Unlock()
+	l.closeAll(victims, begins)
 }
 
 // Listener wraps a listener, whose connections Configure's server must serve.
--- a/clientlimit/limiter_test.go
+++ b/clientlimit/limiter_test.go
@@ -299,6 +299,27 @@
 	})
 }
 
+// A smaller budget must also apply to what is held already.
+func TestBudgetShrinks(t *testing.T) {
+	inBubble(t, func(w *world) {
+		first, second := w.dial(), w.dial()
+		for _, c := range []*client{first, second} {
+			c.send(post("/", maxBody) + strings.Repeat("b", maxBody-1))
+			time.Sleep(time.Second)
+		}
+		w.limiter.SetBudget(Budget{Bytes: maxBody + 2*connCost, Connections: 100})
+		assert.Assert(t, w.held() <= maxBody+2*connCost)
+		first.expectClosed()
+		w.limiter.SetBudget(Budget{Bytes: 1 << 20, Connections: 1})
+		assert.Equal(t, w.open(), 1)
+		second.send("b")
+		second.expect(http.StatusOK)
+		third := w.dial()
+		third.expectOpen()
+		second.expectClosed()
+	})
+}
+
 // The settings of the smallest VM must leave memory and descriptors for the rest of a node.
 func TestBudgetOfTheSmallestVM(t *testing.T) {
 	b := BudgetOf(184, 4100)
--- a/internal/untrusted/process_test.go
+++ b/internal/untrusted/process_test.go
@@ -80,22 +80,20 @@
 
 var usualLimits = limits{HeaderBytes: 16_384, BodyBytes: 262_144, HeaderTimeoutMs: 3000, IdleTimeoutMs: 3000}
 
-// node is the process of one node.
-type node struct {
-	t                     *testing.T
-	cmd                   *exec.Cmd
-	clientAddr, readyAddr string
-	maxFDs                int
-	log                   string
-	ended                 chan struct{}
-	stopSampling          chan struct{}
-	sampled               sync.WaitGroup
-	mu                    sync.Mutex // guards peakFDs
-	peakFDs               int
+// vm is the VM of a node, as its settings describe it. Each amount bounds what the process may use.
+type vm struct {
+	memoryMB, maxFDs int
 }
 
-// startNode starts the emulated platform with one runner, and a node that has acquired its cell.
-func startNode(t *testing.T, maxFDs int, configured limits) *node {
+// deployment is an emulated platform with one runner.
+type deployment struct {
+	t         *testing.T
+	rows      *emulator.Store
+	storeAddr string
+}
+
+// newDeployment starts an emulated platform whose operators have configured the limits.
+func newDeployment(t *testing.T, configured limits) *deployment {
 	t.Helper()
 	rows := emulator.NewStore()
 	fleet := emulator.NewFleet(func(workload.TaskID, int) (time.Duration, bool) { return 10 * time.Millisecond, false })
@@ -114,13 +112,50 @@
 	})
 	assert.NilError(t, err)
 	rows.Put(store.Key{Table: platform.TableOperator, Name: platform.RowConfig}, config)
+	return &deployment{t: t, rows: rows, storeAddr: serve(t, platform.NewStoreServer(rows))}
+}
 
-	dir := t.TempDir()
-	inner := freePorts(t, 4)
-	n := &node{t: t, maxFDs: maxFDs, log: filepath.Join(dir, "log"), ended: make(chan struct{}), stopSampling: make(chan struct{}),
-		clientAddr: fmt.Sprintf("%s:%d", loopback, inner+2), readyAddr: fmt.Sprintf("%s:%d", loopback, inner+3)}
-	file := filepath.Join(dir, "settings.toml")
-	settings := fmt.Sprintf(`node_name = "n-0"
+// node is the process of one node.
+type node struct {
+	t                     *testing.T
+	deployment            *deployment
+	vm                    vm
+	name                  string
+	ports                 int // first of its ports
+	cmd                   *exec.Cmd
+	clientAddr, readyAddr string
+	settings, log         string // files
+	ended                 chan struct{}
+	stopSampling          chan struct{}
+	sampled               sync.WaitGroup
+	mu                    sync.Mutex // guards peakFDs
+	peakFDs               int
+}
+
+// startNode starts a deployment of one node, which has acquired its cell.
+func startNode(t *testing.T, maxFDs int, configured limits) *node {
+	t.Helper()
+	return newDeployment(t, configured).startNode("n-0", vm{memoryMB: memoryMB, maxFDs: maxFDs})
+}
+
+// startNode starts a node, which is ready and answers.
+func (d *deployment) startNode(name string, on vm) *node {
+	d.t.Helper()
+	dir := d.t.TempDir()
+	ports := freePorts(d.t, 4)
+	n := &node{t: d.t, deployment: d, vm: on, name: name, ports: ports, settings: filepath.Join(dir, "settings.toml"), log: filepath.Join(dir, "log"),
+		ended: make(chan struct{}), stopSampling: make(chan struct{}),
+		clientAddr: fmt.Sprintf("%s:%d", loopback, ports+2), readyAddr: fmt.Sprintf("%s:%d", loopback, ports+3)}
+	n.writeSettings()
+	n.start()
+	n.awaitReady()
+	return n
+}
+
+// writeSettings writes the settings file for the node's VM.
+func (n *node) writeSettings() {
+	n.t.Helper()
+	settings := fmt.Sprintf(`node_name = %q
 ip = %q
 zone = "anza"
 region = "sur"
@@ -146,11 +181,8 @@
 address = %q
 form = "table"
 across = true
-`, loopback, inner, inner+1, n.clientAddr, n.readyAddr, memoryMB, maxFDs, serve(t, platform.NewStoreServer(rows)))
-	assert.NilError(t, os.WriteFile(file, []byte(settings), 0o600))
-	n.start(file)
-	n.awaitReady()
-	return n
+`, n.name, loopback, n.ports, n.ports+1, n.clientAddr, n.readyAddr, n.vm.memoryMB, n.vm.maxFDs, n.deployment.storeAddr)
+	assert.NilError(n.t, os.WriteFile(n.settings, []byte(settings), 0o600))
 }
 
 func serve(t *testing.T, handler http.Handler) string {
@@ -163,12 +195,16 @@
 	return listener.Addr().String()
 }
 
+// reservedPorts are the first ports that freePorts has returned.
+var reservedPorts = map[int]bool{}
+
 // freePorts returns the first of count consecutive ports that are free.
 func freePorts(t *testing.T, count int) int {
 	t.Helper()
 	const first, last = 21_000, 32_000 // below the ephemeral ports of the system
 	for port := first + os.Getpid()%(last-first); port < last+first; port += count {
-		if portsFree(port, count) {
+		if !reservedPorts[port] && portsFree(port, count) {
+			reservedPorts[port] = true
 			return port
 		}
 	}
@@ -187,12 +223,12 @@
 	return true
 }
 
-func (n *node) start(file string) {
+func (n *node) start() {
 	n.t.Helper()
 	log, err := os.Create(n.log)
 	assert.NilError(n.t, err)
 	defer log.Close()
-	n.cmd = exec.Command(binary, "node", "--config", file)
+	n.cmd = exec.Command(binary, "node", "--config", n.settings)
 	n.cmd.Stdout, n.cmd.Stderr = log, log
 	assert.NilError(n.t, n.cmd.Start())
 	go func() {
@@ -297,26 +333,29 @@
 	peakFDs := n.peakFDs
 	n.mu.Unlock()
 	n.t.Logf("peak memory %d kB, peak of open descriptors %d", peakKB, peakFDs)
-	if peakKB > memoryMB<<10 {
-		n.t.Errorf("peak memory is %d kB, at most %d are allowed", peakKB, memoryMB<<10)
+	if peakKB > n.vm.memoryMB<<10 {
+		n.t.Errorf("peak memory is %d kB, at most %d are allowed", peakKB, n.vm.memoryMB<<10)
 	}
-	if peakFDs > n.maxFDs {
-		n.t.Errorf("%d descriptors were open, at most %d are allowed", peakFDs, n.maxFDs)
+	if peakFDs > n.vm.maxFDs {
+		n.t.Errorf("%d descriptors were open, at most %d are allowed", peakFDs, n.vm.maxFDs)
 	}
 }
 
 // peakMemoryKB returns the peak resident memory of the process.
-func (n *node) peakMemoryKB() int {
+func (n *node) peakMemoryKB() int { return n.memoryKB("VmHWM") }
+
+// memoryKB returns an amount of memory of the process as the system names it.
+func (n *node) memoryKB(name string) int {
 	n.t.Helper()
 	status, err := os.ReadFile(fmt.Sprintf("/proc/%d/status", n.cmd.Process.Pid))
 	assert.NilError(n.t, err)
 	for line := range strings.Lines(string(status)) {
-		if value, ok := strings.CutPrefix(line, "VmHWM:"); ok {
+		if value, ok := strings.CutPrefix(line, name+":"); ok {
 			kb, err := strconv.Atoi(strings.TrimSpace(strings.TrimSuffix(strings.TrimSpace(value), "kB")))
 			assert.NilError(n.t, err)
 			return kb
 		}
 	}
-	n.t.Fatal("the process has no peak memory")
+	n.t.Fatalf("the process has no %s", name)
 	return 0
 }
