Bound the log lines that clients' requests cause

Operators saw the log of a node filled by one client: each malformed job wrote a line, up to the 200 KB a second that a process may write, and pushed out the lines of other events.

Change: of the lines that a client's request causes, at most 10 with one message are written in each 10 s, and the next one says how many were left out. The limited log for unusable rows moves to package observe and serves both. Lines for accepted jobs stay, because a job's history begins with them.

--- a/internal/untrusted/requests_test.go
+++ b/internal/untrusted/requests_test.go
@@ -1,11 +1,17 @@
 package untrusted
 
 import (
+	"bytes"
 	"fmt"
+	"io"
 	"net"
+	"net/http"
+	"os"
 	"strings"
 	"testing"
 	"time"
+
+	"gotest.tools/v3/assert"
 )
 
 const (
@@ -16,6 +22,9 @@
 	// overlongClients is the number of clients that send such a head, one after another every overlongInterval.
 	overlongClients  = 600
 	overlongInterval = 2 * time.Millisecond
+	// malformedJobs is the number of malformed jobs that the clients send together, and maxLogLines bounds the lines that the process logs for them.
+	malformedJobs = 3000
+	maxLogLines   = 100
 )
 
 var overlongHead = headerLines(overlongBytes, "%x:\n")
@@ -54,3 +63,29 @@
 	n.runClients(overlongClients, kind{"heads of many short lines a little over the limit", sendOverlongHead})
 	n.check()
 }
+
+// TestMalformedJobs guards against a log that grows with each request of a client.
+func TestMalformedJobs(t *testing.T) {
+	n := startNode(t, manyFDs, usualLimits)
+	const body = `{"steps":1}`
+	before := n.logLines()
+	for i := range malformedJobs {
+		response, err := http.DefaultClient.Do(n.submission(fmt.Sprintf("%016x", i), body))
+		assert.NilError(t, err)
+		_, _ = io.Copy(io.Discard, response.Body) // the connection is used again
+		assert.NilError(t, response.Body.Close())
+		assert.Equal(t, response.StatusCode, http.StatusBadRequest)
+	}
+	n.check()
+	if lines := n.logLines() - before; lines > maxLogLines {
+		t.Errorf("the process has logged %d lines, at most %d are allowed", lines, maxLogLines)
+	}
+}
+
+// logLines returns the number of lines that the process has logged.
+func (n *node) logLines() int {
+	n.t.Helper()
+	data, err := os.ReadFile(n.log)
+	assert.NilError(n.t, err)
+	return bytes.Count(data, []byte{'\n'})
+}
--- a/node/cells.go
+++ b/node/cells.go
@@ -442,17 +442,17 @@
 	switch {
 	case row.Deleted:
 		if known && n.isCell(old) {
-			n.rowLog.warn(logrus.Fields{"runner": fmt.Sprintf("%.50q", id), "cell": old}, "row of a runner's cell was deleted")
+			n.rowLog.Warn(logrus.Fields{"runner": fmt.Sprintf("%.50q", id), "cell": old}, "row of a runner's cell was deleted")
 			n.rewriteAssignment(id, 0)
 		}
 		return
 	case n.cellCount.Load() > 0 && !n.isCell(cell):
-		n.rowLog.warn(logrus.Fields{"runner": fmt.Sprintf("%.50q", id), "value": fmt.Sprintf("%.50q", cell)}, "row of a runner names no cell")
+		n.rowLog.Warn(logrus.Fields{"runner": fmt.Sprintf("%.50q", id), "value": fmt.Sprintf("%.50q", cell)}, "row of a runner names no cell")
 		if known {
 			return
 		}
 	case known && n.isCell(old) && cell != old:
-		n.rowLog.warn(logrus.Fields{"runner": fmt.Sprintf("%.50q", id), "cell": old, "value": cell}, "row of a runner names another cell")
+		n.rowLog.Warn(logrus.Fields{"runner": fmt.Sprintf("%.50q", id), "cell": old, "value": cell}, "row of a runner names another cell")
 		n.rewriteAssignment(id, row.Version)
 		return
 	}
--- a/node/clients.go
+++ b/node/clients.go
@@ -15,6 +15,7 @@
 	"time"
 
 	"connectrpc.com/connect"
+	"github.com/sirupsen/logrus"
 
 	"github.com/currantthread/currantthread/catalog"
 	"github.com/currantthread/currantthread/dispatch"
@@ -335,7 +336,7 @@
 	defer cancel()
 	res, err := n.peers.client(target.Addr).Submit(ctx, &innerproto.SubmitRequest{Cell: target.Load.Cell, Job: value, Force: force})
 	if err != nil {
-		n.log.WithField("request", job.ID).WithField("peer", target.Node).WithError(err).Warn("submission to the cell's owner failed")
+		n.requestLog.Warn(logrus.Fields{"request": job.ID, "peer": target.Node, "error": err.Error()}, "submission to the cell's owner failed")
 		if neverSent(err) {
 			return dispatch.OutcomeNotOwner, ""
 		}
@@ -440,7 +441,7 @@
 		return "", errors.Join(errNoResponse, err)
 	}
 	if cell == "" {
-		n.log.WithField("request", jobID).Info("job that has not been accepted is cancelled")
+		n.requestLog.Info(logrus.Fields{"request": jobID}, "job that has not been accepted is cancelled")
 		return "", nil
 	}
 	return n.indexedCell(jobID, cell)
--- a/node/layout.go
+++ b/node/layout.go
@@ -49,12 +49,12 @@
 	count, err := strconv.Atoi(string(row.Value))
 	switch {
 	case row.Deleted && known > 0:
-		n.rowLog.warn(nil, "row with the number of cells was deleted")
+		n.rowLog.Warn(nil, "row with the number of cells was deleted")
 		n.rewrite[rowLayout] = strconv.Itoa(known)
 		n.wakeAssign()
 	case row.Deleted:
 	case err != nil || count < 1 || count > maxCells || known > 0 && count != known:
-		n.rowLog.warn(logrus.Fields{"value": fmt.Sprintf("%.50q", row.Value), "known": known}, "invalid number of cells")
+		n.rowLog.Warn(logrus.Fields{"value": fmt.Sprintf("%.50q", row.Value), "known": known}, "invalid number of cells")
 	default:
 		delete(n.rewrite, rowLayout)
 		n.cellCount.Store(int32(count))
--- a/node/node.go
+++ b/node/node.go
@@ -47,6 +47,10 @@
 	leaseShare = 0.6
 	// shutdownGraceShare is the share of the platform's grace period that open requests get to finish.
 	shutdownGraceShare = 0.6
+	// rowLogLines and rowLogWindow bound the lines with one message about unusable rows. Another writer may rewrite its rows many times a
+	// second.
+	rowLogLines  = 5
+	rowLogWindow = time.Minute
 )
 
 // Node is one process of the system.
@@ -67,7 +71,8 @@
 	peers            *peers
 	metrics          *dispatch.Metrics
 	unusableRows     prometheus.Gauge
-	rowLog           *rowLog
+	requestLog       *observe.LimitedLog // of what clients' requests cause
+	rowLog           *observe.LimitedLog // of unusable rows
 	health           observe.Health
 	clients          *clientlimit.Limiter // bounds the connections of clients
 	catalog          atomic.Pointer[catalog.Config]
@@ -180,7 +185,8 @@
 	if services.Advice != nil {
 		n.advisor = services.Advice
 	}
-	n.rowLog = newRowLog(n.log)
+	n.rowLog = observe.NewLimitedLog(n.log, rowLogLines, rowLogWindow)
+	n.requestLog = observe.NewRequestLog(n.log)
 	n.heartbeats, n.ownerRows = ownership.NewReader(n.store, ownership.TableNodes), ownership.NewReader(n.store, ownership.TableOwners)
 	n.heartbeatRepeater.Delay = ownership.HeartbeatInterval
 	n.metrics = dispatch.NewMetrics(n.registry)
@@ -302,7 +308,7 @@
 func (n *Node) configChanged(row store.Row) {
 	config, err := platform.DecodeConfig(row.Value)
 	if err != nil {
-		n.rowLog.warn(logrus.Fields{"error": err.Error()}, "configuration rejected; the previous one stays active")
+		n.rowLog.Warn(logrus.Fields{"error": err.Error()}, "configuration rejected; the previous one stays active")
 		return
 	}
 	old := n.catalog.Load()
@@ -482,7 +488,7 @@
 		return errors.Join(heartbeatErr, err)
 	}
 	for _, problem := range problems {
-		n.rowLog.warn(logrus.Fields{"error": problem.Error()}, "could not decode the heartbeat of a node")
+		n.rowLog.Warn(logrus.Fields{"error": problem.Error()}, "could not decode the heartbeat of a node")
 	}
 	n.checkPredecessors()
 	n.updateWitnesses()
--- a/node/quota.go
+++ b/node/quota.go
@@ -80,7 +80,7 @@
 		}
 		decoded, err := quota.Decode(row.Value)
 		if err != nil {
-			n.rowLog.warn(logrus.Fields{"organisation": fmt.Sprintf("%.50q", name), "error": err.Error()}, "row of an organisation's limits can't be decoded")
+			n.rowLog.Warn(logrus.Fields{"organisation": fmt.Sprintf("%.50q", name), "error": err.Error()}, "row of an organisation's limits can't be decoded")
 			n.badQuotaRows[name] = true
 			continue
 		}
@@ -352,7 +352,7 @@
 	for _, o := range changed {
 		value, err := o.next.Encode()
 		if err != nil || len(value) > store.MaxRowBytes {
-			n.rowLog.warn(logrus.Fields{"organisation": o.name, "bytes": len(value)}, "row of an organisation's limits can't be stored")
+			n.rowLog.Warn(logrus.Fields{"organisation": o.name, "bytes": len(value)}, "row of an organisation's limits can't be stored")
 			continue
 		}
 		if txn.Entries()+2 > store.MaxTxnEntries || size+len(value) > store.MaxTxnBytes {
