Bound the memory of the jobs that an owner has accepted

Callers got no more responses, and the process of the owner grew to 1 GB, after 244 clients had submitted one job of 120 bytes each: 10,000 tasks that no runner fits. Jobs with large definitions that wait for ever did the same more slowly.

Cause: a task takes about 420 bytes in the memory of the owner, 35,000 times its part of the request at most, and jobs were accepted without a bound. Ended jobs kept the state of all tasks for as long as their state can be queried.

Change: jobs of all cells of a node may take 20% of memory_mb. A job gets memory if it needs at most a quarter of what is free, so a few large jobs leave room for small ones; otherwise the next cell is asked, and at last the job is refused with 503 at once, with a Retry-After that differs from job to job. The first occurrence of a scheduled job is counted from the start, and overlapping ones wait until they fit. The tasks of an ended job are dropped 15 s after its end. refuseUnlessAccepted replaces two copies of its code.

--- a/dispatch/acquire.go
+++ b/dispatch/acquire.go
@@ -190,7 +190,7 @@
 		}
 		j.rowVersion = versions[row.Key.Name]
 		j.hostedSince = j.rowVersion
-		c.jobs[row.Key.Name] = j
+		c.addJob(row.Key.Name, j)
 		c.restoreCap(j)
 		c.resume(j)
 	}
--- a/dispatch/cell.go
+++ b/dispatch/cell.go
@@ -66,6 +66,8 @@
 	Store     store.Store
 	Runners   runner.Client
 	Advisor   Advisor
+	// Memory bounds the memory of the jobs, together with those of the node's other cells; nil if it is not bounded.
+	Memory *JobMemory
 	// Peers reaches the other cells; nil if no task may be delegated.
 	Peers   Peers
 	Log     *logrus.Entry
@@ -250,6 +252,7 @@
 	loops.Wait()
 	c.resetWaiting()
 	c.background.Wait()
+	c.releaseMemory()
 }
 
 // Epoch returns the fencing token of this owner.
@@ -374,8 +377,8 @@
 // without a schedule may have.
 const maxOpenTasks = workload.MaxTasks
 
-// createDueOccurrences creates the occurrences that have become due, in order. While a job has too many open tasks, the others
-// wait until earlier ones are done. The caller holds mu.
+// createDueOccurrences creates the occurrences that have become due, in order. While a job has too many open tasks, or memory is short, the
+// others wait until earlier ones are done. The caller holds mu.
 func (c *Cell) createDueOccurrences(now time.Time) {
 	for _, j := range c.jobs {
 		if j.state.Terminal() || j.nextOcc >= j.def.Occurrences || j.def.Due(j.nextOcc).After(now) {
@@ -383,7 +386,7 @@
 		}
 		j.removeDoneOccurrences()
 		for j.nextOcc < j.def.Occurrences && !j.def.Due(j.nextOcc).After(now) {
-			if j.nextOcc > len(j.doneOccs) && j.openTasks(j.nextOcc) > maxOpenTasks {
+			if j.nextOcc > len(j.doneOccs) && (j.openTasks(j.nextOcc) > maxOpenTasks || !c.cfg.Memory.fits(occurrenceBytes(j.def))) {
 				break
 			}
 			c.addOccurrence(j)
--- a/dispatch/flush.go
+++ b/dispatch/flush.go
@@ -38,6 +38,8 @@
 	renewInterval = 1 * time.Second
 	// commitRetry is the pause after a failed commit.
 	commitRetry = 150 * time.Millisecond
+	// unitRetention is how long the units of a finished job are kept, which commands that were sent for them may refer to.
+	unitRetention = 15 * time.Second
 	// expiryInterval is how often finished jobs are checked for removal.
 	expiryInterval = 2 * time.Second
 	// submissionTimeout is how long submissions wait for a store that refuses commits before they are refused.
@@ -448,7 +450,7 @@
 	return time.Duration(retentionFactor * float64(c.cfg.Retention))
 }
 
-// expired returns finished jobs whose retention has passed. The caller holds mu.
+// expired returns finished jobs whose retention has passed, and drops the units of the others. The caller holds mu.
 func (c *Cell) expired(now time.Time) []*jobState {
 	if now.Sub(c.expiryCheckedAt) < expiryInterval {
 		return nil
@@ -457,8 +459,14 @@
 	var expired []*jobState
 	retention := c.retention()
 	for _, j := range c.jobs {
-		if j.durableState.Terminal() && !j.dirty && now.Sub(j.finishedAt) > retention && !j.hasRuns() && len(j.hosts) == 0 {
+		ended := now.Sub(j.finishedAt)
+		if !j.durableState.Terminal() || j.dirty || ended <= unitRetention || j.hasRuns() || len(j.hosts) > 0 {
+			continue
+		}
+		if ended > retention {
 			expired = append(expired, j)
+		} else if len(j.transfers) == 0 {
+			j.dropUnits()
 		}
 	}
 	return expired
@@ -730,7 +738,7 @@
 	}
 	c.unlistClosed(b.closed)
 	for _, j := range b.expired {
-		delete(c.jobs, j.def.ID)
+		c.removeJob(j)
 	}
 	for rs, mark := range b.processed {
 		// The end numbers of a restarted runner start again.
--- a/dispatch/hosting.go
+++ b/dispatch/hosting.go
@@ -102,6 +102,8 @@
 		return nil, c.reservePlaces(now, d)
 	}
 	switch {
+	case j == nil && !c.cfg.Memory.fits(submissionBytes(d.Job)):
+		return nil, OutcomeFull
 	case j == nil:
 		j = newHostedJob(d)
 	case j.origin != d.Origin || j.state.Terminal():
@@ -139,7 +141,9 @@
 	for _, u := range units {
 		u.held = true
 	}
-	c.jobs[d.Job.ID] = j
+	if c.jobs[d.Job.ID] == nil {
+		c.addJob(d.Job.ID, j)
+	}
 	if d.Job.Organisation != "" {
 		c.caps.needed.Store(true)
 	}
--- a/dispatch/intake.go
+++ b/dispatch/intake.go
@@ -40,10 +40,12 @@
 	// OutcomeExcess means that the job was not accepted because the waiting work of its organisation is more than can be done before
 	// it has no value any more. The job will never run because of this submission.
 	OutcomeExcess
+	// OutcomeNoMemory means that the owner of the cell has no memory for the job. The job will never run because of this submission.
+	OutcomeNoMemory
 )
 
 // outcomeNames are the names of outcomes in logs.
-var outcomeNames = []string{"unknown", "accepted", "elsewhere", "refused", "full", "not_owner", "changed", "cancelled", "conflict", "excess"}
+var outcomeNames = []string{"unknown", "accepted", "elsewhere", "refused", "full", "not_owner", "changed", "cancelled", "conflict", "excess", "no_memory"}
 
 // String returns the name of the outcome.
 func (o Outcome) String() string {
@@ -62,6 +64,9 @@
 	replaces int64
 	done     chan struct{}
 	finished bool
+	// memory is what reserved counts in; reserved is what the submission takes, in bytes.
+	memory   *JobMemory
+	reserved int64
 }
 
 func (s *submission) finish(outcome Outcome, cell string) {
@@ -70,12 +75,18 @@
 	}
 	s.finished = true
 	s.outcome, s.cell = outcome, cell
+	s.releaseMemory()
 	close(s.done)
 }
 
+func (s *submission) releaseMemory() {
+	s.memory.add(-s.reserved)
+	s.reserved = 0
+}
+
 // Submit makes a job durable in the cell. Submitting a job again that the cell already has is accepted without effect.
 // Submit returns OutcomeFull if the cell lacks capacity for a long-running job, or, unless force is set, for the first
-// steps of another job. It returns OutcomeExcess for a job of an organisation that sends more than the cell can do for it. For
+// steps of another job. It returns OutcomeNoMemory if the job would take too much of the memory that is left, and OutcomeExcess for a job of an organisation that sends more than the cell can do for it. For
 // OutcomeElsewhere it also returns the name of the other cell, which may be this one if the job has an organisation and the cell does not
 // know that of the stored job.
 func (c *Cell) Submit(ctx context.Context, job *workload.Job, force bool) (Outcome, string) {
@@ -113,8 +124,13 @@
 		c.mu.Unlock()
 		return OutcomeFull, ""
 	}
+	reserved := submissionBytes(job)
+	if s == nil && !c.cfg.Memory.reserve(reserved) {
+		c.mu.Unlock()
+		return OutcomeNoMemory, ""
+	}
 	if s == nil {
-		s = &submission{job: job, done: make(chan struct{})}
+		s = &submission{job: job, done: make(chan struct{}), memory: c.cfg.Memory, reserved: reserved}
 		c.submissions = append(c.submissions, s)
 		c.countSubmission(began, job)
 		c.urgent = true
@@ -185,7 +201,7 @@
 		return
 	}
 	j := newJobState(job)
-	c.jobs[job.ID] = j
+	c.addJob(job.ID, j)
 	if job.Organisation != "" {
 		c.caps.needed.Store(true)
 	}
--- a/dispatch/job.go
+++ b/dispatch/job.go
@@ -177,6 +177,11 @@
 	checkpointsOmitted bool
 	// durableWaiters are closed once the job's current state is durable.
 	durableWaiters []chan struct{}
+	// unitsDropped is set once the units of a finished job were dropped.
+	unitsDropped bool
+	// memory is where the cell counts the memory of its jobs; nil while the job is in no cell. held is what was counted for the job, in bytes.
+	memory *JobMemory
+	held   int64
 	// rowVersion is the version of the job's progress row; 0 if none was written.
 	rowVersion int64
 	// hostedSince is a version at which this cell had tasks of another cell's job, as seen first by this owner.
@@ -240,6 +245,7 @@
 		}
 	}
 	j.occs[number] = occ
+	j.countMemory()
 	return occ
 }
 
@@ -351,10 +357,25 @@
 	for number, occ := range j.occs {
 		if j.doneOccs[number] && !occ.hasRuns() {
 			delete(j.occs, number)
+			j.countMemory()
 		}
 	}
 }
 
+// dropUnits drops the units of a finished job that has no runs. Unlike compact it keeps the definition, to which late responses may refer.
+func (j *jobState) dropUnits() {
+	if j.unitsDropped {
+		return
+	}
+	for _, occ := range j.occs {
+		for i := range occ.steps {
+			occ.steps[i].units = nil
+		}
+	}
+	j.unitsDropped = true
+	j.countMemory()
+}
+
 // compact drops the details of a finished job, of which only the state is needed.
 func (j *jobState) compact() {
 	j.occs = nil
@@ -364,4 +385,5 @@
 		compacted.Steps = j.def.Steps
 	}
 	j.def = compacted
+	j.countMemory()
 }
--- a/dispatch/transfer.go
+++ b/dispatch/transfer.go
@@ -70,7 +70,7 @@
 		c.returning[j] = true
 	}
 	if t.takesOver && j.rowVersion == 0 && len(j.transfers) == 0 {
-		delete(c.jobs, j.def.ID)
+		c.removeJob(j)
 		delete(c.delegating, j)
 	}
 }
--- a/internal/untrusted/requests_test.go
+++ b/internal/untrusted/requests_test.go
@@ -83,9 +83,11 @@
 }
 
 // logLines returns the number of lines that the process has logged.
-func (n *node) logLines() int {
+func (n *node) logLines() int { return bytes.Count(n.logged(), []byte{'\n'}) }
+
+func (n *node) logged() []byte {
 	n.t.Helper()
 	data, err := os.ReadFile(n.log)
 	assert.NilError(n.t, err)
-	return bytes.Count(data, []byte{'\n'})
+	return data
 }
--- a/node/clients.go
+++ b/node/clients.go
@@ -74,7 +74,7 @@
 	if err != nil {
 		return intake.Decision{Outcome: intake.Refused, Reason: err.Error()}
 	}
-	unknown, full, excess := false, 0, false
+	unknown, full, excess, noMemory := false, 0, false, false
 	targets := n.targets(job)
 	for i, target := range targets {
 		if excess && !target.Load.HasFree(job) {
@@ -110,6 +110,8 @@
 			full++
 		case dispatch.OutcomeExcess:
 			excess = true
+		case dispatch.OutcomeNoMemory:
+			noMemory = true
 		case dispatch.OutcomeUnknown:
 			unknown = true
 		case dispatch.OutcomeRefused:
@@ -126,6 +128,8 @@
 		return n.countRefused(job, dispatch.RefusedForCapacity, n.refuseFull(ctx, job, targets))
 	case excess:
 		return n.countRefused(job, dispatch.RefusedForShare, n.refuseExcess(ctx, job, targets[0]))
+	case noMemory:
+		return n.countRefused(job, dispatch.RefusedUnavailable, n.refuseNoMemory(ctx, job))
 	default:
 		decision := intake.Decision{Outcome: intake.Refused, Reason: "no cell takes jobs", RetryAfter: refusedRetryAfter}
 		return n.countRefused(job, dispatch.RefusedUnavailable, decision)
@@ -165,8 +169,8 @@
 	return intake.Decision{Outcome: intake.Accepted, Cell: cell}
 }
 
-// refuseFull refuses a job for which no cell has capacity, unless an earlier submission of the same job was accepted.
-func (n *Node) refuseFull(ctx context.Context, job *workload.Job, targets []ownership.Owner) intake.Decision {
+// refuseUnlessAccepted refuses a job with a decision, unless an earlier submission of the same job was accepted.
+func (n *Node) refuseUnlessAccepted(ctx context.Context, job *workload.Job, refusal intake.Decision) intake.Decision {
 	cell, err := n.findCell(ctx, job.ID)
 	switch {
 	case err != nil:
@@ -174,30 +178,38 @@
 	case cell != "":
 		return n.decideRepeated(ctx, job, cell)
 	}
+	return refusal
+}
+
+// refuseFull refuses a job for which no cell has capacity.
+func (n *Node) refuseFull(ctx context.Context, job *workload.Job, targets []ownership.Owner) intake.Decision {
 	demand := dispatch.LongRunningDemand(job)
 	retryAfter := targets[0].Load.CapacityWait(demand)
 	for _, target := range targets[1:] {
 		retryAfter = min(retryAfter, target.Load.CapacityWait(demand))
 	}
-	return intake.Decision{Outcome: intake.Refused, Reason: "no cell has room for the job's lasting tasks", RetryAfter: retryAfter}
+	return n.refuseUnlessAccepted(ctx, job, intake.Decision{Outcome: intake.Refused, Reason: "no cell has room for the job's lasting tasks",
+		RetryAfter: retryAfter})
 }
 
-// refuseExcess refuses a job whose organisation sends more than the runners can do for it, unless an earlier submission of the same job was
-// accepted.
+// refuseExcess refuses a job whose organisation sends more than the runners can do for it.
 func (n *Node) refuseExcess(ctx context.Context, job *workload.Job, target ownership.Owner) intake.Decision {
-	cell, err := n.findCell(ctx, job.ID)
-	switch {
-	case err != nil:
-		return intake.Decision{Outcome: intake.Unknown, Reason: err.Error()}
-	case cell != "":
-		return n.decideRepeated(ctx, job, cell)
-	}
 	wait := time.Duration(target.Load.ExcessMs[job.Organisation]) * time.Millisecond
 	if c := n.localCell(target.Load.Cell); c != nil {
 		wait = c.Excess(job.Organisation)
 	}
-	return intake.Decision{Outcome: intake.Refused, Reason: "the organisation's waiting jobs take all of its share until this one has no value any more",
-		RetryAfter: fairshare.RetryAfter(wait, job.Organisation, job.ID)}
+	return n.refuseUnlessAccepted(ctx, job, intake.Decision{Outcome: intake.Refused,
+		Reason:     "the organisation's waiting jobs take all of its share until this one has no value any more",
+		RetryAfter: fairshare.RetryAfter(wait, job.Organisation, job.ID)})
+}
+
+// noMemoryRetryAfter is when the first clients may retry after no owner had memory for their jobs: other jobs have to end first.
+const noMemoryRetryAfter = 5 * time.Second
+
+// refuseNoMemory refuses a job for which no owner of a cell has memory.
+func (n *Node) refuseNoMemory(ctx context.Context, job *workload.Job) intake.Decision {
+	return n.refuseUnlessAccepted(ctx, job, intake.Decision{Outcome: intake.Refused, Reason: "no owner of a cell has memory for the job",
+		RetryAfter: fairshare.RetryAfter(noMemoryRetryAfter, job.Organisation, job.ID)})
 }
 
 // targets returns the owners of cells in the order in which a job is offered to them.
--- a/node/node.go
+++ b/node/node.go
@@ -75,6 +75,7 @@
 	rowLog           *observe.LimitedLog // of unusable rows
 	health           observe.Health
 	clients          *clientlimit.Limiter // bounds the connections of clients
+	jobMemory        *dispatch.JobMemory  // bounds the memory of the jobs of all cells
 	catalog          atomic.Pointer[catalog.Config]
 	bounds           atomic.Pointer[platform.Bounds]
 	minCommitMs      atomic.Int64      // time of the fastest commit of a heartbeat, in milliseconds; 0 until one succeeded
@@ -191,6 +192,7 @@
 	n.heartbeatRepeater.Delay = ownership.HeartbeatInterval
 	n.metrics = dispatch.NewMetrics(n.registry)
 	n.clients = clientlimit.New(n.registry, observe.Namespace, n.log)
+	n.jobMemory = newJobMemory(n.registry)
 	n.applyVMLimits(s)
 	n.unusableRows = prometheus.NewGauge(prometheus.GaugeOpts{Namespace: observe.Namespace, Subsystem: "discovery",
 		Name: "unusable_rows", Help: "Rows of service discovery that describe no usable runner."})
@@ -444,7 +446,7 @@
 		Lease:     time.Duration(float64(b.HoldMax) * leaseShare),
 		MaxLease:  b.HoldMax,
 		Suspended: n.suspended,
-		Retention: b.StatusRetention, Store: n.store, Runners: n.runners, Advisor: n.advisor, Peers: peers, StoreLost: func() { n.handOver(cell) },
+		Retention: b.StatusRetention, Store: n.store, Runners: n.runners, Advisor: n.advisor, Peers: peers, Memory: n.jobMemory, StoreLost: func() { n.handOver(cell) },
 		AwaitQuota: true, DemandChanged: n.wakeHeartbeat,
 		ConfirmOutage: func(ctx context.Context, w dispatch.Witness, epoch int64) bool {
 			return n.askForConfirmation(ctx, w, cell, epoch)
