Let operators state the memory of an entry daemon's VM

Callers could make an entry daemon exceed the memory and the descriptors of its VM: it had the default budget of 512 MB and 16,384 connections whatever the VM has.

Change: memory_mb and max_fds of the bootstrap file give the budget and the runtime's memory limit, as the settings file of a node does. Without them the defaults stay. The tests' harness of processes serves both programs. The list of allowed keys in TestParseBootstrapReportsEveryProblem has the two new ones.

--- a/entry/daemon.go
+++ b/entry/daemon.go
@@ -15,6 +15,7 @@
 	"github.com/prometheus/client_golang/prometheus"
 	"github.com/sirupsen/logrus"
 
+	"github.com/currantthread/currantthread/clientlimit"
 	"github.com/currantthread/currantthread/infra"
 	"github.com/currantthread/currantthread/internal/wait"
 	"github.com/currantthread/currantthread/observe"
@@ -107,6 +108,7 @@
 		Observe:  options.Observe,
 		Dial:     options.Dial,
 		Seed:     options.Seed,
+		Budget:   clientlimit.BudgetOf(b.MemoryMB, b.MaxFDs),
 	})
 	return d, nil
 }
--- a/entry/daemon/daemon.go
+++ b/entry/daemon/daemon.go
@@ -48,7 +48,7 @@
 	if boot.CallerAddr == "" {
 		return settings.Problems{{File: "bootstrap", Key: "caller_addr", Message: "is missing; an entry daemon needs it"}}
 	}
-	entry.TuneGC()
+	entry.TuneGC(boot.MemoryMB)
 	d, err := newDaemon(boot, out)
 	if err != nil {
 		return err
--- a/entry/entry.go
+++ b/entry/entry.go
@@ -44,6 +44,8 @@
 	Seed uint64
 	// Observe is called once for each finished request, for service-level reports. Nil ignores requests.
 	Observe func(Observation)
+	// Budget bounds what callers may hold together; the zero value means the default of clientlimit.BudgetOf.
+	Budget clientlimit.Budget
 }
 
 // Observation describes one finished request.
@@ -98,6 +100,9 @@
 		services: map[string]*service{},
 	}
 	s.clients = clientlimit.New(cfg.Registry, observe.Namespace, cfg.Log)
+	if cfg.Budget != (clientlimit.Budget{}) {
+		s.clients.SetBudget(cfg.Budget)
+	}
 	s.clients.Refusal = func(status int) []byte { return s.refusal(fmt.Sprintf("%d %s", status, http.StatusText(status))) }
 	s.view.Store(&vmView{entryVMs: 1, regionEntryVMs: 1})
 	s.regionBudget = limit.NewByteBudget(s.regionRate(cfg.Settings()))
--- a/internal/figures/f1.go
+++ b/internal/figures/f1.go
@@ -47,7 +47,7 @@
 // runF1 sends the same load to an upstream directly and through an entry server. The two alternate, so that a change of
 // the machine's load affects both. Load generator, entry server and upstream share this process.
 func runF1(out io.Writer) ([]bound, error) {
-	entry.TuneGC()
+	entry.TuneGC(0)
 	upstreamAddr, closeUpstream, err := f1Serve(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
 		w.Header().Set("Content-Length", "2")
 		_, _ = io.WriteString(w, "ok")
--- a/internal/untrusted/requests_test.go
+++ b/internal/untrusted/requests_test.go
@@ -1,12 +1,10 @@
 package untrusted
 
 import (
-	"bytes"
 	"fmt"
 	"io"
 	"net"
 	"net/http"
-	"os"
 	"strings"
 	"testing"
 	"time"
@@ -30,10 +28,10 @@
 var overlongHead = headerLines(overlongBytes, "%x:\n")
 
 // sendBodiesInARow sends whole bodies one after another without waiting for responses. Each is decoded to its end and then refused.
-func sendBodiesInARow(conn net.Conn, client int) error {
-	const start, end = `{"spec":"`, `"}`
-	body := start + strings.Repeat("s", bodyBytes-len(start)-len(end)) + end
-	request := fmt.Appendf(nil, "%sContent-Length: %d\r\n\r\n%s", requestLine(client), len(body), body)
+func sendBodiesInARow(conn net.Conn, client int, start string) error {
+	const prefix, suffix = `{"spec":"`, `"}`
+	body := prefix + strings.Repeat("s", bodyBytes-len(prefix)-len(suffix)) + suffix
+	request := fmt.Appendf(nil, "%sContent-Length: %d\r\n\r\n%s", start, len(body), body)
 	for range bodiesInARow {
 		if err := write(conn, request); err != nil {
 			return err
@@ -43,9 +41,9 @@
 }
 
 // sendOverlongHead sends a head of many short lines that is refused, and keeps the connection open whatever the process does.
-func sendOverlongHead(conn net.Conn, client int) error {
+func sendOverlongHead(conn net.Conn, client int, start string) error {
 	time.Sleep(time.Duration(client) * overlongInterval)
-	if err := write(conn, append([]byte(requestLine(client)), overlongHead()...)); err != nil {
+	if err := write(conn, append([]byte(start), overlongHead()...)); err != nil {
 		return err
 	}
 	time.Sleep(holdTime)
@@ -81,13 +79,3 @@
 		t.Errorf("the process has logged %d lines, at most %d are allowed", lines, maxLogLines)
 	}
 }
-
-// logLines returns the number of lines that the process has logged.
-func (n *node) logLines() int { return bytes.Count(n.logged(), []byte{'\n'}) }
-
-func (n *node) logged() []byte {
-	n.t.Helper()
-	data, err := os.ReadFile(n.log)
-	assert.NilError(n.t, err)
-	return data
-}
--- a/internal/untrusted/untrusted_test.go
+++ b/internal/untrusted/untrusted_test.go
@@ -33,10 +33,11 @@
 	pieceBytes = 8 << 10
 )
 
-// kind is one kind of client: send writes to a new connection until it fails or everything is sent.
+// kind is one kind of client: send writes to a new connection until it fails or everything is sent. start is the request line and the
+// Host line of the client's request.
 type kind struct {
 	name string
-	send func(conn net.Conn, client int) error
+	send func(conn net.Conn, client int, start string) error
 }
 
 var kinds = map[string]kind{
@@ -49,15 +50,15 @@
 }
 
 // run lets all clients send, each again after its connection was closed, and returns once all have ended.
-func (n *node) run(kinds ...kind) { n.runClients(clients, kinds...) }
+func (p *process) run(kinds ...kind) { p.runClients(clients, kinds...) }
 
 // runClients is run with another number of clients.
-func (n *node) runClients(count int, kinds ...kind) {
+func (p *process) runClients(count int, kinds ...kind) {
 	var running sync.WaitGroup
 	for client := range count {
 		running.Go(func() {
 			for range attempts {
-				if !n.runClient(kinds[client%len(kinds)], client) {
+				if !p.runClient(kinds[client%len(kinds)], client) {
 					return
 				}
 			}
@@ -67,13 +68,13 @@
 }
 
 // runClient sends on one connection and keeps it open. It reports whether the connection was closed by the process.
-func (n *node) runClient(k kind, client int) (closed bool) {
-	conn, err := net.DialTimeout("tcp", n.clientAddr, writeTimeout)
+func (p *process) runClient(k kind, client int) (closed bool) {
+	conn, err := net.DialTimeout("tcp", p.clientAddr, writeTimeout)
 	if err != nil {
 		return true
 	}
 	defer conn.Close()
-	if err := k.send(conn, client); err != nil {
+	if err := k.send(conn, client, p.requestStart(client)); err != nil {
 		return true
 	}
 	_ = conn.SetReadDeadline(time.Now().Add(holdTime))
@@ -111,16 +112,16 @@
 	unusualLines = headerLines(hugeHeadBytes, "%x~!:\t\n")
 )
 
-func sendShortLines(conn net.Conn, client int) error {
-	return write(conn, append([]byte(requestLine(client)), shortLines()...))
+func sendShortLines(conn net.Conn, client int, start string) error {
+	return write(conn, append([]byte(start), shortLines()...))
 }
 
-func sendUnusualLines(conn net.Conn, client int) error {
-	return write(conn, append([]byte(requestLine(client)), unusualLines()...))
+func sendUnusualLines(conn net.Conn, client int, start string) error {
+	return write(conn, append([]byte(start), unusualLines()...))
 }
 
-func sendEndlessHead(conn net.Conn, client int) error {
-	if err := write(conn, []byte(requestLine(client))); err != nil {
+func sendEndlessHead(conn net.Conn, client int, start string) error {
+	if err := write(conn, []byte(start)); err != nil {
 		return err
 	}
 	line := []byte("x-a: " + strings.Repeat("y", 2000) + "\r\n")
@@ -133,7 +134,7 @@
 }
 
 // sendEmptyLines sends empty lines after a request, where net/http skips some, or from the start of the connection (every fourth client).
-func sendEmptyLines(conn net.Conn, client int) error {
+func sendEmptyLines(conn net.Conn, client int, start string) error {
 	if client%4 != 0 {
 		// No queue has this host, so the response is 404 and the connection stays open.
 		if err := write(conn, []byte("POST / HTTP/1.1\r\nHost: none.example\r\nContent-Length: 0\r\n\r\n\r\n")); err != nil {
@@ -151,15 +152,15 @@
 }
 
 // sendWholeBody sends a body that becomes one element for each three bytes.
-func sendWholeBody(conn net.Conn, client int) error {
-	const start, end = `{"steps":[{}`, `]}`
-	body := start + strings.Repeat(",{}", (bodyBytes-len(start)-len(end))/3) + end
-	return write(conn, fmt.Appendf(nil, "%sContent-Length: %d\r\n\r\n%s", requestLine(client), len(body), body))
+func sendWholeBody(conn net.Conn, client int, start string) error {
+	const prefix, suffix = `{"steps":[{}`, `]}`
+	body := prefix + strings.Repeat(",{}", (bodyBytes-len(prefix)-len(suffix))/3) + suffix
+	return write(conn, fmt.Appendf(nil, "%sContent-Length: %d\r\n\r\n%s", start, len(body), body))
 }
 
 // sendPartialBody sends a body in pieces. Each client but every tenth stops before the last byte.
-func sendPartialBody(conn net.Conn, client int) error {
-	if err := write(conn, fmt.Appendf(nil, "%sContent-Length: %d\r\n\r\n", requestLine(client), bodyBytes)); err != nil {
+func sendPartialBody(conn net.Conn, client int, start string) error {
+	if err := write(conn, fmt.Appendf(nil, "%sContent-Length: %d\r\n\r\n", start, bodyBytes)); err != nil {
 		return err
 	}
 	body := []byte(`{"spec":"` + strings.Repeat("s", bodyBytes-len(`{"spec":""}`)) + `"}`)
--- a/settings/bootstrap.go
+++ b/settings/bootstrap.go
@@ -23,7 +23,10 @@
 	InnerAddr  string `toml:"inner_addr" doc:"host:port for inner messages."`
 	AdminAddr  string `toml:"admin_addr" doc:"host:port of metrics, health and, on entry daemons, the operators' API."`
 	// PollAddr is set for sched daemons only.
-	PollAddr string   `toml:"poll_addr,omitempty" doc:"host:port that workers poll; sched daemons only."`
+	PollAddr string `toml:"poll_addr,omitempty" doc:"host:port that workers poll; sched daemons only."`
+	// MemoryMB and MaxFDs bound what callers may hold on entry daemons.
+	MemoryMB int64    `toml:"memory_mb,omitempty" default:"0" min:"0" max:"1048576" doc:"Memory of this VM in MB, of which callers may hold 30%; entry daemons only. 0: they may hold 512 MB."`
+	MaxFDs   int64    `toml:"max_fds,omitempty" default:"0" min:"0" max:"1048576" doc:"Descriptors that the process may open, of which callers may use half of those beyond 200; entry daemons only. 0: they may use 16,384."`
 	Platform Platform `toml:"platform"`
 }
 
--- a/settings/settings_test.go
+++ b/settings/settings_test.go
@@ -116,7 +116,7 @@
 // A bootstrap file with missing or misspelt addresses is rejected with all problems.
 func TestParseBootstrapReportsEveryProblem(t *testing.T) {
 	_, err := settings.ParseBootstrap("entry.toml", []byte("vm = \"v1\"\nregion = \"r\"\ndomain = \"d\"\ninner_addr = \"localhost:1\"\nport = 3\n[platform]\ntable_url = \"http://127.0.0.1:1\"\n"))
-	assert.Equal(t, err.Error(), `entry.toml:5: port: unknown key; allowed are admin_addr, caller_addr, domain, inner_addr, platform, poll_addr, region, vm
+	assert.Equal(t, err.Error(), `entry.toml:5: port: unknown key; allowed are admin_addr, caller_addr, domain, inner_addr, max_fds, memory_mb, platform, poll_addr, region, vm
 entry.toml: admin_addr: is missing
 entry.toml: platform.objects_url: is missing
 entry.toml: platform.vm_list_url: is missing
