Bound the socket buffers of an entry daemon's callers

Callers of an entry daemon could have as much buffered in its sockets as the system allows, 128 KB and more for each direction of a connection, which counts towards the memory of the VM and which no budget bounds. Connections that were closed for the budget were not reset either.

Cause: clientlimit looks for a *net.TCPListener and for the methods of a *net.TCPConn. The entry daemon wraps both to translate refusals of net/http.

Change: clientlimit asks for syscall.Conn, and the wrappers pass the methods on.

TestSocketBuffersOfCallersAreBounded failed before: a receive buffer of 131,072 bytes, with 65,536 allowed.

--- a/clientlimit/socket_linux.go
+++ b/clientlimit/socket_linux.go
@@ -2,6 +2,7 @@
 
 import (
 	"net"
+	"syscall"
 
 	"golang.org/x/sys/unix"
 )
@@ -15,11 +16,11 @@
 
 // boundSocketBuffers bounds the buffers of the sockets that a listener will accept.
 func boundSocketBuffers(listener net.Listener) {
-	tcp, ok := listener.(*net.TCPListener)
+	socket, ok := listener.(syscall.Conn)
 	if !ok {
 		return
 	}
-	raw, err := tcp.SyscallConn()
+	raw, err := socket.SyscallConn()
 	if err != nil {
 		return
 	}
--- a/entry/callerconn.go
+++ b/entry/callerconn.go
@@ -4,6 +4,7 @@
 	"bytes"
 	"context"
 	"encoding/json"
+	"errors"
 	"fmt"
 	"io"
 	"net"
@@ -11,6 +12,7 @@
 	"strconv"
 	"strings"
 	"sync/atomic"
+	"syscall"
 	"time"
 
 	"github.com/currantthread/currantthread/clientlimit"
@@ -65,6 +67,15 @@
 	return &callerConn{Conn: accepted, server: l.server}, nil
 }
 
+// SyscallConn implements syscall.Conn, with which clientlimit bounds the buffers of sockets.
+func (l *callerListener) SyscallConn() (syscall.RawConn, error) {
+	socket, ok := l.Listener.(syscall.Conn)
+	if !ok {
+		return nil, errors.ErrUnsupported
+	}
+	return socket.SyscallConn()
+}
+
 // callerConn is one connection of a caller.
 type callerConn struct {
 	net.Conn
@@ -116,12 +127,26 @@
 	_ = c.SetReadDeadline(time.Unix(1, 0))
 }
 
+// SetLinger is that of a TCP connection, with which clientlimit discards what a closed connection still holds.
+func (c *callerConn) SetLinger(sec int) error {
+	if tcp, ok := c.Conn.(interface{ SetLinger(sec int) error }); ok {
+		return tcp.SetLinger(sec)
+	}
+	return nil
+}
+
+// CloseWrite ends the sending side if the transport supports it.
+func (c *callerConn) CloseWrite() error {
+	if half, ok := c.Conn.(interface{ CloseWrite() error }); ok {
+		return half.CloseWrite()
+	}
+	return nil
+}
+
 // reset closes the connection with a TCP reset if the transport supports it, so that the caller gets an error instead
 // of the end of the stream.
 func (c *callerConn) reset() {
-	if tcp, ok := c.Conn.(interface{ SetLinger(sec int) error }); ok {
-		_ = tcp.SetLinger(0)
-	}
+	_ = c.SetLinger(0)
 	_ = c.Close()
 }
 
