Charge what an entry daemon keeps of a streamed body

An entry daemon keeps the beginning of each body, up to replay_body, so that a request can be sent again. For bodies that are read ahead that was charged to the caller's connection, for streamed ones it was not, so callers could hold 64 KiB each beyond their budget.

Change: both are charged. Without memory a streamed body is passed on but not kept, so the request is not repeated.

TestStreamedBodyIsCharged failed before.

--- a/entry/body.go
+++ b/entry/body.go
@@ -28,7 +28,7 @@
 	// kept holds the beginning of the body, at most keepLimit bytes.
 	kept      []byte
 	keepLimit int
-	// overflow is set once bytes were read that are not kept.
+	// overflow is set once bytes were read that are not kept, because of keepLimit or because callers hold too much.
 	overflow bool
 	// err is the final error of the source: io.EOF after the complete body.
 	err error
@@ -147,7 +147,7 @@
 	n, err := b.readSource(buf)
 	switch {
 	case n == 0:
-	case !b.overflow && len(b.kept)+n <= b.keepLimit:
+	case !b.overflow && len(b.kept)+n <= b.keepLimit && b.charge(int64(n)) == nil:
 		b.kept = append(b.kept, buf[:n]...)
 		r.pos += n
 	default:
--- /dev/null
+++ b/entry/body_test.go
@@ -0,0 +1,42 @@
+package entry
+
+import (
+	"io"
+	"net/http"
+	"strings"
+	"testing"
+
+	"gotest.tools/v3/assert"
+
+	"github.com/currantthread/currantthread/clientlimit"
+)
+
+// What is kept of a streamed body must be charged too. Without memory for it the body is passed on, but can't be sent again.
+func TestStreamedBodyIsCharged(t *testing.T) {
+	const keepLimit, size = 64 << 10, 48 << 10
+	for name, charged := range map[string]struct {
+		err        error
+		replayable bool
+	}{"memory": {nil, true}, "no memory": {clientlimit.ErrBudget, false}} {
+		t.Run(name, func(t *testing.T) {
+			request, err := http.NewRequest(http.MethodPost, "/", io.NopCloser(strings.NewReader(strings.Repeat("b", size))))
+			assert.NilError(t, err)
+			request.ContentLength = -1
+			body := newCallBody(request, 1<<20, keepLimit)
+			var bytes int64
+			body.charge = func(n int64) error {
+				bytes += n
+				return charged.err
+			}
+			reader, err := body.open()
+			assert.NilError(t, err)
+			data, err := io.ReadAll(reader)
+			assert.NilError(t, err)
+			assert.Equal(t, len(data), size)
+			assert.Equal(t, body.replayable(), charged.replayable)
+			if charged.err == nil {
+				assert.Equal(t, bytes, int64(size))
+			}
+		})
+	}
+}
