Discard up to 2 MiB after a refused head

A client that sends a head of 1.1 MiB could lose the 431 since the rest is discarded after net/http has closed the connection: 1 MiB is discarded after the 72 KB that were read, and then the connection is closed at once, with the last 4 KB unread.

--- a/clientlimit/conn.go
+++ b/clientlimit/conn.go
@@ -32,7 +32,7 @@
 	// lingerTime and lingerBytes bound what is read and discarded after a refusal. Closing a connection with unread bytes resets it, and
 	// the client could lose the response.
 	lingerTime  = 500 * time.Millisecond
-	lingerBytes = 1 << 20
+	lingerBytes = 2 << 20
 )
 
 type phase int
