Bound what other nodes hand on to the owner of a cell

Callers lost the owner of a cell: clients of other nodes made it open more descriptors than its VM allows, so that it could not reach its runners and the store any more.

Cause: a node opens a connection to the owner for each request that it hands on at the same time, and the owner accepts all.

Change: PeerLimiter bounds the listener for other nodes to three eighths of max_fds and the submissions that are received at once to 10% of memory_mb. The connection that has been idle for longest gives way; if none is idle, the new one is closed. A submission without memory is refused before it is read, and the next cell is tried. A node opens at most 64 connections to one other node.

--- a/clientlimit/budget.go
+++ b/clientlimit/budget.go
@@ -9,6 +9,8 @@
 	// lineCost is what net/http allocates for a header line beyond its bytes: 200 unfinished heads with about 3,300 lines each took 62 MB,
 	// 94 bytes a line, and a map that grows holds its old and new halves for a moment.
 	lineCost = 128
+	// peerShare is the part of a VM's memory that requests of other nodes may use, in percent.
+	peerShare = 10
 	// clientShare is the part of a VM's memory that clients may use, in percent. At 184 MB it is 55 MB; the rest of a node needed 60 to
 	// 70 MB at its peak with 31 VMs.
 	clientShare = 30
@@ -43,6 +45,12 @@
 	return b
 }
 
+// PeerBudgetOf is BudgetOf for other nodes. Of the descriptors that clients leave, a quarter remains for the connections that the node opens.
+func PeerBudgetOf(memoryMB, maxFDs int64) Budget {
+	clients := BudgetOf(memoryMB, maxFDs)
+	return Budget{Bytes: clients.Bytes * peerShare / clientShare, Connections: clients.Connections * 3 / 4}
+}
+
 // RuntimeLimit returns the limit for debug.SetMemoryLimit in bytes on a VM with the given memory in MB.
 func RuntimeLimit(memoryMB int64) int64 { return memoryMB << 20 * runtimeShare / 100 }
 
--- a/internal/untrusted/requests_test.go
+++ b/internal/untrusted/requests_test.go
@@ -15,6 +15,9 @@
 const (
 	// bodiesInARow is the number of bodies that a client sends on one connection without reading a response.
 	bodiesInARow = 20
+	// smallChunks is the number of chunks of one byte, and extensionBytes the size of the extension of each.
+	smallChunks    = 20_000
+	extensionBytes = 8
 	// overlongBytes is the size of a head that is a little over the limit.
 	overlongBytes = 17_000
 	// overlongClients is the number of clients that send such a head, one after another every overlongInterval.
@@ -50,11 +53,40 @@
 	return nil
 }
 
+// chunkedStart is the start of a request whose body comes in chunks.
+func chunkedStart(start string) []byte { return []byte(start + "Transfer-Encoding: chunked\r\n\r\n") }
+
+// sendSmallChunks sends a body in chunks of one byte, each with an extension that is as long as net/http allows, and stops before the end.
+func sendSmallChunks(conn net.Conn, _ int, start string) error {
+	chunk := "1;" + strings.Repeat("e", extensionBytes) + "\r\ns\r\n"
+	return write(conn, append(chunkedStart(start), strings.Repeat(chunk, smallChunks)...))
+}
+
+// sendEndlessTrailer sends header lines after the last chunk of a body.
+func sendEndlessTrailer(conn net.Conn, _ int, start string) error {
+	if err := write(conn, append(chunkedStart(start), "0\r\n"...)); err != nil {
+		return err
+	}
+	for range endlessBytes / headBytes {
+		if err := write(conn, shortLines()); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
 // TestBodiesInARow guards against bodies that are still held after their connection was closed for the budget.
 func TestBodiesInARow(t *testing.T) {
 	testMemory(t, kind{"large bodies within the limit, one after another, responses not read", sendBodiesInARow})
 }
 
+// TestChunkedBodies guards against chunks, extensions and trailers that take more memory than the bytes of the body.
+func TestChunkedBodies(t *testing.T) {
+	n := startNode(t, manyFDs, usualLimits)
+	n.run(kind{"chunks of one byte", sendSmallChunks}, kind{"endless trailers", sendEndlessTrailer})
+	n.check()
+}
+
 // TestOverlongHeads guards against heads that are still held while the rest of a refused request is discarded.
 func TestOverlongHeads(t *testing.T) {
 	n := startNode(t, manyFDs, usualLimits)
--- a/node/clients.go
+++ b/node/clients.go
@@ -34,6 +34,8 @@
 	peerTimeout = 2200 * time.Millisecond
 	// peerConnectTimeout bounds connecting to a peer; the longest round trip is 40 ms.
 	peerConnectTimeout = 400 * time.Millisecond
+	// maxPeerConns bounds the connections to one peer. Further calls wait for one of them.
+	maxPeerConns = 64
 	// submitAttempts bounds the number of cells that a job is offered to once an outcome is unknown.
 	submitAttempts = 2
 	// maxJobCells bounds the entries of the cache that maps jobs to cells.
@@ -49,7 +51,7 @@
 
 func newPeers() *peers {
 	return &peers{
-		http:    &http.Client{Transport: &http.Transport{DialContext: (&net.Dialer{Timeout: peerConnectTimeout}).DialContext, MaxIdleConnsPerHost: 8, IdleConnTimeout: time.Minute, DisableCompression: true}},
+		http:    &http.Client{Transport: &http.Transport{DialContext: (&net.Dialer{Timeout: peerConnectTimeout}).DialContext, MaxIdleConnsPerHost: 8, MaxConnsPerHost: maxPeerConns, IdleConnTimeout: time.Minute, DisableCompression: true}},
 		clients: map[string]innerprotoconnect.JobServiceClient{},
 	}
 }
@@ -349,8 +351,11 @@
 	res, err := n.peers.client(target.Addr).Submit(ctx, &innerproto.SubmitRequest{Cell: target.Load.Cell, Job: value, Force: force})
 	if err != nil {
 		n.requestLog.Warn(logrus.Fields{"request": job.ID, "peer": target.Node, "error": err.Error()}, "submission to the cell's owner failed")
-		if neverSent(err) {
+		switch {
+		case neverSent(err):
 			return dispatch.OutcomeNotOwner, ""
+		case connect.CodeOf(err) == connect.CodeResourceExhausted:
+			return dispatch.OutcomeNoMemory, ""
 		}
 		return dispatch.OutcomeUnknown, ""
 	}
@@ -632,7 +637,27 @@
 	mux := http.NewServeMux()
 	mux.Handle(innerprotoconnect.NewJobServiceHandler(&jobService{node: n}))
 	mux.Handle(innerprotoconnect.NewRelayServiceHandler(&relayService{node: n}))
-	return mux
+	return n.chargeSubmissions(mux)
+}
+
+// messageCopies is how many times a submitted job is held while it is received and decoded, about.
+const messageCopies = 3
+
+// chargeSubmissions charges the jobs that other nodes submit before they are read. A job that exceeds the budget is refused with
+// connect.CodeResourceExhausted. Other requests of nodes do not depend on what their clients send.
+func (n *Node) chargeSubmissions(next http.Handler) http.Handler {
+	errorWriter := connect.NewErrorWriter()
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		if r.URL.Path == innerprotoconnect.JobServiceSubmitProcedure {
+			release, err := n.peerLimiter.Charge(messageCopies * max(r.ContentLength, 0))
+			if err != nil {
+				_ = errorWriter.Write(w, r, connect.NewError(connect.CodeResourceExhausted, err)) // the peer may be gone
+				return
+			}
+			defer release()
+		}
+		next.ServeHTTP(w, r)
+	})
 }
 
 // jobService serves requests of other nodes about jobs of this node's cells.
--- a/node/node.go
+++ b/node/node.go
@@ -74,8 +74,9 @@
 	requestLog       *observe.LimitedLog // of what clients' requests cause
 	rowLog           *observe.LimitedLog // of unusable rows
 	health           observe.Health
-	clients          *clientlimit.Limiter // bounds the connections of clients
-	jobMemory        *dispatch.JobMemory  // bounds the memory of the jobs of all cells
+	clients          *clientlimit.Limiter     // bounds the connections of clients
+	peerLimiter      *clientlimit.PeerLimiter // bounds what other nodes hold
+	jobMemory        *dispatch.JobMemory      // bounds the memory of the jobs of all cells
 	catalog          atomic.Pointer[catalog.Config]
 	bounds           atomic.Pointer[platform.Bounds]
 	minCommitMs      atomic.Int64      // time of the fastest commit of a heartbeat, in milliseconds; 0 until one succeeded
@@ -192,6 +193,7 @@
 	n.heartbeatRepeater.Delay = ownership.HeartbeatInterval
 	n.metrics = dispatch.NewMetrics(n.registry)
 	n.clients = clientlimit.New(n.registry, observe.Namespace, n.log)
+	n.peerLimiter = clientlimit.NewPeerLimiter(n.registry, observe.Namespace)
 	n.jobMemory = newJobMemory(n.registry)
 	n.applyVMLimits(s)
 	n.unusableRows = prometheus.NewGauge(prometheus.GaugeOpts{Namespace: observe.Namespace, Subsystem: "discovery",
@@ -248,9 +250,8 @@
 	for i, handler := range []http.Handler{frontend, platform.NewReadiness(n.health.Ready)} {
 		group.Go(func() error { return observe.ServeClients(serving, outer[i], handler, n.clients, grace) })
 	}
-	for i, handler := range []http.Handler{n.innerHandler(), observe.NewAdmin(n.registry, &n.health)} {
-		group.Go(func() error { return observe.Serve(serving, inner[i], handler, grace) })
-	}
+	group.Go(func() error { return observe.ServePeers(serving, inner[0], n.innerHandler(), n.peerLimiter, grace) })
+	group.Go(func() error { return observe.Serve(serving, inner[1], observe.NewAdmin(n.registry, &n.health), grace) })
 	group.Go(func() error { n.operator.Run(serving); return nil })
 	group.Go(func() error { n.discovery.Run(serving); return nil })
 	group.Go(func() error { n.assignments.Run(serving); return nil })
--- a/node/reload.go
+++ b/node/reload.go
@@ -98,6 +98,7 @@
 // applyVMLimits derives what clients may hold, and when the garbage collector works harder, from the memory and descriptors of this VM.
 func (n *Node) applyVMLimits(s *platform.Settings) {
 	n.clients.SetBudget(clientlimit.BudgetOf(s.MemoryMB, s.MaxFDs))
+	n.peerLimiter.SetBudget(clientlimit.PeerBudgetOf(s.MemoryMB, s.MaxFDs))
 	n.jobMemory.SetLimit(jobMemoryOf(s.MemoryMB))
 	if s.MemoryMB > 0 {
 		debug.SetMemoryLimit(clientlimit.RuntimeLimit(s.MemoryMB))
--- a/observe/observe.go
+++ b/observe/observe.go
@@ -79,6 +79,12 @@
 	return serve(ctx, limiter.Listener(listener), server, grace)
 }
 
+// ServePeers is like Serve for a listener that other nodes reach, with the limits of limiter.
+func ServePeers(ctx context.Context, listener net.Listener, handler http.Handler, limiter *clientlimit.PeerLimiter, grace time.Duration) error {
+	server := &http.Server{Handler: handler, ReadHeaderTimeout: readHeaderTimeout, ConnState: limiter.ConnState}
+	return serve(ctx, limiter.Listener(listener), server, grace)
+}
+
 func serve(ctx context.Context, listener net.Listener, server *http.Server, grace time.Duration) error {
 	failed := make(chan error, 1)
 	go func() { failed <- server.Serve(listener) }()
