Spread the retries of clients that are refused for a budget

Clients that a node refused together for lack of memory were all told to return after 1 s, and came back together. An entry daemon told those that it refused before a handler nothing at all, although its refusals that are worth a repeat promise a Retry-After.

Change: refusals for a budget carry a Retry-After of 1 to 4 s at random.

--- a/clientlimit/conn.go
+++ b/clientlimit/conn.go
@@ -5,6 +5,7 @@
 	"errors"
 	"fmt"
 	"io"
+	"math/rand/v2"
 	"net"
 	"net/http"
 	"time"
@@ -205,12 +206,21 @@
 	body := fmt.Sprintf(`{"error":%q}`, http.StatusText(status))
 	var retry string
 	if status == http.StatusServiceUnavailable {
-		retry = "Retry-After: 1\r\n"
+		retry = fmt.Sprintf("Retry-After: %d\r\n", int(RetryAfter().Seconds()))
 	}
 	return fmt.Appendf(nil, "HTTP/1.1 %d %s\r\nContent-Type: application/json\r\nContent-Length: %d\r\nConnection: close\r\n%s\r\n%s",
 		status, http.StatusText(status), len(body), retry, body)
 }
 
+// maxRetryAfter is the longest RetryAfter.
+const maxRetryAfter = 4 * time.Second
+
+// RetryAfter returns when a client that was refused for a budget may return, in whole seconds. It is random, so that clients that were
+// refused together don't return together.
+func RetryAfter() time.Duration {
+	return time.Second * time.Duration(1+rand.IntN(int(maxRetryAfter/time.Second)))
+}
+
 // linger discards what the client still sends, and closes the connection.
 func (c *Conn) linger() {
 	_ = c.SetReadDeadline(time.Now().Add(lingerTime))
--- a/clientlimit/limiter_test.go
+++ b/clientlimit/limiter_test.go
@@ -1,6 +1,8 @@
 package clientlimit
 
 import (
+	"bufio"
+	"bytes"
 	"fmt"
 	"net/http"
 	"slices"
@@ -320,6 +322,23 @@
 	})
 }
 
+// Clients that are refused together must not return together.
+func TestRefusalsSpreadRetries(t *testing.T) {
+	seen := map[string]bool{}
+	for range 200 {
+		response, err := http.ReadResponse(bufio.NewReader(bytes.NewReader(refusal(http.StatusServiceUnavailable))), nil)
+		assert.NilError(t, err)
+		assert.NilError(t, response.Body.Close())
+		seen[response.Header.Get("Retry-After")] = true
+	}
+	for value := range seen {
+		seconds, err := strconv.Atoi(value)
+		assert.NilError(t, err)
+		assert.Assert(t, seconds >= 1 && time.Duration(seconds)*time.Second <= maxRetryAfter, value)
+	}
+	assert.Assert(t, len(seen) > 1, "all clients return after %v s", seen)
+}
+
 // The settings of the smallest VM must leave memory and descriptors for the rest of a node.
 func TestBudgetOfTheSmallestVM(t *testing.T) {
 	b := BudgetOf(184, 4100)
--- a/entry/callerconn.go
+++ b/entry/callerconn.go
@@ -15,6 +15,8 @@
 	"syscall"
 	"time"
 
+	"github.com/labstack/echo/v4"
+
 	"github.com/currantthread/currantthread/clientlimit"
 	"github.com/currantthread/currantthread/limit"
 	"github.com/currantthread/currantthread/upstream"
@@ -152,7 +154,7 @@
 
 // refusal returns the complete response that replaces an error response of net/http with this status.
 func (s *Server) refusal(status string) []byte {
-	code, message := codeBadRequest, "the request is malformed: "+status
+	code, message, retry := codeBadRequest, "the request is malformed: "+status, ""
 	number, err := strconv.Atoi(status[:min(len(status), len("000"))])
 	if err != nil || number >= http.StatusInternalServerError && number != http.StatusServiceUnavailable {
 		number = http.StatusBadRequest
@@ -164,6 +166,7 @@
 		message = "the header of the request took too long"
 	case http.StatusServiceUnavailable:
 		code, message = limit.CodeOverloaded, "the memory for requests is used up"
+		retry = fmt.Sprintf("%s: %d\r\n", echo.HeaderRetryAfter, int(clientlimit.RetryAfter().Seconds()))
 	}
 	id := s.nextRequestID()
 	s.metrics.refusals.WithLabelValues(unknownService, string(code)).Inc()
@@ -171,8 +174,8 @@
 	if err != nil {
 		body = nil
 	}
-	header := fmt.Sprintf("HTTP/1.1 %d %s\r\nContent-Type: application/json\r\nContent-Length: %d\r\nConnection: close\r\n%s: %s\r\n%s: %s\r\n\r\n",
-		number, http.StatusText(number), len(body), verdict.Header, verdict.NotRun, upstream.HeaderRequestID, id)
+	header := fmt.Sprintf("HTTP/1.1 %d %s\r\nContent-Type: application/json\r\nContent-Length: %d\r\nConnection: close\r\n%s%s: %s\r\n%s: %s\r\n\r\n",
+		number, http.StatusText(number), len(body), retry, verdict.Header, verdict.NotRun, upstream.HeaderRequestID, id)
 	return append([]byte(header), body...)
 }
 
--- a/entry/refusal.go
+++ b/entry/refusal.go
@@ -10,6 +10,7 @@
 
 	"github.com/labstack/echo/v4"
 
+	"github.com/currantthread/currantthread/clientlimit"
 	"github.com/currantthread/currantthread/limit"
 	"github.com/currantthread/currantthread/upstream"
 	"github.com/currantthread/currantthread/verdict"
@@ -86,6 +87,9 @@
 		return 0
 	}
 	wait := max(limit.RetryAfter(err), minRetryAfter)
+	if errors.Is(err, clientlimit.ErrBudget) {
+		wait = clientlimit.RetryAfter()
+	}
 	return int(math.Ceil(wait.Seconds()))
 }
 
--- a/entry/socket_linux_test.go
+++ b/entry/socket_linux_test.go
@@ -4,21 +4,17 @@
 	"net"
 	"testing"
 
-	"github.com/prometheus/client_golang/prometheus"
-	"github.com/sirupsen/logrus"
 	"golang.org/x/sys/unix"
 	"gotest.tools/v3/assert"
 
 	"github.com/currantthread/currantthread/clientlimit"
-	"github.com/currantthread/currantthread/settings"
 )
 
 // What the system buffers for a caller's connection must be bounded too: it counts towards the memory of the VM, and bytes that are sent ahead of
 // a response stay there.
 func TestSocketBuffersOfCallersAreBounded(t *testing.T) {
 	const limit = 64 << 10
-	s := New(Config{VM: "e1", Region: "r1", Domain: "d1", Settings: settings.Defaults, Registry: prometheus.NewRegistry(),
-		Log: logrus.NewEntry(logrus.New())})
+	s := testServer()
 	inner, err := net.Listen("tcp", "127.0.0.1:0")
 	assert.NilError(t, err)
 	listener := s.CallerListener(inner)
