--- a/clientlimit/reserve.go
+++ b/clientlimit/reserve.go
@@ -43,9 +43,9 @@
 	}
 	victims := l.victimsFor(w, now)
 	begins := l.end(victims, now)
-	err := error(nil)
-	if bytes, conns := l.excess(w); bytes > 0 || conns > 0 {
-		err = ErrBudget
+	bytes, conns := l.excess(w)
+	refused := bytes > 0 || conns > 0
+	if refused {
 		begins = l.beginsPressure(true, now) || begins
 	} else {
 		w.settled = make(chan error, 1)
@@ -55,8 +55,8 @@
 	}
 	l.mu.Unlock()
 	l.closeAll(victims, begins)
-	if err != nil {
-		return err
+	if refused {
+		return ErrBudget
 	}
 	return l.await(w)
 }
--- a/dispatch/intake.go
+++ b/dispatch/intake.go
@@ -86,9 +86,9 @@
 
 // Submit makes a job durable in the cell. Submitting a job again that the cell already has is accepted without effect.
 // Submit returns OutcomeFull if the cell lacks capacity for a long-running job, or, unless force is set, for the first
-// steps of another job. It returns OutcomeNoMemory if the job would take too much of the memory that is left, and OutcomeExcess for a job of an organisation that sends more than the cell can do for it. For
-// OutcomeElsewhere it also returns the name of the other cell, which may be this one if the job has an organisation and the cell does not
-// know that of the stored job.
+// steps of another job. It returns OutcomeNoMemory if the job would take too much of the memory that is left, and OutcomeExcess for a
+// job of an organisation that sends more than the cell can do for it. For OutcomeElsewhere it also returns the name of the
+// other cell, which may be this one if the job has an organisation and the cell does not know that of the stored job.
 func (c *Cell) Submit(ctx context.Context, job *workload.Job, force bool) (Outcome, string) {
 	began := time.Now()
 	defer func() { c.cfg.Metrics.submissionTime.Observe(time.Since(began).Seconds()) }()
