--- a/internal/untrusted/jobs_test.go
+++ b/internal/untrusted/jobs_test.go
@@ -32,10 +32,10 @@
 	return fmt.Sprintf(`{"spec":"a","steps":[{"count":1,"cpu":100,"mem_mb":10,"estimated_ms":10,"requirements":%q}]}`, strings.Repeat("x", largestJobBytes))
 }
 
-// submitAll submits jobs to n at the same time, each by a client that awaits the response. first is the number of the first client.
-func (n *node) submitAll(first, count int, job string) {
+// submitAll lets all submitters submit a job at the same time and await the responses. first is the number of the first one.
+func (n *node) submitAll(first int, job string) {
 	var running sync.WaitGroup
-	for client := range count {
+	for client := range submitters {
 		running.Go(func() {
 			conn, err := net.DialTimeout("tcp", n.clientAddr, writeTimeout)
 			if err != nil {
@@ -65,7 +65,7 @@
 func TestWaitingJobs(t *testing.T) {
 	n := startNode(t, manyFDs, usualLimits)
 	for round := range largestJobRounds {
-		n.submitAll(round*submitters, submitters, largestJob())
+		n.submitAll(round*submitters, largestJob())
 	}
 	t.Logf("%d jobs accepted", n.accepted())
 	n.check()
@@ -74,7 +74,7 @@
 // TestWaitingTasks guards against tasks that are accepted without a bound: a task takes far more memory than its part of a request.
 func TestWaitingTasks(t *testing.T) {
 	n := startNode(t, manyFDs, usualLimits)
-	n.submitAll(0, submitters, jobOf(manyTasks))
+	n.submitAll(0, jobOf(manyTasks))
 	t.Logf("%d jobs accepted", n.accepted())
 	n.check()
 }
