Let clients, jobs and other nodes share one pool of memory

Callers could still make a node exceed the memory of its VM when all budgets were used up together: clients may hold 30% of memory_mb, accepted jobs 20% and what other nodes hand on 10%, and the runtime has to make do with 65%.

--- a/clientlimit/limiter.go
+++ b/clientlimit/limiter.go
@@ -11,6 +11,8 @@
 	"github.com/prometheus/client_golang/prometheus"
 	"github.com/sirupsen/logrus"
 	"golang.org/x/sync/semaphore"
+
+	"github.com/currantthread/currantthread/internal/memory"
 )
 
 const (
@@ -39,6 +41,8 @@
 	// Refusal returns the complete response for a request that is refused with a status before a handler sees it. It may be replaced before
 	// the first connection is accepted.
 	Refusal func(status int) []byte
+	// Pool is memory that the limiter shares with others. It may be set before the first connection is accepted.
+	Pool *memory.Pool
 
 	log      *logrus.Entry
 	closed   *prometheus.CounterVec
@@ -89,7 +93,7 @@
 	now := time.Now()
 	l.mu.Lock()
 	l.budget = budget
-	victims := l.selectVictims(now, l.held-l.ending-budget.Bytes, len(l.conns)-l.endingConns-budget.Connections, nil)
+	victims := l.selectVictims(now, l.held-l.ending-l.limit(), len(l.conns)-l.endingConns-budget.Connections, nil)
 	begins := l.end(victims, now)
 	l.grant()
 	l.mu.Unlock()
@@ -241,6 +245,7 @@
 	}
 	c.held -= bytes
 	l.held -= bytes
+	l.Pool.Add(-bytes)
 	if c.ending {
 		l.ending -= bytes
 	}
--- a/clientlimit/limiter_test.go
+++ b/clientlimit/limiter_test.go
@@ -3,6 +3,7 @@
 import (
 	"bufio"
 	"bytes"
+	"errors"
 	"fmt"
 	"net/http"
 	"slices"
@@ -12,8 +13,11 @@
 	"testing/synctest"
 	"time"
 
+	"github.com/prometheus/client_golang/prometheus"
 	"gotest.tools/v3/assert"
 	"pgregory.net/rapid"
+
+	"github.com/currantthread/currantthread/internal/memory"
 )
 
 // step is more than the time by which a connection may be closed late.
@@ -322,6 +326,37 @@
 	})
 }
 
+// What others hold of a shared pool must leave less to clients, or the budgets exceed the memory of the VM together.
+func TestPoolIsShared(t *testing.T) {
+	inBubble(t, func(w *world) {
+		pool := memory.NewPool()
+		pool.SetLimit(4 * connCost)
+		w.limiter.Pool = pool
+		first, _ := w.dial(), w.dial()
+		assert.Equal(t, pool.Free(), int64(2*connCost))
+		pool.Add(2 * connCost) // by others
+		time.Sleep(time.Second)
+		third := w.dial()
+		third.expectOpen()
+		first.expectClosed()
+		assert.Assert(t, pool.Free() >= 0, "%d", pool.Free())
+		pool.Add(-2 * connCost)
+		assert.NilError(t, third.Close())
+		time.Sleep(step)
+		assert.Equal(t, pool.Free(), int64(4*connCost))
+
+		peers := NewPeerLimiter(prometheus.NewRegistry(), "test")
+		peers.Pool = pool
+		_, err := peers.Charge(4*connCost + 1)
+		assert.Assert(t, errors.Is(err, ErrBudget))
+		release, err := peers.Charge(4 * connCost)
+		assert.NilError(t, err)
+		assert.Equal(t, pool.Free(), int64(0))
+		release()
+		assert.Equal(t, pool.Free(), int64(4*connCost))
+	})
+}
+
 // Clients that are refused together must not return together.
 func TestRefusalsSpreadRetries(t *testing.T) {
 	seen := map[string]bool{}
--- a/clientlimit/peers.go
+++ b/clientlimit/peers.go
@@ -7,12 +7,16 @@
 	"sync"
 
 	"github.com/prometheus/client_golang/prometheus"
+
+	"github.com/currantthread/currantthread/internal/memory"
 )
 
 // PeerLimiter bounds what other nodes hold: their open connections and the bytes of their requests. Nodes follow the protocol, but
 // hand on what their clients send, and they have far more memory and connections together than one VM. Unlike a Limiter it does not
 // follow reads and writes. It is safe for concurrent use.
 type PeerLimiter struct {
+	// Pool is memory that the limiter shares with others. It may be set before the first request.
+	Pool   *memory.Pool
 	closed *prometheus.CounterVec
 
 	mu     sync.Mutex // guards the fields below
@@ -127,14 +131,20 @@
 func (l *PeerLimiter) Charge(bytes int64) (release func(), err error) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	if l.held+bytes > l.budget.Bytes {
+	if l.held+bytes > l.budget.Bytes || bytes > l.Pool.Free() {
 		l.closed.WithLabelValues(reasonMemory).Inc()
 		return nil, ErrBudget
 	}
-	l.held += bytes
+	l.add(bytes)
 	return func() {
 		l.mu.Lock()
 		defer l.mu.Unlock()
-		l.held -= bytes
+		l.add(-bytes)
 	}, nil
 }
+
+// add changes what is held. The caller holds mu.
+func (l *PeerLimiter) add(bytes int64) {
+	l.held += bytes
+	l.Pool.Add(bytes)
+}
--- a/clientlimit/reserve.go
+++ b/clientlimit/reserve.go
@@ -78,15 +78,18 @@
 	return <-w.settled
 }
 
+// limit returns the bytes that all connections may hold: the budget, or less if others hold too much of the pool. The caller holds mu.
+func (l *Limiter) limit() int64 { return min(l.budget.Bytes, l.held+l.Pool.Free()) }
+
 // fits reports whether w can be charged now. The caller holds mu.
 func (l *Limiter) fits(w *waiter) bool {
-	return l.held+w.bytes <= l.budget.Bytes && (!w.admits || len(l.conns) < l.budget.Connections)
+	return l.held+w.bytes <= l.limit() && (!w.admits || len(l.conns) < l.budget.Connections)
 }
 
 // excess returns by how much w exceeds the budget once all closed connections have given back what they hold and all that wait got what they
 // need. The caller holds mu.
 func (l *Limiter) excess(w *waiter) (bytes int64, conns int) {
-	bytes = l.held - l.ending + w.bytes - l.budget.Bytes
+	bytes = l.held - l.ending + w.bytes - l.limit()
 	for _, other := range l.waiters {
 		bytes += other.bytes
 		if other.admits {
@@ -103,7 +106,7 @@
 func (l *Limiter) victimsFor(w *waiter, now time.Time) []*Conn {
 	bytes, conns := l.excess(w)
 	if bytes > 0 {
-		bytes += l.budget.Bytes / spareShare
+		bytes += l.limit() / spareShare
 	}
 	if conns > 0 {
 		conns += l.budget.Connections / spareShare
@@ -116,6 +119,7 @@
 	c := w.conn
 	c.held += w.bytes
 	l.held += w.bytes
+	l.Pool.Add(w.bytes)
 	if !w.admits {
 		return
 	}
--- a/dispatch/jobmemory.go
+++ b/dispatch/jobmemory.go
@@ -3,6 +3,7 @@
 import (
 	"sync"
 
+	"github.com/currantthread/currantthread/internal/memory"
 	"github.com/currantthread/currantthread/workload"
 )
 
@@ -21,12 +22,16 @@
 
 // JobMemory bounds the memory that the jobs of all cells of a node take. Nil has no bound. It is safe for concurrent use.
 type JobMemory struct {
+	pool *memory.Pool
+
 	mu          sync.Mutex // guards the fields below
 	limit, held int64
 }
 
-// NewJobMemory returns a bound in bytes.
-func NewJobMemory(limit int64) *JobMemory { return &JobMemory{limit: limit} }
+// NewJobMemory returns a bound in bytes, of memory that is shared with others if pool is not nil.
+func NewJobMemory(limit int64, pool *memory.Pool) *JobMemory {
+	return &JobMemory{pool: pool, limit: limit}
+}
 
 // SetLimit changes the bound. Jobs that were accepted stay.
 func (m *JobMemory) SetLimit(bytes int64) {
@@ -56,7 +61,11 @@
 	}
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	return bytes*freeShare <= m.limit-m.held
+	return m.fitsLocked(bytes)
+}
+
+func (m *JobMemory) fitsLocked(bytes int64) bool {
+	return bytes*freeShare <= min(m.limit-m.held, m.pool.Free())
 }
 
 // reserve takes bytes if they fit.
@@ -66,10 +75,11 @@
 	}
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	if bytes*freeShare > m.limit-m.held {
+	if !m.fitsLocked(bytes) {
 		return false
 	}
 	m.held += bytes
+	m.pool.Add(bytes)
 	return true
 }
 
@@ -81,6 +91,7 @@
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	m.held += bytes
+	m.pool.Add(bytes)
 }
 
 // definitionBytes returns what the definition of a job takes.
--- a/dispatch/jobmemory_test.go
+++ b/dispatch/jobmemory_test.go
@@ -11,6 +11,7 @@
 	"gotest.tools/v3/assert"
 
 	"github.com/currantthread/currantthread/internal/emulator"
+	"github.com/currantthread/currantthread/internal/memory"
 	"github.com/currantthread/currantthread/workload"
 )
 
@@ -22,7 +23,7 @@
 		s := emulator.NewStore()
 		fleet := emulator.NewFleet(func(workload.TaskID, int) (time.Duration, bool) { return time.Second, false })
 		fleet.Add(largeRunner)
-		memory := NewJobMemory(limit)
+		memory := NewJobMemory(limit, nil)
 		cfg := testConfig("n1", s, fleet)
 		cfg.Memory = memory
 		ctx, stop := context.WithCancel(t.Context())
@@ -92,6 +93,21 @@
 	})
 }
 
+// Jobs must leave memory to what shares the pool with them, and be accepted again when that gives it back.
+func TestJobsShareThePool(t *testing.T) {
+	pool := memory.NewPool()
+	pool.SetLimit(8 << 20)
+	jobs := NewJobMemory(8<<20, pool)
+	assert.Assert(t, jobs.reserve(1<<20))
+	assert.Equal(t, pool.Free(), int64(7<<20))
+	pool.Add(6 << 20) // by others
+	assert.Assert(t, !jobs.reserve(1<<20))
+	pool.Add(-6 << 20)
+	assert.Assert(t, jobs.reserve(1<<20))
+	jobs.add(-2 << 20)
+	assert.Equal(t, pool.Free(), int64(8<<20))
+}
+
 // Occurrences that are due together must not be created together if they exceed the memory. A job waits for its earlier ones then.
 func TestOverlappingOccurrencesWaitForMemory(t *testing.T) {
 	const limit, occurrences = 1 << 20, 200
--- a/node/node.go
+++ b/node/node.go
@@ -31,6 +31,7 @@
 	"github.com/currantthread/currantthread/clientlimit"
 	"github.com/currantthread/currantthread/dispatch"
 	"github.com/currantthread/currantthread/internal/clock"
+	"github.com/currantthread/currantthread/internal/memory"
 	"github.com/currantthread/currantthread/observe"
 	"github.com/currantthread/currantthread/ownership"
 	"github.com/currantthread/currantthread/platform"
@@ -76,6 +77,7 @@
 	health           observe.Health
 	clients          *clientlimit.Limiter     // bounds the connections of clients
 	peerLimiter      *clientlimit.PeerLimiter // bounds what other nodes hold
+	memoryPool       *memory.Pool             // shared by clients, peerLimiter and jobMemory
 	jobMemory        *dispatch.JobMemory      // bounds the memory of the jobs of all cells
 	catalog          atomic.Pointer[catalog.Config]
 	bounds           atomic.Pointer[platform.Bounds]
@@ -194,7 +196,9 @@
 	n.metrics = dispatch.NewMetrics(n.registry)
 	n.clients = clientlimit.New(n.registry, observe.Namespace, n.log)
 	n.peerLimiter = clientlimit.NewPeerLimiter(n.registry, observe.Namespace)
-	n.jobMemory = newJobMemory(n.registry)
+	n.memoryPool = memory.NewPool()
+	n.clients.Pool, n.peerLimiter.Pool = n.memoryPool, n.memoryPool
+	n.jobMemory = newJobMemory(n.registry, n.memoryPool)
 	n.applyVMLimits(s)
 	n.unusableRows = prometheus.NewGauge(prometheus.GaugeOpts{Namespace: observe.Namespace, Subsystem: "discovery",
 		Name: "unusable_rows", Help: "Rows of service discovery that describe no usable runner."})
