Leave a quarter of their budget to clients whatever an owner has taken over

An owner on a small VM that takes over the jobs of a larger one must restore all of them, also beyond the pool that clients share with jobs. It would have refused every connection from then on, ordinary callers and readiness checks included.

TestPoolIsShared failed with the share set to zero.

--- a/clientlimit/limiter_test.go
+++ b/clientlimit/limiter_test.go
@@ -332,6 +332,7 @@
 		pool := memory.NewPool()
 		pool.SetLimit(4 * connCost)
 		w.limiter.Pool = pool
+		w.limiter.SetBudget(Budget{Bytes: 4 * connCost, Connections: 100})
 		first, _ := w.dial(), w.dial()
 		assert.Equal(t, pool.Free(), int64(2*connCost))
 		pool.Add(2 * connCost) // by others
@@ -345,6 +346,14 @@
 		time.Sleep(step)
 		assert.Equal(t, pool.Free(), int64(4*connCost))
 
+		// However much others hold, clients keep a part of their budget.
+		w.limiter.SetBudget(Budget{Bytes: leastShare * 2 * connCost, Connections: 100})
+		pool.Add(100 * connCost)
+		w.dial().expectOpen()
+		pool.Add(-100 * connCost)
+		w.network.CutAll()
+		time.Sleep(step)
+
 		peers := NewPeerLimiter(prometheus.NewRegistry(), "test")
 		peers.Pool = pool
 		_, err := peers.Charge(4*connCost + 1)
--- a/clientlimit/reserve.go
+++ b/clientlimit/reserve.go
@@ -78,8 +78,14 @@
 	return <-w.settled
 }
 
+// leastShare is the part of the budget that is left to connections whatever others hold of the pool. An owner that has taken over more jobs than
+// fit must still respond to clients.
+const leastShare = 4
+
 // limit returns the bytes that all connections may hold: the budget, or less if others hold too much of the pool. The caller holds mu.
-func (l *Limiter) limit() int64 { return min(l.budget.Bytes, l.held+l.Pool.Free()) }
+func (l *Limiter) limit() int64 {
+	return min(l.budget.Bytes, max(l.held+l.Pool.Free(), l.budget.Bytes/leastShare))
+}
 
 // fits reports whether w can be charged now. The caller holds mu.
 func (l *Limiter) fits(w *waiter) bool {
