--- a/review/standin-3/main.go
+++ b/review/standin-3/main.go
@@ -18,7 +18,17 @@
 
 // scenarios are the cases by name. Each returns an error if it could not be played.
 var scenarios = map[string]func(w *world, trouble bool) error{
-	"late-start": playLateStart,
+	"late-start":  playLateStart,
+	"long-lease":  playLongLease,
+	"reborn-gone": playRebornGone,
+}
+
+// kindOf returns the kind of a runner: two are of kind b.
+func kindOf(i int) string {
+	if i%12 == 1 {
+		return "b"
+	}
+	return "a"
 }
 
 func main() { os.Exit(play()) }
@@ -40,7 +50,7 @@
 	}
 	trouble := os.Getenv("TROUBLE") != "0"
 	w.record("scenario %s, trouble %v", *name, trouble)
-	w.addRunners(6, []string{"chipre", "la-enea"}, func(i int) []string { return []string{"a", fmt.Sprintf("r1-%d", i/8)} })
+	w.addRunners(24, []string{"chipre", "la-enea"}, func(i int) []string { return []string{kindOf(i), fmt.Sprintf("r1-%d", i/8)} })
 	w.configure()
 	err = w.addNodes(*daemon, []string{"chipre", "chipre", "la-enea"})
 	if err == nil && !w.awaitReady(30*time.Second) {
--- a/review/standin-3/runner.go
+++ b/review/standin-3/runner.go
@@ -26,6 +26,8 @@
 	labels []string
 	cpu    int64
 	world  *world
+	// registerNow makes the runner write its entry at once.
+	registerNow chan struct{}
 
 	mu      sync.Mutex // guards the fields below and the state of all processes
 	process *process
@@ -34,12 +36,16 @@
 	cut bool
 	// resetAfterCut is set if connections that were open when the cut began belong to a process that has ended since.
 	resetAfterCut bool
+	// conns are the open connections, with whether each is idle.
+	conns map[net.Conn]bool
 	// sequence counts the entries that the present process has written in service discovery.
 	sequence int64
 	draining bool
 	// onStart, if set, decides on a start command that has arrived: it reports whether the command gets no response, and after which time it is
 	// carried out then; 0 means never.
 	onStart func(c command) (unanswered bool, late time.Duration)
+	// onStarted, if set, is called once a start has been carried out, before its response is sent, which is lost if it cuts the machine off.
+	onStarted func(c command)
 }
 
 // process is one process of a runner.
@@ -99,6 +105,10 @@
 	if m.server == nil {
 		m.listen()
 	}
+	select {
+	case m.registerNow <- struct{}{}:
+	default:
+	}
 	m.world.record("runner %s process started, born %d", m.id, m.process.born.UnixMilli())
 }
 
@@ -120,18 +130,38 @@
 		panic(err)
 	}
 	m.addr = listener.Addr().String()
-	m.server = &http.Server{Handler: m}
+	m.conns = map[net.Conn]bool{}
+	m.server = &http.Server{Handler: m, ConnState: m.connState}
 	go func(s *http.Server) { _ = s.Serve(listener) }(m.server)
 }
 
-// crash ends the runner's process and everything that runs there.
-func (m *machine) crash() {
+func (m *machine) connState(conn net.Conn, state http.ConnState) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	p := m.process
-	if p == nil {
+	if state == http.StateClosed {
+		delete(m.conns, conn)
 		return
 	}
+	m.conns[conn] = state == http.StateIdle
+}
+
+// losePower ends the runner's process without a sign to its peers. Calls that wait for a response get none; other connections are reset, as the
+// machine does once it is back.
+func (m *machine) losePower() {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.kill()
+	for conn, idle := range m.conns {
+		if idle {
+			_ = conn.Close()
+		}
+	}
+	m.world.record("runner %s lost power", m.id)
+}
+
+// kill ends the process and everything that runs there. The caller holds mu.
+func (m *machine) kill() {
+	p := m.process
 	p.dead = true
 	for key, r := range p.running {
 		r.timer.Stop()
@@ -141,6 +171,16 @@
 	close(p.changed)
 	p.changed = make(chan struct{})
 	m.process = nil
+}
+
+// crash ends the runner's process and everything that runs there.
+func (m *machine) crash() {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	if m.process == nil {
+		return
+	}
+	m.kill()
 	if m.cut {
 		// Nothing passes the cut, so nobody sees the connections end before it has healed.
 		m.resetAfterCut = true
@@ -233,6 +273,14 @@
 		}
 		status, body = p.start(c)
 		m.world.record("order run-start %s run %d token %d to %s: %d %v", c.Task, c.Run, c.Token, m.id, status, body["reason"])
+		if m.onStarted != nil && status == http.StatusOK {
+			m.onStarted(c)
+			if m.cut {
+				m.mu.Unlock()
+				<-r.Context().Done()
+				return
+			}
+		}
 	case "/v1/run-stop":
 		status, body = p.stop(c)
 		m.world.record("order run-stop %s run %d token %d to %s: %d %v", c.Task, c.Run, c.Token, m.id, status, body["reason"])
--- a/review/standin-3/world.go
+++ b/review/standin-3/world.go
@@ -36,6 +36,7 @@
 	machines []*machine
 	nodes    []*node
 	client   *http.Client
+	daemon   string
 
 	mu    sync.Mutex // guards the fields below
 	lines []string
@@ -159,10 +160,27 @@
 	}
 }
 
+// runnerOf returns the machine on which a task runs, or nil.
+func (w *world) runnerOf(task string) *machine {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	for _, r := range w.runs {
+		if r.task != task || !r.ended.IsZero() {
+			continue
+		}
+		for _, m := range w.machines {
+			if m.id == r.runner {
+				return m
+			}
+		}
+	}
+	return nil
+}
+
 // addRunners starts runners.
 func (w *world) addRunners(count int, zones []string, labels func(i int) []string) {
 	for i := range count {
-		m := &machine{id: fmt.Sprintf("i-%012x", 0x5f3a91c200+i*7919), zone: zones[i%len(zones)], labels: labels(i), cpu: 64000, world: w}
+		m := &machine{id: fmt.Sprintf("i-%012x", 0x5f3a91c200+i*7919), zone: zones[i%len(zones)], labels: labels(i), cpu: 64000, world: w, registerNow: make(chan struct{}, 1)}
 		m.mu.Lock()
 		m.boot()
 		m.mu.Unlock()
@@ -182,7 +200,10 @@
 			w.store.remove("servers", m.id)
 			listed = false
 		}
-		time.Sleep(heartbeat)
+		select {
+		case <-time.After(heartbeat):
+		case <-m.registerNow:
+		}
 	}
 }
 
@@ -282,6 +303,7 @@
 
 // addNodes starts nodes.
 func (w *world) addNodes(daemon string, zones []string) error {
+	w.daemon = daemon
 	for i, zone := range zones {
 		first := freePorts(4)
 		n := &node{name: fmt.Sprintf("edge-%s-%d", zone, i), zone: zone, world: w, frontend: fmt.Sprintf("127.0.0.1:%d", first+2),
