Measure waiting best-effort work and what becomes of its processor time

Lines about waiting tasks name at most eight steps a second, and nothing says how long the backlog takes, how many jobs have had nothing running for how long, or how much work was lost. Change: a line every 5 s while best-effort work waits, two gauges, a counter and a histogram.

--- a/dispatch/cell.go
+++ b/dispatch/cell.go
@@ -194,9 +194,12 @@
 	reservations       []reservation
 	delegatedCheckedAt time.Time // when waiting tasks were last checked for a delegation
 	waits              waitCheck
-	caps               caps
-	census             census
-	fullAnswers        fullAnswers
+	backlog            backlogState
+	// backlogShown is what the cell has added to the gauge of the backlog, in seconds.
+	backlogShown float64
+	caps         caps
+	census       census
+	fullAnswers  fullAnswers
 	// adviceMu serializes calls to the advice service.
 	adviceMu sync.Mutex
 
--- a/dispatch/commands.go
+++ b/dispatch/commands.go
@@ -33,6 +33,7 @@
 	r := &run{unit: u, member: member, number: number, runner: rs, startedAt: now, percent: -1, speed: fullSpeed, pace: startedPace(),
 		startSeen: true, predicted: c.predictStep(u.job.def, u.step)}
 	c.attach(r)
+	c.recordStart(now, u.job)
 	c.commandStart(ctx, now, r)
 }
 
--- a/dispatch/job.go
+++ b/dispatch/job.go
@@ -173,6 +173,9 @@
 	// waits anew for a runner to be held; zero if that is not so. heldBefore is the runner that was last held for it.
 	idleSince  time.Time
 	heldBefore string
+	// withoutRunSince is since when checks have found the job with nothing running although one of its best-effort tasks could start; zero if that
+	// is not so.
+	withoutRunSince time.Time
 	// checkpointsOmitted is set if the last progress row had to be encoded without checkpoints.
 	checkpointsOmitted bool
 	// durableWaiters are closed once the job's current state is durable.
--- a/dispatch/metrics.go
+++ b/dispatch/metrics.go
@@ -49,6 +49,7 @@
 	// owner's state does not have.
 	jobs, tasks, missingJobs *prometheus.GaugeVec
 	caps                     *capMetrics
+	backlog                  *backlogMetrics
 	organisations            organisationMetrics
 }
 
@@ -99,6 +100,7 @@
 	m := &Metrics{
 		organisations:  organisations,
 		caps:           newCapMetrics(registry, organisations.labels),
+		backlog:        newBacklogMetrics(registry),
 		waiting:        gauges("waiting_tasks", "Tasks that have waited too long for a confirmed run, by reason.", "reason"),
 		runs:           gauges("runs", "Runs that are not confirmed to have ended, by phase.", "phase"),
 		unresolved:     unresolved,
--- a/dispatch/runnerstate.go
+++ b/dispatch/runnerstate.go
@@ -538,6 +538,7 @@
 // endRun handles the end of a known run. The caller holds mu.
 func (c *Cell) endRun(now time.Time, r *run, endReason runner.EndReason, checkpoint, why string) {
 	u, rs := r.unit, r.runner
+	c.recordWork(now, r, endReason, checkpoint)
 	c.detach(r)
 	if u.phase == phaseDone || u.phase == phaseRemote || u.job.state.Terminal() {
 		return
--- a/dispatch/waiting.go
+++ b/dispatch/waiting.go
@@ -217,6 +217,7 @@
 	c.waits.counted = counts
 	c.reportGaps(counts.gaps, scan.census.withoutTasks)
 	c.logWaiting(now, scan.groups)
+	c.checkBacklog(now)
 }
 
 // resetWaiting removes the cell's values from the gauges.
@@ -227,6 +228,7 @@
 	c.waits.counted = waitCounts{}
 	c.cfg.Metrics.caps.replace(c.cfg.Name, c.caps.shown, nil)
 	c.caps.shown = nil
+	c.resetBacklog()
 }
 
 // observe records since when the run has had its status and since when its task has ended.
