--- a/dispatch/backfill.go
+++ b/dispatch/backfill.go
@@ -42,7 +42,7 @@
 
 // holds are the held runners of a cell.
 type holds struct {
-	// byService holds those of each service: at most one for a best-effort step, and at most lookahead.MaxReservations in all beside it.
+	// byService holds those of each service: one for a best-effort step, more if jobs are overdue, and at most lookahead.MaxReservations in all beside it.
 	byService map[string][]*hold
 	// searchedAt is when no runner to hold was found for a best-effort step of the service, and reserveSearchedAt for another one.
 	searchedAt, reserveSearchedAt map[string]time.Time
@@ -50,16 +50,6 @@
 	largest map[string]largestTask
 }
 
-// bestEffort returns the hold for a best-effort step of a service, or nil if there is none.
-func (h *holds) bestEffort(service string) *hold {
-	for _, held := range h.byService[service] {
-		if !held.commits {
-			return held
-		}
-	}
-	return nil
-}
-
 // countBestEffort returns the number of holds for best-effort steps of a service.
 func (h *holds) countBestEffort(service string) int {
 	count := 0
--- a/dispatch/hold_test.go
+++ b/dispatch/hold_test.go
@@ -61,9 +61,19 @@
 	return s
 }
 
+// bestEffortHold returns the first hold for a best-effort step, or nil if there is none.
+func (s *holdCell) bestEffortHold() *hold {
+	for _, held := range s.holds.byService["kioscos"] {
+		if !held.commits {
+			return held
+		}
+	}
+	return nil
+}
+
 // held returns the runner that is held; "" if there is none.
 func (s *holdCell) held() string {
-	if h := s.holds.bestEffort("kioscos"); h != nil {
+	if h := s.bestEffortHold(); h != nil {
 		return h.runner.info.ID
 	}
 	return ""
@@ -118,10 +128,10 @@
 	second := s.add(workload.Step{Count: 1, BestEffort: true, Estimated: time.Second, Resources: workload.Resources{CPU: heldCPU}})[0]
 	second.job.objective = s.now
 	s.makeReady(second)
-	first := s.after(time.Second).after(holdWaitBound).holds.bestEffort("kioscos").job
+	first := s.after(time.Second).after(holdWaitBound).bestEffortHold().job
 	assert.Equal(t, len(s.holds.byService["kioscos"]), 1)
 	s.after(maxHoldTime).after(time.Millisecond)
-	assert.Assert(t, s.holds.bestEffort("kioscos").job != first)
+	assert.Assert(t, s.bestEffortHold().job != first)
 }
 
 // Small tasks start in pieces that become free, so they must not be served first at the held runner, but get their turn in the end.
@@ -133,7 +143,7 @@
 	small.job.idleSince = small.readyAt
 	small.job.objective = s.now
 	s.after(holdWaitBound)
-	assert.Equal(t, s.holds.bestEffort("kioscos").job, s.large.job)
+	assert.Equal(t, s.bestEffortHold().job, s.large.job)
 	small.readyAt = s.now.Add(-time.Minute)
 	small.job.idleSince = small.readyAt
 	assert.Assert(t, small.goesBefore(s.now, s.large))
@@ -165,7 +175,7 @@
 	}
 	s.after(holdWaitBound)
 	assert.Equal(t, s.held(), "x2")
-	assert.Equal(t, s.holds.bestEffort("kioscos").startAt, s.now.Add(2*time.Second))
+	assert.Equal(t, s.bestEffortHold().startAt, s.now.Add(2*time.Second))
 	views := s.runnerViews(s.now)
 	i := slices.IndexFunc(views, func(v *runnerView) bool { return v.candidate.Held })
 	assert.Equal(t, views[i].candidate.ID, "x2")
