Count the jobs of the commit in flight as demand on a cell

Cause: Cell.hasCapacity added the demand of the submissions that wait for the next commit, but not of those of the commit in flight. Between the start of a commit and its end these jobs counted nowhere, and the cell took other jobs for their capacity instead of leaving them to another cell.

Change: hasCapacity goes over all undecided submissions, as the decisions on long-running jobs and on shares do.

--- a/dispatch/intake.go
+++ b/dispatch/intake.go
@@ -336,7 +336,7 @@
 	load := c.currentLoad()
 	var demand Demand
 	demand.Add(job)
-	for _, s := range c.submissions {
+	for s := range c.undecided() {
 		demand.Add(s.job)
 	}
 	if demand.Committed == 0 {
