Count the memory of jobs that an owner has taken over

After a change of owner, started jobs with thousands of waiting tasks took no part of the bound on the memory of jobs. When they ended, what they take was subtracted nevertheless, so the memory in use became negative and more jobs were accepted than the bound allows.

Cause: restore and newHostedJob create occurrences before the job is in a cell. countMemory then recorded the bytes as counted for the job, but there was no JobMemory to count them in, and addJob counted only the difference, zero.

Change: countMemory counts nothing until the job is in a cell.

TestMemoryOfTakenOverJobsIsCounted failed before: 0 bytes were held for 1,000 waiting tasks.

--- a/dispatch/jobmemory.go
+++ b/dispatch/jobmemory.go
@@ -124,8 +124,11 @@
 }
 
 // countMemory counts what the job takes now. A job takes the memory of one occurrence before that is due, so that scheduled jobs that become due
-// together fit.
+// together fit. Until it is added to a cell, it is not counted.
 func (j *jobState) countMemory() {
+	if j.memory == nil {
+		return
+	}
 	bytes := definitionBytes(j.def)
 	if j.occs != nil && !j.unitsDropped {
 		bytes += int64(max(len(j.occs), 1)) * occurrenceBytes(j.def)
--- a/dispatch/jobmemory_test.go
+++ b/dispatch/jobmemory_test.go
@@ -76,6 +76,47 @@
 	})
 }
 
+// Jobs with a progress row were not counted by the next owner, which gave back what they take nevertheless: the memory in use became negative, and
+// the bound did not hold.
+func TestMemoryOfTakenOverJobsIsCounted(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		s := emulator.NewStore()
+		fleet := emulator.NewFleet(func(workload.TaskID, int) (time.Duration, bool) { return time.Second, false })
+		fleet.Add(largeRunner)
+		own := func(node string) (*Cell, *JobMemory, func()) {
+			memory := NewJobMemory(8<<20, nil)
+			cfg := testConfig(node, s, fleet)
+			cfg.Memory = memory
+			ctx, stop := context.WithCancel(t.Context())
+			c := acquireNext(ctx, t, cfg, largeRunner)
+			time.Sleep(10 * time.Second)
+			return c, memory, func() {
+				stop()
+				<-c.Done()
+			}
+		}
+		first, _, stop := own("n1")
+		assert.Equal(t, submitJob(t, first, 1, 1000, func(job *workload.Job) {
+			waitForever(job)
+			done := job.Steps[0]
+			done.Count, done.Label = 1, ""
+			job.Steps = append(job.Steps, done)
+		}), OutcomeAccepted)
+		assert.Equal(t, submitJob(t, first, 2, 3, nil), OutcomeAccepted)
+		time.Sleep(5 * time.Second)
+		stop()
+		c, memory, stop := own("n2")
+		defer stop()
+		held := memory.Held()
+		assert.Assert(t, held >= 1000*unitBytes, "%d bytes", held)
+		found, err := c.CancelFor(t.Context(), fmt.Sprintf("%016x", 1), "")
+		assert.Assert(t, found)
+		assert.NilError(t, err)
+		time.Sleep(c.cfg.Retention * 2)
+		assert.Equal(t, memory.Held(), int64(0))
+	})
+}
+
 // A few large jobs that wait for ever must leave memory for small ones.
 func TestLargeJobsLeaveMemoryForSmallOnes(t *testing.T) {
 	const limit = 4 << 20
