Bound best-effort work by idle processors, and not by objectives

Cause: the review of the admission of best-effort work found ways past its bound. A burst between two measurements, or before the first one of a new owner, was accepted whole, since a queue without waiting tasks had no bound. So was everything while no runner takes tasks (all failure domains evacuated). Long-running best-effort tasks passed every admission. Objectives of 20 s let work wait for longer than the platform allows, and short jobs were refused although they would go first. Change: all work of a service must be possible to do within 8 s (or the job's longest chain) with all processors that are idle, beside the bound by yield; without runners one job of an organisation is accepted; long-running best-effort tasks must fit into the idle processors. TestLargeBestEffortTaskStartsAmongSmallOnes and TestLateBestEffortJobsShareCapacity set up their backlog by submissions that are now refused. Their cells get unreachable runners, which count as capacity and take no task; what they assert is unchanged.

--- a/dispatch/backlog.go
+++ b/dispatch/backlog.go
@@ -163,7 +163,10 @@
 	var steps []queuedStep
 	for _, occ := range j.occs {
 		for i := range occ.steps {
-			if !j.def.Steps[i].BestEffort || occ.steps[i].left == 0 {
+			if def := &j.def.Steps[i]; def.BestEffort && def.LongRunning {
+				queueOf(c.bestEffort.services, c.serviceOf(j)).lasting += float64(def.Resources.CPU) / 1000 * float64(occ.steps[i].withoutRun())
+			}
+			if !isShortBestEffort(&j.def.Steps[i]) || occ.steps[i].left == 0 {
 				continue
 			}
 			step := occ.steps[i].backlog(now)
@@ -176,9 +179,7 @@
 		}
 	}
 	for _, s := range steps {
-		q := c.bestEffort.queue(c.poolOf(j.def, s.def))
-		q.add(j.def.Organisation, s.work, total.late)
-		q.waits = q.waits || s.waits
+		c.bestEffort.add(c.poolOf(j.def, s.def), j.def.Organisation, s.work, s.waits)
 	}
 	if total.late {
 		b.late += total.work
@@ -200,6 +201,17 @@
 	b.addIdle(now.Sub(j.withoutRunSince), total.largest)
 }
 
+// withoutRun returns the number of tasks of a step that have no run and are not done.
+func (s *stepState) withoutRun() int {
+	tasks := 0
+	for _, u := range s.units {
+		if len(u.runs) == 0 && u.phase != phaseDone {
+			tasks += u.size
+		}
+	}
+	return tasks
+}
+
 // addIdle adds a job that has had nothing running for a time, whose largest task asks for cpu thousandths of a core.
 func (b *backlog) addIdle(idle time.Duration, cpu int64) {
 	b.idle++
--- a/dispatch/besteffort.go
+++ b/dispatch/besteffort.go
@@ -7,32 +7,30 @@
 	"github.com/currantthread/currantthread/workload"
 )
 
-// A job with best-effort tasks is refused if, at the rate at which the cell gets such work done, it can't be done by its objective beside the work of
-// jobs that are still in time, or all waiting work can't be done within maxBacklogTime. Otherwise the accepted work grows without a bound while less
-// is done than arrives, and late jobs have nothing running for minutes. Each organisation has its part of the rate by weight, so the work of one
-// causes no refusals of others.
+// A job with best-effort tasks is refused if the best-effort work that waits, with its own, takes longer than maxBacklogTime, or its longest chain of
+// steps if that takes longer. Otherwise the accepted work grows without a bound while less is done than arrives, and jobs have nothing running for minutes. Each
+// organisation has its part of the rate by weight, so the work of one causes no refusals of others.
 
 const (
+	// maxBacklogTime is the time within which all waiting work must be possible to do.
+	maxBacklogTime = 8 * time.Second
 	// yieldRise and yieldFall are the time constants of the measured yield. Runners that don't respond and owners that are replaced lower it for
 	// some seconds, which says little of the seconds that follow.
 	yieldRise, yieldFall = 2 * time.Second, 6 * time.Second
 	// minYield bounds the measured yield, so that a stall of the owner does not cause the refusal of all jobs for long.
 	minYield = 0.01
-	// maxBacklogTime is the time within which all waiting work must be possible to do, or the objective of a job if that is later.
-	maxBacklogTime = 8 * time.Second
 )
 
 // bestEffortPool identifies the best-effort tasks that compete for the same runners: those of a service, with a required label and an image. What an
 // image gets depends on how much it disturbs serving tasks, so work of one that few runners take says nothing of the others.
 type bestEffortPool struct{ service, label, image string }
 
-// waitingWork is best-effort work that waits, in core-seconds: all of it, and the part that is still in time.
-type waitingWork struct{ all, inTime float64 }
-
-// bestEffortQueue is the best-effort work that waits for a pool of runners.
+// bestEffortQueue is the best-effort work that waits for some runners.
 type bestEffortQueue struct {
-	// work is that of each organisation as of the last measurement, with that of jobs that were submitted since.
-	work map[string]waitingWork
+	// work is that of each organisation as of the last measurement, with that of jobs that were submitted since, in core-seconds.
+	work map[string]float64
+	// lasting is the processor time that long-running tasks without a run ask for, in cores.
+	lasting float64
 	// waits is set if a task that could start waits for capacity.
 	waits bool
 	// yield is the share of the capacity that tasks of the queue get while others of them wait; 0 if it has not been measured.
@@ -41,37 +39,40 @@
 
 // bestEffortAdmission is what decisions on jobs with best-effort tasks need. The zero value has measured nothing.
 type bestEffortAdmission struct {
-	queues    map[bestEffortPool]*bestEffortQueue
+	// pools have the work of each pool, and services that of all pools of a service.
+	pools     map[bestEffortPool]*bestEffortQueue
+	services  map[string]*bestEffortQueue
 	sampledAt time.Time
 	// refusedAt is when a job was last refused, and wait after which time it would have been accepted.
 	refusedAt time.Time
 	wait      time.Duration
 }
 
-// queue returns the queue of a pool.
-func (a *bestEffortAdmission) queue(pool bestEffortPool) *bestEffortQueue {
-	q := a.queues[pool]
+// newBestEffortAdmission returns an admission that has measured nothing.
+func newBestEffortAdmission() bestEffortAdmission {
+	return bestEffortAdmission{pools: map[bestEffortPool]*bestEffortQueue{}, services: map[string]*bestEffortQueue{}}
+}
+
+// queues returns the queues to which the work of a pool belongs.
+func (a *bestEffortAdmission) queues(pool bestEffortPool) [2]*bestEffortQueue {
+	return [2]*bestEffortQueue{queueOf(a.pools, pool), queueOf(a.services, pool.service)}
+}
+
+func queueOf[K comparable](queues map[K]*bestEffortQueue, key K) *bestEffortQueue {
+	q := queues[key]
 	if q == nil {
-		q = &bestEffortQueue{}
-		if a.queues == nil {
-			a.queues = map[bestEffortPool]*bestEffortQueue{}
-		}
-		a.queues[pool] = q
-	}
-	if q.work == nil {
-		q.work = map[string]waitingWork{}
+		q = &bestEffortQueue{work: map[string]float64{}}
+		queues[key] = q
 	}
 	return q
 }
 
 // add adds work of an organisation.
-func (q *bestEffortQueue) add(organisation string, work float64, late bool) {
-	sum := q.work[organisation]
-	sum.all += work
-	if !late {
-		sum.inTime += work
+func (a *bestEffortAdmission) add(pool bestEffortPool, organisation string, work float64, waits bool) {
+	for _, q := range a.queues(pool) {
+		q.work[organisation] += work
+		q.waits = q.waits || waits
 	}
-	q.work[organisation] = sum
 }
 
 // poolOf returns the pool of a step. The caller holds mu.
@@ -82,17 +83,34 @@
 // addSubmitted adds the work of a job that is being submitted to the queues. The caller holds mu.
 func (c *Cell) addSubmitted(job *workload.Job) {
 	c.eachBestEffortStep(job, func(step *workload.Step, work float64) {
-		c.bestEffort.queue(c.poolOf(job, step)).add(job.Organisation, work, false)
+		c.bestEffort.add(c.poolOf(job, step), job.Organisation, work, false)
 	})
+	if lasting := lastingCores(job); lasting > 0 {
+		queueOf(c.bestEffort.services, c.serviceOfJob(job)).lasting += lasting
+	}
 }
 
+// lastingCores returns the processor time that the long-running best-effort tasks of a job ask for, in cores.
+func lastingCores(job *workload.Job) float64 {
+	cores := 0.0
+	for i := range job.Steps {
+		if step := &job.Steps[i]; step.BestEffort && step.LongRunning {
+			cores += float64(step.Resources.CPU) / 1000 * float64(step.Count)
+		}
+	}
+	return cores
+}
+
+// isShortBestEffort reports whether a step has best-effort tasks that end. Others use processors for as long as they run.
+func isShortBestEffort(step *workload.Step) bool { return step.BestEffort && !step.LongRunning }
+
 // eachBestEffortStep calls use for each best-effort step of a job that starts at once, with its work in core-seconds. The caller holds mu.
 func (c *Cell) eachBestEffortStep(job *workload.Job, use func(step *workload.Step, work float64)) {
 	if !job.StartAt.IsZero() {
 		return
 	}
 	for i := range job.Steps {
-		if step := &job.Steps[i]; step.BestEffort {
+		if step := &job.Steps[i]; isShortBestEffort(step) {
 			use(step, c.taskWork(job, i)*float64(step.Count))
 		}
 	}
@@ -103,8 +121,8 @@
 	return float64(job.Steps[step].Resources.CPU) / 1000 * c.predictStep(job, step).Typical.Seconds()
 }
 
-// maxBestEffortQueues bounds the queues, because images and labels come from clients. Beyond it those without work are forgotten.
-const maxBestEffortQueues = 1000
+// maxBestEffortPools bounds the pools, because images and labels come from clients. Beyond it those without work are forgotten.
+const maxBestEffortPools = 1000
 
 // sampleBestEffort measures the yields and begins the queues anew, with the work of undecided submissions. The caller holds mu.
 func (c *Cell) sampleBestEffort(now time.Time) {
@@ -113,27 +131,36 @@
 	a.sampledAt = now
 	used := c.bestEffortUse(now)
 	mayStart := c.runnersKnown && c.mayStart()
-	for pool, q := range a.queues {
-		if len(q.work) == 0 && len(a.queues) > maxBestEffortQueues {
-			delete(a.queues, pool)
+	for pool, q := range a.pools {
+		if len(q.work) == 0 && len(a.pools) > maxBestEffortPools {
+			delete(a.pools, pool)
 			continue
 		}
 		if capacity := c.poolCapacity(pool); q.waits && mayStart && capacity > 0 {
 			q.observeYield(passed, float64(used[pool])/float64(capacity))
 		}
-		q.work, q.waits = nil, false
+		q.reset()
+	}
+	for service, q := range a.services {
+		if len(q.work) == 0 {
+			delete(a.services, service)
+		}
+		q.reset()
 	}
 	for s := range c.undecided() {
 		c.addSubmitted(s.job)
 	}
 }
 
+// reset begins a new measurement.
+func (q *bestEffortQueue) reset() { q.work, q.lasting, q.waits = map[string]float64{}, 0, false }
+
 // bestEffortUse returns the processor time that best-effort tasks use, in thousandths of a core. The caller holds mu.
 func (c *Cell) bestEffortUse(now time.Time) map[bestEffortPool]int64 {
 	used := map[bestEffortPool]int64{}
 	for _, rs := range c.runners {
 		for r := range rs.runs {
-			if def := r.unit.def(); def.BestEffort {
+			if def := r.unit.def(); isShortBestEffort(def) {
 				used[c.poolOf(r.unit.job.def, def)] += usedCPU(now, r)
 			}
 		}
@@ -146,7 +173,7 @@
 func (c *Cell) poolCapacity(pool bestEffortPool) int64 {
 	capacity := int64(0)
 	for _, rs := range c.runners {
-		if rs.info.Service == pool.service && rs.present && !rs.info.Draining && !c.evacuated[rs.info.Domain] && rs.hasLabel(pool.label) {
+		if c.mayTake(rs, pool.service, pool.label) {
 			capacity += rs.info.Capacity.CPU
 		}
 	}
@@ -167,42 +194,82 @@
 	q.yield = max(q.yield*kept+yield*(1-kept), minYield)
 }
 
-// hasLabel reports whether the runner has a label. It has the empty one.
-func (rs *runnerState) hasLabel(label string) bool {
-	return label == "" || slices.Contains(rs.info.Labels, label)
-}
-
 // bestEffortWait returns how long it takes until the best-effort work that waits leaves time for a job, or 0 if it is to be accepted now. The caller
 // holds mu.
-func (c *Cell) bestEffortWait(job *workload.Job) time.Duration {
-	needs := map[bestEffortPool]float64{}
+func (c *Cell) bestEffortWait(now time.Time, job *workload.Job) time.Duration {
+	needs, all := map[bestEffortPool]float64{}, 0.0
 	c.eachBestEffortStep(job, func(step *workload.Step, work float64) {
 		needs[c.poolOf(job, step)] += work
+		all += work
 	})
-	if len(needs) == 0 {
+	lasting := lastingCores(job)
+	if len(needs) == 0 && lasting == 0 {
 		return 0
 	}
-	allowed := newJobState(job).objective.Sub(job.AcceptedAt).Seconds()
-	allowedForAll := max(allowed, maxBacklogTime.Seconds())
+	allowed := max(slices.Max(job.CriticalPath()), maxBacklogTime).Seconds()
 	wait := 0.0
+	if q := c.bestEffort.services[c.serviceOfJob(job)]; q != nil {
+		idle := c.idleCores(now, c.serviceOfJob(job)) - q.lasting
+		wait = q.wait(all, idle, c.bestEffortShare(q, job.Organisation), job.Organisation, allowed)
+		if lasting > idle {
+			wait = max(wait, allowed)
+		}
+	}
 	for pool, need := range needs {
-		q := c.bestEffort.queues[pool]
+		q := c.bestEffort.pools[pool]
 		if q == nil || !q.waits {
 			continue
 		}
-		work := q.work[job.Organisation]
-		if rate := q.yield * float64(c.poolCapacity(pool)) / 1000 * c.bestEffortShare(q, job.Organisation); rate > 0 {
-			wait = max(wait, (work.inTime+need)/rate-allowed, (work.all+need)/rate-allowedForAll)
+		capacity := float64(c.poolCapacity(pool)) / 1000
+		if q.yield > 0 || capacity == 0 {
+			wait = max(wait, q.wait(need, q.yield*capacity, c.bestEffortShare(q, job.Organisation), job.Organisation, allowed))
 		}
 	}
 	return time.Duration(wait * float64(time.Second))
 }
 
+// wait returns by how many seconds the work of an organisation, with that of one more job, exceeds the allowed time if its part of a number of cores
+// does it. A job is not refused for its own work alone.
+func (q *bestEffortQueue) wait(need, cores, share float64, organisation string, allowed float64) float64 {
+	waiting := q.work[organisation]
+	switch {
+	case waiting == 0:
+		return 0
+	case cores <= 0:
+		return allowed
+	default:
+		return max((waiting+need)/(cores*share)-allowed, 0)
+	}
+}
+
+// idleCores returns the processors of a service that other than best-effort tasks don't use, which is the most that these can get. The caller holds mu.
+func (c *Cell) idleCores(now time.Time, service string) float64 {
+	idle := int64(0)
+	for _, rs := range c.runners {
+		if !c.mayTake(rs, service, "") {
+			continue
+		}
+		idle += rs.info.Capacity.CPU
+		for r := range rs.runs {
+			if !isShortBestEffort(r.unit.def()) {
+				idle -= usedCPU(now, r)
+			}
+		}
+	}
+	return float64(idle) / 1000
+}
+
+// mayTake reports whether a runner is meant to take tasks of a service that need a label, whether or not it responds. The caller holds mu.
+func (c *Cell) mayTake(rs *runnerState, service, label string) bool {
+	return rs.info.Service == service && rs.present && !rs.info.Draining && !c.evacuated[rs.info.Domain] &&
+		(label == "" || slices.Contains(rs.info.Labels, label))
+}
+
 // bestEffortShare returns the part of a queue's rate that an organisation has by weight. The caller holds mu.
 func (c *Cell) bestEffortShare(q *bestEffortQueue, organisation string) float64 {
 	weights := 0.0
 	for other, work := range q.work {
-		if other != organisation && work.all > 0 {
+		if other != organisation && work > 0 {
 			weights += c.weightOf(other)
 		}
 	}
@@ -212,7 +279,7 @@
 
 // refusesBestEffort reports whether a job is to be refused because of the best-effort work that waits, and notes that. The caller holds mu.
 func (c *Cell) refusesBestEffort(now time.Time, job *workload.Job) bool {
-	wait := c.bestEffortWait(job)
+	wait := c.bestEffortWait(now, job)
 	if wait <= 0 {
 		return false
 	}
--- a/dispatch/cell.go
+++ b/dispatch/cell.go
@@ -222,7 +222,8 @@
 		pending: map[string]int{}, planWake: make(chan struct{}, 1), flushWake: make(chan struct{}, 1),
 		done: make(chan struct{}), catalog: &catalog.Config{}, pressure: interference.NewPressure(), runTimes: lookahead.NewRunTimes(),
 		steps: durableSteps{early: map[*jobState]bool{}}, advice: map[equivClass]*advice{}, terminated: map[string]bool{},
-		waits: waitCheck{loggedAt: map[waitKey]time.Time{}}, listedSilent: map[string]bool{}, listedClosed: map[string]bool{}, census: census{indexed: map[string]bool{}}, delegating: map[*jobState]bool{}, returning: map[*jobState]bool{}, refusedBy: map[string]refusal{},
+		bestEffort: newBestEffortAdmission(),
+		waits:      waitCheck{loggedAt: map[waitKey]time.Time{}}, listedSilent: map[string]bool{}, listedClosed: map[string]bool{}, census: census{indexed: map[string]bool{}}, delegating: map[*jobState]bool{}, returning: map[*jobState]bool{}, refusedBy: map[string]refusal{},
 		holds: holds{map[string][]*hold{}, map[string]time.Time{}, map[string]time.Time{}, map[string]largestTask{}},
 		caps:  caps{accounts: map[string]*capAccount{}, endedHere: map[string]bool{}},
 	}
--- a/dispatch/cell_test.go
+++ b/dispatch/cell_test.go
@@ -80,6 +80,17 @@
 	return cl
 }
 
+// addUnreachableRunners adds runners that count as capacity when jobs are submitted, but never take a task.
+func (cl *cluster) addUnreachableRunners(count int) {
+	for i := range count {
+		info := cl.infos[0]
+		info.ID, info.Addr, info.Draining = fmt.Sprintf("u%d", i), fmt.Sprintf("u%d", i), false
+		cl.infos = append(cl.infos, info)
+		cl.fleet.Add(info)
+		cl.fleet.SetFault(info.ID, emulator.RunnerUnreachable)
+	}
+}
+
 // fixedDuration returns work of one duration that never fails.
 func fixedDuration(d time.Duration) emulator.Work {
 	return func(workload.TaskID, int) (time.Duration, bool) { return d, false }
--- a/dispatch/share_test.go
+++ b/dispatch/share_test.go
@@ -17,6 +17,7 @@
 		const jobs, width = 6, 12
 		cl := newCluster(t, 1, fixedDuration(2*time.Second))
 		cl.infos[0].Draining = true
+		cl.addUnreachableRunners(6)
 		c, stop := cl.startOwner("a", true)
 		time.Sleep(100 * time.Millisecond)
 		step := tasks(width, 10_000)
