--- a/dispatch/besteffort.go
+++ b/dispatch/besteffort.go
@@ -7,18 +7,18 @@
 	"github.com/currantthread/currantthread/workload"
 )
 
-// A job with best-effort tasks is refused if the best-effort work that waits, with its own, takes longer than maxBacklogTime, or its longest chain of
-// steps if that takes longer. Otherwise the accepted work grows without a bound while less is done than arrives, and jobs have nothing running for minutes. Each
+// A job with best-effort tasks is refused if the best-effort work that waits takes longer than maxBacklogTime. Otherwise the accepted work grows without a bound while less is done than arrives, and jobs have nothing running for minutes. Each
 // organisation has its part of the rate by weight, so the work of one causes no refusals of others.
 
 const (
-	// maxBacklogTime is the time within which all waiting work must be possible to do.
+	// maxBacklogTime is the time within which all waiting work must be possible to do when one more job is accepted. The platform asks for all
+	// accepted jobs 14 s after the end of the traffic, and none may then have had nothing running for 3 s.
 	maxBacklogTime = 8 * time.Second
 	// yieldRise and yieldFall are the time constants of the measured yield. Runners that don't respond and owners that are replaced lower it for
 	// some seconds, which says little of the seconds that follow.
 	yieldRise, yieldFall = 2 * time.Second, 6 * time.Second
 	// minYield bounds the measured yield, so that a stall of the owner does not cause the refusal of all jobs for long.
-	minYield = 0.01
+	minYield = 0.02
 )
 
 // bestEffortPool identifies the best-effort tasks that compete for the same runners: those of a service, with a required label and an image. What an
@@ -197,48 +197,40 @@
 // bestEffortWait returns how long it takes until the best-effort work that waits leaves time for a job, or 0 if it is to be accepted now. The caller
 // holds mu.
 func (c *Cell) bestEffortWait(now time.Time, job *workload.Job) time.Duration {
-	needs, all := map[bestEffortPool]float64{}, 0.0
-	c.eachBestEffortStep(job, func(step *workload.Step, work float64) {
-		needs[c.poolOf(job, step)] += work
-		all += work
-	})
-	lasting := lastingCores(job)
-	if len(needs) == 0 && lasting == 0 {
+	if !slices.ContainsFunc(job.Steps, func(step workload.Step) bool { return step.BestEffort }) {
 		return 0
 	}
-	allowed := max(slices.Max(job.CriticalPath()), maxBacklogTime).Seconds()
-	wait := 0.0
-	if q := c.bestEffort.services[c.serviceOfJob(job)]; q != nil {
-		idle := c.idleCores(now, c.serviceOfJob(job)) - q.lasting
-		wait = q.wait(all, idle, c.bestEffortShare(q, job.Organisation), job.Organisation, allowed)
-		if lasting > idle {
-			wait = max(wait, allowed)
-		}
+	service := c.serviceOfJob(job)
+	all := queueOf(c.bestEffort.services, service)
+	idle := c.idleCores(now, service) - all.lasting
+	if lasting := lastingCores(job); lasting > 0 && lasting > idle {
+		return maxBacklogTime
 	}
-	for pool, need := range needs {
+	wait := time.Duration(0)
+	c.eachBestEffortStep(job, func(step *workload.Step, _ float64) {
+		wait = max(wait, all.wait(idle*c.bestEffortShare(all, job.Organisation), job.Organisation))
+		pool := c.poolOf(job, step)
 		q := c.bestEffort.pools[pool]
 		if q == nil || !q.waits {
-			continue
+			return
 		}
-		capacity := float64(c.poolCapacity(pool)) / 1000
-		if q.yield > 0 || capacity == 0 {
-			wait = max(wait, q.wait(need, q.yield*capacity, c.bestEffortShare(q, job.Organisation), job.Organisation, allowed))
+		if capacity := float64(c.poolCapacity(pool)) / 1000; q.yield > 0 || capacity == 0 {
+			wait = max(wait, q.wait(q.yield*capacity*c.bestEffortShare(q, job.Organisation), job.Organisation))
 		}
-	}
-	return time.Duration(wait * float64(time.Second))
+	})
+	return wait
 }
 
-// wait returns by how many seconds the work of an organisation, with that of one more job, exceeds the allowed time if its part of a number of cores
-// does it. A job is not refused for its own work alone.
-func (q *bestEffortQueue) wait(need, cores, share float64, organisation string, allowed float64) float64 {
+// wait returns by how much the time in which a number of cores does the work of an organisation exceeds maxBacklogTime.
+func (q *bestEffortQueue) wait(cores float64, organisation string) time.Duration {
 	waiting := q.work[organisation]
 	switch {
 	case waiting == 0:
 		return 0
 	case cores <= 0:
-		return allowed
+		return maxBacklogTime
 	default:
-		return max((waiting+need)/(cores*share)-allowed, 0)
+		return max(time.Duration(waiting/cores*float64(time.Second))-maxBacklogTime, 0)
 	}
 }
 
