Measure no yield from tasks that await runners after a takeover

Cause: recovered best-effort tasks that may still run on a runner which has not responded counted as waiting for capacity. The first yield that a successor measured was then the least one, and it refused jobs although its runners were idle. Change: they count as work to come until they could start, also for the time for which a job has nothing running.

--- a/dispatch/backlog.go
+++ b/dispatch/backlog.go
@@ -169,7 +169,7 @@
 			if !isShortBestEffort(&j.def.Steps[i]) || occ.steps[i].left == 0 {
 				continue
 			}
-			step := occ.steps[i].backlog(now)
+			step := c.stepBacklog(now, &occ.steps[i])
 			each := c.taskWork(j.def, i)
 			b.tasks += step.ready
 			b.ready += each * float64(step.ready)
@@ -225,7 +225,7 @@
 
 // stepBacklog is what waits of a best-effort step, or of all of a job.
 type stepBacklog struct {
-	// ready tasks wait for capacity, and later ones for other steps.
+	// ready tasks wait for capacity, and later ones for other steps or for runners that have not responded.
 	ready, later int
 	// work is that of both, in core-seconds. It is set for jobs only.
 	work float64
@@ -243,13 +243,14 @@
 	s.running, s.late, s.recovered = s.running || step.running, s.late || step.late, s.recovered || step.recovered
 }
 
-// backlog returns what waits of a step. Tasks that wait for the limit of their organisation don't wait for capacity.
-func (s *stepState) backlog(now time.Time) stepBacklog {
+// stepBacklog returns what waits of a step. Tasks that wait for the limit of their organisation don't wait for capacity, and those that may still
+// run on a runner that has not responded could not start. The caller holds mu.
+func (c *Cell) stepBacklog(now time.Time, s *stepState) stepBacklog {
 	var b stepBacklog
 	for _, u := range s.units {
 		b.running = b.running || len(u.runs) > 0
 		switch {
-		case u.phase == phaseBlocked:
+		case u.phase == phaseBlocked, u.phase == phaseReady && !u.waitsForCap && c.awaitsUnresolved(u):
 			b.later += u.size
 		case u.phase == phaseReady && !u.waitsForCap:
 			b.ready += u.size
--- a/dispatch/besteffortadmission_test.go
+++ b/dispatch/besteffortadmission_test.go
@@ -195,6 +195,13 @@
 		"nothing waits":           {change: func(*stuckCell) {}, want: 0},
 		"runners are not known":   {change: func(s *stuckCell) { s.runnersKnown = false }, waits: true, want: 0},
 		"the owner may not start": {change: func(s *stuckCell) { s.lost = true }, waits: true, want: 0},
+		"tasks await a runner": {change: func(s *stuckCell) {
+			for _, u := range s.ready {
+				u.recovered, u.begun = true, true
+			}
+			s.unresolved = map[string]*unresolvedRunner{"gone": {info: runner.Info{ID: "gone", Service: "kioscos", Capacity: s.rs.info.Capacity},
+				until: time.Now().Add(time.Hour)}}
+		}, waits: true, want: 0},
 		"all are stopped": {change: func(s *stuckCell) {
 			for r := range s.rs.runs {
 				r.speed = 0
