Count the time without a run until a start is confirmed

Change: the time ends when a run is confirmed; a job whose only ready task is being started keeps it.

--- a/dispatch/backlog.go
+++ b/dispatch/backlog.go
@@ -133,7 +133,7 @@
 	c.cfg.Metrics.backlog.ended.WithLabelValues(string(result)).Add(work)
 }
 
-// recordStart records how long the job of a run that starts has had nothing running. The caller holds mu.
+// recordStart records how long the job of a run that is confirmed has had nothing running. The caller holds mu.
 func (c *Cell) recordStart(now time.Time, j *jobState) {
 	if !j.withoutRunSince.IsZero() {
 		c.cfg.Metrics.backlog.idleTime.Observe(now.Sub(j.withoutRunSince).Seconds())
@@ -187,10 +187,14 @@
 	if total.ready > 0 {
 		b.jobs++
 	}
-	if total.ready == 0 || total.running {
+	if total.running || total.ready == 0 && !total.starting {
 		j.withoutRunSince = time.Time{}
 		return
 	}
+	if total.ready == 0 {
+		// The start may have no effect; then the time goes on.
+		return
+	}
 	if j.withoutRunSince.IsZero() {
 		j.withoutRunSince = now
 		if total.recovered && !j.ranHere && j.objective.Before(now) {
@@ -231,8 +235,9 @@
 	work float64
 	// largest is what the largest ready task asks for, in thousandths of a core.
 	largest int64
-	// running is set if there is a run, late if a ready task misses its objective, and recovered if one was accepted under an earlier owner.
-	running, late, recovered bool
+	// running is set if there is a confirmed run, starting if there is another one, late if a ready task misses its objective, and recovered if
+	// one was accepted under an earlier owner.
+	running, starting, late, recovered bool
 }
 
 // add adds a step, of which each task has some work.
@@ -240,7 +245,8 @@
 	s.ready, s.later = s.ready+step.ready, s.later+step.later
 	s.work += each * float64(step.ready+step.later)
 	s.largest = max(s.largest, step.largest)
-	s.running, s.late, s.recovered = s.running || step.running, s.late || step.late, s.recovered || step.recovered
+	s.running, s.starting = s.running || step.running, s.starting || step.starting
+	s.late, s.recovered = s.late || step.late, s.recovered || step.recovered
 }
 
 // stepBacklog returns what waits of a step. Tasks that wait for the limit of their organisation don't wait for capacity, and those that may still
@@ -248,7 +254,9 @@
 func (c *Cell) stepBacklog(now time.Time, s *stepState) stepBacklog {
 	var b stepBacklog
 	for _, u := range s.units {
-		b.running = b.running || len(u.runs) > 0
+		for _, r := range u.runs {
+			b.running, b.starting = b.running || r.phase == runRunning, b.starting || r.phase != runRunning
+		}
 		switch {
 		case u.phase == phaseBlocked, u.phase == phaseReady && !u.waitsForCap && c.awaitsUnresolved(u):
 			b.later += u.size
--- a/dispatch/besteffortadmission_test.go
+++ b/dispatch/besteffortadmission_test.go
@@ -297,3 +297,27 @@
 	}
 	assert.Equal(t, len(jobs), 4, "each is for another job")
 }
+
+// A start that was not executed must not begin the time with nothing running anew, or a job whose starts are rejected never goes with those in time.
+func TestStartWithoutEffectDoesNotResetTimeWithoutRun(t *testing.T) {
+	for name, checkMeanwhile := range map[string]bool{"between two checks": false, "with a check meanwhile": true} {
+		t.Run(name, func(t *testing.T) {
+			s := newStuckCell(t)
+			s.ready = nil
+			u := s.wait(fillStep(1), nil)[0]
+			u.job.objective = s.now
+			s.checkBacklog(s.now)
+			s.now = s.now.Add(maxIdleTime)
+			assert.Assert(t, u.job.isOverdue(s.now))
+			s.lost = true // the start is withdrawn
+			s.startRun(t.Context(), s.now, u, 0, 1, s.rs)
+			if checkMeanwhile {
+				s.checkBacklog(s.now)
+			}
+			s.background.Wait()
+			assert.Equal(t, len(u.runs), 0)
+			s.checkBacklog(s.now.Add(time.Second))
+			assert.Assert(t, u.job.isOverdue(s.now))
+		})
+	}
+}
--- a/dispatch/commands.go
+++ b/dispatch/commands.go
@@ -33,7 +33,6 @@
 	r := &run{unit: u, member: member, number: number, runner: rs, startedAt: now, percent: -1, speed: fullSpeed, pace: startedPace(),
 		startSeen: true, predicted: c.predictStep(u.job.def, u.step)}
 	c.attach(r)
-	c.recordStart(now, u.job)
 	c.commandStart(ctx, now, r)
 }
 
@@ -156,6 +155,7 @@
 			r.phase = runRunning
 			r.confirmedAt = now
 			r.unit.runConfirmed()
+			c.recordStart(now, r.unit.job)
 		}
 		if r.exists() {
 			c.markStarted(r.unit.job)
--- a/dispatch/runnerstate.go
+++ b/dispatch/runnerstate.go
@@ -735,6 +735,7 @@
 		r.confirmedAt = now
 	}
 	r.unit.runConfirmed()
+	c.recordStart(now, r.unit.job)
 	c.markStarted(r.unit.job)
 	if listed.Checkpoint != "" {
 		r.unit.checkpoint = listed.Checkpoint
