Count holds for best-effort jobs apart from reservations

Cause: reservations for steps that commit processor time are bounded by what holds of all kinds leave. Since up to one in eight runners is held for overdue best-effort jobs, these can use up all of it, and a task that commits capacity and is passed over by smaller ones gets no runner. Change: each kind has its own bound, as the comment on the holds says. Measured: TestOverdueHoldsLeaveReservations failed before (0 reserved beside 4 best-effort holds of 32 runners) and passes.

--- a/dispatch/backfill.go
+++ b/dispatch/backfill.go
@@ -61,6 +61,11 @@
 	return count
 }
 
+// countReserved returns the number of holds for other steps of a service.
+func (h *holds) countReserved(service string) int {
+	return len(h.byService[service]) - h.countBestEffort(service)
+}
+
 // maxBestEffortHolds returns how many runners of a service may be held for best-effort steps when one more is sought for a unit.
 func maxBestEffortHolds(service string, u *unit, views []*runnerView) int {
 	if !u.overdue {
--- a/dispatch/hold_test.go
+++ b/dispatch/hold_test.go
@@ -9,6 +9,7 @@
 	"gotest.tools/v3/assert"
 
 	"github.com/currantthread/currantthread/interference"
+	"github.com/currantthread/currantthread/lookahead"
 	"github.com/currantthread/currantthread/placement"
 	"github.com/currantthread/currantthread/runner"
 	"github.com/currantthread/currantthread/workload"
@@ -197,3 +198,43 @@
 	assert.Equal(t, fields["passed_on"], 1)
 	assert.Equal(t, fields["held"], s.held())
 }
+
+// Holds for overdue best-effort jobs must leave the reservations of steps that commit processor time, which are counted beside them.
+func TestOverdueHoldsLeaveReservations(t *testing.T) {
+	ends := make([]time.Duration, 32)
+	for i := range ends {
+		ends[i] = time.Second
+	}
+	s := newHoldCell(t, ends...)
+	for range 6 {
+		u := s.wait(workload.Step{Count: 2, BestEffort: true, Image: "large", Estimated: time.Second, Resources: workload.Resources{CPU: heldCPU}}, nil)[0]
+		u.job.objective = s.now
+	}
+	other := s.wait(workload.Step{Count: 1, Estimated: time.Second, Resources: workload.Resources{CPU: 10_000}}, nil)[0]
+	other.job.objective = s.now.Add(time.Minute)
+	s.checkBacklog(s.now)
+	s.after(2 * holdWaitBound)
+	for range 10 {
+		s.now = s.now.Add(maxIdleTime / 10)
+		s.after(holdRetry)
+	}
+	assert.Equal(t, s.holds.countBestEffort("kioscos"), 4)
+	// A large urgent task and a small one, on runners that are committed in full.
+	for _, rs := range s.runners {
+		for _, u := range s.add(workload.Step{Count: 1, Estimated: time.Second, Resources: workload.Resources{CPU: 60_000}}) {
+			s.attach(&run{unit: u, number: 1, runner: rs, startedAt: s.now, phase: runRunning, speed: fullSpeed})
+		}
+	}
+	for _, cpu := range []int64{20_000, 10_000} {
+		s.wait(workload.Step{Count: 1, Estimated: time.Second, Resources: workload.Resources{CPU: cpu}}, nil)[0].job.objective = s.now.Add(time.Minute)
+	}
+	s.after(lookahead.ReserveWait)
+	s.after(holdRetry)
+	reserved := 0
+	for _, h := range s.holds.byService["kioscos"] {
+		if h.commits {
+			reserved++
+		}
+	}
+	assert.Assert(t, reserved > 0, "no runner is reserved for the step that commits capacity; best-effort holds %d", s.holds.countBestEffort("kioscos"))
+}
--- a/dispatch/reserve.go
+++ b/dispatch/reserve.go
@@ -33,7 +33,7 @@
 			continue
 		}
 		runners, mostFree := serviceFree(service, views)
-		limit := lookahead.MaxReservations(runners) - len(c.holds.byService[service])
+		limit := lookahead.MaxReservations(runners) - c.holds.countReserved(service)
 		if limit <= 0 {
 			continue
 		}
