Hold a runner for an overdue job behind one of a higher priority

Cause: of each service one waiting step is chosen for a hold, by priority first. While tasks in time wait, only overdue jobs get a hold, so a late job of a higher priority that was not overdue yet left an overdue one without. Change: while tasks in time wait, the first of the overdue ones is chosen. Measured: TestOverdueJobIsHeldForBehindAHigherPriority failed before (no runner held) and passes; tests of holds pass.

--- a/dispatch/backfill.go
+++ b/dispatch/backfill.go
@@ -1,7 +1,6 @@
 package dispatch
 
 import (
-	"maps"
 	"slices"
 	"time"
 
@@ -120,7 +119,7 @@
 // units have had nothing running. While tasks that can still meet their objective wait, late ones get what these leave, and only an overdue one
 // gets a held runner. The caller holds mu.
 func (c *Cell) waitingForHold(now time.Time, running map[*jobState]bool) map[string]*unit {
-	waiting, inTime := map[string]*unit{}, map[string]bool{}
+	waiting, overdue, inTime := map[string]*unit{}, map[string]*unit{}, map[string]bool{}
 	for _, u := range c.ready {
 		j := u.job
 		if u.phase != phaseReady || j.state.Terminal() || u.size > 1 || u.def().LongRunning || !c.waitsForCapacity(now, u) {
@@ -145,8 +144,16 @@
 		if first := waiting[service]; first == nil || u.goesBefore(now, first) {
 			waiting[service] = u
 		}
+		if first := overdue[service]; u.overdue && (first == nil || u.goesBefore(now, first)) {
+			overdue[service] = u
+		}
+	}
+	for service := range inTime {
+		delete(waiting, service)
+		if u := overdue[service]; u != nil {
+			waiting[service] = u
+		}
 	}
-	maps.DeleteFunc(waiting, func(service string, u *unit) bool { return inTime[service] && !u.overdue })
 	return waiting
 }
 
--- a/dispatch/hold_test.go
+++ b/dispatch/hold_test.go
@@ -238,3 +238,19 @@
 	}
 	assert.Assert(t, reserved > 0, "no runner is reserved for the step that commits capacity; best-effort holds %d", s.holds.countBestEffort("kioscos"))
 }
+
+// While tasks in time wait, a job that is not overdue gets no held runner, and kept an overdue one of a lower priority from one.
+func TestOverdueJobIsHeldForBehindAHigherPriority(t *testing.T) {
+	s := newHoldCell(t, time.Second, time.Second)
+	s.large.job.def.Policy.Priority = 1
+	inTime := s.wait(workload.Step{Count: 1, Estimated: time.Second, Resources: workload.Resources{CPU: 10_000}}, nil)[0]
+	inTime.job.objective = s.now.Add(time.Minute)
+	s.checkBacklog(s.now)
+	s.now = s.now.Add(maxIdleTime - 2*holdWaitBound)
+	first := s.wait(workload.Step{Count: 1, BestEffort: true, Image: "large", Estimated: time.Second, Resources: workload.Resources{CPU: heldCPU}}, nil)[0]
+	first.job.objective = s.now
+	s.after(0).after(holdWaitBound)
+	s.after(holdWaitBound)
+	s.after(holdRetry)
+	assert.Equal(t, s.holds.countBestEffort("kioscos"), 1)
+}
