Take Retry-After from the cells that refused for their backlog

Cause: the least wait of all offered cells was taken, and cells that refused nothing lately, did not answer or had no owner report none. Clients were sent back after 1 to 5 s whatever waited. Change: only cells that refused the job for their backlog count, and of them those with a known wait. Measured: TestRetryAfterOfCellsThatRefusedForBacklog got 1.5 s before, for a wait of 20 s in both cells that refused, and at least 20 s now.

--- a/node/backlog_test.go
+++ b/node/backlog_test.go
@@ -47,3 +47,17 @@
 		})
 	}
 }
+
+// A cell that has refused nothing lately must not set the time after which clients return to those that have.
+func TestRetryAfterOfCellsThatRefusedForBacklog(t *testing.T) {
+	const wait = 20 * time.Second
+	n, _, _ := newScriptedNode(t, []dispatch.Outcome{dispatch.OutcomeBacklog, dispatch.OutcomeNotOwner, dispatch.OutcomeBacklog}, func(load *dispatch.Load) {
+		if load.Cell != "c1" {
+			load.BestEffortWaitMs = wait.Milliseconds()
+		}
+	})
+	decision := n.Submit(t.Context(), &workload.Job{ID: "00000000000000aa", Organisation: "a", Occurrences: 1, AcceptedAt: time.Now(),
+		Steps: []workload.Step{{Count: 1, BestEffort: true, Resources: workload.Resources{CPU: 4000}, Estimated: time.Second}}})
+	assert.Equal(t, decision.Outcome, intake.Refused)
+	assert.Assert(t, decision.RetryAfter >= wait, "%v", decision.RetryAfter)
+}
--- a/node/clients.go
+++ b/node/clients.go
@@ -76,7 +76,8 @@
 	if err != nil {
 		return intake.Decision{Outcome: intake.Refused, Reason: err.Error()}
 	}
-	unknown, full, excess, noMemory, backlog := false, 0, false, false, false
+	unknown, full, excess, noMemory := false, 0, false, false
+	var backlog []ownership.Owner // cells whose best-effort work leaves no time
 	targets := n.targets(job)
 	for i, target := range targets {
 		if excess && !target.Load.HasFree(job) {
@@ -115,7 +116,7 @@
 		case dispatch.OutcomeNoMemory:
 			noMemory = true
 		case dispatch.OutcomeBacklog:
-			backlog = true
+			backlog = append(backlog, target)
 		case dispatch.OutcomeUnknown:
 			unknown = true
 		case dispatch.OutcomeRefused:
@@ -132,8 +133,8 @@
 		return n.countRefused(job, dispatch.RefusedForCapacity, n.refuseFull(ctx, job, targets))
 	case excess:
 		return n.countRefused(job, dispatch.RefusedForShare, n.refuseExcess(ctx, job, targets[0]))
-	case backlog:
-		return n.countRefused(job, dispatch.RefusedForBacklog, n.refuseBacklog(ctx, job, targets))
+	case len(backlog) > 0:
+		return n.countRefused(job, dispatch.RefusedForBacklog, n.refuseBacklog(ctx, job, backlog))
 	case noMemory:
 		return n.countRefused(job, dispatch.RefusedUnavailable, n.refuseNoMemory(ctx, job))
 	default:
@@ -209,15 +210,18 @@
 		RetryAfter: fairshare.RetryAfter(wait, job.Organisation, job.ID)})
 }
 
-// refuseBacklog refuses a job whose best-effort tasks no cell can do by its objective.
-func (n *Node) refuseBacklog(ctx context.Context, job *workload.Job, targets []ownership.Owner) intake.Decision {
-	wait := time.Duration(math.MaxInt64)
-	for _, target := range targets {
+// refuseBacklog refuses a job whose best-effort tasks no cell can do by its objective. The cells are those that said so. A report from before the
+// first refusal has no time.
+func (n *Node) refuseBacklog(ctx context.Context, job *workload.Job, cells []ownership.Owner) intake.Decision {
+	wait := time.Duration(0)
+	for _, target := range cells {
 		other := time.Duration(target.Load.BestEffortWaitMs) * time.Millisecond
 		if c := n.localCell(target.Load.Cell); c != nil {
 			other = c.BestEffortWait()
 		}
-		wait = min(wait, other)
+		if other > 0 && (wait == 0 || other < wait) {
+			wait = other
+		}
 	}
 	return n.refuseUnlessAccepted(ctx, job, intake.Decision{Outcome: intake.Refused, Reason: "the best-effort work that waits leaves no time for the job",
 		RetryAfter: fairshare.RetryAfter(wait, job.Organisation, job.ID)})
