Make a full cell accept a job that others refuse for their backlog

Cause: a job is forced on a cell only if the last one asked is full, and then on the first one. If that or the last one says that best-effort work leaves no time, a job whose first step commits capacity was refused although a cell that is only full would take it; it depended on the order. Change: a refusal for the backlog by the last cell forces too if any was full, and the first cell that is only full is chosen. Measured: TestFullCellTakesJobThatOthersRefuseForBacklog failed before in two of three orders and passes; tests of submissions pass.

--- a/node/backlog_test.go
+++ b/node/backlog_test.go
@@ -61,3 +61,26 @@
 	assert.Equal(t, decision.Outcome, intake.Refused)
 	assert.Assert(t, decision.RetryAfter >= wait, "%v", decision.RetryAfter)
 }
+
+// A cell that only lacks free capacity is made to take the job if no other one does, whichever order the cells are asked in.
+func TestFullCellTakesJobThatOthersRefuseForBacklog(t *testing.T) {
+	const accepted, full, backlog = dispatch.OutcomeAccepted, dispatch.OutcomeFull, dispatch.OutcomeBacklog
+	for name, outcomes := range map[string][]dispatch.Outcome{
+		"the full one is asked first": {full, backlog, backlog, accepted},
+		"in between":                  {backlog, full, backlog, accepted},
+		"last":                        {backlog, backlog, full, accepted},
+	} {
+		t.Run(name, func(t *testing.T) {
+			n, _, _ := newScriptedNode(t, outcomes, func(*dispatch.Load) {})
+			decision := n.Submit(t.Context(), mixedJob())
+			assert.Equal(t, decision.Outcome, intake.Accepted, decision.Reason)
+		})
+	}
+}
+
+// mixedJob returns a job that commits capacity in its first step, and whose second step is best-effort.
+func mixedJob() *workload.Job {
+	return &workload.Job{ID: "00000000000000aa", Organisation: "a", Occurrences: 1, AcceptedAt: time.Now(),
+		Steps: []workload.Step{{Count: 1, Resources: workload.Resources{CPU: 4000}, Estimated: time.Second},
+			{Count: 1, BestEffort: true, Resources: workload.Resources{CPU: 4000}, Estimated: time.Second, After: []int{0}}}}
+}
--- a/node/clients.go
+++ b/node/clients.go
@@ -77,6 +77,7 @@
 		return intake.Decision{Outcome: intake.Refused, Reason: err.Error()}
 	}
 	unknown, full, excess, noMemory := false, 0, false, false
+	first := 0                    // the cell that is made to accept the job
 	var backlog []ownership.Owner // cells whose best-effort work leaves no time
 	targets := n.targets(job)
 	for i, target := range targets {
@@ -84,16 +85,20 @@
 			continue
 		}
 		// The cells after the first two are sorted by load, the least loaded first. If the last of them is full too, the
-		// first cell is made to accept the job whatever its capacity is. Long-running jobs are the exception: they would
-		// wait for capacity that may not become free for minutes.
+		// first cell is made to accept the job whatever its capacity is, or the first that is only full if best-effort work leaves
+		// no time in others. Long-running jobs are the exception: they would wait for capacity that may not become free for minutes.
 		outcome, elsewhere := n.submitTo(ctx, target, job, value, n.storeIsSlow())
+		if outcome == dispatch.OutcomeFull && full == 0 && len(backlog) == i {
+			first = i
+		}
 		if outcome == dispatch.OutcomeExcess && i > 0 {
 			// The first cell decides, because it gets the job if no cell has capacity.
 			outcome = dispatch.OutcomeFull
 		}
-		if outcome == dispatch.OutcomeFull && i == len(targets)-1 && !job.LongRunning() && !excess {
-			outcome, elsewhere = n.submitTo(ctx, targets[0], job, value, true)
-			target = targets[0]
+		isFull := outcome == dispatch.OutcomeFull || outcome == dispatch.OutcomeBacklog && full > 0
+		if isFull && i == len(targets)-1 && !job.LongRunning() && !excess {
+			target = targets[first]
+			outcome, elsewhere = n.submitTo(ctx, target, job, value, true)
 		}
 		switch outcome {
 		case dispatch.OutcomeAccepted:
