Accept best-effort jobs that could start beside work that waits

The least yield of 0.02 let a pool that gets less owe more than it can do. Change: a job whose first steps runners would take now is not refused by a pool's yield; the least yield only keeps times finite.

--- a/dispatch/besteffort.go
+++ b/dispatch/besteffort.go
@@ -4,6 +4,7 @@
 	"slices"
 	"time"
 
+	"github.com/currantthread/currantthread/placement"
 	"github.com/currantthread/currantthread/workload"
 )
 
@@ -17,8 +18,8 @@
 	// yieldRise and yieldFall are the time constants of the measured yield. Runners that don't respond and owners that are replaced lower it for
 	// some seconds, which says little of the seconds that follow.
 	yieldRise, yieldFall = 2 * time.Second, 6 * time.Second
-	// minYield bounds the measured yield, so that a stall of the owner does not cause the refusal of all jobs for long.
-	minYield = 0.02
+	// minYield keeps times finite while nothing starts.
+	minYield = 0.001
 )
 
 // bestEffortPool identifies the best-effort tasks that compete for the same runners: those of a service, with a required label and an image. What an
@@ -206,7 +207,7 @@
 	if lasting := lastingCores(job); lasting > 0 && lasting > idle {
 		return maxBacklogTime
 	}
-	wait := time.Duration(0)
+	wait, poolWait := time.Duration(0), time.Duration(0)
 	c.eachBestEffortStep(job, func(step *workload.Step, _ float64) {
 		wait = max(wait, all.wait(idle*c.bestEffortShare(all, job.Organisation), job.Organisation))
 		pool := c.poolOf(job, step)
@@ -215,10 +216,42 @@
 			return
 		}
 		if capacity := float64(c.poolCapacity(pool)) / 1000; q.yield > 0 || capacity == 0 {
-			wait = max(wait, q.wait(q.yield*capacity*c.bestEffortShare(q, job.Organisation), job.Organisation))
+			poolWait = max(poolWait, q.wait(q.yield*capacity*c.bestEffortShare(q, job.Organisation), job.Organisation))
 		}
 	})
-	return wait
+	if poolWait > wait && c.couldStart(now, job) {
+		// What waits needs more than the job, for example larger runners.
+		return wait
+	}
+	return max(wait, poolWait)
+}
+
+// couldStart reports whether runners would take all best-effort tasks of a job that wait for no other step now. The caller holds mu.
+func (c *Cell) couldStart(now time.Time, job *workload.Job) bool {
+	if c.startsWithheld(now) != "" || job.Policy.Advised {
+		return false
+	}
+	steps := newJobState(job).newOccurrence(0).steps
+	candidates := serviceCandidates(c.serviceOfJob(job), c.runnerViews(now))
+	found := false
+	for i := range job.Steps {
+		step := &job.Steps[i]
+		if !isShortBestEffort(step) || len(step.After) > 0 {
+			continue
+		}
+		placed := map[string]int{}
+		request := c.placementRequest(steps[i].units[0], placed)
+		for range step.Count {
+			best := placement.Pick(request, candidates)
+			if best == nil {
+				return false
+			}
+			placed[best.ID]++
+			recordPlacement(best, request)
+		}
+		found = true
+	}
+	return found
 }
 
 // wait returns by how much the time in which a number of cores does the work of an organisation exceeds maxBacklogTime.
--- a/dispatch/besteffort_test.go
+++ b/dispatch/besteffort_test.go
@@ -35,6 +35,8 @@
 	// ranAt is when something of a job last ran, and longestIdle the longest time for which an accepted job had nothing running.
 	ranAt       map[string]time.Time
 	longestIdle time.Duration
+	// change is applied to each job; nil for none.
+	change func(job *workload.Job, number int)
 }
 
 // step returns a step of best-effort tasks of 3 to 14 cores.
@@ -53,6 +55,9 @@
 func (o *overload) send() {
 	o.next++
 	job := jobOf(o.next, o.step(), o.step())
+	if o.change != nil {
+		o.change(job, o.next)
+	}
 	outcome, _ := o.owner.Load().Submit(o.t.Context(), job, true)
 	o.mu.Lock()
 	defer o.mu.Unlock()
