Play an overload with best-effort jobs in the soak

Change: the plan overload sends best-effort jobs of 3 to 14 cores a task at 1.5 times the rate of the runners beside the serving tasks, while the owner is killed, terminated and paused, the store fails and runners are lost. Clients obey Retry-After. From 14 s after the end of traffic and faults on, an accepted job that has had nothing running for 3 s while at least half of the capacity was unused is a violation; both are the platform's bounds. The plan no-lulls keeps the serving tasks at their latency target all the time. Long-running tasks of the emulated runners now report 100 percent from their start.

--- a/internal/emulator/runner.go
+++ b/internal/emulator/runner.go
@@ -244,6 +244,20 @@
 	return runs
 }
 
+// Speed returns the speed at which a task runs, in percent; 0 if it does not run.
+func (f *Fleet) Speed(task workload.TaskID) int {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	for _, r := range f.runners {
+		for key, run := range r.running {
+			if key.task == task {
+				return run.percent
+			}
+		}
+	}
+	return 0
+}
+
 // Done returns how often runs of a task ended as done.
 func (f *Fleet) Done(task workload.TaskID) int {
 	f.mu.Lock()
--- a/internal/soak/faults.go
+++ b/internal/soak/faults.go
@@ -38,6 +38,10 @@
 	faults []func(*soak) string
 	// without are the kinds of job that are left out.
 	without []string
+	// overload lets best-effort jobs arrive faster than the runners can do them, instead of the other kinds of job.
+	overload bool
+	// noLulls leaves serving tasks at their latency target all the time.
+	noLulls bool
 }
 
 var (
@@ -50,6 +54,9 @@
 		(*soak).dropHistory, (*soak).slowLinks, (*soak).resetLinks, (*soak).silenceConnections, (*soak).cutStore, (*soak).cutPeers,
 		(*soak).killOwnerBesideDarkRunner, (*soak).killOwnerBesideLostRunner, (*soak).silenceStoreAtTakeover,
 	}
+	overloadFaults = []func(*soak) string{
+		(*soak).killOwner, (*soak).terminateOwner, (*soak).pauseNode, (*soak).breakStore, (*soak).killOwnerBesideLostRunner, (*soak).crashRunners,
+	}
 	crashes = []func(*soak) string{(*soak).crashRunners}
 	cuts    = []func(*soak) string{(*soak).cutNode}
 )
@@ -61,19 +68,21 @@
 	"runners":    {faults: slices.Concat(runnerFaults, crashes)},
 	"stable":     {faults: slices.Concat(runnerFaults, otherFaults), without: []string{"scheduled"}},
 	"kill-owner": {faults: []func(*soak) string{(*soak).killOwner}, without: []string{"scheduled"}},
+	"overload":   {faults: overloadFaults, overload: true},
+	"no-lulls":   {faults: overloadFaults, overload: true, noLulls: true},
 	"power": {faults: []func(*soak) string{(*soak).killAllNodes, (*soak).breakStore, (*soak).dropHistory, (*soak).killAllNodes,
 		(*soak).cutStore}},
 }
 
 // inject injects faults until ctx ends. Each lasts up to some seconds, and the next may begin before it ends.
 func (s *soak) inject(ctx context.Context) {
-	faults := plans[s.cfg.plan].faults
+	faults := s.plan.faults
 	for wait.For(ctx, s.pause()) {
 		at := time.Now()
 		text := faults[s.rng.IntN(len(faults))](s)
 		s.summary.faults = append(s.summary.faults, fmt.Sprintf("%s (%.1fs) %s", at.Format("15:04:05.000"), at.Sub(s.began).Seconds(), text))
 	}
-	if s.rng.IntN(2) == 0 {
+	if !s.plan.overload && s.rng.IntN(2) == 0 {
 		// Faults that end while no more jobs arrive show tasks that only other events would start.
 		time.Sleep(s.random(quietTail))
 	}
@@ -186,6 +195,10 @@
 	return s.endNode(s.randomNode(), syscall.SIGTERM, grace+time.Second)
 }
 
+func (s *soak) terminateOwner() string {
+	return s.endNode(s.ownerOrRandom(), syscall.SIGTERM, grace+time.Second)
+}
+
 // during begins a fault and ends it after a random time up to limit.
 func (s *soak) during(limit time.Duration, text string, begin, end func()) string {
 	begin()
--- a/internal/soak/jobs.go
+++ b/internal/soak/jobs.go
@@ -7,6 +7,7 @@
 	"sync/atomic"
 	"time"
 
+	"github.com/currantthread/currantthread/internal/emulator"
 	"github.com/currantthread/currantthread/workload"
 )
 
@@ -22,6 +23,8 @@
 	AntiAffinity int    `json:"anti_affinity,omitempty"`
 	LongRunning  bool   `json:"long_running,omitempty"`
 	BestEffort   bool   `json:"fills,omitempty"`
+	Image        string `json:"image,omitempty"`
+	TargetMs     int    `json:"target_ms,omitempty"`
 }
 
 // submittedJob is a job as a client submits it.
@@ -126,13 +129,16 @@
 	return submittedJob{Steps: []step{lasting}}
 }
 
-// newJob creates the nth job of a seed, of a kind that is not left out.
-func newJob(rng *rand.Rand, seed uint64, n int, without []string) *clientJob {
+// newJob creates the nth job of a seed, of a kind that the plan plays.
+func newJob(rng *rand.Rand, seed uint64, n int, p plan) *clientJob {
+	if p.overload {
+		return &clientJob{id: jobID(seed, n), kind: "overload", submittedJob: newOverload(rng, n)}
+	}
 	kind := jobKinds[rng.IntN(len(jobKinds))]
-	for slices.Contains(without, kind.name) {
+	for slices.Contains(p.without, kind.name) {
 		kind = jobKinds[rng.IntN(len(jobKinds))]
 	}
-	job := &clientJob{id: fmt.Sprintf("%08x%08x", uint32(seed), n), kind: kind.name, submittedJob: kind.create(rng)}
+	job := &clientJob{id: jobID(seed, n), kind: kind.name, submittedJob: kind.create(rng)}
 	job.Spec = "x"
 	if rng.Float64() < cancelledShare {
 		job.cancelAfter = time.Duration(1 + rng.Int64N(int64(maxCancelDelay)))
@@ -140,11 +146,13 @@
 	return job
 }
 
+func jobID(seed uint64, n int) string { return fmt.Sprintf("%08x%08x", uint32(seed), n) }
+
 // work returns a duration of 0.2 to 1.2 s, or one longer than any soak for long-running tasks, and makes the first run of a few
 // tasks fail. The result depends only on the arguments.
 func (s *soak) work(task workload.TaskID, run int) (time.Duration, bool) {
 	if s.job(task.Job).Steps[task.Step].LongRunning {
-		return time.Hour, false
+		return emulator.Endless, false
 	}
 	h := uint64(14695981039346656037)
 	for _, b := range []byte(task.String()) {
--- a/internal/soak/nodes.go
+++ b/internal/soak/nodes.go
@@ -207,9 +207,13 @@
 	return server, listener.Addr().String(), nil
 }
 
-func newEmulatedPlatform(work emulator.Work, gangSize func(workload.TaskID) int) (*emulatedPlatform, error) {
-	e := &emulatedPlatform{store: emulator.NewStore(), fleet: emulator.NewFleet(work), stop: make(chan struct{}), unlisted: map[string]bool{}}
-	e.fleet.Gang = gangSize
+func newEmulatedPlatform(s *soak) (*emulatedPlatform, error) {
+	e := &emulatedPlatform{store: emulator.NewStore(), fleet: emulator.NewFleet(s.work), stop: make(chan struct{}), unlisted: map[string]bool{}}
+	e.fleet.Gang, e.fleet.Measure = s.gangSize, s.measure
+	capacity := workload.Resources{CPU: 64000, MemoryMB: 256000}
+	if s.plan.overload {
+		capacity.CPU = overloadRunnerCPU
+	}
 	for i := range runnerCount {
 		id := fmt.Sprintf("i-%02d", i)
 		server, addr, err := listen(platform.NewRunnerServer(id, e.fleet))
@@ -218,7 +222,7 @@
 		}
 		e.servers = append(e.servers, server)
 		info := runner.Info{ID: id, Service: serviceName, Addr: addr, Domain: "chipre", Born: time.Now().UnixMilli(),
-			Capacity: workload.Resources{CPU: 64000, MemoryMB: 256000}, Labels: []string{"a", rackLabel(i)}}
+			Capacity: capacity, Labels: []string{"a", rackLabel(i)}}
 		e.infos = append(e.infos, info)
 		e.fleet.Add(info)
 	}
--- a/internal/soak/run.go
+++ b/internal/soak/run.go
@@ -11,6 +11,7 @@
 	"os"
 	"path/filepath"
 	"slices"
+	"strconv"
 	"strings"
 	"sync"
 	"syscall"
@@ -39,6 +40,8 @@
 	queryInterval = 100 * time.Millisecond
 	// requestTimeout is how long a client waits for a response.
 	requestTimeout = 3 * time.Second
+	// clientConns bounds the open connections to a node that clients keep for their next requests.
+	clientConns = 64
 	// attempts bounds how often a client sends a request, with retryPause between two attempts.
 	attempts   = 5
 	retryPause = 500 * time.Millisecond
@@ -68,6 +71,7 @@
 // soak is one run.
 type soak struct {
 	cfg      config
+	plan     plan
 	began    time.Time
 	rng      *rand.Rand // used only by the goroutine of inject
 	platform *emulatedPlatform
@@ -94,8 +98,8 @@
 	} else if err := os.MkdirAll(cfg.dir, 0o700); err != nil {
 		return nil, err
 	}
-	s := &soak{cfg: cfg, began: time.Now(), rng: rand.New(rand.NewPCG(cfg.seed, 1)), summary: &summary{seed: cfg.seed},
-		client: &http.Client{Timeout: requestTimeout}, byID: map[string]*clientJob{}, gone: map[string]bool{}}
+	s := &soak{cfg: cfg, plan: plans[cfg.plan], began: time.Now(), rng: rand.New(rand.NewPCG(cfg.seed, 1)), summary: &summary{seed: cfg.seed},
+		client: &http.Client{Timeout: requestTimeout, Transport: &http.Transport{MaxIdleConnsPerHost: clientConns}}, byID: map[string]*clientJob{}, gone: map[string]bool{}}
 	if err := s.play(ctx); err != nil {
 		return nil, err
 	}
@@ -111,7 +115,7 @@
 
 func (s *soak) play(ctx context.Context) error {
 	var err error
-	if s.platform, err = newEmulatedPlatform(s.work, s.gangSize); err != nil {
+	if s.platform, err = newEmulatedPlatform(s); err != nil {
 		return err
 	}
 	defer s.platform.close()
@@ -136,7 +140,14 @@
 	}
 	s.submitAndInject(ctx)
 	s.clearFaults()
+	var watch sync.WaitGroup
+	watched, stop := context.WithCancel(ctx)
+	if s.plan.overload {
+		watch.Go(func() { s.reportIdle(watched) })
+	}
 	s.awaitSettled(ctx)
+	stop()
+	watch.Wait()
 	s.check()
 	return nil
 }
@@ -157,20 +168,34 @@
 	ctx, cancel := context.WithTimeout(ctx, s.cfg.duration)
 	defer cancel()
 	var group sync.WaitGroup
+	rng := rand.New(rand.NewPCG(s.cfg.seed, 2))
+	interval, clients := jobInterval, context.Background()
+	if s.plan.overload {
+		clients = ctx
+		s.submit(clients, s.addJob(rng), 0)
+	}
 	group.Go(func() { s.inject(ctx) })
 	group.Go(func() { s.queryJobs(ctx) })
-	rng := rand.New(rand.NewPCG(s.cfg.seed, 2))
-	for n := 0; wait.For(ctx, jobInterval); n++ {
-		job := newJob(rng, s.cfg.seed, n, plans[s.cfg.plan].without)
-		s.mu.Lock()
-		s.jobs, s.byID[job.id] = append(s.jobs, job), job
-		s.mu.Unlock()
-		first := n % len(s.nodes)
-		group.Go(func() { s.submit(job, first) })
+	for wait.For(ctx, interval) {
+		first := len(s.jobs) % len(s.nodes)
+		job := s.addJob(rng)
+		if s.plan.overload {
+			interval = job.overloadInterval()
+		}
+		group.Go(func() { s.submit(clients, job, first) })
 	}
 	group.Wait()
 }
 
+// addJob creates the next job.
+func (s *soak) addJob(rng *rand.Rand) *clientJob {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	job := newJob(rng, s.cfg.seed, len(s.jobs), s.plan)
+	s.jobs, s.byID[job.id] = append(s.jobs, job), job
+	return job
+}
+
 // job returns a submitted job, or nil.
 func (s *soak) job(id string) *clientJob {
 	s.mu.Lock()
@@ -178,14 +203,14 @@
 	return s.byID[id]
 }
 
-// submit submits a job, and cancels it if it is one of those to cancel.
-func (s *soak) submit(job *clientJob, first int) {
+// submit submits a job, and cancels it if it is one of those to cancel. The client gives up when ctx ends.
+func (s *soak) submit(ctx context.Context, job *clientJob, first int) {
 	body, err := json.Marshal(&job.submittedJob)
 	if err != nil {
 		panic(err)
 	}
 	refusedOnly := true
-	job.accepted.Store(s.send(http.MethodPost, job, first, body, func(status int) {
+	job.accepted.Store(s.send(ctx, http.MethodPost, job, first, body, func(status int) {
 		refusedOnly = refusedOnly && (status == http.StatusServiceUnavailable || status == http.StatusTooManyRequests)
 		if status == http.StatusBadRequest {
 			s.violate("valid job %s was rejected", job.id)
@@ -198,20 +223,26 @@
 	if job.cancelAfter > 0 {
 		time.Sleep(job.cancelAfter)
 		job.cancelSent.Store(true)
-		job.cancelled.Store(s.send(http.MethodDelete, job, first, nil, func(int) {}))
+		job.cancelled.Store(s.send(ctx, http.MethodDelete, job, first, nil, func(int) {}))
 	}
 }
 
 // send sends a request to one node after another until one responds with 200, and reports whether one did. It calls failed for
-// each other response.
-func (s *soak) send(method string, job *clientJob, first int, body []byte, failed func(status int)) bool {
+// each other response. In an overload it waits for the time that the response asks for.
+func (s *soak) send(ctx context.Context, method string, job *clientJob, first int, body []byte, failed func(status int)) bool {
 	for attempt := range attempts {
-		status, _ := s.call(method, s.nodes[(first+attempt)%len(s.nodes)], job.id, body)
+		status, header, _ := s.call(method, s.nodes[(first+attempt)%len(s.nodes)], job.id, body)
 		if status == http.StatusOK {
 			return true
 		}
 		failed(status)
-		time.Sleep(retryPause)
+		pause := retryPause
+		if seconds, err := strconv.Atoi(header.Get("Retry-After")); err == nil && s.plan.overload {
+			pause = max(pause, time.Duration(seconds)*time.Second)
+		}
+		if !wait.For(ctx, pause) {
+			return false
+		}
 	}
 	return false
 }
@@ -234,7 +265,7 @@
 
 // query asks a node for the state of an accepted job.
 func (s *soak) query(job *clientJob, node *process) {
-	status, response := s.call(http.MethodGet, node, job.id, nil)
+	status, _, response := s.call(http.MethodGet, node, job.id, nil)
 	var answer struct{ State string }
 	switch {
 	case status == http.StatusGone:
@@ -252,8 +283,8 @@
 	}
 }
 
-// call sends a request and returns the status and body of the response, or 0 if there was no response.
-func (s *soak) call(method string, p *process, id string, body []byte) (int, []byte) {
+// call sends a request and returns the status, header and body of the response, or 0 if there was no response.
+func (s *soak) call(method string, p *process, id string, body []byte) (int, http.Header, []byte) {
 	req, err := http.NewRequest(method, "http://"+p.clientAddr+jobPathPrefix+id, bytes.NewReader(body))
 	if err != nil {
 		panic(err)
@@ -261,14 +292,14 @@
 	req.Host = queueHost
 	res, err := s.client.Do(req)
 	if err != nil {
-		return 0, nil
+		return 0, nil, nil
 	}
 	defer func() { _ = res.Body.Close() }()
 	response, err := io.ReadAll(res.Body)
 	if err != nil {
-		return 0, nil
+		return 0, nil, nil
 	}
-	return res.StatusCode, response
+	return res.StatusCode, res.Header, response
 }
 
 // violate records a broken guarantee once.
