Say what refuses best-effort jobs now, and skip pools in which nothing waits

Change: words, and the order of two conditions. Measured: tests of the admission pass, linter clean.

--- a/dispatch/besteffort.go
+++ b/dispatch/besteffort.go
@@ -137,8 +137,10 @@
 			delete(a.pools, pool)
 			continue
 		}
-		if capacity := c.poolCapacity(pool); q.waits && mayStart && capacity > 0 {
-			q.observeYield(passed, float64(used[pool])/float64(capacity))
+		if q.waits && mayStart {
+			if capacity := c.poolCapacity(pool); capacity > 0 {
+				q.observeYield(passed, float64(used[pool])/float64(capacity))
+			}
 		}
 		q.reset()
 	}
--- a/dispatch/intake.go
+++ b/dispatch/intake.go
@@ -42,7 +42,7 @@
 	OutcomeExcess
 	// OutcomeNoMemory means that the owner of the cell has no memory for the job. The job will never run because of this submission.
 	OutcomeNoMemory
-	// OutcomeBacklog means that the job was not accepted because the cell's best-effort work can't be done by its objective. The job will never run
+	// OutcomeBacklog means that the job was not accepted because of the best-effort work that waits in the cell. The job will never run
 	// because of this submission.
 	OutcomeBacklog
 )
@@ -90,7 +90,8 @@
 // Submit makes a job durable in the cell. Submitting a job again that the cell already has is accepted without effect.
 // Submit returns OutcomeFull if the cell lacks capacity for a long-running job, or, unless force is set, for the first
 // steps of another job. It returns OutcomeNoMemory if the job would take too much of the memory that is left, and OutcomeExcess for a
-// job of an organisation that sends more than the cell can do for it. For OutcomeElsewhere it also returns the name of the
+// job of an organisation that sends more than the cell can do for it. It returns OutcomeBacklog, whatever force is, if the best-effort work
+// that waits leaves no time for the job. For OutcomeElsewhere it also returns the name of the
 // other cell, which may be this one if the job has an organisation and the cell does not know that of the stored job.
 func (c *Cell) Submit(ctx context.Context, job *workload.Job, force bool) (Outcome, string) {
 	began := time.Now()
--- a/dispatch/organisations.go
+++ b/dispatch/organisations.go
@@ -35,7 +35,7 @@
 	RefusedForShare = "share"
 	// RefusedForCapacity means that no cell has capacity for the job's long-running tasks.
 	RefusedForCapacity = "capacity"
-	// RefusedForBacklog means that the best-effort work that waits can't be done by the job's objective.
+	// RefusedForBacklog means that the best-effort work that waits leaves no time for the job.
 	RefusedForBacklog = "backlog"
 	// RefusedUnavailable means that no cell takes jobs.
 	RefusedUnavailable = "unavailable"
--- a/node/clients.go
+++ b/node/clients.go
@@ -215,7 +215,7 @@
 		RetryAfter: fairshare.RetryAfter(wait, job.Organisation, job.ID)})
 }
 
-// refuseBacklog refuses a job whose best-effort tasks no cell can do by its objective. The cells are those that said so. A report from before the
+// refuseBacklog refuses a job for which the best-effort work of no cell leaves time. The cells are those that said so. A report from before the
 // first refusal has no time.
 func (n *Node) refuseBacklog(ctx context.Context, job *workload.Job, cells []ownership.Owner) intake.Decision {
 	wait := time.Duration(0)
