--- a/dispatch/admissionpaths_test.go
+++ b/dispatch/admissionpaths_test.go
@@ -26,25 +26,6 @@
 	return o
 }
 
-// newJob returns a job of two steps of best-effort tasks.
-func (o *overload) newJob() *workload.Job {
-	o.next++
-	return jobOf(o.next, o.step(), o.step())
-}
-
-// offer submits a job and notes the outcome.
-func (o *overload) offer(job *workload.Job) dispatch.Outcome {
-	outcome, _ := o.owner.Load().Submit(o.t.Context(), job, true)
-	o.mu.Lock()
-	defer o.mu.Unlock()
-	if outcome == dispatch.OutcomeAccepted {
-		o.accepted = append(o.accepted, job)
-	} else {
-		o.refused = append(o.refused, job)
-	}
-	return outcome
-}
-
 // offerFor submits the jobs that next returns for a time, one every submissionInterval.
 func (o *overload) offerFor(lasts time.Duration, next func() *workload.Job) {
 	for began := time.Now(); time.Since(began) < lasts; time.Sleep(submissionInterval) {
--- a/dispatch/besteffort_test.go
+++ b/dispatch/besteffort_test.go
@@ -51,13 +51,18 @@
 	return time.Second + time.Duration((task.Index*37+task.Step*11+int(task.Job[15])*7)%100)*10*time.Millisecond, false
 }
 
-// send submits one job.
-func (o *overload) send() {
+// newJob returns a job of two steps of best-effort tasks.
+func (o *overload) newJob() *workload.Job {
 	o.next++
 	job := jobOf(o.next, o.step(), o.step())
 	if o.change != nil {
 		o.change(job, o.next)
 	}
+	return job
+}
+
+// offer submits a job and notes the outcome.
+func (o *overload) offer(job *workload.Job) dispatch.Outcome {
 	outcome, _ := o.owner.Load().Submit(o.t.Context(), job, true)
 	o.mu.Lock()
 	defer o.mu.Unlock()
@@ -66,6 +71,7 @@
 	} else {
 		o.refused = append(o.refused, job)
 	}
+	return outcome
 }
 
 // run sends jobs for a time, one every interval, with a change of owner in between if replace is set.
@@ -75,7 +81,7 @@
 			replaced = true
 			replace()
 		}
-		o.send()
+		o.offer(o.newJob())
 	}
 }
 
