Add waiting work to its pools without a copy of the steps

Cause: the steps of a job were collected because late work was once counted apart; that rule is gone. A comment had one long line, and another one spoke of a zero value that is not usable. Change: each step is added at once, and words. Behaviour is unchanged.

--- a/dispatch/backlog.go
+++ b/dispatch/backlog.go
@@ -8,7 +8,6 @@
 
 	"github.com/currantthread/currantthread/observe"
 	"github.com/currantthread/currantthread/runner"
-	"github.com/currantthread/currantthread/workload"
 )
 
 // Best-effort tasks commit no processor time, so neither the committed capacity nor the load of a cell shows how much of their work waits. The
@@ -154,19 +153,14 @@
 
 // addBacklog adds the best-effort work of a job, and notes since when the job has had nothing running. The caller holds mu.
 func (c *Cell) addBacklog(now time.Time, b *backlog, j *jobState) {
-	type queuedStep struct {
-		def   *workload.Step
-		work  float64
-		waits bool
-	}
 	var total stepBacklog
-	var steps []queuedStep
 	for _, occ := range j.occs {
 		for i := range occ.steps {
-			if def := &j.def.Steps[i]; def.BestEffort && def.LongRunning {
+			def := &j.def.Steps[i]
+			if def.BestEffort && def.LongRunning {
 				queueOf(c.bestEffort.services, c.serviceOf(j)).lasting += float64(def.Resources.CPU) / 1000 * float64(occ.steps[i].withoutRun())
 			}
-			if !isShortBestEffort(&j.def.Steps[i]) || occ.steps[i].left == 0 {
+			if !isShortBestEffort(def) || occ.steps[i].left == 0 {
 				continue
 			}
 			step := c.stepBacklog(now, &occ.steps[i])
@@ -175,12 +169,9 @@
 			b.ready += each * float64(step.ready)
 			b.later += each * float64(step.later)
 			total.add(step, each)
-			steps = append(steps, queuedStep{&j.def.Steps[i], each * float64(step.ready+step.later), step.ready > 0})
+			c.bestEffort.add(c.poolOf(j.def, def), j.def.Organisation, each*float64(step.ready+step.later), step.ready > 0)
 		}
 	}
-	for _, s := range steps {
-		c.bestEffort.add(c.poolOf(j.def, s.def), j.def.Organisation, s.work, s.waits)
-	}
 	if total.late {
 		b.late += total.work
 	}
--- a/dispatch/besteffort.go
+++ b/dispatch/besteffort.go
@@ -8,8 +8,9 @@
 	"github.com/currantthread/currantthread/workload"
 )
 
-// A job with best-effort tasks is refused if the best-effort work that waits takes longer than maxBacklogTime. Otherwise the accepted work grows without a bound while less is done than arrives, and jobs have nothing running for minutes. Each
-// organisation has its part of the rate by weight, so the work of one causes no refusals of others.
+// A job with best-effort tasks is refused if the best-effort work that waits takes longer than maxBacklogTime. Otherwise the accepted work grows
+// without a bound while less is done than arrives, and jobs have nothing running for minutes. Each organisation has its part of the rate by weight,
+// so the work of one causes no refusals of others.
 
 const (
 	// maxBacklogTime is the time within which all waiting work must be possible to do when one more job is accepted. The platform asks for all
@@ -38,7 +39,7 @@
 	yield float64
 }
 
-// bestEffortAdmission is what decisions on jobs with best-effort tasks need. The zero value has measured nothing.
+// bestEffortAdmission is what decisions on jobs with best-effort tasks need. See newBestEffortAdmission.
 type bestEffortAdmission struct {
 	// pools have the work of each pool, and services that of all pools of a service.
 	pools     map[bestEffortPool]*bestEffortQueue
